--- /dev/null
+++ b/cmake/CatkinwingTargets.cmake
@@ -0,0 +1,42 @@
+# Helpers that give every target of the project the same settings.
+
+set(CATKINWING_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual -Werror)
+
+# catkinwing_add_library(PACKAGE SOURCES file... DEPENDS target...)
+# Defines the static library of one package, catkinwingPACKAGE.
+function(catkinwing_add_library package)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(catkinwing${package} STATIC ${ARG_SOURCES})
+  target_include_directories(catkinwing${package} PUBLIC ${PROJECT_SOURCE_DIR}/include)
+  target_compile_options(catkinwing${package} PRIVATE ${CATKINWING_WARNINGS})
+  target_link_libraries(catkinwing${package} PUBLIC ${ARG_DEPENDS})
+endfunction()
+
+# catkinwing_add_executable(NAME SOURCES file... DEPENDS target...)
+function(catkinwing_add_executable name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_compile_options(${name} PRIVATE ${CATKINWING_WARNINGS})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+endfunction()
+
+# catkinwing_add_unittest(PACKAGE SOURCES file... DEPENDS target...)
+# Defines PACKAGETests; each Catch2 case is one CTest test named PACKAGE.CASE.
+function(catkinwing_add_unittest package)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${package}Tests ${ARG_SOURCES})
+  target_compile_options(${package}Tests PRIVATE ${CATKINWING_WARNINGS})
+  target_link_libraries(${package}Tests PRIVATE catkinwing${package} ${ARG_DEPENDS} Catch2::Catch2WithMain)
+  set_target_properties(${package}Tests PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/unittests)
+  catch_discover_tests(${package}Tests TEST_PREFIX "${package}." PROPERTIES TIMEOUT 240)
+endfunction()
+
+# catkinwing_add_subdirectories(NAME...) adds those that exist.
+function(catkinwing_add_subdirectories)
+  foreach(name ${ARGN})
+    if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/CMakeLists.txt)
+      add_subdirectory(${name})
+    endif()
+  endforeach()
+endfunction()
--- /dev/null
+++ b/include/catkinwing/Http/HttpClient.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "catkinwing/Http/EventLoop.h"
+#include "catkinwing/Http/HttpMessage.h"
+#include "catkinwing/Http/TlsContext.h"
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinwing {
+
+/// How an exchange ended.
+enum class HttpEnd {
+    /// The whole response arrived.
+    Complete,
+    /// No connection; not a byte of the request left.
+    ConnectFailed,
+    /// The connection ended before the head of the response.
+    NoResponse,
+    /// The head, or the body's framing, is not HTTP.
+    Malformed,
+    /// The body ended before its announced length or last chunk.
+    Truncated,
+    /// One of the timeouts passed.
+    TimedOut,
+};
+
+/// The end of an exchange.
+struct HttpResult {
+    HttpEnd end { HttpEnd::Complete };
+    /// False only if it is certain that the server got no byte of the request.
+    bool mayHaveReachedServer { false };
+    /// Says what failed, for logs; empty when complete.
+    std::string detail;
+};
+
+/// A request to send.
+struct HttpClientRequest {
+    SocketAddress server;
+    std::string method { "GET" };
+    /// Path with the query.
+    std::string target { "/" };
+    HttpHeaders headers;
+    std::string body;
+    std::chrono::milliseconds connectTimeout { 1'000 };
+    /// Longest wait for the head of the response.
+    std::chrono::milliseconds headTimeout { 60'000 };
+    /// Longest silence inside the body.
+    std::chrono::milliseconds idleTimeout { 60'000 };
+    /// Takes a connection that no other request has used, so that an idle
+    /// close by the server can't make the outcome uncertain.
+    bool freshConnection { false };
+};
+
+/// What the sender of a request is told, on the loop. After onEnd nothing
+/// more is called, and the callbacks are released.
+struct HttpClientCallbacks {
+    std::function<void(const HttpResponseHead&)> onHead;
+    std::function<void(absl::string_view bytes)> onBody;
+    std::function<void(const HttpResult&)> onEnd;
+};
+
+/// A request under way. Dropping the handle cancels nothing.
+class HttpExchange {
+public:
+    virtual ~HttpExchange() = default;
+    /// Gives the exchange up and closes its connection; no callback runs after this.
+    virtual void cancel() = 0;
+    /// Stops reading the body, so that the server is slowed.
+    virtual void pause() = 0;
+    virtual void resume() = 0;
+    /// Tells whether a byte of the request may already have left.
+    virtual bool mayHaveReachedServer() const = 0;
+};
+
+/// Limits of a client.
+struct HttpClientOptions {
+    std::size_t maxIdleConnectionsPerServer { 64 };
+    /// How long an unused connection is kept.
+    std::chrono::milliseconds keepIdle { 4'000 };
+    /// Plain text if null.
+    std::shared_ptr<TlsContext> tls;
+};
+
+/// Sends HTTP/1.1 requests over pooled connections.
+class HttpClient {
+public:
+    virtual ~HttpClient() = default;
+    /// Starts a request; callbacks run later, never inside this call.
+    virtual std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) = 0;
+    /// Drops the idle connections to \p server.
+    virtual void forget(const SocketAddress& server) = 0;
+    /// Uses \p tls for connections opened from now on.
+    virtual void replaceTls(std::shared_ptr<TlsContext> tls) = 0;
+};
+
+/// Makes a client on \p loop, which must outlive it.
+std::unique_ptr<HttpClient> makeHttpClient(EventLoop& loop, HttpClientOptions options);
+
+/// Sends a request and hands over the whole response, at most \p maxBodyBytes
+/// of body; longer ones end as Malformed.
+std::shared_ptr<HttpExchange> sendForWhole(HttpClient& client, HttpClientRequest request, std::size_t maxBodyBytes,
+    std::function<void(const HttpResult&, const HttpResponseHead&, std::string body)> done);
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Http/HttpServer.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "catkinwing/Http/EventLoop.h"
+#include "catkinwing/Http/HttpMessage.h"
+#include "catkinwing/Http/TlsContext.h"
+#include <absl/status/statusor.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinwing {
+
+/// The answer to one request. Whoever holds it may answer at any later time;
+/// calls after the caller has gone do nothing.
+class HttpResponder {
+public:
+    virtual ~HttpResponder() = default;
+    /// Sends the head; the body follows by write() and finish(). Once only.
+    virtual void sendHead(const HttpResponseHead& head) = 0;
+    /// Queues body bytes; see pendingBytes() and onWritable().
+    virtual void write(std::string bytes) = 0;
+    /// Ends the body as complete.
+    virtual void finish() = 0;
+    /// Cuts the answer off so that the caller can see it is not whole
+    /// (connection closed before the end, or the stream reset).
+    virtual void abort() = 0;
+    /// Sends head and body at once, with a content-length.
+    virtual void send(const HttpResponseHead& head, std::string body) = 0;
+    /// Tells whether the caller is still there and the answer not yet ended.
+    virtual bool isOpen() const = 0;
+    /// Returns the bytes given to write() that the transport has not yet taken.
+    virtual std::size_t pendingBytes() const = 0;
+    /// Calls \p callback whenever the transport has taken all pending bytes.
+    virtual void onWritable(std::function<void()> callback) = 0;
+    /// Calls \p callback once if the caller goes before the answer has ended.
+    virtual void onClosed(std::function<void()> callback) = 0;
+};
+
+/// Called on the loop for each request; the responder may be kept.
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+/// What a server listens on and the limits it keeps.
+struct HttpServerOptions {
+    SocketAddress listen;
+    /// Larger bodies are answered 413.
+    std::size_t maxBodyBytes { 8u << 20 };
+    /// Longest wait for a whole request to arrive on a connection.
+    std::chrono::milliseconds requestTimeout { 10'000 };
+    std::size_t maxConnections { 4096 };
+    std::size_t maxConnectionsPerCaller { 1024 };
+    /// Plain text if null.
+    std::shared_ptr<TlsContext> tls;
+};
+
+/// Serves HTTP/1.1 and HTTP/2 on one address.
+class HttpServer {
+public:
+    /// Starts to listen; port 0 takes a free one.
+    static absl::StatusOr<std::unique_ptr<HttpServer>> listen(EventLoop& loop, HttpServerOptions options, HttpHandler handler);
+    virtual ~HttpServer() = default;
+    /// Returns the address in use, with the port that was taken.
+    virtual SocketAddress address() const = 0;
+    /// Closes the listening socket and asks callers to close idle connections;
+    /// requests in progress go on.
+    virtual void stopListening() = 0;
+    virtual std::size_t openConnections() const = 0;
+    /// Uses \p tls for the connections accepted from now on.
+    virtual void replaceTls(std::shared_ptr<TlsContext> tls) = 0;
+};
+
+} // namespace catkinwing
