Add the event loop, HTTP server and client over h2o

The client gives each connection an h2o socket pool of its own, so that one with left-over bytes is never used again. TlsFiles gains checkServerAddress: by default a server's certificate must name the IP address dialled.

--- a/include/catkinwing/Http/TlsContext.h
+++ b/include/catkinwing/Http/TlsContext.h
@@ -14,6 +14,9 @@
     std::string keyFile;
     /// Authorities for the other side; a server given one demands a client certificate.
     std::string authorityFile;
+    /// Client only: demands that the server's certificate names the IP address
+    /// dialled among its subject alternative names, besides a valid chain.
+    bool checkServerAddress { true };
 };
 
 /// Settings of TLS shared by connections; replaced whole on reload, while
--- /dev/null
+++ b/lib/Http/ClientConnection.cpp
@@ -0,0 +1,64 @@
+#include "ClientConnection.h"
+
+#include <cerrno>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+// Far longer than idle connections are kept.
+static constexpr std::chrono::hours poolTimeout { 1 };
+
+// h2o's pool reads the loop's time whenever it is used, but only setting a
+// timeout by its own function tells it the loop. That would add a timer list
+// for each connection, and h2o goes through all of them every turn.
+ClientConnection::ClientConnection(EventLoop::Impl& loop, sockaddr* address, socklen_t length, bool isTls)
+    : m_loop(loop)
+    , m_pool(std::make_unique<h2o_socketpool_t>())
+{
+    h2o_socketpool_init_by_address(m_pool.get(), address, length, isTls, 1);
+    m_pool->timeout = static_cast<std::uint64_t>(milliseconds(poolTimeout).count());
+    m_pool->_interval_cb.loop = loop.m_loop;
+}
+
+static void disposePool(h2o_socketpool_t& pool)
+{
+    pool._interval_cb.loop = nullptr;
+    h2o_socketpool_dispose(&pool);
+}
+
+// A TLS connection says goodbye before it closes, and then counts itself out
+// of its pool.
+ClientConnection::~ClientConnection()
+{
+    if (!m_closesLate) {
+        disposePool(*m_pool);
+        return;
+    }
+    std::shared_ptr<h2o_socketpool_t> pool(std::move(m_pool));
+    m_loop.retire([pool] {
+        bool isOpen = pool->_shared.count > 0 && h2o_linklist_is_empty(&pool->_shared.sockets);
+        if (!isOpen)
+            disposePool(*pool);
+        return !isOpen;
+    });
+}
+
+// Input on an idle connection is its end, or bytes that belong to no request.
+static bool hasInput(int descriptor)
+{
+    char byte = 0;
+    ssize_t count = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool isQuiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return !isQuiet;
+}
+
+bool ClientConnection::isReusable() const
+{
+    bool isBack = !h2o_linklist_is_empty(&m_pool->_shared.sockets);
+    return isBack && !m_isSpoilt && !hasInput(m_descriptor);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/ClientExchange.cpp
@@ -0,0 +1,429 @@
+#include "ClientExchange.h"
+
+#include "HeaderSyntax.h"
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+ClientExchange::ClientExchange(std::shared_ptr<ClientCore> core, HttpClientRequest request, HttpClientCallbacks callbacks)
+    : m_loop(core->loop())
+    , m_core(std::move(core))
+    , m_request(std::move(request))
+    , m_callbacks(std::make_shared<HttpClientCallbacks>(std::move(callbacks)))
+{
+}
+
+static bool isValid(const HttpClientRequest& request)
+{
+    if (!isFieldName(request.method) || !isRequestTarget(request.target))
+        return false;
+    for (const auto& field : request.headers.fields()) {
+        if (!isFieldName(field.name) || !isFieldValue(field.value))
+            return false;
+    }
+    return true;
+}
+
+std::shared_ptr<HttpExchange> ClientExchange::start(std::shared_ptr<ClientCore> core, HttpClientRequest request,
+    HttpClientCallbacks callbacks)
+{
+    std::shared_ptr<ClientExchange> exchange(
+        new ClientExchange(std::move(core), std::move(request), std::move(callbacks)));
+    exchange->m_self = exchange;
+    exchange->m_core->addExchange(*exchange);
+    if (isValid(exchange->m_request))
+        exchange->connect();
+    else
+        exchange->end(HttpEnd::Malformed, "the request is not valid HTTP");
+    return exchange;
+}
+
+void ClientExchange::connect()
+{
+    auto bytes = toBytes(m_request.server);
+    if (!bytes.ok())
+        return end(HttpEnd::ConnectFailed, std::string(bytes.status().message()));
+    m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection);
+    enter(Phase::Connecting, m_request.connectTimeout);
+    h2o_http1client_connect_with_pool(&m_client, this, m_core->context(), m_connection->pool(), onConnect);
+}
+
+// h2o frees its client once a callback returns null or an error was told, so
+// the callbacks below forget it first.
+h2o_http1client_head_cb ClientExchange::onConnect(h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers,
+    std::size_t* count, int* isHead)
+{
+    auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    if (error) {
+        self->didFailToConnect(*client, error);
+        return nullptr;
+    }
+    *isHead = self->m_request.method == "HEAD";
+    self->didConnect(*client, buffers, count);
+    return onHead;
+}
+
+void ClientExchange::didFailToConnect(h2o_http1client_t& client, const char* error)
+{
+    bool isHandshake = client.sock != nullptr;
+    if (isHandshake)
+        m_connection->expectLateClose();
+    m_client = nullptr;
+    end(HttpEnd::ConnectFailed, error);
+}
+
+void ClientExchange::didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count)
+{
+    m_connection->setSocket(client.sock);
+    if (client.sock->ssl)
+        m_connection->expectLateClose();
+    m_mayHaveReachedServer = true;
+    m_head = makeHead();
+    m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
+    m_buffers[1] = h2o_iovec_init(m_request.body.data(), m_request.body.size());
+    *buffers = m_buffers.data();
+    *count = m_request.body.empty() ? 1 : 2;
+    enter(Phase::AwaitingHead, m_request.headTimeout);
+}
+
+// How the message is framed, and that the connection may be kept, is decided here.
+static bool isOwnField(absl::string_view name)
+{
+    for (absl::string_view own : { "connection", "content-length", "expect", "keep-alive", "transfer-encoding", "upgrade" }) {
+        if (absl::EqualsIgnoreCase(name, own))
+            return true;
+    }
+    return false;
+}
+
+static bool announcesLength(const HttpClientRequest& request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
+std::string ClientExchange::makeHead() const
+{
+    std::string head = absl::StrCat(m_request.method, " ", m_request.target, " HTTP/1.1\r\n");
+    if (!m_request.headers.find("host"))
+        absl::StrAppend(&head, "host: ", m_request.server.toString(), "\r\n");
+    for (const auto& field : m_request.headers.fields()) {
+        if (!isOwnField(field.name))
+            absl::StrAppend(&head, field.name, ": ", field.value, "\r\n");
+    }
+    if (announcesLength(m_request))
+        absl::StrAppend(&head, "content-length: ", m_request.body.size(), "\r\n");
+    absl::StrAppend(&head, "\r\n");
+    return head;
+}
+
+h2o_http1client_body_cb ClientExchange::onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
+    h2o_header_t* fields, std::size_t fieldCount, int headLength)
+{
+    auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    bool hasNoBody = error == h2o_http1client_error_is_eos;
+    if (error && !hasNoBody) {
+        self->m_client = nullptr;
+        bool isCut = absl::StartsWith(error, "I/O error");
+        self->end(isCut ? HttpEnd::NoResponse : HttpEnd::Malformed, error);
+        return nullptr;
+    }
+    // h2o would throw away what follows such a response and keep the connection.
+    bool hasLeftOver = client->sock->input->size > static_cast<std::size_t>(headLength);
+    if (hasNoBody && hasLeftOver)
+        self->m_connection->spoil();
+    self->m_isInClient = true;
+    bool isWanted = self->didGetHead(*client, status, fields, fieldCount);
+    self->m_isInClient = false;
+    if (isWanted && !hasNoBody)
+        return onBody;
+    self->m_client = nullptr;
+    if (isWanted)
+        self->end(HttpEnd::Complete, {});
+    return nullptr;
+}
+
+namespace {
+
+    /// The fields of a response that say how long its body is.
+    struct FramingFields {
+        int transferEncodings { 0 };
+        int lengths { 0 };
+        bool lengthsDiffer { false };
+        bool hasNamelessField { false };
+    };
+
+} // namespace
+
+static absl::string_view toView(h2o_iovec_t bytes)
+{
+    return { bytes.base, bytes.len };
+}
+
+static FramingFields framingFieldsOf(const HttpHeaders& headers)
+{
+    FramingFields found;
+    const std::string* length = nullptr;
+    for (const auto& field : headers.fields()) {
+        if (field.name.empty())
+            found.hasNamelessField = true;
+        if (field.name == "transfer-encoding")
+            ++found.transferEncodings;
+        if (field.name != "content-length")
+            continue;
+        ++found.lengths;
+        found.lengthsDiffer = found.lengthsDiffer || (length && *length != field.value);
+        length = &field.value;
+    }
+    return found;
+}
+
+// h2o takes these in without complaint, and would then misread the body.
+static const char* framingFault(const FramingFields& fields, int status)
+{
+    if (status == 101)
+        return "the server switched protocols unasked";
+    if (fields.hasNamelessField)
+        return "folded header field";
+    if (fields.lengthsDiffer)
+        return "two different content lengths";
+    if (fields.transferEncodings > 1 || (fields.transferEncodings > 0 && fields.lengths > 0))
+        return "ambiguous body length";
+    return nullptr;
+}
+
+static HttpResponseHead makeResponseHead(int status, const h2o_header_t* fields, std::size_t fieldCount)
+{
+    HttpResponseHead head;
+    head.status = status;
+    for (std::size_t i = 0; i < fieldCount; ++i)
+        head.headers.add(std::string(toView(*fields[i].name)), std::string(toView(fields[i].value)));
+    return head;
+}
+
+bool ClientExchange::didGetHead(h2o_http1client_t&, int status, const h2o_header_t* fields, std::size_t fieldCount)
+{
+    HttpResponseHead head = makeResponseHead(status, fields, fieldCount);
+    FramingFields framing = framingFieldsOf(head.headers);
+    if (const char* fault = framingFault(framing, status)) {
+        m_connection->spoil();
+        end(HttpEnd::Malformed, fault);
+        return false;
+    }
+    const std::string* encoding = head.headers.find("transfer-encoding");
+    bool isChunked = encoding && absl::EqualsIgnoreCase(*encoding, "chunked");
+    m_framing = isChunked ? Framing::Chunked : framing.lengths > 0 ? Framing::ContentLength
+                                                                   : Framing::UntilClose;
+    enter(Phase::InBody, m_request.idleTimeout);
+    auto callbacks = m_callbacks;
+    if (callbacks->onHead)
+        callbacks->onHead(head);
+    return !m_isOver;
+}
+
+int ClientExchange::onBody(h2o_http1client_t* client, const char* error)
+{
+    auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    self->m_isInClient = true;
+    bool goesOn = self->didGetBody(*client, error);
+    self->m_isInClient = false;
+    if (goesOn)
+        return 0;
+    self->m_client = nullptr;
+    return -1;
+}
+
+static HttpEnd endOfBody(const char* error, bool isLenient)
+{
+    bool isComplete = error == h2o_http1client_error_is_eos && !isLenient;
+    if (isComplete)
+        return HttpEnd::Complete;
+    bool isMalformed = absl::StartsWith(error, "failed to parse");
+    return isMalformed ? HttpEnd::Malformed : HttpEnd::Truncated;
+}
+
+bool ClientExchange::didGetBody(h2o_http1client_t& client, const char* error)
+{
+    // h2o takes a chunked body as complete if the connection ends between two
+    // chunks; then nothing was read.
+    bool isLenient = m_framing == Framing::Chunked && client.sock->bytes_read == 0;
+    bool isFailed = error && endOfBody(error, isLenient) != HttpEnd::Complete;
+    m_lastActivity = m_loop.clock().now();
+    h2o_buffer_t* input = client.sock->input;
+    if (!isFailed && input->size > 0)
+        passOnBody({ input->bytes, input->size });
+    h2o_buffer_consume(&client.sock->input, client.sock->input->size);
+    if (m_isOver)
+        return false;
+    if (error) {
+        HttpEnd howEnded = endOfBody(error, isLenient);
+        end(howEnded, howEnded == HttpEnd::Complete ? std::string() : isLenient ? "no last chunk"
+                                                                                : error);
+        return false;
+    }
+    if (m_isPaused)
+        stopReading();
+    return true;
+}
+
+void ClientExchange::passOnBody(absl::string_view bytes)
+{
+    if (m_isPaused || !m_held.empty()) {
+        m_held.append(bytes.data(), bytes.size());
+        return;
+    }
+    auto callbacks = m_callbacks;
+    if (callbacks->onBody)
+        callbacks->onBody(bytes);
+}
+
+void ClientExchange::deliver()
+{
+    if (m_isPaused || m_isOver)
+        return;
+    if (!m_held.empty()) {
+        std::string bytes = std::exchange(m_held, {});
+        passOnBody(bytes);
+    }
+    if (m_isPaused || m_isOver)
+        return;
+    if (m_phase == Phase::Ended)
+        deliverEnd();
+    else
+        continueReading();
+}
+
+void ClientExchange::deliverEnd()
+{
+    auto callbacks = m_callbacks;
+    release();
+    if (callbacks->onEnd)
+        callbacks->onEnd(m_result);
+}
+
+void ClientExchange::cancel()
+{
+    if (m_isOver)
+        return;
+    auto self = shared_from_this();
+    m_phase = Phase::Ended;
+    if (m_connection)
+        m_connection->spoil();
+    dropClient();
+    m_loop.impl().defer([self] { self->m_connection.reset(); });
+    release();
+}
+
+void ClientExchange::release()
+{
+    m_isOver = true;
+    m_held.clear();
+    m_callbacks.reset();
+    m_core->removeExchange(*this);
+    m_core.reset();
+    m_self.reset();
+}
+
+void ClientExchange::pause()
+{
+    if (m_isPaused || m_isOver)
+        return;
+    m_isPaused = true;
+    if (m_phase == Phase::InBody && m_client)
+        stopReading();
+}
+
+void ClientExchange::resume()
+{
+    if (!m_isPaused || m_isOver)
+        return;
+    m_isPaused = false;
+    m_loop.impl().defer([self = shared_from_this()] { self->deliver(); });
+}
+
+// The reader is h2o's own, and there is no call by which it pauses. While
+// paused, silence is ours and not the server's.
+void ClientExchange::stopReading()
+{
+    m_loop.cancel(m_timer);
+    if (!m_client || !h2o_socket_is_reading(m_client->sock))
+        return;
+    m_pausedReader = m_client->sock->_cb.read;
+    h2o_socket_read_stop(m_client->sock);
+}
+
+void ClientExchange::continueReading()
+{
+    if (!m_client || m_phase != Phase::InBody)
+        return;
+    enter(Phase::InBody, m_request.idleTimeout);
+    if (m_pausedReader)
+        h2o_socket_read_start(m_client->sock, m_pausedReader);
+    m_pausedReader = nullptr;
+}
+
+void ClientExchange::enter(Phase phase, milliseconds timeout)
+{
+    m_phase = phase;
+    m_lastActivity = m_loop.clock().now();
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.callAfter(timeout, [this] { didTimeOut(); });
+}
+
+static const char* timeoutName(bool isConnecting, bool isInBody)
+{
+    if (isConnecting)
+        return "connect timeout";
+    return isInBody ? "idle timeout" : "head timeout";
+}
+
+void ClientExchange::didTimeOut()
+{
+    auto self = shared_from_this();
+    bool isInBody = m_phase == Phase::InBody;
+    if (isInBody && m_isPaused)
+        return;
+    Duration left = m_lastActivity + m_request.idleTimeout - m_loop.clock().now();
+    if (isInBody && left > Duration::zero()) {
+        m_timer = m_loop.callAfter(left, [this] { didTimeOut(); });
+        return;
+    }
+    std::string name = timeoutName(m_phase == Phase::Connecting, isInBody);
+    m_connection->spoil();
+    dropClient();
+    end(HttpEnd::TimedOut, std::move(name));
+}
+
+void ClientExchange::end(HttpEnd end, std::string detail)
+{
+    m_phase = Phase::Ended;
+    m_result = { end, m_mayHaveReachedServer, std::move(detail) };
+    m_loop.cancel(m_timer);
+    m_loop.impl().defer([self = shared_from_this()] { self->settle(); });
+}
+
+// Inside its own callbacks h2o closes by the value they return.
+void ClientExchange::dropClient()
+{
+    m_loop.cancel(m_timer);
+    if (!m_client)
+        return;
+    bool isTls = m_client->sock && m_client->sock->ssl;
+    if (isTls)
+        m_connection->expectLateClose();
+    if (!m_isInClient)
+        h2o_http1client_cancel(m_client);
+    m_client = nullptr;
+}
+
+void ClientExchange::settle()
+{
+    if (m_core && m_connection)
+        m_core->giveBack(m_request.server, std::move(m_connection));
+    m_connection.reset();
+    deliver();
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/ClientExchange.h
@@ -0,0 +1,91 @@
+// One request of the client and its response.
+#pragma once
+
+#include "ClientCore.h"
+#include <array>
+
+namespace catkinwing {
+
+/// An exchange under way; owns itself until it has ended.
+class ClientExchange final : public HttpExchange, public std::enable_shared_from_this<ClientExchange> {
+public:
+    static std::shared_ptr<HttpExchange> start(std::shared_ptr<ClientCore> core, HttpClientRequest request,
+        HttpClientCallbacks callbacks);
+    ~ClientExchange() override = default;
+    ClientExchange(const ClientExchange&) = delete;
+    ClientExchange& operator=(const ClientExchange&) = delete;
+
+    void cancel() override;
+    void pause() override;
+    void resume() override;
+    bool mayHaveReachedServer() const override { return m_mayHaveReachedServer; }
+
+private:
+    /// How the end of the body is known.
+    enum class Framing {
+        None,
+        ContentLength,
+        Chunked,
+        UntilClose,
+    };
+    enum class Phase {
+        Connecting,
+        AwaitingHead,
+        InBody,
+        Ended,
+    };
+
+    ClientExchange(std::shared_ptr<ClientCore> core, HttpClientRequest request, HttpClientCallbacks callbacks);
+
+    static h2o_http1client_head_cb onConnect(h2o_http1client_t*, const char* error, h2o_iovec_t** buffers, std::size_t* count,
+        int* isHead);
+    static h2o_http1client_body_cb onHead(h2o_http1client_t*, const char* error, int minorVersion, int status, h2o_iovec_t phrase,
+        h2o_header_t* fields, std::size_t fieldCount, int headLength);
+    static int onBody(h2o_http1client_t*, const char* error);
+
+    void connect();
+    void didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count);
+    void didFailToConnect(h2o_http1client_t& client, const char* error);
+    bool didGetHead(h2o_http1client_t& client, int status, const h2o_header_t* fields, std::size_t fieldCount);
+    bool didGetBody(h2o_http1client_t& client, const char* error);
+    void passOnBody(absl::string_view bytes);
+    /// Passes on what is held: body bytes, then the end.
+    void deliver();
+    void deliverEnd();
+
+    void enter(Phase phase, std::chrono::milliseconds timeout);
+    void didTimeOut();
+    void stopReading();
+    void continueReading();
+    /// Notes the end; it is told at the end of the turn, when h2o has brought
+    /// the connection back.
+    void end(HttpEnd end, std::string detail);
+    void dropClient();
+    void settle();
+    /// Lets go of all that keeps this alive.
+    void release();
+    std::string makeHead() const;
+
+    EventLoop& m_loop;
+    std::shared_ptr<ClientCore> m_core;
+    std::shared_ptr<ClientExchange> m_self;
+    HttpClientRequest m_request;
+    std::shared_ptr<HttpClientCallbacks> m_callbacks;
+    std::unique_ptr<ClientConnection> m_connection;
+    h2o_http1client_t* m_client { nullptr };
+    std::string m_head;
+    std::array<h2o_iovec_t, 2> m_buffers {};
+    Phase m_phase { Phase::Connecting };
+    Framing m_framing { Framing::None };
+    TimerId m_timer { 0 };
+    TimePoint m_lastActivity {};
+    HttpResult m_result;
+    std::string m_held;
+    h2o_socket_cb m_pausedReader { nullptr };
+    bool m_mayHaveReachedServer { false };
+    bool m_isInClient { false };
+    bool m_isOver { false };
+    bool m_isPaused { false };
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/EventLoopImpl.h
@@ -0,0 +1,61 @@
+// State of the loop, shared by the sources of this package.
+#pragma once
+
+#include "H2o.h"
+#include "catkinwing/Http/EventLoop.h"
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace catkinwing {
+
+struct EventLoop::Impl {
+    /// Returns true once what it holds has been released.
+    using Reaper = std::function<bool()>;
+    using ReadableCallback = std::function<void()>;
+
+    /// A descriptor that is watched but not read by h2o.
+    struct Watch {
+        h2o_socket_t* socket;
+        ReadableCallback onReadable;
+    };
+
+    explicit Impl(const Clock& clock);
+    ~Impl();
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    /// Calls \p callback at the end of this turn, or of the next one if none runs.
+    void defer(Callback callback) { m_deferred.push_back(std::move(callback)); }
+    /// Calls \p reaper at the end of each turn until it returns true; also,
+    /// for a while, when the loop is destroyed.
+    void retire(Reaper reaper) { m_reapers.push_back(std::move(reaper)); }
+    /// Takes over \p descriptor and calls \p onReadable while it has input.
+    Watch* watch(int descriptor, ReadableCallback onReadable);
+    /// Closes the descriptor; must not be called by its own callback.
+    void unwatch(Watch* watch);
+
+    void runTurn(std::chrono::milliseconds maxWait);
+
+    const Clock& m_clock;
+    h2o_evloop_t* m_loop;
+    std::map<std::pair<TimePoint, TimerId>, Callback> m_timers;
+    std::unordered_map<TimerId, TimePoint> m_dueTimes;
+    TimerId m_lastTimer { 0 };
+    bool m_isStopped { false };
+    std::vector<Callback> m_deferred;
+    std::vector<Reaper> m_reapers;
+    std::vector<std::unique_ptr<Watch>> m_watches;
+    std::vector<Watch*> m_signalWatches;
+    std::vector<int> m_blockedSignals;
+
+private:
+    std::int32_t waitMilliseconds(std::chrono::milliseconds maxWait) const;
+    void runDueTimers();
+    void runDeferred();
+    void runReapers();
+    void releaseRetired();
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/ServerCore.cpp
@@ -0,0 +1,227 @@
+#include "ServerCore.h"
+
+#include "ServerResponse.h"
+#include <absl/strings/string_view.h>
+#include <cassert>
+#include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unordered_set>
+
+#ifdef __SANITIZE_ADDRESS__
+// h2o 2.2.5 forgets to free a context's message queue: 88 bytes for each server.
+extern "C" const char* __lsan_default_suppressions();
+extern "C" const char* __lsan_default_suppressions()
+{
+    return "leak:h2o_multithread_create_queue\n";
+}
+#endif
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+// Gives callers that are about to use a connection time to do so before the
+// server closes it for being idle.
+static constexpr milliseconds idleCloseDelay { 1'500 };
+// How long a caller may take nothing of what it was sent.
+static constexpr std::chrono::seconds sendTimeout { 60 };
+static constexpr std::chrono::seconds keepAliveIdle { 15 };
+static constexpr std::chrono::seconds keepAliveInterval { 5 };
+static constexpr int keepAliveProbes = 3;
+
+static void setOption(int descriptor, int level, int name, int value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+// Callers that vanish without a word would otherwise be kept for hours.
+static void setSocketOptions(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(keepAliveIdle.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(keepAliveInterval.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds(sendTimeout).count()));
+}
+
+ServerCore::ServerCore(EventLoop& loop, HttpServerOptions options, HttpHandler handler)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_handler(std::make_shared<HttpHandler>(std::move(handler)))
+    , m_peerCloseWatcher(loop.impl())
+{
+    h2o_config_init(&m_configuration);
+    m_configuration.server_name = h2o_iovec_init(H2O_STRLIT("catkinwing"));
+    m_configuration.max_request_entity_size = m_options.maxBodyBytes;
+    m_configuration.handshake_timeout = static_cast<std::uint64_t>(m_options.requestTimeout.count());
+    m_configuration.http1.req_timeout = static_cast<std::uint64_t>(m_options.requestTimeout.count());
+    m_configuration.http2.idle_timeout = static_cast<std::uint64_t>(m_options.requestTimeout.count());
+    // A context needs a host; the first one serves every name.
+    h2o_hostconf_t* host = h2o_config_register_host(&m_configuration, h2o_iovec_init(H2O_STRLIT("default")),
+        std::numeric_limits<std::uint16_t>::max());
+    h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    auto* entry = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+    entry->base.on_req = onRequest;
+    entry->core = this;
+    h2o_context_init(&m_context, loop.impl().m_loop, &m_configuration);
+    m_acceptContext.ctx = &m_context;
+    m_acceptContext.hosts = m_configuration.hosts;
+    m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
+}
+
+ServerCore::~ServerCore()
+{
+    assert(m_connections.empty() && "connections hold on to their server");
+    m_loop.cancel(m_idleCloseTimer);
+    h2o_context_dispose(&m_context);
+    h2o_config_dispose(&m_configuration);
+}
+
+void ServerCore::accept(int descriptor, SocketAddress caller)
+{
+    std::size_t& connectionsOfCaller = m_connectionsOfCaller[caller.host];
+    bool isFull = m_connections.size() >= m_options.maxConnections || connectionsOfCaller >= m_options.maxConnectionsPerCaller;
+    if (isFull) {
+        if (connectionsOfCaller == 0)
+            m_connectionsOfCaller.erase(caller.host);
+        ::close(descriptor);
+        return;
+    }
+    ++connectionsOfCaller;
+    setSocketOptions(descriptor);
+    auto connection = std::make_unique<ServerConnection>();
+    connection->core = this;
+    connection->descriptor = descriptor;
+    connection->caller = std::move(caller);
+    connection->socket = h2o_evloop_socket_create(loop().m_loop, descriptor, H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
+    connection->socket->on_close.cb = onConnectionClosed;
+    connection->socket->on_close.data = connection.get();
+    m_connections.push_front(std::move(connection));
+    ServerConnection& added = *m_connections.front();
+    added.position = m_connections.begin();
+    TlsPeerScope scope(added.peer);
+    h2o_accept(&m_acceptContext, added.socket);
+}
+
+void ServerCore::onConnectionClosed(void* data)
+{
+    auto* connection = static_cast<ServerConnection*>(data);
+    connection->core->forget(*connection);
+}
+
+void ServerCore::forget(ServerConnection& connection)
+{
+    auto count = m_connectionsOfCaller.find(connection.caller.host);
+    if (--count->second == 0)
+        m_connectionsOfCaller.erase(count);
+    m_connections.erase(connection.position);
+}
+
+static std::string toString(h2o_iovec_t bytes)
+{
+    return bytes.len > 0 ? std::string(bytes.base, bytes.len) : std::string();
+}
+
+static ServerConnection* connectionOf(h2o_conn_t& connection)
+{
+    return static_cast<ServerConnection*>(connection.callbacks->get_socket(&connection)->on_close.data);
+}
+
+static void fillTarget(HttpRequest& request, const h2o_req_t& source)
+{
+    std::string path = toString(source.input.path);
+    std::size_t mark = path.find('?');
+    request.path = path.substr(0, mark);
+    if (mark != std::string::npos)
+        request.query = path.substr(mark + 1);
+}
+
+// h2o takes host and content-length out of HTTP/1 requests only.
+static void fillHeaders(HttpRequest& request, const h2o_req_t& source)
+{
+    if (source.input.authority.len > 0)
+        request.headers.add("host", toString(source.input.authority));
+    for (std::size_t i = 0; i < source.headers.size; ++i) {
+        const h2o_header_t& field = source.headers.entries[i];
+        std::string name = toString(*field.name);
+        if (name != "host" && name != "content-length")
+            request.headers.add(std::move(name), toString(field.value));
+    }
+}
+
+static HttpRequest makeRequest(const h2o_req_t& source, const ServerConnection& connection)
+{
+    HttpRequest request;
+    request.method = toString(source.input.method);
+    fillTarget(request, source);
+    fillHeaders(request, source);
+    request.body = toString(source.entity);
+    request.caller = connection.caller;
+    request.certificateName = connection.peer.certificateName;
+    return request;
+}
+
+int ServerCore::onRequest(h2o_handler_t* self, h2o_req_t* request)
+{
+    reinterpret_cast<Handler*>(self)->core->handle(request);
+    return 0;
+}
+
+void ServerCore::handle(h2o_req_t* request)
+{
+    ServerConnection* connection = connectionOf(*request->conn);
+    auto response = ServerResponse::create(*request, connection);
+    auto handle = response->makeHandle();
+    // The handler may destroy the server, and with it itself.
+    auto handler = m_handler;
+    if (handler)
+        (*handler)(makeRequest(*request, *connection), std::move(handle));
+    response->watchCaller();
+}
+
+void ServerCore::replaceTls(std::shared_ptr<TlsContext> tls)
+{
+    m_options.tls = std::move(tls);
+    m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
+}
+
+void ServerCore::drain()
+{
+    h2o_context_request_shutdown(&m_context);
+    m_loop.cancel(m_idleCloseTimer);
+    m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
+}
+
+static int addConnection(h2o_req_t* request, void* connections)
+{
+    static_cast<std::unordered_set<ServerConnection*>*>(connections)->insert(connectionOf(*request->conn));
+    return 0;
+}
+
+// HTTP/1 has no way to announce that a connection is about to close. A request
+// that has begun to arrive lies in the input, or is one of h2o's streams.
+void ServerCore::closeIdleConnections()
+{
+    std::unordered_set<ServerConnection*> receiving;
+    m_configuration.http2.callbacks.foreach_request(&m_context, addConnection, &receiving);
+    for (auto& connection : m_connections) {
+        bool isIdle = connection->openRequests == 0 && connection->socket->input->size == 0;
+        if (isIdle && receiving.count(connection.get()) == 0)
+            shutdown(connection->descriptor, SHUT_RD);
+    }
+    m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
+}
+
+void ServerCore::shutDown()
+{
+    m_isShutDown = true;
+    m_loop.cancel(m_idleCloseTimer);
+    m_handler = nullptr;
+    for (auto& connection : m_connections)
+        shutdown(connection->descriptor, SHUT_RDWR);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/ServerCore.h
@@ -0,0 +1,74 @@
+// What the connections and requests of one server share.
+#pragma once
+
+#include "EventLoopImpl.h"
+#include "PeerCloseWatcher.h"
+#include "TlsPeer.h"
+#include "catkinwing/Http/HttpServer.h"
+#include <list>
+#include <unordered_map>
+
+namespace catkinwing {
+
+class ServerCore;
+class ServerResponse;
+
+/// One accepted connection.
+struct ServerConnection {
+    ServerCore* core;
+    int descriptor;
+    SocketAddress caller;
+    TlsPeer peer;
+    h2o_socket_t* socket { nullptr };
+    std::size_t openRequests { 0 };
+    std::list<std::unique_ptr<ServerConnection>>::iterator position;
+};
+
+/// The h2o configuration and context of a server, with its connections. It
+/// outlives the server until the last connection has closed.
+class ServerCore {
+public:
+    ServerCore(EventLoop& loop, HttpServerOptions options, HttpHandler handler);
+    ~ServerCore();
+    ServerCore(const ServerCore&) = delete;
+    ServerCore& operator=(const ServerCore&) = delete;
+
+    /// Serves an accepted descriptor, or closes it if a limit is reached.
+    void accept(int descriptor, SocketAddress caller);
+    void replaceTls(std::shared_ptr<TlsContext> tls);
+    /// Asks HTTP/2 callers to go and closes HTTP/1 connections without a request.
+    void drain();
+    /// Cuts every connection; the handler isn't called any more.
+    void shutDown();
+
+    std::size_t openConnections() const { return m_connections.size(); }
+    bool isShutDown() const { return m_isShutDown; }
+    EventLoop::Impl& loop() { return m_loop.impl(); }
+    PeerCloseWatcher& peerCloseWatcher() { return m_peerCloseWatcher; }
+
+private:
+    struct Handler {
+        h2o_handler_t base;
+        ServerCore* core;
+    };
+
+    static int onRequest(h2o_handler_t* self, h2o_req_t* request);
+    static void onConnectionClosed(void* data);
+    void handle(h2o_req_t* request);
+    void forget(ServerConnection& connection);
+    void closeIdleConnections();
+
+    EventLoop& m_loop;
+    HttpServerOptions m_options;
+    std::shared_ptr<HttpHandler> m_handler;
+    PeerCloseWatcher m_peerCloseWatcher;
+    h2o_globalconf_t m_configuration {};
+    h2o_context_t m_context {};
+    h2o_accept_ctx_t m_acceptContext {};
+    std::list<std::unique_ptr<ServerConnection>> m_connections;
+    std::unordered_map<std::string, std::size_t> m_connectionsOfCaller;
+    bool m_isShutDown { false };
+    TimerId m_idleCloseTimer { 0 };
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Http/ServerResponse.cpp
@@ -0,0 +1,369 @@
+#include "ServerResponse.h"
+
+#include "HeaderSyntax.h"
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <limits>
+#include <memory>
+#include <sys/socket.h>
+
+namespace catkinwing {
+
+static constexpr int http2Version = 0x200;
+static constexpr int http11Version = 0x101;
+
+namespace {
+
+    class ResponderHandle final : public HttpResponder {
+    public:
+        explicit ResponderHandle(std::shared_ptr<ServerResponse> response)
+            : m_response(std::move(response))
+        {
+        }
+        ~ResponderHandle() override { m_response->abort(); }
+        ResponderHandle(const ResponderHandle&) = delete;
+        ResponderHandle& operator=(const ResponderHandle&) = delete;
+
+        void sendHead(const HttpResponseHead& head) override { m_response->sendHead(head); }
+        void write(std::string bytes) override { m_response->write(std::move(bytes)); }
+        void finish() override { m_response->finish(); }
+        void abort() override { m_response->abort(); }
+        void send(const HttpResponseHead& head, std::string body) override
+        {
+            HttpResponseHead sized = head;
+            sized.headers.set("content-length", std::to_string(body.size()));
+            m_response->sendHead(sized);
+            m_response->write(std::move(body));
+            m_response->finish();
+        }
+        bool isOpen() const override { return m_response->isOpen(); }
+        std::size_t pendingBytes() const override { return m_response->pendingBytes(); }
+        void onWritable(std::function<void()> callback) override { m_response->onWritable(std::move(callback)); }
+        void onClosed(std::function<void()> callback) override { m_response->onClosed(std::move(callback)); }
+
+    private:
+        std::shared_ptr<ServerResponse> m_response;
+    };
+
+} // namespace
+
+ServerResponse::ServerResponse(h2o_req_t& request, ServerConnection* connection)
+    : m_loop(connection->core->loop())
+    , m_request(&request)
+    , m_connection(connection)
+    , m_generator { { proceed, [](h2o_generator_t*, h2o_req_t*) {} }, this }
+{
+    ++m_connection->openRequests;
+}
+
+std::shared_ptr<ServerResponse> ServerResponse::create(h2o_req_t& request, ServerConnection* connection)
+{
+    std::shared_ptr<ServerResponse> response(new ServerResponse(request, connection));
+    void* owner = h2o_mem_alloc_shared(&request.pool, sizeof(response), disposeOwner);
+    new (owner) std::shared_ptr<ServerResponse>(response);
+    return response;
+}
+
+std::shared_ptr<HttpResponder> ServerResponse::makeHandle()
+{
+    return std::make_shared<ResponderHandle>(shared_from_this());
+}
+
+// The pool of a request is cleared when the request ends for whatever reason.
+void ServerResponse::disposeOwner(void* owner)
+{
+    auto* response = static_cast<std::shared_ptr<ServerResponse>*>(owner);
+    (*response)->didDispose();
+    std::destroy_at(response);
+}
+
+// HTTP/2 connections are read at all times, so h2o itself notices there.
+void ServerResponse::watchCaller()
+{
+    if (!isOpen() || m_request->version >= http2Version)
+        return;
+    std::weak_ptr<ServerResponse> weak = weak_from_this();
+    m_watchToken = m_connection->core->peerCloseWatcher().add(m_connection->descriptor, [weak] {
+        if (auto response = weak.lock())
+            response->didLoseCaller();
+    });
+}
+
+void ServerResponse::unwatchCaller()
+{
+    if (m_watchToken)
+        m_connection->core->peerCloseWatcher().remove(m_watchToken);
+    m_watchToken = 0;
+}
+
+void ServerResponse::sendHead(const HttpResponseHead& head)
+{
+    if (!isOpen() || m_isStarted)
+        return;
+    m_isStarted = true;
+    fillHead(head);
+    scheduleFlush();
+}
+
+// h2o frames the message itself, so the fields that say how are left to it.
+static bool isFramingField(absl::string_view name)
+{
+    return name == "connection" || name == "transfer-encoding" || name == "keep-alive" || name == "date" || name == "server";
+}
+
+static bool hasBody(const h2o_req_t& request)
+{
+    bool isHead = h2o_memis(request.input.method.base, request.input.method.len, H2O_STRLIT("HEAD"));
+    return !isHead && request.res.status != 204 && request.res.status != 304;
+}
+
+void ServerResponse::fillHead(const HttpResponseHead& head)
+{
+    m_request->res.status = head.status;
+    m_request->res.reason = reasonPhrase(head.status);
+    for (const auto& field : head.headers.fields())
+        addField(field);
+    m_hasBody = hasBody(*m_request);
+    bool isUnframed = m_request->version < http11Version && !m_bodyLeft;
+    if (isUnframed)
+        m_request->http1_is_persistent = 0;
+}
+
+void ServerResponse::addField(const HttpHeader& field)
+{
+    std::string name = absl::AsciiStrToLower(field.name);
+    if (!isFieldName(name) || !isFieldValue(field.value) || isFramingField(name))
+        return;
+    if (name == "content-length") {
+        std::size_t length = 0;
+        if (!absl::SimpleAtoi(field.value, &length))
+            return;
+        m_bodyLeft = length;
+        m_request->res.content_length = length;
+        return;
+    }
+    h2o_iovec_t copiedName = h2o_strdup(&m_request->pool, name.data(), name.size());
+    h2o_iovec_t copiedValue = h2o_strdup(&m_request->pool, field.value.data(), field.value.size());
+    h2o_add_header_by_str(&m_request->pool, &m_request->res.headers, copiedName.base, copiedName.len, 1, nullptr,
+        copiedValue.base, copiedValue.len);
+}
+
+// More bytes than announced would run into the next answer of the connection.
+void ServerResponse::write(std::string bytes)
+{
+    if (!isOpen())
+        return;
+    if (!m_isStarted)
+        return abort();
+    if (bytes.empty() || !m_hasBody)
+        return;
+    if (m_bodyLeft) {
+        if (bytes.size() > *m_bodyLeft)
+            return abort();
+        *m_bodyLeft -= bytes.size();
+    }
+    m_pendingBytes += bytes.size();
+    m_queued.push_back(std::move(bytes));
+    scheduleFlush();
+}
+
+void ServerResponse::finish()
+{
+    if (!isOpen())
+        return;
+    bool isShort = m_hasBody && m_bodyLeft && *m_bodyLeft > 0;
+    if (!m_isStarted || isShort)
+        return abort();
+    end();
+}
+
+void ServerResponse::abort()
+{
+    if (!isOpen())
+        return;
+    m_isAborted = true;
+    m_queued.clear();
+    m_pendingBytes = 0;
+    end();
+}
+
+void ServerResponse::end()
+{
+    m_isEnded = true;
+    unwatchCaller();
+    releaseCallbacks();
+    scheduleFlush();
+}
+
+// The holder may be inside one of them.
+void ServerResponse::releaseCallbacks()
+{
+    auto release = [onWritable = std::move(m_onWritable), onClosed = std::move(m_onClosed)] {};
+    m_onWritable = nullptr;
+    m_onClosed = nullptr;
+    m_loop.defer(std::move(release));
+}
+
+void ServerResponse::onWritable(Callback callback)
+{
+    if (isOpen())
+        m_onWritable = std::move(callback);
+}
+
+void ServerResponse::onClosed(Callback callback)
+{
+    if (isOpen())
+        m_onClosed = std::move(callback);
+}
+
+// Sending at the end of the turn puts small writes together, and means that
+// h2o, which may close the connection at once, is never called by the holder.
+void ServerResponse::scheduleFlush()
+{
+    if (m_isFlushScheduled)
+        return;
+    m_isFlushScheduled = true;
+    m_loop.defer([self = shared_from_this()] {
+        self->m_isFlushScheduled = false;
+        self->flush();
+    });
+}
+
+void ServerResponse::flush()
+{
+    if (!m_request)
+        return;
+    if (m_isAborted)
+        return cut();
+    if (m_isSending || !m_isStarted)
+        return;
+    bool isHeadDue = !m_isHeadSent;
+    bool hasNews = isHeadDue || m_isEnded || !m_queued.empty();
+    if (!hasNews)
+        return;
+    if (isHeadDue)
+        startResponse();
+    if (m_queued.empty() && !m_isEnded)
+        return sendHeadAlone();
+    sendQueued(m_isEnded ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void ServerResponse::startResponse()
+{
+    m_isHeadSent = true;
+    h2o_start_response(m_request, &m_generator.base);
+}
+
+// h2o puts a head off until there are bytes of the body, unless the stream at
+// the end of its chain of filters is given the empty piece itself.
+void ServerResponse::sendHeadAlone()
+{
+    h2o_ostream_t* last = m_request->_ostr_top;
+    while (last->next)
+        last = last->next;
+    h2o_iovec_t nothing = h2o_iovec_init(H2O_STRLIT(""));
+    m_isSending = true;
+    last->do_send(last, m_request, &nothing, 1, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+// h2o refers to the bytes until it proceeds or disposes of the request.
+void ServerResponse::sendQueued(h2o_send_state_t state)
+{
+    m_sending.swap(m_queued);
+    std::vector<h2o_iovec_t> buffers;
+    buffers.reserve(m_sending.size());
+    for (const auto& bytes : m_sending)
+        buffers.push_back(h2o_iovec_init(bytes.data(), bytes.size()));
+    m_isSending = true;
+    h2o_send(m_request, buffers.data(), buffers.size(), state);
+}
+
+static void resetOnClose(int descriptor)
+{
+    linger reset { 1, 0 };
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+// HTTP/1 has no way to say that an answer is cut but to close the connection.
+// Before the head not even that may be sent, and a body that ends with the
+// connection looks whole unless the connection is reset.
+void ServerResponse::cut()
+{
+    bool isHttp1 = m_request->version < http2Version;
+    if (isHttp1) {
+        bool isUnframed = m_isHeadSent && m_request->res.content_length == std::numeric_limits<std::size_t>::max()
+            && m_request->version < http11Version;
+        if (isUnframed)
+            resetOnClose(m_connection->descriptor);
+        if (!m_isHeadSent || m_isSending || m_isCallerLost)
+            shutdown(m_connection->descriptor, SHUT_RDWR);
+        m_request->http1_is_persistent = 0;
+    }
+    if (m_isSending)
+        return;
+    if (!m_isHeadSent) {
+        if (!m_isStarted)
+            m_request->res.status = 500;
+        startResponse();
+    }
+    sendQueued(H2O_SEND_STATE_ERROR);
+}
+
+void ServerResponse::proceed(h2o_generator_t* generator, h2o_req_t*)
+{
+    reinterpret_cast<Generator*>(generator)->response->didProceed();
+}
+
+void ServerResponse::didProceed()
+{
+    auto self = shared_from_this();
+    std::size_t taken = 0;
+    for (const auto& bytes : m_sending)
+        taken += bytes.size();
+    m_sending.clear();
+    m_isSending = false;
+    m_pendingBytes -= std::min(taken, m_pendingBytes);
+    if (m_isEnded || !m_queued.empty())
+        return flush();
+    if (taken > 0 && m_onWritable) {
+        // The holder may set another callback from inside this one.
+        Callback onWritable = m_onWritable;
+        onWritable();
+    }
+}
+
+void ServerResponse::didLoseCaller()
+{
+    m_watchToken = 0;
+    if (!isOpen())
+        return;
+    m_isCallerLost = true;
+    Callback onClosed = std::move(m_onClosed);
+    abort();
+    if (onClosed)
+        onClosed();
+}
+
+void ServerResponse::didDispose()
+{
+    bool isCallerGone = isOpen();
+    unwatchCaller();
+    --m_connection->openRequests;
+    bool isServerGone = m_connection->core->isShutDown();
+    m_request = nullptr;
+    m_connection = nullptr;
+    m_queued.clear();
+    m_sending.clear();
+    m_pendingBytes = 0;
+    if (!isCallerGone)
+        return;
+    m_isEnded = true;
+    if (m_onClosed && !isServerGone)
+        m_loop.defer(std::move(m_onClosed));
+    m_onClosed = nullptr;
+    releaseCallbacks();
+}
+
+} // namespace catkinwing
