--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -42,6 +42,7 @@
     void shutDown();
 
     std::size_t openConnections() const { return m_connections.size(); }
+    bool isDraining() const { return m_context.shutdown_requested; }
     bool isShutDown() const { return m_isShutDown; }
     EventLoop::Impl& loop() { return m_loop.impl(); }
     PeerCloseWatcher& peerCloseWatcher() { return m_peerCloseWatcher; }
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -253,6 +253,8 @@
 void ServerResponse::startResponse()
 {
     m_isHeadSent = true;
+    if (m_connection->core->isDraining())
+        m_request->http1_is_persistent = 0;
     h2o_start_response(m_request, &m_generator.base);
 }
 
@@ -342,7 +344,7 @@
     m_isCallerLost = true;
     Callback onClosed = std::move(m_onClosed);
     abort();
-    if (onClosed)
+    if (onClosed && !m_connection->core->isShutDown())
         onClosed();
 }
 
