--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -2,6 +2,8 @@
 
 #include <cerrno>
 #include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace catkinwing {
@@ -61,4 +63,13 @@
     return isBack && !m_isSpoilt && !hasInput(m_descriptor);
 }
 
+// A connection that the server closed in an orderly way waits for our close.
+bool ClientConnection::wasReset() const
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    int status = getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
+    return status != 0 || info.tcpi_state != TCP_CLOSE_WAIT;
+}
+
 } // namespace catkinwing
--- a/lib/Http/ClientConnection.h
+++ b/lib/Http/ClientConnection.h
@@ -25,6 +25,9 @@
     /// Tells whether h2o brought the socket back and nothing came in on it since.
     bool isReusable() const;
 
+    /// Tells whether the server ended the connection by a reset.
+    bool wasReset() const;
+
     TimePoint idleSince() const { return m_idleSince; }
     void setIdleSince(TimePoint time) { m_idleSince = time; }
 
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -1,6 +1,7 @@
 #include "ClientExchange.h"
 
 #include "HeaderSyntax.h"
+#include "ResponseHeadGuard.h"
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -87,6 +88,39 @@
     *buffers = m_buffers.data();
     *count = m_request.body.empty() ? 1 : 2;
     enter(Phase::AwaitingHead, m_request.headTimeout);
+    m_loop.impl().retire([self = shared_from_this()] { return self->guardHead(); });
+}
+
+// h2o begins to read in the turn in which the last of the request went out, and
+// gets the first bytes in the next one at the earliest; this runs in between.
+bool ClientExchange::guardHead()
+{
+    if (m_phase != Phase::AwaitingHead || !m_client)
+        return true;
+    h2o_socket_t* socket = m_client->sock;
+    if (h2o_socket_is_writing(socket) || !h2o_socket_is_reading(socket))
+        return false;
+    m_headReader = socket->_cb.read;
+    socket->_cb.read = onHeadInput;
+    return true;
+}
+
+void ClientExchange::onHeadInput(h2o_socket_t* socket, const char* error)
+{
+    auto* client = static_cast<h2o_http1client_t*>(socket->data);
+    auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    const char* fault = error ? nullptr : responseHeadFault({ socket->input->bytes, socket->input->size });
+    if (fault)
+        self->failHead(fault);
+    else
+        self->m_headReader(socket, error);
+}
+
+void ClientExchange::failHead(const char* fault)
+{
+    m_connection->spoil();
+    dropClient();
+    end(HttpEnd::Malformed, fault);
 }
 
 // How the message is framed, and that the connection may be kept, is decided here.
@@ -235,37 +269,39 @@
     return -1;
 }
 
-static HttpEnd endOfBody(const char* error, bool isLenient)
+// h2o takes a chunked body as complete if the connection ends between two
+// chunks, when nothing was read, and one that ends with the connection also if
+// that was reset.
+const char* ClientExchange::bodyFault(const h2o_http1client_t& client, const char* error) const
 {
-    bool isComplete = error == h2o_http1client_error_is_eos && !isLenient;
-    if (isComplete)
-        return HttpEnd::Complete;
-    bool isMalformed = absl::StartsWith(error, "failed to parse");
-    return isMalformed ? HttpEnd::Malformed : HttpEnd::Truncated;
+    if (!error)
+        return nullptr;
+    if (error != h2o_http1client_error_is_eos)
+        return error;
+    if (m_framing == Framing::Chunked && client.sock->bytes_read == 0)
+        return "no last chunk";
+    if (m_framing == Framing::UntilClose && m_connection->wasReset())
+        return "connection reset";
+    return nullptr;
 }
 
 bool ClientExchange::didGetBody(h2o_http1client_t& client, const char* error)
 {
-    // h2o takes a chunked body as complete if the connection ends between two
-    // chunks; then nothing was read.
-    bool isLenient = m_framing == Framing::Chunked && client.sock->bytes_read == 0;
-    bool isFailed = error && endOfBody(error, isLenient) != HttpEnd::Complete;
+    const char* fault = bodyFault(client, error);
     m_lastActivity = m_loop.clock().now();
     h2o_buffer_t* input = client.sock->input;
-    if (!isFailed && input->size > 0)
+    if (!fault && input->size > 0)
         passOnBody({ input->bytes, input->size });
     h2o_buffer_consume(&client.sock->input, client.sock->input->size);
     if (m_isOver)
         return false;
-    if (error) {
-        HttpEnd howEnded = endOfBody(error, isLenient);
-        end(howEnded, howEnded == HttpEnd::Complete ? std::string() : isLenient ? "no last chunk"
-                                                                                : error);
-        return false;
-    }
-    if (m_isPaused)
+    if (fault)
+        end(absl::StartsWith(fault, "failed to parse") ? HttpEnd::Malformed : HttpEnd::Truncated, fault);
+    else if (error)
+        end(HttpEnd::Complete, {});
+    else if (m_isPaused)
         stopReading();
-    return true;
+    return !error;
 }
 
 void ClientExchange::passOnBody(absl::string_view bytes)
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -43,11 +43,18 @@
         h2o_header_t* fields, std::size_t fieldCount, int headLength);
     static int onBody(h2o_http1client_t*, const char* error);
 
+    static void onHeadInput(h2o_socket_t* socket, const char* error);
+
     void connect();
+    /// Comes between the socket and h2o once the request is out; returns true then.
+    bool guardHead();
+    void failHead(const char* fault);
     void didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count);
     void didFailToConnect(h2o_http1client_t& client, const char* error);
     bool didGetHead(h2o_http1client_t& client, int status, const h2o_header_t* fields, std::size_t fieldCount);
     bool didGetBody(h2o_http1client_t& client, const char* error);
+    /// Returns why the body isn't whole though \p error may say so, or null.
+    const char* bodyFault(const h2o_http1client_t& client, const char* error) const;
     void passOnBody(absl::string_view bytes);
     /// Passes on what is held: body bytes, then the end.
     void deliver();
@@ -81,6 +88,7 @@
     TimePoint m_lastActivity {};
     HttpResult m_result;
     std::string m_held;
+    h2o_socket_cb m_headReader { nullptr };
     h2o_socket_cb m_pausedReader { nullptr };
     bool m_mayHaveReachedServer { false };
     bool m_isInClient { false };
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -5,7 +5,6 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
-#include <limits>
 #include <memory>
 #include <sys/socket.h>
 
@@ -282,34 +281,38 @@
     h2o_send(m_request, buffers.data(), buffers.size(), state);
 }
 
-static void resetOnClose(int descriptor)
+// Disconnecting sends a reset at once, also past bytes that wait to be sent.
+static void resetConnection(int descriptor)
 {
-    linger reset { 1, 0 };
-    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    sockaddr nowhere {};
+    nowhere.sa_family = AF_UNSPEC;
+    connect(descriptor, &nowhere, sizeof(nowhere));
 }
 
-// HTTP/1 has no way to say that an answer is cut but to close the connection.
-// Before the head not even that may be sent, and a body that ends with the
-// connection looks whole unless the connection is reset.
+// HTTP/1 has no way to say that an answer is cut but to close the connection,
+// and a body that ends with the connection looks whole unless that is reset.
+// Closing first keeps back what h2o would still send.
+void ServerResponse::breakConnection()
+{
+    bool isUnframed = m_isHeadSent && m_request->version < http11Version && !m_bodyLeft;
+    if (isUnframed)
+        resetConnection(m_connection->descriptor);
+    else
+        shutdown(m_connection->descriptor, SHUT_RDWR);
+    m_request->http1_is_persistent = 0;
+}
+
+// While h2o is sending it is told when that has failed.
 void ServerResponse::cut()
 {
-    bool isHttp1 = m_request->version < http2Version;
-    if (isHttp1) {
-        bool isUnframed = m_isHeadSent && m_request->res.content_length == std::numeric_limits<std::size_t>::max()
-            && m_request->version < http11Version;
-        if (isUnframed)
-            resetOnClose(m_connection->descriptor);
-        if (!m_isHeadSent || m_isSending || m_isCallerLost)
-            shutdown(m_connection->descriptor, SHUT_RDWR);
-        m_request->http1_is_persistent = 0;
-    }
+    if (m_request->version < http2Version)
+        breakConnection();
     if (m_isSending)
         return;
-    if (!m_isHeadSent) {
-        if (!m_isStarted)
-            m_request->res.status = 500;
+    if (!m_isStarted)
+        m_request->res.status = 500;
+    if (!m_isHeadSent)
         startResponse();
-    }
     sendQueued(H2O_SEND_STATE_ERROR);
 }
 
@@ -341,7 +344,6 @@
     m_watchToken = 0;
     if (!isOpen())
         return;
-    m_isCallerLost = true;
     Callback onClosed = std::move(m_onClosed);
     abort();
     if (onClosed && !m_connection->core->isShutDown())
--- a/lib/Http/ServerResponse.h
+++ b/lib/Http/ServerResponse.h
@@ -50,6 +50,7 @@
     void flush();
     void sendHeadAlone();
     void sendQueued(h2o_send_state_t state);
+    void breakConnection();
     void cut();
     void didProceed();
     void didLoseCaller();
@@ -69,7 +70,6 @@
     bool m_isSending { false };
     bool m_isEnded { false };
     bool m_isAborted { false };
-    bool m_isCallerLost { false };
     bool m_isFlushScheduled { false };
     PeerCloseWatcher::Token m_watchToken { 0 };
     Callback m_onWritable;
