--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -102,8 +102,19 @@
     m_connections.push_front(std::move(connection));
     ServerConnection& added = *m_connections.front();
     added.position = m_connections.begin();
-    TlsPeerScope scope(added.peer);
     h2o_accept(&m_acceptContext, added.socket);
+    if (m_acceptContext.ssl_ctx) {
+        added.handshakeReader = added.socket->_cb.read;
+        added.socket->_cb.read = onHandshakeInput;
+    }
+}
+
+// h2o opens the TLS session when the first bytes have come in.
+void ServerCore::onHandshakeInput(h2o_socket_t* socket, const char* error)
+{
+    auto* connection = static_cast<ServerConnection*>(socket->on_close.data);
+    TlsPeerScope scope(connection->peer);
+    connection->handshakeReader(socket, error);
 }
 
 void ServerCore::onConnectionClosed(void* data)
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -20,6 +20,7 @@
     SocketAddress caller;
     TlsPeer peer;
     h2o_socket_t* socket { nullptr };
+    h2o_socket_cb handshakeReader { nullptr };
     std::size_t openRequests { 0 };
     std::list<std::unique_ptr<ServerConnection>>::iterator position;
 };
@@ -54,6 +55,7 @@
     };
 
     static int onRequest(h2o_handler_t* self, h2o_req_t* request);
+    static void onHandshakeInput(h2o_socket_t* socket, const char* error);
     static void onConnectionClosed(void* data);
     void handle(h2o_req_t* request);
     void forget(ServerConnection& connection);
--- a/lib/Http/TlsContext.cpp
+++ b/lib/Http/TlsContext.cpp
@@ -22,7 +22,7 @@
 }
 
 // h2o doesn't show the session of a connection, so each new session is given
-// the peer that is being accepted.
+// the peer whose bytes are being read.
 static int peerIndex()
 {
     auto attachPeer = [](void*, void*, CRYPTO_EX_DATA* data, int index, long, void*) {
