--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -7,7 +7,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unordered_set>
 
 #ifdef __SANITIZE_ADDRESS__
 // h2o 2.2.5 forgets to free a context's message queue: 88 bytes for each server.
@@ -25,6 +24,7 @@
 // Gives callers that are about to use a connection time to do so before the
 // server closes it for being idle.
 static constexpr milliseconds idleCloseDelay { 1'500 };
+static constexpr milliseconds announceInterval { 50 };
 // How long a caller may take nothing of what it was sent.
 static constexpr std::chrono::seconds sendTimeout { 60 };
 static constexpr std::chrono::seconds keepAliveIdle { 15 };
@@ -75,7 +75,9 @@
 ServerCore::~ServerCore()
 {
     assert(m_connections.empty() && "connections hold on to their server");
-    m_loop.cancel(m_idleCloseTimer);
+    // h2o would find its own timer still running when it is stopped early.
+    if (h2o_timeout_is_linked(&m_context.http2._graceful_shutdown_timeout))
+        h2o_timeout_unlink(&m_context.http2._graceful_shutdown_timeout);
     h2o_context_dispose(&m_context);
     h2o_config_dispose(&m_configuration);
 }
@@ -184,6 +186,8 @@
 void ServerCore::handle(h2o_req_t* request)
 {
     ServerConnection* connection = connectionOf(*request->conn);
+    connection->hadRequest = true;
+    connection->isHttp2 = request->version >= http2Version;
     auto response = ServerResponse::create(*request, connection);
     auto handle = response->makeHandle();
     // The handler may destroy the server, and with it itself.
@@ -201,26 +205,55 @@
 
 void ServerCore::drain()
 {
-    h2o_context_request_shutdown(&m_context);
-    m_loop.cancel(m_idleCloseTimer);
+    m_isDraining = true;
+    m_announceLimit = m_loop.clock().now() + m_options.requestTimeout;
+    announceShutdown();
     m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
 }
 
-static int addConnection(h2o_req_t* request, void* connections)
+static int countArriving(h2o_req_t* request, void* count)
 {
-    static_cast<std::unordered_set<ServerConnection*>*>(connections)->insert(connectionOf(*request->conn));
+    // Streams without a method only stand for a priority.
+    bool hasHead = request->input.method.len > 0;
+    *static_cast<std::size_t*>(count) += hasHead ? 1 : 0;
     return 0;
 }
 
+bool ServerCore::isReceivingStreams()
+{
+    std::size_t streams = 0;
+    m_configuration.http2.callbacks.foreach_request(&m_context, countArriving, &streams);
+    std::size_t handled = 0;
+    for (auto& connection : m_connections)
+        handled += connection->isHttp2 ? connection->openRequests : 0;
+    return streams > handled;
+}
+
+// A second after it told HTTP/2 callers to go, h2o cuts the connections whose
+// requests are still arriving. So these are waited for, as long as a slow
+// sender is.
+void ServerCore::announceShutdown()
+{
+    bool mustWait = isReceivingStreams() && m_loop.clock().now() < m_announceLimit;
+    if (mustWait)
+        m_announceTimer = m_loop.callAfter(announceInterval, [this] { announceShutdown(); });
+    else
+        h2o_context_request_shutdown(&m_context);
+}
+
+// Only an HTTP/2 connection is written to before it brought a request.
+static bool isHttp1(const ServerConnection& connection)
+{
+    return connection.hadRequest ? !connection.isHttp2 : connection.socket->bytes_written == 0;
+}
+
 // HTTP/1 has no way to announce that a connection is about to close. A request
-// that has begun to arrive lies in the input, or is one of h2o's streams.
+// that has begun to arrive lies in the input.
 void ServerCore::closeIdleConnections()
 {
-    std::unordered_set<ServerConnection*> receiving;
-    m_configuration.http2.callbacks.foreach_request(&m_context, addConnection, &receiving);
     for (auto& connection : m_connections) {
         bool isIdle = connection->openRequests == 0 && connection->socket->input->size == 0;
-        if (isIdle && receiving.count(connection.get()) == 0)
+        if (isIdle && isHttp1(*connection))
             shutdown(connection->descriptor, SHUT_RD);
     }
     m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
@@ -229,6 +262,7 @@
 void ServerCore::shutDown()
 {
     m_isShutDown = true;
+    m_loop.cancel(m_announceTimer);
     m_loop.cancel(m_idleCloseTimer);
     m_handler = nullptr;
     for (auto& connection : m_connections)
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -11,7 +11,9 @@
 namespace catkinwing {
 
 class ServerCore;
-class ServerResponse;
+
+/// HTTP/2 as h2o numbers versions.
+constexpr int http2Version = 0x200;
 
 /// One accepted connection.
 struct ServerConnection {
@@ -21,6 +23,8 @@
     TlsPeer peer;
     h2o_socket_t* socket { nullptr };
     h2o_socket_cb handshakeReader { nullptr };
+    bool isHttp2 { false };
+    bool hadRequest { false };
     std::size_t openRequests { 0 };
     std::list<std::unique_ptr<ServerConnection>>::iterator position;
 };
@@ -43,7 +47,7 @@
     void shutDown();
 
     std::size_t openConnections() const { return m_connections.size(); }
-    bool isDraining() const { return m_context.shutdown_requested; }
+    bool isDraining() const { return m_isDraining; }
     bool isShutDown() const { return m_isShutDown; }
     EventLoop::Impl& loop() { return m_loop.impl(); }
     PeerCloseWatcher& peerCloseWatcher() { return m_peerCloseWatcher; }
@@ -59,6 +63,9 @@
     static void onConnectionClosed(void* data);
     void handle(h2o_req_t* request);
     void forget(ServerConnection& connection);
+    /// Tells whether a request is still arriving on an HTTP/2 stream.
+    bool isReceivingStreams();
+    void announceShutdown();
     void closeIdleConnections();
 
     EventLoop& m_loop;
@@ -70,7 +77,10 @@
     h2o_accept_ctx_t m_acceptContext {};
     std::list<std::unique_ptr<ServerConnection>> m_connections;
     std::unordered_map<std::string, std::size_t> m_connectionsOfCaller;
+    bool m_isDraining { false };
     bool m_isShutDown { false };
+    TimePoint m_announceLimit {};
+    TimerId m_announceTimer { 0 };
     TimerId m_idleCloseTimer { 0 };
 };
 
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -10,7 +10,6 @@
 
 namespace catkinwing {
 
-static constexpr int http2Version = 0x200;
 static constexpr int http11Version = 0x101;
 
 namespace {
