--- /dev/null
+++ b/include/catkinwing/Routing/ResidencyFilter.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <absl/strings/string_view.h>
+#include <string>
+#include <vector>
+
+namespace catkinwing {
+
+/// Regions in which a team's data may be processed. The default allows none, so
+/// that a team whose document is missing is refused and not let through.
+struct Residency {
+    /// True where the data may go to any region; \c regions is then empty.
+    bool anywhere { false };
+    /// Names of the allowed regions, sorted, each once.
+    std::vector<std::string> regions;
+
+    /// Allows every region.
+    static Residency unrestricted();
+    /// Allows only \p regions, in any order.
+    static Residency within(std::vector<std::string> regions);
+
+    friend bool operator==(const Residency& a, const Residency& b) { return a.anywhere == b.anywhere && a.regions == b.regions; }
+};
+
+/// Returns whether data under \p residency may be processed in \p region. Checked
+/// before any scoring, and again at dispatch, at each retry and by the receiver
+/// of a forward.
+bool isAllowed(const Residency& residency, absl::string_view region);
+
+/// Returns what both \p a and \p b allow; with nothing in common, nowhere.
+Residency stricterOf(const Residency& a, const Residency& b);
+
+/// Returns whether \p residency allows no region at all.
+bool allowsNowhere(const Residency& residency);
+
+} // namespace catkinwing
