--- a/include/catkinwing/Routing/CellView.h
+++ b/include/catkinwing/Routing/CellView.h
@@ -40,6 +40,10 @@
     absl::Span<const EndpointHandle> endpointsFor(absl::string_view model) const;
     /// Returns those that serve \p model and take a request now, in any order.
     absl::Span<const EndpointHandle> openEndpointsFor(absl::string_view model) const;
+    /// Returns those that have \p adapter loaded, whatever models they serve.
+    absl::Span<const EndpointHandle> endpointsWithAdapter(absl::string_view adapter) const;
+    /// Returns whether the endpoint serves \p model and takes a request now.
+    bool isOpenFor(EndpointHandle handle, absl::string_view model) const;
     /// Returns the requests that this entry could still place for \p model.
     unsigned freeCredits(absl::string_view model) const;
 
@@ -64,8 +68,8 @@
     };
 
     EndpointHandle takeSlot();
-    void indexModels(EndpointHandle handle);
-    void unindexModels(EndpointHandle handle);
+    void addToIndex(EndpointHandle handle);
+    void removeFromIndex(EndpointHandle handle);
     void renewOpen(EndpointHandle handle);
     void listOpen(EndpointHandle handle);
     void unlistOpen(EndpointHandle handle);
@@ -77,6 +81,7 @@
     std::vector<EndpointHandle> m_freeSlots;
     absl::flat_hash_map<std::string, EndpointHandle> m_byName;
     absl::flat_hash_map<std::string, ModelIndex> m_byModel;
+    absl::flat_hash_map<std::string, std::vector<EndpointHandle>> m_byAdapter;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Routing/EndpointView.h
+++ b/include/catkinwing/Routing/EndpointView.h
@@ -53,8 +53,9 @@
     std::string zone;
     /// Identity of this start of the endpoint; changes at each restart.
     std::string incarnation;
+    /// Kept sorted by CellView.
     std::vector<std::string> models;
-    /// Adapters that are loaded now.
+    /// Adapters that are loaded now; kept sorted by CellView.
     std::vector<std::string> adapters;
 
     EndpointState state { EndpointState::Live };
--- /dev/null
+++ b/lib/Routing/EndpointView.cpp
@@ -0,0 +1,94 @@
+#include "catkinwing/Routing/EndpointView.h"
+
+#include "Seconds.h"
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+/// Own dispatches older than this are dropped when no report ever comes.
+static constexpr Duration dispatchMemory = std::chrono::seconds(10);
+static constexpr double learningWeight = 0.1;
+
+unsigned inFlightLimit(const EndpointView& endpoint)
+{
+    if (endpoint.credits == 0)
+        return 0;
+    auto ramped = static_cast<unsigned>(std::floor(endpoint.credits * endpoint.slowStartWeight));
+    return std::max(ramped, 1U);
+}
+
+bool isOpen(const EndpointView& endpoint)
+{
+    return endpoint.state == EndpointState::Live && endpoint.ownInFlight < inFlightLimit(endpoint);
+}
+
+double remainingTokens(const PrefillBacklog& backlog, double tokensPerSecond, TimePoint now)
+{
+    double drained = tokensPerSecond * toSeconds(std::max(now - backlog.asOf, Duration::zero()));
+    return std::max(backlog.tokens - drained, 0.0);
+}
+
+static void addToBacklog(EndpointView& endpoint, const OwnDispatch& dispatch)
+{
+    endpoint.backlog.tokens = remainingTokens(endpoint.backlog, endpoint.prefillTokensPerSecond, dispatch.sentAt) + dispatch.prefillTokens;
+    endpoint.backlog.asOf = dispatch.sentAt;
+}
+
+static void dropDispatchesUntil(EndpointView& endpoint, TimePoint time)
+{
+    auto& dispatches = endpoint.dispatchesSinceReport;
+    auto firstKept = std::find_if(dispatches.begin(), dispatches.end(), [time](const OwnDispatch& dispatch) { return dispatch.sentAt > time; });
+    dispatches.erase(dispatches.begin(), firstKept);
+}
+
+void recordDispatch(EndpointView& endpoint, double prefillTokens, TimePoint now)
+{
+    OwnDispatch dispatch { now, prefillTokens };
+    endpoint.ownInFlight += 1;
+    endpoint.ownPendingPrefillTokens += prefillTokens;
+    addToBacklog(endpoint, dispatch);
+    dropDispatchesUntil(endpoint, now - dispatchMemory);
+    endpoint.dispatchesSinceReport.push_back(dispatch);
+}
+
+void recordFirstToken(EndpointView& endpoint, double prefillTokens)
+{
+    endpoint.ownPendingPrefillTokens = std::max(endpoint.ownPendingPrefillTokens - prefillTokens, 0.0);
+}
+
+void recordSettled(EndpointView& endpoint)
+{
+    if (endpoint.ownInFlight > 0)
+        endpoint.ownInFlight -= 1;
+}
+
+void recordReport(EndpointView& endpoint, const EndpointLoadReport& report)
+{
+    if (endpoint.report && report.measuredAt < endpoint.report->measuredAt)
+        return;
+    endpoint.report = report;
+    endpoint.backlog = { report.queuedPrefillTokens, report.measuredAt };
+    dropDispatchesUntil(endpoint, report.measuredAt);
+    for (const OwnDispatch& dispatch : endpoint.dispatchesSinceReport)
+        addToBacklog(endpoint, dispatch);
+}
+
+static double movedTowards(double learned, double sample)
+{
+    return learned + learningWeight * (sample - learned);
+}
+
+void learnSpeeds(EndpointView& endpoint, const ServiceSample& sample)
+{
+    if (sample.prefillTokens > 0 && sample.prefillTime > Duration::zero())
+        endpoint.prefillTokensPerSecond = movedTowards(endpoint.prefillTokensPerSecond, sample.prefillTokens / toSeconds(sample.prefillTime));
+    if (sample.decodeTokens > 0 && sample.decodeTime > Duration::zero())
+        endpoint.decodeTokensPerSecond = movedTowards(endpoint.decodeTokensPerSecond, sample.decodeTokens / toSeconds(sample.decodeTime));
+    if (sample.total > Duration::zero()) {
+        double mean = movedTowards(toSeconds(endpoint.requestDuration), toSeconds(sample.total));
+        endpoint.requestDuration = fromSeconds(mean);
+    }
+}
+
+} // namespace catkinwing
