Index which endpoint likely holds which prefix

One node a block with its holders, least recently used first out, chains stored from the end so that the bound drops ends before beginnings. A gap in an endpoint's events halves the belief in all that is held of it; it clears nothing.

--- a/include/catkinwing/Routing/PrefixIndex.h
+++ b/include/catkinwing/Routing/PrefixIndex.h
@@ -12,7 +12,7 @@
 /// Settings of the prefix index.
 struct PrefixIndexPolicy {
     /// Bound on the memory of the index.
-    std::size_t maxBytes { 16 * 1024 * 1024 };
+    std::size_t maxBytes { std::size_t { 16 } * 1024 * 1024 };
     /// Endpoints remembered for one block; the more, the better known are
     /// prefixes that all share.
     std::size_t maxHolders { 64 };
@@ -24,6 +24,8 @@
     double dispatchedWeight { 0.8 };
     /// Factor on the belief for each gap in the endpoint's events since.
     double gapFactor { 0.5 };
+    /// A belief below this counts as none.
+    double negligibleWeight { 0.05 };
 };
 
 /// Kind of an endpoint's cache event.
@@ -40,9 +42,6 @@
     CacheEventKind kind { CacheEventKind::Stored };
     /// Scoped hashes (see scopedPrefixHashes) of the blocks concerned.
     std::vector<std::uint64_t> hashes;
-    /// Place in the prompt of the first hash, where the endpoint tells it; the
-    /// index then keeps only the depths that it looks up.
-    std::optional<std::size_t> firstBlock;
 };
 
 /// Tokens of a prompt that an endpoint is expected to hold.
@@ -63,13 +62,14 @@
 /// resident teams stay within the region.
 class PrefixIndex {
 public:
-    explicit PrefixIndex(PrefixIndexPolicy policy = {});
+    PrefixIndex() = default;
+    explicit PrefixIndex(PrefixIndexPolicy policy);
 
     /// Records that a prompt went to \p endpoint and will likely be cached.
     void recordDispatch(EndpointHandle endpoint, absl::Span<const std::uint64_t> hashes);
     /// Takes in one event. A jump in the sequence makes all that is held of the
-    /// endpoint doubtful; an event seen before is left out; one of another
-    /// incarnation clears first.
+    /// endpoint doubtful; an event seen before is left out, and so is one of the
+    /// incarnation before; one of another incarnation clears first.
     void applyEvent(EndpointHandle endpoint, const CacheEvent& event);
     /// States the endpoint's incarnation; a change clears what is held of it.
     void setIncarnation(EndpointHandle endpoint, absl::string_view incarnation);
@@ -105,6 +105,7 @@
     /// Events of an endpoint. The epoch grows with each gap and each clearing.
     struct Source {
         std::string incarnation;
+        std::string previousIncarnation;
         std::uint64_t lastSequence { 0 };
         bool sequenceKnown { false };
         std::uint32_t epoch { 0 };
@@ -112,24 +113,32 @@
         std::uint32_t validFrom { 0 };
     };
 
+    /// Bytes of the table for one entry at its emptiest, after growing.
+    static constexpr std::size_t tableBytesPerEntry = 40;
+    static constexpr std::size_t nodesPerChunk = 1024;
+
     Node& node(NodeIndex index);
     const Node& node(NodeIndex index) const;
     Source& source(EndpointHandle endpoint);
     double belief(const Holder& holder) const;
     void clearHolds(Source& source);
+    bool isNewEvent(Source& source, const CacheEvent& event);
     void store(EndpointHandle endpoint, std::uint64_t hash, bool confirmed);
-    void storeChain(EndpointHandle endpoint, absl::Span<const std::uint64_t> hashes, std::optional<std::size_t> firstBlock, bool confirmed);
+    void storeChain(EndpointHandle endpoint, absl::Span<const std::uint64_t> hashes, bool confirmed);
     void evict(EndpointHandle endpoint, std::uint64_t hash);
     void addHolder(Node& node, const Holder& holder);
     NodeIndex findOrAdd(std::uint64_t hash);
+    NodeIndex takeNode();
     void linkNewest(NodeIndex index);
     void unlink(NodeIndex index);
     void removeNode(NodeIndex index);
     void keepWithinBound();
+    std::size_t liveBytes() const;
 
     PrefixIndexPolicy m_policy;
     std::vector<std::unique_ptr<Node[]>> m_chunks;
-    std::vector<NodeIndex> m_freeNodes;
+    /// First of the unused nodes, which are linked by their older link.
+    NodeIndex m_firstFree { noNode };
     std::size_t m_nodesMade { 0 };
     std::size_t m_overflowBytes { 0 };
     NodeIndex m_newest { noNode };
--- /dev/null
+++ b/unittests/Routing/PrefixIndexTest.cpp
@@ -0,0 +1,146 @@
+#include "catkinwing/Routing/PrefixIndex.h"
+
+#include "catkinwing/Support/Random.h"
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+
+using Hashes = std::vector<std::uint64_t>;
+
+static Hashes makeHashes(std::size_t count, std::uint64_t from = 1)
+{
+    Hashes hashes;
+    for (std::size_t i = 0; i < count; ++i)
+        hashes.push_back(from + i);
+    return hashes;
+}
+
+static double tokensAt(const PrefixIndex& index, EndpointHandle endpoint, const Hashes& hashes)
+{
+    for (const CachedPrefix& prefix : index.cachedTokens(hashes)) {
+        if (prefix.endpoint == endpoint)
+            return prefix.tokens;
+    }
+    return 0;
+}
+
+static CacheEvent stored(std::uint64_t sequence, Hashes hashes)
+{
+    return { "a", sequence, CacheEventKind::Stored, std::move(hashes) };
+}
+
+/// Ten tokens a block, and weights that are easy to tell apart.
+static PrefixIndexPolicy testPolicy()
+{
+    PrefixIndexPolicy policy;
+    policy.tokensPerBlock = 10;
+    policy.dispatchedWeight = 0.8;
+    policy.gapFactor = 0.5;
+    return policy;
+}
+
+TEST_CASE("own dispatches are doubtful until an event confirms them")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(4);
+    index.recordDispatch(3, prompt);
+    CHECK(tokensAt(index, 3, prompt) == Approx(32));
+    index.applyEvent(3, stored(1, prompt));
+    CHECK(tokensAt(index, 3, prompt) == Approx(40));
+    index.recordDispatch(3, prompt);
+    CHECK(tokensAt(index, 3, prompt) == Approx(40));
+}
+
+TEST_CASE("one pass gives each endpoint its own depth")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(4);
+    index.applyEvent(0, stored(1, prompt));
+    index.applyEvent(1, stored(1, Hashes(prompt.begin(), prompt.begin() + 2)));
+    index.applyEvent(2, stored(1, makeHashes(4, 1000)));
+    CHECK(index.cachedTokens(prompt).size() == 2);
+    CHECK(tokensAt(index, 0, prompt) == Approx(40));
+    CHECK(tokensAt(index, 1, prompt) == Approx(20));
+}
+
+TEST_CASE("a gap makes what is held of that endpoint doubtful, not gone")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(4);
+    Hashes other = makeHashes(2, 500);
+    index.applyEvent(0, stored(1, prompt));
+    index.applyEvent(1, stored(1, prompt));
+    index.applyEvent(0, stored(3, other));
+    CHECK(tokensAt(index, 0, prompt) == Approx(20));
+    CHECK(tokensAt(index, 0, other) == Approx(20));
+    CHECK(tokensAt(index, 1, prompt) == Approx(40));
+    index.applyEvent(0, stored(7, other));
+    CHECK(tokensAt(index, 0, prompt) == Approx(10));
+    index.applyEvent(0, stored(8, prompt));
+    CHECK(tokensAt(index, 0, prompt) == Approx(40));
+}
+
+TEST_CASE("an event that comes again changes nothing")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(2);
+    index.applyEvent(0, stored(4, prompt));
+    index.applyEvent(0, { "a", 5, CacheEventKind::Evicted, prompt });
+    index.applyEvent(0, stored(4, prompt));
+    CHECK(tokensAt(index, 0, prompt) == 0);
+    CHECK(index.size() == 0);
+}
+
+TEST_CASE("evictions and clearing take blocks away from their endpoint alone")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(4);
+    index.applyEvent(0, stored(1, prompt));
+    index.applyEvent(1, stored(1, prompt));
+    index.applyEvent(0, { "a", 2, CacheEventKind::Evicted, { prompt[2], prompt[3] } });
+    CHECK(tokensAt(index, 0, prompt) == Approx(20));
+    index.applyEvent(0, { "a", 3, CacheEventKind::Cleared, {} });
+    CHECK(tokensAt(index, 0, prompt) == 0);
+    CHECK(tokensAt(index, 1, prompt) == Approx(40));
+}
+
+TEST_CASE("a restart clears, and late events of the process before are left out")
+{
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(4);
+    index.setIncarnation(0, "a");
+    index.applyEvent(0, stored(9, prompt));
+    index.setIncarnation(0, "b");
+    CHECK(tokensAt(index, 0, prompt) == 0);
+    index.applyEvent(0, stored(10, prompt));
+    CHECK(tokensAt(index, 0, prompt) == 0);
+    index.applyEvent(0, { "b", 1, CacheEventKind::Stored, prompt });
+    CHECK(tokensAt(index, 0, prompt) == Approx(40));
+    index.forget(0);
+    CHECK(tokensAt(index, 0, prompt) == 0);
+}
+
+TEST_CASE("hashes of another model or adapter don't match")
+{
+    Hashes prompt = makeHashes(2);
+    CHECK(scopedPrefixHashes(prompt, "m", "") != scopedPrefixHashes(prompt, "n", ""));
+    CHECK(scopedPrefixHashes(prompt, "m", "") != scopedPrefixHashes(prompt, "m", "a"));
+    CHECK(scopedPrefixHashes(prompt, "m", "a") == scopedPrefixHashes(prompt, "m", "a"));
+}
+
+TEST_CASE("the bound on memory holds and drops the ends of old prompts first")
+{
+    PrefixIndexPolicy policy = testPolicy();
+    policy.maxBytes = std::size_t { 1024 } * 1024;
+    PrefixIndex index(policy);
+    Hashes shared = makeHashes(8);
+    for (std::uint64_t prompt = 0; prompt < 3000; ++prompt) {
+        Hashes hashes = shared;
+        for (std::uint64_t hash : makeHashes(20, 1000 * (prompt + 1)))
+            hashes.push_back(hash);
+        index.recordDispatch(static_cast<EndpointHandle>(prompt % 100), hashes);
+        REQUIRE(index.memoryBytes() <= policy.maxBytes);
+    }
+    CHECK(index.cachedTokens(shared).size() > 10);
+    CHECK(index.size() > 5000);
+}
