Choose the endpoint by predicted time to first token

Queue, wait for a slot, prefill not cached, network, adapter load and a surcharge in slow start; random among the near-best with a margin that grows with the age of the report. Large cells score holders of the prefix and a random sample. Round robin, least in flight and two choices stay beside it behind the same call.

--- a/include/catkinwing/Routing/CostModel.h
+++ b/include/catkinwing/Routing/CostModel.h
@@ -38,4 +38,8 @@
 /// Predicts the time to first token of a request at \p endpoint.
 CostTerms predictTimeToFirstToken(const EndpointView& endpoint, const CostInputs& inputs, const RoutingPolicy& policy, TimePoint now);
 
+/// Returns the margin within which predictions count as equal to \p best, the
+/// least one, which belongs to \p endpoint.
+Duration nearBestMargin(Duration best, const EndpointView& endpoint, const RoutingPolicy& policy, TimePoint now);
+
 } // namespace catkinwing
--- a/include/catkinwing/Routing/Placement.h
+++ b/include/catkinwing/Routing/Placement.h
@@ -27,7 +27,7 @@
     std::vector<std::string> triedEndpoints;
     /// Times that the request was forwarded.
     unsigned hop { 0 };
-    /// Zones that have seen the request, this one included.
+    /// Zones that the request visited before this one.
     std::vector<std::string> visitedZones;
     /// Time until the caller gives up, where it is known.
     std::optional<Duration> timeLeft;
@@ -72,6 +72,10 @@
 /// \p policy names. Residency is checked before anything else.
 PlacementResult choosePlacement(const RoutingRequest& request, const CellView& cell, const PrefixIndex& prefixes, const RoutingPolicy& policy, Random& random, TimePoint now);
 
+/// Returns why no endpoint of \p cell can take \p request, tried ones aside, or
+/// nothing where one can.
+std::optional<NoPlacementReason> whyNoPlacement(const RoutingRequest& request, const CellView& cell);
+
 /// Returns whether \p request has been sent to the endpoint \p name before.
 bool wasTried(const RoutingRequest& request, absl::string_view name);
 
--- /dev/null
+++ b/lib/Routing/CostModel.cpp
@@ -0,0 +1,70 @@
+#include "catkinwing/Routing/CostModel.h"
+
+#include "Seconds.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+static bool hasFreshReport(const EndpointView& endpoint, const RoutingPolicy& policy, TimePoint now)
+{
+    return endpoint.report && now - endpoint.report->measuredAt <= policy.maxReportAge;
+}
+
+unsigned believedInFlight(const EndpointView& endpoint, const RoutingPolicy& policy, TimePoint now)
+{
+    if (!hasFreshReport(endpoint, policy, now))
+        return endpoint.ownInFlight;
+    auto since = static_cast<unsigned>(endpoint.dispatchesSinceReport.size());
+    unsigned reported = endpoint.report->running + endpoint.report->waiting;
+    return std::max(endpoint.ownInFlight, reported + since);
+}
+
+static double believedBacklog(const EndpointView& endpoint, TimePoint now)
+{
+    double drained = remainingTokens(endpoint.backlog, endpoint.prefillTokensPerSecond, now);
+    // Own requests without a first token are there for certain, even where the
+    // engine drains more slowly than believed.
+    return std::max(drained, endpoint.ownPendingPrefillTokens);
+}
+
+static Duration waitForSlot(const EndpointView& endpoint, unsigned inFlight)
+{
+    if (inFlight < endpoint.slots || endpoint.slots == 0)
+        return Duration::zero();
+    unsigned ahead = inFlight - endpoint.slots + 1;
+    return endpoint.requestDuration * ahead / endpoint.slots;
+}
+
+CostTerms predictTimeToFirstToken(const EndpointView& endpoint, const CostInputs& inputs, const RoutingPolicy& policy, TimePoint now)
+{
+    unsigned inFlight = believedInFlight(endpoint, policy, now);
+    double occupancy = std::min(1.0, static_cast<double>(inFlight) / std::max(endpoint.slots, 1U));
+    double secondsPerToken = (1 + policy.batchSlowdown * occupancy) / std::max(endpoint.prefillTokensPerSecond, 1.0);
+
+    CostTerms terms;
+    terms.prefillTokens = std::max(inputs.promptTokens - inputs.cachedTokens, 0.0);
+    terms.queue = fromSeconds(believedBacklog(endpoint, now) * secondsPerToken);
+    terms.slotWait = waitForSlot(endpoint, inFlight);
+    terms.prefill = fromSeconds(terms.prefillTokens * secondsPerToken);
+    terms.network = endpoint.roundTripTime;
+    if (inputs.needsAdapterLoad)
+        terms.adapterLoad = policy.adapterLoadTime;
+
+    Duration sum = terms.queue + terms.slotWait + terms.prefill + terms.network + terms.adapterLoad;
+    if (endpoint.slowStartWeight < 1 && endpoint.slowStartWeight > 0)
+        terms.slowStart = fromSeconds(toSeconds(sum) * (1 / endpoint.slowStartWeight - 1));
+    terms.total = sum + terms.slowStart;
+    return terms;
+}
+
+Duration nearBestMargin(Duration best, const EndpointView& endpoint, const RoutingPolicy& policy, TimePoint now)
+{
+    double margin = toSeconds(best) * policy.nearBestFraction;
+    if (hasFreshReport(endpoint, policy, now)) {
+        double age = toSeconds(std::max(now - endpoint.report->measuredAt, Duration::zero()));
+        margin += age * policy.nearBestPerReportAge;
+    }
+    return std::max(policy.nearBestFloor, fromSeconds(margin));
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Routing/Placement.cpp
@@ -0,0 +1,188 @@
+#include "catkinwing/Routing/Placement.h"
+
+#include "catkinwing/Routing/BaselinePlacement.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+namespace {
+
+    struct Candidate {
+        EndpointHandle endpoint;
+        Duration total;
+        double prefillTokens;
+        double cachedTokens;
+    };
+
+    /// One decision under way.
+    struct Scoring {
+        const RoutingRequest& request;
+        const CellView& cell;
+        const RoutingPolicy& policy;
+        TimePoint now;
+        /// Tokens cached at each endpoint, by handle.
+        std::vector<float> cached;
+        /// Endpoints that were looked at, by handle.
+        std::vector<bool> seen;
+        std::vector<Candidate> candidates;
+    };
+
+} // namespace
+
+bool wasTried(const RoutingRequest& request, absl::string_view name)
+{
+    return std::any_of(request.triedEndpoints.begin(), request.triedEndpoints.end(), [name](const std::string& tried) { return tried == name; });
+}
+
+bool needsAdapterLoad(const RoutingRequest& request, const EndpointView& endpoint)
+{
+    if (request.adapter.empty())
+        return false;
+    return !std::binary_search(endpoint.adapters.begin(), endpoint.adapters.end(), request.adapter);
+}
+
+static void score(Scoring& scoring, EndpointHandle handle)
+{
+    if (scoring.seen[handle])
+        return;
+    scoring.seen[handle] = true;
+    const EndpointView& endpoint = scoring.cell.endpoint(handle);
+    if (wasTried(scoring.request, endpoint.name))
+        return;
+    double cached = scoring.cached[handle];
+    CostInputs inputs { scoring.request.promptTokens, cached, needsAdapterLoad(scoring.request, endpoint) };
+    CostTerms terms = predictTimeToFirstToken(endpoint, inputs, scoring.policy, scoring.now);
+    scoring.candidates.push_back({ handle, terms.total, terms.prefillTokens, cached });
+}
+
+static void scoreHolders(Scoring& scoring, std::vector<CachedPrefix> holders)
+{
+    auto closed = [&scoring](const CachedPrefix& holder) { return !scoring.cell.isOpenFor(holder.endpoint, scoring.request.model); };
+    holders.erase(std::remove_if(holders.begin(), holders.end(), closed), holders.end());
+    std::size_t count = std::min(holders.size(), scoring.policy.sampledHolders);
+    auto most = [](const CachedPrefix& a, const CachedPrefix& b) { return a.tokens > b.tokens; };
+    std::partial_sort(holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(count), holders.end(), most);
+    for (std::size_t i = 0; i < count; ++i)
+        score(scoring, holders[i].endpoint);
+}
+
+static void scoreDrawn(Scoring& scoring, absl::Span<const EndpointHandle> from, Random& random)
+{
+    if (from.empty())
+        return;
+    for (std::size_t i = 0; i < scoring.policy.sampledOthers; ++i) {
+        EndpointHandle handle = from[random.below(from.size())];
+        if (scoring.cell.isOpenFor(handle, scoring.request.model))
+            score(scoring, handle);
+    }
+}
+
+static void scoreAll(Scoring& scoring, absl::Span<const EndpointHandle> open)
+{
+    for (EndpointHandle handle : open)
+        score(scoring, handle);
+}
+
+static void scoreSample(Scoring& scoring, absl::Span<const EndpointHandle> open, std::vector<CachedPrefix> holders, Random& random)
+{
+    scoreHolders(scoring, std::move(holders));
+    scoreDrawn(scoring, open, random);
+    if (!scoring.request.adapter.empty())
+        scoreDrawn(scoring, scoring.cell.endpointsWithAdapter(scoring.request.adapter), random);
+    // A sample may hold only endpoints that were tried.
+    if (scoring.candidates.empty())
+        scoreAll(scoring, open);
+}
+
+static Placement drawNearBest(const Scoring& scoring, Random& random)
+{
+    auto less = [](const Candidate& a, const Candidate& b) { return a.total < b.total; };
+    auto best = std::min_element(scoring.candidates.begin(), scoring.candidates.end(), less);
+    Duration limit = best->total + nearBestMargin(best->total, scoring.cell.endpoint(best->endpoint), scoring.policy, scoring.now);
+    // Reservoir sampling: each near-best candidate is as likely as any other.
+    const Candidate* chosen = &*best;
+    std::uint64_t near = 0;
+    for (const Candidate& candidate : scoring.candidates) {
+        if (candidate.total > limit)
+            continue;
+        near += 1;
+        if (random.below(near) == 0)
+            chosen = &candidate;
+    }
+    return { chosen->endpoint, chosen->total, chosen->prefillTokens, chosen->cachedTokens };
+}
+
+static PlacementResult choosePredicted(const RoutingRequest& request, const CellView& cell, const PrefixIndex& prefixes, const RoutingPolicy& policy, Random& random, TimePoint now)
+{
+    absl::Span<const EndpointHandle> open = cell.openEndpointsFor(request.model);
+    std::vector<CachedPrefix> holders = prefixes.cachedTokens(request.prefixHashes);
+    Scoring scoring { request, cell, policy, now, std::vector<float>(cell.handleLimit()), std::vector<bool>(cell.handleLimit()), {} };
+    for (const CachedPrefix& holder : holders) {
+        if (cell.contains(holder.endpoint))
+            scoring.cached[holder.endpoint] = static_cast<float>(holder.tokens);
+    }
+    if (open.size() <= policy.scoreAllUpTo)
+        scoreAll(scoring, open);
+    else
+        scoreSample(scoring, open, std::move(holders), random);
+    if (scoring.candidates.empty())
+        return NoPlacement { NoPlacementReason::AllTried };
+    return drawNearBest(scoring, random);
+}
+
+std::optional<NoPlacementReason> whyNoPlacement(const RoutingRequest& request, const CellView& cell)
+{
+    if (!isAllowed(request.residency, cell.region()))
+        return NoPlacementReason::OutsideResidency;
+    if (!cell.openEndpointsFor(request.model).empty())
+        return std::nullopt;
+    absl::Span<const EndpointHandle> all = cell.endpointsFor(request.model);
+    if (all.empty())
+        return NoPlacementReason::UnknownModel;
+    auto hasState = [&cell](EndpointState state) {
+        return [&cell, state](EndpointHandle handle) { return cell.endpoint(handle).state == state; };
+    };
+    if (std::any_of(all.begin(), all.end(), hasState(EndpointState::Live)))
+        return NoPlacementReason::NoSlot;
+    if (std::any_of(all.begin(), all.end(), hasState(EndpointState::Ejected)))
+        return NoPlacementReason::AllUnhealthy;
+    return NoPlacementReason::AllLeaving;
+}
+
+PlacementResult choosePlacement(const RoutingRequest& request, const CellView& cell, const PrefixIndex& prefixes, const RoutingPolicy& policy, Random& random, TimePoint now)
+{
+    if (std::optional<NoPlacementReason> reason = whyNoPlacement(request, cell))
+        return NoPlacement { *reason };
+    switch (policy.algorithm) {
+    case RoutingAlgorithm::RoundRobin:
+        return chooseRoundRobin(request, cell, policy, now);
+    case RoutingAlgorithm::LeastInFlight:
+        return chooseLeastInFlight(request, cell, policy, random, now);
+    case RoutingAlgorithm::PowerOfTwoChoices:
+        return choosePowerOfTwo(request, cell, policy, random, now);
+    case RoutingAlgorithm::PredictedTimeToFirstToken:
+        break;
+    }
+    return choosePredicted(request, cell, prefixes, policy, random, now);
+}
+
+const char* toString(NoPlacementReason reason)
+{
+    switch (reason) {
+    case NoPlacementReason::OutsideResidency:
+        return "outside-residency";
+    case NoPlacementReason::UnknownModel:
+        return "unknown-model";
+    case NoPlacementReason::AllLeaving:
+        return "all-leaving";
+    case NoPlacementReason::AllUnhealthy:
+        return "all-unhealthy";
+    case NoPlacementReason::NoSlot:
+        return "no-slot";
+    case NoPlacementReason::AllTried:
+        return "all-tried";
+    }
+    return "unknown";
+}
+
+} // namespace catkinwing
