Decide on forwards and steer callers

Hop limit, visited zones and residency come before any gain. Other zones of the region go first; other regions need a gain that grows with the share already sent away, with hysteresis. One digest is good for this entry's part of the free slots only, less when it is old or the cell came back lately. Sessions go to entries by weighted rendezvous hash over the region.

--- a/include/catkinwing/Routing/CallerSteering.h
+++ b/include/catkinwing/Routing/CallerSteering.h
@@ -32,6 +32,8 @@
     std::string team;
     /// Session that the caller named; empty for none.
     std::string session;
+    /// Random number of this call; it spreads callers that name no session.
+    std::uint64_t spread { 0 };
     /// Place of the caller, by default that of the entry that was asked.
     std::string zone;
     std::string region;
--- a/include/catkinwing/Routing/Forwarding.h
+++ b/include/catkinwing/Routing/Forwarding.h
@@ -25,6 +25,9 @@
     std::string region;
     /// When the digest was made, on this process's clock.
     TimePoint digestAt {};
+    /// Drawn anew from [0, 1) with each digest. It decides which of the entries
+    /// that share the digest may use a part of a slot, so that they don't all.
+    double digestDither { 0 };
     Duration roundTripTime { 0 };
     bool draining { false };
     /// False while no entry of the cell answers.
@@ -114,6 +117,11 @@
 /// \p state, but not its counts.
 ForwardDecision decideForward(const ForwardInputs& inputs, ForwardState& state, Random& random);
 
+/// Returns how many more requests of \p model this entry may send to \p cell on
+/// its present digest: the free slots, less for an old digest or a cell in slow
+/// start, divided among the senders, less own forwards since.
+unsigned forwardAllowance(const RemoteCellView& cell, const RemoteModelView& model, const ForwardPolicy& policy, TimePoint now);
+
 /// Counts one request in \p state, once it is known where it went.
 void recordRouted(ForwardState& state, const ForwardPolicy& policy, bool toOtherRegion, TimePoint now);
 
@@ -140,9 +148,9 @@
     HopLimit,
     VisitedBefore };
 
-/// Checks a forward at its receiver: \p request carries the stricter of the
-/// stamp and the receiver's own document and the zones that
-/// the stamp names as visited. Nothing means it may be admitted.
+/// Checks a forward at its receiver: \p request carries the stamp's hop and
+/// visited zones, and the stricter of the stamp's residency and that of the
+/// receiver's own document. Nothing means that it may be admitted.
 std::optional<ForwardRefusal> checkReceivedForward(const RoutingRequest& request, absl::string_view ownZone, absl::string_view ownRegion);
 
 /// Says in one word why, such as "hop-limit", for reports.
--- /dev/null
+++ b/lib/Routing/CallerSteering.cpp
@@ -0,0 +1,89 @@
+#include "catkinwing/Routing/CallerSteering.h"
+
+#include "catkinwing/Support/Hash.h"
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <tuple>
+
+namespace catkinwing {
+
+double rendezvousScore(absl::string_view key, absl::string_view node, double weight)
+{
+    // The top bits fill a double's mantissa; the half keeps the logarithm
+    // finite.
+    constexpr unsigned droppedBits = 11;
+    constexpr double range = 9007199254740992.0;
+    std::uint64_t hash = stableHash(node, stableHash(key));
+    double unit = (static_cast<double>(hash >> droppedBits) + 0.5) / range;
+    return -weight / std::log(unit);
+}
+
+namespace {
+
+    /// Order of the entries: nearer groups first, then the higher score.
+    enum class Nearness { Zone,
+        Region,
+        OtherRegion,
+        WithoutModel };
+
+    struct Ranked {
+        std::size_t place;
+        Nearness nearness;
+        Duration distance;
+        double score;
+    };
+
+} // namespace
+
+static bool servesModel(const EntryView& entry, const std::string& model)
+{
+    return model.empty() || std::find(entry.models.begin(), entry.models.end(), model) != entry.models.end();
+}
+
+static Nearness nearnessOf(const SteeringRequest& request, const EntryView& entry)
+{
+    if (!servesModel(entry, request.model))
+        return Nearness::WithoutModel;
+    if (entry.region != request.region)
+        return Nearness::OtherRegion;
+    // A session belongs to one entry of the region, whichever zone it is asked
+    // for from: its cache is worth more than the step between zones.
+    if (!request.session.empty())
+        return Nearness::Region;
+    return entry.zone == request.zone ? Nearness::Zone : Nearness::Region;
+}
+
+static bool goesBefore(const Ranked& a, const Ranked& b)
+{
+    return std::make_tuple(a.nearness, a.distance, -a.score, a.place) < std::make_tuple(b.nearness, b.distance, -b.score, b.place);
+}
+
+static std::string affinityKey(const SteeringRequest& request)
+{
+    std::string session = request.session.empty() ? std::to_string(request.spread) : request.session;
+    return request.team + '\n' + request.model + '\n' + session;
+}
+
+std::vector<std::size_t> steerCallers(const SteeringRequest& request, absl::Span<const EntryView> entries, const SlowStartPolicy& slowStart, TimePoint now)
+{
+    std::string key = affinityKey(request);
+    std::vector<Ranked> ranked;
+    for (std::size_t place = 0; place < entries.size(); ++place) {
+        const EntryView& entry = entries[place];
+        if (entry.draining || !entry.reachable || !isAllowed(request.residency, entry.region))
+            continue;
+        Nearness nearness = nearnessOf(request, entry);
+        Duration distance = nearness == Nearness::OtherRegion ? entry.roundTripTime : Duration::zero();
+        double weight = entry.weight * slowStartWeight(slowStart, entry.since, now);
+        ranked.push_back({ place, nearness, distance, rendezvousScore(key, entry.name, weight) });
+    }
+    std::sort(ranked.begin(), ranked.end(), goesBefore);
+    std::vector<std::size_t> places;
+    places.reserve(ranked.size());
+    for (const Ranked& rank : ranked)
+        places.push_back(rank.place);
+    return places;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Routing/Forwarding.cpp
@@ -0,0 +1,215 @@
+#include "catkinwing/Routing/Forwarding.h"
+
+#include "Seconds.h"
+#include "catkinwing/Routing/CallerSteering.h"
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace catkinwing {
+
+/// Cells whose predictions differ by less than this count as equal.
+static constexpr Duration equalWithin = std::chrono::milliseconds(5);
+
+static bool hasVisited(const RoutingRequest& request, absl::string_view zone)
+{
+    return std::any_of(request.visitedZones.begin(), request.visitedZones.end(), [zone](const std::string& visited) { return visited == zone; });
+}
+
+unsigned forwardAllowance(const RemoteCellView& cell, const RemoteModelView& model, const ForwardPolicy& policy, TimePoint now)
+{
+    double age = toSeconds(std::max(now - cell.digestAt, Duration::zero()));
+    double freshness = 1 - age / toSeconds(policy.maxDigestAge);
+    if (freshness <= 0)
+        return 0;
+    double ramp = slowStartWeight(policy.slowStart, cell.reachableSince, now);
+    double part = model.freeSlots * freshness * ramp / std::max(policy.senders, 1U);
+    auto allowed = static_cast<unsigned>(std::floor(part + cell.digestDither));
+    return allowed > model.forwardsSinceDigest ? allowed - model.forwardsSinceDigest : 0;
+}
+
+static const RemoteModelView* findModel(const RemoteCellView& cell, const std::string& model)
+{
+    auto known = cell.models.find(model);
+    return known == cell.models.end() ? nullptr : &known->second;
+}
+
+static bool mayReceive(const ForwardInputs& inputs, const RemoteCellView& cell)
+{
+    if (!isAllowed(inputs.request.residency, cell.region))
+        return false;
+    if (cell.zone == inputs.ownZone || hasVisited(inputs.request, cell.zone))
+        return false;
+    if (cell.draining || !cell.reachable)
+        return false;
+    const RemoteModelView* model = findModel(cell, inputs.request.model);
+    return model && forwardAllowance(cell, *model, inputs.policy, inputs.now) > 0;
+}
+
+static Duration predictRemote(const ForwardInputs& inputs, const RemoteCellView& cell)
+{
+    const RemoteModelView& model = *findModel(cell, inputs.request.model);
+    // Prefix indexes don't leave their cell: the whole prompt counts as not
+    // cached there, and each own forward since as prefill that goes first.
+    double prefills = 1.0 + model.forwardsSinceDigest;
+    Duration prefill = fromSeconds(prefills * inputs.request.promptTokens / std::max(model.prefillTokensPerSecond, 1.0));
+    return cell.roundTripTime + model.predictedWait + prefill;
+}
+
+static bool isLate(const ForwardInputs& inputs, Duration prediction)
+{
+    return inputs.request.timeLeft && prediction > *inputs.request.timeLeft;
+}
+
+/// The gain that a forward of this kind must bring.
+static Duration thresholdFor(const ForwardInputs& inputs, const ForwardState& state, bool otherRegion)
+{
+    // A request that would be late here goes wherever it isn't.
+    if (inputs.localPrediction && isLate(inputs, *inputs.localPrediction))
+        return Duration::zero();
+    const ForwardPolicy& policy = inputs.policy;
+    double factor = (otherRegion ? state.sendingToRegions : state.sendingToZones) ? policy.keepFactor : 1;
+    if (otherRegion)
+        factor *= 1 + policy.sharePenalty * shareSentAway(state) / policy.targetShare;
+    Duration base = otherRegion ? policy.regionThreshold : policy.zoneThreshold;
+    return fromSeconds(toSeconds(base) * factor);
+}
+
+namespace {
+
+    /// The cells of one kind that could receive the request.
+    struct Receivers {
+        std::vector<Forward> forwards;
+        Duration best { Duration::max() };
+    };
+
+} // namespace
+
+static Receivers findReceivers(const ForwardInputs& inputs, bool otherRegion)
+{
+    Receivers receivers;
+    for (std::size_t i = 0; i < inputs.cells.size(); ++i) {
+        const RemoteCellView& cell = inputs.cells[i];
+        if ((cell.region != inputs.ownRegion) != otherRegion || !mayReceive(inputs, cell))
+            continue;
+        Duration prediction = predictRemote(inputs, cell);
+        if (isLate(inputs, prediction))
+            continue;
+        Duration gain = inputs.localPrediction ? *inputs.localPrediction - prediction : Duration::max();
+        receivers.forwards.push_back({ i, otherRegion, prediction, gain });
+        receivers.best = std::min(receivers.best, prediction);
+    }
+    return receivers;
+}
+
+static Forward drawNearBest(const Receivers& receivers, Random& random)
+{
+    std::vector<const Forward*> near;
+    for (const Forward& forward : receivers.forwards) {
+        if (forward.predictedTimeToFirstToken - receivers.best <= equalWithin)
+            near.push_back(&forward);
+    }
+    return *near[random.below(near.size())];
+}
+
+/// Returns the forward of one kind where it is worth its cost.
+static std::optional<Forward> chooseReceiver(const Receivers& receivers, const ForwardInputs& inputs, ForwardState& state, bool otherRegion, Random& random)
+{
+    bool& sending = otherRegion ? state.sendingToRegions : state.sendingToZones;
+    Duration threshold = thresholdFor(inputs, state, otherRegion);
+    bool worth = !receivers.forwards.empty() && (!inputs.localPrediction || *inputs.localPrediction - receivers.best > threshold);
+    sending = worth;
+    if (!worth)
+        return std::nullopt;
+    return drawNearBest(receivers, random);
+}
+
+ForwardDecision decideForward(const ForwardInputs& inputs, ForwardState& state, Random& random)
+{
+    if (inputs.request.hop >= maxForwardHops)
+        return KeepLocal { KeepReason::HopLimit };
+    bool anyReceiver = false;
+    for (bool otherRegion : { false, true }) {
+        Receivers receivers = findReceivers(inputs, otherRegion);
+        anyReceiver = anyReceiver || !receivers.forwards.empty();
+        if (std::optional<Forward> forward = chooseReceiver(receivers, inputs, state, otherRegion, random))
+            return *forward;
+    }
+    return KeepLocal { anyReceiver ? KeepReason::GainTooSmall : KeepReason::NoCandidate };
+}
+
+void recordRouted(ForwardState& state, const ForwardPolicy& policy, bool toOtherRegion, TimePoint now)
+{
+    double passed = toSeconds(std::max(now - state.countedAt, Duration::zero()));
+    double kept = std::exp(-passed / toSeconds(policy.shareWindow));
+    state.requests = state.requests * kept + 1;
+    state.sentToRegions = state.sentToRegions * kept + (toOtherRegion ? 1 : 0);
+    state.countedAt = now;
+}
+
+double shareSentAway(const ForwardState& state)
+{
+    return state.requests > 0 ? state.sentToRegions / state.requests : 0;
+}
+
+void recordForward(RemoteCellView& cell, absl::string_view model)
+{
+    auto known = cell.models.find(std::string(model));
+    if (known != cell.models.end())
+        known->second.forwardsSinceDigest += 1;
+}
+
+std::optional<std::size_t> chooseEntryForForward(absl::Span<const ForwardEntry> entries, absl::string_view session, Random& random)
+{
+    std::optional<std::size_t> chosen;
+    double bestScore = -std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        if (entries[i].draining || !entries[i].reachable)
+            continue;
+        double score = session.empty() ? random.unit() : rendezvousScore(session, entries[i].name, 1);
+        if (score <= bestScore)
+            continue;
+        bestScore = score;
+        chosen = i;
+    }
+    return chosen;
+}
+
+std::optional<ForwardRefusal> checkReceivedForward(const RoutingRequest& request, absl::string_view ownZone, absl::string_view ownRegion)
+{
+    if (!isAllowed(request.residency, ownRegion))
+        return ForwardRefusal::OutsideResidency;
+    if (request.hop > maxForwardHops)
+        return ForwardRefusal::HopLimit;
+    if (hasVisited(request, ownZone))
+        return ForwardRefusal::VisitedBefore;
+    return std::nullopt;
+}
+
+const char* toString(KeepReason reason)
+{
+    switch (reason) {
+    case KeepReason::HopLimit:
+        return "hop-limit";
+    case KeepReason::NoCandidate:
+        return "no-candidate";
+    case KeepReason::GainTooSmall:
+        return "gain-too-small";
+    }
+    return "unknown";
+}
+
+const char* toString(ForwardRefusal reason)
+{
+    switch (reason) {
+    case ForwardRefusal::OutsideResidency:
+        return "outside-residency";
+    case ForwardRefusal::HopLimit:
+        return "hop-limit";
+    case ForwardRefusal::VisitedBefore:
+        return "visited-before";
+    }
+    return "unknown";
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Routing/ForwardingTest.cpp
@@ -0,0 +1,225 @@
+#include "catkinwing/Routing/Forwarding.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static const TimePoint start { 1h };
+
+static RemoteCellView makeRemote(const std::string& region, const std::string& zone, Duration wait)
+{
+    RemoteCellView cell;
+    cell.region = region;
+    cell.zone = zone;
+    cell.digestAt = start;
+    cell.roundTripTime = region == "caldas" ? 2ms : 110ms;
+    cell.models["m"] = { 10, wait, 10000, 0 };
+    return cell;
+}
+
+/// An entry of the zone caldas-1 and what it decides on.
+struct Origin {
+    RoutingRequest request;
+    ForwardPolicy policy;
+    ForwardState state;
+    Random random { 1 };
+    std::vector<RemoteCellView> cells { makeRemote("caldas", "caldas-2", 0ms), makeRemote("valle", "valle-1", 0ms) };
+    TimePoint now { start };
+
+    Origin()
+    {
+        request.model = "m";
+        request.residency = Residency::within({ "caldas", "valle" });
+    }
+
+    ForwardDecision decide(std::optional<Duration> local)
+    {
+        return decideForward({ request, "caldas-1", "caldas", local, cells, policy, now }, state, random);
+    }
+
+    std::string target(std::optional<Duration> local)
+    {
+        ForwardDecision decision = decide(local);
+        if (const auto* forward = std::get_if<Forward>(&decision))
+            return cells[forward->cell].zone;
+        return toString(std::get<KeepLocal>(decision).reason);
+    }
+};
+
+TEST_CASE("another zone of the region goes before another region")
+{
+    Origin origin;
+    CHECK(origin.target(5s) == "caldas-2");
+    origin.cells[0].models["m"].predictedWait = 5s;
+    CHECK(origin.target(5s) == "valle-1");
+    CHECK(origin.target(100ms) == "gain-too-small");
+    CHECK(origin.target(std::nullopt) == "caldas-2");
+}
+
+TEST_CASE("cells that drain, don't answer, are full or lack the model get nothing")
+{
+    Origin origin;
+    origin.cells.resize(1);
+    RemoteCellView good = origin.cells[0];
+    origin.cells[0].draining = true;
+    CHECK(origin.target(5s) == "no-candidate");
+    origin.cells[0] = good;
+    origin.cells[0].reachable = false;
+    CHECK(origin.target(5s) == "no-candidate");
+    origin.cells[0] = good;
+    origin.cells[0].models["m"].freeSlots = 0;
+    CHECK(origin.target(5s) == "no-candidate");
+    origin.cells[0] = good;
+    origin.cells[0].models.clear();
+    CHECK(origin.target(5s) == "no-candidate");
+    origin.cells[0] = good;
+    origin.now = start + 11s;
+    CHECK(origin.target(5s) == "no-candidate");
+}
+
+TEST_CASE("forwarding starts at the threshold and stops below a part of it")
+{
+    Origin origin;
+    origin.cells.erase(origin.cells.begin());
+    CHECK(origin.target(450ms) == "gain-too-small");
+    CHECK(origin.target(600ms) == "valle-1");
+    CHECK(origin.target(450ms) == "valle-1");
+    CHECK(origin.target(250ms) == "gain-too-small");
+    CHECK(origin.target(450ms) == "gain-too-small");
+}
+
+TEST_CASE("the share already sent away raises the threshold for regions only")
+{
+    Origin origin;
+    for (int i = 0; i < 10; ++i)
+        recordRouted(origin.state, origin.policy, true, start);
+    CHECK(shareSentAway(origin.state) == 1);
+    CHECK(origin.target(800ms) == "caldas-2");
+    origin.cells.erase(origin.cells.begin());
+    CHECK(origin.target(800ms) == "gain-too-small");
+    for (int i = 0; i < 1000; ++i)
+        recordRouted(origin.state, origin.policy, false, start + 5min);
+    CHECK(shareSentAway(origin.state) < 0.001);
+    CHECK(origin.target(800ms) == "valle-1");
+}
+
+TEST_CASE("a request that would be late here goes where it won't be")
+{
+    Origin origin;
+    origin.cells.erase(origin.cells.begin());
+    origin.request.timeLeft = 300ms;
+    CHECK(origin.target(350ms) == "valle-1");
+    origin.request.timeLeft = 50ms;
+    CHECK(origin.target(350ms) == "no-candidate");
+}
+
+TEST_CASE("one digest is good for no more than this entry's part of the free slots")
+{
+    Origin origin;
+    origin.policy.senders = 5;
+    origin.cells.resize(1);
+    int sent = 0;
+    while (origin.target(5s) == "caldas-2") {
+        recordForward(origin.cells[0], "m");
+        sent += 1;
+    }
+    CHECK(sent == 2);
+}
+
+TEST_CASE("senders that share a digest use its last slots once between them")
+{
+    Random random(77);
+    ForwardPolicy policy;
+    policy.senders = 50;
+    unsigned total = 0;
+    for (int sender = 0; sender < 50; ++sender) {
+        RemoteCellView cell = makeRemote("valle", "valle-1", 0ms);
+        cell.digestDither = random.unit();
+        total += forwardAllowance(cell, cell.models["m"], policy, start);
+    }
+    CHECK(total >= 3);
+    CHECK(total <= 20);
+}
+
+TEST_CASE("a cell that came back takes its part little by little")
+{
+    ForwardPolicy policy;
+    RemoteCellView cell = makeRemote("valle", "valle-1", 0ms);
+    cell.reachableSince = start;
+    unsigned before = 0;
+    for (Duration passed : { 0s, 10s, 20s, 30s }) {
+        cell.digestAt = start + passed;
+        unsigned allowance = forwardAllowance(cell, cell.models["m"], policy, start + passed);
+        CHECK(allowance > before);
+        before = allowance;
+    }
+    CHECK(before == 10);
+}
+
+TEST_CASE("whatever the views, a forward keeps to hop limit, visited zones and residency")
+{
+    constexpr std::uint64_t seed = 31337;
+    CAPTURE(seed);
+    Random random(seed);
+    const std::vector<std::string> regions = { "caldas", "valle", "antioquia" };
+    int forwards = 0;
+    for (int round = 0; round < 5000; ++round) {
+        Origin origin;
+        origin.cells.clear();
+        for (int i = 0; i < 8; ++i) {
+            const std::string& region = regions[random.below(3)];
+            origin.cells.push_back(makeRemote(region, region + "-" + std::to_string(random.below(3)), random.below(900) * 1ms));
+        }
+        origin.request.residency = Residency::within({ "caldas", regions[random.below(3)] });
+        origin.request.hop = static_cast<unsigned>(random.below(3));
+        origin.request.visitedZones = { regions[random.below(3)] + "-" + std::to_string(random.below(3)) };
+        std::optional<Duration> local;
+        if (random.below(3) > 0)
+            local = random.below(4000) * 1ms;
+        ForwardDecision decision = origin.decide(local);
+        const auto* forward = std::get_if<Forward>(&decision);
+        if (!forward)
+            continue;
+        forwards += 1;
+        const RemoteCellView& cell = origin.cells[forward->cell];
+        REQUIRE(origin.request.hop == 0);
+        REQUIRE(cell.zone != "caldas-1");
+        REQUIRE(cell.zone != origin.request.visitedZones[0]);
+        REQUIRE(isAllowed(origin.request.residency, cell.region));
+        RoutingRequest received = origin.request;
+        received.hop += 1;
+        received.visitedZones.emplace_back("caldas-1");
+        REQUIRE_FALSE(checkReceivedForward(received, cell.zone, cell.region));
+        REQUIRE(std::holds_alternative<KeepLocal>(decideForward({ received, cell.zone, cell.region, std::nullopt, origin.cells, origin.policy, start }, origin.state, random)));
+    }
+    CHECK(forwards > 500);
+}
+
+TEST_CASE("a receiver refuses what should not have come")
+{
+    RoutingRequest request;
+    request.hop = 1;
+    request.visitedZones = { "caldas-1" };
+    CHECK(checkReceivedForward(request, "valle-1", "valle") == ForwardRefusal::OutsideResidency);
+    request.residency = Residency::within({ "valle", "caldas" });
+    CHECK_FALSE(checkReceivedForward(request, "valle-1", "valle"));
+    CHECK(checkReceivedForward(request, "caldas-1", "caldas") == ForwardRefusal::VisitedBefore);
+    request.hop = 2;
+    CHECK(checkReceivedForward(request, "valle-1", "valle") == ForwardRefusal::HopLimit);
+}
+
+TEST_CASE("a session keeps to one receiving entry while it takes work")
+{
+    Random random(5);
+    std::vector<ForwardEntry> entries { { "a" }, { "b" }, { "c" } };
+    std::optional<std::size_t> first = chooseEntryForForward(entries, "session", random);
+    REQUIRE(first);
+    CHECK(chooseEntryForForward(entries, "session", random) == first);
+    entries[*first].draining = true;
+    CHECK(chooseEntryForForward(entries, "session", random) != first);
+    for (ForwardEntry& entry : entries)
+        entry.reachable = false;
+    CHECK_FALSE(chooseEntryForForward(entries, "session", random));
+}
