--- a/include/catkinwing/Routing/OutlierDetector.h
+++ b/include/catkinwing/Routing/OutlierDetector.h
@@ -65,7 +65,8 @@
 /// a growing time and lets them return by slow start.
 class OutlierDetector {
 public:
-    explicit OutlierDetector(OutlierPolicy policy = {});
+    OutlierDetector() = default;
+    explicit OutlierDetector(OutlierPolicy policy);
 
     /// Takes in the outcome of a request. A new incarnation starts afresh.
     void record(const EndpointOutcome& outcome, TimePoint now);
--- /dev/null
+++ b/lib/Routing/OutlierDetector.cpp
@@ -0,0 +1,183 @@
+#include "catkinwing/Routing/OutlierDetector.h"
+
+#include "Seconds.h"
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace catkinwing {
+
+static constexpr std::size_t peersForMedian = 3;
+
+OutlierDetector::OutlierDetector(OutlierPolicy policy)
+    : m_policy(policy)
+{
+}
+
+OutlierDetector::Entry& OutlierDetector::entry(absl::string_view endpoint, absl::string_view peerGroup, absl::string_view incarnation, TimePoint now)
+{
+    auto& known = m_entries[endpoint];
+    if (!known || known->incarnation != incarnation) {
+        known = std::make_unique<Entry>();
+        known->incarnation = std::string(incarnation);
+        known->healthySince = now;
+    }
+    known->peerGroup = std::string(peerGroup);
+    return *known;
+}
+
+void OutlierDetector::add(absl::string_view endpoint, absl::string_view peerGroup, absl::string_view incarnation, TimePoint now)
+{
+    entry(endpoint, peerGroup, incarnation, now);
+}
+
+void OutlierDetector::remove(absl::string_view endpoint)
+{
+    m_entries.erase(endpoint);
+}
+
+void OutlierDetector::record(const EndpointOutcome& outcome, TimePoint now)
+{
+    Entry& known = entry(outcome.endpoint, outcome.peerGroup, outcome.incarnation, now);
+    // Late outcomes of requests from before the ejection say nothing new.
+    if (known.ejected)
+        return;
+    known.errorsInARow = outcome.failed ? known.errorsInARow + 1 : 0;
+    known.outcomes += 1;
+    known.errorRate += m_policy.smoothing * ((outcome.failed ? 1.0 : 0.0) - known.errorRate);
+    if (!outcome.latency)
+        return;
+    double latency = toSeconds(*outcome.latency);
+    double weight = known.latencies == 0 ? 1 : m_policy.smoothing;
+    known.latencySeconds += weight * (latency - known.latencySeconds);
+    known.latencies += 1;
+}
+
+std::vector<EjectionChange> OutlierDetector::evaluate(TimePoint now)
+{
+    std::map<std::string, Group> groups;
+    for (auto& [endpoint, known] : m_entries)
+        groups[known->peerGroup].emplace_back(endpoint, known.get());
+    std::vector<EjectionChange> changes;
+    for (auto& [name, group] : groups) {
+        std::sort(group.begin(), group.end());
+        evaluateGroup(group, now, changes);
+    }
+    return changes;
+}
+
+std::optional<double> OutlierDetector::medianLatency(const Group& group) const
+{
+    std::vector<double> latencies;
+    for (const auto& [endpoint, known] : group) {
+        if (known->latencies >= m_policy.minimumOutcomes)
+            latencies.push_back(known->latencySeconds);
+    }
+    if (latencies.size() < peersForMedian)
+        return std::nullopt;
+    auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+std::optional<EjectionCause> OutlierDetector::suspicion(const Entry& entry, std::optional<double> medianLatency) const
+{
+    if (entry.errorsInARow >= m_policy.consecutiveErrors)
+        return EjectionCause::ConsecutiveErrors;
+    if (entry.outcomes >= m_policy.minimumOutcomes && entry.errorRate >= m_policy.errorRate)
+        return EjectionCause::ErrorRate;
+    if (medianLatency && entry.latencies >= m_policy.minimumOutcomes && entry.latencySeconds > m_policy.latencyFactor * *medianLatency)
+        return EjectionCause::Latency;
+    return std::nullopt;
+}
+
+void OutlierDetector::evaluateGroup(Group& group, TimePoint now, std::vector<EjectionChange>& changes)
+{
+    for (auto& [endpoint, known] : group) {
+        if (known->ejected && now >= known->until) {
+            comeBack(*known, now);
+            changes.push_back({ endpoint, std::nullopt, {} });
+        }
+        forgive(*known, now);
+    }
+    std::optional<double> median = medianLatency(group);
+    std::vector<std::pair<std::string, Entry*>> suspects;
+    std::size_t out = 0;
+    for (auto& [endpoint, known] : group) {
+        if (known->ejected)
+            out += 1;
+        else if (suspicion(*known, median))
+            suspects.emplace_back(endpoint, known);
+    }
+    auto size = static_cast<double>(group.size());
+    if (static_cast<double>(out + suspects.size()) >= m_policy.panicFraction * size) {
+        for (auto& [endpoint, known] : group) {
+            if (!known->ejected)
+                continue;
+            comeBack(*known, now);
+            changes.push_back({ endpoint, std::nullopt, {} });
+        }
+        return;
+    }
+    auto mostOut = static_cast<std::size_t>(std::floor(m_policy.maxEjectedFraction * size));
+    // The worst go first where not all may go.
+    std::stable_sort(suspects.begin(), suspects.end(), [](const auto& a, const auto& b) { return a.second->errorsInARow > b.second->errorsInARow; });
+    for (auto& [endpoint, known] : suspects) {
+        if (out >= mostOut)
+            return;
+        std::optional<EjectionCause> cause = suspicion(*known, median);
+        eject(*known, now);
+        changes.push_back({ endpoint, cause, known->until });
+        out += 1;
+    }
+}
+
+void OutlierDetector::eject(Entry& entry, TimePoint now) const
+{
+    Duration time = m_policy.baseEjection;
+    for (unsigned i = 0; i < entry.ejections && time < m_policy.maxEjection; ++i)
+        time *= 2;
+    entry.ejections += 1;
+    entry.ejected = true;
+    entry.until = now + std::min(time, m_policy.maxEjection);
+}
+
+void OutlierDetector::comeBack(Entry& entry, TimePoint now) const
+{
+    entry.ejected = false;
+    entry.returnedAt = now;
+    entry.healthySince = now;
+    // What was seen before the ejection must not eject it again.
+    entry.errorsInARow = 0;
+    entry.outcomes = 0;
+    entry.errorRate = 0;
+    entry.latencies = 0;
+}
+
+void OutlierDetector::forgive(Entry& entry, TimePoint now) const
+{
+    if (entry.ejected || entry.ejections == 0 || now - entry.healthySince < m_policy.forgiveAfter)
+        return;
+    entry.ejections -= 1;
+    entry.healthySince = now;
+}
+
+bool OutlierDetector::isEjected(absl::string_view endpoint) const
+{
+    auto known = m_entries.find(endpoint);
+    return known != m_entries.end() && known->second->ejected;
+}
+
+double OutlierDetector::weight(absl::string_view endpoint, TimePoint now) const
+{
+    auto known = m_entries.find(endpoint);
+    if (known == m_entries.end())
+        return 1;
+    if (known->second->ejected)
+        return 0;
+    if (!known->second->returnedAt)
+        return 1;
+    return slowStartWeight(m_policy.slowStart, *known->second->returnedAt, now);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Routing/EndpointLifecycleTest.cpp
@@ -0,0 +1,72 @@
+#include "catkinwing/Routing/EndpointLifecycle.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static const TimePoint start { 1h };
+static constexpr LifecycleSource endpointSays = LifecycleSource::Endpoint;
+static constexpr LifecycleSource listSays = LifecycleSource::InstanceList;
+static constexpr LifecycleSource peerSays = LifecycleSource::Peer;
+
+TEST_CASE("the first sign of leaving wins, from whichever source")
+{
+    for (LifecycleSource source : { endpointSays, listSays, peerSays }) {
+        EndpointLifecycle lifecycle;
+        CHECK(lifecycle.record({ "e", "a", listSays, false }, start) == LifecycleChange::Started);
+        CHECK(lifecycle.takesWork("e"));
+        CHECK(lifecycle.record({ "e", "a", source, true }, start + 1s) == LifecycleChange::Leaving);
+        CHECK_FALSE(lifecycle.takesWork("e"));
+        CHECK(lifecycle.record({ "e", "a", endpointSays, true }, start + 2s) == LifecycleChange::None);
+        CHECK(lifecycle.status("e")->leavingSource == source);
+        CHECK(lifecycle.status("e")->leavingSince == start + 1s);
+    }
+}
+
+TEST_CASE("a lagging list can't bring an incarnation back")
+{
+    EndpointLifecycle lifecycle;
+    lifecycle.record({ "e", "a", endpointSays, false }, start);
+    lifecycle.record({ "e", "a", listSays, true }, start + 1s);
+    for (LifecycleSource source : { listSays, peerSays, endpointSays }) {
+        CHECK(lifecycle.record({ "e", "a", source, false }, start + 2s) == LifecycleChange::None);
+        CHECK_FALSE(lifecycle.takesWork("e"));
+    }
+}
+
+TEST_CASE("a new incarnation of the name starts afresh and the old one stays away")
+{
+    EndpointLifecycle lifecycle;
+    lifecycle.record({ "e", "a", endpointSays, false }, start);
+    lifecycle.record({ "e", "a", endpointSays, true }, start + 1s);
+    CHECK(lifecycle.record({ "e", "b", listSays, false }, start + 5s) == LifecycleChange::Started);
+    CHECK(lifecycle.takesWork("e"));
+    CHECK(lifecycle.status("e")->startedAt == start + 5s);
+    CHECK(lifecycle.record({ "e", "a", listSays, true }, start + 6s) == LifecycleChange::None);
+    CHECK(lifecycle.record({ "e", "a", peerSays, false }, start + 6s) == LifecycleChange::None);
+    CHECK(lifecycle.status("e")->incarnation == "b");
+    CHECK(lifecycle.takesWork("e"));
+}
+
+TEST_CASE("an old incarnation that still answers is leaving as before")
+{
+    EndpointLifecycle lifecycle;
+    lifecycle.record({ "e", "a", endpointSays, true }, start);
+    lifecycle.record({ "e", "b", listSays, false }, start + 1s);
+    CHECK(lifecycle.record({ "e", "a", endpointSays, false }, start + 2s) == LifecycleChange::Started);
+    CHECK_FALSE(lifecycle.takesWork("e"));
+    CHECK(lifecycle.status("e")->leavingSince == start);
+}
+
+TEST_CASE("hearsay of an unseen incarnation doesn't displace one that answers")
+{
+    EndpointLifecycle lifecycle;
+    lifecycle.record({ "e", "b", endpointSays, false }, start);
+    CHECK(lifecycle.record({ "e", "a", listSays, true }, start + 1s) == LifecycleChange::None);
+    CHECK(lifecycle.takesWork("e"));
+    CHECK(lifecycle.record({ "e", "c", endpointSays, false }, start + 2s) == LifecycleChange::Started);
+    lifecycle.forget("e");
+    CHECK_FALSE(lifecycle.takesWork("e"));
+    CHECK(lifecycle.status("e") == nullptr);
+}
