Keep eight depths to a doubling in the prefix index

Cause: each block of each prompt took a node, so that 330 teams' sessions outgrew the 16 MB and hits fell, and a prompt of 200 blocks made 200 look-ups. Ruled out: keeping only blocks with certain hashes, which would lose most short prompts. Depths are now known to within an eighth; an event that tells its place in the prompt is thinned the same way, one that doesn't is kept whole.

--- a/include/catkinwing/Routing/PrefixIndex.h
+++ b/include/catkinwing/Routing/PrefixIndex.h
@@ -42,6 +42,9 @@
     CacheEventKind kind { CacheEventKind::Stored };
     /// Scoped hashes (see scopedPrefixHashes) of the blocks concerned.
     std::vector<std::uint64_t> hashes;
+    /// Blocks of the prompt before the first hash, where the endpoint tells it.
+    /// Without it, depths that are never looked up are kept too.
+    std::optional<std::size_t> firstBlock;
 };
 
 /// Tokens of a prompt that an endpoint is expected to hold.
@@ -57,7 +60,7 @@
 
 /// Which endpoint of one cell likely holds which prompt prefix. It is fed by own
 /// dispatches and by cache events, is bounded in memory (least recently used
-/// goes first), and is a belief: a wrong entry costs time, never correctness.
+/// goes first; of long prompts, only some depths are kept), and is a belief: a wrong entry costs time, never correctness.
 /// It belongs to one cell and is never sent anywhere, so prefix hashes of
 /// resident teams stay within the region.
 class PrefixIndex {
--- a/lib/Routing/PrefixIndex.cpp
+++ b/lib/Routing/PrefixIndex.cpp
@@ -17,6 +17,37 @@
     return scoped;
 }
 
+/// Depths, in blocks, that the index keeps: all of the first ones and then eight
+/// to each doubling, so that a depth is known to within an eighth.
+static constexpr std::size_t depthsPerDoubling = 8;
+
+static std::size_t stepAt(std::size_t depth)
+{
+    std::size_t step = 1;
+    while (step * depthsPerDoubling * 2 <= depth)
+        step *= 2;
+    return step;
+}
+
+static std::size_t nextDepth(std::size_t depth)
+{
+    return depth + stepAt(depth);
+}
+
+/// Returns the hashes at the depths that the index keeps, where the first stands
+/// after \p blocksBefore others.
+static std::vector<std::uint64_t> keptHashes(absl::Span<const std::uint64_t> hashes, std::size_t blocksBefore)
+{
+    std::vector<std::uint64_t> kept;
+    kept.reserve(std::min(hashes.size(), 4 * depthsPerDoubling));
+    for (std::size_t i = 0; i < hashes.size(); ++i) {
+        std::size_t depth = blocksBefore + i + 1;
+        if (depth % stepAt(depth) == 0)
+            kept.push_back(hashes[i]);
+    }
+    return kept;
+}
+
 PrefixIndex::PrefixIndex(PrefixIndexPolicy policy)
     : m_policy(policy)
 {
@@ -24,7 +55,7 @@
 
 void PrefixIndex::recordDispatch(EndpointHandle endpoint, absl::Span<const std::uint64_t> hashes)
 {
-    storeChain(endpoint, hashes, false);
+    storeChain(endpoint, keptHashes(hashes, 0), false);
 }
 
 void PrefixIndex::applyEvent(EndpointHandle endpoint, const CacheEvent& event)
@@ -33,7 +64,7 @@
         return;
     switch (event.kind) {
     case CacheEventKind::Stored:
-        storeChain(endpoint, event.hashes, true);
+        storeChain(endpoint, event.firstBlock ? keptHashes(event.hashes, *event.firstBlock) : event.hashes, true);
         return;
     case CacheEventKind::Evicted:
         for (std::uint64_t hash : event.hashes)
@@ -91,7 +122,7 @@
     };
     std::vector<CachedPrefix> found;
     std::vector<Reach> reached(m_sources.size(), Reach { 0, 0 });
-    for (std::uint32_t depth = 1; depth <= hashes.size(); ++depth) {
+    for (std::size_t depth = 1; depth <= hashes.size(); depth = nextDepth(depth)) {
         auto known = m_nodeOf.find(hashes[depth - 1]);
         // Shorter prefixes are kept longer, so nothing deeper is known either.
         if (known == m_nodeOf.end())
@@ -105,8 +136,8 @@
                 found.push_back({ holder.endpoint, 0 });
             // An endpoint that holds this block holds those before it, whether
             // or not it is among the holders remembered for them.
-            reach.blocks += static_cast<float>(weight * (depth - reach.depth));
-            reach.depth = depth;
+            reach.blocks += static_cast<float>(weight * static_cast<double>(depth - reach.depth));
+            reach.depth = static_cast<std::uint32_t>(depth);
         }
     }
     for (CachedPrefix& prefix : found)
--- a/unittests/Routing/PrefixIndexTest.cpp
+++ b/unittests/Routing/PrefixIndexTest.cpp
@@ -26,7 +26,7 @@
 
 static CacheEvent stored(std::uint64_t sequence, Hashes hashes)
 {
-    return { "a", sequence, CacheEventKind::Stored, std::move(hashes) };
+    return { "a", sequence, CacheEventKind::Stored, std::move(hashes), std::nullopt };
 }
 
 /// Ten tokens a block, and weights that are easy to tell apart.
@@ -51,6 +51,30 @@
     CHECK(tokensAt(index, 3, prompt) == Approx(40));
 }
 
+TEST_CASE("of a long prompt some depths are kept, and the depth is known to within an eighth")
+{
+    // 15 by ones, eight to each of four doublings, and the last.
+    constexpr std::size_t keptDepths = 15 + 4 * 8 + 1;
+    PrefixIndex index(testPolicy());
+    Hashes prompt = makeHashes(256);
+    for (std::size_t length = 1; length <= 256; ++length) {
+        CacheEvent event = stored(length, Hashes(prompt.begin(), prompt.begin() + static_cast<std::ptrdiff_t>(length)));
+        event.firstBlock = 0;
+        index.applyEvent(0, event);
+        double exact = 10.0 * static_cast<double>(length);
+        REQUIRE(tokensAt(index, 0, prompt) <= exact);
+        REQUIRE(tokensAt(index, 0, prompt) > exact * 7 / 8);
+    }
+    CHECK(index.size() == keptDepths);
+    PrefixIndex dispatched(testPolicy());
+    dispatched.recordDispatch(0, prompt);
+    CHECK(dispatched.size() == keptDepths);
+    CacheEvent tail = stored(1, Hashes(prompt.begin() + 200, prompt.end()));
+    tail.firstBlock = 200;
+    dispatched.applyEvent(0, tail);
+    CHECK(dispatched.size() == keptDepths);
+}
+
 TEST_CASE("one pass gives each endpoint its own depth")
 {
     PrefixIndex index(testPolicy());
@@ -85,7 +109,7 @@
     PrefixIndex index(testPolicy());
     Hashes prompt = makeHashes(2);
     index.applyEvent(0, stored(4, prompt));
-    index.applyEvent(0, { "a", 5, CacheEventKind::Evicted, prompt });
+    index.applyEvent(0, { "a", 5, CacheEventKind::Evicted, prompt, {} });
     index.applyEvent(0, stored(4, prompt));
     CHECK(tokensAt(index, 0, prompt) == 0);
     CHECK(index.size() == 0);
@@ -97,9 +121,9 @@
     Hashes prompt = makeHashes(4);
     index.applyEvent(0, stored(1, prompt));
     index.applyEvent(1, stored(1, prompt));
-    index.applyEvent(0, { "a", 2, CacheEventKind::Evicted, { prompt[2], prompt[3] } });
+    index.applyEvent(0, { "a", 2, CacheEventKind::Evicted, { prompt[2], prompt[3] }, {} });
     CHECK(tokensAt(index, 0, prompt) == Approx(20));
-    index.applyEvent(0, { "a", 3, CacheEventKind::Cleared, {} });
+    index.applyEvent(0, { "a", 3, CacheEventKind::Cleared, {}, {} });
     CHECK(tokensAt(index, 0, prompt) == 0);
     CHECK(tokensAt(index, 1, prompt) == Approx(40));
 }
@@ -114,7 +138,7 @@
     CHECK(tokensAt(index, 0, prompt) == 0);
     index.applyEvent(0, stored(10, prompt));
     CHECK(tokensAt(index, 0, prompt) == 0);
-    index.applyEvent(0, { "b", 1, CacheEventKind::Stored, prompt });
+    index.applyEvent(0, { "b", 1, CacheEventKind::Stored, prompt, {} });
     CHECK(tokensAt(index, 0, prompt) == Approx(40));
     index.forget(0);
     CHECK(tokensAt(index, 0, prompt) == 0);
