Widen the random choice among near-best, but not over the cache

Cause: with views 2 s old and 20 entries, a margin of 5 % sent requests in herds to the same endpoint. At 20 % the test that a sample keeps to the endpoint that holds the prompt failed 20 times of 20: a cached eighth of a prompt lay within the margin and was given up. Ruled out: a margin taken from the queue alone, which herds long prompts onto idle endpoints (trial below). Change: 20 % of the prediction, among endpoints with no more left to prefill.

Also tried and left: letting believed queues drain at 0.6, 0.3 or 0.1 of the prefill speed, as if others kept filling them.

--- a/include/catkinwing/Routing/CostModel.h
+++ b/include/catkinwing/Routing/CostModel.h
@@ -42,4 +42,9 @@
 /// least one, which belongs to \p endpoint.
 Duration nearBestMargin(Duration best, const EndpointView& endpoint, const RoutingPolicy& policy, TimePoint now);
 
+/// Returns whether \p candidate counts as equal to \p best: within \p margin, and
+/// with no more left to prefill. Random choice spreads the queues; it doesn't
+/// give up what is cached.
+bool isNearBest(const CostTerms& candidate, const CostTerms& best, Duration margin, const RoutingPolicy& policy);
+
 } // namespace catkinwing
--- a/include/catkinwing/Routing/RoutingPolicy.h
+++ b/include/catkinwing/Routing/RoutingPolicy.h
@@ -22,7 +22,10 @@
 struct RoutingPolicy {
     RoutingAlgorithm algorithm { RoutingAlgorithm::PredictedTimeToFirstToken };
     /// Endpoints within this part of the best prediction count as equal.
-    double nearBestFraction { 0.05 };
+    double nearBestFraction { 0.2 };
+    /// An endpoint with more tokens than this left to prefill beyond those of
+    /// the best doesn't count as equal.
+    double nearBestTokens { 64 };
     /// Endpoints within this time of the best prediction count as equal.
     Duration nearBestFloor { std::chrono::milliseconds(5) };
     /// Added to the margin for each unit of age of the report of the best, since
--- a/lib/Routing/CostModel.cpp
+++ b/lib/Routing/CostModel.cpp
@@ -67,4 +67,9 @@
     return std::max(policy.nearBestFloor, fromSeconds(margin));
 }
 
+bool isNearBest(const CostTerms& candidate, const CostTerms& best, Duration margin, const RoutingPolicy& policy)
+{
+    return candidate.total <= best.total + margin && candidate.prefillTokens <= best.prefillTokens + policy.nearBestTokens;
+}
+
 } // namespace catkinwing
--- a/lib/Routing/Placement.cpp
+++ b/lib/Routing/Placement.cpp
@@ -9,8 +9,7 @@
 
     struct Candidate {
         EndpointHandle endpoint;
-        Duration total;
-        double prefillTokens;
+        CostTerms terms;
         double cachedTokens;
     };
 
@@ -52,7 +51,7 @@
     double cached = scoring.cached[handle];
     CostInputs inputs { scoring.request.promptTokens, cached, needsAdapterLoad(scoring.request, endpoint) };
     CostTerms terms = predictTimeToFirstToken(endpoint, inputs, scoring.policy, scoring.now);
-    scoring.candidates.push_back({ handle, terms.total, terms.prefillTokens, cached });
+    scoring.candidates.push_back({ handle, terms, cached });
 }
 
 static void scoreHolders(Scoring& scoring, std::vector<CachedPrefix> holders)
@@ -96,20 +95,20 @@
 
 static Placement drawNearBest(const Scoring& scoring, Random& random)
 {
-    auto less = [](const Candidate& a, const Candidate& b) { return a.total < b.total; };
+    auto less = [](const Candidate& a, const Candidate& b) { return a.terms.total < b.terms.total; };
     auto best = std::min_element(scoring.candidates.begin(), scoring.candidates.end(), less);
-    Duration limit = best->total + nearBestMargin(best->total, scoring.cell.endpoint(best->endpoint), scoring.policy, scoring.now);
+    Duration margin = nearBestMargin(best->terms.total, scoring.cell.endpoint(best->endpoint), scoring.policy, scoring.now);
     // Reservoir sampling: each near-best candidate is as likely as any other.
     const Candidate* chosen = &*best;
     std::uint64_t near = 0;
     for (const Candidate& candidate : scoring.candidates) {
-        if (candidate.total > limit)
+        if (!isNearBest(candidate.terms, best->terms, margin, scoring.policy))
             continue;
         near += 1;
         if (random.below(near) == 0)
             chosen = &candidate;
     }
-    return { chosen->endpoint, chosen->total, chosen->prefillTokens, chosen->cachedTokens };
+    return { chosen->endpoint, chosen->terms.total, chosen->terms.prefillTokens, chosen->cachedTokens };
 }
 
 static PlacementResult choosePredicted(const RoutingRequest& request, const CellView& cell, const PrefixIndex& prefixes, const RoutingPolicy& policy, Random& random, TimePoint now)
--- a/lib/Routing/PlacementExplanation.cpp
+++ b/lib/Routing/PlacementExplanation.cpp
@@ -34,9 +34,8 @@
         return;
     }
     explanation.margin = nearBestMargin(best.terms.total, cell.endpoint(*cell.find(best.endpoint)), policy, now);
-    Duration limit = best.terms.total + explanation.margin;
     for (CandidateExplanation& candidate : explanation.candidates)
-        candidate.nearBest = !candidate.exclusion && candidate.terms.total <= limit;
+        candidate.nearBest = !candidate.exclusion && isNearBest(candidate.terms, best.terms, explanation.margin, policy);
 }
 
 PlacementExplanation explainPlacement(const RoutingRequest& request, const CellView& cell, const PrefixIndex& prefixes, const RoutingPolicy& policy, TimePoint now)
