--- a/include/catkinwing/Routing/Placement.h
+++ b/include/catkinwing/Routing/Placement.h
@@ -20,9 +20,6 @@
     /// From scopedPrefixHashes.
     std::vector<std::uint64_t> prefixHashes;
     double promptTokens { 0 };
-    double expectedOutputTokens { 0 };
-    /// Session that the caller named; empty for none.
-    std::string session;
     /// Endpoints that earlier attempts used, by name.
     std::vector<std::string> triedEndpoints;
     /// Times that the request was forwarded.
