Add the headers of Admission

Counters are per pool, so that a team using two models is not charged in one for the other's capacity; the Gateway chooses the pool.

--- /dev/null
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "catkinwing/Admission/FairQueue.h"
+#include "catkinwing/Admission/SlotReservation.h"
+#include "catkinwing/Admission/TokenBucket.h"
+#include <absl/container/flat_hash_map.h>
+
+namespace catkinwing {
+
+/// What the controller does with a daemon's requests, one after the other:
+/// admit, next, finished. Holds no clock and does no I/O.
+class AdmissionController {
+public:
+    explicit AdmissionController(const AdmissionLimits& limits = {}, const SharePolicy& shares = {}, const ReservationPolicy& reservation = {});
+
+    /// Puts policies in force; what lost its team or class is to be answered at once.
+    std::vector<DroppedRequest> configure(const std::vector<TeamPolicy>& teams, TimePoint now);
+    /// Changes the daemon's bounds; a queue that is over them shrinks by service.
+    void setLimits(const AdmissionLimits& limits) { m_limits = limits; }
+    /// Tells the slots this daemon may use in a pool; without a word of it no
+    /// slots are reserved in the pool.
+    void setSlots(const std::string& pool, std::size_t total);
+
+    /// Queues or refuses a request.
+    AdmissionDecision admit(QueuedRequest request, TimePoint now);
+    /// Returns the request to start now and counts it as in flight. \p canStart
+    /// says whether a model has a free slot; reservations and the teams' limits
+    /// are looked after here.
+    std::optional<QueuedRequest> next(const CanStart& canStart, TimePoint now);
+    /// Puts back a request from next() that no endpoint took, at no charge.
+    void putBack(RequestId id, TimePoint now);
+    /// Ends a request from next() and settles it at \p actualCost tokens; zero if
+    /// it was not run.
+    void finished(RequestId id, double actualCost, TimePoint now);
+    /// Takes out a waiting request whose caller is gone; false if it isn't waiting.
+    bool remove(RequestId id, TimePoint now);
+    /// Returns what can no longer make its deadline, to be answered at once. To
+    /// be called by a timer, each quarter second or so: it also renews the shares.
+    std::vector<DroppedRequest> expire(TimePoint now);
+
+    /// Returns the predicted wait of a request if it were queued now; empty if
+    /// no drain rate is known yet.
+    std::optional<Duration> predictedWait(const QueuedRequest& request, TimePoint now) const { return m_queue.predictedWait(request, now); }
+    /// Takes in a counter of another daemon of the region.
+    void applyRemoteService(const ServiceSource& source, const ServiceCounter& counter, TimePoint now) { m_queue.applyRemoteService(source, counter, now); }
+    /// Forgets a daemon that is gone.
+    void forgetSource(const std::string& source) { m_queue.forgetSource(source); }
+    /// Returns this daemon's own counters, for the heartbeat.
+    std::vector<ServiceCounter> servedCounters() const { return m_queue.servedCounters(); }
+    /// Returns the number of waiting requests.
+    std::size_t queued() const { return m_queue.size(); }
+    /// Returns the number of requests started and not finished.
+    std::size_t inFlight() const { return m_inFlight.size(); }
+
+private:
+    struct TeamState {
+        TeamLimits limits;
+        absl::flat_hash_map<std::string, ClassPolicy> classes;
+        TokenBucket rate { 0, 0 };
+        std::size_t inFlight { 0 };
+        /// Requests of each caller, waiting or in flight.
+        absl::flat_hash_map<std::string, std::size_t> callers;
+    };
+    struct PoolState {
+        std::optional<std::size_t> slots;
+        std::size_t shortInFlight { 0 };
+        std::size_t longInFlight { 0 };
+        SlotReservation reservation;
+    };
+
+    std::optional<Refusal> refusalByLimits(TeamState& team, const QueuedRequest& request, TimePoint now);
+    std::optional<Refusal> refusalByDeadline(const QueuedRequest& request, TimePoint now) const;
+    std::optional<Refusal> makeRoom(const QueuedRequest& request, TimePoint now, std::vector<DroppedRequest>& dropped);
+    DroppedRequest drop(QueuedRequest request, Refusal refusal);
+    void releaseCaller(const QueuedRequest& request);
+    void updateHeld(const std::string& team);
+    PoolState& poolOf(const std::string& pool);
+    void leaveFlight(const QueuedRequest& request);
+
+    AdmissionLimits m_limits;
+    ReservationPolicy m_reservation;
+    FairQueue m_queue;
+    absl::flat_hash_map<std::string, TeamState> m_teams;
+    absl::flat_hash_map<std::string, PoolState> m_pools;
+    absl::flat_hash_map<RequestId, QueuedRequest> m_inFlight;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Admission/DecayingRate.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "catkinwing/Support/Clock.h"
+
+namespace catkinwing {
+
+/// Exponentially smoothed rate of a count.
+class DecayingRate {
+public:
+    explicit DecayingRate(Duration smoothing);
+    /// Counts \p amount at \p now.
+    void add(double amount, TimePoint now);
+    /// Counts \p amount as spread evenly from \p since to \p now.
+    void addSpread(double amount, TimePoint since, TimePoint now);
+    /// Returns the smoothed rate a second.
+    double rate(TimePoint now) const;
+    /// Returns the rate as it was at \p silence before now, if nothing came since.
+    double rateHeld(TimePoint now, Duration silence) const;
+
+private:
+    void decayTo(TimePoint now);
+
+    double m_smoothing;
+    double m_mass { 0 };
+    TimePoint m_at {};
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Admission/OutputEstimator.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <cstddef>
+#include <list>
+#include <string>
+
+namespace catkinwing {
+
+/// What the length of an answer depends on.
+struct OutputKey {
+    std::string team;
+    std::string requestClass;
+    std::string model;
+
+    friend bool operator==(const OutputKey& a, const OutputKey& b)
+    {
+        return a.team == b.team && a.requestClass == b.requestClass && a.model == b.model;
+    }
+    template <typename H>
+    friend H AbslHashValue(H hash, const OutputKey& key)
+    {
+        return H::combine(std::move(hash), key.team, key.requestClass, key.model);
+    }
+};
+
+/// Learns the expected output tokens of each key; bounded, the key that was
+/// longest unused gives way.
+class OutputEstimator {
+public:
+    explicit OutputEstimator(std::size_t maxKeys = 8192);
+    /// Returns the expected output tokens; \p prior counts as a few answers.
+    double expectedOutput(const OutputKey&, double prior);
+    /// Learns from an answer of \p outputTokens.
+    void learn(const OutputKey&, double outputTokens);
+    /// Returns the number of keys held.
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct Entry {
+        OutputKey key;
+        double mean { 0 };
+        double answers { 0 };
+    };
+    using Entries = std::list<Entry>;
+
+    std::size_t m_maxKeys;
+    Entries m_entries;
+    absl::flat_hash_map<OutputKey, Entries::iterator> m_index;
+};
+
+} // namespace catkinwing
