Let the admission decision carry refusal and dropped requests at once

Making room can drop others and still not be enough (bytes), so a variant of admitted or refused couldn't tell both. A struct with an optional refusal does.

--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Admission/SlotReservation.h"
 #include "catkinwing/Admission/TokenBucket.h"
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 namespace catkinwing {
 
@@ -27,8 +28,9 @@
     /// says whether a model has a free slot; reservations and the teams' limits
     /// are looked after here.
     std::optional<QueuedRequest> next(const CanStart& canStart, TimePoint now);
-    /// Puts back a request from next() that no endpoint took, at no charge.
-    void putBack(RequestId id, TimePoint now);
+    /// Puts back a request from next() that no endpoint took, at no charge; false
+    /// if its team or class is gone, so that it is to be answered.
+    bool putBack(RequestId id, TimePoint now);
     /// Ends a request from next() and settles it at \p actualCost tokens; zero if
     /// it was not run.
     void finished(RequestId id, double actualCost, TimePoint now);
@@ -55,8 +57,8 @@
 private:
     struct TeamState {
         TeamLimits limits;
-        absl::flat_hash_map<std::string, ClassPolicy> classes;
-        TokenBucket rate { 0, 0 };
+        absl::flat_hash_set<std::string> classes;
+        TokenBucket rate { 0, 1 };
         std::size_t inFlight { 0 };
         /// Requests of each caller, waiting or in flight.
         absl::flat_hash_map<std::string, std::size_t> callers;
@@ -68,14 +70,18 @@
         SlotReservation reservation;
     };
 
-    std::optional<Refusal> refusalByLimits(TeamState& team, const QueuedRequest& request, TimePoint now);
+    TeamState newTeam(const std::string& name) const;
+    PoolState& poolOf(const std::string& pool);
+    std::optional<Refusal> refusalFor(const QueuedRequest& request, TimePoint now);
+    std::optional<Refusal> refusalByLimits(TeamState& team, const QueuedRequest& request, TimePoint now) const;
     std::optional<Refusal> refusalByDeadline(const QueuedRequest& request, TimePoint now) const;
+    std::optional<Duration> timeToDrain(const QueuedRequest& request, TimePoint now) const;
     std::optional<Refusal> makeRoom(const QueuedRequest& request, TimePoint now, std::vector<DroppedRequest>& dropped);
     DroppedRequest drop(QueuedRequest request, Refusal refusal);
     void releaseCaller(const QueuedRequest& request);
+    QueuedRequest leaveFlight(RequestId id, double actualCost, TimePoint now);
     void updateHeld(const std::string& team);
-    PoolState& poolOf(const std::string& pool);
-    void leaveFlight(const QueuedRequest& request);
+    void noteShort(const std::string& pool, TimePoint now);
 
     AdmissionLimits m_limits;
     ReservationPolicy m_reservation;
--- a/include/catkinwing/Admission/AdmissionDecision.h
+++ b/include/catkinwing/Admission/AdmissionDecision.h
@@ -2,7 +2,6 @@
 
 #include "catkinwing/Admission/QueuedRequest.h"
 #include <optional>
-#include <variant>
 #include <vector>
 
 namespace catkinwing {
@@ -52,13 +51,15 @@
     Refusal refusal;
 };
 
-/// A request that was queued.
-struct Admitted {
-    /// Others that had to give way, to be answered at once.
+/// What became of a request offered to the queue.
+struct AdmissionDecision {
+    /// Why it was refused; empty if it was queued.
+    std::optional<Refusal> refusal;
+    /// Others that had to give way, to be answered at once; where that didn't
+    /// make room enough, the request is refused all the same.
     std::vector<DroppedRequest> dropped;
-};
 
-/// What became of a request offered to the queue.
-using AdmissionDecision = std::variant<Admitted, Refusal>;
+    bool admitted() const { return !refusal; }
+};
 
 } // namespace catkinwing
--- a/include/catkinwing/Admission/FairQueue.h
+++ b/include/catkinwing/Admission/FairQueue.h
@@ -43,7 +43,7 @@
     std::vector<QueuedRequest> expire(TimePoint now);
     /// Takes out the request with the least right: of the team that holds most
     /// of the queue for its weight, and of that its largest class, the latest.
-    /// Empty if the newcomer of \p team would itself be that.
+    /// Empty if \p newcomer would itself be that.
     std::optional<QueuedRequest> evictFor(const QueuedRequest& newcomer, TimePoint now);
     /// Stops or resumes starting a team's work, as at its limit in flight.
     void setTeamHeld(const std::string& team, bool held);
@@ -60,9 +60,14 @@
     /// Returns the predicted wait of a request if it were queued now; empty if
     /// no drain rate is known yet.
     std::optional<Duration> predictedWait(const QueuedRequest& request, TimePoint now) const;
+    /// Returns the rate in tokens a second at which the work of the request's team
+    /// is started in its pool; empty if not known yet.
+    std::optional<double> teamRate(const QueuedRequest& request, TimePoint now) const;
     /// Returns the part of the team's weight that counts in this daemon's pool.
     double weightFraction(const std::string& team, const std::string& pool, TimePoint now) const;
 
+    /// Returns whether a request is queued.
+    bool contains(RequestId id) const;
     /// Returns the number of queued requests.
     std::size_t size() const;
     /// Returns the bytes held by queued requests.
@@ -74,6 +79,9 @@
 
 private:
     struct State;
+
+    void setTeam(const TeamPolicy& policy, TimePoint now);
+
     std::unique_ptr<State> m_state;
 };
 
--- a/include/catkinwing/Admission/OutputEstimator.h
+++ b/include/catkinwing/Admission/OutputEstimator.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <list>
 #include <string>
+#include <utility>
 
 namespace catkinwing {
 
--- a/include/catkinwing/Admission/QueuedRequest.h
+++ b/include/catkinwing/Admission/QueuedRequest.h
@@ -42,6 +42,8 @@
     /// Set when it is queued.
     TimePoint enqueuedAt {};
 
+    /// Returns the pool that it competes in.
+    const std::string& poolName() const { return pool.empty() ? model : pool; }
     /// Returns the last moment at which starting it still makes the deadline.
     TimePoint latestStart() const { return deadline - expectedService; }
 };
--- /dev/null
+++ b/include/catkinwing/Admission/RegionalShares.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "catkinwing/Admission/AdmissionLimits.h"
+#include "catkinwing/Admission/DecayingRate.h"
+#include "catkinwing/Admission/ServiceCounter.h"
+#include <absl/container/flat_hash_map.h>
+#include <string>
+
+namespace catkinwing {
+
+/// What the other daemons of the region served of one pool, and the part of a
+/// team's weight that therefore counts here.
+class RegionalShares {
+public:
+    explicit RegionalShares(const SharePolicy& policy = {});
+    /// Takes in a counter. The first word of a source on a team only sets the
+    /// baseline; an older life's word, or one that went back, is ignored.
+    void apply(const ServiceSource& source, const ServiceCounter& counter, TimePoint now);
+    /// Forgets a source that is gone.
+    void forget(const std::string& source);
+    /// Forgets a team that vanished.
+    void forgetTeam(const std::string& team) { m_teams.erase(team); }
+    /// Forgets sources without a word for long, whose rates have faded.
+    void prune(TimePoint now);
+    /// Returns the part of a team's weight that counts here, above 0 and at most
+    /// 1, given the smoothed rates of this daemon for the team and in all.
+    double fraction(const std::string& team, double localRate, double localTotal, TimePoint now) const;
+
+private:
+    struct Source {
+        std::uint64_t incarnation { 0 };
+        DecayingRate total;
+        TimePoint heardAt {};
+    };
+    struct Counter {
+        std::uint64_t incarnation { 0 };
+        std::uint64_t tokens { 0 };
+        TimePoint at {};
+        DecayingRate rate;
+    };
+    using Counters = absl::flat_hash_map<std::string, Counter>;
+
+    double remoteTotal(TimePoint now) const;
+
+    SharePolicy m_policy;
+    absl::flat_hash_map<std::string, Source> m_sources;
+    /// By team, then source.
+    absl::flat_hash_map<std::string, Counters> m_teams;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/AdmissionController.cpp
@@ -0,0 +1,265 @@
+#include "catkinwing/Admission/AdmissionController.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace catkinwing {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Requests dropped at most to make room for one newcomer.
+static constexpr std::size_t maxEvictions = 64;
+/// Longest Retry-After worth telling.
+static constexpr Duration maxRetryAfter = std::chrono::hours(1);
+
+AdmissionController::AdmissionController(const AdmissionLimits& limits, const SharePolicy& shares, const ReservationPolicy& reservation)
+    : m_limits(limits)
+    , m_reservation(reservation)
+    , m_queue(shares)
+{
+}
+
+std::vector<DroppedRequest> AdmissionController::configure(const std::vector<TeamPolicy>& teams, TimePoint now)
+{
+    std::vector<DroppedRequest> dropped;
+    for (QueuedRequest& request : m_queue.configure(teams, now))
+        dropped.push_back(drop(std::move(request), { RefusalReason::PolicyRemoved, std::nullopt }));
+
+    absl::flat_hash_map<std::string, TeamState> states;
+    for (const TeamPolicy& policy : teams) {
+        auto known = m_teams.find(policy.name);
+        TeamState& state = states[policy.name];
+        state = known == m_teams.end() ? newTeam(policy.name) : std::move(known->second);
+        state.limits = policy.limits;
+        state.rate.configure(policy.limits.requestsPerSecond, std::max(1.0, policy.limits.burst), now);
+        state.classes.clear();
+        for (const ClassPolicy& classPolicy : policy.classes)
+            state.classes.insert(classPolicy.name);
+    }
+    m_teams = std::move(states);
+    for (const TeamPolicy& policy : teams)
+        updateHeld(policy.name);
+    return dropped;
+}
+
+AdmissionController::TeamState AdmissionController::newTeam(const std::string& name) const
+{
+    TeamState state;
+    // A team that comes back may still have work in flight from before.
+    for (const auto& [id, request] : m_inFlight) {
+        if (request.team != name)
+            continue;
+        ++state.inFlight;
+        ++state.callers[request.caller];
+    }
+    return state;
+}
+
+void AdmissionController::setSlots(const std::string& pool, std::size_t total)
+{
+    poolOf(pool).slots = total;
+}
+
+AdmissionController::PoolState& AdmissionController::poolOf(const std::string& pool)
+{
+    auto [entry, isNew] = m_pools.try_emplace(pool);
+    if (isNew)
+        entry->second.reservation = SlotReservation(m_reservation);
+    return entry->second;
+}
+
+AdmissionDecision AdmissionController::admit(QueuedRequest request, TimePoint now)
+{
+    AdmissionDecision decision;
+    decision.refusal = refusalFor(request, now);
+    if (decision.refusal)
+        return decision;
+    decision.refusal = makeRoom(request, now, decision.dropped);
+    if (decision.refusal)
+        return decision;
+    TeamState& team = m_teams.at(request.team);
+    if (team.limits.requestsPerSecond > 0)
+        team.rate.take(1, now);
+    ++team.callers[request.caller];
+    std::string pool = request.poolName();
+    m_queue.enqueue(std::move(request), now);
+    noteShort(pool, now);
+    return decision;
+}
+
+std::optional<Refusal> AdmissionController::refusalFor(const QueuedRequest& request, TimePoint now)
+{
+    auto found = m_teams.find(request.team);
+    if (found == m_teams.end())
+        return Refusal { RefusalReason::UnknownTeam, std::nullopt };
+    if (!found->second.classes.contains(request.requestClass))
+        return Refusal { RefusalReason::UnknownClass, std::nullopt };
+    if (m_queue.contains(request.id) || m_inFlight.contains(request.id))
+        return Refusal { RefusalReason::DuplicateId, std::nullopt };
+    if (std::optional<Refusal> refusal = refusalByLimits(found->second, request, now))
+        return refusal;
+    return refusalByDeadline(request, now);
+}
+
+std::optional<Refusal> AdmissionController::refusalByLimits(TeamState& team, const QueuedRequest& request, TimePoint now) const
+{
+    auto caller = team.callers.find(request.caller);
+    bool named = !request.caller.empty();
+    if (named && caller != team.callers.end() && caller->second >= team.limits.perCaller)
+        return Refusal { RefusalReason::CallerConcurrency, std::nullopt };
+    if (m_queue.teamSize(request.team) >= team.limits.queued)
+        return Refusal { RefusalReason::TeamQueueFull, timeToDrain(request, now) };
+    if (team.limits.requestsPerSecond <= 0)
+        return std::nullopt;
+    Duration wait = team.rate.timeUntil(1, now);
+    if (wait == Duration::zero())
+        return std::nullopt;
+    return Refusal { RefusalReason::RequestRate, wait };
+}
+
+std::optional<Refusal> AdmissionController::refusalByDeadline(const QueuedRequest& request, TimePoint now) const
+{
+    // With no wait at all it would still be late; the same request would be
+    // later another time too.
+    if (request.latestStart() <= now)
+        return Refusal { RefusalReason::PredictedLate, std::nullopt };
+    std::optional<Duration> wait = m_queue.predictedWait(request, now);
+    if (!wait || *wait <= request.latestStart() - now)
+        return std::nullopt;
+    // Once the excess has drained, the same request would just make it.
+    Duration excess = *wait - (request.latestStart() - now);
+    if (excess > maxRetryAfter)
+        return Refusal { RefusalReason::PredictedLate, std::nullopt };
+    return Refusal { RefusalReason::PredictedLate, excess };
+}
+
+std::optional<Duration> AdmissionController::timeToDrain(const QueuedRequest& request, TimePoint now) const
+{
+    std::optional<double> rate = m_queue.teamRate(request, now);
+    if (!rate || *rate <= 0)
+        return std::nullopt;
+    double seconds = request.cost / *rate;
+    if (seconds > Seconds(maxRetryAfter).count())
+        return std::nullopt;
+    return std::chrono::ceil<Duration>(Seconds(seconds));
+}
+
+std::optional<Refusal> AdmissionController::makeRoom(const QueuedRequest& request, TimePoint now, std::vector<DroppedRequest>& dropped)
+{
+    if (request.bytes > m_limits.queuedBytes)
+        return Refusal { RefusalReason::QueueBytesFull, std::nullopt };
+    for (std::size_t i = 0; i < maxEvictions; ++i) {
+        bool fitsCount = m_queue.size() < m_limits.queuedRequests;
+        if (fitsCount && m_queue.bytes() + request.bytes <= m_limits.queuedBytes)
+            return std::nullopt;
+        std::optional<QueuedRequest> victim = m_queue.evictFor(request, now);
+        if (!victim)
+            return Refusal { fitsCount ? RefusalReason::QueueBytesFull : RefusalReason::QueueFull, timeToDrain(request, now) };
+        std::optional<Duration> retryAfter = timeToDrain(*victim, now);
+        dropped.push_back(drop(std::move(*victim), { RefusalReason::Evicted, retryAfter }));
+    }
+    return Refusal { RefusalReason::QueueBytesFull, timeToDrain(request, now) };
+}
+
+std::optional<QueuedRequest> AdmissionController::next(const CanStart& canStart, TimePoint now)
+{
+    auto mayStartNow = [&](const QueuedRequest& request) {
+        auto pool = m_pools.find(request.poolName());
+        if (pool != m_pools.end() && pool->second.slots) {
+            const PoolState& state = pool->second;
+            SlotUse use { *state.slots, state.shortInFlight, state.longInFlight };
+            if (!state.reservation.mayStart(request.kind, use, now))
+                return false;
+        }
+        return canStart(request);
+    };
+    std::optional<QueuedRequest> picked = m_queue.pickNext(mayStartNow, now);
+    if (!picked)
+        return std::nullopt;
+    PoolState& pool = poolOf(picked->poolName());
+    ++(picked->kind == WorkKind::Short ? pool.shortInFlight : pool.longInFlight);
+    ++m_teams.at(picked->team).inFlight;
+    m_inFlight.emplace(picked->id, *picked);
+    updateHeld(picked->team);
+    return picked;
+}
+
+QueuedRequest AdmissionController::leaveFlight(RequestId id, double actualCost, TimePoint now)
+{
+    auto found = m_inFlight.find(id);
+    assert(found != m_inFlight.end() && "only what next() returned can end");
+    QueuedRequest request = std::move(found->second);
+    m_inFlight.erase(found);
+    PoolState& pool = poolOf(request.poolName());
+    --(request.kind == WorkKind::Short ? pool.shortInFlight : pool.longInFlight);
+    m_queue.settle(request, actualCost, now);
+    auto team = m_teams.find(request.team);
+    if (team != m_teams.end()) {
+        --team->second.inFlight;
+        updateHeld(request.team);
+    }
+    return request;
+}
+
+bool AdmissionController::putBack(RequestId id, TimePoint now)
+{
+    QueuedRequest request = leaveFlight(id, 0, now);
+    if (m_queue.enqueue(request, now))
+        return true;
+    releaseCaller(request);
+    return false;
+}
+
+void AdmissionController::finished(RequestId id, double actualCost, TimePoint now)
+{
+    releaseCaller(leaveFlight(id, actualCost, now));
+}
+
+bool AdmissionController::remove(RequestId id, TimePoint now)
+{
+    std::optional<QueuedRequest> removed = m_queue.remove(id, now);
+    if (removed)
+        releaseCaller(*removed);
+    return removed.has_value();
+}
+
+std::vector<DroppedRequest> AdmissionController::expire(TimePoint now)
+{
+    std::vector<DroppedRequest> dropped;
+    for (QueuedRequest& request : m_queue.expire(now))
+        dropped.push_back(drop(std::move(request), { RefusalReason::Expired, std::nullopt }));
+    m_queue.refreshShares(now);
+    for (auto& [name, pool] : m_pools)
+        noteShort(name, now);
+    return dropped;
+}
+
+DroppedRequest AdmissionController::drop(QueuedRequest request, Refusal refusal)
+{
+    releaseCaller(request);
+    return { std::move(request), refusal };
+}
+
+void AdmissionController::releaseCaller(const QueuedRequest& request)
+{
+    auto team = m_teams.find(request.team);
+    if (team == m_teams.end())
+        return;
+    auto caller = team->second.callers.find(request.caller);
+    if (caller != team->second.callers.end() && --caller->second == 0)
+        team->second.callers.erase(caller);
+}
+
+void AdmissionController::updateHeld(const std::string& team)
+{
+    const TeamState& state = m_teams.at(team);
+    m_queue.setTeamHeld(team, state.inFlight >= state.limits.inFlight);
+}
+
+void AdmissionController::noteShort(const std::string& pool, TimePoint now)
+{
+    PoolState& state = poolOf(pool);
+    state.reservation.noteShort(state.shortInFlight, m_queue.waiting(pool, WorkKind::Short), now);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/DeadlineQueue.cpp
@@ -0,0 +1,42 @@
+#include "catkinwing/Admission/DeadlineQueue.h"
+
+#include <algorithm>
+
+namespace catkinwing {
+
+/// Later requests looked at one by one before their cost is estimated.
+static constexpr std::size_t maxLaterSteps = 32;
+
+void DeadlineQueue::add(const QueuedRequest& request)
+{
+    m_requests.emplace(std::make_pair(request.deadline, request.id), &request);
+    m_cost += request.cost;
+}
+
+void DeadlineQueue::remove(const QueuedRequest& request)
+{
+    if (!m_requests.erase({ request.deadline, request.id }))
+        return;
+    m_cost = m_requests.empty() ? 0 : std::max(0.0, m_cost - request.cost);
+}
+
+double DeadlineQueue::costAhead(TimePoint deadline) const
+{
+    // Requests of a class mostly have the same timeout, so few are due later
+    // than a newcomer; the walk from the back ends at once.
+    double later = 0;
+    std::size_t steps = 0;
+    for (auto entry = m_requests.rbegin(); entry != m_requests.rend() && entry->first.first > deadline; ++entry) {
+        later += entry->second->cost;
+        if (++steps < maxLaterSteps)
+            continue;
+        // Deadlines are taken as evenly spread over the rest of the queue.
+        Duration span = m_requests.rbegin()->first.first - m_requests.begin()->first.first;
+        Duration ahead = std::max(Duration::zero(), deadline - m_requests.begin()->first.first);
+        double part = span.count() > 0 ? static_cast<double>(ahead.count()) / static_cast<double>(span.count()) : 0;
+        return m_cost * part;
+    }
+    return std::max(0.0, m_cost - later);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/DecayingRate.cpp
@@ -0,0 +1,53 @@
+#include "catkinwing/Admission/DecayingRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+using Seconds = std::chrono::duration<double>;
+
+DecayingRate::DecayingRate(Duration smoothing)
+    : m_smoothing(Seconds(smoothing).count())
+{
+}
+
+void DecayingRate::add(double amount, TimePoint now)
+{
+    decayTo(now);
+    m_mass += amount;
+}
+
+void DecayingRate::addSpread(double amount, TimePoint since, TimePoint now)
+{
+    double span = Seconds(now - since).count();
+    if (span <= 0) {
+        add(amount, now);
+        return;
+    }
+    // What a steady rate over the span leaves behind. However long the span was,
+    // this is at most rate x smoothing: an old backlog can't be felt for longer.
+    decayTo(now);
+    m_mass += amount / span * m_smoothing * -std::expm1(-span / m_smoothing);
+}
+
+double DecayingRate::rate(TimePoint now) const
+{
+    double age = std::max(0.0, Seconds(now - m_at).count());
+    return m_mass * std::exp(-age / m_smoothing) / m_smoothing;
+}
+
+double DecayingRate::rateHeld(TimePoint now, Duration silence) const
+{
+    return rate(std::max(m_at, now - silence));
+}
+
+void DecayingRate::decayTo(TimePoint now)
+{
+    if (now <= m_at)
+        return;
+    m_mass *= std::exp(-Seconds(now - m_at).count() / m_smoothing);
+    m_at = now;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/DrainRate.cpp
@@ -0,0 +1,53 @@
+#include "catkinwing/Admission/DrainRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Busy seconds that the rate looks back over.
+static constexpr double smoothing = 5;
+/// Busy seconds before a rate is told: a prediction from less would refuse on a guess.
+static constexpr double leastBusy = 1;
+
+void DrainRate::setBusy(bool busy, TimePoint now)
+{
+    advance(now);
+    if (m_busy)
+        m_busyUntil = now;
+    m_busy = busy;
+}
+
+void DrainRate::add(double tokens, TimePoint now)
+{
+    if (!m_busy)
+        return;
+    advance(now);
+    m_tokens = std::max(0.0, m_tokens + tokens);
+}
+
+std::optional<double> DrainRate::rate(TimePoint now) const
+{
+    DrainRate current = *this;
+    current.advance(now);
+    if (current.m_busySeconds < leastBusy)
+        return std::nullopt;
+    return current.m_tokens / current.m_busySeconds;
+}
+
+void DrainRate::advance(TimePoint now)
+{
+    if (now <= m_at)
+        return;
+    if (m_busy) {
+        double span = Seconds(now - m_at).count();
+        double kept = std::exp(-span / smoothing);
+        m_tokens *= kept;
+        m_busySeconds = m_busySeconds * kept + smoothing * (1 - kept);
+    }
+    m_at = now;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/FairQueue.cpp
@@ -0,0 +1,376 @@
+#include "catkinwing/Admission/FairQueue.h"
+
+#include "catkinwing/Admission/PoolQueue.h"
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <cassert>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace catkinwing {
+
+namespace {
+
+    /// What a queued request weighs besides its bytes when the queue is full, so
+    /// that many small requests count as well as few large ones.
+    constexpr std::size_t requestOverhead = 16384;
+
+    /// A class's part of the queue.
+    struct ClassBacklog {
+        double weight { 1 };
+        std::size_t held { 0 };
+        std::set<std::pair<TimePoint, RequestId>> byDeadline;
+    };
+
+    /// A team's part of the queue, over all pools.
+    struct TeamBacklog {
+        TeamPolicy policy;
+        bool startsHeld { false };
+        std::size_t queued { 0 };
+        std::size_t held { 0 };
+        std::map<std::string, ClassBacklog> classes;
+    };
+
+} // namespace
+
+struct FairQueue::State {
+    SharePolicy policy;
+    std::size_t bytes { 0 };
+    std::map<std::string, TeamBacklog> teams;
+    std::map<std::string, std::unique_ptr<PoolQueue>> pools;
+    /// Stable storage: the pools keep pointers into it.
+    std::unordered_map<RequestId, QueuedRequest> requests;
+    std::set<std::pair<TimePoint, RequestId>> byLatestStart;
+    /// Teams by what they hold of the queue for their weight.
+    std::set<std::pair<double, std::string>> byHolding;
+    /// Where the next search for startable work begins, so that no pool is
+    /// favoured by its name.
+    std::string nextPool;
+
+    PoolQueue& poolOf(const std::string& name, TimePoint now);
+    PoolQueue* findPool(const std::string& name) const;
+    void changeHolding(const std::string& name, TeamBacklog& team, std::size_t held);
+    QueuedRequest take(RequestId id, TimePoint now);
+    std::vector<QueuedRequest> takeAll(const std::vector<RequestId>& ids, TimePoint now);
+    std::vector<RequestId> orphans(const std::map<std::string, const TeamPolicy*>& wanted) const;
+};
+
+static std::size_t holdingOf(const QueuedRequest& request)
+{
+    return request.bytes + requestOverhead;
+}
+
+static double perWeight(std::size_t held, double weight)
+{
+    return static_cast<double>(held) / weight;
+}
+
+static const ClassPolicy* findClass(const TeamPolicy& team, const std::string& name)
+{
+    auto found = std::find_if(team.classes.begin(), team.classes.end(), [&](const ClassPolicy& policy) { return policy.name == name; });
+    return found == team.classes.end() ? nullptr : &*found;
+}
+
+PoolQueue* FairQueue::State::findPool(const std::string& name) const
+{
+    auto found = pools.find(name);
+    return found == pools.end() ? nullptr : found->second.get();
+}
+
+PoolQueue& FairQueue::State::poolOf(const std::string& name, TimePoint now)
+{
+    std::unique_ptr<PoolQueue>& pool = pools[name];
+    if (pool)
+        return *pool;
+    pool = std::make_unique<PoolQueue>(policy);
+    for (const auto& [teamName, team] : teams)
+        pool->setTeam(team.policy, team.startsHeld, now);
+    return *pool;
+}
+
+void FairQueue::State::changeHolding(const std::string& name, TeamBacklog& team, std::size_t held)
+{
+    byHolding.erase({ perWeight(team.held, team.policy.weight), name });
+    team.held = held;
+    if (held)
+        byHolding.insert({ perWeight(held, team.policy.weight), name });
+}
+
+QueuedRequest FairQueue::State::take(RequestId id, TimePoint now)
+{
+    auto found = requests.find(id);
+    assert(found != requests.end() && "only a queued request is taken");
+    QueuedRequest& request = found->second;
+    findPool(request.poolName())->remove(request, now);
+    byLatestStart.erase({ request.latestStart(), id });
+
+    TeamBacklog& team = teams.at(request.team);
+    ClassBacklog& requestClass = team.classes.at(request.requestClass);
+    requestClass.byDeadline.erase({ request.deadline, id });
+    requestClass.held -= holdingOf(request);
+    changeHolding(request.team, team, team.held - holdingOf(request));
+    --team.queued;
+    bytes -= request.bytes;
+
+    QueuedRequest taken = std::move(request);
+    requests.erase(found);
+    return taken;
+}
+
+std::vector<QueuedRequest> FairQueue::State::takeAll(const std::vector<RequestId>& ids, TimePoint now)
+{
+    std::vector<QueuedRequest> taken;
+    taken.reserve(ids.size());
+    for (RequestId id : ids)
+        taken.push_back(take(id, now));
+    return taken;
+}
+
+std::vector<RequestId> FairQueue::State::orphans(const std::map<std::string, const TeamPolicy*>& wanted) const
+{
+    std::vector<RequestId> ids;
+    for (const auto& [id, request] : requests) {
+        auto team = wanted.find(request.team);
+        const ClassPolicy* policyOfClass = team == wanted.end() ? nullptr : findClass(*team->second, request.requestClass);
+        if (!policyOfClass)
+            ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+FairQueue::FairQueue(const SharePolicy& policy)
+    : m_state(std::make_unique<State>())
+{
+    m_state->policy = policy;
+}
+
+FairQueue::~FairQueue() = default;
+
+std::vector<QueuedRequest> FairQueue::configure(const std::vector<TeamPolicy>& teams, TimePoint now)
+{
+    State& state = *m_state;
+    std::map<std::string, const TeamPolicy*> wanted;
+    for (const TeamPolicy& policy : teams) {
+        assert(policy.weight > 0 && "a team's weight is above zero");
+        wanted.emplace(policy.name, &policy);
+    }
+    std::vector<QueuedRequest> orphaned = state.takeAll(state.orphans(wanted), now);
+
+    for (auto entry = state.teams.begin(); entry != state.teams.end();) {
+        if (wanted.count(entry->first)) {
+            ++entry;
+            continue;
+        }
+        for (auto& [name, pool] : state.pools)
+            pool->removeTeam(entry->first);
+        entry = state.teams.erase(entry);
+    }
+    for (const auto& [name, policy] : wanted)
+        setTeam(*policy, now);
+    return orphaned;
+}
+
+void FairQueue::setTeam(const TeamPolicy& policy, TimePoint now)
+{
+    State& state = *m_state;
+    TeamBacklog& team = state.teams[policy.name];
+    std::size_t held = team.held;
+    state.changeHolding(policy.name, team, 0);
+    team.policy = policy;
+    state.changeHolding(policy.name, team, held);
+
+    std::map<std::string, ClassBacklog> classes;
+    for (const ClassPolicy& classPolicy : policy.classes) {
+        assert(classPolicy.weight > 0 && "a class's weight is above zero");
+        ClassBacklog& entry = classes[classPolicy.name];
+        entry = std::move(team.classes[classPolicy.name]);
+        entry.weight = classPolicy.weight;
+    }
+    team.classes = std::move(classes);
+    for (auto& [name, pool] : state.pools)
+        pool->setTeam(policy, team.startsHeld, now);
+}
+
+bool FairQueue::enqueue(QueuedRequest request, TimePoint now)
+{
+    State& state = *m_state;
+    auto found = state.teams.find(request.team);
+    if (found == state.teams.end())
+        return false;
+    TeamBacklog& team = found->second;
+    const ClassPolicy* classPolicy = findClass(team.policy, request.requestClass);
+    if (!classPolicy || state.requests.count(request.id))
+        return false;
+    request.kind = classPolicy->kind;
+    request.enqueuedAt = now;
+
+    RequestId id = request.id;
+    const QueuedRequest& queued = state.requests.emplace(id, std::move(request)).first->second;
+    state.byLatestStart.insert({ queued.latestStart(), id });
+    ClassBacklog& requestClass = team.classes.at(queued.requestClass);
+    requestClass.byDeadline.insert({ queued.deadline, id });
+    requestClass.held += holdingOf(queued);
+    state.changeHolding(queued.team, team, team.held + holdingOf(queued));
+    ++team.queued;
+    state.bytes += queued.bytes;
+    state.poolOf(queued.poolName(), now).add(queued, now);
+    return true;
+}
+
+std::optional<QueuedRequest> FairQueue::pickNext(const CanStart& canStart, TimePoint now)
+{
+    State& state = *m_state;
+    auto start = state.pools.lower_bound(state.nextPool);
+    for (std::size_t i = 0; i < state.pools.size(); ++i) {
+        if (start == state.pools.end())
+            start = state.pools.begin();
+        auto pool = start++;
+        if (pool->second->empty())
+            continue;
+        const QueuedRequest* next = pool->second->pick(canStart, now);
+        if (!next)
+            continue;
+        state.nextPool = start == state.pools.end() ? std::string() : start->first;
+        return state.take(next->id, now);
+    }
+    return std::nullopt;
+}
+
+void FairQueue::settle(const QueuedRequest& request, double actualCost, TimePoint now)
+{
+    PoolQueue* pool = m_state->findPool(request.poolName());
+    if (pool)
+        pool->correct(request.team, request.requestClass, actualCost - request.cost, now);
+}
+
+std::optional<QueuedRequest> FairQueue::remove(RequestId id, TimePoint now)
+{
+    if (!m_state->requests.count(id))
+        return std::nullopt;
+    return m_state->take(id, now);
+}
+
+std::vector<QueuedRequest> FairQueue::expire(TimePoint now)
+{
+    std::vector<RequestId> late;
+    for (const auto& [latestStart, id] : m_state->byLatestStart) {
+        if (latestStart >= now)
+            break;
+        late.push_back(id);
+    }
+    return m_state->takeAll(late, now);
+}
+
+std::optional<QueuedRequest> FairQueue::evictFor(const QueuedRequest& newcomer, TimePoint now)
+{
+    State& state = *m_state;
+    auto own = state.teams.find(newcomer.team);
+    if (own == state.teams.end() || state.byHolding.empty())
+        return std::nullopt;
+    double newcomerHolds = perWeight(own->second.held + holdingOf(newcomer), own->second.policy.weight);
+    bool isOwn = newcomerHolds >= state.byHolding.rbegin()->first;
+    TeamBacklog& victim = isOwn ? own->second : state.teams.at(state.byHolding.rbegin()->second);
+
+    const ClassBacklog* largest = nullptr;
+    double most = 0;
+    bool newcomersClass = false;
+    for (const auto& [name, entry] : victim.classes) {
+        bool isNewcomers = isOwn && name == newcomer.requestClass;
+        double holds = perWeight(entry.held + (isNewcomers ? holdingOf(newcomer) : 0), entry.weight);
+        if (holds <= most)
+            continue;
+        most = holds;
+        largest = &entry;
+        newcomersClass = isNewcomers;
+    }
+    if (!largest || largest->byDeadline.empty())
+        return std::nullopt;
+    auto [deadline, id] = *largest->byDeadline.rbegin();
+    if (newcomersClass && newcomer.deadline >= deadline)
+        return std::nullopt;
+    return state.take(id, now);
+}
+
+void FairQueue::setTeamHeld(const std::string& team, bool held)
+{
+    auto found = m_state->teams.find(team);
+    if (found == m_state->teams.end() || found->second.startsHeld == held)
+        return;
+    found->second.startsHeld = held;
+    for (auto& [name, pool] : m_state->pools)
+        pool->setHeld(team, held);
+}
+
+void FairQueue::refreshShares(TimePoint now)
+{
+    for (auto& [name, pool] : m_state->pools)
+        pool->refresh(now);
+}
+
+void FairQueue::applyRemoteService(const ServiceSource& source, const ServiceCounter& counter, TimePoint now)
+{
+    m_state->poolOf(counter.pool, now).regional().apply(source, counter, now);
+}
+
+void FairQueue::forgetSource(const std::string& source)
+{
+    for (auto& [name, pool] : m_state->pools)
+        pool->regional().forget(source);
+}
+
+std::vector<ServiceCounter> FairQueue::servedCounters() const
+{
+    std::vector<ServiceCounter> counters;
+    for (const auto& [name, pool] : m_state->pools)
+        pool->appendCounters(name, counters);
+    return counters;
+}
+
+std::optional<Duration> FairQueue::predictedWait(const QueuedRequest& request, TimePoint now) const
+{
+    const PoolQueue* pool = m_state->findPool(request.poolName());
+    return pool ? pool->predictedWait(request, now) : Duration::zero();
+}
+
+std::optional<double> FairQueue::teamRate(const QueuedRequest& request, TimePoint now) const
+{
+    const PoolQueue* pool = m_state->findPool(request.poolName());
+    return pool ? pool->teamRate(request.team, now) : std::nullopt;
+}
+
+double FairQueue::weightFraction(const std::string& team, const std::string& pool, TimePoint now) const
+{
+    const PoolQueue* found = m_state->findPool(pool);
+    return found ? found->weightFraction(team, now) : 1;
+}
+
+bool FairQueue::contains(RequestId id) const
+{
+    return m_state->requests.count(id) > 0;
+}
+
+std::size_t FairQueue::size() const
+{
+    return m_state->requests.size();
+}
+
+std::size_t FairQueue::bytes() const
+{
+    return m_state->bytes;
+}
+
+std::size_t FairQueue::teamSize(const std::string& team) const
+{
+    auto found = m_state->teams.find(team);
+    return found == m_state->teams.end() ? 0 : found->second.queued;
+}
+
+std::size_t FairQueue::waiting(const std::string& pool, WorkKind kind) const
+{
+    const PoolQueue* found = m_state->findPool(pool);
+    return found ? found->waiting(kind) : 0;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/RegionalShares.cpp
@@ -0,0 +1,111 @@
+#include "catkinwing/Admission/RegionalShares.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace catkinwing {
+
+/// Silence after which a source is taken as gone and forgotten.
+static constexpr Duration maxSilence = std::chrono::minutes(2);
+
+// A team that uses several daemons of a region must not get its share from each.
+// The obvious correction, adding the others' served tokens to the local counter,
+// is a feedback loop with a delay: each of n daemons that sees the team behind
+// by x serves it x, so together n x, and then all stop together. Its gain is
+// about n - 1, so it swings for n > 2, and a cut leaves a debt as long as the
+// cut. DECISIONS has the figures of that trial.
+//
+// Here a team's weight is split among the daemons instead: a daemon counts the
+// part of the weight that equals its part of the team's service in the region,
+//
+//     weight here = weight x served here / served in the region.
+//
+// - The parts add up to one whatever their values, so the team's weight counts
+//   once in the region even while views are late: a late view misplaces the
+//   weight between daemons and can't create it. No gain grows with n.
+// - Where the team is served more for its weight than elsewhere, its part grows.
+//   These are the proportional response dynamics of a Fisher market, where the
+//   team spends its weight on the daemons' capacity; they are known to converge
+//   to the allocation that is proportionally fair over the whole region.
+// - Only smoothed rates count, never totals. So a cut or restart leaves no debt:
+//   during a cut the others' rates fade and the weight counts here in full;
+//   after it they come back within the smoothing, and a total that jumped by an
+//   hour's service counts as the mean rate of that hour, at most for the
+//   smoothing time.
+// - A small floor keeps a way back where the team was last served nothing.
+
+RegionalShares::RegionalShares(const SharePolicy& policy)
+    : m_policy(policy)
+{
+}
+
+void RegionalShares::apply(const ServiceSource& source, const ServiceCounter& counter, TimePoint now)
+{
+    auto [sourceEntry, newSource] = m_sources.try_emplace(source.name, Source { source.incarnation, DecayingRate(m_policy.rateSmoothing), now });
+    Source& known = sourceEntry->second;
+    if (source.incarnation < known.incarnation)
+        return;
+    known.incarnation = source.incarnation;
+    known.heardAt = now;
+
+    auto [entry, isNew] = m_teams[counter.team].try_emplace(source.name, Counter { source.incarnation, counter.tokens, now, DecayingRate(m_policy.rateSmoothing) });
+    if (isNew)
+        return;
+    Counter& last = entry->second;
+    bool restarted = last.incarnation != source.incarnation;
+    if (!restarted && counter.tokens < last.tokens)
+        return;
+    // A new life counts from zero, and all of it lies after the last word.
+    auto served = static_cast<double>(restarted ? counter.tokens : counter.tokens - last.tokens);
+    last.rate.addSpread(served, last.at, now);
+    known.total.addSpread(served, last.at, now);
+    last.incarnation = source.incarnation;
+    last.tokens = counter.tokens;
+    last.at = now;
+}
+
+void RegionalShares::forget(const std::string& source)
+{
+    m_sources.erase(source);
+    for (auto& [team, counters] : m_teams)
+        counters.erase(source);
+}
+
+void RegionalShares::prune(TimePoint now)
+{
+    std::vector<std::string> silent;
+    for (const auto& [name, source] : m_sources) {
+        if (now - source.heardAt > maxSilence)
+            silent.push_back(name);
+    }
+    for (const std::string& name : silent)
+        forget(name);
+}
+
+double RegionalShares::fraction(const std::string& team, double localRate, double localTotal, TimePoint now) const
+{
+    auto found = m_teams.find(team);
+    if (found == m_teams.end())
+        return 1;
+    double remote = 0;
+    for (const auto& [source, counter] : found->second)
+        remote += counter.rate.rateHeld(now, m_policy.peerSilence);
+    // Less than a token a second is no use of another daemon.
+    if (remote < 1)
+        return 1;
+    double local = std::max(0.0, localRate);
+    double total = std::max(1.0, std::max(0.0, localTotal) + remoteTotal(now));
+    double floor = m_policy.weightFloor * std::max(0.0, localTotal) / total;
+    constexpr double leastFraction = 1e-4;
+    return std::max({ local / (local + remote), floor, leastFraction });
+}
+
+double RegionalShares::remoteTotal(TimePoint now) const
+{
+    double total = 0;
+    for (const auto& [name, source] : m_sources)
+        total += source.total.rateHeld(now, m_policy.peerSilence);
+    return total;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/SlotReservation.cpp
@@ -0,0 +1,55 @@
+#include "catkinwing/Admission/SlotReservation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+using Seconds = std::chrono::duration<double>;
+
+void ShortDemand::note(std::size_t slots, TimePoint now, Duration memory)
+{
+    m_peak = std::max(static_cast<double>(slots), peak(now, memory));
+    m_notedAt = now;
+}
+
+double ShortDemand::peak(TimePoint now, Duration memory) const
+{
+    return m_peak * std::exp(-Seconds(now - m_notedAt) / Seconds(memory));
+}
+
+std::size_t reservedSlots(std::size_t total, double shortPeak, const ReservationPolicy& policy)
+{
+    if (total < 2)
+        return 0;
+    double least = std::max(1.0, std::floor(policy.minReserve * static_cast<double>(total)));
+    double most = std::max(least, std::floor(policy.maxReserve * static_cast<double>(total)));
+    // Below half a slot of remembered demand the spare slot goes too.
+    double wanted = shortPeak < 0.5 ? 0 : std::ceil(shortPeak) + 1;
+    return static_cast<std::size_t>(std::clamp(wanted, least, most));
+}
+
+bool mayStart(WorkKind kind, const SlotUse& use, std::size_t reserved)
+{
+    if (use.shortInFlight + use.longInFlight >= use.total)
+        return false;
+    return kind == WorkKind::Short || use.longInFlight + reserved < use.total;
+}
+
+SlotReservation::SlotReservation(const ReservationPolicy& policy)
+    : m_policy(policy)
+{
+}
+
+void SlotReservation::noteShort(std::size_t inFlight, std::size_t waiting, TimePoint now)
+{
+    m_demand.note(inFlight + waiting, now, m_policy.memory);
+}
+
+bool SlotReservation::mayStart(WorkKind kind, const SlotUse& use, TimePoint now) const
+{
+    std::size_t reserved = reservedSlots(use.total, m_demand.peak(now, m_policy.memory), m_policy);
+    return catkinwing::mayStart(kind, use, reserved);
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Admission/TokenBucket.cpp
@@ -0,0 +1,57 @@
+#include "catkinwing/Admission/TokenBucket.h"
+
+#include <algorithm>
+
+namespace catkinwing {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Rounding of the refill must not refuse a caller that came back when told.
+static constexpr double roundingSlack = 1e-6;
+
+TokenBucket::TokenBucket(double rate, double capacity)
+    : m_rate(rate)
+    , m_capacity(capacity)
+    , m_tokens(capacity)
+{
+}
+
+bool TokenBucket::take(double tokens, TimePoint now)
+{
+    refill(now);
+    if (m_tokens + roundingSlack < tokens)
+        return false;
+    m_tokens = std::max(0.0, m_tokens - tokens);
+    return true;
+}
+
+Duration TokenBucket::timeUntil(double tokens, TimePoint now)
+{
+    refill(now);
+    double missing = tokens - m_tokens;
+    if (missing <= roundingSlack)
+        return Duration::zero();
+    if (m_rate <= 0 || tokens > m_capacity)
+        return Duration::max();
+    return std::chrono::ceil<Duration>(Seconds(missing / m_rate));
+}
+
+void TokenBucket::configure(double rate, double capacity, TimePoint now)
+{
+    refill(now);
+    m_tokens = std::min(m_tokens, capacity);
+    m_rate = rate;
+    m_capacity = capacity;
+}
+
+void TokenBucket::refill(TimePoint now)
+{
+    if (!m_started) {
+        m_started = true;
+        m_filledAt = now;
+    }
+    m_tokens = std::min(m_capacity, m_tokens + m_rate * Seconds(now - m_filledAt).count());
+    m_filledAt = now;
+}
+
+} // namespace catkinwing
