--- a/include/catkinwing/Admission/OutputEstimator.h
+++ b/include/catkinwing/Admission/OutputEstimator.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <list>
 #include <string>
-#include <utility>
 
 namespace catkinwing {
 
@@ -18,11 +17,11 @@
     {
         return a.team == b.team && a.requestClass == b.requestClass && a.model == b.model;
     }
-    template <typename H>
-    friend H AbslHashValue(H hash, const OutputKey& key)
-    {
-        return H::combine(std::move(hash), key.team, key.requestClass, key.model);
-    }
+};
+
+/// Hash of an OutputKey for hash tables.
+struct OutputKeyHash {
+    std::size_t operator()(const OutputKey& key) const;
 };
 
 /// Learns the expected output tokens of each key; bounded, the key that was
@@ -47,7 +46,7 @@
 
     std::size_t m_maxKeys;
     Entries m_entries;
-    absl::flat_hash_map<OutputKey, Entries::iterator> m_index;
+    absl::flat_hash_map<OutputKey, Entries::iterator, OutputKeyHash> m_index;
 };
 
 } // namespace catkinwing
--- a/lib/Admission/OutputEstimator.cpp
+++ b/lib/Admission/OutputEstimator.cpp
@@ -1,7 +1,9 @@
 #include "catkinwing/Admission/OutputEstimator.h"
 
+#include <absl/hash/hash.h>
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace catkinwing {
 
@@ -10,6 +12,11 @@
 /// Answers remembered at most: an answer moves the mean by at least 1 / this.
 static constexpr double maxAnswers = 32;
 
+std::size_t OutputKeyHash::operator()(const OutputKey& key) const
+{
+    return absl::HashOf(std::tie(key.team, key.requestClass, key.model));
+}
+
 OutputEstimator::OutputEstimator(std::size_t maxKeys)
     : m_maxKeys(maxKeys)
 {
--- /dev/null
+++ b/unittests/Admission/RegionalSharesTest.cpp
@@ -0,0 +1,161 @@
+#include "catkinwing/Admission/RegionalShares.h"
+
+#include "RegionFake.h"
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+/// Teams with the daemons where they are backlogged and their fair shares.
+struct Expected {
+    std::string team;
+    std::vector<std::string> daemons;
+    double share;
+};
+
+static void setUp(RegionFake& region, const std::vector<Expected>& expected)
+{
+    for (const Expected& entry : expected) {
+        for (const std::string& daemon : entry.daemons)
+            region.setBacklogged(entry.team, daemon, true);
+    }
+}
+
+/// Runs for \p span and returns the largest shortfall of a team against its share.
+static double worstShortfall(RegionFake& region, const std::vector<Expected>& expected, Duration span)
+{
+    region.resetServed();
+    region.run(span);
+    double total = 0;
+    for (const Expected& entry : expected)
+        total += region.served(entry.team);
+    double worst = 0;
+    for (const Expected& entry : expected)
+        worst = std::max(worst, 1 - region.served(entry.team) / total / entry.share);
+    return worst;
+}
+
+static std::vector<DaemonSpec> daemonsNamed(const std::vector<std::string>& names)
+{
+    std::vector<DaemonSpec> specs;
+    specs.reserve(names.size());
+    for (const std::string& name : names)
+        specs.push_back({ name });
+    return specs;
+}
+
+TEST_CASE("a team that uses two cells gets its share once")
+{
+    for (std::uint64_t seed : { 1, 2, 3 }) {
+        INFO("seed " << seed);
+        RegionFake region(daemonsNamed({ "x", "y" }), { teamOf("a", 1), teamOf("b", 1), teamOf("c", 1) }, seed);
+        std::vector<Expected> expected { { "a", { "x", "y" }, 1.0 / 3 }, { "b", { "x" }, 1.0 / 3 }, { "c", { "y" }, 1.0 / 3 } };
+        setUp(region, expected);
+        CHECK(worstShortfall(region, expected, 30s) < 0.05);
+        CHECK(worstShortfall(region, expected, 30s) < 0.05);
+    }
+}
+
+TEST_CASE("shares hold between cells of very different capacity")
+{
+    for (std::uint64_t seed : { 1, 2, 3 }) {
+        INFO("seed " << seed);
+        RegionFake region({ { "x", 20, 20000 }, { "y", 2, 2000 } }, { teamOf("a", 1), teamOf("b", 1), teamOf("c", 1) }, seed);
+        // The small cell can give c no more than all it has.
+        std::vector<Expected> expected { { "a", { "x", "y" }, 5.0 / 11 }, { "b", { "x" }, 5.0 / 11 }, { "c", { "y" }, 1.0 / 11 } };
+        setUp(region, expected);
+        CHECK(worstShortfall(region, expected, 30s) < 0.05);
+        CHECK(worstShortfall(region, expected, 30s) < 0.05);
+    }
+}
+
+TEST_CASE("shares hold between many daemons with slow heartbeats")
+{
+    std::vector<std::string> all { "d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8" };
+    for (std::uint64_t seed : { 1, 2, 3 }) {
+        INFO("seed " << seed);
+        RegionFake region(daemonsNamed(all), { teamOf("a", 1), teamOf("b", 2), teamOf("c", 7) }, seed);
+        region.heartbeat = 1s;
+        region.delay = 1s;
+        std::vector<Expected> expected { { "a", all, 0.1 }, { "b", all, 0.2 }, { "c", all, 0.7 } };
+        setUp(region, expected);
+        for (int window = 0; window < 4; ++window)
+            CHECK(worstShortfall(region, expected, 30s) < 0.05);
+    }
+}
+
+TEST_CASE("a team alone in one cell leaves the other to its rival")
+{
+    for (std::uint64_t seed : { 1, 2, 3 }) {
+        INFO("seed " << seed);
+        RegionFake region(daemonsNamed({ "x", "y" }), { teamOf("a", 1), teamOf("b", 1) }, seed);
+        std::vector<Expected> expected { { "a", { "x", "y" }, 0.5 }, { "b", { "x" }, 0.5 } };
+        setUp(region, expected);
+        region.run(60s);
+        CHECK(worstShortfall(region, expected, 30s) < 0.05);
+    }
+}
+
+TEST_CASE("after a cut of an hour no team starves")
+{
+    RegionFake region(daemonsNamed({ "x", "y" }), { teamOf("a", 1), teamOf("b", 1) }, 7);
+    std::vector<Expected> expected { { "a", { "x", "y" }, 0.5 }, { "b", { "x" }, 0.5 } };
+    setUp(region, expected);
+    region.run(30s);
+    region.setCut("x", "y", true);
+    region.run(60min);
+    // Each side shares out what it can see.
+    region.resetServed();
+    region.run(30s);
+    CHECK(region.served("a", "x") / region.served("b", "x") == Approx(1).epsilon(0.05));
+
+    region.setCut("x", "y", false);
+    region.setBacklogged("a", "y", false);
+    region.run(10s);
+    region.resetServed();
+    region.run(30s);
+    CHECK(region.served("a", "x") / region.served("b", "x") == Approx(1).epsilon(0.1));
+}
+
+TEST_CASE("a restarted daemon keeps shares right")
+{
+    RegionFake region(daemonsNamed({ "x", "y" }), { teamOf("a", 1), teamOf("b", 1), teamOf("c", 1) }, 9);
+    std::vector<Expected> expected { { "a", { "x", "y" }, 1.0 / 3 }, { "b", { "x" }, 1.0 / 3 }, { "c", { "y" }, 1.0 / 3 } };
+    setUp(region, expected);
+    region.run(30s);
+    region.restart("y");
+    CHECK(worstShortfall(region, expected, 30s) < 0.05);
+}
+
+TEST_CASE("late, repeated and older counters are ignored")
+{
+    SharePolicy policy;
+    RegionalShares shares(policy);
+    TimePoint now {};
+    auto tell = [&](std::uint64_t incarnation, std::uint64_t tokens) {
+        shares.apply({ "peer", incarnation }, { "a", "m", tokens }, now);
+    };
+    tell(2, 1000000);
+    // The first word only sets the baseline.
+    CHECK(shares.fraction("a", 1000, 1000, now) == Approx(1));
+    now += 10s;
+    tell(2, 1010000);
+    double after = shares.fraction("a", 1000, 1000, now);
+    CHECK(after == Approx(0.5).epsilon(0.05));
+    tell(2, 1005000);
+    tell(1, 9000000);
+    tell(2, 1010000);
+    CHECK(shares.fraction("a", 1000, 1000, now) == Approx(after));
+    // A new life counts from zero.
+    now += 10s;
+    tell(3, 10000);
+    CHECK(shares.fraction("a", 1000, 1000, now) == Approx(0.5).epsilon(0.05));
+    // An hour's total after a cut counts as that hour's mean rate.
+    now += 1h;
+    tell(3, 10000 + 3600 * 1000);
+    CHECK(shares.fraction("a", 1000, 1000, now) == Approx(0.5).epsilon(0.05));
+    // Silence fades.
+    now += 30s;
+    CHECK(shares.fraction("a", 1000, 1000, now) == Approx(1).epsilon(0.01));
+}
