--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -84,6 +84,7 @@
     void noteShort(const std::string& pool, TimePoint now);
 
     AdmissionLimits m_limits;
+    TimePoint m_refreshedAt {};
     ReservationPolicy m_reservation;
     FairQueue m_queue;
     absl::flat_hash_map<std::string, TeamState> m_teams;
--- a/include/catkinwing/Admission/RegionalShares.h
+++ b/include/catkinwing/Admission/RegionalShares.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Admission/DecayingRate.h"
 #include "catkinwing/Admission/ServiceCounter.h"
 #include <absl/container/flat_hash_map.h>
+#include <optional>
 #include <string>
 
 namespace catkinwing {
@@ -56,6 +57,9 @@
     absl::flat_hash_map<std::string, Source> m_sources;
     /// By team, then source.
     absl::flat_hash_map<std::string, Counters> m_teams;
+    /// The sum over the sources and the time it was made for.
+    mutable double m_total { 0 };
+    mutable std::optional<TimePoint> m_totalAt;
 };
 
 } // namespace catkinwing
--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -9,6 +9,8 @@
 
 /// Requests dropped at most to make room for one newcomer.
 static constexpr std::size_t maxEvictions = 64;
+/// Shortest time between refreshes of the shares.
+static constexpr Duration refreshInterval = std::chrono::milliseconds(500);
 /// Longest Retry-After worth telling.
 static constexpr Duration maxRetryAfter = std::chrono::hours(1);
 
@@ -228,6 +230,9 @@
     std::vector<DroppedRequest> dropped;
     for (QueuedRequest& request : m_queue.expire(now))
         dropped.push_back(drop(std::move(request), { RefusalReason::Expired, std::nullopt }));
+    if (now - m_refreshedAt < refreshInterval)
+        return dropped;
+    m_refreshedAt = now;
     m_queue.refreshShares(now);
     for (auto& [name, pool] : m_pools)
         noteShort(name, now);
--- a/lib/Admission/DecayingRate.cpp
+++ b/lib/Admission/DecayingRate.cpp
@@ -33,7 +33,10 @@
 
 double DecayingRate::rate(TimePoint now) const
 {
-    double age = std::max(0.0, Seconds(now - m_at).count());
+    // The usual case for a peer's rate, which is held between heartbeats.
+    if (now <= m_at)
+        return m_mass / m_smoothing;
+    double age = Seconds(now - m_at).count();
     return m_mass * std::exp(-age / m_smoothing) / m_smoothing;
 }
 
--- a/lib/Admission/PoolQueue.cpp
+++ b/lib/Admission/PoolQueue.cpp
@@ -110,9 +110,15 @@
 {
     if (counter == team.counter)
         return;
-    leaveOrders(team);
+    for (auto& [lane, queued] : team.lanes) {
+        if (team.held)
+            break;
+        // The node is used again: a refresh moves every backlogged team.
+        auto node = lane->order.extract({ team.counter, team.index });
+        node.value().first = counter;
+        lane->order.insert(std::move(node));
+    }
     team.counter = counter;
-    joinOrders(team);
 }
 
 void PoolQueue::add(const QueuedRequest& request, TimePoint now)
@@ -290,11 +296,14 @@
     double floor = creditFloor(now);
     double credit = Seconds(m_policy.creditWindow).count();
     m_backloggedWeight = 0;
+    // Idle teams are brought up to date when their work comes back.
     for (const auto& team : m_teams) {
-        renewWeight(*team, now);
-        team->boundClasses(credit * team->rate.rate(now));
+        if (team->classTime > rebaseAt)
+            team->boundClasses(rebaseAt);
         if (!team->queued)
             continue;
+        renewWeight(*team, now);
+        team->boundClasses(credit * team->rate.rate(now));
         setCounter(*team, std::max(team->counter, floor));
         m_backloggedWeight += team->effectiveWeight;
     }
--- a/lib/Admission/RegionalShares.cpp
+++ b/lib/Admission/RegionalShares.cpp
@@ -60,6 +60,7 @@
         return;
     known.incarnation = source.incarnation;
     known.heardAt = now;
+    m_totalAt.reset();
 
     auto [entry, isNew] = m_teams[counter.team].try_emplace(source.name, Counter { source.incarnation, counter.tokens, now, DecayingRate(m_policy.rateSmoothing) });
     if (isNew)
@@ -80,6 +81,7 @@
 void RegionalShares::forget(const std::string& source)
 {
     m_sources.erase(source);
+    m_totalAt.reset();
     for (auto& [team, counters] : m_teams)
         counters.erase(source);
 }
@@ -115,10 +117,14 @@
 
 double RegionalShares::remoteTotal(TimePoint now) const
 {
-    double total = 0;
+    // A refresh asks for every team at the same time.
+    if (m_totalAt == now)
+        return m_total;
+    m_total = 0;
     for (const auto& [name, source] : m_sources)
-        total += source.total.rateHeld(now, m_policy.peerSilence);
-    return total;
+        m_total += source.total.rateHeld(now, m_policy.peerSilence);
+    m_totalAt = now;
+    return m_total;
 }
 
 } // namespace catkinwing
