Test the controller, slots and budgets; start a team's rate bucket full

Failure found by the rate test: a team's first burst was cut to one request, since its bucket began with the capacity of the default.

--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -70,7 +70,7 @@
         SlotReservation reservation;
     };
 
-    TeamState newTeam(const std::string& name) const;
+    TeamState newTeam(const TeamPolicy& policy) const;
     PoolState& poolOf(const std::string& pool);
     std::optional<Refusal> refusalFor(const QueuedRequest& request, TimePoint now);
     std::optional<Refusal> refusalByLimits(TeamState& team, const QueuedRequest& request, TimePoint now) const;
--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -14,6 +14,11 @@
 /// Longest Retry-After worth telling.
 static constexpr Duration maxRetryAfter = std::chrono::hours(1);
 
+static double burstOf(const TeamPolicy& policy)
+{
+    return std::max(1.0, policy.limits.burst);
+}
+
 AdmissionController::AdmissionController(const AdmissionLimits& limits, const SharePolicy& shares, const ReservationPolicy& reservation)
     : m_limits(limits)
     , m_reservation(reservation)
@@ -31,9 +36,9 @@
     for (const TeamPolicy& policy : teams) {
         auto known = m_teams.find(policy.name);
         TeamState& state = states[policy.name];
-        state = known == m_teams.end() ? newTeam(policy.name) : std::move(known->second);
+        state = known == m_teams.end() ? newTeam(policy) : std::move(known->second);
         state.limits = policy.limits;
-        state.rate.configure(policy.limits.requestsPerSecond, std::max(1.0, policy.limits.burst), now);
+        state.rate.configure(policy.limits.requestsPerSecond, burstOf(policy), now);
         state.classes.clear();
         for (const ClassPolicy& classPolicy : policy.classes)
             state.classes.insert(classPolicy.name);
@@ -44,12 +49,13 @@
     return dropped;
 }
 
-AdmissionController::TeamState AdmissionController::newTeam(const std::string& name) const
+AdmissionController::TeamState AdmissionController::newTeam(const TeamPolicy& policy) const
 {
     TeamState state;
+    state.rate = TokenBucket(policy.limits.requestsPerSecond, burstOf(policy));
     // A team that comes back may still have work in flight from before.
     for (const auto& [id, request] : m_inFlight) {
-        if (request.team != name)
+        if (request.team != policy.name)
             continue;
         ++state.inFlight;
         ++state.callers[request.caller];
--- /dev/null
+++ b/unittests/Admission/AdmissionControllerTest.cpp
@@ -0,0 +1,311 @@
+#include "catkinwing/Admission/AdmissionController.h"
+
+#include "RegionFake.h"
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static bool always(const QueuedRequest&)
+{
+    return true;
+}
+
+static TeamPolicy limitedTeam(const std::string& name, const TeamLimits& limits)
+{
+    TeamPolicy policy = teamOf(name, 1);
+    policy.limits = limits;
+    return policy;
+}
+
+/// A controller with one team, or several, of class "chat".
+struct Fixture {
+    explicit Fixture(const std::vector<TeamPolicy>& teams, const AdmissionLimits& limits = {})
+        : controller(limits)
+    {
+        controller.configure(teams, now);
+    }
+
+    AdmissionDecision admit(const std::string& team, const std::string& caller = "", Duration timeout = 60s, std::size_t bytes = 0)
+    {
+        QueuedRequest request = requestOf(team, ++lastId, 100, now, timeout);
+        request.caller = caller;
+        request.bytes = bytes;
+        return controller.admit(request, now);
+    }
+
+    AdmissionController controller;
+    TimePoint now { 1h };
+    RequestId lastId { 0 };
+};
+
+static RefusalReason reasonOf(const AdmissionDecision& decision)
+{
+    REQUIRE(decision.refusal);
+    return decision.refusal->reason;
+}
+
+TEST_CASE("unknown teams, classes and repeated identifiers are refused")
+{
+    Fixture fixture({ teamOf("a", 1) });
+    CHECK(reasonOf(fixture.admit("b")) == RefusalReason::UnknownTeam);
+    QueuedRequest request = requestOf("a", 77, 100, fixture.now, 60s);
+    request.requestClass = "none";
+    CHECK(reasonOf(fixture.controller.admit(request, fixture.now)) == RefusalReason::UnknownClass);
+    request.requestClass = "chat";
+    CHECK(fixture.controller.admit(request, fixture.now).admitted());
+    CHECK(reasonOf(fixture.controller.admit(request, fixture.now)) == RefusalReason::DuplicateId);
+    REQUIRE(fixture.controller.next(always, fixture.now));
+    CHECK(reasonOf(fixture.controller.admit(request, fixture.now)) == RefusalReason::DuplicateId);
+}
+
+TEST_CASE("a team at its limit in flight waits and others go on")
+{
+    TeamLimits limits;
+    limits.inFlight = 2;
+    Fixture fixture({ limitedTeam("a", limits), teamOf("b", 1) });
+    for (int i = 0; i < 4; ++i)
+        CHECK(fixture.admit("a").admitted());
+    std::optional<QueuedRequest> first = fixture.controller.next(always, fixture.now);
+    CHECK(fixture.controller.next(always, fixture.now));
+    CHECK_FALSE(fixture.controller.next(always, fixture.now));
+    CHECK(fixture.admit("b").admitted());
+    CHECK(fixture.controller.next(always, fixture.now)->team == "b");
+    fixture.controller.finished(first->id, 100, fixture.now);
+    CHECK(fixture.controller.next(always, fixture.now)->team == "a");
+    CHECK(fixture.controller.inFlight() == 3);
+}
+
+TEST_CASE("limits of a team and its callers refuse by name")
+{
+    TeamLimits limits;
+    limits.queued = 3;
+    limits.perCaller = 2;
+    Fixture fixture({ limitedTeam("a", limits) });
+    CHECK(fixture.admit("a", "x").admitted());
+    CHECK(fixture.admit("a", "x").admitted());
+    CHECK(reasonOf(fixture.admit("a", "x")) == RefusalReason::CallerConcurrency);
+    CHECK(fixture.admit("a", "y").admitted());
+    CHECK(reasonOf(fixture.admit("a", "y")) == RefusalReason::TeamQueueFull);
+    // In flight still counts for the caller; finished and removed don't.
+    std::optional<QueuedRequest> started = fixture.controller.next(always, fixture.now);
+    CHECK(reasonOf(fixture.admit("a", "x")) == RefusalReason::CallerConcurrency);
+    fixture.controller.finished(started->id, 0, fixture.now);
+    CHECK(fixture.admit("a", "x").admitted());
+    CHECK(fixture.controller.remove(2, fixture.now));
+    CHECK_FALSE(fixture.controller.remove(2, fixture.now));
+    CHECK(fixture.admit("a", "x").admitted());
+}
+
+TEST_CASE("a caller that comes back when told is within the request rate")
+{
+    TeamLimits limits;
+    limits.requestsPerSecond = 3;
+    limits.burst = 2;
+    Fixture fixture({ limitedTeam("a", limits) });
+    CHECK(fixture.admit("a").admitted());
+    CHECK(fixture.admit("a").admitted());
+    for (int i = 0; i < 50; ++i) {
+        AdmissionDecision refused = fixture.admit("a");
+        REQUIRE(reasonOf(refused) == RefusalReason::RequestRate);
+        fixture.now += *refused.refusal->retryAfter - 1us;
+        CHECK(reasonOf(fixture.admit("a")) == RefusalReason::RequestRate);
+        fixture.now += 1us;
+        REQUIRE(fixture.admit("a").admitted());
+        fixture.controller.finished(fixture.controller.next(always, fixture.now)->id, 100, fixture.now);
+    }
+}
+
+/// Starts a request of 100 tokens each 100 ms for \p span, while a backlog stays.
+static void drain(Fixture& fixture, Duration span)
+{
+    TimePoint end = fixture.now + span;
+    while (fixture.now < end) {
+        fixture.now += 100ms;
+        if (std::optional<QueuedRequest> next = fixture.controller.next(always, fixture.now))
+            fixture.controller.finished(next->id, 100, fixture.now);
+    }
+}
+
+TEST_CASE("a request that would be late is refused at once and told when to come back")
+{
+    Fixture fixture({ teamOf("a", 1) });
+    for (int i = 0; i < 300; ++i)
+        CHECK(fixture.admit("a").admitted());
+    drain(fixture, 10s);
+    // 200 requests wait; ten are started a second, so the wait is 20 s.
+    QueuedRequest probe = requestOf("a", 0, 100, fixture.now, 60s);
+    CHECK(std::chrono::duration<double>(*fixture.controller.predictedWait(probe, fixture.now)).count() == Approx(20).epsilon(0.05));
+    CHECK(fixture.admit("a", "", 25s).admitted());
+
+    QueuedRequest tight = requestOf("a", 1000, 100, fixture.now, 100s);
+    tight.expectedService = 90s;
+    AdmissionDecision refused = fixture.controller.admit(tight, fixture.now);
+    REQUIRE(reasonOf(refused) == RefusalReason::PredictedLate);
+    CHECK(std::chrono::duration<double>(*refused.refusal->retryAfter).count() == Approx(10).epsilon(0.1));
+    // Told truly: it is let in then, and started in time.
+    drain(fixture, *refused.refusal->retryAfter + 200ms);
+    tight.deadline = fixture.now + 100s;
+    CHECK(fixture.controller.admit(tight, fixture.now).admitted());
+    drain(fixture, 10s);
+    for (const DroppedRequest& dropped : fixture.controller.expire(fixture.now))
+        CHECK(dropped.request.id != tight.id);
+
+    // No wait makes it late already: coming back wouldn't help.
+    tight.id = 1001;
+    tight.deadline = fixture.now + 80s;
+    refused = fixture.controller.admit(tight, fixture.now);
+    CHECK(reasonOf(refused) == RefusalReason::PredictedLate);
+    CHECK_FALSE(refused.refusal->retryAfter);
+}
+
+TEST_CASE("when nothing drains, waiting work expires and new work still gets a try")
+{
+    Fixture fixture({ teamOf("a", 1) });
+    for (int i = 0; i < 50; ++i)
+        CHECK(fixture.admit("a", "", 5s).admitted());
+    for (int i = 0; i < 60; ++i) {
+        fixture.now += 100ms;
+        fixture.controller.next([](const QueuedRequest&) { return false; }, fixture.now);
+    }
+    std::vector<DroppedRequest> dropped = fixture.controller.expire(fixture.now);
+    CHECK(dropped.size() == 50);
+    CHECK(dropped.front().refusal.reason == RefusalReason::Expired);
+    CHECK(fixture.admit("a", "", 5s).admitted());
+    CHECK(reasonOf(fixture.admit("a", "", 5s)) == RefusalReason::PredictedLate);
+}
+
+TEST_CASE("a full queue drops what has the least right")
+{
+    AdmissionLimits limits;
+    limits.queuedRequests = 10;
+    limits.queuedBytes = 1000;
+    Fixture fixture({ teamOf("greedy", 1), teamOf("b", 1) }, limits);
+    for (int i = 0; i < 10; ++i)
+        CHECK(fixture.admit("greedy", "x").admitted());
+    CHECK(reasonOf(fixture.admit("greedy")) == RefusalReason::QueueFull);
+    AdmissionDecision decision = fixture.admit("b");
+    REQUIRE(decision.admitted());
+    REQUIRE(decision.dropped.size() == 1);
+    CHECK(decision.dropped[0].request.team == "greedy");
+    CHECK(decision.dropped[0].refusal.reason == RefusalReason::Evicted);
+    CHECK(fixture.controller.queued() == 10);
+
+    CHECK(reasonOf(fixture.admit("b", "", 60s, 1001)) == RefusalReason::QueueBytesFull);
+    CHECK(fixture.admit("b", "", 60s, 1000).dropped.size() == 1);
+    decision = fixture.admit("greedy", "", 60s, 500);
+    CHECK(decision.refusal);
+}
+
+TEST_CASE("a request that no endpoint took is put back at its place and at no charge")
+{
+    Fixture fixture({ teamOf("a", 1), teamOf("b", 1) });
+    CHECK(fixture.admit("a").admitted());
+    CHECK(fixture.admit("b").admitted());
+    std::optional<QueuedRequest> first = fixture.controller.next(always, fixture.now);
+    CHECK(fixture.controller.putBack(first->id, fixture.now));
+    CHECK(fixture.controller.inFlight() == 0);
+    CHECK(fixture.controller.queued() == 2);
+    CHECK(fixture.controller.next(always, fixture.now)->id == first->id);
+    fixture.controller.configure({ teamOf("b", 1) }, fixture.now);
+    CHECK_FALSE(fixture.controller.putBack(first->id, fixture.now));
+}
+
+TEST_CASE("limits follow a configuration change with work queued and in flight")
+{
+    TeamLimits limits;
+    limits.inFlight = 1;
+    Fixture fixture({ limitedTeam("a", limits), teamOf("gone", 1) });
+    for (int i = 0; i < 3; ++i) {
+        CHECK(fixture.admit("a", "x").admitted());
+        CHECK(fixture.admit("gone", "x").admitted());
+    }
+    std::optional<QueuedRequest> first = fixture.controller.next(always, fixture.now);
+    std::optional<QueuedRequest> second = fixture.controller.next(always, fixture.now);
+    CHECK(first->team != second->team);
+
+    std::vector<DroppedRequest> dropped = fixture.controller.configure({ teamOf("a", 1) }, fixture.now);
+    CHECK(dropped.size() == 2);
+    for (const DroppedRequest& entry : dropped)
+        CHECK((entry.request.team == "gone" && entry.refusal.reason == RefusalReason::PolicyRemoved));
+    // The limit is gone, and what was in flight ends without its team.
+    CHECK(fixture.controller.next(always, fixture.now)->team == "a");
+    fixture.controller.finished(first->id, 100, fixture.now);
+    fixture.controller.finished(second->id, 100, fixture.now);
+    CHECK(fixture.controller.inFlight() == 1);
+
+    // A team that comes back with work in flight counts it.
+    fixture.controller.configure({}, fixture.now);
+    fixture.controller.configure({ limitedTeam("a", limits) }, fixture.now);
+    CHECK(fixture.admit("a").admitted());
+    CHECK_FALSE(fixture.controller.next(always, fixture.now));
+}
+
+TEST_CASE("short questions find room while long reviews flood")
+{
+    TeamPolicy reviews = teamOf("reviews", 1);
+    reviews.classes = { { "review", 1, WorkKind::Long } };
+    AdmissionController controller;
+    ManualScheduler scheduler;
+    Random random(21);
+    INFO("seed 21");
+    auto now = [&] { return scheduler.clock().now(); };
+    controller.configure({ reviews, teamOf("questions", 1) }, now());
+    constexpr std::size_t slots = 10;
+    controller.setSlots("m", slots);
+    RequestId id = 0;
+    std::size_t busy = 0;
+    std::vector<Duration> waits;
+    double longBusySeconds = 0;
+    std::function<void()> pump = [&] {
+        while (busy < slots) {
+            std::optional<QueuedRequest> next = controller.next(always, now());
+            if (!next)
+                return;
+            ++busy;
+            bool isShort = next->kind == WorkKind::Short;
+            if (isShort)
+                waits.push_back(now() - next->enqueuedAt);
+            else
+                longBusySeconds += 60;
+            scheduler.callAfter(isShort ? Duration(1s) : Duration(60s), [&, done = *next] {
+                --busy;
+                controller.finished(done.id, done.cost, now());
+                pump();
+            });
+        }
+    };
+    auto step = [&](bool ask) {
+        scheduler.advance(100ms);
+        controller.expire(now());
+        while (controller.queued() < 20) {
+            QueuedRequest review = requestOf("reviews", ++id, 20000, now(), 24h);
+            review.requestClass = "review";
+            controller.admit(review, now());
+        }
+        // One question a second on the average, out of step.
+        if (ask && random.below(10) == 0)
+            controller.admit(requestOf("questions", ++id, 300, now(), 10s), now());
+        pump();
+    };
+    // Reviews that began before any question was seen hold all but one slot for
+    // their minute.
+    for (int i = 0; i < 1200; ++i)
+        step(true);
+    waits.clear();
+    for (int i = 0; i < 6000; ++i)
+        step(true);
+    REQUIRE(waits.size() > 400);
+    std::sort(waits.begin(), waits.end());
+    CHECK(waits[waits.size() * 99 / 100] <= 1s);
+
+    // Without questions the reserve shrinks to its floor of one slot.
+    for (int i = 0; i < 3000; ++i)
+        step(false);
+    longBusySeconds = 0;
+    for (int i = 0; i < 6000; ++i)
+        step(false);
+    CHECK(longBusySeconds / 600 == Approx(9).epsilon(0.1));
+}
--- /dev/null
+++ b/unittests/Admission/SlotsTest.cpp
@@ -0,0 +1,138 @@
+#include "catkinwing/Admission/SlotDivision.h"
+#include "catkinwing/Admission/SlotReservation.h"
+#include "catkinwing/Support/Random.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <numeric>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static std::size_t sumOf(const std::vector<EntryCredit>& credits)
+{
+    return std::accumulate(credits.begin(), credits.end(), std::size_t { 0 }, [](std::size_t sum, const EntryCredit& credit) { return sum + credit.slots; });
+}
+
+static std::size_t creditOf(const std::vector<EntryCredit>& credits, const std::string& entry)
+{
+    for (const EntryCredit& credit : credits) {
+        if (credit.entry == entry)
+            return credit.slots;
+    }
+    return 0;
+}
+
+TEST_CASE("slots follow demand above a floor")
+{
+    std::vector<EntryCredit> credits = divideSlots(32, { { "a", 100 }, { "b", 0 }, { "c", 5 } }, 2);
+    CHECK(creditOf(credits, "a") == 25);
+    CHECK(creditOf(credits, "b") == 2);
+    CHECK(creditOf(credits, "c") == 5);
+    // What nobody demands is spread as headroom.
+    credits = divideSlots(30, { { "a", 2 }, { "b", 0 }, { "c", 1 } }, 1);
+    CHECK(creditOf(credits, "a") == 11);
+    CHECK(creditOf(credits, "b") == 10);
+    CHECK(creditOf(credits, "c") == 9);
+    CHECK(divideSlots(8, {}, 1).empty());
+}
+
+TEST_CASE("credits of equal views sum to the slots in any order")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        std::vector<EntryDemand> demands;
+        for (std::size_t i = 0, count = 1 + random.below(12); i < count; ++i)
+            demands.push_back({ "e" + std::to_string(i), random.below(60) });
+        std::size_t total = random.below(100);
+        std::size_t floor = random.below(5);
+        std::vector<EntryCredit> credits = divideSlots(total, demands, floor);
+        CHECK(sumOf(credits) == total);
+        if (total >= floor * demands.size()) {
+            for (const EntryCredit& credit : credits)
+                CHECK(credit.slots >= floor);
+        }
+        std::reverse(demands.begin(), demands.end());
+        std::vector<EntryCredit> again = divideSlots(total, demands, floor);
+        for (const EntryCredit& credit : credits)
+            CHECK(creditOf(again, credit.entry) == credit.slots);
+    }
+}
+
+/// Entries that see each other's demands late and use delayed growth.
+struct StaleViews {
+    std::vector<EntryDemand> before;
+    std::vector<EntryDemand> after;
+    std::map<std::string, TimePoint> seesAfterFrom;
+    std::map<std::string, SlotCredit> credits;
+
+    std::size_t used(std::size_t total, TimePoint now)
+    {
+        std::size_t sum = 0;
+        for (const auto& [entry, from] : seesAfterFrom)
+            sum += credits[entry].update(creditOf(divideSlots(total, now < from ? before : after), entry), now);
+        return sum;
+    }
+};
+
+TEST_CASE("a change of demand doesn't overshoot while views differ")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        INFO("seed " << seed);
+        Random random(seed);
+        StaleViews views;
+        TimePoint start { 1h };
+        for (const char* entry : { "a", "b", "c", "d" }) {
+            views.before.push_back({ entry, random.below(40) });
+            views.after.push_back({ entry, random.below(40) });
+            views.seesAfterFrom[entry] = start + 10s + std::chrono::milliseconds(random.below(2000));
+        }
+        for (Duration at = 0s; at < 20s; at += 100ms)
+            REQUIRE(views.used(32, start + at) <= 32);
+        // All slots are in use again once the growth is let through.
+        CHECK(views.used(32, start + 20s) == 32);
+    }
+}
+
+TEST_CASE("a dead entry's slots come back to the others")
+{
+    StaleViews views;
+    TimePoint start { 1h };
+    views.before = { { "a", 40 }, { "b", 40 }, { "dead", 40 } };
+    views.after = { { "a", 40 }, { "b", 40 } };
+    views.seesAfterFrom = { { "a", start + 3s }, { "b", start + 4s } };
+    CHECK(views.used(30, start) == 20);
+    CHECK(views.used(30, start + 4s) == 20);
+    // The dead entry's work may still run; its slots are not given out at once.
+    CHECK(views.used(30, start + 4900ms) == 20);
+    CHECK(views.used(30, start + 6s) == 30);
+}
+
+TEST_CASE("long work leaves the reserved slots, short work may take all")
+{
+    CHECK(mayStart(WorkKind::Long, { 10, 0, 6 }, 3));
+    CHECK_FALSE(mayStart(WorkKind::Long, { 10, 0, 7 }, 3));
+    CHECK(mayStart(WorkKind::Short, { 10, 0, 7 }, 3));
+    CHECK(mayStart(WorkKind::Short, { 10, 9, 0 }, 3));
+    CHECK_FALSE(mayStart(WorkKind::Short, { 10, 3, 7 }, 3));
+    // A single slot is nobody's reserve.
+    CHECK(reservedSlots(1, 5, {}) == 0);
+    CHECK(reservedSlots(2, 0, {}) == 1);
+}
+
+TEST_CASE("the reserve follows the short work seen lately")
+{
+    SlotReservation reservation;
+    TimePoint now { 1h };
+    SlotUse use { 20, 0, 15 };
+    CHECK(reservation.mayStart(WorkKind::Long, use, now));
+    reservation.noteShort(2, 3, now);
+    CHECK_FALSE(reservation.mayStart(WorkKind::Long, use, now));
+    CHECK(reservation.mayStart(WorkKind::Long, { 20, 0, 13 }, now));
+    // After some minutes without any, only the floor of 2 in 20 is kept.
+    now += 5min;
+    CHECK(reservation.mayStart(WorkKind::Long, { 20, 0, 17 }, now));
+    CHECK_FALSE(reservation.mayStart(WorkKind::Long, { 20, 0, 18 }, now));
+}
