Predict the wait in estimated tokens on both sides

Cause: the queue's cost is in estimated tokens, the drain rate was in settled ones, so a bias of the estimates went into the predicted wait. The new test failed before with 6.6 s predicted for 20 s.

--- a/include/catkinwing/Admission/DrainRate.h
+++ b/include/catkinwing/Admission/DrainRate.h
@@ -11,7 +11,7 @@
 public:
     /// Says from \p now on whether work waits.
     void setBusy(bool busy, TimePoint now);
-    /// Counts started tokens; negative corrections too.
+    /// Counts started tokens, as estimated.
     void add(double tokens, TimePoint now);
     /// Returns tokens a second of busy time; empty before there was enough of it.
     std::optional<double> rate(TimePoint now) const;
--- a/lib/Admission/DrainRate.cpp
+++ b/lib/Admission/DrainRate.cpp
@@ -1,6 +1,5 @@
 #include "catkinwing/Admission/DrainRate.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace catkinwing {
@@ -25,7 +24,7 @@
     if (!m_busy)
         return;
     advance(now);
-    m_tokens = std::max(0.0, m_tokens + tokens);
+    m_tokens += tokens;
 }
 
 std::optional<double> DrainRate::rate(TimePoint now) const
--- a/lib/Admission/PoolQueue.cpp
+++ b/lib/Admission/PoolQueue.cpp
@@ -233,6 +233,10 @@
     m_virtualTime = std::max(m_virtualTime, team.counter);
     team.classTime = std::max(team.classTime, entry.counter);
     charge(team, entry, request->cost, now);
+    // Drain rates count estimates, like the cost of what waits: so a bias of the
+    // estimates cancels out of the predicted wait.
+    team.drain.add(request->cost, now);
+    m_drain.add(request->cost, now);
     return request;
 }
 
@@ -251,8 +255,6 @@
     renewWeight(team, now);
     setCounter(team, team.counter + tokens / team.effectiveWeight);
     entry.counter += tokens / entry.weight;
-    team.drain.add(tokens, now);
-    m_drain.add(tokens, now);
 
     // Refunds of earlier charges are set off against what is served next, so the
     // counter that the others see never goes back.
--- a/unittests/Admission/AdmissionControllerTest.cpp
+++ b/unittests/Admission/AdmissionControllerTest.cpp
@@ -161,6 +161,21 @@
     CHECK_FALSE(refused.refusal->retryAfter);
 }
 
+TEST_CASE("the predicted wait is true when estimates are wrong")
+{
+    Fixture fixture({ teamOf("a", 1) });
+    for (int i = 0; i < 300; ++i)
+        fixture.admit("a");
+    // Each request costs three times its estimate; still ten a second are started.
+    for (int i = 0; i < 100; ++i) {
+        fixture.now += 100ms;
+        std::optional<QueuedRequest> next = fixture.controller.next(always, fixture.now);
+        fixture.controller.finished(next->id, 300, fixture.now);
+    }
+    QueuedRequest probe = requestOf("a", 0, 100, fixture.now, 60s);
+    CHECK(std::chrono::duration<double>(*fixture.controller.predictedWait(probe, fixture.now)).count() == Approx(20).epsilon(0.05));
+}
+
 TEST_CASE("when nothing drains, waiting work expires and new work still gets a try")
 {
     Fixture fixture({ teamOf("a", 1) });
