Keep counters of returning teams, make sums repeatable, pools lazy

A team that was removed and came back told a counter that began at zero, which the other daemons took for an old word, so that the team counted twice until it had caught up.

Sums over sources went in the order of a hash table that differs between processes; ordered maps make a run repeatable. A pool holds only the teams that used it, and words on teams nobody configures are forgotten with their source.

--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -24,7 +24,8 @@
 
     /// Queues or refuses a request.
     AdmissionDecision admit(QueuedRequest request, TimePoint now);
-    /// Returns the request to start now and counts it as in flight. \p canStart
+    /// Returns the request to start now and counts it as in flight; expire() is to
+    /// be called first, which costs next to nothing. \p canStart
     /// says whether a model has a free slot; reservations and the teams' limits
     /// are looked after here.
     std::optional<QueuedRequest> next(const CanStart& canStart, TimePoint now);
@@ -36,8 +37,8 @@
     void finished(RequestId id, double actualCost, TimePoint now);
     /// Takes out a waiting request whose caller is gone; false if it isn't waiting.
     bool remove(RequestId id, TimePoint now);
-    /// Returns what can no longer make its deadline, to be answered at once. To
-    /// be called by a timer, each quarter second or so: it also renews the shares.
+    /// Returns what can no longer make its deadline, to be answered at once. Also
+    /// renews the shares each half second, so a timer calls it as well.
     std::vector<DroppedRequest> expire(TimePoint now);
 
     /// Returns the predicted wait of a request if it were queued now; empty if
--- a/include/catkinwing/Admission/PoolQueue.h
+++ b/include/catkinwing/Admission/PoolQueue.h
@@ -24,6 +24,7 @@
     explicit PoolQueue(const SharePolicy& policy);
     ~PoolQueue();
 
+    bool knows(const std::string& team) const { return m_byName.contains(team); }
     /// Puts a team's weights in force; makes the team known.
     void setTeam(const TeamPolicy& policy, bool held, TimePoint now);
     /// Forgets a team; nothing of it may be queued.
@@ -84,6 +85,9 @@
     std::size_t m_waitingLong { 0 };
     std::vector<std::unique_ptr<TeamEntry>> m_teams;
     absl::flat_hash_map<std::string, TeamEntry*> m_byName;
+    /// What removed teams were served: a team that comes back counts on, since
+    /// the other daemons take a counter that went back for an old word.
+    std::map<std::string, double> m_removedServed;
     std::map<LaneKey, Lane> m_lanes;
 };
 
--- a/include/catkinwing/Admission/RegionalShares.h
+++ b/include/catkinwing/Admission/RegionalShares.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Admission/DecayingRate.h"
 #include "catkinwing/Admission/ServiceCounter.h"
 #include <absl/container/flat_hash_map.h>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -49,13 +50,13 @@
         TimePoint at {};
         DecayingRate rate;
     };
-    using Counters = absl::flat_hash_map<std::string, Counter>;
+    /// By source; ordered, so that sums are the same in every run.
+    using Counters = std::map<std::string, Counter>;
 
     double remoteTotal(TimePoint now) const;
 
     SharePolicy m_policy;
-    absl::flat_hash_map<std::string, Source> m_sources;
-    /// By team, then source.
+    std::map<std::string, Source> m_sources;
     absl::flat_hash_map<std::string, Counters> m_teams;
     /// The sum over the sources and the time it was made for.
     mutable double m_total { 0 };
--- a/include/catkinwing/Admission/ServiceCounter.h
+++ b/include/catkinwing/Admission/ServiceCounter.h
@@ -14,7 +14,10 @@
     std::uint64_t tokens { 0 };
 };
 
-/// Who told a counter: a daemon or a whole cell, and which life of it.
+/// Who told a counter, and which life of it: a daemon, or a relay that tells a
+/// whole cell's service. A relay's counter is its own sum of the increases it
+/// saw, so that it never goes back when a daemon of the cell restarts; another
+/// relay is another source. Later lives have higher incarnations.
 struct ServiceSource {
     std::string name;
     std::uint64_t incarnation { 0 };
--- a/lib/Admission/FairQueue.cpp
+++ b/lib/Admission/FairQueue.cpp
@@ -48,7 +48,7 @@
     /// favoured by its name.
     std::string nextPool;
 
-    PoolQueue& poolOf(const std::string& name, TimePoint now);
+    PoolQueue& poolOf(const std::string& name);
     PoolQueue* findPool(const std::string& name) const;
     void changeHolding(const std::string& name, TeamBacklog& team, std::size_t held);
     QueuedRequest take(RequestId id, TimePoint now);
@@ -78,14 +78,11 @@
     return found == pools.end() ? nullptr : found->second.get();
 }
 
-PoolQueue& FairQueue::State::poolOf(const std::string& name, TimePoint now)
+PoolQueue& FairQueue::State::poolOf(const std::string& name)
 {
     std::unique_ptr<PoolQueue>& pool = pools[name];
-    if (pool)
-        return *pool;
-    pool = std::make_unique<PoolQueue>(policy);
-    for (const auto& [teamName, team] : teams)
-        pool->setTeam(team.policy, team.startsHeld, now);
+    if (!pool)
+        pool = std::make_unique<PoolQueue>(policy);
     return *pool;
 }
 
@@ -189,8 +186,10 @@
         entry.weight = classPolicy.weight;
     }
     team.classes = std::move(classes);
-    for (auto& [name, pool] : state.pools)
-        pool->setTeam(policy, team.startsHeld, now);
+    for (auto& [name, pool] : state.pools) {
+        if (pool->knows(policy.name))
+            pool->setTeam(policy, team.startsHeld, now);
+    }
 }
 
 bool FairQueue::enqueue(QueuedRequest request, TimePoint now)
@@ -215,7 +214,11 @@
     state.changeHolding(queued.team, team, team.held + holdingOf(queued));
     ++team.queued;
     state.bytes += queued.bytes;
-    state.poolOf(queued.poolName(), now).add(queued, now);
+    // A pool holds only the teams that ever used it.
+    PoolQueue& pool = state.poolOf(queued.poolName());
+    if (!pool.knows(queued.team))
+        pool.setTeam(team.policy, team.startsHeld, now);
+    pool.add(queued, now);
     return true;
 }
 
@@ -311,7 +314,7 @@
 
 void FairQueue::applyRemoteService(const ServiceSource& source, const ServiceCounter& counter, TimePoint now)
 {
-    m_state->poolOf(counter.pool, now).regional().apply(source, counter, now);
+    m_state->poolOf(counter.pool).regional().apply(source, counter, now);
 }
 
 void FairQueue::forgetSource(const std::string& source)
--- a/lib/Admission/PoolQueue.cpp
+++ b/lib/Admission/PoolQueue.cpp
@@ -43,6 +43,9 @@
         team->weight = policy.weight;
         team->effectiveWeight = policy.weight;
         team->counter = m_virtualTime;
+        team->served = m_removedServed[policy.name];
+        team->servedPeak = team->served;
+        m_removedServed.erase(policy.name);
         m_byName.emplace(team->name, team);
     }
     team->weight = policy.weight;
@@ -66,6 +69,8 @@
     if (!team)
         return;
     assert(!team->queued && "a team is removed only once its queue is empty");
+    if (team->servedPeak >= 1)
+        m_removedServed[name] = team->servedPeak;
     m_byName.erase(name);
     m_regional.forgetTeam(name);
     // The last team takes the freed index; it may stand in some lanes' orders.
--- a/lib/Admission/RegionalShares.cpp
+++ b/lib/Admission/RegionalShares.cpp
@@ -84,6 +84,7 @@
     m_totalAt.reset();
     for (auto& [team, counters] : m_teams)
         counters.erase(source);
+    absl::erase_if(m_teams, [](const auto& entry) { return entry.second.empty(); });
 }
 
 void RegionalShares::prune(TimePoint now)
--- a/unittests/Admission/FairQueueTest.cpp
+++ b/unittests/Admission/FairQueueTest.cpp
@@ -330,3 +330,28 @@
     }
     CHECK(servedA == Approx(1000).margin(10));
 }
+
+TEST_CASE("the counter told to others never goes back")
+{
+    FairQueue queue;
+    TimePoint now {};
+    queue.configure({ teamOf("a", 1) }, now);
+    RequestId id = 0;
+    std::uint64_t told = 0;
+    auto serve = [&](double actual) {
+        queue.enqueue(requestOf("a", ++id, 100, now, 1h), now);
+        queue.settle(*queue.pickNext(always, now), actual, now);
+        std::vector<ServiceCounter> counters = queue.servedCounters();
+        REQUIRE(counters.size() == 1);
+        CHECK(counters[0].tokens >= told);
+        told = counters[0].tokens;
+    };
+    serve(100);
+    serve(0);
+    serve(20);
+    CHECK(told == 200);
+    queue.configure({}, now);
+    queue.configure({ teamOf("a", 1) }, now);
+    serve(400);
+    CHECK(told == 600);
+}
