--- /dev/null
+++ b/include/catkinwing/Platform/ConfigSource.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "catkinwing/Platform/Store.h"
+#include "catkinwing/Support/Random.h"
+#include "catkinwing/Support/Scheduler.h"
+#include <optional>
+
+namespace catkinwing {
+
+/// One document of the configuration as the store has it.
+struct ConfigChange {
+    /// Path below the prefix, such as "teams/T".
+    std::string path;
+    /// Never lower than an earlier one for the same path.
+    StoreRevision revision { 0 };
+    /// Empty if the document was deleted.
+    std::optional<std::string> text;
+};
+
+/// Settings of a source.
+struct ConfigSourceOptions {
+    /// Store keys that begin so are documents.
+    std::string prefix { "/catkinwing/config/" };
+    /// First pause after a failure; doubled up to the longest, with jitter.
+    std::chrono::milliseconds retryDelay { 500 };
+    std::chrono::milliseconds longestRetryDelay { 10'000 };
+    /// The watch is opened anew this often from the revision reached, which
+    /// finds what a silently dead connection kept back.
+    std::chrono::milliseconds renewWatchEvery { 10'000 };
+    /// The whole prefix is listed this often, behind all else.
+    std::chrono::milliseconds relistEvery { 3'600'000 };
+};
+
+/// Counts since the start of the process.
+struct ConfigSourceCounters {
+    std::uint64_t lists { 0 };
+    std::uint64_t watches { 0 };
+    std::uint64_t failures { 0 };
+    /// Answers older than what was already known; dropped.
+    std::uint64_t staleDropped { 0 };
+    std::uint64_t tombstonesFromLists { 0 };
+};
+
+/// Follows the configuration in the store by list and watch, through outages
+/// and compactions. Each document only ever moves to higher revisions.
+class ConfigSource {
+public:
+    using ChangesCallback = std::function<void(const std::vector<ConfigChange>&)>;
+
+    /// \p store, \p scheduler and \p random must outlive the source.
+    ConfigSource(Store& store, Scheduler& scheduler, Random& random, ConfigSourceOptions options, ChangesCallback onChanges);
+    ~ConfigSource();
+    ConfigSource(const ConfigSource&) = delete;
+    ConfigSource& operator=(const ConfigSource&) = delete;
+
+    void start();
+    void stop();
+
+    /// Tells of a document learnt elsewhere, such as from a peer: if the store
+    /// no longer has it, the next list gives a tombstone, and older revisions of it are not emitted.
+    void noteKnown(const std::string& path, StoreRevision revision, bool isTombstone);
+
+    /// Returns the store revision up to which all changes were emitted; zero before the first list.
+    StoreRevision revision() const;
+    /// Tells whether a watch is open and no failure has been seen since.
+    bool isFollowing() const;
+    const ConfigSourceCounters& counters() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace catkinwing
--- a/include/catkinwing/Platform/Store.h
+++ b/include/catkinwing/Platform/Store.h
@@ -29,7 +29,8 @@
     Committed,
     /// The key was at another revision; nothing was written.
     Conflict,
-    /// The request certainly did not reach the store.
+    /// The write certainly did not and will not take effect: no byte of it
+    /// left, or the store refused it.
     NotSent,
     /// The answer was lost; the write may have taken effect.
     Unknown,
@@ -64,7 +65,8 @@
 /// What a watch tells its owner.
 struct StoreWatchCallbacks {
     std::function<void(const std::vector<StoreEvent>&)> onEvents;
-    /// The watch ended, for instance because the connection was lost; called once.
+    /// The watch ended, for instance because the connection was lost; called
+    /// once. OutOfRange if its first revision was compacted away.
     std::function<void(const absl::Status&)> onEnd;
 };
 
