--- /dev/null
+++ b/lib/Platform/ConfigSource.cpp
@@ -0,0 +1,282 @@
+#include "catkinwing/Platform/ConfigSource.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace catkinwing {
+
+struct ConfigSource::Impl : std::enable_shared_from_this<Impl> {
+    /// What was last emitted or told of a document.
+    struct Known {
+        StoreRevision revision { 0 };
+        bool isTombstone { false };
+    };
+
+    Impl(Store& givenStore, Scheduler& givenScheduler, Random& givenRandom, ConfigSourceOptions givenOptions, ChangesCallback givenOnChanges)
+        : store(givenStore)
+        , scheduler(givenScheduler)
+        , random(givenRandom)
+        , options(std::move(givenOptions))
+        , onChanges(std::move(givenOnChanges))
+        , retryDelay(options.retryDelay)
+    {
+    }
+
+    // Wraps a callback so that it does nothing after stop().
+    template <typename Function>
+    auto whileRunning(Function function)
+    {
+        return [weak = weak_from_this(), run = run, function](const auto&... arguments) {
+            auto self = weak.lock();
+            if (self && self->isRunning && self->run == run)
+                function(*self, arguments...);
+        };
+    }
+
+    Duration spread(std::chrono::milliseconds pause);
+    void callLater(Duration delay, void (Impl::*step)());
+    void noteFailure();
+
+    void list();
+    void onListed(const absl::StatusOr<StoreListing>& listing);
+    void takeOver(const StoreListing& listing);
+    void addTombstones(const std::set<std::string>& listed, StoreRevision listedAt, std::vector<ConfigChange>& changes);
+    void relistFromTimeToTime();
+
+    void openWatch();
+    void onEvents(const std::vector<StoreEvent>& events);
+    void onWatchEnd(const absl::Status& status);
+    void renewWatchFromTimeToTime();
+    bool isNews(const std::string& path, StoreRevision changedAt, bool isTombstone);
+    void emit(const std::vector<ConfigChange>& changes);
+    void addIfNews(std::string path, StoreRevision changedAt, std::optional<std::string> text, std::vector<ConfigChange>& changes);
+
+    Store& store;
+    Scheduler& scheduler;
+    Random& random;
+    ConfigSourceOptions options;
+    ChangesCallback onChanges;
+    ConfigSourceCounters counters;
+
+    bool isRunning { false };
+    /// Counts start() calls, and watches opened, to tell old callbacks apart.
+    std::uint64_t run { 0 };
+    std::uint64_t watchNumber { 0 };
+    std::unique_ptr<StoreWatch> currentWatch;
+    bool isFollowing { false };
+    bool isListing { false };
+    std::chrono::milliseconds retryDelay;
+    StoreRevision revision { 0 };
+    std::map<std::string, Known> known;
+};
+
+Duration ConfigSource::Impl::spread(std::chrono::milliseconds pause)
+{
+    auto half = static_cast<std::uint64_t>(std::max<std::int64_t>(pause.count() / 2, 1));
+    return pause / 2 + std::chrono::milliseconds(random.below(half)) + std::chrono::milliseconds(1);
+}
+
+void ConfigSource::Impl::callLater(Duration delay, void (Impl::*step)())
+{
+    scheduler.callAfter(delay, whileRunning([step](Impl& self) { (self.*step)(); }));
+}
+
+void ConfigSource::Impl::noteFailure()
+{
+    ++counters.failures;
+    isFollowing = false;
+    retryDelay = std::min(retryDelay * 2, options.longestRetryDelay);
+}
+
+void ConfigSource::Impl::list()
+{
+    if (isListing)
+        return;
+    isListing = true;
+    ++counters.lists;
+    store.list(options.prefix, whileRunning([](Impl& self, const absl::StatusOr<StoreListing>& listing) { self.onListed(listing); }));
+}
+
+void ConfigSource::Impl::onListed(const absl::StatusOr<StoreListing>& listing)
+{
+    isListing = false;
+    bool isStale = listing.ok() && listing->revision < revision;
+    if (isStale)
+        ++counters.staleDropped;
+    // The watch may run ahead of a list that is under way.
+    if (isStale && isFollowing)
+        return;
+    if (!listing.ok() || isStale) {
+        callLater(spread(retryDelay), &Impl::list);
+        noteFailure();
+        return;
+    }
+    retryDelay = options.retryDelay;
+    takeOver(*listing);
+    openWatch();
+}
+
+void ConfigSource::Impl::takeOver(const StoreListing& listing)
+{
+    std::vector<ConfigChange> changes;
+    std::set<std::string> listed;
+    for (const auto& value : listing.values) {
+        std::string path = value.key.substr(options.prefix.size());
+        listed.insert(path);
+        addIfNews(std::move(path), value.revision, value.value, changes);
+    }
+    addTombstones(listed, listing.revision, changes);
+    std::stable_sort(changes.begin(), changes.end(), [](const auto& a, const auto& b) { return a.revision < b.revision; });
+    revision = listing.revision;
+    emit(changes);
+}
+
+void ConfigSource::Impl::addTombstones(const std::set<std::string>& listed, StoreRevision listedAt, std::vector<ConfigChange>& changes)
+{
+    for (const auto& [path, last] : known) {
+        // One that is known at a later revision was made after the listing.
+        bool wasDeleted = !last.isTombstone && last.revision <= listedAt && listed.count(path) == 0;
+        if (!wasDeleted)
+            continue;
+        ++counters.tombstonesFromLists;
+        changes.push_back({ path, listedAt, std::nullopt });
+    }
+    for (const auto& change : changes) {
+        if (!change.text)
+            known[change.path] = { change.revision, true };
+    }
+}
+
+void ConfigSource::Impl::openWatch()
+{
+    if (!isRunning)
+        return;
+    ++counters.watches;
+    ++watchNumber;
+    isFollowing = true;
+    StoreWatchCallbacks callbacks;
+    callbacks.onEvents = whileRunning([number = watchNumber](Impl& self, const std::vector<StoreEvent>& events) {
+        if (number == self.watchNumber)
+            self.onEvents(events);
+    });
+    callbacks.onEnd = whileRunning([number = watchNumber](Impl& self, const absl::Status& status) {
+        if (number == self.watchNumber)
+            self.onWatchEnd(status);
+    });
+    currentWatch = store.watch(options.prefix, revision + 1, std::move(callbacks));
+}
+
+void ConfigSource::Impl::onEvents(const std::vector<StoreEvent>& events)
+{
+    retryDelay = options.retryDelay;
+    std::vector<ConfigChange> changes;
+    for (const auto& event : events) {
+        std::optional<std::string> text;
+        if (!event.isDeletion)
+            text = event.current.value;
+        addIfNews(event.current.key.substr(options.prefix.size()), event.current.revision, std::move(text), changes);
+        revision = std::max(revision, event.current.revision);
+    }
+    emit(changes);
+}
+
+void ConfigSource::Impl::onWatchEnd(const absl::Status& status)
+{
+    Duration pause = spread(retryDelay);
+    noteFailure();
+    // Deletions in the part that was compacted show only in a list.
+    callLater(pause, absl::IsOutOfRange(status) ? &Impl::list : &Impl::openWatch);
+}
+
+void ConfigSource::Impl::renewWatchFromTimeToTime()
+{
+    callLater(spread(options.renewWatchEvery), &Impl::renewWatchFromTimeToTime);
+    if (isFollowing)
+        openWatch();
+}
+
+void ConfigSource::Impl::relistFromTimeToTime()
+{
+    callLater(spread(options.relistEvery), &Impl::relistFromTimeToTime);
+    if (isFollowing)
+        list();
+}
+
+bool ConfigSource::Impl::isNews(const std::string& path, StoreRevision changedAt, bool isTombstone)
+{
+    Known& last = known[path];
+    if (changedAt <= last.revision) {
+        if (changedAt < last.revision)
+            ++counters.staleDropped;
+        return false;
+    }
+    last = { changedAt, isTombstone };
+    return true;
+}
+
+void ConfigSource::Impl::addIfNews(std::string path, StoreRevision changedAt, std::optional<std::string> text, std::vector<ConfigChange>& changes)
+{
+    if (isNews(path, changedAt, !text))
+        changes.push_back({ std::move(path), changedAt, std::move(text) });
+}
+
+void ConfigSource::Impl::emit(const std::vector<ConfigChange>& changes)
+{
+    if (!changes.empty())
+        onChanges(changes);
+}
+
+ConfigSource::ConfigSource(Store& store, Scheduler& scheduler, Random& random, ConfigSourceOptions options, ChangesCallback onChanges)
+    : m_impl(std::make_shared<Impl>(store, scheduler, random, std::move(options), std::move(onChanges)))
+{
+}
+
+ConfigSource::~ConfigSource()
+{
+    stop();
+}
+
+void ConfigSource::start()
+{
+    if (m_impl->isRunning)
+        return;
+    m_impl->isRunning = true;
+    ++m_impl->run;
+    m_impl->list();
+    m_impl->callLater(m_impl->spread(m_impl->options.renewWatchEvery), &Impl::renewWatchFromTimeToTime);
+    m_impl->callLater(m_impl->spread(m_impl->options.relistEvery), &Impl::relistFromTimeToTime);
+}
+
+void ConfigSource::stop()
+{
+    m_impl->isRunning = false;
+    m_impl->isListing = false;
+    m_impl->isFollowing = false;
+    m_impl->currentWatch.reset();
+}
+
+void ConfigSource::noteKnown(const std::string& path, StoreRevision revision, bool isTombstone)
+{
+    Impl::Known& last = m_impl->known[path];
+    if (revision > last.revision)
+        last = { revision, isTombstone };
+}
+
+StoreRevision ConfigSource::revision() const
+{
+    return m_impl->revision;
+}
+
+bool ConfigSource::isFollowing() const
+{
+    return m_impl->isFollowing;
+}
+
+const ConfigSourceCounters& ConfigSource::counters() const
+{
+    return m_impl->counters;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Platform/ConfigSourceTest.cpp
@@ -0,0 +1,168 @@
+#include "catkinwing/Platform/ConfigSource.h"
+
+#include "FakeStore.h"
+#include "catkinwing/Support/ManualScheduler.h"
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Bench {
+    ManualScheduler scheduler;
+    FakeStore store { scheduler };
+    Random random { 7 };
+    std::map<std::string, ConfigChange> current;
+    std::vector<ConfigChange> changes;
+    ConfigSource source { store, scheduler, random, options(), [this](const auto& given) { take(given); } };
+
+    static ConfigSourceOptions options()
+    {
+        ConfigSourceOptions options;
+        options.prefix = "c/";
+        return options;
+    }
+
+    void take(const std::vector<ConfigChange>& given)
+    {
+        for (const auto& change : given) {
+            REQUIRE(change.revision > current[change.path].revision);
+            current[change.path] = change;
+            changes.push_back(change);
+        }
+    }
+
+    bool doesMatchStore(const std::vector<std::string>& paths)
+    {
+        for (const auto& path : paths) {
+            StoredValue stored = store.peek("c/" + path);
+            const auto& text = current[path].text;
+            bool matches = stored.revision == 0 ? !text : (text && *text == stored.value && current[path].revision == stored.revision);
+            if (!matches)
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a source emits the listing and then each change in order")
+{
+    Bench bench;
+    bench.store.put("c/b", "1");
+    bench.store.put("c/a", "2");
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    bench.store.put("c/b", "3");
+    bench.store.erase("c/a");
+    bench.store.put("other", "4");
+    bench.scheduler.advance(1s);
+    REQUIRE(bench.changes.size() == 4);
+    CHECK(bench.changes[0].path == "b");
+    CHECK(bench.changes[1].path == "a");
+    CHECK(bench.changes[2].text == "3");
+    CHECK_FALSE(bench.changes[3].text);
+    CHECK(bench.source.isFollowing());
+}
+
+TEST_CASE("a deletion during an outage is found after a compaction")
+{
+    bool isCompacted = GENERATE(true, false);
+    Bench bench;
+    bench.store.put("c/a", "1");
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    bench.store.setDown(true);
+    bench.scheduler.advance(20s);
+    CHECK_FALSE(bench.source.isFollowing());
+    bench.store.erase("c/a");
+    StoreRevision deletedAt = bench.store.revision();
+    bench.store.put("c/b", "2");
+    if (isCompacted)
+        bench.store.compact();
+    bench.store.setDown(false);
+    bench.scheduler.advance(30s);
+    CHECK(bench.source.isFollowing());
+    CHECK(bench.doesMatchStore({ "a", "b" }));
+    CHECK(bench.current["a"].revision == (isCompacted ? bench.store.revision() : deletedAt));
+}
+
+TEST_CASE("a document known from a peer that the store has lost becomes a tombstone")
+{
+    Bench bench;
+    StoreRevision madeAt = bench.store.put("c/a", "1");
+    bench.store.erase("c/a");
+    bench.store.put("c/b", "2");
+    bench.source.noteKnown("a", madeAt, false);
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    REQUIRE(bench.current.count("a") == 1);
+    CHECK_FALSE(bench.current["a"].text);
+    CHECK(bench.current["a"].revision == bench.store.revision());
+}
+
+TEST_CASE("a document known at a later revision than the listing stays")
+{
+    Bench bench;
+    bench.store.put("c/a", "1");
+    bench.source.noteKnown("a", 100, false);
+    bench.source.noteKnown("b", 101, false);
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    CHECK(bench.changes.empty());
+}
+
+TEST_CASE("a silent cut is caught up with after the heal")
+{
+    Bench bench;
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    bench.store.setSilent(true);
+    bench.store.put("c/a", "1");
+    bench.scheduler.advance(3600s);
+    CHECK(bench.changes.empty());
+    bench.store.setSilent(false);
+    bench.scheduler.advance(20s);
+    CHECK(bench.doesMatchStore({ "a" }));
+}
+
+TEST_CASE("a source that stopped emits nothing and may start again")
+{
+    Bench bench;
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    bench.source.stop();
+    bench.store.put("c/a", "1");
+    bench.scheduler.advance(60s);
+    CHECK(bench.changes.empty());
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    CHECK(bench.changes.size() == 1);
+}
+
+TEST_CASE("a source ends equal to the store after random faults")
+{
+    const std::vector<std::string> paths { "a", "b", "teams/c" };
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        INFO("seed " << seed);
+        Bench bench;
+        Random random(seed);
+        bench.source.start();
+        for (int i = 0; i < 60; ++i) {
+            std::string key = "c/" + paths[random.below(paths.size())];
+            random.below(3) == 0 ? bench.store.erase(key) : static_cast<void>(bench.store.put(key, std::to_string(i)));
+            bench.store.setDown(random.below(4) == 0);
+            bench.store.setSilent(random.below(4) == 0);
+            bench.store.failNext(StoreCallGroup::Read, static_cast<StoreFault>(random.below(4)));
+            if (random.below(5) == 0)
+                bench.store.compact();
+            bench.scheduler.advance(std::chrono::milliseconds(random.below(8'000)));
+        }
+        bench.store.setDown(false);
+        bench.store.setSilent(false);
+        bench.scheduler.advance(120s);
+        REQUIRE(bench.doesMatchStore(paths));
+    }
+}
