--- a/include/catkinwing/Platform/Store.h
+++ b/include/catkinwing/Platform/Store.h
@@ -89,7 +89,7 @@
     virtual void list(const std::string& prefix, ListCallback done) = 0;
     /// Writes \p value if the key is still at \p expected (zero: absent).
     virtual void compareAndSwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease, SwapCallback done) = 0;
-    /// Deletes the key if it is still at \p expected.
+    /// Deletes the key if it is still at \p expected, which must not be zero.
     virtual void compareAndDelete(const std::string& key, StoreRevision expected, SwapCallback done) = 0;
     /// Watches every key that begins with \p prefix from \p firstRevision on.
     virtual std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) = 0;
--- a/unittests/Platform/ConfigSourceTest.cpp
+++ b/unittests/Platform/ConfigSourceTest.cpp
@@ -128,6 +128,25 @@
     CHECK(bench.doesMatchStore({ "a" }));
 }
 
+TEST_CASE("a list that the watch overtook is dropped and no failure")
+{
+    Bench bench;
+    bench.source.start();
+    bench.scheduler.advance(1s);
+    bench.store.setLatency(1s);
+    std::size_t before = bench.store.calls(StoreCallGroup::Read);
+    while (bench.source.counters().lists < 2)
+        bench.scheduler.advance(10ms);
+    REQUIRE(bench.store.calls(StoreCallGroup::Read) > before);
+    bench.scheduler.advance(510ms);
+    bench.store.setLatency(2ms);
+    bench.store.put("c/a", "1");
+    bench.scheduler.advance(1s);
+    CHECK(bench.source.counters().staleDropped == 1);
+    CHECK(bench.source.counters().failures == 0);
+    CHECK(bench.doesMatchStore({ "a" }));
+}
+
 TEST_CASE("a source that stopped emits nothing and may start again")
 {
     Bench bench;
