--- a/include/catkinwing/Platform/Store.h
+++ b/include/catkinwing/Platform/Store.h
@@ -29,7 +29,8 @@
     Committed,
     /// The key was at another revision; nothing was written.
     Conflict,
-    /// The request certainly did not reach the store.
+    /// The write certainly did not and will not take effect: no byte of it
+    /// left, or the store refused it.
     NotSent,
     /// The answer was lost; the write may have taken effect.
     Unknown,
@@ -64,7 +65,8 @@
 /// What a watch tells its owner.
 struct StoreWatchCallbacks {
     std::function<void(const std::vector<StoreEvent>&)> onEvents;
-    /// The watch ended, for instance because the connection was lost; called once.
+    /// The watch ended, for instance because the connection was lost; called
+    /// once. OutOfRange if its first revision was compacted away.
     std::function<void(const absl::Status&)> onEnd;
 };
 
@@ -87,7 +89,7 @@
     virtual void list(const std::string& prefix, ListCallback done) = 0;
     /// Writes \p value if the key is still at \p expected (zero: absent).
     virtual void compareAndSwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease, SwapCallback done) = 0;
-    /// Deletes the key if it is still at \p expected.
+    /// Deletes the key if it is still at \p expected, which must not be zero.
     virtual void compareAndDelete(const std::string& key, StoreRevision expected, SwapCallback done) = 0;
     /// Watches every key that begins with \p prefix from \p firstRevision on.
     virtual std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) = 0;
