--- /dev/null
+++ b/include/catkinwing/Dispatch/IdempotencyLedger.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "catkinwing/Dispatch/Claim.h"
+#include "catkinwing/Platform/Store.h"
+#include "catkinwing/Support/Scheduler.h"
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinwing {
+
+/// Layout of the ledger in the store: the same on every entry, for good, since
+/// entries that disagree would look for a key in different places.
+struct LedgerLayout {
+    std::string keyPrefix { "catkinwing/ledger/" };
+    /// Number of shards among which the keys are divided.
+    unsigned shards { 16 };
+    /// Documents of a shard, which take turns as its open generation.
+    unsigned slots { 8 };
+    /// How long a key is kept at least.
+    std::chrono::milliseconds retention { std::chrono::hours(24) };
+    /// Added to the retention for clocks that run fast; covers 690 ppm in 24 h.
+    std::chrono::milliseconds retentionMargin { std::chrono::minutes(1) };
+    /// Size at which a generation is sealed if the next slot is free.
+    std::size_t targetDocumentBytes { 64u << 10 };
+    /// Size that a document never passes; claims are refused before that.
+    std::size_t maxDocumentBytes { 768u << 10 };
+};
+
+/// Timing and bounds of one entry's ledger.
+struct LedgerOptions {
+    LedgerLayout layout;
+    /// How long a claim waits for others to share its swap.
+    std::chrono::milliseconds batchDelay { 5 };
+    /// Least time between two swaps of a shard by this entry.
+    std::chrono::milliseconds minSwapInterval { 100 };
+    /// A claim that isn't settled by then is given up.
+    std::chrono::milliseconds claimTimeout { 1'000 };
+    /// How long a coordinator is waited for.
+    std::chrono::milliseconds forwardTimeout { 300 };
+    /// After the store failed, claims are refused at once for this long.
+    std::chrono::milliseconds storeRetryInterval { 250 };
+    /// Claims that may wait at once; more are refused.
+    std::size_t maxPendingClaims { 10'000 };
+    /// Given-up claims that are remembered, so that their keys can be used again.
+    std::size_t maxReleasedClaims { 65'536 };
+};
+
+/// Sends claims to the coordinator of their shard, to share its swaps.
+class ClaimForwarder {
+public:
+    using DoneCallback = std::function<void(absl::StatusOr<ClaimResult>)>;
+
+    virtual ~ClaimForwarder() = default;
+    /// Asks \p entry to record the claim by its handleForwarded(). Calls
+    /// \p done later, at most once; any failure may mean that it was recorded.
+    virtual void forward(const std::string& entry, const ClaimRecord& claim, DoneCallback done) = 0;
+};
+
+/// Returns the entry that coordinates a shard; empty or this entry's name to
+/// swap here. Entries may disagree: this only saves writes.
+using CoordinatorOf = std::function<std::string(unsigned shard)>;
+
+/// Numbers of a ledger, for metrics.
+struct LedgerCounters {
+    std::uint64_t won { 0 };
+    std::uint64_t alreadyClaimed { 0 };
+    std::uint64_t notAvailable { 0 };
+    std::uint64_t forwarded { 0 };
+    std::uint64_t forwardsFailed { 0 };
+    std::uint64_t swaps { 0 };
+    std::uint64_t swapConflicts { 0 };
+    std::uint64_t swapsUnknown { 0 };
+    std::uint64_t loads { 0 };
+    /// Claims recorded, those of other entries included.
+    std::uint64_t claimsRecorded { 0 };
+};
+
+/// Records who may run a request with an idempotency key.
+///
+/// The right to run is won by a compare-and-swap that adds the claim, and by
+/// nothing else. The claim names its claimant, which alone may run the request.
+/// docs in the source say why no lost answer, pause, change of coordinator or
+/// change of generation can let a key run twice while it is kept.
+///
+/// How to use it: claim() before dispatch. Won: run once; release() if it
+/// turned out not to run. AlreadyClaimed: answer 422 if isOtherRequest, else
+/// send the request to the holder's entry, where claim() and then
+/// RunningAnswers and FinishedAnswers settle it; if the holder's incarnation is
+/// gone or doesn't know the id, the answer is `unknown`. NotAvailable: answer
+/// `not-run`. This speaks of the request at hand: an earlier one with the same
+/// key may have run, so the caller repeats with the same key.
+///
+/// Store calls: a shard is swapped at most once in minSwapInterval by its
+/// coordinator, so 16 shards make at most 160 writes/s; 700 claims/s then share
+/// a swap by 4.4 and wait 50 ms at the mean, while at less than 10 claims/s a
+/// shard a claim waits batchDelay only. A claim takes about 34 bytes: a
+/// document of 64 KiB holds about 1,900, and 16 shards of 8 such documents
+/// 240,000 claims a day. A document grows to at most maxDocumentBytes (2.9 million
+/// claims a day), then claims are refused as NotAvailable.
+class IdempotencyLedger {
+public:
+    using ClaimCallback = std::function<void(const ClaimResult&)>;
+
+    /// \p store, \p scheduler and \p forwarder must outlive the ledger;
+    /// \p forwarder may be null. \p entry and \p incarnation name this process.
+    IdempotencyLedger(Store& store, Scheduler& scheduler, LedgerOptions options, std::string entry, std::uint64_t incarnation,
+        CoordinatorOf coordinatorOf, ClaimForwarder* forwarder);
+    ~IdempotencyLedger();
+    IdempotencyLedger(const IdempotencyLedger&) = delete;
+    IdempotencyLedger& operator=(const IdempotencyLedger&) = delete;
+
+    /// Claims a key for this entry; \p done is called once, later.
+    void claim(absl::string_view team, absl::string_view key, std::uint64_t fingerprint, ClaimCallback done);
+    /// Records a claim for another entry, as its shard's coordinator.
+    void handleForwarded(const ClaimRecord& claim, ClaimCallback done);
+    /// States that nothing was executed under an id that this entry won, and
+    /// nothing will be; the key can then be claimed anew through this entry.
+    void release(const ClaimId& id);
+    /// Returns the shard of a key, for coordinator functions.
+    unsigned shardOf(const KeyDigest& key) const;
+    const LedgerCounters& counters() const;
+
+private:
+    friend class LedgerTestAccess;
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace catkinwing
