--- a/include/catkinwing/Dispatch/Answers.h
+++ b/include/catkinwing/Dispatch/Answers.h
@@ -26,7 +26,7 @@
     }
 
     /// Keeps a whole answer; one larger than the bound is not kept.
-    void put(const ClaimId& id, std::shared_ptr<const Answer> answer);
+    void put(const ClaimId& id, const std::shared_ptr<const Answer>& answer);
     /// Returns the answer, or null if it was never kept or has been dropped.
     std::shared_ptr<const Answer> find(const ClaimId& id) const;
     std::size_t bytes() const { return m_bytes; }
--- a/include/catkinwing/Dispatch/Claim.h
+++ b/include/catkinwing/Dispatch/Claim.h
@@ -24,6 +24,7 @@
     }
     friend bool operator!=(const ClaimId& a, const ClaimId& b) { return !(a == b); }
     template <typename H>
+    // NOLINTNEXTLINE(readability-identifier-naming): abseil looks for this name.
     friend H AbslHashValue(H state, const ClaimId& id)
     {
         return H::combine(std::move(state), id.entry, id.incarnation, id.serial);
@@ -37,6 +38,7 @@
 
     friend bool operator==(const KeyDigest& a, const KeyDigest& b) { return a.high == b.high && a.low == b.low; }
     template <typename H>
+    // NOLINTNEXTLINE(readability-identifier-naming): abseil looks for this name.
     friend H AbslHashValue(H state, const KeyDigest& digest)
     {
         return H::combine(std::move(state), digest.high, digest.low);
--- a/include/catkinwing/Dispatch/IdempotencyLedger.h
+++ b/include/catkinwing/Dispatch/IdempotencyLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinwing/Dispatch/Claim.h"
+#include "catkinwing/Dispatch/LedgerDocument.h"
 #include "catkinwing/Platform/Store.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <functional>
@@ -9,24 +10,6 @@
 
 namespace catkinwing {
 
-/// Layout of the ledger in the store: the same on every entry, for good, since
-/// entries that disagree would look for a key in different places.
-struct LedgerLayout {
-    std::string keyPrefix { "catkinwing/ledger/" };
-    /// Number of shards among which the keys are divided.
-    unsigned shards { 16 };
-    /// Documents of a shard, which take turns as its open generation.
-    unsigned slots { 8 };
-    /// How long a key is kept at least.
-    std::chrono::milliseconds retention { std::chrono::hours(24) };
-    /// Added to the retention for clocks that run fast; covers 690 ppm in 24 h.
-    std::chrono::milliseconds retentionMargin { std::chrono::minutes(1) };
-    /// Size at which a generation is sealed if the next slot is free.
-    std::size_t targetDocumentBytes { 64u << 10 };
-    /// Size that a document never passes; claims are refused before that.
-    std::size_t maxDocumentBytes { 768u << 10 };
-};
-
 /// Timing and bounds of one entry's ledger.
 struct LedgerOptions {
     LedgerLayout layout;
@@ -40,6 +23,8 @@
     std::chrono::milliseconds forwardTimeout { 300 };
     /// After the store failed, claims are refused at once for this long.
     std::chrono::milliseconds storeRetryInterval { 250 };
+    /// Claims that share one swap at most.
+    std::size_t maxClaimsPerSwap { 1'000 };
     /// Claims that may wait at once; more are refused.
     std::size_t maxPendingClaims { 10'000 };
     /// Given-up claims that are remembered, so that their keys can be used again.
@@ -72,6 +57,8 @@
     std::uint64_t swapConflicts { 0 };
     std::uint64_t swapsUnknown { 0 };
     std::uint64_t loads { 0 };
+    /// Loads of shards that another layout or another hand has written.
+    std::uint64_t unreadableShards { 0 };
     /// Claims recorded, those of other entries included.
     std::uint64_t claimsRecorded { 0 };
 };
@@ -80,8 +67,8 @@
 ///
 /// The right to run is won by a compare-and-swap that adds the claim, and by
 /// nothing else. The claim names its claimant, which alone may run the request.
-/// docs in the source say why no lost answer, pause, change of coordinator or
-/// change of generation can let a key run twice while it is kept.
+/// The sources say why no lost answer, pause, change of coordinator or change
+/// of generation lets a key run twice while it is kept.
 ///
 /// How to use it: claim() before dispatch. Won: run once; release() if it
 /// turned out not to run. AlreadyClaimed: answer 422 if isOtherRequest, else
--- a/include/catkinwing/Dispatch/IssuedKeys.h
+++ b/include/catkinwing/Dispatch/IssuedKeys.h
@@ -45,7 +45,7 @@
 /// Bounds of issued keys.
 struct IssuedKeyLimits {
     std::chrono::milliseconds lifetime { std::chrono::hours(24) };
-    /// Keys that are not expired; more are refused. 16 bytes each.
+    /// Keys that are not expired; more are refused. 24 bytes each.
     std::size_t maxKeys { 500'000 };
 };
 
@@ -69,7 +69,8 @@
     absl::StatusOr<std::string> issue(absl::string_view team);
     /// Uses a key for a request of \p team.
     IssuedKeyUse use(absl::string_view team, absl::string_view key, std::uint64_t fingerprint);
-    /// Takes a use back, because nothing was executed under it.
+    /// Takes a use back, because nothing was executed under it and nothing will
+    /// be. The key's next use gets another id.
     void release(const ClaimId& id);
     std::size_t keysOut() const { return m_uses.size(); }
 
@@ -78,11 +79,14 @@
         TimePoint issuedAt;
         /// Zero while unused; a used key's fingerprint is never zero.
         std::uint64_t fingerprint { 0 };
+        /// Counts the uses that were taken back.
+        std::uint32_t releases { 0 };
     };
 
     void dropExpired();
     std::string macOf(absl::string_view team, std::uint64_t serial) const;
     Use* find(std::uint64_t serial);
+    ClaimId idOf(std::uint64_t serial, std::uint32_t releases) const;
 
     const Clock& m_clock;
     IssuedKeyLimits m_limits;
--- a/include/catkinwing/Dispatch/SseSplicer.h
+++ b/include/catkinwing/Dispatch/SseSplicer.h
@@ -98,8 +98,8 @@
     std::string m_partial;
     std::size_t m_lineBytes { 0 };
     bool m_lastWasCarriageReturn { false };
+    /// A blank line ended with a carriage return; a line feed may belong to it.
     bool m_endsAfterCarriageReturn { false };
-    bool m_hasBytes { false };
 };
 
 } // namespace catkinwing
