--- a/include/catkinwing/Standin/StandinFrontend.h
+++ b/include/catkinwing/Standin/StandinFrontend.h
@@ -60,8 +60,8 @@
 
     void handleControl(const HttpRequest& request, HttpResponder& responder);
     void replaceFaults(const HttpRequest& request, HttpResponder& responder);
-    void admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, CallIdentity identity, FaultPlan plan);
-    void hang(std::shared_ptr<HttpResponder> responder, const CallIdentity& identity);
+    void admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, const CallIdentity& identity, FaultPlan plan);
+    void hang(const std::shared_ptr<HttpResponder>& responder, const CallIdentity& identity);
 
     Scheduler& m_scheduler;
     ExecutionLog& m_log;
