--- a/include/catkinwing/Standin/StoreState.h
+++ b/include/catkinwing/Standin/StoreState.h
@@ -154,12 +154,12 @@
     }
 
     std::int64_t revision() const { return m_revision; }
-    /// Revisions up to this one are compacted.
+    /// Revisions before this one are compacted.
     std::int64_t compactedRevision() const { return m_compacted; }
 
     /// Runs a transaction; nothing is written unless all of it can be.
     absl::StatusOr<TransactionResult> run(const TransactionRequest& request);
-    /// Forgets the history up to \p revision.
+    /// Forgets the history before \p revision.
     absl::Status compact(std::int64_t revision);
 
     /// Grants a lease from \p now; zero as \p wanted picks an id.
@@ -188,6 +188,7 @@
     };
     struct Watch {
         KeyRange range;
+        std::int64_t firstRevision { 0 };
         WatchSink sink;
     };
     struct HistoryEntry {
