--- a/include/catkinwing/Standin/EngineAssignment.h
+++ b/include/catkinwing/Standin/EngineAssignment.h
@@ -28,8 +28,15 @@
 /// Reads {"fencing", "desired": {"models", "adapters", "role"}}.
 absl::StatusOr<EngineOrder> parseEngineOrder(const nlohmann::json& document);
 
-/// Fetches the weight of an adapter; Unavailable asks for another try later.
-using WeightFetcher = std::function<void(const std::string& adapter, std::function<void(absl::Status)> done)>;
+/// How the fetch of a weight ended.
+struct WeightFetchResult {
+    absl::Status status;
+    /// When to try again after a failure.
+    Duration retryAfter { std::chrono::seconds(1) };
+};
+
+/// Fetches the weight of an adapter; calls back later, on the loop.
+using WeightFetcher = std::function<void(const std::string& adapter, std::function<void(const WeightFetchResult&)> done)>;
 
 /// The models, adapters and role of an engine, and the orders it took.
 class EngineAssignment {
@@ -52,7 +59,7 @@
 
 private:
     void load(const std::string& adapter);
-    void loaded(const std::string& adapter, const absl::Status& status);
+    void loaded(const std::string& adapter, const WeightFetchResult& result);
 
     Scheduler& m_scheduler;
     DesiredState m_desired;
--- a/include/catkinwing/Standin/EngineModel.h
+++ b/include/catkinwing/Standin/EngineModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinwing/Standin/EngineCache.h"
+#include "catkinwing/Standin/EngineText.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/status/statusor.h>
 #include <cstdint>
@@ -12,9 +13,6 @@
 
 namespace catkinwing::standin {
 
-/// Bytes of text that count as one token.
-constexpr std::size_t bytesPerToken = 4;
-
 /// Speed and limits of an engine.
 struct EngineSettings {
     /// Streams in the batch.
@@ -65,13 +63,6 @@
 /// Names a job; never zero.
 using JobId = std::uint64_t;
 
-/// Returns output token \p index for \p prompt: the prompt's marker first, then
-/// words that depend on the prompt alone.
-std::string engineToken(absl::string_view prompt, std::size_t index);
-
-/// Returns the number of tokens in \p text.
-std::size_t countTokens(absl::string_view text);
-
 /// Scheduling of an engine that batches continuously: in each step the running
 /// streams share a chunk of prefill and those past it decode one token each.
 class EngineModel {
@@ -96,6 +87,7 @@
         JobId id { 0 };
         EngineJob job;
         EngineJobCallbacks callbacks;
+        EngineText text;
         std::vector<std::uint64_t> hashes;
         std::size_t prefillLeft { 0 };
         std::size_t nextToken { 0 };
