Refuse the fault switches that the HTTP library can't carry out

Cause: the HTTP package drops header fields whose names are not valid and aborts an answer longer than announced, so "garbage": "http" and "leftover" would have been switched on without doing what they say. The fakes of the tests hid it, as they take any bytes. Ruled out: bytes behind a chunked body, which the library frames itself. A cut after no bytes at all is refused too: the head would not have been sent either.

--- a/include/catkinwing/Standin/Faults.h
+++ b/include/catkinwing/Standin/Faults.h
@@ -26,14 +26,6 @@
     FaultTrigger trigger;
 };
 
-/// What is wrong with an answer.
-enum class GarbageKind {
-    /// The head of the answer is not HTTP.
-    Http,
-    /// The body is not JSON, though the head says so.
-    Json,
-};
-
 /// The fault switches of a stand-in. Each is absent when off.
 struct FaultSettings {
     /// Closes connections at once.
@@ -50,13 +42,12 @@
     std::optional<Fault<bool>> leaving;
     /// Waits before the request is handled, so that its effect is late too.
     std::optional<Fault<Duration>> delay;
-    /// Closes the connection after this many bytes of body.
+    /// Closes the connection after this many bytes of body, at least one.
     std::optional<Fault<std::int64_t>> cutAfterBytes;
-    /// Closes the connection after this many events of a stream.
+    /// Closes the connection after this many events of a stream, at least one.
     std::optional<Fault<std::int64_t>> cutAfterEvents;
-    std::optional<Fault<GarbageKind>> garbage;
-    /// Bytes sent after a complete answer.
-    std::optional<Fault<std::string>> leftover;
+    /// Sends a body that is not JSON, though the head says so.
+    std::optional<Fault<bool>> garbage;
     /// Factor on the time of each engine step; has no trigger.
     double slow { 1 };
     /// Names of processes whose requests are cut off.
@@ -64,6 +55,9 @@
 };
 
 /// Reads fault switches; InvalidArgument names an unknown switch or a wrong type.
+/// The HTTP library sends neither a head that is not HTTP nor bytes after a
+/// complete answer: {"garbage": "http"} and "leftover" are refused as
+/// Unimplemented, and the raw stand-in does both.
 /// A switch is its plain value, or {"value", "probability", "times", "path"}.
 absl::StatusOr<FaultSettings> parseFaults(const nlohmann::json& document);
 /// Writes fault switches as parseFaults() reads them.
@@ -80,8 +74,7 @@
     Duration delay {};
     std::optional<std::int64_t> cutAfterBytes;
     std::optional<std::int64_t> cutAfterEvents;
-    std::optional<GarbageKind> garbage;
-    std::string leftover;
+    bool garbage { false };
 };
 
 /// Draws the faults of \p call from \p settings and counts them down.
--- a/lib/Standin/Faults.cpp
+++ b/lib/Standin/Faults.cpp
@@ -33,10 +33,11 @@
     { "cutAfterBytes", &FaultSettings::cutAfterBytes },
     { "cutAfterEvents", &FaultSettings::cutAfterEvents },
 };
-constexpr const char* otherFaults[] = { "delay", "garbage", "leftover", "slow", "blockFrom" };
+constexpr const char* otherFaults[] = { "delay", "garbage", "slow", "blockFrom" };
 constexpr const char* triggerFields[] = { "value", "probability", "times", "path" };
-constexpr const char* garbageHttp = "http";
 constexpr const char* garbageJson = "json";
+constexpr const char* garbageHttp = "http";
+constexpr const char* leftoverFault = "leftover";
 
 static bool readValue(JsonReader& reader, bool& value)
 {
@@ -114,19 +115,33 @@
     return absl::OkStatus();
 }
 
+static absl::Status needsRaw(const char* name)
+{
+    return absl::UnimplementedError(absl::StrCat("fault \"", name, "\": HTTP library can't send this, use the raw stand-in"));
+}
+
 static absl::Status parseGarbage(const nlohmann::json& document, FaultSettings& settings)
 {
     std::optional<Fault<std::string>> named;
     absl::Status status = parseFault(document, "garbage", named);
     if (!status.ok() || !named)
         return status;
-    if (named->value != garbageHttp && named->value != garbageJson)
-        return inField("garbage", absl::InvalidArgumentError("value is neither \"http\" nor \"json\""));
-    auto kind = named->value == garbageHttp ? GarbageKind::Http : GarbageKind::Json;
-    settings.garbage = Fault<GarbageKind> { kind, named->trigger };
+    if (named->value == garbageHttp)
+        return needsRaw("garbage");
+    if (named->value != garbageJson)
+        return inField("garbage", absl::InvalidArgumentError("value is not \"json\""));
+    settings.garbage = Fault<bool> { true, named->trigger };
     return absl::OkStatus();
 }
 
+static absl::Status parseCut(const nlohmann::json& document, const char* name, std::optional<Fault<std::int64_t>>& result)
+{
+    absl::Status status = parseFault(document, name, result);
+    if (status.ok() && result && result->value < 1)
+        return inField(name, absl::InvalidArgumentError("value is below one"));
+    return status;
+}
+
 static bool isKnownFault(const std::string& name)
 {
     auto hasName = [&name](const auto& fault) { return name == fault.name; };
@@ -150,15 +165,16 @@
     FaultSettings settings;
     absl::Status status;
     for (const auto& field : document.items()) {
+        if (field.key() == leftoverFault)
+            return needsRaw(leftoverFault);
         if (!isKnownFault(field.key()))
             return absl::InvalidArgumentError(absl::StrCat("unknown fault \"", field.key(), "\""));
     }
     for (const auto& fault : flagFaults)
         status.Update(parseFault(document, fault.name, settings.*fault.member));
     for (const auto& fault : countFaults)
-        status.Update(parseFault(document, fault.name, settings.*fault.member));
+        status.Update(parseCut(document, fault.name, settings.*fault.member));
     status.Update(parseFault(document, "delay", settings.delay));
-    status.Update(parseFault(document, "leftover", settings.leftover));
     status.Update(parseGarbage(document, settings));
     status.Update(parseStates(document, settings));
     if (!status.ok())
@@ -169,7 +185,6 @@
 static nlohmann::json valueToJson(bool value) { return value; }
 static nlohmann::json valueToJson(std::int64_t value) { return value; }
 static nlohmann::json valueToJson(const std::string& value) { return value; }
-static nlohmann::json valueToJson(GarbageKind value) { return value == GarbageKind::Http ? garbageHttp : garbageJson; }
 
 static nlohmann::json valueToJson(Duration value)
 {
@@ -200,8 +215,8 @@
     for (const auto& fault : countFaults)
         writeFault(document, fault.name, settings.*fault.member);
     writeFault(document, "delay", settings.delay);
-    writeFault(document, "leftover", settings.leftover);
-    writeFault(document, "garbage", settings.garbage);
+    if (settings.garbage)
+        writeFault(document, "garbage", std::make_optional(Fault<std::string> { garbageJson, settings.garbage->trigger }));
     document["slow"] = settings.slow;
     document["blockFrom"] = settings.blockFrom;
     return document;
@@ -246,10 +261,7 @@
         plan.cutAfterBytes = settings.cutAfterBytes->value;
     if (draw(settings.cutAfterEvents, call, random))
         plan.cutAfterEvents = settings.cutAfterEvents->value;
-    if (draw(settings.garbage, call, random))
-        plan.garbage = settings.garbage->value;
-    if (draw(settings.leftover, call, random))
-        plan.leftover = settings.leftover->value;
+    plan.garbage = draw(settings.garbage, call, random);
     return plan;
 }
 
--- a/lib/Standin/FaultyResponder.cpp
+++ b/lib/Standin/FaultyResponder.cpp
@@ -7,11 +7,8 @@
 
 namespace catkinwing::standin {
 
-constexpr const char* contentLengthField = "content-length";
 constexpr const char* contentTypeField = "content-type";
 constexpr const char* notJsonText = "{\"this is not\": JSON,,";
-// A field name with blanks and control characters makes the head unreadable.
-constexpr const char* notHttpField = "this is\x01 not\x02 HTTP";
 
 namespace {
 
@@ -81,8 +78,6 @@
     if (m_plan.garbage)
         return sendGarbage(head);
     m_inner->sendHead(head);
-    if (reachedCut())
-        cut();
 }
 
 void FaultyResponder::write(std::string bytes)
@@ -119,18 +114,14 @@
 
 void FaultyResponder::send(const HttpResponseHead& head, std::string body)
 {
-    bool isPlain = !m_plan.loseAnswer && !m_plan.garbage && !cutsInside() && m_plan.leftover.empty();
+    bool isPlain = !m_plan.loseAnswer && !m_plan.garbage && !cutsInside();
     if (isPlain) {
         m_inner->send(head, std::move(body));
         m_state = State::Ended;
         return;
     }
-    HttpResponseHead spoiled = head;
-    // The announced length ends the answer, so what follows it is left over.
-    if (!m_plan.leftover.empty())
-        spoiled.headers.set(contentLengthField, absl::StrCat(body.size()));
-    sendHead(spoiled);
-    write(absl::StrCat(body, m_plan.leftover));
+    sendHead(head);
+    write(std::move(body));
     finish();
 }
 
@@ -159,12 +150,9 @@
 void FaultyResponder::sendGarbage(const HttpResponseHead& head)
 {
     m_state = State::Lost;
-    HttpResponseHead spoiled = head;
-    if (m_plan.garbage == GarbageKind::Http)
-        spoiled.headers.add(notHttpField, "");
     const std::string* type = head.headers.find(contentTypeField);
     bool isStream = type && absl::StartsWith(*type, "text/event-stream");
-    m_inner->send(spoiled, isStream ? absl::StrCat("data: ", notJsonText, "\n\n") : notJsonText);
+    m_inner->send(head, isStream ? absl::StrCat("data: ", notJsonText, "\n\n") : notJsonText);
 }
 
 void FaultyResponder::cut()
