--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "catkinwing/Admission/FairQueue.h"
+#include "catkinwing/Admission/RateBucket.h"
 #include "catkinwing/Admission/SlotReservation.h"
-#include "catkinwing/Admission/TokenBucket.h"
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
@@ -59,7 +59,7 @@
     struct TeamState {
         TeamLimits limits;
         absl::flat_hash_set<std::string> classes;
-        TokenBucket rate { 0, 1 };
+        RateBucket rate { 0, 1 };
         std::size_t inFlight { 0 };
         /// Requests of each caller, waiting or in flight.
         absl::flat_hash_map<std::string, std::size_t> callers;
--- a/include/catkinwing/Admission/TokenBucket.h
+++ b/include/catkinwing/Admission/RateBucket.h
@@ -5,10 +5,10 @@
 namespace catkinwing {
 
 /// A token bucket on a passed-in time; starts full.
-class TokenBucket {
+class RateBucket {
 public:
     /// \p rate is in tokens a second, \p capacity in tokens.
-    TokenBucket(double rate, double capacity);
+    RateBucket(double rate, double capacity);
     /// Takes \p tokens if they are there.
     bool take(double tokens, TimePoint now);
     /// Returns how long until \p tokens are there; zero if they are.
--- a/include/catkinwing/Admission/RequestCost.h
+++ b/include/catkinwing/Admission/RequestCost.h
@@ -3,7 +3,7 @@
 namespace catkinwing {
 
 /// What the cost of a request is made of, in tokens.
-struct CostInputs {
+struct RequestCostInputs {
     double promptTokens { 0 };
     /// Prompt tokens expected in the cache of the endpoints; at most the prompt's.
     double cachedTokens { 0 };
@@ -14,6 +14,6 @@
 
 /// Returns the cost in tokens: prefill not cached + weight x expected output; at
 /// least one, so that no request is free.
-double estimateCost(const CostInputs&);
+double estimateCost(const RequestCostInputs&);
 
 } // namespace catkinwing
--- a/include/catkinwing/Dispatch/Claim.h
+++ b/include/catkinwing/Dispatch/Claim.h
@@ -32,28 +32,28 @@
 };
 
 /// Digest of a team and its idempotency key.
-struct KeyDigest {
+struct ClaimKey {
     std::uint64_t high { 0 };
     std::uint64_t low { 0 };
 
-    friend bool operator==(const KeyDigest& a, const KeyDigest& b) { return a.high == b.high && a.low == b.low; }
+    friend bool operator==(const ClaimKey& a, const ClaimKey& b) { return a.high == b.high && a.low == b.low; }
     template <typename H>
     // NOLINTNEXTLINE(readability-identifier-naming): abseil looks for this name.
-    friend H AbslHashValue(H state, const KeyDigest& digest)
+    friend H AbslHashValue(H state, const ClaimKey& digest)
     {
         return H::combine(std::move(state), digest.high, digest.low);
     }
 };
 
 /// Returns the digest of a key, which one team can't steer to another's.
-KeyDigest digestOfKey(absl::string_view team, absl::string_view key);
+ClaimKey digestOfKey(absl::string_view team, absl::string_view key);
 
 /// Returns the fingerprint by which a repeat is known to be the same request.
 std::uint64_t requestFingerprint(absl::string_view method, absl::string_view target, absl::string_view body);
 
 /// A claim as the ledger records it.
 struct ClaimRecord {
-    KeyDigest key;
+    ClaimKey key;
     std::uint64_t fingerprint { 0 };
     ClaimId id;
 };
--- a/include/catkinwing/Dispatch/IdempotencyLedger.h
+++ b/include/catkinwing/Dispatch/IdempotencyLedger.h
@@ -110,7 +110,7 @@
     /// nothing will be; the key can then be claimed anew through this entry.
     void release(const ClaimId& id);
     /// Returns the shard of a key, for coordinator functions.
-    unsigned shardOf(const KeyDigest& key) const;
+    unsigned shardOf(const ClaimKey& key) const;
     const LedgerCounters& counters() const;
 
 private:
--- a/include/catkinwing/Dispatch/LedgerDocument.h
+++ b/include/catkinwing/Dispatch/LedgerDocument.h
@@ -32,7 +32,7 @@
 
 /// One claim in a generation.
 struct StoredClaim {
-    KeyDigest key;
+    ClaimKey key;
     std::uint64_t fingerprint { 0 };
     /// Index into the claimants of the generation.
     std::uint32_t claimant { 0 };
--- a/include/catkinwing/Dispatch/LedgerView.h
+++ b/include/catkinwing/Dispatch/LedgerView.h
@@ -27,7 +27,7 @@
     static absl::StatusOr<LedgerView> fromListing(const LedgerLayout& layout, unsigned shard, const StoreListing& listing, TimePoint receivedAt);
 
     /// Returns the claim that holds a key, if one does.
-    absl::optional<ClaimRecord> find(const KeyDigest& key) const;
+    absl::optional<ClaimRecord> find(const ClaimKey& key) const;
     /// Plans the swap that adds claims, replacing those that hold the same
     /// keys; nothing if there is no room.
     absl::optional<LedgerSwap> plan(const std::vector<ClaimRecord>& claims, TimePoint now, const LedgerFaults& faults) const;
@@ -66,7 +66,7 @@
     absl::optional<unsigned> m_latestSlot;
     /// When the latest generation's age was known to have been written.
     TimePoint m_ageReceivedAt;
-    absl::flat_hash_map<KeyDigest, Location> m_index;
+    absl::flat_hash_map<ClaimKey, Location> m_index;
 };
 
 /// Returns the prefix of a shard's documents in the store.
--- a/include/catkinwing/Placement/EndpointAdmin.h
+++ b/include/catkinwing/Placement/EndpointAdmin.h
@@ -30,7 +30,7 @@
 public:
     virtual ~EndpointAdmin() = default;
     virtual void sendOrder(const OrderedEndpoint& endpoint, const Order& order, std::function<void(OrderOutcome)> done) = 0;
-    virtual void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<EndpointState>)> done) = 0;
+    virtual void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<ReportedState>)> done) = 0;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Placement/HttpEndpointAdmin.h
+++ b/include/catkinwing/Placement/HttpEndpointAdmin.h
@@ -20,7 +20,7 @@
     /// \p http and \p scheduler must outlive it.
     HttpEndpointAdmin(HttpClient& http, Scheduler& scheduler, HttpEndpointAdminOptions options);
     void sendOrder(const OrderedEndpoint& endpoint, const Order& order, std::function<void(OrderOutcome)> done) override;
-    void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<EndpointState>)> done) override;
+    void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<ReportedState>)> done) override;
 
 private:
     ServerCall call(const OrderedEndpoint& endpoint) const;
--- a/include/catkinwing/Placement/OrderSender.h
+++ b/include/catkinwing/Placement/OrderSender.h
@@ -69,7 +69,7 @@
 
     OrderProgress progress(const std::string& endpoint) const;
     /// Returns the state last read from \p endpoint under the lease that is held now.
-    std::optional<EndpointState> lastState(const std::string& endpoint) const;
+    std::optional<ReportedState> lastState(const std::string& endpoint) const;
     /// Returns the names of the endpoints that take orders from anyone.
     std::vector<std::string> uncheckedEndpoints() const;
     const OrderCounters& counters() const;
--- a/include/catkinwing/Placement/PlacementTypes.h
+++ b/include/catkinwing/Placement/PlacementTypes.h
@@ -24,7 +24,7 @@
 inline bool operator!=(const DesiredState& a, const DesiredState& b) { return !(a == b); }
 
 /// What an endpoint says of itself.
-struct EndpointState {
+struct ReportedState {
     /// Highest fencing number it has obeyed; zero if it keeps none.
     std::int64_t fencing { 0 };
     std::set<std::string> models;
@@ -34,7 +34,7 @@
 };
 
 /// Tells whether \p state is what \p desired asks for.
-bool fulfils(const EndpointState& state, const DesiredState& desired);
+bool fulfils(const ReportedState& state, const DesiredState& desired);
 
 /// An endpoint that takes orders.
 struct OrderedEndpoint {
--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -52,7 +52,7 @@
 AdmissionController::TeamState AdmissionController::newTeam(const TeamPolicy& policy) const
 {
     TeamState state;
-    state.rate = TokenBucket(policy.limits.requestsPerSecond, burstOf(policy));
+    state.rate = RateBucket(policy.limits.requestsPerSecond, burstOf(policy));
     // A team that comes back may still have work in flight from before.
     for (const auto& [id, request] : m_inFlight) {
         if (request.team != policy.name)
--- a/lib/Admission/TokenBucket.cpp
+++ b/lib/Admission/RateBucket.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Admission/TokenBucket.h"
+#include "catkinwing/Admission/RateBucket.h"
 
 #include <algorithm>
 
@@ -9,14 +9,14 @@
 /// Rounding of the refill must not refuse a caller that came back when told.
 static constexpr double roundingSlack = 1e-6;
 
-TokenBucket::TokenBucket(double rate, double capacity)
+RateBucket::RateBucket(double rate, double capacity)
     : m_rate(rate)
     , m_capacity(capacity)
     , m_tokens(capacity)
 {
 }
 
-bool TokenBucket::take(double tokens, TimePoint now)
+bool RateBucket::take(double tokens, TimePoint now)
 {
     refill(now);
     if (m_tokens + roundingSlack < tokens)
@@ -25,7 +25,7 @@
     return true;
 }
 
-Duration TokenBucket::timeUntil(double tokens, TimePoint now)
+Duration RateBucket::timeUntil(double tokens, TimePoint now)
 {
     refill(now);
     double missing = tokens - m_tokens;
@@ -36,7 +36,7 @@
     return std::chrono::ceil<Duration>(Seconds(missing / m_rate));
 }
 
-void TokenBucket::configure(double rate, double capacity, TimePoint now)
+void RateBucket::configure(double rate, double capacity, TimePoint now)
 {
     refill(now);
     m_tokens = std::min(m_tokens, capacity);
@@ -44,7 +44,7 @@
     m_capacity = capacity;
 }
 
-void TokenBucket::refill(TimePoint now)
+void RateBucket::refill(TimePoint now)
 {
     if (!m_started) {
         m_started = true;
--- a/lib/Admission/RequestCost.cpp
+++ b/lib/Admission/RequestCost.cpp
@@ -4,7 +4,7 @@
 
 namespace catkinwing {
 
-double estimateCost(const CostInputs& inputs)
+double estimateCost(const RequestCostInputs& inputs)
 {
     double prefill = std::max(0.0, inputs.promptTokens - std::max(0.0, inputs.cachedTokens));
     double output = inputs.outputWeight * std::max(0.0, inputs.expectedOutputTokens);
--- a/lib/Dispatch/Claim.cpp
+++ b/lib/Dispatch/Claim.cpp
@@ -19,7 +19,7 @@
 
 // A cryptographic digest: with a weaker one, a team could look for keys that
 // collide with another team's and so use them up.
-KeyDigest digestOfKey(absl::string_view team, absl::string_view key)
+ClaimKey digestOfKey(absl::string_view team, absl::string_view key)
 {
     std::string text = absl::StrCat(team.size(), ":", team, key);
     unsigned char digest[EVP_MAX_MD_SIZE];
--- a/lib/Dispatch/IdempotencyLedger.cpp
+++ b/lib/Dispatch/IdempotencyLedger.cpp
@@ -28,8 +28,8 @@
     std::size_t pendingClaims { 0 };
     std::vector<std::shared_ptr<ShardWriter>> writers;
 
-    unsigned shardOf(const KeyDigest& key) const;
-    ShardWriter& writerOf(const KeyDigest& key);
+    unsigned shardOf(const ClaimKey& key) const;
+    ShardWriter& writerOf(const ClaimKey& key);
     void begin(const std::shared_ptr<LocalClaim>& claim);
     void forward(const std::string& coordinator, const std::shared_ptr<LocalClaim>& claim);
     void finishForward(const std::shared_ptr<LocalClaim>& claim, const absl::StatusOr<ClaimResult>& result);
@@ -59,12 +59,12 @@
     ledger.m_impl->context->faults = faults;
 }
 
-unsigned IdempotencyLedger::Impl::shardOf(const KeyDigest& key) const
+unsigned IdempotencyLedger::Impl::shardOf(const ClaimKey& key) const
 {
     return static_cast<unsigned>(key.high % writers.size());
 }
 
-ShardWriter& IdempotencyLedger::Impl::writerOf(const KeyDigest& key)
+ShardWriter& IdempotencyLedger::Impl::writerOf(const ClaimKey& key)
 {
     unsigned shard = shardOf(key);
     if (!writers[shard])
@@ -212,7 +212,7 @@
         m_impl->context->released.add(id);
 }
 
-unsigned IdempotencyLedger::shardOf(const KeyDigest& key) const
+unsigned IdempotencyLedger::shardOf(const ClaimKey& key) const
 {
     return m_impl->shardOf(key);
 }
--- a/lib/Dispatch/LedgerView.cpp
+++ b/lib/Dispatch/LedgerView.cpp
@@ -126,7 +126,7 @@
     return static_cast<unsigned>(number % m_layout.slots);
 }
 
-absl::optional<ClaimRecord> LedgerView::find(const KeyDigest& key) const
+absl::optional<ClaimRecord> LedgerView::find(const ClaimKey& key) const
 {
     auto entry = m_index.find(key);
     if (entry == m_index.end())
--- a/lib/Dispatch/ShardWriter.cpp
+++ b/lib/Dispatch/ShardWriter.cpp
@@ -39,7 +39,7 @@
     schedule();
 }
 
-bool ShardWriter::isUnseen(const KeyDigest& key) const
+bool ShardWriter::isUnseen(const ClaimKey& key) const
 {
     bool isQueued = std::any_of(m_queue.begin(), m_queue.end(), [&key](const PendingClaim& claim) { return claim.record.key == key; });
     return !isQueued && !(m_view && m_view->find(key));
@@ -199,7 +199,7 @@
 std::vector<ClaimRecord> ShardWriter::nextBatch() const
 {
     std::vector<ClaimRecord> batch;
-    absl::flat_hash_set<KeyDigest> keys;
+    absl::flat_hash_set<ClaimKey> keys;
     for (const PendingClaim& claim : m_queue) {
         if (batch.size() >= m_context->options.maxClaimsPerSwap)
             break;
--- a/lib/Dispatch/ShardWriter.h
+++ b/lib/Dispatch/ShardWriter.h
@@ -53,7 +53,7 @@
     std::vector<ClaimRecord> nextBatch() const;
     absl::optional<ClaimResult> verdictFor(const PendingClaim& claim) const;
     bool isReplaceable(const ClaimRecord& holder, const ClaimRecord& claim) const;
-    bool isUnseen(const KeyDigest& key) const;
+    bool isUnseen(const ClaimKey& key) const;
     bool isSettledAtOnce(const PendingClaim& claim) const;
     /// Takes the claims for which \p judge has a result out of the queue, and tells them.
     void settle(const std::function<absl::optional<ClaimResult>(const PendingClaim&)>& judge);
--- a/lib/Placement/HttpEndpointAdmin.cpp
+++ b/lib/Placement/HttpEndpointAdmin.cpp
@@ -58,12 +58,12 @@
     return true;
 }
 
-static absl::StatusOr<EndpointState> readEndpointState(const ServerAnswer& answer)
+static absl::StatusOr<ReportedState> readEndpointState(const ServerAnswer& answer)
 {
     if (!answer.isComplete || answer.head.status != statusOk)
         return absl::UnavailableError("no state from the endpoint: " + answer.detail);
     Json body = Json::parse(answer.body, nullptr, false);
-    EndpointState state;
+    ReportedState state;
     bool isRead = body.is_object() && body.contains("models") && readNames(body, "models", state.models)
         && readNames(body, "adapters", state.adapters) && readText(body, "role", state.role)
         && readText(body, "incarnation", state.incarnation);
@@ -106,7 +106,7 @@
     callServers(m_http, m_scheduler, std::move(orderCall), [done = std::move(done)](const ServerAnswer& answer) { done(readOutcome(answer)); });
 }
 
-void HttpEndpointAdmin::readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<EndpointState>)> done)
+void HttpEndpointAdmin::readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<ReportedState>)> done)
 {
     ServerCall read = call(endpoint);
     read.request.target = "/admin/state";
--- a/lib/Placement/OrderSender.cpp
+++ b/lib/Placement/OrderSender.cpp
@@ -15,7 +15,7 @@
         std::optional<DesiredState> desired;
         /// Number of the lease under which the desired state was set.
         StoreRevision desiredUnder { 0 };
-        std::optional<EndpointState> lastState;
+        std::optional<ReportedState> lastState;
         /// Number of the lease under which that was read.
         StoreRevision readUnder { 0 };
         OrderProgress progress { OrderProgress::None };
@@ -63,7 +63,7 @@
     void pump();
     void visit(Target& target);
     void finishVisit(Target& target, Duration pause);
-    void onState(Target& target, const absl::StatusOr<EndpointState>& state);
+    void onState(Target& target, const absl::StatusOr<ReportedState>& state);
     bool isInSync(const Target& target, StoreRevision fencing) const;
     bool mayStillTakeEffect(const Target& target, StoreRevision fencing) const;
     void order(Target& target);
@@ -142,7 +142,7 @@
     }
     target.isBusy = true;
     ++inFlight;
-    auto onAnswer = [](Impl& self, Target& answered, const absl::StatusOr<EndpointState>& state) { self.onState(answered, state); };
+    auto onAnswer = [](Impl& self, Target& answered, const absl::StatusOr<ReportedState>& state) { self.onState(answered, state); };
     admin.readState(target.endpoint, whenAnswered(target.endpoint.name, onAnswer));
 }
 
@@ -154,7 +154,7 @@
     pump();
 }
 
-void OrderSender::Impl::onState(Target& target, const absl::StatusOr<EndpointState>& state)
+void OrderSender::Impl::onState(Target& target, const absl::StatusOr<ReportedState>& state)
 {
     if (!state.ok()) {
         ++counters.failedReads;
@@ -317,7 +317,7 @@
     return target ? target->progress : OrderProgress::None;
 }
 
-std::optional<EndpointState> OrderSender::lastState(const std::string& endpoint) const
+std::optional<ReportedState> OrderSender::lastState(const std::string& endpoint) const
 {
     Impl::Target* target = m_impl->find(endpoint);
     auto held = m_impl->lease.held(m_impl->now());
--- a/unittests/Admission/BudgetsTest.cpp
+++ b/unittests/Admission/BudgetsTest.cpp
@@ -1,7 +1,7 @@
 #include "catkinwing/Admission/OutputEstimator.h"
+#include "catkinwing/Admission/RateBucket.h"
 #include "catkinwing/Admission/RequestCost.h"
 #include "catkinwing/Admission/RetryBudget.h"
-#include "catkinwing/Admission/TokenBucket.h"
 #include "catkinwing/Support/Random.h"
 
 #include <catch2/catch.hpp>
@@ -68,7 +68,7 @@
 
 TEST_CASE("a token bucket tells exactly when it has enough")
 {
-    TokenBucket bucket(4, 2);
+    RateBucket bucket(4, 2);
     TimePoint now { 1h };
     CHECK(bucket.take(2, now));
     CHECK_FALSE(bucket.take(1, now));
