Refuse with a margin of a quarter on the predicted wait

Cause: with an unbiased prediction a late request is as often let in as not, and then waits its whole time in vain.

Tried and left: earliest latest start in place of earliest deadline within a class. Earliest deadline stays.

--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -11,6 +11,8 @@
 static constexpr std::size_t maxEvictions = 64;
 /// Shortest time between refreshes of the shares.
 static constexpr Duration refreshInterval = std::chrono::milliseconds(500);
+/// Factor on the predicted wait, for the error of the prediction.
+static constexpr double waitMargin = 1.25;
 /// Longest Retry-After worth telling.
 static constexpr Duration maxRetryAfter = std::chrono::hours(1);
 
@@ -132,10 +134,13 @@
     if (request.latestStart() <= now)
         return Refusal { RefusalReason::PredictedLate, std::nullopt };
     std::optional<Duration> wait = m_queue.predictedWait(request, now);
-    if (!wait || *wait <= request.latestStart() - now)
+    // The longest wait that is let in. A request refused now can go elsewhere; one
+    // that expires has waited for nothing.
+    Duration allowed = std::chrono::duration_cast<Duration>((request.latestStart() - now) / waitMargin);
+    if (!wait || *wait <= allowed)
         return std::nullopt;
-    // Once the excess has drained, the same request would just make it.
-    Duration excess = *wait - (request.latestStart() - now);
+    // Once the excess has drained, the same request is let in.
+    Duration excess = *wait - allowed;
     if (excess > maxRetryAfter)
         return Refusal { RefusalReason::PredictedLate, std::nullopt };
     return Refusal { RefusalReason::PredictedLate, excess };
