--- a/include/catkinwing/Standin/StandinFrontend.h
+++ b/include/catkinwing/Standin/StandinFrontend.h
@@ -41,6 +41,8 @@
 void sendJson(HttpResponder& responder, int status, const nlohmann::json& body, HttpHeaders headers = {});
 /// Sends a refusal of a request that was not executed, with Retry-After.
 void sendNotExecuted(HttpResponder& responder, int status, const std::string& message, std::chrono::seconds retryAfter);
+/// Refuses a request as not executed because the stand-in is leaving.
+void sendLeaving(HttpResponder& responder, const std::string& message);
 
 /// What all stand-ins share: fault switches, counters and the execution log.
 class StandinFrontend {
--- /dev/null
+++ b/lib/Gateway/Daemon.cpp
@@ -0,0 +1,519 @@
+#include "catkinwing/Gateway/Daemon.h"
+
+#include "catkinwing/Gateway/CallerApi.h"
+#include "catkinwing/Gateway/ConfigSync.h"
+#include "catkinwing/Gateway/EndpointPoller.h"
+#include "catkinwing/Gateway/OperatorApi.h"
+#include "catkinwing/Gateway/PeerApi.h"
+#include "catkinwing/Gateway/PlacementControl.h"
+#include "catkinwing/Platform/DirectoryClient.h"
+#include "catkinwing/Platform/EtcdStore.h"
+#include "catkinwing/Platform/InstanceList.h"
+#include "catkinwing/Support/Logging.h"
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace catkinwing {
+
+static constexpr std::chrono::milliseconds brokerTick { 250 };
+static constexpr std::chrono::milliseconds stateTick { 1'000 };
+static constexpr std::chrono::milliseconds drainTick { 50 };
+/// Name of the entries in the platform's directory.
+static constexpr const char* entryService = "catkinwing-entry";
+/// Name of the endpoints in the platform's instance list.
+static constexpr const char* endpointService = "catkinwing-endpoint";
+
+namespace {
+
+    /// TLS of the listeners and of the client towards peers; null for plain text.
+    struct TlsContexts {
+        std::shared_ptr<TlsContext> callers;
+        std::shared_ptr<TlsContext> peers;
+        std::shared_ptr<TlsContext> operators;
+        std::shared_ptr<TlsContext> peerClient;
+    };
+
+} // namespace
+
+static TlsFiles toFiles(const TlsSettings& settings)
+{
+    return { settings.certificateFile, settings.keyFile, settings.authorityFile };
+}
+
+static absl::StatusOr<std::shared_ptr<TlsContext>> serverContext(const std::optional<TlsSettings>& settings)
+{
+    if (!settings)
+        return std::shared_ptr<TlsContext>();
+    return TlsContext::forServer(toFiles(*settings));
+}
+
+static absl::StatusOr<TlsContexts> loadTls(const ListenerTls& settings)
+{
+    TlsContexts contexts;
+    for (auto [from, to] : { std::make_pair(&settings.callers, &contexts.callers), std::make_pair(&settings.peers, &contexts.peers), std::make_pair(&settings.operators, &contexts.operators) }) {
+        absl::StatusOr<std::shared_ptr<TlsContext>> context = serverContext(*from);
+        if (!context.ok())
+            return context.status();
+        *to = *std::move(context);
+    }
+    if (settings.peers) {
+        absl::StatusOr<std::shared_ptr<TlsContext>> client = TlsContext::forClient(toFiles(*settings.peers));
+        if (!client.ok())
+            return client.status();
+        contexts.peerClient = *std::move(client);
+    }
+    return contexts;
+}
+
+static EntryIdentity identityOf(const DaemonSettings& settings, const Clock& clock, Random& random)
+{
+    EntryIdentity identity;
+    identity.ref = { settings.name, makeIncarnation(clock, random) };
+    identity.zone = settings.availabilityZone;
+    identity.region = settings.region;
+    identity.callerAddress = settings.advertise.callers;
+    identity.peerAddress = settings.advertise.peers;
+    identity.operatorAddress = settings.advertise.operators;
+    return identity;
+}
+
+static EtcdStoreOptions storeOptions(const DaemonSettings& settings)
+{
+    EtcdStoreOptions options;
+    options.servers = settings.store;
+    options.callerName = settings.name;
+    return options;
+}
+
+static DirectoryClientOptions directoryOptions(const DaemonSettings& settings)
+{
+    DirectoryClientOptions options;
+    options.servers = settings.directory;
+    options.service = entryService;
+    options.callerName = settings.name;
+    return options;
+}
+
+static InstanceListOptions listOptions(const DaemonSettings& settings, const char* service)
+{
+    InstanceListOptions options;
+    options.servers = settings.directory;
+    options.service = service;
+    options.callerName = settings.name;
+    return options;
+}
+
+// The coordinator of a shard is the live entry of the zone that a rendezvous
+// hash names: zones that share the store disagree, which costs conflicts only.
+static std::string coordinatorOf(Membership& membership, unsigned shard)
+{
+    std::string key = absl::StrCat("ledger/", shard);
+    std::string best = membership.self().ref.name;
+    double bestScore = rendezvousScore(key, best, 1);
+    for (const MemberView& member : membership.view().members) {
+        double score = member.isUsable() ? rendezvousScore(key, member.identity.ref.name, 1) : -1;
+        if (score > bestScore) {
+            best = member.identity.ref.name;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+struct Daemon::Impl {
+    Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seed, TlsContexts contexts, const IssuedKeys::Secret& secret);
+
+    absl::Status listen();
+    void startServices();
+    MembershipEvents membershipEvents();
+    void onConfigChanged(const std::shared_ptr<const ConfigSnapshot>& snapshot);
+    void onFrozen(Duration span);
+    void everyBrokerTick();
+    void everyStateTick();
+    LocalState localState();
+    std::vector<ModelRoom> zoneRoom();
+    void learnEntries(const std::vector<Instance>& instances);
+    Instance ownInstance(InstanceState state) const;
+    void drain(std::function<void()> done);
+    void drainStep();
+    void reloadKeys();
+    void noteServedElsewhere(const ServedElsewhere& served);
+    bool isReady() const;
+    nlohmann::json platformStatus() const;
+
+    EventLoop& loop;
+    DaemonSettings settings;
+    Random random;
+    TlsContexts tls;
+    LinkFaults faults;
+    std::unique_ptr<HttpClient> plainClient;
+    std::unique_ptr<HttpClient> peerClient;
+    FaultableHttpClient platformHttp;
+    FaultableHttpClient endpointHttp;
+    FaultableHttpClient peerHttp;
+    EtcdStore store;
+    DirectoryClient directory;
+    PeerLink link;
+    Membership membership;
+    ConfigKeeper config;
+    ConfigSync sync;
+    EndpointRegistry endpoints;
+    RemoteCells remoteCells;
+    EndpointPoller poller;
+    Metrics metrics;
+    ServiceLevelRecorder serviceLevels;
+    RequestBroker broker;
+    EntryDirectory entries;
+    KeyedRequests keyed;
+    CallerApi callers;
+    PeerApi peers;
+    ConfigWriter writer;
+    OperatorApi operators;
+    InstanceList entryList;
+    InstanceList endpointList;
+    PlacementControl placement;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> peerServer;
+    std::unique_ptr<HttpServer> operatorServer;
+    bool isDraining { false };
+    bool hasDrained { false };
+    TimePoint drainDeadline {};
+    std::vector<std::function<void()>> onDrained;
+    /// Tokens served by other zones and entries so far, by zone, team and pool.
+    std::map<std::string, std::uint64_t> servedElsewhere;
+};
+
+static std::string holderName(const EntryRef& self)
+{
+    return absl::StrCat(self.name, "/", self.incarnation.start, "/", self.incarnation.random);
+}
+
+static LedgerOptions ledgerOptions()
+{
+    LedgerOptions options;
+    options.layout.keyPrefix = "/catkinwing/ledger/";
+    return options;
+}
+
+Daemon::Impl::Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seed, TlsContexts contexts, const IssuedKeys::Secret& secret)
+    : loop(eventLoop)
+    , settings(daemonSettings)
+    , random(seed)
+    , tls(std::move(contexts))
+    , plainClient(makeHttpClient(loop, {}))
+    , peerClient(makeHttpClient(loop, { 64, std::chrono::milliseconds(4'000), tls.peerClient }))
+    , platformHttp(*plainClient, loop, faults)
+    , endpointHttp(*plainClient, loop, faults)
+    , peerHttp(*peerClient, loop, faults)
+    , store(platformHttp, loop, storeOptions(settings))
+    , directory(platformHttp, loop, directoryOptions(settings))
+    , link(peerHttp, settings.name)
+    , membership(identityOf(settings, loop.clock(), random), {}, loop, link, Random(random.bits()), membershipEvents())
+    , config(store, loop, random, { [this](const auto& snapshot) { onConfigChanged(snapshot); }, [this](const auto& news) { sync.push(news); } })
+    , sync(config, membership, link, loop)
+    , endpoints(settings.name, settings.region, settings.availabilityZone, random)
+    , remoteCells(settings.region, settings.availabilityZone, random)
+    , poller(settings.name, endpoints, endpointHttp, loop)
+    , broker({ loop, random, endpointHttp, peerHttp, endpoints, remoteCells, metrics, serviceLevels, membership.self().ref, settings.region, settings.availabilityZone })
+    , entries(membership.self())
+    , keyed(
+          store, broker, entries, ledgerOptions(), [this](unsigned shard) { return coordinatorOf(membership, shard); }, nullptr, secret)
+    , callers({ broker, keyed, config, entries, random, metrics, loop.clock(), settings.region, settings.availabilityZone, tls.callers ? "https" : "http" })
+    , peers(membership, config, keyed, callers, link, faults)
+    , writer(store, loop, config)
+    , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); } })
+    , entryList(platformHttp, loop, random, listOptions(settings, entryService), [this](const auto& instances) { learnEntries(instances); })
+    , endpointList(platformHttp, loop, random, listOptions(settings, endpointService), [this](const auto& instances) { endpoints.applyInstances(instances, loop.clock().now()); })
+    , placement(store, loop, random, endpointHttp, settings, holderName(membership.self().ref), endpoints)
+{
+    endpoints.onCapacity = [this] { broker.schedulePump(); };
+    endpoints.onLeaving = [this](const EndpointLeaving& leaving) { membership.reportLeaving(leaving); };
+}
+
+MembershipEvents Daemon::Impl::membershipEvents()
+{
+    MembershipEvents events;
+    events.onFrozen = [this](Duration span) { onFrozen(span); };
+    events.onConfigDiffers = [this](const ConfigPeer& peer) { sync.reconcile(peer); };
+    events.onEndpointLeaving = [this](const EndpointLeaving& leaving) { endpoints.applyPeerLeaving(leaving, loop.clock().now()); };
+    events.onServedElsewhere = [this](const ServedElsewhere& served) { noteServedElsewhere(served); };
+    events.onSuperseded = [this] {
+        logChange(LogLevel::Error, "superseded", { { "entry", settings.name } });
+        loop.stop();
+    };
+    return events;
+}
+
+// A zone tells what it served since its last word; the books want a total, so
+// that a word that is lost or doubled does no harm. The inner protocol counts
+// by one name, which is "TEAM/POOL" here.
+void Daemon::Impl::noteServedElsewhere(const ServedElsewhere& served)
+{
+    if (served.region != settings.region)
+        return;
+    std::uint64_t& total = servedElsewhere[absl::StrCat(served.zone, "/", served.team)];
+    total += served.tokens;
+    std::pair<std::string, std::string> name = absl::StrSplit(served.team, absl::MaxSplits('/', 1));
+    broker.admission().applyRemoteService({ served.zone, 1 }, { name.first, name.second, total }, loop.clock().now());
+}
+
+void Daemon::Impl::onFrozen(Duration span)
+{
+    logChange(LogLevel::Warning, "frozen", { { "span_ms", std::chrono::duration_cast<std::chrono::milliseconds>(span).count() } });
+    placement.dropAfterFreeze();
+    metrics.count("freezes");
+}
+
+void Daemon::Impl::onConfigChanged(const std::shared_ptr<const ConfigSnapshot>& snapshot)
+{
+    TimePoint now = loop.clock().now();
+    endpoints.configure(snapshot, now);
+    broker.configure(snapshot);
+    placement.configure(snapshot);
+    remoteCells.update(membership.view(), *snapshot, now);
+    entries.update(membership.view(), *snapshot, endpoints.models(), now);
+    membership.setLocalState(localState());
+}
+
+std::vector<ModelRoom> Daemon::Impl::zoneRoom()
+{
+    std::vector<ModelRoom> rooms;
+    for (const std::string& model : endpoints.models()) {
+        ModelRoom room;
+        room.model = model;
+        room.freeSlots = endpoints.cell().freeCredits(model);
+        auto queued = broker.queuedByModel().find(model);
+        room.queued = queued == broker.queuedByModel().end() ? 0 : static_cast<std::uint32_t>(queued->second);
+        room.predictedWait = broker.predictedWaitFor(model);
+        rooms.push_back(std::move(room));
+    }
+    return rooms;
+}
+
+LocalState Daemon::Impl::localState()
+{
+    LocalState state;
+    state.configDigest = config.tree().digest();
+    state.load = endpoints.ownLoad();
+    state.models = zoneRoom();
+    for (const ModelRoom& room : state.models) {
+        std::uint32_t inFlight = 0;
+        for (EndpointHandle handle : endpoints.cell().endpointsFor(room.model))
+            inFlight += endpoints.cell().endpoint(handle).ownInFlight;
+        state.demand.push_back({ room.model, inFlight + room.queued });
+    }
+    for (const ServiceCounter& counter : broker.admission().servedCounters())
+        state.served.push_back({ absl::StrCat(counter.team, "/", counter.pool), counter.tokens });
+    return state;
+}
+
+void Daemon::Impl::everyBrokerTick()
+{
+    broker.tick();
+    loop.callAfter(brokerTick, [this] { everyBrokerTick(); });
+}
+
+void Daemon::Impl::everyStateTick()
+{
+    TimePoint now = loop.clock().now();
+    const MembershipView& view = membership.view();
+    std::vector<std::string> live { settings.name };
+    for (const MemberView& member : view.members) {
+        if (member.state == MemberState::Live)
+            live.push_back(member.identity.ref.name);
+    }
+    poller.setEntries(std::move(live));
+    endpoints.divideCredits(view.members, broker.queuedByModel(), now);
+    endpoints.evaluate(now);
+    remoteCells.update(view, *config.snapshot(), now);
+    entries.update(view, *config.snapshot(), endpoints.models(), now);
+    sync.updateDuty();
+    membership.setLocalState(localState());
+    loop.callAfter(stateTick, [this] { everyStateTick(); });
+}
+
+void Daemon::Impl::learnEntries(const std::vector<Instance>& instances)
+{
+    std::vector<Candidate> candidates;
+    for (const Instance& instance : instances) {
+        auto peer = instance.meta.find(metaPeerAddress);
+        absl::StatusOr<SocketAddress> address = parseSocketAddress(peer == instance.meta.end() ? "" : peer->second);
+        if (address.ok() && instance.id != settings.name)
+            candidates.push_back({ *address, instance.zone, instance.region });
+    }
+    membership.learn(candidates);
+}
+
+Instance Daemon::Impl::ownInstance(InstanceState state) const
+{
+    const EntryIdentity& self = membership.self();
+    Instance instance;
+    instance.id = self.ref.name;
+    instance.address = self.callerAddress;
+    instance.state = state;
+    instance.zone = self.zone;
+    instance.region = self.region;
+    instance.incarnation = absl::StrCat(self.ref.incarnation.start, "/", self.ref.incarnation.random);
+    instance.meta[metaCallerAddress] = self.callerAddress.toString();
+    instance.meta[metaPeerAddress] = self.peerAddress.toString();
+    instance.meta[metaOperatorAddress] = self.operatorAddress.toString();
+    return instance;
+}
+
+static HttpServerOptions serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> tls)
+{
+    HttpServerOptions options;
+    options.listen = listen;
+    options.tls = std::move(tls);
+    return options;
+}
+
+absl::Status Daemon::Impl::listen()
+{
+    HttpServerOptions callerOptions = serverOptions(settings.listen.callers, tls.callers);
+    callerOptions.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
+    callerOptions.maxConnections = static_cast<std::size_t>(settings.limits.maximumConnections);
+    auto callerListener = HttpServer::listen(loop, callerOptions, [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) { callers.handle(std::move(request), std::move(responder)); });
+    if (!callerListener.ok())
+        return callerListener.status();
+    callerServer = *std::move(callerListener);
+    HttpServerOptions peerOptions = serverOptions(settings.listen.peers, tls.peers);
+    peerOptions.maxBodyBytes = callerOptions.maxBodyBytes;
+    auto peerListener = HttpServer::listen(loop, peerOptions, [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) { peers.handle(std::move(request), std::move(responder)); });
+    if (!peerListener.ok())
+        return peerListener.status();
+    peerServer = *std::move(peerListener);
+    auto operatorListener = HttpServer::listen(loop, serverOptions(settings.listen.operators, tls.operators), [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) { operators.handle(std::move(request), std::move(responder)); });
+    if (!operatorListener.ok())
+        return operatorListener.status();
+    operatorServer = *std::move(operatorListener);
+    return absl::OkStatus();
+}
+
+void Daemon::Impl::startServices()
+{
+    std::vector<Candidate> seeds;
+    for (const SocketAddress& seed : settings.peerSeeds)
+        seeds.push_back({ seed, "", "" });
+    membership.learn(seeds);
+    membership.start();
+    directory.announce(ownInstance(InstanceState::Live));
+    entryList.start();
+    endpointList.start();
+    placement.start();
+    poller.start();
+    everyBrokerTick();
+    everyStateTick();
+    logChange(LogLevel::Info, "started", { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region } });
+}
+
+bool Daemon::Impl::isReady() const
+{
+    return !isDraining && !config.snapshot()->teams.empty();
+}
+
+nlohmann::json Daemon::Impl::platformStatus() const
+{
+    nlohmann::json calls = nlohmann::json::object();
+    for (std::size_t kind = 0; kind < storeCallKinds; ++kind) {
+        auto call = static_cast<StoreCall>(kind);
+        const StoreCounters::OfKind& counts = store.counters().of(call);
+        calls[storeCallName(call)] = { { "sent", counts.sent }, { "failed", counts.failed }, { "refused", counts.refused } };
+    }
+    const LedgerCounters& ledger = keyed.ledger().counters();
+    TransportCounters carried = link.counters();
+    return {
+        { "store_calls", std::move(calls) },
+        { "directory_announced", directory.isAnnounced() },
+        { "placement_lease", placement.lease().isHeld(loop.clock().now()) },
+        { "ledger", { { "won", ledger.won }, { "already_claimed", ledger.alreadyClaimed }, { "not_available", ledger.notAvailable }, { "swaps", ledger.swaps } } },
+        { "peer_bytes", { { "sent", carried.bytesSent }, { "received", carried.bytesReceived }, { "batches_sent", carried.batchesSent } } },
+    };
+}
+
+void Daemon::Impl::drain(std::function<void()> done)
+{
+    if (done)
+        onDrained.push_back(std::move(done));
+    if (isDraining)
+        return;
+    isDraining = true;
+    logChange(LogLevel::Info, "draining", { { "running", broker.running() } });
+    drainDeadline = loop.clock().now() + config.snapshot()->global->drainGrace;
+    callers.startDraining();
+    membership.startDraining();
+    directory.announce(ownInstance(InstanceState::Leaving));
+    placement.stop();
+    drainStep();
+}
+
+// Those who look at the directory or at an older list of entries still come for
+// a moment; they are answered until nothing is in progress and that has passed.
+void Daemon::Impl::drainStep()
+{
+    bool isLate = loop.clock().now() >= drainDeadline;
+    if (broker.running() > 0 && !isLate) {
+        loop.callAfter(drainTick, [this] { drainStep(); });
+        return;
+    }
+    hasDrained = true;
+    logChange(LogLevel::Info, "drained", { { "cut_off", broker.running() } });
+    membership.announceGone();
+    callerServer->stopListening();
+    directory.withdraw([this](const absl::Status&) {
+        for (const std::function<void()>& callback : onDrained)
+            callback();
+        onDrained.clear();
+    });
+}
+
+void Daemon::Impl::reloadKeys()
+{
+    absl::StatusOr<TlsContexts> contexts = loadTls(settings.tls);
+    if (!contexts.ok()) {
+        logChange(LogLevel::Error, "keys_not_reloaded", { { "reason", std::string(contexts.status().message()) } });
+        return;
+    }
+    tls = *std::move(contexts);
+    callerServer->replaceTls(tls.callers);
+    peerServer->replaceTls(tls.peers);
+    operatorServer->replaceTls(tls.operators);
+    peerClient->replaceTls(tls.peerClient);
+    logChange(LogLevel::Info, "keys_reloaded", nlohmann::json::object());
+}
+
+absl::StatusOr<std::unique_ptr<Daemon>> Daemon::start(EventLoop& loop, const DaemonSettings& settings, Random random)
+{
+    absl::StatusOr<TlsContexts> tls = loadTls(settings.tls);
+    if (!tls.ok())
+        return tls.status();
+    absl::StatusOr<IssuedKeys::Secret> secret = IssuedKeys::makeSecret();
+    if (!secret.ok())
+        return secret.status();
+    auto impl = std::make_unique<Impl>(loop, settings, random, *std::move(tls), *secret);
+    absl::Status listening = impl->listen();
+    if (!listening.ok())
+        return listening;
+    impl->startServices();
+    return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::drain(std::function<void()> done)
+{
+    m_impl->drain(std::move(done));
+}
+
+void Daemon::reloadKeys()
+{
+    m_impl->reloadKeys();
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Membership/HeartbeatExchange.cpp
@@ -0,0 +1,395 @@
+#include "MembershipImpl.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+// Leaving endpoints in one heartbeat; more wait for the next.
+static constexpr std::size_t leavingPerHeartbeat = 16;
+
+void Membership::Impl::setState(Member& member, MemberState state)
+{
+    if (member.state == state)
+        return;
+    member.state = state;
+    markChanged();
+    if (state == MemberState::Suspect)
+        ++m_counters.membersSuspected;
+    if (state == MemberState::Dead) {
+        ++m_counters.membersDied;
+        member.diedAt = now();
+        member.probeInterval = m_options.probeInterval;
+    }
+    if (m_events.onMemberState)
+        m_events.onMemberState(member.identity.ref, state);
+}
+
+void Membership::Impl::judgeMembers()
+{
+    Duration exchange = interval();
+    auto& members = m_members.all();
+    for (auto entry = members.begin(); entry != members.end();) {
+        Member& member = entry->second;
+        if (member.state == MemberState::Dead && now() - member.diedAt > m_options.forgetAfter) {
+            entry = members.erase(entry);
+            markChanged();
+            continue;
+        }
+        // Only a message makes a member better than it is.
+        MemberState state = judgeSilence(m_options, now() - member.heardAt, exchange);
+        if (state > member.state)
+            setState(member, state);
+        bool isUsable = member.isUsable(m_options, now(), exchange);
+        if (isUsable != member.wasUsable) {
+            member.wasUsable = isUsable;
+            markChanged();
+        }
+        ++entry;
+    }
+}
+
+void Membership::Impl::exchangeWithMembers()
+{
+    for (auto& [name, member] : m_members.all()) {
+        if (member.isExchanging || member.isAddressTaken || now() < member.nextExchange)
+            continue;
+        exchangeWith(member);
+    }
+}
+
+void Membership::Impl::exchangeWith(Member& member)
+{
+    member.isExchanging = true;
+    EntryRef ref = member.identity.ref;
+    send(member.identity.peerAddress, { heartbeatFor(member) }, [this, ref](const auto& replies) { finishExchange(ref, replies); });
+}
+
+void Membership::Impl::finishExchange(const EntryRef& ref, const absl::StatusOr<std::vector<PeerReply>>& replies)
+{
+    Member* member = m_members.find(ref);
+    if (member)
+        member->isExchanging = false;
+    if (!replies.ok() || replies->size() != 1) {
+        noteFailure(ref);
+        return;
+    }
+    receiveReply(replies->front());
+    // Another run may have answered at the address, or a refusal have come.
+    member = m_members.find(ref);
+    const auto* heartbeat = std::get_if<Heartbeat>(&replies->front());
+    if (!member || !heartbeat || heartbeat->sender.ref != ref) {
+        const auto* error = std::get_if<PeerError>(&replies->front());
+        if (member && error && error->code == PeerErrorCode::UnknownRun)
+            member->channel.reset();
+        noteFailure(ref);
+        return;
+    }
+    member->failures = 0;
+    member->nextExchange = now() + jittered(interval());
+}
+
+void Membership::Impl::noteFailure(const EntryRef& ref)
+{
+    ++m_counters.sendFailures;
+    Member* member = m_members.find(ref);
+    if (!member)
+        return;
+    ++member->failures;
+    if (member->state != MemberState::Dead) {
+        member->nextExchange = now() + jittered(m_options.retryInterval);
+        return;
+    }
+    member->nextExchange = now() + jittered(member->probeInterval);
+    member->probeInterval = nextProbeInterval(m_options, member->probeInterval);
+}
+
+void Membership::Impl::probe(const SocketAddress& address)
+{
+    m_candidates[address].isExchanging = true;
+    send(address, { introduction() }, [this, address](const auto& replies) { finishProbe(address, replies); });
+}
+
+void Membership::Impl::finishProbe(const SocketAddress& address, const absl::StatusOr<std::vector<PeerReply>>& replies)
+{
+    auto candidate = m_candidates.find(address);
+    if (candidate != m_candidates.end())
+        candidate->second.isExchanging = false;
+    if (!replies.ok() || replies->size() != 1) {
+        ++m_counters.sendFailures;
+        return;
+    }
+    receiveReply(replies->front());
+    const auto* heartbeat = std::get_if<Heartbeat>(&replies->front());
+    bool isElsewhere = heartbeat && heartbeat->sender.zone != m_self.zone;
+    if (isElsewhere)
+        m_candidates.erase(address);
+}
+
+void Membership::Impl::receiveReply(const PeerReply& reply)
+{
+    if (const auto* error = std::get_if<PeerError>(&reply)) {
+        refusedBy(*error);
+        return;
+    }
+    const auto* heartbeat = std::get_if<Heartbeat>(&reply);
+    if (!heartbeat)
+        return;
+    if (receive(*heartbeat).member)
+        m_isAccepted = true;
+}
+
+void Membership::Impl::refusedBy(const PeerError& error)
+{
+    if (!error.known || !(m_self.ref.incarnation < *error.known))
+        return;
+    if (error.code == PeerErrorCode::LowIncarnation)
+        raiseIncarnation(*error.known);
+    // A run that was never taken in waits instead: the later one may be a run of
+    // before whose death isn't noticed yet.
+    if (error.code == PeerErrorCode::OldIncarnation && m_isAccepted)
+        supersede();
+}
+
+Heartbeat Membership::Impl::introduction()
+{
+    Heartbeat heartbeat;
+    heartbeat.sender = m_self;
+    heartbeat.sequence = ++m_lastSequence;
+    heartbeat.draining = m_isDraining;
+    heartbeat.configDigest = m_configDigest;
+    heartbeat.membersDigest = m_members.digest(m_self.ref);
+    heartbeat.zonesDigest = m_zones.digest();
+    if (m_freeze.count > 0) {
+        heartbeat.freeze = m_freeze;
+        heartbeat.freeze->age = now() - *m_wokeAt;
+    }
+    ++m_counters.heartbeatsSent;
+    return heartbeat;
+}
+
+Heartbeat Membership::Impl::heartbeatFor(Member& member)
+{
+    Heartbeat heartbeat = introduction();
+    heartbeat.acknowledged = member.heardSequence;
+    if (member.channel.isKnown())
+        heartbeat.sender = EntryIdentity { m_self.ref, {}, {}, {}, {}, {} };
+    SentContent content;
+    content.sequence = heartbeat.sequence;
+    content.sentAt = now();
+    heartbeat.demand = m_demand;
+    content.load = topChanges(m_load, member.channel.load(), m_options.endpointsPerHeartbeat).items;
+    for (const NamedCount& load : content.load)
+        heartbeat.load.push_back({ load.name, static_cast<std::uint32_t>(load.count) });
+    TopChanges served = topChanges(m_served, member.channel.served(), m_options.teamsPerHeartbeat);
+    heartbeat.hasMoreServed = served.hasMore;
+    content.served = std::move(served.items);
+    for (const NamedCount& team : content.served)
+        heartbeat.served.push_back({ team.name, team.count });
+    for (const auto& [endpoint, state] : m_leaving) {
+        if (content.leaving.size() < leavingPerHeartbeat && !member.channel.knowsLeaving(endpoint))
+            content.leaving.push_back(endpoint);
+    }
+    heartbeat.leaving = content.leaving;
+    if (member.membersDigest != heartbeat.membersDigest)
+        heartbeat.members = m_members.addresses();
+    bool mayTellContacts = !member.contactsSentAt || now() - *member.contactsSentAt >= m_options.contactsInterval;
+    if (member.zonesDigest != heartbeat.zonesDigest && mayTellContacts) {
+        heartbeat.contacts = m_zones.contacts();
+        member.contactsSentAt = now();
+    }
+    addDigests(member, heartbeat, content);
+    member.channel.record(std::move(content));
+    return heartbeat;
+}
+
+void Membership::Impl::addDigests(Member& member, Heartbeat& heartbeat, SentContent& content)
+{
+    for (const auto& [name, zone] : m_zones.all()) {
+        if (!zone.digest || !zone.isDirect)
+            continue;
+        bool isVersionKnown = member.channel.digestVersion(name) == zone.version;
+        bool isRosterKnown = member.channel.rosterDigest(name) == zone.rosterDigest;
+        bool hasRosterRoom = content.rosters.size() < m_options.rostersPerHeartbeat;
+        bool tellsRoster = !isRosterKnown && hasRosterRoom;
+        if (isVersionKnown && !tellsRoster)
+            continue;
+        ZoneDigest digest = relayed(zone, member.channel.digestVersion(name));
+        if (tellsRoster) {
+            digest.entries = zone.entries;
+            content.rosters.push_back({ name, zone.rosterDigest });
+        }
+        content.digests.push_back({ name, zone.version });
+        heartbeat.digests.push_back(std::move(digest));
+    }
+}
+
+PeerReply Membership::Impl::answer(const Heartbeat& heartbeat)
+{
+    // What waited in a socket through a freeze says nothing of now.
+    if (!isActive() || hasJustWoken())
+        return PeerError { PeerErrorCode::Unavailable, "the entry doesn't take heartbeats now", std::nullopt };
+    Reception reception = receive(heartbeat);
+    if (reception.refusal)
+        return *reception.refusal;
+    if (!reception.member)
+        return introduction();
+    Member& member = *reception.member;
+    // A sender that doesn't hear this entry isn't one that was exchanged with.
+    if (member.hearsUs(m_options, now(), interval()))
+        member.nextExchange = now() + jittered(interval());
+    return heartbeatFor(member);
+}
+
+Membership::Impl::Reception Membership::Impl::receiveOwnName(const Heartbeat& heartbeat)
+{
+    const Incarnation& theirs = heartbeat.sender.ref.incarnation;
+    const Incarnation& ours = m_self.ref.incarnation;
+    if (theirs == ours) {
+        m_candidates.erase(heartbeat.sender.peerAddress);
+        return {};
+    }
+    if (theirs < ours)
+        return { nullptr, PeerError { PeerErrorCode::OldIncarnation, "a later run of this name is alive", ours } };
+    supersede();
+    return { nullptr, PeerError { PeerErrorCode::Unavailable, "the entry is superseded", std::nullopt } };
+}
+
+Membership::Impl::Reception Membership::Impl::receive(const Heartbeat& heartbeat)
+{
+    ++m_counters.heartbeatsReceived;
+    const EntryIdentity& sender = heartbeat.sender;
+    if (sender.ref.name == m_self.ref.name)
+        return receiveOwnName(heartbeat);
+    Member* member = m_members.find(sender.ref.name);
+    if (member && sender.ref.incarnation < member->identity.ref.incarnation) {
+        ++m_counters.oldIncarnationsRefused;
+        bool isAlive = member->state != MemberState::Dead;
+        PeerErrorCode code = isAlive ? PeerErrorCode::OldIncarnation : PeerErrorCode::LowIncarnation;
+        return { nullptr, PeerError { code, "a later run of this name is known", member->identity.ref.incarnation } };
+    }
+    bool isKnownRun = member && member->identity.ref == sender.ref;
+    if (sender.zone.empty() && !isKnownRun)
+        return { nullptr, PeerError { PeerErrorCode::UnknownRun, "the run is not known here", std::nullopt } };
+    if (!sender.zone.empty() && sender.zone != m_self.zone) {
+        noteContact(sender.zone, sender.region, sender.peerAddress);
+        return {};
+    }
+    if (!isKnownRun)
+        member = &admit(sender);
+    retireOthersAt(member->identity.peerAddress, sender.ref.name);
+    apply(*member, heartbeat);
+    return { member, std::nullopt };
+}
+
+Member& Membership::Impl::admit(const EntryIdentity& identity)
+{
+    Member& member = m_members.all()[identity.ref.name];
+    member = Member();
+    member.identity = identity;
+    member.heardAt = now();
+    // Its first exchange is due at once: only then is it known that it hears us.
+    member.nextExchange = now();
+    member.owesLeaving = m_isDraining;
+    m_candidates.erase(identity.peerAddress);
+    markChanged();
+    if (m_events.onMemberState)
+        m_events.onMemberState(identity.ref, MemberState::Live);
+    return member;
+}
+
+void Membership::Impl::retireOthersAt(const SocketAddress& address, const std::string& name)
+{
+    for (auto& [otherName, other] : m_members.all()) {
+        if (otherName == name || other.identity.peerAddress != address)
+            continue;
+        other.isAddressTaken = true;
+        other.hearsUsAt.reset();
+        setState(other, MemberState::Dead);
+    }
+}
+
+void Membership::Impl::apply(Member& member, const Heartbeat& heartbeat)
+{
+    if (heartbeat.sequence <= member.heardSequence)
+        return;
+    member.heardSequence = heartbeat.sequence;
+    member.heardAt = now();
+    member.isAddressTaken = false;
+    setState(member, MemberState::Live);
+    std::optional<TimePoint> acknowledgedAt = member.channel.acknowledge(heartbeat.acknowledged);
+    if (acknowledgedAt)
+        member.hearsUsAt = acknowledgedAt;
+    std::uint32_t freezes = heartbeat.freeze ? heartbeat.freeze->count : 0;
+    if (freezes != member.freezes) {
+        // It dropped all that it was told.
+        member.freezes = freezes;
+        member.channel.reset();
+        member.load.clear();
+    }
+    if (member.draining != heartbeat.draining)
+        markChanged();
+    member.draining = heartbeat.draining;
+    member.configDigest = heartbeat.configDigest;
+    member.membersDigest = heartbeat.membersDigest;
+    member.zonesDigest = heartbeat.zonesDigest;
+    applyLoad(member, heartbeat);
+    applyHearsay(member, heartbeat);
+    bool isUsable = member.isUsable(m_options, now(), interval());
+    if (isUsable != member.wasUsable)
+        markChanged();
+    member.wasUsable = isUsable;
+    m_isMembersViewStale = true;
+    if (heartbeat.configDigest != m_configDigest)
+        reportConfig({ m_self.zone, member.identity.ref.name, member.identity.peerAddress, heartbeat.configDigest }, member.configReportedAt);
+}
+
+void Membership::Impl::applyLoad(Member& member, const Heartbeat& heartbeat)
+{
+    member.demand = heartbeat.demand;
+    for (const EndpointLoad& load : heartbeat.load) {
+        if (load.inFlight == 0)
+            member.load.erase(load.endpoint);
+        else
+            member.load[load.endpoint] = load.inFlight;
+    }
+    for (const TeamTokens& total : heartbeat.served)
+        noteServed(m_self.zone, m_self.region, total, member.served);
+    if (!heartbeat.hasMoreServed)
+        member.served.noteComplete();
+}
+
+void Membership::Impl::applyHearsay(Member& member, const Heartbeat& heartbeat)
+{
+    for (const EndpointLeaving& endpoint : heartbeat.leaving)
+        noteLeaving(endpoint, &member);
+    for (const SocketAddress& address : heartbeat.members)
+        addCandidate(address);
+    for (const ZoneContact& contact : heartbeat.contacts)
+        noteContact(contact.zone, contact.region, contact.peerAddress);
+    for (const ZoneDigest& digest : heartbeat.digests) {
+        Zone* zone = m_zones.findOrAdd(digest.zone, digest.region, now());
+        if (zone)
+            accept(*zone, digest, false);
+    }
+}
+
+void Membership::Impl::reportConfig(const ConfigPeer& peer, std::optional<TimePoint>& reportedAt)
+{
+    if (reportedAt && now() - *reportedAt < m_options.configReportInterval)
+        return;
+    reportedAt = now();
+    if (m_events.onConfigDiffers)
+        m_events.onConfigDiffers(peer);
+}
+
+void Membership::Impl::noteServed(const std::string& zone, const std::string& region, const TeamTokens& total, ServedTracker& tracker)
+{
+    std::uint64_t tokens = tracker.increment(total);
+    if (tokens == 0)
+        return;
+    if (zone == m_self.zone)
+        m_servedByMembers[total.team] += tokens;
+    if (m_events.onServedElsewhere)
+        m_events.onServedElsewhere({ zone, region, total.team, tokens });
+}
+
+} // namespace catkinwing
--- a/lib/Standin/EngineService.cpp
+++ b/lib/Standin/EngineService.cpp
@@ -111,7 +111,7 @@
 void EngineService::complete(const StandinCall& call)
 {
     if (call.leaving) {
-        sendNotExecuted(*call.responder, 503, "the engine is leaving", busyRetryAfter);
+        sendLeaving(*call.responder, "the engine is leaving");
         return;
     }
     auto request = parseCompletion(call.request, m_settings.defaultOutputTokens);
@@ -246,6 +246,8 @@
         { "slots", load.slots },
         { "cached_blocks", load.cachedBlocks },
         { "sampled_age_ms", age.count() },
+        { "state", call.leaving ? "leaving" : "live" },
+        { "incarnation", m_settings.incarnation },
     };
     sendJson(*call.responder, 200, body);
 }
--- a/lib/Standin/PlainService.cpp
+++ b/lib/Standin/PlainService.cpp
@@ -33,7 +33,7 @@
 void PlainService::handle(StandinCall call)
 {
     if (call.leaving) {
-        sendNotExecuted(*call.responder, 503, "the service is leaving", std::chrono::seconds(1));
+        sendLeaving(*call.responder, "the service is leaving");
         return;
     }
     std::uint64_t execution = ++m_executions;
--- a/lib/Standin/StandinFrontend.cpp
+++ b/lib/Standin/StandinFrontend.cpp
@@ -32,16 +32,23 @@
     responder.send(head, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-void sendNotExecuted(HttpResponder& responder, int status, const std::string& message, std::chrono::seconds retryAfter)
+static void sendRefusal(HttpResponder& responder, int status, const std::string& message, HttpHeaders headers)
 {
     nlohmann::json body = { { "error", { { "message", message }, { "type", "not_executed" } } } };
-    HttpHeaders headers {
-        { "retry-after", absl::StrCat(retryAfter.count()) },
-        { "catkinwing-executed", "false" },
-    };
+    headers.set("catkinwing-executed", "false");
     sendJson(responder, status, body, std::move(headers));
 }
 
+void sendNotExecuted(HttpResponder& responder, int status, const std::string& message, std::chrono::seconds retryAfter)
+{
+    sendRefusal(responder, status, message, { { "retry-after", absl::StrCat(retryAfter.count()) } });
+}
+
+void sendLeaving(HttpResponder& responder, const std::string& message)
+{
+    sendRefusal(responder, 503, message, { { "catkinwing-state", "leaving" } });
+}
+
 StandinFrontend::StandinFrontend(Scheduler& scheduler, ExecutionLog& log, StandinService& service, std::uint64_t seed)
     : m_scheduler(scheduler)
     , m_log(log)
--- a/lib/Support/Logging.cpp
+++ b/lib/Support/Logging.cpp
@@ -53,7 +53,8 @@
         { "level", levelName(level) },
         { "event", event },
     };
-    line.update(fields);
+    if (fields.is_object())
+        line.update(fields);
     auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     log4cxx::Logger::getLogger("catkinwing")->log(toLevel(level), text);
 }
