--- /dev/null
+++ b/unittests/Gateway/BrokerFixture.cpp
@@ -0,0 +1,105 @@
+#include "BrokerFixture.h"
+
+#include "catkinwing/Config/RevisionedTree.h"
+
+namespace catkinwing {
+
+BrokerFixture::BrokerFixture()
+    : broker({ scheduler, random, endpointClient, peerClient, endpoints, remoteCells, metrics, serviceLevels, { "entry", { 1, 2 } }, "north", "north-a" })
+{
+    endpointClient.handler = [this](const HttpClientRequest& request) { return answer(request); };
+    peerClient.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false); };
+    endpoints.onCapacity = [this] { broker.schedulePump(); };
+    configure();
+}
+
+void BrokerFixture::offer(const DocumentPath& path, const nlohmann::json& document)
+{
+    auto text = std::make_shared<const std::string>(document.dump());
+    OfferResult result = tree.offer({ path, ++revision, text });
+    if (result.outcome != OfferOutcome::Applied)
+        throw std::runtime_error(path.toString() + ": " + result.faults.front().pointer + ": " + result.faults.front().message);
+}
+
+static nlohmann::json endpoint(const std::string& name, const std::string& address)
+{
+    return { { "name", name }, { "availabilityZone", "north-a" }, { "address", address }, { "slots", 2 } };
+}
+
+static nlohmann::json engine(const std::string& name, const std::string& address)
+{
+    nlohmann::json document = endpoint(name, address);
+    document["kind"] = "engine";
+    document["models"] = { "sizes" };
+    document["prefillTokensPerSecond"] = 8000;
+    document["decodeTokensPerSecond"] = 100;
+    document["capabilities"] = { { "resume", true } };
+    return document;
+}
+
+void BrokerFixture::configure(const std::vector<std::string>& regions)
+{
+    offer({ DocumentKind::Global, "" }, nlohmann::json::object());
+    offer({ DocumentKind::Model, "sizes" }, { { "versions", { "1" } }, { "sizeMegabytes", 10 } });
+    nlohmann::json service = endpoint("bookings-1", "127.0.0.1:1003");
+    service["kind"] = "service";
+    service["service"] = "bookings";
+    offer({ DocumentKind::Region, "north" }, { { "availabilityZones", { { { "name", "north-a" } } } }, { "endpoints", { engine("engine-1", "127.0.0.1:1001"), engine("engine-2", "127.0.0.1:1002"), service } } });
+    nlohmann::json team = {
+        { "share", 1 },
+        { "keys", { { { "name", "key" }, { "sha256", sha256Hex("secret") } } } },
+        { "models", { "sizes" } },
+        { "services", { { { "name", "bookings" }, { "idempotentMethods", { "GET" } } } } },
+        { "classes", { { { "name", "short" }, { "timeout", "5s" }, { "shortRequest", true } } } },
+        { "defaultClass", "short" },
+    };
+    if (!regions.empty())
+        team["residency"] = { { "regions", regions } };
+    offer({ DocumentKind::Team, "fitters" }, team);
+    endpoints.configure(tree.snapshot(), scheduler.clock().now());
+    broker.configure(tree.snapshot());
+}
+
+HttpRequest BrokerFixture::chat(bool isStreaming)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = { { "Authorization", "Bearer secret" } };
+    request.body = nlohmann::json { { "model", "sizes" }, { "stream", isStreaming }, { "messages", { { { "role", "user" }, { "content", "which size" } } } } }.dump();
+    return request;
+}
+
+HttpRequest BrokerFixture::book()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/services/bookings/items";
+    request.headers = { { "Authorization", "Bearer secret" } };
+    return request;
+}
+
+std::shared_ptr<FakeResponder> BrokerFixture::run(HttpRequest request)
+{
+    auto responder = std::make_shared<FakeResponder>();
+    auto identified = authenticate(tree.snapshot(), request.headers);
+    const CallerIdentity& identity = std::get<CallerIdentity>(identified);
+    auto read = readRequest(std::move(request), identity, { "request", scheduler.clock().now(), 1, std::nullopt });
+    if (const ApiError* error = std::get_if<ApiError>(&read)) {
+        sendError(*responder, "request", *error);
+        return responder;
+    }
+    broker.run(std::get<AcceptedRequest>(std::move(read)), AnswerWriter(responder, "request"));
+    return responder;
+}
+
+FakeHttpAnswer BrokerFixture::answer(const HttpClientRequest&)
+{
+    if (answers.empty())
+        return FakeHttpAnswer::ok("{}");
+    FakeHttpAnswer next = answers.front();
+    answers.erase(answers.begin());
+    return next;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Gateway/FakeResponder.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "catkinwing/Http/HttpServer.h"
+#include <optional>
+
+namespace catkinwing {
+
+/// Responder that keeps what it is given.
+class FakeResponder final : public HttpResponder {
+public:
+    void sendHead(const HttpResponseHead& sent) override { head = sent; }
+    void write(std::string bytes) override { body += bytes; }
+    void finish() override { isFinished = true; }
+    void abort() override { isAborted = true; }
+    void send(const HttpResponseHead& sent, std::string text) override
+    {
+        head = sent;
+        body = std::move(text);
+        isFinished = true;
+    }
+    bool isOpen() const override { return !isGone && !isFinished && !isAborted; }
+    std::size_t pendingBytes() const override { return pending; }
+    void onWritable(std::function<void()> callback) override { writable = std::move(callback); }
+    void onClosed(std::function<void()> callback) override { closed = std::move(callback); }
+
+    /// The caller goes away.
+    void leave()
+    {
+        isGone = true;
+        if (closed)
+            closed();
+    }
+    /// Returns the outcome header, or an empty text.
+    std::string outcome() const
+    {
+        const std::string* value = head ? head->headers.find("Catkinwing-Outcome") : nullptr;
+        return value ? *value : "";
+    }
+    int status() const { return head ? head->status : 0; }
+
+    std::optional<HttpResponseHead> head;
+    std::string body;
+    bool isFinished { false };
+    bool isAborted { false };
+    bool isGone { false };
+    std::size_t pending { 0 };
+    std::function<void()> writable;
+    std::function<void()> closed;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -0,0 +1,183 @@
+#include "BrokerFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static const char* const firstEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"one\"}}]}\n\n";
+static const char* const secondEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"two\"}}]}\n\n";
+static const char* const lastEvent = "data: [DONE]\n\n";
+
+static FakeHttpAnswer stream(std::vector<std::string> events, HttpEnd end)
+{
+    FakeHttpAnswer answer;
+    answer.headers = { { "Content-Type", "text/event-stream" } };
+    answer.body = std::move(events);
+    answer.end = end;
+    return answer;
+}
+
+static FakeHttpAnswer refusal()
+{
+    FakeHttpAnswer answer = FakeHttpAnswer::ok("{}");
+    answer.status = 503;
+    answer.headers = { { "Catkinwing-Executed", "false" } };
+    return answer;
+}
+
+TEST_CASE("a whole answer reaches the caller with the request's id")
+{
+    BrokerFixture fixture;
+    fixture.answers = { FakeHttpAnswer::ok("{\"answer\":1}") };
+    auto responder = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(100ms);
+    CHECK(responder->status() == 200);
+    CHECK(responder->body == "{\"answer\":1}");
+    CHECK(responder->outcome().empty());
+    CHECK(*responder->head->headers.find("Catkinwing-Request-Id") == "request");
+    CHECK(fixture.broker.running() == 0);
+}
+
+TEST_CASE("a refusal by one endpoint is retried at another")
+{
+    BrokerFixture fixture;
+    for (int i = 0; i < 20; ++i)
+        fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(5s);
+    fixture.answers = { refusal(), FakeHttpAnswer::ok("{\"answer\":2}") };
+    std::size_t before = fixture.endpointClient.requests.size();
+    auto responder = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(2s);
+    CHECK(responder->body == "{\"answer\":2}");
+    REQUIRE(fixture.endpointClient.requests.size() == before + 2);
+    CHECK(fixture.endpointClient.requests[before].server != fixture.endpointClient.requests[before + 1].server);
+}
+
+TEST_CASE("a non-idempotent request whose answer is lost is never sent again")
+{
+    BrokerFixture fixture;
+    fixture.answers = { FakeHttpAnswer::failed(HttpEnd::NoResponse, true) };
+    auto responder = fixture.run(BrokerFixture::book());
+    fixture.scheduler.advance(10s);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    CHECK(responder->status() == 502);
+    CHECK(responder->outcome() == "unknown");
+}
+
+TEST_CASE("a non-idempotent request that never left is told as not run")
+{
+    BrokerFixture fixture;
+    fixture.answers = { FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false) };
+    auto responder = fixture.run(BrokerFixture::book());
+    fixture.scheduler.advance(10s);
+    CHECK(responder->outcome() == "not-run");
+    CHECK(fixture.endpointClient.requests.front().freshConnection);
+}
+
+TEST_CASE("a stream that is cut is resumed where it broke off")
+{
+    BrokerFixture fixture;
+    for (int i = 0; i < 20; ++i)
+        fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(5s);
+    FakeHttpAnswer rest = stream({ secondEvent, lastEvent }, HttpEnd::Complete);
+    rest.headers.set("Catkinwing-Resume-From", "1");
+    fixture.answers = { stream({ firstEvent, "data: {\"cho" }, HttpEnd::Truncated), rest };
+    auto responder = fixture.run(BrokerFixture::chat(true));
+    fixture.scheduler.advance(3s);
+    CHECK(responder->body == std::string(firstEvent) + secondEvent + lastEvent);
+    CHECK(responder->isFinished);
+    CHECK(*fixture.endpointClient.requests.back().headers.find("Catkinwing-Resume-From") == "1");
+}
+
+TEST_CASE("a stream that can't be resumed ends as an error, never as whole")
+{
+    BrokerFixture fixture;
+    fixture.answers = { stream({ firstEvent }, HttpEnd::Complete) };
+    auto responder = fixture.run(BrokerFixture::chat(true));
+    fixture.scheduler.advance(10s);
+    CHECK(responder->isAborted);
+    CHECK_FALSE(responder->isFinished);
+    CHECK(responder->body.find("[DONE]") == std::string::npos);
+    CHECK(responder->body.find("\"outcome\":\"unknown\"") != std::string::npos);
+}
+
+TEST_CASE("residency tightened while a request waits keeps it from running")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer slow = FakeHttpAnswer::ok("{}");
+    slow.delay = 2s;
+    for (int i = 0; i < 4; ++i)
+        fixture.answers.push_back(slow);
+    for (int i = 0; i < 4; ++i)
+        fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(10ms);
+    auto waiting = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(10ms);
+    REQUIRE(fixture.broker.queued() == 1);
+    fixture.configure({ "south" });
+    fixture.scheduler.advance(4s);
+    CHECK(waiting->status() == 421);
+    CHECK(waiting->outcome() == "not-run");
+    CHECK(fixture.endpointClient.requests.size() == 4);
+}
+
+TEST_CASE("a request past its deadline is answered at once with what is known")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer never = FakeHttpAnswer::ok("");
+    never.delay = 60s;
+    fixture.answers = { never };
+    auto responder = fixture.run(BrokerFixture::book());
+    fixture.scheduler.advance(4900ms);
+    CHECK(responder->status() == 0);
+    fixture.scheduler.advance(200ms);
+    CHECK(responder->status() == 504);
+    CHECK(responder->outcome() == "unknown");
+    CHECK(fixture.broker.running() == 0);
+}
+
+TEST_CASE("a caller that goes away frees its slot and cancels its request")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer slow = FakeHttpAnswer::ok("{}");
+    slow.delay = 3s;
+    fixture.answers = { slow };
+    auto responder = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(10ms);
+    REQUIRE(fixture.endpointClient.exchanges.size() == 1);
+    responder->leave();
+    CHECK(fixture.endpointClient.exchanges.front()->isCancelled);
+    CHECK(fixture.broker.running() == 0);
+    CHECK(fixture.endpoints.cell().freeCredits("sizes") == 4);
+}
+
+TEST_CASE("more requests than slots wait and are all answered")
+{
+    BrokerFixture fixture;
+    std::vector<std::shared_ptr<FakeResponder>> responders;
+    for (int i = 0; i < 12; ++i)
+        responders.push_back(fixture.run(BrokerFixture::chat(false)));
+    fixture.scheduler.advance(4s);
+    for (const auto& responder : responders)
+        CHECK(responder->status() == 200);
+}
+
+TEST_CASE("a leaving endpoint's refusal keeps new work away from it")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer leaving = refusal();
+    leaving.headers.set("Catkinwing-State", "leaving");
+    fixture.answers = { leaving };
+    fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(1s);
+    SocketAddress left = fixture.endpointClient.requests.front().server;
+    std::size_t before = fixture.endpointClient.requests.size();
+    for (int i = 0; i < 6; ++i)
+        fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(3s);
+    REQUIRE(fixture.endpointClient.requests.size() == before + 6);
+    for (std::size_t i = before; i < fixture.endpointClient.requests.size(); ++i)
+        CHECK(fixture.endpointClient.requests[i].server != left);
+}
