--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -22,7 +22,7 @@
 {
     h2o_socketpool_init_by_address(m_pool.get(), address, length, isTls, 1);
     m_pool->timeout = static_cast<std::uint64_t>(milliseconds(poolTimeout).count());
-    m_pool->_interval_cb.loop = loop.m_loop;
+    m_pool->_interval_cb.loop = loop.evloop;
 }
 
 static void disposePool(h2o_socketpool_t& pool)
--- a/lib/Http/ClientCore.cpp
+++ b/lib/Http/ClientCore.cpp
@@ -12,8 +12,8 @@
     : m_loop(loop)
     , m_options(std::move(options))
 {
-    h2o_timeout_init(loop.impl().m_loop, &m_ioTimeout, std::chrono::milliseconds(ioTimeout).count());
-    m_context.loop = loop.impl().m_loop;
+    h2o_timeout_init(loop.impl().evloop, &m_ioTimeout, std::chrono::milliseconds(ioTimeout).count());
+    m_context.loop = loop.impl().evloop;
     m_context.io_timeout = &m_ioTimeout;
     replaceTls(m_options.tls);
 }
--- a/lib/Http/EventLoop.cpp
+++ b/lib/Http/EventLoop.cpp
@@ -12,9 +12,9 @@
 // Turns given to closing connections when the loop is destroyed.
 static constexpr int maxReleaseTurns = 200;
 
-EventLoop::Impl::Impl(const Clock& clock)
-    : m_clock(clock)
-    , m_loop(h2o_evloop_create())
+EventLoop::Impl::Impl(const Clock& source)
+    : clock(source)
+    , evloop(h2o_evloop_create())
 {
     // A write to a connection that the peer has closed must fail, not kill.
     std::signal(SIGPIPE, SIG_IGN);
@@ -25,18 +25,18 @@
 EventLoop::Impl::~Impl()
 {
     // Callbacks may own what cancels other timers when it goes.
-    auto timers = std::exchange(m_timers, {});
-    m_dueTimes.clear();
-    timers.clear();
-    for (Watch* watch : m_signalWatches)
+    auto pending = std::exchange(timers, {});
+    dueTimes.clear();
+    pending.clear();
+    for (Watch* watch : signalWatches)
         unwatch(watch);
     releaseRetired();
     sigset_t signals;
     sigemptyset(&signals);
-    for (int number : m_blockedSignals)
+    for (int number : blockedSignals)
         sigaddset(&signals, number);
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-    h2o_evloop_destroy(m_loop);
+    h2o_evloop_destroy(evloop);
 }
 
 // Connections close over several turns, since TLS says goodbye first. What
@@ -46,12 +46,12 @@
     for (int turn = 0; turn < maxReleaseTurns; ++turn) {
         runDeferred();
         runReapers();
-        h2o_evloop_run(m_loop, 0);
-        bool isIdle = m_deferred.empty() && m_reapers.empty();
+        h2o_evloop_run(evloop, 0);
+        bool isIdle = deferred.empty() && reapers.empty();
         if (isIdle && turn > 1)
             return;
     }
-    for (auto& reaper : m_reapers)
+    for (auto& reaper : reapers)
         new Reaper(std::move(reaper));
 }
 
@@ -59,22 +59,22 @@
 {
     auto entry = std::make_unique<Watch>();
     entry->onReadable = std::move(onReadable);
-    entry->socket = h2o_evloop_socket_create(m_loop, descriptor, H2O_SOCKET_FLAG_DONT_READ);
+    entry->socket = h2o_evloop_socket_create(evloop, descriptor, H2O_SOCKET_FLAG_DONT_READ);
     entry->socket->data = entry.get();
     h2o_socket_read_start(entry->socket, [](h2o_socket_t* socket, const char*) {
         static_cast<Watch*>(socket->data)->onReadable();
     });
-    m_watches.push_back(std::move(entry));
-    return m_watches.back().get();
+    watches.push_back(std::move(entry));
+    return watches.back().get();
 }
 
 void EventLoop::Impl::unwatch(Watch* watch)
 {
-    auto entry = std::find_if(m_watches.begin(), m_watches.end(),
+    auto entry = std::find_if(watches.begin(), watches.end(),
         [watch](const auto& candidate) { return candidate.get() == watch; });
-    assert(entry != m_watches.end());
+    assert(entry != watches.end());
     h2o_socket_close(watch->socket);
-    m_watches.erase(entry);
+    watches.erase(entry);
 }
 
 // Writes begun outside h2o's own run leave their callbacks pending there, and
@@ -82,21 +82,21 @@
 std::int32_t EventLoop::Impl::waitMilliseconds(std::chrono::milliseconds maxWait) const
 {
     using std::chrono::milliseconds;
-    bool isBusy = !m_deferred.empty() || m_loop->_pending_as_client || m_loop->_pending_as_server;
+    bool isBusy = !deferred.empty() || evloop->_pending_as_client || evloop->_pending_as_server;
     if (isBusy)
         return 0;
     milliseconds wait = std::clamp(maxWait, milliseconds(0), milliseconds(std::numeric_limits<std::int32_t>::max()));
-    if (m_timers.empty())
+    if (timers.empty())
         return static_cast<std::int32_t>(wait.count());
-    Duration untilDue = std::max(m_timers.begin()->first.first - m_clock.now(), Duration::zero());
+    Duration untilDue = std::max(timers.begin()->first.first - clock.now(), Duration::zero());
     wait = std::min(wait, std::chrono::ceil<milliseconds>(untilDue));
     return static_cast<std::int32_t>(wait.count());
 }
 
 void EventLoop::Impl::runTurn(std::chrono::milliseconds maxWait)
 {
-    h2o_evloop_run(m_loop, waitMilliseconds(maxWait));
-    if (!m_isStopped)
+    h2o_evloop_run(evloop, waitMilliseconds(maxWait));
+    if (!isStopped)
         runDueTimers();
     runDeferred();
     runReapers();
@@ -105,16 +105,16 @@
 // A timer set by a callback has a later id, and so waits for the next turn.
 void EventLoop::Impl::runDueTimers()
 {
-    TimePoint now = m_clock.now();
-    TimerId last = m_lastTimer;
-    while (!m_timers.empty() && !m_isStopped) {
-        auto entry = m_timers.begin();
+    TimePoint now = clock.now();
+    TimerId last = lastTimer;
+    while (!timers.empty() && !isStopped) {
+        auto entry = timers.begin();
         auto [due, timer] = entry->first;
         if (due > now || timer > last)
             return;
         Callback callback = std::move(entry->second);
-        m_timers.erase(entry);
-        m_dueTimes.erase(timer);
+        timers.erase(entry);
+        dueTimes.erase(timer);
         callback();
     }
 }
@@ -122,7 +122,7 @@
 void EventLoop::Impl::runDeferred()
 {
     std::vector<Callback> callbacks;
-    callbacks.swap(m_deferred);
+    callbacks.swap(deferred);
     for (auto& callback : callbacks) {
         callback();
         callback = nullptr;
@@ -131,13 +131,13 @@
 
 void EventLoop::Impl::runReapers()
 {
-    if (m_reapers.empty())
+    if (reapers.empty())
         return;
-    std::vector<Reaper> reapers;
-    reapers.swap(m_reapers);
-    for (auto& reaper : reapers) {
+    std::vector<Reaper> current;
+    current.swap(reapers);
+    for (auto& reaper : current) {
         if (!reaper())
-            m_reapers.push_back(std::move(reaper));
+            reapers.push_back(std::move(reaper));
     }
 }
 
@@ -150,27 +150,27 @@
 
 const Clock& EventLoop::clock() const
 {
-    return m_impl->m_clock;
+    return m_impl->clock;
 }
 
 TimerId EventLoop::callAfter(Duration delay, Callback callback)
 {
-    TimerId timer = ++m_impl->m_lastTimer;
+    TimerId timer = ++m_impl->lastTimer;
     TimePoint due = clock().now() + std::max(delay, Duration::zero());
-    m_impl->m_timers.emplace(std::make_pair(due, timer), std::move(callback));
-    m_impl->m_dueTimes.emplace(timer, due);
+    m_impl->timers.emplace(std::make_pair(due, timer), std::move(callback));
+    m_impl->dueTimes.emplace(timer, due);
     return timer;
 }
 
 void EventLoop::cancel(TimerId timer)
 {
-    auto entry = m_impl->m_dueTimes.find(timer);
-    if (entry == m_impl->m_dueTimes.end())
+    auto entry = m_impl->dueTimes.find(timer);
+    if (entry == m_impl->dueTimes.end())
         return;
     TimePoint due = entry->second;
-    m_impl->m_dueTimes.erase(entry);
+    m_impl->dueTimes.erase(entry);
     // The callback goes after the map is whole again, as it may cancel others.
-    auto node = m_impl->m_timers.extract(std::make_pair(due, timer));
+    auto node = m_impl->timers.extract(std::make_pair(due, timer));
 }
 
 static void blockSignal(int number)
@@ -194,31 +194,31 @@
 void EventLoop::onSignal(int number, Callback callback)
 {
     blockSignal(number);
-    m_impl->m_blockedSignals.push_back(number);
+    m_impl->blockedSignals.push_back(number);
     int descriptor = openSignalDescriptor(number);
     auto readSignal = [descriptor, callback = std::move(callback)] {
         signalfd_siginfo info {};
         if (read(descriptor, &info, sizeof(info)) == sizeof(info))
             callback();
     };
-    m_impl->m_signalWatches.push_back(m_impl->watch(descriptor, readSignal));
+    m_impl->signalWatches.push_back(m_impl->watch(descriptor, readSignal));
 }
 
 void EventLoop::run()
 {
-    m_impl->m_isStopped = false;
-    while (!m_impl->m_isStopped)
+    m_impl->isStopped = false;
+    while (!m_impl->isStopped)
         m_impl->runTurn(std::chrono::hours(1));
 }
 
 void EventLoop::stop()
 {
-    m_impl->m_isStopped = true;
+    m_impl->isStopped = true;
 }
 
 void EventLoop::runOnce(std::chrono::milliseconds maxWait)
 {
-    m_impl->m_isStopped = false;
+    m_impl->isStopped = false;
     m_impl->runTurn(maxWait);
 }
 
--- a/lib/Http/EventLoopImpl.h
+++ b/lib/Http/EventLoopImpl.h
@@ -21,16 +21,16 @@
         ReadableCallback onReadable;
     };
 
-    explicit Impl(const Clock& clock);
+    explicit Impl(const Clock& source);
     ~Impl();
     Impl(const Impl&) = delete;
     Impl& operator=(const Impl&) = delete;
 
     /// Calls \p callback at the end of this turn, or of the next one if none runs.
-    void defer(Callback callback) { m_deferred.push_back(std::move(callback)); }
+    void defer(Callback callback) { deferred.push_back(std::move(callback)); }
     /// Calls \p reaper at the end of each turn until it returns true; also,
     /// for a while, when the loop is destroyed.
-    void retire(Reaper reaper) { m_reapers.push_back(std::move(reaper)); }
+    void retire(Reaper reaper) { reapers.push_back(std::move(reaper)); }
     /// Takes over \p descriptor and calls \p onReadable while it has input.
     Watch* watch(int descriptor, ReadableCallback onReadable);
     /// Closes the descriptor; must not be called by its own callback.
@@ -38,17 +38,17 @@
 
     void runTurn(std::chrono::milliseconds maxWait);
 
-    const Clock& m_clock;
-    h2o_evloop_t* m_loop;
-    std::map<std::pair<TimePoint, TimerId>, Callback> m_timers;
-    std::unordered_map<TimerId, TimePoint> m_dueTimes;
-    TimerId m_lastTimer { 0 };
-    bool m_isStopped { false };
-    std::vector<Callback> m_deferred;
-    std::vector<Reaper> m_reapers;
-    std::vector<std::unique_ptr<Watch>> m_watches;
-    std::vector<Watch*> m_signalWatches;
-    std::vector<int> m_blockedSignals;
+    const Clock& clock;
+    h2o_evloop_t* evloop;
+    std::map<std::pair<TimePoint, TimerId>, Callback> timers;
+    std::unordered_map<TimerId, TimePoint> dueTimes;
+    TimerId lastTimer { 0 };
+    bool isStopped { false };
+    std::vector<Callback> deferred;
+    std::vector<Reaper> reapers;
+    std::vector<std::unique_ptr<Watch>> watches;
+    std::vector<Watch*> signalWatches;
+    std::vector<int> blockedSignals;
 
 private:
     std::int32_t waitMilliseconds(std::chrono::milliseconds maxWait) const;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -50,7 +50,7 @@
     , m_core(std::make_shared<ServerCore>(loop, std::move(options), std::move(handler)))
     , m_address(localAddressOf(listener))
     , m_listenerDescriptor(listener)
-    , m_listener(h2o_evloop_socket_create(loop.impl().m_loop, listener, H2O_SOCKET_FLAG_DONT_READ))
+    , m_listener(h2o_evloop_socket_create(loop.impl().evloop, listener, H2O_SOCKET_FLAG_DONT_READ))
 {
     m_listener->data = this;
     startAccepting();
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -66,7 +66,7 @@
     auto* entry = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
     entry->base.on_req = onRequest;
     entry->core = this;
-    h2o_context_init(&m_context, loop.impl().m_loop, &m_configuration);
+    h2o_context_init(&m_context, loop.impl().evloop, &m_configuration);
     m_acceptContext.ctx = &m_context;
     m_acceptContext.hosts = m_configuration.hosts;
     m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
@@ -98,7 +98,7 @@
     connection->core = this;
     connection->descriptor = descriptor;
     connection->caller = std::move(caller);
-    connection->socket = h2o_evloop_socket_create(loop().m_loop, descriptor, H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
+    connection->socket = h2o_evloop_socket_create(loop().evloop, descriptor, H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
     connection->socket->on_close.cb = onConnectionClosed;
     connection->socket->on_close.data = connection.get();
     m_connections.push_front(std::move(connection));
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -285,7 +285,7 @@
 {
     sockaddr nowhere {};
     nowhere.sa_family = AF_UNSPEC;
-    connect(descriptor, &nowhere, sizeof(nowhere));
+    static_cast<void>(connect(descriptor, &nowhere, sizeof(nowhere)));
 }
 
 // HTTP/1 has no way to say that an answer is cut but to close the connection,
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -99,6 +99,7 @@
     std::vector<std::shared_ptr<Recorded>> waiting;
     HttpClientRequest request = requestFor(full.address());
     request.connectTimeout = 300ms;
+    waiting.reserve(8);
     // The queue takes one or two before the kernel leaves the rest unanswered.
     for (int i = 0; i < 8; ++i)
         waiting.push_back(sendRecorded(*client, request));
@@ -463,7 +464,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     std::shared_ptr<HttpResponder> responder;
-    auto server = startServer(loop, [&](HttpRequest, std::shared_ptr<HttpResponder> given) {
+    auto server = startServer(loop, [&](const HttpRequest&, std::shared_ptr<HttpResponder> given) {
         responder = std::move(given);
         responder->sendHead(headOf(200));
     });
@@ -574,7 +575,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     std::vector<std::uint16_t> ports;
-    auto server = startServer(loop, [&](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
         ports.push_back(request.caller.port);
         responder->send(headOf(200), "x");
     });
@@ -599,7 +600,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     std::vector<std::shared_ptr<HttpResponder>> responders;
-    auto server = startServer(loop, [&](HttpRequest, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [&](const HttpRequest&, std::shared_ptr<HttpResponder> responder) {
         responders.push_back(std::move(responder));
     });
     HttpClientOptions options;
@@ -607,6 +608,7 @@
     options.keepIdle = 200ms;
     auto client = makeHttpClient(loop, options);
     std::vector<std::shared_ptr<Recorded>> sent;
+    sent.reserve(5);
     for (int i = 0; i < 5; ++i)
         sent.push_back(sendRecorded(*client, requestFor(server->address())));
     REQUIRE(runUntil(loop, [&] { return responders.size() == 5; }));
@@ -660,7 +662,7 @@
     EventLoop loop(clock);
     bool hasLength = GENERATE(false, true);
     std::shared_ptr<HttpResponder> responder;
-    auto server = startServer(loop, [&](HttpRequest, std::shared_ptr<HttpResponder> given) {
+    auto server = startServer(loop, [&](const HttpRequest&, std::shared_ptr<HttpResponder> given) {
         responder = std::move(given);
         HttpResponseHead head = headOf(200);
         if (hasLength)
--- a/unittests/Http/HttpRoundTripTest.cpp
+++ b/unittests/Http/HttpRoundTripTest.cpp
@@ -8,7 +8,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     HttpRequest seen;
-    auto server = startServer(loop, [&](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [&](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
         seen = std::move(request);
         HttpResponseHead head = headOf(201);
         head.headers.add("X-Answer", "yes");
@@ -46,7 +46,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     std::shared_ptr<HttpResponder> held;
-    auto server = startServer(loop, [&](HttpRequest, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [&](const HttpRequest&, std::shared_ptr<HttpResponder> responder) {
         responder->sendHead(headOf(200));
         held = std::move(responder);
     });
@@ -71,7 +71,7 @@
     SystemClock clock;
     EventLoop loop(clock);
     std::vector<std::uint16_t> ports;
-    auto server = startServer(loop, [&](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
         ports.push_back(request.caller.port);
         responder->send(headOf(200), "x");
     });
@@ -92,7 +92,7 @@
 {
     SystemClock clock;
     EventLoop loop(clock);
-    auto server = startServer(loop, [](HttpRequest, std::shared_ptr<HttpResponder> responder) {
+    auto server = startServer(loop, [](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
         responder->send(headOf(200), std::string(1000, 'x'));
     });
     auto client = makeHttpClient(loop, {});
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -518,7 +518,7 @@
     EventLoop loop(clock);
     std::unique_ptr<HttpServer> server;
     bool ran = false;
-    server = startServer(loop, [&](HttpRequest, std::shared_ptr<HttpResponder>) {
+    server = startServer(loop, [&](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {
         server.reset();
         ran = true;
     });
@@ -534,8 +534,8 @@
     HeldServer held;
     HttpServerOptions options;
     options.listen = held.server->address();
-    auto second = HttpServer::listen(held.loop, options, [](HttpRequest, std::shared_ptr<HttpResponder>) {});
+    auto second = HttpServer::listen(held.loop, options, [](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {});
     CHECK_FALSE(second.ok());
     options.listen = { "localhost", 0 };
-    CHECK_FALSE(HttpServer::listen(held.loop, options, [](HttpRequest, std::shared_ptr<HttpResponder>) {}).ok());
+    CHECK_FALSE(HttpServer::listen(held.loop, options, [](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {}).ok());
 }
--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -35,7 +35,7 @@
     {
         options.tls = serverContext(files);
         server = startServer(
-            loop, [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+            loop, [this](const HttpRequest& request, std::shared_ptr<HttpResponder> responder) {
                 seen.push_back(request);
                 if (isAnswering)
                     responder->send(headOf(200), "secret");
