--- a/include/catkinwing/Standin/FaultyResponder.h
+++ b/include/catkinwing/Standin/FaultyResponder.h
@@ -9,6 +9,6 @@
 
 /// Returns a responder that spoils the answer as \p plan says. Each write()
 /// counts as one event. \p onCut is called when the connection is cut.
-std::shared_ptr<HttpResponder> makeFaultyResponder(std::shared_ptr<HttpResponder> responder, FaultPlan plan, std::function<void()> onCut);
+std::shared_ptr<HttpResponder> makeFaultyResponder(std::shared_ptr<HttpResponder> responder, const FaultPlan& plan, std::function<void()> onCut);
 
 } // namespace catkinwing::standin
--- a/include/catkinwing/Standin/StandinFrontend.h
+++ b/include/catkinwing/Standin/StandinFrontend.h
@@ -60,7 +60,7 @@
 
     void handleControl(const HttpRequest& request, HttpResponder& responder);
     void replaceFaults(const HttpRequest& request, HttpResponder& responder);
-    void admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, const CallIdentity& identity, FaultPlan plan);
+    void admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, const CallIdentity& identity, const FaultPlan& plan);
     void hang(const std::shared_ptr<HttpResponder>& responder, const CallIdentity& identity);
 
     Scheduler& m_scheduler;
--- a/lib/Standin/FaultyResponder.cpp
+++ b/lib/Standin/FaultyResponder.cpp
@@ -14,9 +14,9 @@
 
     class FaultyResponder final : public HttpResponder, public std::enable_shared_from_this<FaultyResponder> {
     public:
-        FaultyResponder(std::shared_ptr<HttpResponder> inner, FaultPlan plan, std::function<void()> onCut)
+        FaultyResponder(std::shared_ptr<HttpResponder> inner, const FaultPlan& plan, std::function<void()> onCut)
             : m_inner(std::move(inner))
-            , m_plan(std::move(plan))
+            , m_plan(plan)
             , m_onCut(std::move(onCut))
         {
         }
@@ -180,9 +180,9 @@
         closed();
 }
 
-std::shared_ptr<HttpResponder> makeFaultyResponder(std::shared_ptr<HttpResponder> responder, FaultPlan plan, std::function<void()> onCut)
+std::shared_ptr<HttpResponder> makeFaultyResponder(std::shared_ptr<HttpResponder> responder, const FaultPlan& plan, std::function<void()> onCut)
 {
-    auto faulty = std::make_shared<FaultyResponder>(std::move(responder), std::move(plan), std::move(onCut));
+    auto faulty = std::make_shared<FaultyResponder>(std::move(responder), plan, std::move(onCut));
     faulty->watchCaller();
     return faulty;
 }
--- a/lib/Standin/StandinFrontend.cpp
+++ b/lib/Standin/StandinFrontend.cpp
@@ -83,14 +83,14 @@
         sendNotExecuted(*responder, 503, "refused by a fault switch", refusalRetryAfter);
         return;
     }
-    admit(std::move(request), std::move(responder), identity, std::move(plan));
+    admit(std::move(request), std::move(responder), identity, plan);
 }
 
-void StandinFrontend::admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, const CallIdentity& identity, FaultPlan plan)
+void StandinFrontend::admit(HttpRequest request, std::shared_ptr<HttpResponder> responder, const CallIdentity& identity, const FaultPlan& plan)
 {
     Duration delay = plan.delay;
     StandinCall call { std::move(request), identity, nullptr, plan.readOnly, plan.leaving };
-    call.responder = makeFaultyResponder(std::move(responder), std::move(plan),
+    call.responder = makeFaultyResponder(std::move(responder), plan,
         [this, identity, weak = std::weak_ptr<Pending>(m_pending)] {
             if (weak.lock())
                 m_log.record(identity, ExecutionEvent::Cut);
--- a/unittests/Standin/StandinServerTest.cpp
+++ b/unittests/Standin/StandinServerTest.cpp
@@ -20,7 +20,7 @@
         REQUIRE(standin.ok());
         return *std::move(standin);
     }
-    std::unique_ptr<StandinServer> startEngine(WeightFetcher fetcher = nullptr)
+    std::unique_ptr<StandinServer> startEngine(const WeightFetcher& fetcher = nullptr)
     {
         EngineServiceSettings settings;
         settings.engine.slots = 1;
