--- a/include/catkinwing/Placement/OrderPermission.h
+++ b/include/catkinwing/Placement/OrderPermission.h
@@ -25,7 +25,7 @@
 
 /// What the decision is made from.
 struct OrderContext {
-    /// The lease as of \p now; empty if it may not be relied on.
+    /// The lease as last known, which may have run out; empty if there is none.
     std::optional<HeldLease> lease;
     /// Of all candidates for the lease, which are configured alike.
     std::chrono::milliseconds timeToLive { 0 };
--- a/include/catkinwing/Platform/LeaseKeeper.h
+++ b/include/catkinwing/Platform/LeaseKeeper.h
@@ -72,6 +72,9 @@
     bool isHeld(TimePoint now) const { return held(now).has_value(); }
     /// Returns the lease if the holder may act at \p now.
     std::optional<HeldLease> held(TimePoint now) const;
+    /// Returns the lease without regard to the time, for a decision that checks
+    /// validUntil itself.
+    std::optional<HeldLease> lastHeld() const;
     const LeaseKeeperOptions& options() const;
 
     /// Drops the lease because the process was frozen; one that is acquired
--- a/lib/Placement/OrderSender.cpp
+++ b/lib/Placement/OrderSender.cpp
@@ -90,7 +90,7 @@
 {
     OrderContext context;
     context.now = now();
-    context.lease = lease.held(context.now);
+    context.lease = lease.lastHeld();
     context.timeToLive = lease.options().timeToLive;
     context.margin = lease.options().margin;
     context.honoursFencing = target.endpoint.honoursFencing;
--- a/lib/Platform/LeaseKeeper.cpp
+++ b/lib/Platform/LeaseKeeper.cpp
@@ -278,6 +278,13 @@
     return m_impl->heldLease;
 }
 
+std::optional<HeldLease> LeaseKeeper::lastHeld() const
+{
+    if (m_impl->state != LeaseState::Held)
+        return std::nullopt;
+    return m_impl->heldLease;
+}
+
 const LeaseKeeperOptions& LeaseKeeper::options() const
 {
     return m_impl->options;
--- a/unittests/Platform/LeaseKeeperTest.cpp
+++ b/unittests/Platform/LeaseKeeperTest.cpp
@@ -1,7 +1,7 @@
 #include "catkinwing/Platform/LeaseKeeper.h"
 
 #include "FakeStore.h"
-#include "catkinwing/Support/ManualScheduler.h"
+#include "FreezableScheduler.h"
 #include <catch2/catch.hpp>
 
 using namespace catkinwing;
@@ -12,13 +12,12 @@
 /// Two candidates that can be frozen apart from the store and each other.
 struct Bench {
     struct Candidate {
-        ManualScheduler scheduler;
+        FreezableScheduler process;
         std::unique_ptr<Store> client;
         Random random { 1 };
         std::unique_ptr<LeaseKeeper> keeper;
-        Duration frozenFor { 0 };
 
-        bool isHeld() const { return keeper->isHeld(scheduler.clock().now() + frozenFor); }
+        bool isHeld() const { return keeper->isHeld(process.now()); }
     };
 
     ManualScheduler storeScheduler;
@@ -35,8 +34,9 @@
             options.holder = i == 0 ? "a" : "b";
             options.retryEvery = i == 0 ? 3s : 500ms;
             candidates[i].random = Random(i);
-            candidates[i].client = store.clientOn(candidates[i].scheduler);
-            candidates[i].keeper = std::make_unique<LeaseKeeper>(*candidates[i].client, candidates[i].scheduler, candidates[i].random, options);
+            ManualScheduler& scheduler = candidates[i].process.scheduler();
+            candidates[i].client = store.clientOn(scheduler);
+            candidates[i].keeper = std::make_unique<LeaseKeeper>(*candidates[i].client, scheduler, candidates[i].random, options);
         }
     }
 
@@ -45,25 +45,13 @@
         constexpr auto step = 50ms;
         for (Duration done {}; done < span; done += step) {
             storeScheduler.advance(step);
-            move(a, isAFrozen, step);
-            move(b, isBFrozen, step);
+            a.process.move(step, isAFrozen);
+            b.process.move(step, isBFrozen);
             REQUIRE_FALSE((a.isHeld() && b.isHeld()));
         }
     }
 
-    static void move(Candidate& candidate, bool isFrozen, Duration step)
-    {
-        candidate.frozenFor += step;
-        if (isFrozen)
-            return;
-        Duration span = std::exchange(candidate.frozenFor, Duration::zero());
-        if (span == step)
-            candidate.scheduler.advance(span);
-        else
-            candidate.scheduler.freeze(span);
-    }
-
-    static StoreRevision fencing(const Candidate& candidate) { return candidate.keeper->held(candidate.scheduler.clock().now())->fencing; }
+    static StoreRevision fencing(const Candidate& candidate) { return candidate.keeper->held(candidate.process.now())->fencing; }
 };
 
 } // namespace
