--- a/include/catkinwing/PeerProtocol/PeerCodec.h
+++ b/include/catkinwing/PeerProtocol/PeerCodec.h
@@ -7,17 +7,17 @@
 namespace catkinwing {
 
 /// Most bytes of a batch that is decoded; longer ones are refused.
-constexpr std::size_t maxBatchBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxBatchBytes = std::size_t { 4 } << 20;
 /// Most bytes of documents that splitConfig() puts in one push, unless one
 /// document alone is longer.
-constexpr std::size_t configChunkBytes = 256 * 1024;
+constexpr std::size_t configChunkBytes = std::size_t { 256 } << 10;
 
 /// Byte budgets of whole batches, JSON-RPC envelope included and HTTP left out.
-/// A heartbeat in the steady state of a zone with 4 models, 8 teams that changed
-/// and 8 endpoints that changed.
-constexpr std::size_t heartbeatBytes = 640;
+/// A heartbeat in the steady state with 4 groups, 8 teams and 8 endpoints, all with
+/// names of 18 bytes; half of it goes into these names.
+constexpr std::size_t heartbeatBytes = 800;
 /// A zone digest with 4 models and 4 teams, without entries.
-constexpr std::size_t zoneDigestBytes = 360;
+constexpr std::size_t zoneDigestBytes = 460;
 /// What each entry adds to a zone digest.
 constexpr std::size_t zoneEntryBytes = 100;
 /// What one leaving endpoint or entry takes.
