Say in heartbeats and digests whether more totals wait

Cause: a receiver that sees a team's running total for the first time can't tell 'new here' from 'not told before', and a sender that is refused can't tell a live later run from a dead one. Change: hasMoreServed in both messages; refusals LowIncarnation and UnknownRun beside OldIncarnation; digests lose the acknowledgement, which their reply gives already.

--- a/include/catkinwing/PeerProtocol/PeerMessages.h
+++ b/include/catkinwing/PeerProtocol/PeerMessages.h
@@ -81,8 +81,6 @@
     std::string relay;
     /// Counts the relay's digests; higher is newer for the same relay.
     std::uint64_t sequence { 0 };
-    /// Latest sequence that the sender has from the receiver; zero for none.
-    std::uint64_t acknowledged { 0 };
     /// Time since the relay made it, as far as it was spent in entries.
     Duration age {};
     /// Hash of the zone's entries.
@@ -94,6 +92,8 @@
     std::vector<ModelRoom> models;
     /// The teams whose counters changed most.
     std::vector<TeamTokens> served;
+    /// Set while other teams' changes wait for the next digest.
+    bool hasMoreServed { false };
     std::uint64_t configDigest { 0 };
     /// Hash of the names of the zones that the sender knows.
     std::uint32_t zonesDigest { 0 };
@@ -107,7 +107,7 @@
 /// Budget: heartbeatBytes in the steady state, without digests.
 struct Heartbeat {
     EntryIdentity sender;
-    /// Counts the sender's messages to the receiver, from 1.
+    /// Counts the sender's messages to the receiver, from a random start.
     std::uint64_t sequence { 0 };
     /// Latest sequence that the sender has from the receiver; zero for none. A
     /// receiver whose recent sequences never come back isn't heard.
@@ -125,6 +125,8 @@
     std::vector<EndpointLoad> load;
     /// The teams whose counters changed most.
     std::vector<TeamTokens> served;
+    /// Set while other teams' changes wait for the next heartbeat.
+    bool hasMoreServed { false };
     std::vector<EndpointLeaving> leaving;
     /// Peer addresses of the members; empty while the hashes agree.
     std::vector<SocketAddress> members;
@@ -243,8 +245,13 @@
     Malformed,
     /// The receiver doesn't know the method or its version.
     UnknownMethod,
-    /// The sender's run was followed by a later one of the same name.
+    /// A later run of the sender's name is alive.
     OldIncarnation,
+    /// The receiver remembers a later run of the sender's name that is dead; the
+    /// sender has to raise its incarnation above it.
+    LowIncarnation,
+    /// The heartbeat says no zone and addresses, but the receiver doesn't know the run.
+    UnknownRun,
     /// The receiver can't act on it now.
     Unavailable,
 };
@@ -253,7 +260,7 @@
 struct PeerError {
     PeerErrorCode code { PeerErrorCode::Unavailable };
     std::string message;
-    /// For OldIncarnation, the run that the receiver knows.
+    /// For OldIncarnation and LowIncarnation, the run that the receiver knows.
     std::optional<Incarnation> known;
 };
 
--- a/lib/PeerProtocol/ClaimJson.cpp
+++ b/lib/PeerProtocol/ClaimJson.cpp
@@ -4,7 +4,7 @@
 
 constexpr std::uint32_t claimOutcomes = 4;
 constexpr std::uint32_t runStates = 3;
-constexpr std::uint32_t peerErrorCodes = 4;
+constexpr std::uint32_t peerErrorCodes = 6;
 
 template <typename Enum>
 static bool enumFromJson(const Json::Value& json, std::uint32_t count, Enum& out)
--- a/lib/PeerProtocol/HeartbeatJson.cpp
+++ b/lib/PeerProtocol/HeartbeatJson.cpp
@@ -67,6 +67,8 @@
         json["f"] = countsToJson(heartbeat.load, &EndpointLoad::endpoint, &EndpointLoad::inFlight);
     if (!heartbeat.served.empty())
         json["t"] = countsToJson(heartbeat.served, &TeamTokens::team, &TeamTokens::tokens);
+    if (heartbeat.hasMoreServed)
+        json["tm"] = true;
     if (!heartbeat.leaving.empty())
         json["l"] = arrayToJson(heartbeat.leaving);
     if (!heartbeat.members.empty())
@@ -107,6 +109,7 @@
     const Json::Value* served = reader.take("t");
     if (served && !countsFromJson(*served, out.served, &TeamTokens::team, &TeamTokens::tokens))
         reader.reject();
+    reader.accept("tm", out.hasMoreServed);
     reader.accept("l", out.leaving);
     reader.accept("p", out.members);
     reader.accept("zc", out.contacts);
--- a/lib/PeerProtocol/ZoneDigestJson.cpp
+++ b/lib/PeerProtocol/ZoneDigestJson.cpp
@@ -63,8 +63,6 @@
     json["r"] = digest.region;
     json["n"] = digest.relay;
     json["s"] = Json::Value(static_cast<Json::UInt64>(digest.sequence));
-    if (digest.acknowledged != 0)
-        json["a"] = Json::Value(static_cast<Json::UInt64>(digest.acknowledged));
     if (digest.age != Duration::zero())
         json["o"] = toJson(digest.age);
     json["h"] = digest.rosterDigest;
@@ -76,6 +74,8 @@
         json["m"] = arrayToJson(digest.models);
     if (!digest.served.empty())
         json["t"] = countsToJson(digest.served, &TeamTokens::team, &TeamTokens::tokens);
+    if (digest.hasMoreServed)
+        json["tm"] = true;
     json["g"] = bitsToJson(digest.configDigest);
     if (digest.zonesDigest != 0)
         json["y"] = digest.zonesDigest;
@@ -91,7 +91,6 @@
     reader.require("r", out.region);
     reader.require("n", out.relay);
     reader.require("s", out.sequence);
-    reader.accept("a", out.acknowledged);
     reader.accept("o", out.age);
     reader.require("h", out.rosterDigest);
     reader.accept("k", out.knownRoster);
@@ -100,6 +99,7 @@
     const Json::Value* served = reader.take("t");
     if (served && !countsFromJson(*served, out.served, &TeamTokens::team, &TeamTokens::tokens))
         reader.reject();
+    reader.accept("tm", out.hasMoreServed);
     reader.acceptBits("g", out.configDigest);
     reader.accept("y", out.zonesDigest);
     reader.accept("zc", out.contacts);
--- a/unittests/PeerProtocol/PeerCodecTest.cpp
+++ b/unittests/PeerProtocol/PeerCodecTest.cpp
@@ -17,6 +17,7 @@
     heartbeat.sequence = 1234567;
     heartbeat.acknowledged = 1234566;
     heartbeat.draining = true;
+    heartbeat.hasMoreServed = true;
     heartbeat.configDigest = UINT64_MAX;
     heartbeat.membersDigest = UINT32_MAX;
     heartbeat.zonesDigest = UINT32_MAX - 1;
@@ -36,7 +37,6 @@
     digest.region = "antioquia";
     digest.relay = sampleRef.name;
     digest.sequence = 1234567;
-    digest.acknowledged = 1234566;
     digest.age = 1250ms;
     digest.rosterDigest = UINT32_MAX;
     digest.knownRoster = UINT32_MAX;
@@ -44,6 +44,7 @@
         digest.models.push_back({ absl::StrCat("fitting-", i), 100, 20, 1500ms });
         digest.served.push_back({ absl::StrCat("team-workspace-", 100 + i), 123456789 });
     }
+    digest.hasMoreServed = true;
     digest.configDigest = UINT64_MAX;
     digest.zonesDigest = UINT32_MAX;
     return digest;
