Add the membership: failure detection, drains, relays and digests

Change: full heartbeats inside a zone, one exchange for both directions, paced by the number of members; silence makes a member suspect, then dead; acknowledged sequences show who hears us, so an asymmetric cut takes new work off both ends; a late tick, message or answer counts as a freeze, drops all views and is reported first. Zones are shared out over the members by rendezvous hash; two relays for each other zone, the second stepping in when no digest comes.

--- a/include/catkinwing/Membership/Membership.h
+++ b/include/catkinwing/Membership/Membership.h
@@ -16,6 +16,8 @@
     std::function<void(Duration span)> onFrozen;
     /// The view changed in a way that steering or forwarding may depend on.
     std::function<void()> onViewChanged;
+    /// A member of the zone changed its state; for logs.
+    std::function<void(const EntryRef&, MemberState)> onMemberState;
     /// A peer has another configuration in force; pull from it or push to it.
     std::function<void(const ConfigPeer&)> onConfigDiffers;
     /// A peer says that an endpoint is leaving; reported once for each run.
@@ -51,7 +53,8 @@
     /// Starts the exchange.
     void start();
     /// Adds addresses to be tried, such as seeds or the directory's list. Known
-    /// ones are skipped.
+    /// ones are skipped; each is forgotten after MembershipOptions::forgetAfter,
+    /// unless it is learnt again.
     void learn(const std::vector<Candidate>& candidates);
     /// Replaces what is told to the others.
     void setLocalState(LocalState state);
@@ -64,6 +67,9 @@
     /// Handles a message; none if it is not for the membership.
     std::optional<PeerReply> handle(const PeerMessage& message);
 
+    /// Reports a freeze if the process was frozen. Called by all else here; call it
+    /// as well before acting on a lease.
+    void checkFrozen();
     /// Returns the current view; it stays valid until the next call.
     const MembershipView& view();
     /// Returns this entry, whose incarnation may have been raised once at start.
--- a/include/catkinwing/Membership/MembershipOptions.h
+++ b/include/catkinwing/Membership/MembershipOptions.h
@@ -16,10 +16,26 @@
     std::uint32_t suspectAfterIntervals { 2 };
     /// Exchange intervals without a word after which a member is dead.
     std::uint32_t deadAfterIntervals { 4 };
+    /// Shortest silences for the two: a lost exchange costs its timeout and the retry
+    /// interval, and several have to fail before a live member is given up.
+    Duration minSuspectAfter { std::chrono::seconds(3) };
+    Duration minDeadAfter { std::chrono::seconds(8) };
+    /// Exchange intervals without an acknowledgement after which a member counts as
+    /// not hearing this entry. Two may pass in health: a reply is acknowledged by the
+    /// next request.
+    std::uint32_t deafAfterIntervals { 3 };
+    /// Failed exchanges in a row after which a member gets no new work.
+    std::uint32_t unusableAfterFailures { 2 };
+    /// Time until a failed exchange or announcement is tried again.
+    Duration retryInterval { std::chrono::milliseconds(500) };
+    /// Time for which announcements are tried; after that heartbeats carry them.
+    Duration announceFor { std::chrono::seconds(30) };
+    /// Time between two lists of contacts to the same peer.
+    Duration contactsInterval { std::chrono::seconds(3) };
     /// Time between tries at a dead member or an unknown address; doubles up to
     /// maxProbeInterval.
     Duration probeInterval { std::chrono::seconds(2) };
-    Duration maxProbeInterval { std::chrono::seconds(30) };
+    Duration maxProbeInterval { std::chrono::seconds(10) };
     /// Time after which a dead member is forgotten.
     Duration forgetAfter { std::chrono::hours(24) };
     /// Time between looks at what is due.
--- /dev/null
+++ b/lib/Membership/Announcements.cpp
@@ -0,0 +1,144 @@
+#include "MembershipImpl.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+void Membership::Impl::startDraining()
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    for (auto& [name, member] : m_members.all())
+        member.owesLeaving = true;
+    markChanged();
+    flushAnnouncements();
+    reportChange();
+}
+
+void Membership::Impl::announceGone()
+{
+    if (!isActive())
+        return;
+    for (auto& [name, member] : m_members.all()) {
+        if (member.state != MemberState::Dead)
+            send(member.identity.peerAddress, { EntryLeaving { m_self.ref, true } }, [](const auto& /*replies*/) {});
+    }
+    stop();
+}
+
+void Membership::Impl::reportLeaving(const EndpointLeaving& endpoint)
+{
+    checkFrozen();
+    auto [entry, isNew] = m_leaving.try_emplace(endpoint, LeavingState { now(), true });
+    if (!isNew)
+        return;
+    for (auto& [name, member] : m_members.all())
+        member.nextAnnounce = now();
+    markChanged();
+    flushAnnouncements();
+    reportChange();
+}
+
+std::vector<EndpointLeaving> Membership::Impl::owedLeaving(const Member& member) const
+{
+    std::vector<EndpointLeaving> owed;
+    for (const auto& [endpoint, state] : m_leaving) {
+        bool isAnnounced = state.isOwn && now() - state.since <= m_options.announceFor;
+        if (isAnnounced && !member.channel.knowsLeaving(endpoint))
+            owed.push_back(endpoint);
+    }
+    return owed;
+}
+
+void Membership::Impl::flushAnnouncements()
+{
+    if (!isActive())
+        return;
+    for (auto& [name, member] : m_members.all()) {
+        bool isReady = member.state != MemberState::Dead && now() >= member.nextAnnounce;
+        if (isReady)
+            announceTo(member);
+    }
+}
+
+void Membership::Impl::announceTo(Member& member)
+{
+    std::vector<EndpointLeaving> endpoints = owedLeaving(member);
+    std::vector<PeerMessage> batch(endpoints.begin(), endpoints.end());
+    if (member.owesLeaving)
+        batch.emplace_back(EntryLeaving { m_self.ref, false });
+    if (batch.empty())
+        return;
+    // Sent again before the answer is given up: it has to arrive within 2 s.
+    member.nextAnnounce = now() + m_options.retryInterval;
+    EntryRef ref = member.identity.ref;
+    std::size_t expected = batch.size();
+    send(member.identity.peerAddress, std::move(batch), [this, ref, expected, endpoints](const auto& replies) {
+        finishAnnouncement(ref, endpoints, replies.ok() && replies->size() == expected);
+    });
+}
+
+void Membership::Impl::finishAnnouncement(const EntryRef& ref, const std::vector<EndpointLeaving>& endpoints, bool isDone)
+{
+    Member* member = m_members.find(ref);
+    if (!member)
+        return;
+    if (!isDone) {
+        ++m_counters.sendFailures;
+        return;
+    }
+    member->owesLeaving = false;
+    for (const EndpointLeaving& endpoint : endpoints)
+        member->channel.noteLeaving(endpoint);
+}
+
+void Membership::Impl::noteLeaving(const EndpointLeaving& endpoint, Member* source)
+{
+    if (source)
+        source->channel.noteLeaving(endpoint);
+    auto [entry, isNew] = m_leaving.try_emplace(endpoint, LeavingState { now(), false });
+    if (!isNew)
+        return;
+    markChanged();
+    if (m_events.onEndpointLeaving)
+        m_events.onEndpointLeaving(endpoint);
+}
+
+PeerReply Membership::Impl::answer(const EndpointLeaving& endpoint)
+{
+    noteLeaving(endpoint, nullptr);
+    return Acknowledgement {};
+}
+
+PeerReply Membership::Impl::answer(const EntryLeaving& leaving)
+{
+    Member* member = m_members.find(leaving.entry);
+    if (!member)
+        return Acknowledgement {};
+    if (!member->draining)
+        markChanged();
+    member->draining = true;
+    member->wasUsable = false;
+    if (leaving.isGone) {
+        setState(*member, MemberState::Dead);
+        // What is still under way from it is no sign of life.
+        member->heardSequence = UINT64_MAX;
+    }
+    return Acknowledgement {};
+}
+
+void Membership::Impl::pruneLeaving()
+{
+    for (auto entry = m_leaving.begin(); entry != m_leaving.end();) {
+        if (now() - entry->second.since <= m_options.keepLeavingFor) {
+            ++entry;
+            continue;
+        }
+        for (auto& [name, member] : m_members.all())
+            member.channel.forgetLeaving(entry->first);
+        entry = m_leaving.erase(entry);
+        markChanged();
+    }
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Membership/HeartbeatReception.cpp
@@ -0,0 +1,175 @@
+#include "MembershipImpl.h"
+
+namespace catkinwing {
+
+PeerReply Membership::Impl::answer(const Heartbeat& heartbeat)
+{
+    // What waited in a socket through a freeze says nothing of now.
+    if (!isActive() || hasJustWoken())
+        return PeerError { PeerErrorCode::Unavailable, "the entry doesn't take heartbeats now", std::nullopt };
+    Reception reception = receive(heartbeat);
+    if (reception.refusal)
+        return *reception.refusal;
+    if (!reception.member)
+        return introduction();
+    Member& member = *reception.member;
+    // A sender that doesn't hear this entry isn't one that was exchanged with.
+    if (member.hearsUs(m_options, now(), interval()))
+        member.nextExchange = now() + jittered(interval());
+    return heartbeatFor(member);
+}
+
+Membership::Impl::Reception Membership::Impl::receiveOwnName(const Heartbeat& heartbeat)
+{
+    const Incarnation& theirs = heartbeat.sender.ref.incarnation;
+    const Incarnation& ours = m_self.ref.incarnation;
+    if (theirs == ours) {
+        m_candidates.erase(heartbeat.sender.peerAddress);
+        return {};
+    }
+    if (theirs < ours)
+        return { nullptr, PeerError { PeerErrorCode::OldIncarnation, "a later run of this name is alive", ours } };
+    supersede();
+    return { nullptr, PeerError { PeerErrorCode::Unavailable, "the entry is superseded", std::nullopt } };
+}
+
+Membership::Impl::Reception Membership::Impl::receive(const Heartbeat& heartbeat)
+{
+    ++m_counters.heartbeatsReceived;
+    const EntryIdentity& sender = heartbeat.sender;
+    if (sender.ref.name == m_self.ref.name)
+        return receiveOwnName(heartbeat);
+    Member* member = m_members.find(sender.ref.name);
+    if (member && sender.ref.incarnation < member->identity.ref.incarnation) {
+        ++m_counters.oldIncarnationsRefused;
+        bool isAlive = member->state != MemberState::Dead;
+        PeerErrorCode code = isAlive ? PeerErrorCode::OldIncarnation : PeerErrorCode::LowIncarnation;
+        return { nullptr, PeerError { code, "a later run of this name is known", member->identity.ref.incarnation } };
+    }
+    bool isKnownRun = member && member->identity.ref == sender.ref;
+    if (sender.zone.empty() && !isKnownRun)
+        return { nullptr, PeerError { PeerErrorCode::UnknownRun, "the run is not known here", std::nullopt } };
+    if (!sender.zone.empty() && sender.zone != m_self.zone) {
+        noteContact(sender.zone, sender.region, sender.peerAddress);
+        return {};
+    }
+    if (!isKnownRun)
+        member = &admit(sender);
+    retireOthersAt(member->identity.peerAddress, sender.ref.name);
+    apply(*member, heartbeat);
+    return { member, std::nullopt };
+}
+
+Member& Membership::Impl::admit(const EntryIdentity& identity)
+{
+    Member& member = m_members.all()[identity.ref.name];
+    member = Member();
+    member.identity = identity;
+    member.heardAt = now();
+    // Its first exchange is due at once: only then is it known that it hears us.
+    member.nextExchange = now();
+    member.owesLeaving = m_isDraining;
+    m_candidates.erase(identity.peerAddress);
+    markChanged();
+    if (m_events.onMemberState)
+        m_events.onMemberState(identity.ref, MemberState::Live);
+    return member;
+}
+
+void Membership::Impl::retireOthersAt(const SocketAddress& address, const std::string& name)
+{
+    for (auto& [otherName, other] : m_members.all()) {
+        if (otherName == name || other.identity.peerAddress != address)
+            continue;
+        other.isAddressTaken = true;
+        other.hearsUsAt.reset();
+        setState(other, MemberState::Dead);
+    }
+}
+
+void Membership::Impl::apply(Member& member, const Heartbeat& heartbeat)
+{
+    if (heartbeat.sequence <= member.heardSequence)
+        return;
+    member.heardSequence = heartbeat.sequence;
+    member.heardAt = now();
+    member.isAddressTaken = false;
+    setState(member, MemberState::Live);
+    std::optional<TimePoint> acknowledgedAt = member.channel.acknowledge(heartbeat.acknowledged);
+    if (acknowledgedAt)
+        member.hearsUsAt = acknowledgedAt;
+    std::uint32_t freezes = heartbeat.freeze ? heartbeat.freeze->count : 0;
+    if (freezes != member.freezes) {
+        // It dropped all that it was told.
+        member.freezes = freezes;
+        member.channel.reset();
+        member.load.clear();
+    }
+    if (member.draining != heartbeat.draining)
+        markChanged();
+    member.draining = heartbeat.draining;
+    member.configDigest = heartbeat.configDigest;
+    member.membersDigest = heartbeat.membersDigest;
+    member.zonesDigest = heartbeat.zonesDigest;
+    applyLoad(member, heartbeat);
+    applyHearsay(member, heartbeat);
+    bool isUsable = member.isUsable(m_options, now(), interval());
+    if (isUsable != member.wasUsable)
+        markChanged();
+    member.wasUsable = isUsable;
+    m_isMembersViewStale = true;
+    if (heartbeat.configDigest != m_configDigest)
+        reportConfig({ m_self.zone, member.identity.ref.name, member.identity.peerAddress, heartbeat.configDigest }, member.configReportedAt);
+}
+
+void Membership::Impl::applyLoad(Member& member, const Heartbeat& heartbeat)
+{
+    member.demand = heartbeat.demand;
+    for (const EndpointLoad& load : heartbeat.load) {
+        if (load.inFlight == 0)
+            member.load.erase(load.endpoint);
+        else
+            member.load[load.endpoint] = load.inFlight;
+    }
+    for (const TeamTokens& total : heartbeat.served)
+        noteServed(m_self.zone, m_self.region, total, member.served);
+    if (!heartbeat.hasMoreServed)
+        member.served.noteComplete();
+}
+
+void Membership::Impl::applyHearsay(Member& member, const Heartbeat& heartbeat)
+{
+    for (const EndpointLeaving& endpoint : heartbeat.leaving)
+        noteLeaving(endpoint, &member);
+    for (const SocketAddress& address : heartbeat.members)
+        addCandidate(address);
+    for (const ZoneContact& contact : heartbeat.contacts)
+        noteContact(contact.zone, contact.region, contact.peerAddress);
+    for (const ZoneDigest& digest : heartbeat.digests) {
+        Zone* zone = m_zones.findOrAdd(digest.zone, digest.region, now());
+        if (zone)
+            accept(*zone, digest, false);
+    }
+}
+
+void Membership::Impl::reportConfig(const ConfigPeer& peer, std::optional<TimePoint>& reportedAt)
+{
+    if (reportedAt && now() - *reportedAt < m_options.configReportInterval)
+        return;
+    reportedAt = now();
+    if (m_events.onConfigDiffers)
+        m_events.onConfigDiffers(peer);
+}
+
+void Membership::Impl::noteServed(const std::string& zone, const std::string& region, const TeamTokens& total, ServedTracker& tracker)
+{
+    std::uint64_t tokens = tracker.increment(total);
+    if (tokens == 0)
+        return;
+    if (zone == m_self.zone)
+        m_servedByMembers[total.team] += tokens;
+    if (m_events.onServedElsewhere)
+        m_events.onServedElsewhere({ zone, region, total.team, tokens });
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Membership/MemberTable.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "PeerChannel.h"
+#include "ServedTracker.h"
+#include "catkinwing/Membership/MembershipOptions.h"
+#include "catkinwing/Membership/MembershipView.h"
+#include <map>
+
+namespace catkinwing {
+
+/// What an entry keeps of one run of another entry of its zone.
+struct Member {
+    EntryIdentity identity;
+    MemberState state { MemberState::Live };
+    bool draining { false };
+    /// True if another entry answers at its address.
+    bool isAddressTaken { false };
+
+    /// Time of the latest message, or at which waiting for one began.
+    TimePoint heardAt {};
+    std::uint64_t heardSequence { 0 };
+    /// Time at which the latest message that the member acknowledged was sent.
+    std::optional<TimePoint> hearsUsAt;
+    bool wasUsable { false };
+
+    PeerChannel channel;
+    bool isExchanging { false };
+    std::uint32_t failures { 0 };
+    TimePoint nextExchange {};
+    Duration probeInterval {};
+    TimePoint diedAt {};
+
+    bool owesLeaving { false };
+    TimePoint nextAnnounce {};
+
+    std::uint32_t freezes { 0 };
+    std::uint64_t configDigest { 0 };
+    std::optional<TimePoint> configReportedAt;
+    std::uint32_t membersDigest { 0 };
+    std::uint32_t zonesDigest { 0 };
+    std::optional<TimePoint> contactsSentAt;
+    std::vector<GroupDemand> demand;
+    std::map<std::string, std::uint32_t> load;
+    ServedTracker served;
+
+    /// Forgets all that the member said, as after a freeze of this entry.
+    void dropReports();
+    /// Returns whether the member lately acknowledged a message.
+    bool hearsUs(const MembershipOptions& options, TimePoint now, Duration interval) const;
+    /// Returns whether new work may go to it.
+    bool isUsable(const MembershipOptions& options, TimePoint now, Duration interval) const;
+};
+
+/// The other entries of the zone by name.
+class MemberTable {
+public:
+    std::map<std::string, Member>& all() { return m_members; }
+    const std::map<std::string, Member>& all() const { return m_members; }
+    /// Returns the member, or null.
+    Member* find(const std::string& name);
+    /// Returns the member if it is of just this run, or null.
+    Member* find(const EntryRef& ref);
+    /// Returns whether a member that isn't dead answers at \p address.
+    bool isInUse(const SocketAddress& address) const;
+    /// Returns the number of members that aren't dead.
+    std::size_t liveCount() const;
+    /// Returns a hash of \p self and the members that aren't dead.
+    std::uint32_t digest(const EntryRef& self) const;
+    /// Returns the peer addresses of the members that aren't dead.
+    std::vector<SocketAddress> addresses() const;
+
+private:
+    std::map<std::string, Member> m_members;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Membership/MembershipImpl.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "MemberTable.h"
+#include "ZoneTable.h"
+#include "catkinwing/Membership/FailureDetection.h"
+#include "catkinwing/Membership/Membership.h"
+
+namespace catkinwing {
+
+/// The state of a membership. Its functions are spread over the sources by job:
+/// Membership.cpp (life, freezes, candidates), HeartbeatExchange.cpp (what is sent
+/// to members), HeartbeatReception.cpp (what comes from them), DigestExchange.cpp (zones), Announcements.cpp (drain and leaving endpoints) and
+/// ViewBuilder.cpp.
+class Membership::Impl {
+public:
+    Impl(EntryIdentity self, MembershipOptions options, Scheduler& scheduler, PeerTransport& transport, Random random, MembershipEvents events);
+
+    // Membership.cpp
+    void start();
+    void learn(const std::vector<Candidate>& candidates);
+    void setLocalState(LocalState state);
+    void checkFrozen();
+    std::optional<PeerReply> handle(const PeerMessage& message);
+    const EntryIdentity& self() const { return m_self; }
+    const MembershipCounters& counters() const { return m_counters; }
+
+    // Announcements.cpp
+    void startDraining();
+    void announceGone();
+    void reportLeaving(const EndpointLeaving& endpoint);
+
+    // ViewBuilder.cpp
+    const MembershipView& view();
+
+private:
+    struct CandidateState {
+        TimePoint nextTry {};
+        Duration probeInterval {};
+        bool isExchanging { false };
+        TimePoint learntAt {};
+    };
+    struct LeavingState {
+        TimePoint since {};
+        /// True if this entry saw it first and has to announce it.
+        bool isOwn { false };
+    };
+    struct Reception {
+        /// The member that spoke, or null.
+        Member* member { nullptr };
+        std::optional<PeerError> refusal;
+    };
+
+    // Membership.cpp
+    TimePoint now() const { return m_scheduler.clock().now(); }
+    Duration interval() const { return exchangeInterval(m_options, m_members.liveCount()); }
+    Duration jittered(Duration duration);
+    bool isActive() const { return m_isStarted && !m_isStopped; }
+    bool hasJustWoken() const { return m_wokeAt && now() - *m_wokeAt < m_options.freezeMargin; }
+    void scheduleTick();
+    void tick();
+    void dropViews();
+    void stop() { m_isStopped = true; }
+    void supersede();
+    void raiseIncarnation(const Incarnation& known);
+    void probeCandidates();
+    void restartCandidates();
+    void addCandidate(const SocketAddress& address);
+    void noteContact(const std::string& zone, const std::string& region, const SocketAddress& address);
+    void markChanged() { m_isViewChanged = true; }
+    void reportChange();
+    /// Sends a batch; the callback runs only if this still lives, is active and was
+    /// not frozen since.
+    void send(const SocketAddress& address, std::vector<PeerMessage> batch, PeerTransport::Callback callback);
+
+    // HeartbeatExchange.cpp
+    void judgeMembers();
+    void setState(Member& member, MemberState state);
+    void exchangeWithMembers();
+    void exchangeWith(Member& member);
+    void finishExchange(const EntryRef& ref, const absl::StatusOr<std::vector<PeerReply>>& replies);
+    void noteFailure(const EntryRef& ref);
+    void probe(const SocketAddress& address);
+    void finishProbe(const SocketAddress& address, const absl::StatusOr<std::vector<PeerReply>>& replies);
+    void receiveReply(const PeerReply& reply);
+    Heartbeat introduction();
+    Heartbeat heartbeatFor(Member& member);
+    void addDigests(Member& member, Heartbeat& heartbeat, SentContent& content);
+    void refusedBy(const PeerError& error);
+
+    // HeartbeatReception.cpp
+    PeerReply answer(const Heartbeat& heartbeat);
+    Reception receive(const Heartbeat& heartbeat);
+    Reception receiveOwnName(const Heartbeat& heartbeat);
+    Member& admit(const EntryIdentity& identity);
+    void retireOthersAt(const SocketAddress& address, const std::string& name);
+    void apply(Member& member, const Heartbeat& heartbeat);
+    void applyLoad(Member& member, const Heartbeat& heartbeat);
+    void applyHearsay(Member& member, const Heartbeat& heartbeat);
+    void reportConfig(const ConfigPeer& peer, std::optional<TimePoint>& reportedAt);
+    void noteServed(const std::string& zone, const std::string& region, const TeamTokens& total, ServedTracker& tracker);
+
+    // DigestExchange.cpp
+    void exchangeWithZones();
+    void judgeZones();
+    bool isDue(const std::string& name, const Zone& zone);
+    void exchangeWith(const std::string& name, Zone& zone);
+    void finishDigest(const std::string& name, const absl::StatusOr<std::vector<PeerReply>>& replies);
+    ZoneDigest digestFor(Zone& zone);
+    ZoneDigest relayed(const Zone& zone, std::uint64_t knownVersion) const;
+    PeerReply answer(const ZoneDigest& digest);
+    void receiveDirect(const ZoneDigest& digest);
+    bool isNewer(const Zone& zone, const ZoneDigest& digest, TimePoint madeAt) const;
+    void accept(Zone& zone, const ZoneDigest& digest, bool isDirect);
+    void replaceDigest(Zone& zone, const ZoneDigest& digest, TimePoint madeAt, bool isDirect);
+    std::vector<ZoneEntry> ownEntries() const;
+    std::vector<std::string> relayNames(const std::string& zone);
+    bool isReachable(const Zone& zone) const;
+
+    // Announcements.cpp
+    void flushAnnouncements();
+    void announceTo(Member& member);
+    void finishAnnouncement(const EntryRef& ref, const std::vector<EndpointLeaving>& endpoints, bool isDone);
+    std::vector<EndpointLeaving> owedLeaving(const Member& member) const;
+    void noteLeaving(const EndpointLeaving& endpoint, Member* source);
+    PeerReply answer(const EndpointLeaving& endpoint);
+    PeerReply answer(const EntryLeaving& leaving);
+    void pruneLeaving();
+
+    EntryIdentity m_self;
+    const MembershipOptions m_options;
+    Scheduler& m_scheduler;
+    PeerTransport& m_transport;
+    Random m_random;
+    const MembershipEvents m_events;
+
+    bool m_isStarted { false };
+    bool m_isStopped { false };
+    bool m_isDraining { false };
+    /// True once another entry took in a heartbeat of this run.
+    bool m_isAccepted { false };
+    TimePoint m_nextTick {};
+    std::optional<TimePoint> m_wokeAt;
+    FreezeMark m_freeze;
+    /// Counts freezes and raised incarnations; answers from before are dropped.
+    std::uint64_t m_epoch { 0 };
+    std::uint64_t m_lastSequence;
+    std::uint64_t m_lastVersion { 0 };
+
+    MemberTable m_members;
+    ZoneTable m_zones;
+    std::map<SocketAddress, CandidateState> m_candidates;
+    std::map<EndpointLeaving, LeavingState> m_leaving;
+
+    std::uint64_t m_configDigest { 0 };
+    std::vector<GroupDemand> m_demand;
+    std::vector<NamedCount> m_load;
+    std::vector<NamedCount> m_served;
+    std::vector<ModelRoom> m_models;
+    /// Tokens that other entries of the zone were seen to serve, by team.
+    CountTable m_servedByMembers;
+
+    MembershipCounters m_counters;
+    bool m_isViewChanged { false };
+    bool m_isMembersViewStale { true };
+    bool m_isZonesViewStale { true };
+    MembershipView m_view;
+    /// Ends with this object; callbacks hold it weakly.
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Membership/PeerChannel.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "catkinwing/PeerProtocol/PeerMessages.h"
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <set>
+
+namespace catkinwing {
+
+/// A name and its counter.
+struct NamedCount {
+    std::string name;
+    std::uint64_t count { 0 };
+};
+
+/// Counters by name.
+using CountTable = absl::flat_hash_map<std::string, std::uint64_t>;
+
+/// The largest of some changes.
+struct TopChanges {
+    std::vector<NamedCount> items;
+    /// True if smaller changes were left out.
+    bool hasMore { false };
+};
+
+/// Returns the \p limit items of \p current that differ most from \p told; a name
+/// that \p told alone has counts as zero.
+TopChanges topChanges(const std::vector<NamedCount>& current, const CountTable& told, std::size_t limit);
+
+/// What one message told the peer.
+struct SentContent {
+    std::uint64_t sequence { 0 };
+    TimePoint sentAt {};
+    std::vector<NamedCount> served;
+    std::vector<NamedCount> load;
+    std::vector<EndpointLeaving> leaving;
+    /// Zones and the versions of their digests.
+    std::vector<NamedCount> digests;
+    /// Zones and the hashes of their entries.
+    std::vector<NamedCount> rosters;
+};
+
+/// The sending side of the exchange with one run of a member: remembers what the
+/// member has acknowledged, so that only changes are sent.
+class PeerChannel {
+public:
+    /// Forgets all that was told.
+    void reset() { *this = PeerChannel(); }
+    /// Notes what a message tells.
+    void record(SentContent content);
+    /// Takes what the message of \p sequence told as known to the member. Returns
+    /// when it was sent, or none if it is not among the latest.
+    std::optional<TimePoint> acknowledge(std::uint64_t sequence);
+
+    /// Returns whether the member has acknowledged anything.
+    bool isKnown() const { return m_isKnown; }
+    const CountTable& served() const { return m_served; }
+    const CountTable& load() const { return m_load; }
+    /// Returns the version of the zone's digest that the member has; zero for none.
+    std::uint64_t digestVersion(const std::string& zone) const;
+    /// Returns the hash of the zone's entries that the member has; zero for none.
+    std::uint64_t rosterDigest(const std::string& zone) const;
+    bool knowsLeaving(const EndpointLeaving& endpoint) const { return m_leaving.count(endpoint) > 0; }
+    /// Takes the endpoint as known to the member.
+    void noteLeaving(const EndpointLeaving& endpoint) { m_leaving.insert(endpoint); }
+    /// Forgets an endpoint that is no longer kept.
+    void forgetLeaving(const EndpointLeaving& endpoint) { m_leaving.erase(endpoint); }
+
+private:
+    bool m_isKnown { false };
+    std::deque<SentContent> m_sent;
+    CountTable m_served;
+    CountTable m_load;
+    CountTable m_digests;
+    CountTable m_rosters;
+    std::set<EndpointLeaving> m_leaving;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Membership/FailureDetectionTest.cpp
@@ -0,0 +1,40 @@
+#include "catkinwing/Membership/FailureDetection.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+TEST_CASE("exchanges become rarer only in large zones")
+{
+    MembershipOptions options;
+    CHECK(exchangeInterval(options, 0) == options.heartbeatInterval);
+    CHECK(exchangeInterval(options, 2) == options.heartbeatInterval);
+    CHECK(exchangeInterval(options, 8) == 8 * options.spacingPerMember);
+}
+
+TEST_CASE("silence makes a member suspect, then dead")
+{
+    MembershipOptions options;
+    CHECK(judgeSilence(options, 0s, 1s) == MemberState::Live);
+    CHECK(judgeSilence(options, 6s, 3s) == MemberState::Live);
+    CHECK(judgeSilence(options, 6001ms, 3s) == MemberState::Suspect);
+    CHECK(judgeSilence(options, 12s, 3s) == MemberState::Suspect);
+    CHECK(judgeSilence(options, 12001ms, 3s) == MemberState::Dead);
+}
+
+TEST_CASE("short exchange intervals don't make a lost message a death")
+{
+    MembershipOptions options;
+    CHECK(judgeSilence(options, options.minSuspectAfter, 1s) == MemberState::Live);
+    CHECK(judgeSilence(options, options.minDeadAfter, 1s) == MemberState::Suspect);
+    CHECK(judgeSilence(options, options.minDeadAfter + 1ms, 1s) == MemberState::Dead);
+}
+
+TEST_CASE("probes slow down up to a bound")
+{
+    MembershipOptions options;
+    CHECK(nextProbeInterval(options, 2s) == 4s);
+    CHECK(nextProbeInterval(options, 9s) == options.maxProbeInterval);
+    CHECK(nextProbeInterval(options, 0s) == options.probeInterval);
+}
--- /dev/null
+++ b/unittests/Membership/MembershipTest.cpp
@@ -0,0 +1,346 @@
+#include "FakeNetwork.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static SocketAddress addressOf(int number)
+{
+    return { absl::StrCat("10.0.0.", number), 7000 };
+}
+
+static const std::string zoneName = "perth-a";
+
+// Starts entries e1 to eN, each of which knows only the first one's address.
+static std::vector<FakeNode*> startZone(FakeNetwork& network, int count)
+{
+    std::vector<FakeNode*> nodes;
+    for (int i = 1; i <= count; ++i) {
+        nodes.push_back(&network.add(absl::StrCat("e", i), zoneName, addressOf(i)));
+        nodes.back()->membership->learn({ { addressOf(1), "", "" } });
+    }
+    return nodes;
+}
+
+static bool allUseAll(const std::vector<FakeNode*>& nodes)
+{
+    for (FakeNode* node : nodes) {
+        for (FakeNode* other : nodes) {
+            if (node != other && !node->uses(other->membership->self().ref.name))
+                return false;
+        }
+    }
+    return true;
+}
+
+static MemberState stateAt(FakeNode& node, const std::string& name)
+{
+    const MemberView* view = node.member(name);
+    REQUIRE(view);
+    return view->state;
+}
+
+TEST_CASE("entries that know one seed find each other")
+{
+    FakeNetwork network(1);
+    std::vector<FakeNode*> nodes = startZone(network, 9);
+    CHECK(network.advanceUntil(4s, [&] { return allUseAll(nodes); }).has_value());
+}
+
+TEST_CASE("a zone of one entry serves alone")
+{
+    FakeNetwork network(2);
+    std::vector<FakeNode*> nodes = startZone(network, 1);
+    network.advance(60s);
+    CHECK(nodes[0]->membership->view().members.empty());
+    CHECK(nodes[0]->freezes.empty());
+}
+
+TEST_CASE("a quiet zone stays whole for an hour though messages are lost")
+{
+    FakeNetwork network(3);
+    std::vector<FakeNode*> nodes = startZone(network, 5);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.loss = 0.02;
+    network.advance(1h);
+    for (FakeNode* node : nodes)
+        CHECK(node->membership->counters().membersDied == 0);
+}
+
+TEST_CASE("a dead entry is no longer used, then suspect, then dead, in bounded time")
+{
+    FakeNetwork network(4);
+    std::vector<FakeNode*> nodes = startZone(network, 9);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.advance(10s);
+    network.kill(*nodes[8]);
+    nodes.pop_back();
+    auto all = [&](auto condition) { return std::all_of(nodes.begin(), nodes.end(), condition); };
+    // An interval of 2.4 s, a retry after 0.5 s, a tenth of jitter on both, two ticks.
+    CHECK(network.advanceUntil(3600ms, [&] { return all([](FakeNode* node) { return !node->uses("e9"); }); }));
+    CHECK(network.advanceUntil(2s, [&] { return all([](FakeNode* node) { return stateAt(*node, "e9") >= MemberState::Suspect; }); }));
+    CHECK(network.advanceUntil(5s, [&] { return all([](FakeNode* node) { return stateAt(*node, "e9") == MemberState::Dead; }); }));
+    CHECK(allUseAll(nodes));
+}
+
+TEST_CASE("an entry that exits is dead at once to all")
+{
+    FakeNetwork network(5);
+    std::vector<FakeNode*> nodes = startZone(network, 4);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    nodes[3]->membership->announceGone();
+    network.advance(20ms);
+    for (int i = 0; i < 3; ++i)
+        CHECK(stateAt(*nodes[i], "e4") == MemberState::Dead);
+}
+
+TEST_CASE("a frozen entry drops its views and reports it before it handles anything")
+{
+    FakeNetwork network(6);
+    std::vector<FakeNode*> nodes = startZone(network, 4);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    FakeNode& frozen = *nodes[2];
+    const Incarnation incarnation = frozen.membership->self().ref.incarnation;
+    frozen.scheduler.freeze();
+    network.advance(30s);
+    CHECK(stateAt(*nodes[0], "e3") == MemberState::Dead);
+    frozen.scheduler.thaw();
+    REQUIRE(frozen.freezes.size() == 1);
+    CHECK(frozen.freezes[0] > 29s);
+    CHECK(frozen.freezes[0] <= 30s);
+    // The messages that waited are no proof that anyone is there now.
+    for (const char* name : { "e1", "e2", "e4" })
+        CHECK_FALSE(frozen.uses(name));
+    CHECK(network.advanceUntil(15s, [&] { return allUseAll(nodes); }));
+    CHECK(frozen.membership->self().ref.incarnation == incarnation);
+    CHECK(nodes[0]->member("e3")->freezes == 1);
+    CHECK(frozen.freezes.size() == 1);
+}
+
+TEST_CASE("the freeze is reported even if a lease is asked about before any timer runs")
+{
+    FakeNetwork network(7);
+    std::vector<FakeNode*> nodes = startZone(network, 2);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    nodes[0]->scheduler.freeze();
+    network.advance(5s);
+    nodes[0]->membership->checkFrozen();
+    CHECK(nodes[0]->freezes.size() == 1);
+    CHECK_FALSE(nodes[0]->uses("e2"));
+}
+
+TEST_CASE("a short pause isn't taken for a freeze")
+{
+    FakeNetwork network(8);
+    std::vector<FakeNode*> nodes = startZone(network, 2);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    nodes[0]->scheduler.freeze();
+    network.advance(900ms);
+    nodes[0]->scheduler.thaw();
+    CHECK(nodes[0]->freezes.empty());
+}
+
+TEST_CASE("neither side of a cut that is one way gives the other work")
+{
+    FakeNetwork network(9);
+    std::vector<FakeNode*> nodes = startZone(network, 4);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.cutOneWay(*nodes[0], *nodes[1]);
+    CHECK(network.advanceUntil(6s, [&] { return !nodes[0]->uses("e2") && !nodes[1]->uses("e1"); }));
+    network.advance(30s);
+    CHECK_FALSE(nodes[0]->uses("e2"));
+    CHECK_FALSE(nodes[1]->uses("e1"));
+    CHECK(nodes[0]->uses("e3"));
+    CHECK(nodes[2]->uses("e1"));
+    CHECK(nodes[2]->uses("e2"));
+    network.heal();
+    CHECK(network.advanceUntil(15s, [&] { return allUseAll(nodes); }));
+}
+
+TEST_CASE("an instance at a used address never gets the earlier one's identity")
+{
+    FakeNetwork network(10);
+    std::vector<FakeNode*> nodes = startZone(network, 3);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.kill(*nodes[2]);
+    FakeNode& successor = network.add("other", zoneName, addressOf(3));
+    successor.membership->learn({ { addressOf(1), "", "" } });
+    nodes[2] = &successor;
+    REQUIRE(network.advanceUntil(5s, [&] { return nodes[0]->uses("other") && nodes[1]->uses("other"); }));
+    CHECK(stateAt(*nodes[0], "e3") == MemberState::Dead);
+    CHECK_FALSE(nodes[1]->uses("e3"));
+    network.advance(60s);
+    CHECK(stateAt(*nodes[0], "e3") == MemberState::Dead);
+    CHECK(allUseAll(nodes));
+}
+
+TEST_CASE("a later run of a name replaces the earlier one")
+{
+    FakeNetwork network(11);
+    std::vector<FakeNode*> nodes = startZone(network, 3);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.advance(5s);
+    FakeNode& later = network.add("e3", zoneName, addressOf(30));
+    later.membership->learn({ { addressOf(1), "", "" } });
+    REQUIRE(network.advanceUntil(10s, [&] { return nodes[2]->isSuperseded; }));
+    nodes[2] = &later;
+    CHECK(network.advanceUntil(5s, [&] { return allUseAll(nodes); }));
+    CHECK(nodes[0]->member("e3")->identity.ref == later.membership->self().ref);
+}
+
+TEST_CASE("an earlier run that wakes after its successor started is refused and told so")
+{
+    FakeNetwork network(12);
+    std::vector<FakeNode*> nodes = startZone(network, 3);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    nodes[2]->scheduler.freeze();
+    network.advance(20s);
+    FakeNode& later = network.add("e3", zoneName, addressOf(30));
+    later.membership->learn({ { addressOf(1), "", "" } });
+    network.advance(10s);
+    nodes[2]->scheduler.thaw();
+    CHECK(network.advanceUntil(2s, [&] { return nodes[2]->isSuperseded; }));
+    CHECK(nodes[0]->member("e3")->identity.ref == later.membership->self().ref);
+    CHECK_FALSE(later.isSuperseded);
+    CHECK(nodes[0]->membership->counters().oldIncarnationsRefused + nodes[1]->membership->counters().oldIncarnationsRefused > 0);
+}
+
+TEST_CASE("a run whose clock is behind its dead predecessor's is taken in under a raised incarnation")
+{
+    FakeNetwork network(13);
+    std::vector<FakeNode*> nodes = startZone(network, 2);
+    FakeNode& early = network.add("e3", zoneName, addressOf(3), 1000000);
+    early.membership->learn({ { addressOf(1), "", "" } });
+    nodes.push_back(&early);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.kill(early);
+    FakeNode& late = network.add("e3", zoneName, addressOf(3), 500);
+    late.membership->learn({ { addressOf(1), "", "" } });
+    nodes[2] = &late;
+    CHECK(network.advanceUntil(15s, [&] { return allUseAll(nodes); }));
+    CHECK(late.membership->self().ref.incarnation.start == 1000001);
+    CHECK_FALSE(late.isSuperseded);
+}
+
+TEST_CASE("both sides of a partition go on and join again when it heals")
+{
+    FakeNetwork network(14);
+    std::vector<FakeNode*> nodes = startZone(network, 6);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    std::vector<FakeNode*> left(nodes.begin(), nodes.begin() + 3);
+    std::vector<FakeNode*> right(nodes.begin() + 3, nodes.end());
+    for (FakeNode* a : left) {
+        for (FakeNode* b : right)
+            network.cut(*a, *b);
+    }
+    network.advance(1h);
+    CHECK(allUseAll(left));
+    CHECK(allUseAll(right));
+    CHECK(stateAt(*left[0], "e6") == MemberState::Dead);
+    FakeNode& joiner = network.add("e7", zoneName, addressOf(7));
+    joiner.membership->learn({ { addressOf(6), "", "" } });
+    network.advance(10s);
+    network.heal();
+    nodes.push_back(&joiner);
+    CHECK(network.advanceUntil(20s, [&] { return allUseAll(nodes); }));
+}
+
+TEST_CASE("a drain is known to the zone at once and survives lost messages")
+{
+    FakeNetwork network(15);
+    std::vector<FakeNode*> nodes = startZone(network, 5);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.loss = 0.5;
+    nodes[1]->membership->startDraining();
+    auto isLeftOut = [&] {
+        return std::all_of(nodes.begin(), nodes.end(), [&](FakeNode* node) { return node == nodes[1] || !node->uses("e2"); });
+    };
+    CHECK(network.advanceUntil(10s, isLeftOut));
+    network.loss = 0;
+    network.advance(10s);
+    CHECK(isLeftOut());
+    CHECK(nodes[0]->member("e2")->draining);
+    CHECK(stateAt(*nodes[0], "e2") == MemberState::Live);
+    CHECK(nodes[0]->member("e2")->hearsUs);
+}
+
+TEST_CASE("a leaving endpoint is known to the zone within two seconds by its run")
+{
+    FakeNetwork network(16);
+    std::vector<FakeNode*> nodes = startZone(network, 9);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    network.cut(*nodes[0], *nodes[5]);
+    network.loss = 0.1;
+    nodes[0]->membership->reportLeaving({ "replica-7", "run-1" });
+    network.advance(2s);
+    network.loss = 0;
+    for (int i : { 1, 2, 3, 4, 6, 7, 8 }) {
+        INFO(i);
+        REQUIRE(nodes[i]->leaving.size() == 1);
+        CHECK(nodes[i]->leaving[0] == EndpointLeaving { "replica-7", "run-1" });
+    }
+    // Over the cut it comes through the others, and it is told once.
+    network.advance(4s);
+    CHECK(nodes[5]->leaving.size() == 1);
+    CHECK(nodes[1]->leaving.size() == 1);
+    nodes[3]->membership->reportLeaving({ "replica-7", "run-2" });
+    network.advance(2s);
+    CHECK(nodes[1]->leaving.size() == 2);
+    FakeNode& joiner = network.add("e10", zoneName, addressOf(10));
+    joiner.membership->learn({ { addressOf(1), "", "" } });
+    network.advance(5s);
+    CHECK(joiner.leaving.size() == 2);
+}
+
+TEST_CASE("a configuration that differs is reported with the peer, at a bounded rate")
+{
+    FakeNetwork network(17);
+    std::vector<FakeNode*> nodes = startZone(network, 2);
+    LocalState state;
+    state.configDigest = 1;
+    for (FakeNode* node : nodes)
+        node->membership->setLocalState(state);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    nodes[0]->configPeers.clear();
+    network.advance(10s);
+    CHECK(nodes[0]->configPeers.empty());
+    state.configDigest = 2;
+    nodes[1]->membership->setLocalState(state);
+    network.advance(10s);
+    REQUIRE_FALSE(nodes[0]->configPeers.empty());
+    CHECK(nodes[0]->configPeers.size() <= 10);
+    CHECK(nodes[0]->configPeers[0].peerAddress == addressOf(2));
+    CHECK(nodes[0]->configPeers[0].configDigest == 2);
+}
+
+TEST_CASE("demand, load and served tokens reach the others though messages are lost")
+{
+    FakeNetwork network(18);
+    std::vector<FakeNode*> nodes = startZone(network, 3);
+    REQUIRE(network.advanceUntil(10s, [&] { return allUseAll(nodes); }));
+    LocalState state;
+    state.demand = { { "fitting", 12 } };
+    state.load = { { "replica-1", 3 }, { "replica-2", 4 } };
+    for (int i = 0; i < 20; ++i)
+        state.served.push_back({ absl::StrCat("team-", i), 1 });
+    nodes[0]->membership->setLocalState(state);
+    network.advance(20s);
+    network.loss = 0.2;
+    state.load = { { "replica-2", 5 } };
+    for (TeamTokens& served : state.served)
+        served.tokens += 1000;
+    nodes[0]->membership->setLocalState(state);
+    network.advance(60s);
+    const MemberView* view = nodes[2]->member("e1");
+    REQUIRE(view);
+    REQUIRE(view->demand.size() == 1);
+    CHECK(view->demand[0].requests == 12);
+    REQUIRE(view->load.size() == 1);
+    CHECK(view->load[0].endpoint == "replica-2");
+    CHECK(view->load[0].inFlight == 5);
+    for (int i = 0; i < 20; ++i)
+        CHECK(nodes[2]->servedElsewhere[absl::StrCat("team-", i)] == 1001);
+}
