--- a/lib/Membership/DigestExchange.cpp
+++ b/lib/Membership/DigestExchange.cpp
@@ -6,6 +6,9 @@
 
 // Digest intervals without a digest after which the second relay steps in.
 static constexpr int standbyIntervals = 2;
+// Teams in a digest that is passed on; a member that joins gets no more of those
+// that changed before.
+static constexpr std::size_t maxRelayedTeams = 16;
 
 std::vector<ZoneEntry> Membership::Impl::ownEntries() const
 {
@@ -162,8 +165,13 @@
     // A digest that was replaced before it was passed on may have told more teams.
     digest.served.clear();
     for (const auto& [team, total] : zone.totals) {
-        if (total.version > knownVersion)
-            digest.served.push_back({ team, total.tokens });
+        if (total.version <= knownVersion)
+            continue;
+        if (digest.served.size() == maxRelayedTeams) {
+            digest.hasMoreServed = true;
+            break;
+        }
+        digest.served.push_back({ team, total.tokens });
     }
     digest.age = zone.age(now());
     digest.entries.reset();
--- a/lib/Membership/MembershipImpl.h
+++ b/lib/Membership/MembershipImpl.h
@@ -8,8 +8,8 @@
 namespace catkinwing {
 
 /// The state of a membership. Its functions are spread over the sources by job:
-/// Membership.cpp (life, freezes, candidates), HeartbeatExchange.cpp (members),
-/// DigestExchange.cpp (zones), Announcements.cpp (drain and leaving endpoints) and
+/// Membership.cpp (life, freezes, candidates), HeartbeatExchange.cpp (what is sent
+/// to members), HeartbeatReception.cpp (what comes from them), DigestExchange.cpp (zones), Announcements.cpp (drain and leaving endpoints) and
 /// ViewBuilder.cpp.
 class Membership::Impl {
 public:
@@ -85,6 +85,9 @@
     Heartbeat introduction();
     Heartbeat heartbeatFor(Member& member);
     void addDigests(Member& member, Heartbeat& heartbeat, SentContent& content);
+    void refusedBy(const PeerError& error);
+
+    // HeartbeatReception.cpp
     PeerReply answer(const Heartbeat& heartbeat);
     Reception receive(const Heartbeat& heartbeat);
     Reception receiveOwnName(const Heartbeat& heartbeat);
@@ -93,7 +96,6 @@
     void apply(Member& member, const Heartbeat& heartbeat);
     void applyLoad(Member& member, const Heartbeat& heartbeat);
     void applyHearsay(Member& member, const Heartbeat& heartbeat);
-    void refusedBy(const PeerError& error);
     void reportConfig(const ConfigPeer& peer, std::optional<TimePoint>& reportedAt);
     void noteServed(const std::string& zone, const std::string& region, const TeamTokens& total, ServedTracker& tracker);
 
--- a/unittests/Membership/FakeNetwork.cpp
+++ b/unittests/Membership/FakeNetwork.cpp
@@ -58,6 +58,7 @@
 std::vector<PeerReply> FakeNode::receive(const std::vector<PeerMessage>& batch)
 {
     std::vector<PeerReply> replies;
+    replies.reserve(batch.size());
     for (const PeerMessage& message : batch)
         replies.push_back(membership->handle(message).value_or(PeerError { PeerErrorCode::Unavailable, "not handled", std::nullopt }));
     return replies;
@@ -136,8 +137,8 @@
 void FakeNetwork::carry(FakeNode& from, const SocketAddress& to, const std::vector<PeerMessage>& batch, PeerTransport::Callback callback)
 {
     std::string bytes = encodeBatch(batch);
-    ++from.m_counters.batchesSent;
-    from.m_counters.bytesSent += bytes.size();
+    ++from.carried.batchesSent;
+    from.carried.bytesSent += bytes.size();
     auto isDone = std::make_shared<bool>(false);
     PeerTransport::Callback finish = [isDone, callback = std::move(callback)](auto replies) {
         if (std::exchange(*isDone, true))
@@ -163,15 +164,15 @@
     node.scheduler.run([this, &from, &node, bytes, messages, finish] {
         if (!node.membership)
             return;
-        node.m_counters.bytesReceived += bytes.size();
+        node.carried.bytesReceived += bytes.size();
         std::string answer = encodeReplies(node.receive(*decodeBatch(bytes)));
-        ++node.m_counters.batchesReceived;
-        node.m_counters.bytesSent += answer.size();
+        ++node.carried.batchesReceived;
+        node.carried.bytesSent += answer.size();
         if (isLost(node.address, from.address))
             return;
         m_scheduler.callAfter(latency, [&from, answer, messages, finish] {
             from.scheduler.run([&from, answer, messages, finish] {
-                from.m_counters.bytesReceived += answer.size();
+                from.carried.bytesReceived += answer.size();
                 finish(decodeReplies(answer, messages));
             });
         });
--- a/unittests/Membership/FakeNetwork.h
+++ b/unittests/Membership/FakeNetwork.h
@@ -40,7 +40,7 @@
     ~FakeNode() override;
 
     void send(const SocketAddress& address, std::vector<PeerMessage> batch, Callback callback) override;
-    TransportCounters counters() const override { return m_counters; }
+    TransportCounters counters() const override { return carried; }
     /// Returns the replies to a batch that has arrived.
     std::vector<PeerReply> receive(const std::vector<PeerMessage>& batch);
 
@@ -54,7 +54,7 @@
     const SocketAddress address;
     NodeScheduler scheduler;
     std::unique_ptr<Membership> membership;
-    TransportCounters m_counters;
+    TransportCounters carried;
 
     std::vector<Duration> freezes;
     std::vector<EndpointLeaving> leaving;
--- a/unittests/Membership/ZoneExchangeTest.cpp
+++ b/unittests/Membership/ZoneExchangeTest.cpp
@@ -37,7 +37,7 @@
         }
     }
 
-    std::vector<FakeNode*> zone(std::size_t number) const { return { nodes.begin() + 3 * number, nodes.begin() + 3 * number + 3 }; }
+    std::vector<FakeNode*> zone(std::size_t number) const { return { nodes[3 * number], nodes[3 * number + 1], nodes[3 * number + 2] }; }
 
     bool areAllReachable() const
     {
