--- a/include/catkinwing/PeerProtocol/ForwardStamp.h
+++ b/include/catkinwing/PeerProtocol/ForwardStamp.h
@@ -11,7 +11,7 @@
 
 /// Most hops of a request between entries: a forwarded request is never
 /// forwarded again.
-constexpr std::uint32_t maxForwardHops = 1;
+constexpr std::uint32_t maxStampHops = 1;
 
 /// What a forwarded request says of itself.
 struct ForwardStamp {
--- a/include/catkinwing/PeerProtocol/PeerMessages.h
+++ b/include/catkinwing/PeerProtocol/PeerMessages.h
@@ -205,7 +205,7 @@
 };
 
 /// Answer to one claim.
-struct ClaimVerdict {
+struct ClaimAnswer {
     std::string claimId;
     ClaimOutcome outcome { ClaimOutcome::Unknown };
     /// The claim that holds the key, if the outcome is Held.
@@ -214,7 +214,7 @@
 
 /// Answers to a ClaimBatch, one for each claim in its order.
 struct ClaimReply {
-    std::vector<ClaimVerdict> verdicts;
+    std::vector<ClaimAnswer> verdicts;
 };
 
 /// Asks a claimant what became of its run; answered by RunningAnswer.
--- a/lib/PeerProtocol/ClaimJson.cpp
+++ b/lib/PeerProtocol/ClaimJson.cpp
@@ -48,7 +48,7 @@
         && fromJson(json[2], out.claimant) && fromJson(json[3], out.generation);
 }
 
-static Json::Value toJson(const ClaimVerdict& verdict)
+static Json::Value toJson(const ClaimAnswer& verdict)
 {
     Json::Value json(Json::objectValue);
     json["c"] = verdict.claimId;
@@ -58,7 +58,7 @@
     return json;
 }
 
-static bool fromJson(const Json::Value& json, ClaimVerdict& out)
+static bool fromJson(const Json::Value& json, ClaimAnswer& out)
 {
     FieldReader reader(json);
     reader.require("c", out.claimId);
--- a/lib/PeerProtocol/ForwardStamp.cpp
+++ b/lib/PeerProtocol/ForwardStamp.cpp
@@ -208,7 +208,7 @@
 
 StampVerdict checkStamp(const ForwardStamp& stamp, absl::string_view ownZone, absl::string_view ownRegion)
 {
-    if (stamp.hop == 0 || stamp.hop > maxForwardHops)
+    if (stamp.hop == 0 || stamp.hop > maxStampHops)
         return StampVerdict::HopLimit;
     if (stamp.originZone == ownZone || contains(stamp.visited, ownZone))
         return StampVerdict::Visited;
--- a/unittests/Placement/FakeEndpoints.cpp
+++ b/unittests/Placement/FakeEndpoints.cpp
@@ -20,10 +20,10 @@
         });
     }
 
-    void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<EndpointState>)> done) override
+    void readState(const OrderedEndpoint& endpoint, std::function<void(absl::StatusOr<ReportedState>)> done) override
     {
         m_endpoints.m_scheduler.callAfter(m_endpoints.latency, [this, name = endpoint.name, done] {
-            EndpointState state = m_endpoints.states[name];
+            ReportedState state = m_endpoints.states[name];
             m_scheduler.callAfter(Duration::zero(), [done, state] { done(state); });
         });
     }
@@ -41,7 +41,7 @@
 
 OrderOutcome FakeEndpoints::obey(const OrderedEndpoint& endpoint, const std::string& sender, const Order& order)
 {
-    EndpointState& state = states[endpoint.name];
+    ReportedState& state = states[endpoint.name];
     if (endpoint.honoursFencing && order.fencing < state.fencing)
         return OrderOutcome::StaleFencing;
     if (endpoint.honoursFencing)
--- a/unittests/Placement/FakeEndpoints.h
+++ b/unittests/Placement/FakeEndpoints.h
@@ -34,7 +34,7 @@
     /// Returns the admin interface as \p sender has it, whose callbacks run on \p scheduler.
     std::unique_ptr<EndpointAdmin> clientOn(Scheduler& scheduler, std::string sender);
 
-    std::map<std::string, EndpointState> states;
+    std::map<std::string, ReportedState> states;
     std::vector<ObeyedOrder> obeyed;
     std::deque<OrderFault> faults;
     Duration latency { std::chrono::milliseconds(200) };
--- a/unittests/Placement/HttpEndpointAdminTest.cpp
+++ b/unittests/Placement/HttpEndpointAdminTest.cpp
@@ -32,10 +32,10 @@
         return *outcome;
     }
 
-    absl::StatusOr<EndpointState> read()
+    absl::StatusOr<ReportedState> read()
     {
-        absl::StatusOr<EndpointState> state = absl::CancelledError();
-        admin.readState(endpoint, [&](absl::StatusOr<EndpointState> given) { state = std::move(given); });
+        absl::StatusOr<ReportedState> state = absl::CancelledError();
+        admin.readState(endpoint, [&](absl::StatusOr<ReportedState> given) { state = std::move(given); });
         scheduler.advance(10s);
         return state;
     }
