Test replaced endpoints, lost terms and silent endpoints of the orderer

Changing the code in place showed three rules that no test held: an order of an earlier lease is not sent under a later one, a replaced endpoint is not waited for, and a new holder waits for endpoints that have not answered. Each change now fails a test.

--- a/unittests/Placement/OrderSenderTest.cpp
+++ b/unittests/Placement/OrderSenderTest.cpp
@@ -227,6 +227,33 @@
     CHECK(bench.fleet.states["open0"].models == std::set<std::string> { "old" });
 }
 
+TEST_CASE("an endpoint that was replaced while it was loading is not waited for")
+{
+    Bench bench;
+    bench.old.keeper->start();
+    bench.advance(1s);
+    bench.old.wishNow(bench.endpoints);
+    bench.advance(3s);
+    REQUIRE(bench.fleet.states["fenced4"].models == bench.old.wish.models);
+    bench.fleet.states["fenced4"] = { 0, {}, {}, "", "another" };
+    bench.advance(6s);
+    CHECK(bench.fleet.states["fenced4"].models == bench.old.wish.models);
+}
+
+TEST_CASE("what was decided under a lost lease is not ordered under the next")
+{
+    Bench bench;
+    bench.settleOld();
+    bench.next.keeper->stop();
+    bench.old.wish.models = { "decided before" };
+    bench.old.wishNow(bench.endpoints);
+    std::size_t before = bench.fleet.obeyed.size();
+    bench.old.keeper->dropAfterFreeze();
+    bench.advance(30s);
+    REQUIRE(bench.old.keeper->counters().acquired == 2);
+    CHECK(bench.fleet.obeyed.size() == before);
+}
+
 TEST_CASE("a new holder makes endpoints refuse the old number though nothing differs")
 {
     Bench bench;
--- a/unittests/Placement/OrdererTest.cpp
+++ b/unittests/Placement/OrdererTest.cpp
@@ -86,6 +86,22 @@
     CHECK(bench.sender.progress("e2") == OrderProgress::InSync);
 }
 
+TEST_CASE("a new holder waits for endpoints that have not answered")
+{
+    Bench bench;
+    bench.view.input.models["m"].floor = 1;
+    bench.fleet.states["e2"].models = { "m" };
+    OrdererView whole = bench.view;
+    bench.view.endpoints.pop_back();
+    bench.lease.start();
+    bench.scheduler.advance(1s);
+    bench.orderer.start();
+    bench.scheduler.advance(5s);
+    bench.view = whole;
+    bench.scheduler.advance(60s);
+    CHECK(bench.loaded() == 1);
+}
+
 TEST_CASE("without the lease nothing is ordered")
 {
     Bench bench;
