--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -2,6 +2,8 @@
 
 #include <cerrno>
 #include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace catkinwing {
@@ -20,7 +22,7 @@
 {
     h2o_socketpool_init_by_address(m_pool.get(), address, length, isTls, 1);
     m_pool->timeout = static_cast<std::uint64_t>(milliseconds(poolTimeout).count());
-    m_pool->_interval_cb.loop = loop.m_loop;
+    m_pool->_interval_cb.loop = loop.evloop;
 }
 
 static void disposePool(h2o_socketpool_t& pool)
@@ -61,4 +63,13 @@
     return isBack && !m_isSpoilt && !hasInput(m_descriptor);
 }
 
+// A connection that the server closed in an orderly way waits for our close.
+bool ClientConnection::wasReset() const
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    int status = getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &length);
+    return status != 0 || info.tcpi_state != TCP_CLOSE_WAIT;
+}
+
 } // namespace catkinwing
