Refuse at once what nothing serves, and answer repeats of a key better

Ruled out: the digests (fresh) and the ledger (its verdicts were right). Change: a request with no endpoint in reach is refused as soon as that is known, at arrival or while it waits; a forward that has ended frees its share of the digest's slots; a repeat sent to its holder is claimed there, so that a claim that was given back is run anew.

--- a/include/catkinwing/Gateway/KeyedRequests.h
+++ b/include/catkinwing/Gateway/KeyedRequests.h
@@ -28,6 +28,7 @@
     using Responder = std::shared_ptr<HttpResponder>;
 
     bool isOwn(const ClaimId& id) const;
+    void claimAndRun(AcceptedRequest request, Responder responder);
     void runForwarded(AcceptedRequest request, Responder responder);
     void runIssued(AcceptedRequest request, Responder responder, const KeyAuthority& authority);
     void settle(AcceptedRequest request, Responder responder, const ClaimResult& result);
--- a/include/catkinwing/Gateway/RemoteCells.h
+++ b/include/catkinwing/Gateway/RemoteCells.h
@@ -17,6 +17,9 @@
     EntryRef entry;
     SocketAddress peerAddress;
     bool isOtherRegion { false };
+    std::string model;
+    /// The digest that the decision went by.
+    TimePoint digestAt {};
 };
 
 /// The other availability zones as targets of forwards.
@@ -29,6 +32,8 @@
     /// Decides whether a request is forwarded, and notes it if so.
     /// \p localPrediction is empty where this zone can't serve it.
     std::optional<ForwardTarget> chooseForward(const RoutingRequest& request, const std::string& session, std::optional<Duration> localPrediction, TimePoint now);
+    /// Notes that a forward has ended, so that its slot may be counted on again.
+    void noteEnded(const ForwardTarget& target);
     /// Counts a request that stays.
     void noteKept(const std::string& model, TimePoint now);
     /// Returns the share of the requests for \p model sent to other regions.
--- a/include/catkinwing/Gateway/RequestBroker.h
+++ b/include/catkinwing/Gateway/RequestBroker.h
@@ -74,6 +74,8 @@
 
     /// Offers the run to the queue.
     void admit(const std::shared_ptr<RequestRun>& run);
+    /// Moves or refuses what waits for a model that has lost its endpoints.
+    void moveStranded();
     void dropAll(const std::vector<DroppedRequest>& dropped);
     void pump();
     /// Returns the run to the queue at no charge; false if it can't be.
--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -42,6 +42,8 @@
     struct Attempt {
         AttemptTarget target { AttemptTarget::Endpoint };
         EndpointHandle endpoint { 0 };
+        /// Set for an attempt at another entry.
+        std::optional<ForwardTarget> forward;
         double prefillTokens { 0 };
         std::shared_ptr<HttpExchange> exchange;
         std::optional<HttpResponseHead> head;
@@ -54,6 +56,9 @@
         bool hasEnded { false };
     };
 
+    /// Forwards the request, which no endpoint here can take, or refuses it.
+    void moveOrRefuse();
+    ApiError noEndpointError() const;
     bool tryForward(std::optional<Duration> localPrediction);
     void startForward(const ForwardTarget& target);
     void startAt(const Placement& placement);
--- a/lib/Gateway/EntryDirectory.cpp
+++ b/lib/Gateway/EntryDirectory.cpp
@@ -86,7 +86,7 @@
     });
     if (entry == m_others.end())
         return std::nullopt;
-    return ForwardTarget { entry->zone, entry->region, entry->ref, entry->peerAddress, entry->region != m_self.region };
+    return ForwardTarget { entry->zone, entry->region, entry->ref, entry->peerAddress, entry->region != m_self.region, "", {} };
 }
 
 std::string entriesBody(const std::vector<EntryIdentity>& entries, const std::string& scheme)
--- a/lib/Gateway/KeyedRequests.cpp
+++ b/lib/Gateway/KeyedRequests.cpp
@@ -61,6 +61,11 @@
         sendError(*responder, request.id, keyError(400, "claim_missing", "a forwarded request with a key names no claim", Outcome::NotRun));
         return;
     }
+    claimAndRun(std::move(request), std::move(responder));
+}
+
+void KeyedRequests::claimAndRun(AcceptedRequest request, Responder responder)
+{
     std::uint64_t fingerprint = requestFingerprint(request.http.method, request.endpointTarget, request.http.body);
     std::string team = request.team;
     std::string key = request.idempotencyKey;
@@ -71,12 +76,13 @@
 }
 
 // The origin won the claim and sends the request here once; or the claim is one
-// of this entry's, and the request is a repeat.
+// of this entry's, and the request is a repeat. The ledger tells which: a claim
+// that was given back is won anew here, and any other leads to its answer.
 void KeyedRequests::runForwarded(AcceptedRequest request, Responder responder)
 {
     if (request.claim->entry == m_broker.parts().self.name) {
-        ClaimId id = *request.claim;
-        join(request, responder, id);
+        request.claim.reset();
+        claimAndRun(std::move(request), std::move(responder));
         return;
     }
     std::string requestId = request.id;
--- a/lib/Gateway/RemoteCells.cpp
+++ b/lib/Gateway/RemoteCells.cpp
@@ -102,7 +102,7 @@
     if (!chosen)
         return std::nullopt;
     const ZoneEntry& entry = entries[*chosen];
-    return ForwardTarget { cell.zone, cell.region, entry.ref, entry.peerAddress, cell.region != m_region };
+    return ForwardTarget { cell.zone, cell.region, entry.ref, entry.peerAddress, cell.region != m_region, "", cell.digestAt };
 }
 
 std::optional<ForwardTarget> RemoteCells::chooseForward(const RoutingRequest& request, const std::string& session, std::optional<Duration> localPrediction, TimePoint now)
@@ -117,11 +117,24 @@
     std::optional<ForwardTarget> target = pickEntry(cell, session);
     if (!target)
         return std::nullopt;
+    target->model = request.model;
     recordForward(cell, request.model);
     recordRouted(state, m_policy, forward->otherRegion, now);
     return target;
 }
 
+// A forward that is over holds no slot any more. One that an older digest led to
+// is not counted: the digest in hand has seen it.
+void RemoteCells::noteEnded(const ForwardTarget& target)
+{
+    RemoteCellView* cell = find(target.zone);
+    if (!cell || cell->digestAt != target.digestAt)
+        return;
+    auto model = cell->models.find(target.model);
+    if (model != cell->models.end() && model->second.forwardsSinceDigest > 0)
+        --model->second.forwardsSinceDigest;
+}
+
 void RemoteCells::noteKept(const std::string& model, TimePoint now)
 {
     recordRouted(m_states[model], m_policy, false, now);
--- a/lib/Gateway/RequestBroker.cpp
+++ b/lib/Gateway/RequestBroker.cpp
@@ -218,10 +218,33 @@
     schedulePump();
 }
 
+static bool hasLiveEndpoint(const CellView& cell, const std::string& model)
+{
+    absl::Span<const EndpointHandle> endpoints = cell.endpointsFor(model);
+    return std::any_of(endpoints.begin(), endpoints.end(), [&cell](EndpointHandle handle) { return cell.endpoint(handle).state == EndpointState::Live; });
+}
+
+// Nothing will free a slot for these, so holding them until their deadline
+// would only keep their callers from going elsewhere.
+void RequestBroker::moveStranded()
+{
+    std::vector<std::shared_ptr<RequestRun>> stranded;
+    for (const auto& [id, run] : m_runs) {
+        if (run->isWaiting() && !hasLiveEndpoint(m_parts.endpoints.cell(), run->request().routing.model))
+            stranded.push_back(run);
+    }
+    for (const std::shared_ptr<RequestRun>& run : stranded) {
+        leaveQueue(*run);
+        run->m_phase = RequestRun::Phase::Running;
+        run->moveOrRefuse();
+    }
+}
+
 void RequestBroker::tick()
 {
     TimePoint now = m_parts.scheduler.clock().now();
     dropAll(m_admission.expire(now));
+    moveStranded();
     for (const std::string& model : m_parts.endpoints.models())
         m_admission.setSlots(model, m_parts.endpoints.slotsOf(model));
     schedulePump();
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -48,6 +48,10 @@
         std::optional<Duration> prediction = m_broker.localPrediction(*this, m_broker.describe(*this));
         if (tryForward(prediction))
             return;
+        if (!prediction) {
+            refuse(noEndpointError());
+            return;
+        }
         m_broker.m_parts.remoteCells.noteKept(m_request.routing.model, nowOf(m_broker));
     }
     m_broker.admit(self);
@@ -77,11 +81,6 @@
     return error;
 }
 
-static const char* describe(NoPlacementReason reason)
-{
-    return reason == NoPlacementReason::UnknownModel ? "no endpoint of this availability zone serves the model" : "no endpoint of this availability zone takes new work";
-}
-
 void RequestRun::start()
 {
     if (!isAllowedHere()) {
@@ -96,15 +95,24 @@
     NoPlacementReason reason = std::get<NoPlacement>(result).reason;
     if (reason == NoPlacementReason::NoSlot && m_broker.putBack(*this))
         return;
-    if (tryForward(std::nullopt))
-        return;
+    moveOrRefuse();
+}
+
+void RequestRun::moveOrRefuse()
+{
+    if (!tryForward(std::nullopt))
+        refuse(noEndpointError());
+}
+
+ApiError RequestRun::noEndpointError() const
+{
     ApiError error;
     error.status = 503;
     error.code = "no_endpoint";
-    error.message = describe(reason);
+    error.message = absl::StrCat("no endpoint in reach takes new work for ", m_request.routing.model);
     error.outcome = m_attempts.mayHaveRun() ? Outcome::Unknown : Outcome::NotRun;
     error.retryAfter = std::chrono::seconds(1);
-    refuse(error);
+    return error;
 }
 
 bool RequestRun::tryForward(std::optional<Duration> localPrediction)
@@ -135,6 +143,7 @@
     m_broker.m_parts.metrics.count(target.isOtherRegion ? "forwards_to_regions" : "forwards_to_zones");
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
+    attempt.forward = target;
     attempt.startedAt = nowOf(m_broker);
     m_attemptData.emplace(*id, std::move(attempt));
     send(*id, forwardRequest(target, *id));
@@ -297,8 +306,10 @@
     if (attempt.hasEnded)
         return;
     attempt.hasEnded = true;
-    if (attempt.target != AttemptTarget::Endpoint)
+    if (attempt.forward) {
+        m_broker.m_parts.remoteCells.noteEnded(*attempt.forward);
         return;
+    }
     EndpointUse use;
     use.endpoint = attempt.endpoint;
     use.prefillTokens = attempt.prefillTokens;
--- a/tools/catkinwingctl/ConfigCommands.cpp
+++ b/tools/catkinwingctl/ConfigCommands.cpp
@@ -71,22 +71,22 @@
 
 namespace {
 
-/// A document as an entry has it in force.
-struct PresentDocument {
-    std::int64_t revision { 0 };
-    /// Empty if there is none.
-    std::optional<std::string> text;
-};
-
-/// What is to be done with one document.
-struct PlannedWrite {
-    DocumentPath path;
-    PresentDocument present;
-    /// Empty to delete it.
-    std::optional<std::string> wanted;
-};
-
-}
+    /// A document as an entry has it in force.
+    struct PresentDocument {
+        std::int64_t revision { 0 };
+        /// Empty if there is none.
+        std::optional<std::string> text;
+    };
+
+    /// What is to be done with one document.
+    struct PlannedWrite {
+        DocumentPath path;
+        PresentDocument present;
+        /// Empty to delete it.
+        std::optional<std::string> wanted;
+    };
+
+} // namespace
 
 static absl::StatusOr<PresentDocument> fetch(OperatorClient& client, const SocketAddress& entry, const std::string& path)
 {
--- a/unittests/Gateway/BrokerFixture.cpp
+++ b/unittests/Gateway/BrokerFixture.cpp
@@ -1,7 +1,5 @@
 #include "BrokerFixture.h"
 
-#include "catkinwing/Config/RevisionedTree.h"
-
 namespace catkinwing {
 
 BrokerFixture::BrokerFixture()
@@ -41,10 +39,7 @@
 {
     offer({ DocumentKind::Global, "" }, nlohmann::json::object());
     offer({ DocumentKind::Model, "sizes" }, { { "versions", { "1" } }, { "sizeMegabytes", 10 } });
-    nlohmann::json service = endpoint("bookings-1", "127.0.0.1:1003");
-    service["kind"] = "service";
-    service["service"] = "bookings";
-    offer({ DocumentKind::Region, "north" }, { { "availabilityZones", { { { "name", "north-a" } } } }, { "endpoints", { engine("engine-1", "127.0.0.1:1001"), engine("engine-2", "127.0.0.1:1002"), service } } });
+    offerRegion("");
     nlohmann::json team = {
         { "share", 1 },
         { "keys", { { { "name", "key" }, { "sha256", sha256Hex("secret") } } } },
@@ -56,10 +51,34 @@
     if (!regions.empty())
         team["residency"] = { { "regions", regions } };
     offer({ DocumentKind::Team, "fitters" }, team);
+    apply();
+}
+
+void BrokerFixture::configureWithout(const std::string& endpoint)
+{
+    offerRegion(endpoint);
+    apply();
+}
+
+void BrokerFixture::apply()
+{
     endpoints.configure(tree.snapshot(), scheduler.clock().now());
     broker.configure(tree.snapshot());
 }
 
+void BrokerFixture::offerRegion(const std::string& withoutEndpoint)
+{
+    nlohmann::json service = endpoint("bookings-1", "127.0.0.1:1003");
+    service["kind"] = "service";
+    service["service"] = "bookings";
+    nlohmann::json list = nlohmann::json::array();
+    for (const nlohmann::json& candidate : { engine("engine-1", "127.0.0.1:1001"), engine("engine-2", "127.0.0.1:1002"), service }) {
+        if (candidate["name"] != withoutEndpoint)
+            list.push_back(candidate);
+    }
+    offer({ DocumentKind::Region, "north" }, { { "availabilityZones", { { { "name", "north-a" } } } }, { "endpoints", list } });
+}
+
 HttpRequest BrokerFixture::chat(bool isStreaming)
 {
     HttpRequest request;
--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Platform/FakeHttpClient.h"
 #include "FakeResponder.h"
+#include "Platform/FakeHttpClient.h"
+#include "catkinwing/Config/RevisionedTree.h"
 #include "catkinwing/Gateway/RequestBroker.h"
 #include "catkinwing/Gateway/RequestReader.h"
 #include "catkinwing/Support/ManualScheduler.h"
@@ -15,6 +16,8 @@
 
     /// Puts the documents in force; the team may use \p regions only, if any.
     void configure(const std::vector<std::string>& regions = {});
+    /// Puts the documents in force again, but for one endpoint.
+    void configureWithout(const std::string& endpoint);
     /// Reads and runs a request of the team.
     std::shared_ptr<FakeResponder> run(HttpRequest request);
     static HttpRequest chat(bool isStreaming);
@@ -38,6 +41,8 @@
 
 private:
     void offer(const DocumentPath& path, const nlohmann::json& document);
+    void offerRegion(const std::string& withoutEndpoint);
+    void apply();
 };
 
 } // namespace catkinwing
--- a/unittests/Gateway/ConfigWriterTest.cpp
+++ b/unittests/Gateway/ConfigWriterTest.cpp
@@ -34,7 +34,7 @@
 const char* const first = R"({"retryBudgetFraction":0.1})";
 const char* const second = R"({"retryBudgetFraction":0.2})";
 
-}
+} // namespace
 
 TEST_CASE("of two operators that read the same revision one is told of the change")
 {
--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -181,3 +181,31 @@
     for (std::size_t i = before; i < fixture.endpointClient.requests.size(); ++i)
         CHECK(fixture.endpointClient.requests[i].server != left);
 }
+
+TEST_CASE("a request that no endpoint in reach serves is refused at once")
+{
+    BrokerFixture fixture;
+    fixture.configureWithout("bookings-1");
+    auto responder = fixture.run(BrokerFixture::book());
+    CHECK(responder->status() == 503);
+    CHECK(responder->outcome() == "not-run");
+    CHECK(responder->head->headers.find("Retry-After"));
+}
+
+TEST_CASE("what waits when the last endpoint goes is refused soon, not at its deadline")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer slow = FakeHttpAnswer::ok("{}");
+    slow.delay = 3s;
+    fixture.answers = { slow, slow };
+    for (int i = 0; i < 2; ++i)
+        fixture.run(BrokerFixture::book());
+    auto waiting = fixture.run(BrokerFixture::book());
+    fixture.scheduler.advance(10ms);
+    REQUIRE(fixture.broker.queued() == 1);
+    fixture.configureWithout("bookings-1");
+    fixture.broker.tick();
+    CHECK(waiting->status() == 503);
+    CHECK(waiting->outcome() == "not-run");
+    CHECK(fixture.broker.queued() == 0);
+}
