Split a team's weight by capacity and shift it by how the team stands

Cause: with the split by served rates nothing holds the split. With three teams alike in 3, 9 or 25 daemons each team ended within 30 minutes of simulated time with daemons to itself: its service in a daemon against its part went from 0.04 to 2.9 (requests of 500 tokens) and from 0.00 to 3.1 (4000 tokens), so callers at the wrong daemon starved while the sums were right. Ruled out: heartbeat delay and the correction (the same with 3 daemons; slower without it). The new test failed before by that.

Change: the part is the daemon's capacity among those that serve the team, times exp(shift + lean); lean is the log of what its weight gets here over what it gets in the region, shift its leaky integral.

--- a/include/catkinwing/Admission/AdmissionLimits.h
+++ b/include/catkinwing/Admission/AdmissionLimits.h
@@ -54,9 +54,8 @@
     Duration rateSmoothing { std::chrono::seconds(2) };
     /// How long a peer's last rate is believed without a word from it.
     Duration peerSilence { std::chrono::seconds(3) };
-    /// Part of a team's weight kept here however little it was served here,
-    /// scaled by this daemon's part of the region's service.
-    double weightFloor { 0.02 };
+    /// How long after its last served request a peer still counts as serving a team.
+    Duration peerIdle { std::chrono::seconds(10) };
     /// Longest wait for which a team that couldn't be served is made good.
     Duration creditWindow { std::chrono::seconds(5) };
 };
--- a/include/catkinwing/Admission/PoolQueue.h
+++ b/include/catkinwing/Admission/PoolQueue.h
@@ -67,6 +67,7 @@
     Lane* bestLane(const CanStart& canStart);
     const QueuedRequest& headOf(Lane& lane) const;
     void charge(TeamEntry& team, ClassEntry& entry, double tokens, TimePoint now);
+    RegionalStanding standingOf(const TeamEntry& team, TimePoint now) const;
     void renewWeight(TeamEntry& team, TimePoint now);
     void rebase();
     double creditFloor(TimePoint now);
--- a/include/catkinwing/Admission/RegionalShares.h
+++ b/include/catkinwing/Admission/RegionalShares.h
@@ -5,7 +5,6 @@
 #include "catkinwing/Admission/ServiceCounter.h"
 #include <absl/container/flat_hash_map.h>
 #include <map>
-#include <optional>
 #include <string>
 
 namespace catkinwing {
@@ -20,8 +19,33 @@
     double level { 0 };
 };
 
-/// What the other daemons of the region served of one pool, and the part of a
-/// team's weight that therefore counts here.
+/// How a team stands in the region, seen from one of its daemons.
+struct RegionalStanding {
+    /// This daemon's part of the capacity of the daemons that serve the team; 1
+    /// if no other does.
+    double part { 1 };
+    /// Logarithm of what a team of its weight gets here over what the team gets
+    /// in the region: below zero if it has more than its share. Bounded.
+    double lean { 0 };
+    /// Whether another daemon serves the team.
+    bool shared { false };
+};
+
+/// The part of a team's weight that counts in a daemon. Adapts from refresh to
+/// refresh while the team is backlogged there, and forgets while it isn't.
+class WeightShift {
+public:
+    /// Takes in the standing of a backlogged team.
+    void adapt(const RegionalStanding& standing, TimePoint now);
+    /// Returns the part of the weight that counts, above 0 and at most 1.5.
+    double fraction(const RegionalStanding& standing) const;
+
+private:
+    double m_shift { 0 };
+    TimePoint m_adaptedAt {};
+};
+
+/// What the other daemons of the region served of one pool.
 class RegionalShares {
 public:
     explicit RegionalShares(const SharePolicy& policy = {});
@@ -34,9 +58,8 @@
     void forgetTeam(const std::string& team) { m_teams.erase(team); }
     /// Forgets sources without a word for long, whose rates have faded.
     void prune(TimePoint now);
-    /// Returns the part of a team's weight that counts here; 1 if no other daemon
-    /// serves it, else above 0 and at most 1.5.
-    double fraction(const std::string& team, const LocalService& local, TimePoint now) const;
+    /// Returns how a team stands, given what this daemon served.
+    RegionalStanding standing(const std::string& team, const LocalService& local, TimePoint now) const;
 
 private:
     struct Source {
@@ -48,19 +71,16 @@
         std::uint64_t incarnation { 0 };
         std::uint64_t tokens { 0 };
         TimePoint at {};
+        /// When the count last grew.
+        TimePoint servedAt {};
         DecayingRate rate;
     };
     /// By source; ordered, so that sums are the same in every run.
     using Counters = std::map<std::string, Counter>;
 
-    double remoteTotal(TimePoint now) const;
-
     SharePolicy m_policy;
     std::map<std::string, Source> m_sources;
     absl::flat_hash_map<std::string, Counters> m_teams;
-    /// The sum over the sources and the time it was made for.
-    mutable double m_total { 0 };
-    mutable std::optional<TimePoint> m_totalAt;
 };
 
 } // namespace catkinwing
--- a/lib/Admission/PoolEntries.h
+++ b/lib/Admission/PoolEntries.h
@@ -51,6 +51,7 @@
     double served { 0 };
     /// The most that served ever was: what the other daemons are told.
     double servedPeak { 0 };
+    WeightShift shift;
     /// Smoothed rate of servedPeak, as the other daemons see it.
     DecayingRate rate;
     DrainRate drain;
--- a/lib/Admission/PoolQueue.cpp
+++ b/lib/Admission/PoolQueue.cpp
@@ -273,10 +273,13 @@
 double PoolQueue::weightFraction(const std::string& name, TimePoint now) const
 {
     const TeamEntry* team = find(name);
-    if (!team)
-        return 1;
-    LocalService local { team->rate.rate(now), m_localTotal.rate(now), m_level.rate(now) * team->weight };
-    return m_regional.fraction(name, local, now);
+    return team ? team->shift.fraction(standingOf(*team, now)) : 1;
+}
+
+RegionalStanding PoolQueue::standingOf(const TeamEntry& team, TimePoint now) const
+{
+    LocalService local { team.rate.rate(now), m_localTotal.rate(now), m_level.rate(now) * team.weight };
+    return m_regional.standing(team.name, local, now);
 }
 
 void PoolQueue::renewWeight(TeamEntry& team, TimePoint now)
@@ -309,6 +312,7 @@
             team->boundClasses(rebaseAt);
         if (!team->queued)
             continue;
+        team->shift.adapt(standingOf(*team, now), now);
         renewWeight(*team, now);
         team->boundClasses(credit * team->rate.rate(now));
         setCounter(*team, std::max(team->counter, floor));
--- a/lib/Admission/RegionalShares.cpp
+++ b/lib/Admission/RegionalShares.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Admission/RegionalShares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace catkinwing {
@@ -8,44 +9,72 @@
 /// Silence after which a source is taken as gone and forgotten.
 static constexpr Duration maxSilence = std::chrono::minutes(2);
 
-/// Bounds of the correction: a first guess may be far off, and must neither lock
-/// a team out nor let it take more than half as much again.
-static constexpr double leastCorrection = 0.2;
-static constexpr double mostCorrection = 1.5;
-/// Least part of a team's weight, so that charges stay finite.
-static constexpr double leastFraction = 1e-4;
-
 // A team that uses several daemons of a region must not get its share from each.
-// The obvious correction, adding the others' served tokens to the local counter,
-// is a feedback loop with a delay: each of n daemons that sees the team behind
-// by x serves it x, so together n x, and then all stop together. Its gain is
-// about n - 1, so it swings for n > 2, and a cut leaves a debt as long as the
-// cut. DECISIONS has the figures of that trial.
+// Three ways were weighed; the commits and DECISIONS have the figures.
 //
-// Here a team's weight is split among the daemons instead: a daemon counts the
-// part of the weight that equals its part of the team's service in the region,
+// 1. Adding the others' served tokens to the local counter is a feedback loop
+//    with a delay: each of n daemons that sees the team behind by x serves it x,
+//    together n x, and then all stop together. Its gain is about n - 1, so it
+//    swings for n > 2, and a cut leaves a debt as long as the cut.
+// 2. Splitting the weight by where the team was served is stable and right in
+//    sum, but nothing holds the split itself: where all daemons are alike, every
+//    split is as fair as any other, chance moves it, and within minutes each
+//    team has daemons to itself and next to nothing in the others.
+// 3. So the weight is split by the capacity of the daemons that serve the team,
+//    and the split is shifted, in logarithms, by how the team stands:
 //
-//     weight here = weight x served here / served in the region.
+//        lean = log(what its weight gets here / what it gets in the region)
+//        shift' = lean / adaptTime - shift / shiftMemory
+//        weight here = weight x part x exp(shift + lean)
 //
-// - The parts add up to one whatever their values, so the team's weight counts
-//   once in the region even while views are late: a late view misplaces the
-//   weight between daemons and can't create it. No gain grows with n.
-// - Where the team is served more for its weight than elsewhere, its part grows.
-//   These are the proportional response dynamics of a Fisher market, where the
-//   team spends its weight on the daemons' capacity; they are known to converge
-//   to the allocation that is proportionally fair over the whole region.
-// - The parts alone move slowly where a team should leave a daemon altogether:
-//   like 1 / t. So the part is corrected by what the daemon's other teams get
-//   for the same weight against what the team gets in the region. The correction
-//   is one where shares are right. It adds one to the loop's gain whatever the
-//   number of daemons; its square was faster still, and swung with heartbeats of
-//   one second.
+// - Each daemon turns the weight by a factor and not by tokens, so all of them
+//   together change the team's service by that factor, whatever their number.
+// - Shift follows rates that all teams of a daemon or all daemons of a team have
+//   in common, so chance can't move two teams against each other; its memory
+//   draws the split back to the capacities, which costs an error of shift x
+//   adaptTime / shiftMemory: 4 % where a team should all but leave a daemon.
+// - Where a team should leave a daemon its weight there falls exponentially.
 // - Only smoothed rates count, never totals. So a cut or restart leaves no debt:
-//   during a cut the others' rates fade and the weight counts here in full;
-//   after it they come back within the smoothing, and a total that jumped by an
-//   hour's service counts as the mean rate of that hour, at most for the
-//   smoothing time.
-// - A small floor keeps a way back where the team was last served nothing.
+//   during a cut the others fade and the weight counts here in full; a total that
+//   jumped by an hour's service counts as the mean rate of that hour.
+
+using Seconds = std::chrono::duration<double>;
+
+/// Time in which a lean of one shifts the weight by a factor e: about as late as
+/// a lean is seen. A third of it swings with heartbeats of one second.
+static constexpr double adaptTime = 1.5;
+/// Time constant with which a shift decays.
+static constexpr double shiftMemory = 100;
+/// The same for a team that isn't backlogged.
+static constexpr double idleMemory = 5;
+/// Longest time between two refreshes through which a team counts as backlogged.
+static constexpr double longestStep = 1;
+/// Bounds of lean and shift. The least of both leaves a team about 1 % of its
+/// part, from where it is back within seconds.
+static constexpr double mostLean = 1.5;
+static constexpr double leastShift = -3;
+static constexpr double mostShift = 3;
+static constexpr double mostFraction = 1.5;
+/// A daemon that served less than this part of the others' mean counts as that,
+/// since an idle one has capacity too.
+static constexpr double leastCapacity = 0.1;
+
+void WeightShift::adapt(const RegionalStanding& standing, TimePoint now)
+{
+    double span = Seconds(now - m_adaptedAt).count();
+    double step = std::min(span, longestStep);
+    m_adaptedAt = now;
+    m_shift *= std::exp(-(span - step) / idleMemory);
+    m_shift += step * (standing.lean / adaptTime - m_shift / shiftMemory);
+    m_shift = std::clamp(m_shift, leastShift, mostShift);
+}
+
+double WeightShift::fraction(const RegionalStanding& standing) const
+{
+    if (!standing.shared)
+        return 1;
+    return std::min(mostFraction, standing.part * std::exp(m_shift + standing.lean));
+}
 
 RegionalShares::RegionalShares(const SharePolicy& policy)
     : m_policy(policy)
@@ -60,9 +89,8 @@
         return;
     known.incarnation = source.incarnation;
     known.heardAt = now;
-    m_totalAt.reset();
 
-    auto [entry, isNew] = m_teams[counter.team].try_emplace(source.name, Counter { source.incarnation, counter.tokens, now, DecayingRate(m_policy.rateSmoothing) });
+    auto [entry, isNew] = m_teams[counter.team].try_emplace(source.name, Counter { source.incarnation, counter.tokens, now, {}, DecayingRate(m_policy.rateSmoothing) });
     if (isNew)
         return;
     Counter& last = entry->second;
@@ -73,6 +101,8 @@
     auto served = static_cast<double>(restarted ? counter.tokens : counter.tokens - last.tokens);
     last.rate.addSpread(served, last.at, now);
     known.total.addSpread(served, last.at, now);
+    if (served > 0)
+        last.servedAt = now;
     last.incarnation = source.incarnation;
     last.tokens = counter.tokens;
     last.at = now;
@@ -81,7 +111,6 @@
 void RegionalShares::forget(const std::string& source)
 {
     m_sources.erase(source);
-    m_totalAt.reset();
     for (auto& [team, counters] : m_teams)
         counters.erase(source);
     absl::erase_if(m_teams, [](const auto& entry) { return entry.second.empty(); });
@@ -98,34 +127,34 @@
         forget(name);
 }
 
-double RegionalShares::fraction(const std::string& team, const LocalService& local, TimePoint now) const
+RegionalStanding RegionalShares::standing(const std::string& team, const LocalService& local, TimePoint now) const
 {
+    RegionalStanding standing;
     auto found = m_teams.find(team);
     if (found == m_teams.end())
-        return 1;
+        return standing;
     double remote = 0;
-    for (const auto& [source, counter] : found->second)
+    double capacity = 0;
+    double daemons = 0;
+    for (const auto& [name, counter] : found->second) {
         remote += counter.rate.rateHeld(now, m_policy.peerSilence);
+        bool serves = now - counter.servedAt <= m_policy.peerIdle && now - counter.at <= m_policy.peerSilence;
+        if (!serves)
+            continue;
+        capacity += m_sources.at(name).total.rateHeld(now, m_policy.peerSilence);
+        ++daemons;
+    }
     // Less than a token a second is no use of another daemon.
     if (remote < 1)
-        return 1;
-    double part = local.team / (local.team + remote);
-    double total = std::max(1.0, local.all + remoteTotal(now));
-    double floor = std::max(leastFraction, m_policy.weightFloor * local.all / total);
-    double correction = local.level / (local.team + remote);
-    return std::max(part, floor) * std::clamp(correction, leastCorrection, mostCorrection);
-}
-
-double RegionalShares::remoteTotal(TimePoint now) const
-{
-    // A refresh asks for every team at the same time.
-    if (m_totalAt == now)
-        return m_total;
-    m_total = 0;
-    for (const auto& [name, source] : m_sources)
-        m_total += source.total.rateHeld(now, m_policy.peerSilence);
-    m_totalAt = now;
-    return m_total;
+        return standing;
+    standing.shared = true;
+    if (daemons > 0) {
+        double own = std::max(local.all, leastCapacity * capacity / daemons);
+        standing.part = own / std::max(1.0, own + capacity);
+    }
+    double lean = std::log(std::max(1.0, local.level) / (local.team + remote));
+    standing.lean = std::clamp(lean, -mostLean, mostLean);
+    return standing;
 }
 
 } // namespace catkinwing
--- a/unittests/Admission/RegionalSharesTest.cpp
+++ b/unittests/Admission/RegionalSharesTest.cpp
@@ -3,6 +3,7 @@
 #include "RegionFake.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -98,6 +99,20 @@
     }
 }
 
+TEST_CASE("teams that use all daemons alike are served alike in each")
+{
+    std::vector<std::string> all { "x", "y", "z" };
+    RegionFake region(daemonsNamed(all), { teamOf("a", 1), teamOf("b", 1), teamOf("c", 1) }, 6);
+    setUp(region, { { "a", all, 1.0 / 3 }, { "b", all, 1.0 / 3 }, { "c", all, 1.0 / 3 } });
+    region.run(30min);
+    region.resetServed();
+    region.run(60s);
+    for (const char* team : { "a", "b", "c" }) {
+        for (const std::string& daemon : all)
+            CHECK(region.served(team, daemon) == Approx(60 * 8000 / 3.0).epsilon(0.2));
+    }
+}
+
 TEST_CASE("after a cut of an hour no team starves")
 {
     RegionFake region(daemonsNamed({ "x", "y" }), { teamOf("a", 1), teamOf("b", 1) }, 7);
@@ -154,26 +169,30 @@
     auto tell = [&](std::uint64_t incarnation, std::uint64_t tokens) {
         shares.apply({ "peer", incarnation }, { "a", "m", tokens }, now);
     };
+    auto remoteRate = [&] {
+        RegionalStanding standing = shares.standing("a", local, now);
+        return standing.shared ? local.level * std::exp(-standing.lean) - local.team : 0;
+    };
     tell(2, 1000000);
     // The first word only sets the baseline.
-    CHECK(shares.fraction("a", local, now) == Approx(1));
+    CHECK(remoteRate() == 0);
     now += 10s;
     tell(2, 1010000);
-    double after = shares.fraction("a", local, now);
-    CHECK(after == Approx(0.5).epsilon(0.05));
+    double after = remoteRate();
+    CHECK(after == Approx(1000).epsilon(0.05));
     tell(2, 1005000);
     tell(1, 9000000);
     tell(2, 1010000);
-    CHECK(shares.fraction("a", local, now) == Approx(after));
+    CHECK(remoteRate() == Approx(after));
     // A new life counts from zero.
     now += 10s;
     tell(3, 10000);
-    CHECK(shares.fraction("a", local, now) == Approx(0.5).epsilon(0.05));
+    CHECK(remoteRate() == Approx(1000).epsilon(0.05));
     // An hour's total after a cut counts as that hour's mean rate.
     now += 1h;
     tell(3, 10000 + 3600 * 1000);
-    CHECK(shares.fraction("a", local, now) == Approx(0.5).epsilon(0.05));
+    CHECK(remoteRate() == Approx(1000).epsilon(0.05));
     // Silence fades.
     now += 30s;
-    CHECK(shares.fraction("a", local, now) == Approx(1).epsilon(0.01));
+    CHECK(remoteRate() == 0);
 }
