--- a/lib/Gateway/AttemptRequest.cpp
+++ b/lib/Gateway/AttemptRequest.cpp
@@ -65,9 +65,9 @@
     stamp.requestId = request.id;
     stamp.attempt = context.attempt;
     stamp.hop = request.routing.hop + 1;
-    // Another entry of the own zone is asked only for what it alone may answer.
-    if (context.ownZone != target.zone)
-        stamp.visited.push_back(context.ownZone);
+    // Another entry of the own zone is asked only for what it alone may answer;
+    // the place visited is this entry then, and not the whole zone.
+    stamp.visited.push_back(context.ownZone == target.zone ? context.self.name : context.ownZone);
     for (const std::string& zone : request.routing.visitedZones) {
         if (zone != context.ownZone && zone != target.zone)
             stamp.visited.push_back(zone);
--- a/tools/catkinwingctl/Main.cpp
+++ b/tools/catkinwingctl/Main.cpp
@@ -1,3 +1,6 @@
+// Without this the library splits arguments at commas, and JSON has many.
+#define CXXOPTS_VECTOR_DELIMITER '\0'
+
 #include "Commands.h"
 
 #include "catkinwing/Support/Version.h"
