Take an engine's answer that is not JSON for a failure

Change: an answer that is held back is checked before it goes out; if it is not JSON the request is tried again where that is safe, else it fails as unknown. Streams are not checked event by event. Also here: an entry may ask another one of its zone for the answer to a key that it holds, which the hop check had refused.

--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -76,6 +76,7 @@
     void deliver(Attempt& attempt, std::string bytes);
     void relieveBackPressure();
 
+    bool isGarbage(const Attempt& attempt, const AttemptResult& concluded) const;
     AttemptResult conclude(Attempt& attempt, const HttpResult& result);
     void settle(Attempt& attempt, bool failed);
     void noteRefusal(const Attempt& attempt);
--- a/lib/Gateway/CallerApi.cpp
+++ b/lib/Gateway/CallerApi.cpp
@@ -187,6 +187,13 @@
     return fields;
 }
 
+// An entry asks another one of its own zone only for the answer to a key that
+// the other holds. That is no way round the hop limit, which holds for it too.
+static bool asksForHeldKey(const ForwardStamp& stamp, const HttpHeaders& headers, absl::string_view ownZone)
+{
+    return stamp.originZone == ownZone && stamp.hop <= maxStampHops && headers.find("Idempotency-Key");
+}
+
 void CallerApi::handleForwarded(HttpRequest request, Responder responder)
 {
     absl::StatusOr<ForwardStamp> stamp = decodeStamp(stampHeaders(request.headers));
@@ -195,7 +202,8 @@
         return;
     }
     StampVerdict verdict = checkStamp(*stamp, m_parts.zone, m_parts.region);
-    if (verdict != StampVerdict::Accepted) {
+    bool isHeldKey = verdict == StampVerdict::Visited && asksForHeldKey(*stamp, request.headers, m_parts.zone);
+    if (verdict != StampVerdict::Accepted && !isHeldKey) {
         m_parts.metrics.count("forwards_refused");
         sendError(*responder, stamp->requestId, simpleError(421, "forward_refused", describe(verdict)));
         return;
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cassert>
+#include <nlohmann/json.hpp>
 
 namespace catkinwing {
 
@@ -280,9 +281,22 @@
     }
 }
 
+// An engine's answer that is held back is checked before it is handed on: what
+// is not JSON is no answer, whatever its status says.
+bool RequestRun::isGarbage(const Attempt& attempt, const AttemptResult& concluded) const
+{
+    bool isHeldAnswer = m_request.isModelCall && attempt.target == AttemptTarget::Endpoint && !attempt.isEventStream && !m_answer.hasHead();
+    return isHeldAnswer && concluded.outcome == Outcome::Completed && !nlohmann::json::accept(attempt.buffered);
+}
+
 AttemptResult RequestRun::conclude(Attempt& attempt, const HttpResult& result)
 {
     AttemptResult concluded = classifyAttempt(attempt.target, result, attempt.head ? &*attempt.head : nullptr);
+    if (isGarbage(attempt, concluded)) {
+        m_broker.m_parts.metrics.count("garbage_answers");
+        concluded.outcome = Outcome::Unknown;
+        concluded.hasWholeAnswer = false;
+    }
     if (!attempt.isEventStream)
         return concluded;
     // A stream is whole only by its terminal event, whatever the connection says.
--- a/lib/Replay/ReplayReport.cpp
+++ b/lib/Replay/ReplayReport.cpp
@@ -26,6 +26,8 @@
     StatedOutcomes stated;
     try {
         nlohmann::json json = nlohmann::json::parse(text.begin(), text.end());
+        if (!json.is_object())
+            return absl::InvalidArgumentError("stated outcomes: not a JSON object");
         for (const auto& [name, fields] : json.items()) {
             StatedOutcome outcome;
             outcome.answered = readRatio(fields, "answered");
--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -103,6 +103,18 @@
     CHECK(responder->body.find("\"outcome\":\"unknown\"") != std::string::npos);
 }
 
+TEST_CASE("an engine's answer that is not JSON is asked for again elsewhere")
+{
+    BrokerFixture fixture;
+    for (int i = 0; i < 20; ++i)
+        fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(5s);
+    fixture.answers = { FakeHttpAnswer::ok("{\"this is not\": JSON,,"), FakeHttpAnswer::ok("{\"answer\":3}") };
+    auto responder = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(2s);
+    CHECK(responder->body == "{\"answer\":3}");
+}
+
 TEST_CASE("residency tightened while a request waits keeps it from running")
 {
     BrokerFixture fixture;
