Add Config: typed documents, schemas, the revisioned tree, examples

Documents of the tree and the daemon's settings are checked by the published JSON Schemas and then by what those can't say; every fault is reported with its JSON pointer.

In sanitizer builds SchemaCheck.cpp alone is compiled without GCC's maybe-uninitialized warning, which is wrong there about std::regex; the usual build keeps it.

--- /dev/null
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "catkinwing/Config/ConfigFault.h"
+#include "catkinwing/Config/KeySettings.h"
+#include "catkinwing/Support/SocketAddress.h"
+#include <absl/strings/string_view.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinwing {
+
+/// The addresses of an entry's three listeners.
+struct ListenerAddresses {
+    SocketAddress callers;
+    SocketAddress peers;
+    /// For operators and metrics.
+    SocketAddress operators;
+};
+
+/// Files of a TLS identity; all PEM.
+struct TlsSettings {
+    std::string certificateFile;
+    std::string keyFile;
+    /// Empty if the other side need not show a certificate.
+    std::string authorityFile;
+};
+
+/// TLS of each listener; plain TCP where absent.
+struct ListenerTls {
+    std::optional<TlsSettings> callers;
+    std::optional<TlsSettings> peers;
+    std::optional<TlsSettings> operators;
+};
+
+/// An operator's token.
+struct OperatorToken {
+    KeySettings key;
+    /// The one document that the token reaches; every document if empty.
+    std::string subtree;
+};
+
+/// Limits of a whole entry.
+struct DaemonLimits {
+    /// Open connections of callers.
+    std::int64_t maximumConnections { 1024 };
+    std::int64_t maximumBodyBytes { 8000000 };
+};
+
+/// The settings file of one daemon.
+struct DaemonSettings {
+    std::string name;
+    std::string region;
+    std::string availabilityZone;
+    ListenerAddresses listen;
+    /// Where others reach the entry; same as `listen` where the file says nothing.
+    ListenerAddresses advertise;
+    std::vector<SocketAddress> store;
+    std::vector<SocketAddress> directory;
+    std::optional<SocketAddress> weightStore;
+    std::vector<SocketAddress> peerSeeds;
+    ListenerTls tls;
+    std::vector<OperatorToken> operatorTokens;
+    DaemonLimits limits;
+    /// Allows the fault switches of the peer listener.
+    bool testFaults { false };
+};
+
+/// Reads a settings file.
+ConfigResult<DaemonSettings> parseDaemonSettings(absl::string_view text);
+
+} // namespace catkinwing
