--- a/include/catkinwing/Config/RevisionedTree.h
+++ b/include/catkinwing/Config/RevisionedTree.h
@@ -57,6 +57,7 @@
 struct RejectedDocument {
     DocumentPath path;
     Revision revision { 0 };
+    /// The first of its faults, or all of them where it was just offered.
     std::vector<ConfigFault> faults;
 };
 
--- a/lib/Config/JsonText.cpp
+++ b/lib/Config/JsonText.cpp
@@ -59,7 +59,11 @@
         bool close();
         bool onValue();
         bool refuse(std::string place, std::string message);
-        std::string pointer() const;
+        /// Returns the pointer of the value being read.
+        std::string pointer() const { return pointer(m_levels.size()); }
+        /// Returns the pointer of the innermost object or array.
+        std::string parentPointer() const { return pointer(m_levels.size() - 1); }
+        std::string pointer(std::size_t depth) const;
         std::string location(std::size_t position) const;
 
         absl::string_view m_text;
@@ -107,17 +111,22 @@
     bool StructureScan::key(string_t& name)
     {
         Level& level = m_levels.back();
+        if (name.size() > maximumFieldNameBytes)
+            return refuse(parentPointer(), absl::StrCat("the name of a field is longer than ", maximumFieldNameBytes, " bytes"));
         level.member = name;
-        if (!level.members.insert(name).second)
-            m_faults.push_back({ pointer(), "the field stands here a second time" });
-        return true;
+        if (level.members.insert(name).second)
+            return true;
+        m_faults.push_back({ pointer(), "the field stands here a second time" });
+        return m_faults.size() < maximumRepeatedFields || refuse("", "too many repeated fields");
     }
 
-    std::string StructureScan::pointer() const
+    std::string StructureScan::pointer(std::size_t depth) const
     {
         std::string pointer;
-        for (const Level& level : m_levels)
+        for (std::size_t i = 0; i < depth; ++i) {
+            const Level& level = m_levels[i];
             pointer = level.isArray ? itemPointer(pointer, level.items - 1) : memberPointer(pointer, level.member);
+        }
         return pointer;
     }
 
--- a/lib/Config/RegionDocument.cpp
+++ b/lib/Config/RegionDocument.cpp
@@ -1,7 +1,7 @@
 #include "catkinwing/Config/RegionDocument.h"
 
 #include "ReadDocument.h"
-#include <algorithm>
+#include <absl/container/flat_hash_set.h>
 
 namespace catkinwing {
 
@@ -88,11 +88,19 @@
     return endpoint.address.host.empty() ? std::string() : endpoint.address.toString();
 }
 
-static void checkZoneOfEndpoint(const ObjectReader& reader, const EndpointSettings& endpoint, const RegionDocument& document)
+using ZoneNames = absl::flat_hash_set<std::string>;
+
+static ZoneNames zoneNames(const RegionDocument& document)
+{
+    ZoneNames names;
+    for (const AvailabilityZoneSettings& zone : document.availabilityZones)
+        names.insert(zone.name);
+    return names;
+}
+
+static void checkZoneOfEndpoint(const ObjectReader& reader, const EndpointSettings& endpoint, const ZoneNames& zones)
 {
-    auto isZone = [&](const AvailabilityZoneSettings& zone) { return zone.name == endpoint.availabilityZone; };
-    bool isKnown = std::any_of(document.availabilityZones.begin(), document.availabilityZones.end(), isZone);
-    if (!endpoint.availabilityZone.empty() && !isKnown)
+    if (!endpoint.availabilityZone.empty() && !zones.contains(endpoint.availabilityZone))
         reader.report("availabilityZone", absl::StrCat("the region has no availability zone '", endpoint.availabilityZone, "'"));
 }
 
@@ -108,9 +116,10 @@
     reader.reportRepeats("links", document.links, "to", [](const RegionLink& link) { return link.to; });
     reader.read("zoneLatency", document.zoneLatency, DurationRange::FromZero);
     reader.read("clientLatency", document.clientLatency, DurationRange::FromZero);
+    ZoneNames zones = zoneNames(document);
     reader.readList("endpoints", document.endpoints, [&](const ObjectReader& item, EndpointSettings& endpoint) {
         readEndpoint(item, endpoint);
-        checkZoneOfEndpoint(item, endpoint, document);
+        checkZoneOfEndpoint(item, endpoint, zones);
     });
     reader.reportRepeats("endpoints", document.endpoints, "name", nameOf<EndpointSettings>);
     reader.reportRepeats("endpoints", document.endpoints, "address", addressText);
--- a/lib/Config/RevisionedTree.cpp
+++ b/lib/Config/RevisionedTree.cpp
@@ -3,6 +3,7 @@
 #include "catkinwing/Support/Hash.h"
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <algorithm>
 
 namespace catkinwing {
 
@@ -26,6 +27,9 @@
 // It is in the metrics; should it ever matter, replacing the entries zone by
 // zone while the store answers forgets them, for a listing carries none.
 
+/// Faults of an invalid document that are kept for the operators to ask for.
+static constexpr std::size_t maximumKeptFaults = 20;
+
 Revision RevisionedTree::newestRevision(const Node& node)
 {
     return node.newest ? node.newest->revision : node.inForce.revision;
@@ -70,7 +74,8 @@
     if (entry.text && !document) {
         node.inForce.path = entry.path;
         node.newest = entry;
-        node.faults = result.faults;
+        auto keptFaults = std::min(result.faults.size(), maximumKeptFaults);
+        node.faults.assign(result.faults.begin(), result.faults.begin() + static_cast<std::ptrdiff_t>(keptFaults));
         ++m_counts.invalid;
         result.outcome = OfferOutcome::Invalid;
         return result;
--- a/unittests/Config/DocumentFaultTest.cpp
+++ b/unittests/Config/DocumentFaultTest.cpp
@@ -193,7 +193,7 @@
         CHECK(parseJsonText(text).faults.size() == 1);
 }
 
-TEST_CASE("too large, too deep and repeated members are faults")
+TEST_CASE("texts beyond the limits and repeated members are faults")
 {
     std::string large = "[" + std::string(maximumDocumentBytes - 2, ' ') + "]";
     CHECK(parseJsonText(large).ok());
@@ -212,6 +212,8 @@
     CHECK(parseJsonText(listOf("0", maximumDocumentValues)).faults.size() == 1);
     CHECK(parseJsonText(listOf("{}", maximumDocumentObjects)).ok());
     CHECK(parseJsonText(listOf("{}", maximumDocumentObjects + 1)).faults.size() == 1);
+    std::string longName(maximumFieldNameBytes + 1, 'n');
+    CHECK(pointersOf(parseJsonText("{\"a\":[1,{\"" + longName + "\":1}]}").faults) == Pointers { "/a/1" });
     CHECK(pointersOf(parseJsonText(R"({ "a": [0, { "b": 1, "b": 2 }] })").faults) == Pointers { "/a/1/b" });
 }
 
