--- a/include/catkinwing/Config/TeamDocument.h
+++ b/include/catkinwing/Config/TeamDocument.h
@@ -48,7 +48,7 @@
 };
 
 /// Limits of a team in each entry.
-struct TeamLimits {
+struct TeamLimitSettings {
     std::int64_t maximumInFlight { 256 };
     std::int64_t maximumQueued { 256 };
     std::int64_t maximumBodyBytes { 1000000 };
@@ -73,7 +73,7 @@
     std::optional<ResidencySettings> residency;
     std::vector<RequestClass> classes;
     std::string defaultClass;
-    TeamLimits limits;
+    TeamLimitSettings limits;
 };
 
 /// Reads the document `teams/NAME` of the team \p name.
--- a/lib/Config/TeamDocument.cpp
+++ b/lib/Config/TeamDocument.cpp
@@ -35,7 +35,7 @@
     reader.readObject("targets", [&](const ObjectReader& member) { readTargets(member, requestClass.targets); });
 }
 
-static void readLimits(const ObjectReader& reader, TeamLimits& limits)
+static void readLimits(const ObjectReader& reader, TeamLimitSettings& limits)
 {
     reader.read("maximumInFlight", limits.maximumInFlight);
     reader.read("maximumQueued", limits.maximumQueued);
--- a/unittests/Config/DocumentTest.cpp
+++ b/unittests/Config/DocumentTest.cpp
@@ -128,8 +128,8 @@
     CHECK(std::tie(a.priority, a.shortRequest, a.maximumSlotFraction) == std::tie(b.priority, b.shortRequest, b.maximumSlotFraction));
     CHECK(std::tie(a.targets.timeToFirstToken, a.targets.timePerToken, a.targets.ratio) == std::tie(b.targets.timeToFirstToken, b.targets.timePerToken, b.targets.ratio));
     CHECK(stated.document->services[0].idempotentMethods == TeamService {}.idempotentMethods);
-    const TeamLimits& c = stated.document->limits;
-    const TeamLimits d;
+    const TeamLimitSettings& c = stated.document->limits;
+    const TeamLimitSettings d;
     CHECK(std::tie(c.maximumInFlight, c.maximumQueued, c.maximumBodyBytes, c.maximumPerCaller) == std::tie(d.maximumInFlight, d.maximumQueued, d.maximumBodyBytes, d.maximumPerCaller));
 
     json model = modelJson();
