Let one side of each pair begin the exchanges

Cause: both sides began them at about the same time, so that an exchange that serves both was made twice in a third of the cases. Change: the side whose name comes first begins; the other waits 4/3 of the interval and begins only if nothing came. Three tests failed on the way: a side that never begins kept its count of failed exchanges and stayed unused after a heal. It tries by itself now while that count isn't zero.

--- a/lib/Membership/HeartbeatExchange.cpp
+++ b/lib/Membership/HeartbeatExchange.cpp
@@ -5,6 +5,10 @@
 
 // Leaving endpoints in one heartbeat; more wait for the next.
 static constexpr std::size_t leavingPerHeartbeat = 16;
+// The side that doesn't begin exchanges waits 4/3 of the interval: longer than the
+// other's longest pause and a look.
+static constexpr int backupNumerator = 4;
+static constexpr int backupDenominator = 3;
 
 void Membership::Impl::setState(Member& member, MemberState state)
 {
@@ -56,6 +60,14 @@
     }
 }
 
+// One exchange serves both sides, so one of them begins it; the other waits a
+// little longer and begins only if nothing came.
+Duration Membership::Impl::pauseBefore(const Member& member)
+{
+    Duration pause = jittered(interval());
+    return m_self.ref.name < member.identity.ref.name ? pause : pause * backupNumerator / backupDenominator;
+}
+
 void Membership::Impl::exchangeWith(Member& member)
 {
     member.isExchanging = true;
@@ -84,7 +96,7 @@
         return;
     }
     member->failures = 0;
-    member->nextExchange = now() + jittered(interval());
+    member->nextExchange = now() + pauseBefore(*member);
 }
 
 void Membership::Impl::noteFailure(const EntryRef& ref)
--- a/lib/Membership/HeartbeatReception.cpp
+++ b/lib/Membership/HeartbeatReception.cpp
@@ -13,9 +13,10 @@
     if (!reception.member)
         return introduction();
     Member& member = *reception.member;
-    // A sender that doesn't hear this entry isn't one that was exchanged with.
-    if (member.hearsUs(m_options, now(), interval()))
-        member.nextExchange = now() + jittered(interval());
+    // A sender that doesn't hear this entry, or that it couldn't reach when it last
+    // tried, is not one that was exchanged with: only an own exchange shows the way.
+    if (member.failures == 0 && member.hearsUs(m_options, now(), interval()))
+        member.nextExchange = now() + pauseBefore(member);
     return heartbeatFor(member);
 }
 
--- a/lib/Membership/MembershipImpl.h
+++ b/lib/Membership/MembershipImpl.h
@@ -77,6 +77,7 @@
     void setState(Member& member, MemberState state);
     void exchangeWithMembers();
     void exchangeWith(Member& member);
+    Duration pauseBefore(const Member& member);
     void finishExchange(const EntryRef& ref, const absl::StatusOr<std::vector<PeerReply>>& replies);
     void noteFailure(const EntryRef& ref);
     void probe(const SocketAddress& address);
