Measure at three hundred seconds and against the ideal hit ratio

Runs are longer, so that prompts seen for the first time weigh less, and each scenario prints the hit ratio of one cache without bound in each region.

--- a/bench/PolicyBench/Driver.cpp
+++ b/bench/PolicyBench/Driver.cpp
@@ -1,7 +1,6 @@
 #include "Driver.h"
 
 #include "catkinwing/Routing/CallerSteering.h"
-#include "catkinwing/Support/Hash.h"
 #include <algorithm>
 #include <cmath>
 
@@ -95,18 +94,6 @@
     return m_measures;
 }
 
-static std::vector<std::uint64_t> blockHashes(const TraceRequest& traced)
-{
-    std::vector<std::uint64_t> hashes;
-    std::uint64_t chain = stableHash(traced.team);
-    for (unsigned i = 0; i < traced.teamBlocks; ++i)
-        hashes.push_back(chain = stableHash("team", chain));
-    chain = stableHash(traced.session, chain);
-    for (unsigned i = 0; i < traced.sessionBlocks; ++i)
-        hashes.push_back(chain = stableHash("session", chain));
-    return hashes;
-}
-
 RunPointer Driver::makeRun(const TraceRequest& traced)
 {
     auto run = std::make_shared<RequestRun>();
@@ -116,7 +103,7 @@
     run->routing.model = benchModel;
     run->routing.residency = traced.home.empty() ? Residency::unrestricted() : Residency::within({ traced.home });
     run->routing.prefixHashes = scopedPrefixHashes(blockHashes(traced), benchModel, "");
-    run->routing.promptTokens = (traced.teamBlocks + traced.sessionBlocks) * m_scenario.engine.tokensPerBlock + traced.tailTokens;
+    run->routing.promptTokens = promptTokens(traced, m_scenario.engine.tokensPerBlock);
     run->arrivedAt = m_scheduler.clock().now();
     run->deadline = run->arrivedAt + run->plan->timeout;
     run->returnDelay = m_scenario.clientLatency;
--- a/bench/PolicyBench/Scenario.cpp
+++ b/bench/PolicyBench/Scenario.cpp
@@ -133,7 +133,7 @@
     addLoad(scenario, { 1.2, 0.6, 0.03 });
     for (LoadPlan& load : scenario.loads) {
         if (load.team == "portal")
-            load.phases.push_back({ seconds(60), seconds(140), load.perSecond * 8 });
+            load.phases.push_back({ seconds(100), seconds(220), load.perSecond * 8 });
     }
     return scenario;
 }
@@ -145,7 +145,7 @@
     addLoad(scenario, { 0.5, 0.5, 0.05 });
     for (LoadPlan& load : scenario.loads) {
         if (load.requestClass == review)
-            load.phases.push_back({ seconds(40), seconds(150), load.perSecond * 12 });
+            load.phases.push_back({ seconds(60), seconds(260), load.perSecond * 12 });
     }
     return scenario;
 }
@@ -155,7 +155,7 @@
     Scenario scenario = manizales("region-loses-half");
     scenario.overload = true;
     addLoad(scenario, { 1.3, 0.7, 0.05 });
-    scenario.faults.push_back({ FaultKind::EnginesDead, seconds(60), seconds(130), "caldas", 0.5, 1 });
+    scenario.faults.push_back({ FaultKind::EnginesDead, seconds(100), seconds(220), "caldas", 0.5, 1 });
     return scenario;
 }
 
@@ -168,9 +168,9 @@
         if (load.zone.compare(0, 5, "valle") == 0)
             load.perSecond *= 2;
     }
-    scenario.faults.push_back({ FaultKind::Partition, seconds(60), seconds(110), "valle", 1, 1 });
+    scenario.faults.push_back({ FaultKind::Partition, seconds(100), seconds(180), "valle", 1, 1 });
     for (const char* region : { "caldas", "antioquia" })
-        scenario.faults.push_back({ FaultKind::CachesCleared, seconds(110), seconds(110), region, 1, 1 });
+        scenario.faults.push_back({ FaultKind::CachesCleared, seconds(180), seconds(180), region, 1, 1 });
     return scenario;
 }
 
@@ -178,7 +178,7 @@
 {
     Scenario scenario = manizales("slow-engine");
     addLoad(scenario, {});
-    scenario.faults.push_back({ FaultKind::EngineSlow, seconds(30), seconds(120), "caldas", 0.25, 5 });
+    scenario.faults.push_back({ FaultKind::EngineSlow, seconds(60), seconds(220), "caldas", 0.25, 5 });
     return scenario;
 }
 
--- a/bench/PolicyBench/Scenario.h
+++ b/bench/PolicyBench/Scenario.h
@@ -87,7 +87,7 @@
     Duration zoneLatency { std::chrono::milliseconds(1) };
     Duration regionLatency { std::chrono::milliseconds(55) };
     Duration clientLatency { std::chrono::milliseconds(1) };
-    Duration length { std::chrono::seconds(180) };
+    Duration length { std::chrono::seconds(300) };
 };
 
 /// Returns all scenarios, in the order of the report.
--- a/bench/PolicyBench/Trace.cpp
+++ b/bench/PolicyBench/Trace.cpp
@@ -1,6 +1,8 @@
 #include "Trace.h"
 
+#include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Random.h"
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <cmath>
 #include <istream>
@@ -110,4 +112,36 @@
     return trace;
 }
 
+std::vector<std::uint64_t> blockHashes(const TraceRequest& traced)
+{
+    std::vector<std::uint64_t> hashes;
+    std::uint64_t chain = stableHash(traced.team);
+    for (unsigned i = 0; i < traced.teamBlocks; ++i)
+        hashes.push_back(chain = stableHash("team", chain));
+    chain = stableHash(traced.session, chain);
+    for (unsigned i = 0; i < traced.sessionBlocks; ++i)
+        hashes.push_back(chain = stableHash("session", chain));
+    return hashes;
+}
+
+double promptTokens(const TraceRequest& traced, double tokensPerBlock)
+{
+    return (traced.teamBlocks + traced.sessionBlocks) * tokensPerBlock + traced.tailTokens;
+}
+
+double idealHitRatio(const Scenario& scenario, const std::vector<TraceRequest>& trace)
+{
+    std::map<std::string, absl::flat_hash_set<std::uint64_t>> seenByRegion;
+    double hits = 0;
+    double all = 0;
+    for (const TraceRequest& traced : trace) {
+        const ZonePlan& zone = *std::find_if(scenario.zones.begin(), scenario.zones.end(), [&](const ZonePlan& plan) { return plan.name == traced.zone; });
+        absl::flat_hash_set<std::uint64_t>& seen = seenByRegion[zone.region];
+        all += promptTokens(traced, scenario.engine.tokensPerBlock);
+        for (std::uint64_t hash : blockHashes(traced))
+            hits += seen.insert(hash).second ? 0 : scenario.engine.tokensPerBlock;
+    }
+    return all > 0 ? hits / all : 0;
+}
+
 } // namespace catkinwing::bench
--- a/bench/PolicyBench/Trace.h
+++ b/bench/PolicyBench/Trace.h
@@ -38,4 +38,12 @@
 /// nlohmann::json::exception on a line that isn't.
 std::vector<TraceRequest> readTrace(std::istream& in);
 
+/// Returns the hashes of the shared blocks of a request's prompt.
+std::vector<std::uint64_t> blockHashes(const TraceRequest& traced);
+/// Returns the length of a request's prompt.
+double promptTokens(const TraceRequest& traced, double tokensPerBlock);
+/// Returns the hit ratio of one cache without bound in each region, which no
+/// policy can pass.
+double idealHitRatio(const Scenario& scenario, const std::vector<TraceRequest>& trace);
+
 } // namespace catkinwing::bench
--- a/bench/PolicyBench/main.cpp
+++ b/bench/PolicyBench/main.cpp
@@ -123,9 +123,11 @@
 
 static ScenarioResult runScenario(const Scenario& scenario, const std::vector<PolicySettings>& policies, const std::vector<TraceRequest>& trace, std::uint64_t seed)
 {
-    std::printf("%s (%zu requests, seed %llu)\n", scenario.name.c_str(), trace.size(), static_cast<unsigned long long>(seed));
+    double ideal = idealHitRatio(scenario, trace);
+    std::printf("%s (%zu requests, seed %llu, ideal hit ratio %.3f)\n", scenario.name.c_str(), trace.size(), static_cast<unsigned long long>(seed), ideal);
     std::printf("  %-16s %7s %7s %7s %8s %7s %6s %6s %9s %6s %6s %7s %6s\n", "policy", "cost", "q p50", "q p99", "rev p99", "ontime", "away", "zones", "shortfall", "retry", "hits", "refused", "lost");
     ScenarioResult result;
+    result.figures["idealHitRatio"] = ideal;
     for (const PolicySettings& policy : policies) {
         Driver driver(scenario, policy, seed);
         const Measures& measures = driver.run(trace);
