Give the slot of an ended forward back to its digest

Cause: forwards were counted since the digest, which for another region is 15 s old at times, while a question holds its slot for about 2 s. The free slots of a digest were used once and then stood empty while requests waited here.

Change: recordForwardEnded counts a forward out again where the digest that it was sent on is still the last.

--- a/bench/PolicyBench/Driver.cpp
+++ b/bench/PolicyBench/Driver.cpp
@@ -170,6 +170,8 @@
     run->phase = RequestRun::Phase::Done;
     m_scheduler.cancel(run->deadlineTimer);
     m_open.erase(run->id);
+    if (run->entry != run->origin)
+        m_scheduler.callAfter(oneWay(*run->entry, *run->origin), [run] { run->origin->forwardEnded(*run); });
     EndedRequest request;
     request.team = run->traced->team;
     request.requestClass = run->traced->requestClass;
--- a/bench/PolicyBench/Entry.h
+++ b/bench/PolicyBench/Entry.h
@@ -54,6 +54,9 @@
     bool started { false };
     unsigned attempts { 0 };
     unsigned retries { 0 };
+    /// Where and when it was last forwarded; empty if it wasn't.
+    std::string forwardZone;
+    TimePoint forwardedAt {};
     bool toRegion { false };
     bool toZone { false };
     /// The attempt that is running at an engine.
@@ -128,6 +131,8 @@
     void abandon(const RunPointer& run);
     /// Called at the origin after a forward that didn't end well.
     void forwardFailed(const RunPointer& run, bool mayHaveRun);
+    /// Called at the origin when a forward is over, however it ended.
+    void forwardEnded(const RequestRun& run);
 
     EntryState state() const;
     ZoneDigest digest() const;
--- a/bench/PolicyBench/EntryForwarding.cpp
+++ b/bench/PolicyBench/EntryForwarding.cpp
@@ -62,6 +62,8 @@
     run->phase = RequestRun::Phase::Travelling;
     run->toRegion = run->toRegion || otherRegion;
     run->toZone = run->toZone || !otherRegion;
+    run->forwardZone = cell.zone;
+    run->forwardedAt = now();
     run->routing.visitedZones.push_back(cell.zone);
     Entry& target = m_parts.network.entryOf(cell.zone, run->traced->session, m_random);
     if (!m_parts.network.isLinked(*this, target)) {
@@ -80,6 +82,7 @@
 {
     if (run->phase == RequestRun::Phase::Done)
         return;
+    forwardEnded(*run);
     run->entry = this;
     run->routing.hop = 0;
     run->returnDelay = m_parts.scenario.clientLatency;
@@ -116,6 +119,13 @@
     return found == cells.end() ? nullptr : &*found;
 }
 
+void Entry::forwardEnded(const RequestRun& run)
+{
+    RemoteCellView* cell = findCell(m_remoteCells, run.forwardZone);
+    if (cell)
+        recordForwardEnded(*cell, benchModel, run.forwardedAt);
+}
+
 void Entry::applyDigest(const ZoneDigest& digest)
 {
     RemoteCellView* cell = findCell(m_remoteCells, digest.zone);
--- a/include/catkinwing/Routing/Forwarding.h
+++ b/include/catkinwing/Routing/Forwarding.h
@@ -15,7 +15,8 @@
     /// Wait for a new request there, without its own prefill.
     Duration predictedWait { 0 };
     double prefillTokensPerSecond { 10000 };
-    /// Own forwards since the digest was made; set to 0 with each new digest.
+    /// Own forwards since the digest was made that have not ended; set to 0 with
+    /// each new digest.
     unsigned forwardsSinceDigest { 0 };
 };
 
@@ -131,6 +132,11 @@
 /// Notes in \p cell one own forward of \p model on the present digest.
 void recordForward(RemoteCellView& cell, absl::string_view model);
 
+/// Notes in \p cell that a forward of \p model, sent at \p sentAt, came to its
+/// end, in whatever way: its slot there is free again. Does nothing where a newer
+/// digest counts it already.
+void recordForwardEnded(RemoteCellView& cell, absl::string_view model, TimePoint sentAt);
+
 /// An entry of another cell that could receive a forward.
 struct ForwardEntry {
     std::string name;
--- a/lib/Routing/Forwarding.cpp
+++ b/lib/Routing/Forwarding.cpp
@@ -159,6 +159,14 @@
         known->second.forwardsSinceDigest += 1;
 }
 
+void recordForwardEnded(RemoteCellView& cell, absl::string_view model, TimePoint sentAt)
+{
+    auto known = cell.models.find(std::string(model));
+    if (known == cell.models.end() || sentAt < cell.digestAt || known->second.forwardsSinceDigest == 0)
+        return;
+    known->second.forwardsSinceDigest -= 1;
+}
+
 std::optional<std::size_t> chooseEntryForForward(absl::Span<const ForwardEntry> entries, absl::string_view session, Random& random)
 {
     std::optional<std::size_t> chosen;
--- a/unittests/Routing/ForwardingTest.cpp
+++ b/unittests/Routing/ForwardingTest.cpp
@@ -128,6 +128,25 @@
     CHECK(sent == 2);
 }
 
+TEST_CASE("a forward that ended frees its slot, unless a newer digest counts it")
+{
+    Origin origin;
+    origin.cells.resize(1);
+    origin.cells[0].models["m"].freeSlots = 1;
+    recordForward(origin.cells[0], "m");
+    CHECK(origin.target(5s) == "no-candidate");
+    recordForwardEnded(origin.cells[0], "m", start);
+    CHECK(origin.target(5s) == "caldas-2");
+    recordForwardEnded(origin.cells[0], "m", start);
+    CHECK(origin.cells[0].models["m"].forwardsSinceDigest == 0);
+
+    origin.cells[0].digestAt = start + 3s;
+    recordForward(origin.cells[0], "m");
+    recordForwardEnded(origin.cells[0], "m", start);
+    recordForwardEnded(origin.cells[0], "other", start + 3s);
+    CHECK(origin.cells[0].models["m"].forwardsSinceDigest == 1);
+}
+
 TEST_CASE("senders that share a digest use its last slots once between them")
 {
     Random random(77);
