Take own endings out of what a load report is believed to show

Cause: to the requests in a report, own dispatches since were added, but own endings since were not taken off. At reports 2 s old and requests of 2 s, an endpoint with a full batch looked as if a second batch waited before it. The phantom wait sent requests to other zones and regions, whose caches are cold, and the prefill that this cost raised the load for all.

Change: recordSettled takes the time, and a report tells the requests of other entries alone: what it shows less the own that were there when it was measured. An endpoint is believed to have these and the own that are in flight now.

The daemon's EndpointRegistry::ended must pass its time.

--- a/bench/PolicyBench/Entry.cpp
+++ b/bench/PolicyBench/Entry.cpp
@@ -241,7 +241,7 @@
     EndpointHandle handle = run->placement.endpoint;
     if (!run->firstTokenAt)
         m_cell.recordFirstToken(handle, run->placement.prefillTokens);
-    m_cell.recordSettled(handle);
+    m_cell.recordSettled(handle, now());
     EndpointOutcome outcome { m_cell.endpoint(handle).name, benchModel, "1", failed, std::nullopt };
     bool whole = !failed && run->firstTokenAt && run->traced->outputTokens > 1;
     if (whole) {
--- a/include/catkinwing/Routing/CellView.h
+++ b/include/catkinwing/Routing/CellView.h
@@ -50,7 +50,7 @@
     /// The calls that most events need, as short forms of modify.
     void recordDispatch(EndpointHandle handle, double prefillTokens, TimePoint now);
     void recordFirstToken(EndpointHandle handle, double prefillTokens);
-    void recordSettled(EndpointHandle handle);
+    void recordSettled(EndpointHandle handle, TimePoint now);
     void recordReport(EndpointHandle handle, const EndpointLoadReport& report);
 
 private:
--- a/include/catkinwing/Routing/EndpointView.h
+++ b/include/catkinwing/Routing/EndpointView.h
@@ -73,6 +73,10 @@
     std::optional<EndpointLoadReport> report;
     /// Own dispatches after the report was measured, oldest first.
     std::vector<OwnDispatch> dispatchesSinceReport;
+    /// When own requests ended after the report was measured, oldest first.
+    std::vector<TimePoint> endingsSinceReport;
+    /// Requests of other entries that the report showed.
+    unsigned othersInFlight { 0 };
     PrefillBacklog backlog;
 
     /// Prompt tokens a second, stated by the operator or learned.
@@ -101,8 +105,8 @@
 /// Records the first token of a request that was sent with \p prefillTokens.
 void recordFirstToken(EndpointView& endpoint, double prefillTokens);
 
-/// Records that a request of this entry ended, in whatever way.
-void recordSettled(EndpointView& endpoint);
+/// Records that a request of this entry ended at \p now, in whatever way.
+void recordSettled(EndpointView& endpoint, TimePoint now);
 
 /// Takes in \p report, unless it is older than the one held, and adds to it the
 /// own dispatches that it can't have seen yet.
--- a/lib/Routing/CellView.cpp
+++ b/lib/Routing/CellView.cpp
@@ -136,9 +136,9 @@
     catkinwing::recordFirstToken(m_slots[handle].view, prefillTokens);
 }
 
-void CellView::recordSettled(EndpointHandle handle)
+void CellView::recordSettled(EndpointHandle handle, TimePoint now)
 {
-    catkinwing::recordSettled(m_slots[handle].view);
+    catkinwing::recordSettled(m_slots[handle].view, now);
     renewOpen(handle);
 }
 
--- a/lib/Routing/CostModel.cpp
+++ b/lib/Routing/CostModel.cpp
@@ -14,9 +14,7 @@
 {
     if (!hasFreshReport(endpoint, policy, now))
         return endpoint.ownInFlight;
-    auto since = static_cast<unsigned>(endpoint.dispatchesSinceReport.size());
-    unsigned reported = endpoint.report->running + endpoint.report->waiting;
-    return std::max(endpoint.ownInFlight, reported + since);
+    return endpoint.ownInFlight + endpoint.othersInFlight;
 }
 
 static double believedBacklog(const EndpointView& endpoint, TimePoint now)
--- a/lib/Routing/EndpointView.cpp
+++ b/lib/Routing/EndpointView.cpp
@@ -42,6 +42,12 @@
     dispatches.erase(dispatches.begin(), firstKept);
 }
 
+static void dropEndingsUntil(EndpointView& endpoint, TimePoint time)
+{
+    auto& endings = endpoint.endingsSinceReport;
+    endings.erase(endings.begin(), std::upper_bound(endings.begin(), endings.end(), time));
+}
+
 void recordDispatch(EndpointView& endpoint, double prefillTokens, TimePoint now)
 {
     OwnDispatch dispatch { now, prefillTokens };
@@ -57,10 +63,23 @@
     endpoint.ownPendingPrefillTokens = std::max(endpoint.ownPendingPrefillTokens - prefillTokens, 0.0);
 }
 
-void recordSettled(EndpointView& endpoint)
+void recordSettled(EndpointView& endpoint, TimePoint now)
+{
+    if (endpoint.ownInFlight == 0)
+        return;
+    endpoint.ownInFlight -= 1;
+    dropEndingsUntil(endpoint, now - dispatchMemory);
+    endpoint.endingsSinceReport.push_back(now);
+}
+
+// An old report still counts own requests that have ended since. Left in, they
+// would be a queue that isn't there, in front of those sent since.
+static unsigned othersIn(const EndpointView& endpoint, const EndpointLoadReport& report)
 {
-    if (endpoint.ownInFlight > 0)
-        endpoint.ownInFlight -= 1;
+    std::size_t reported = report.running + report.waiting;
+    std::size_t ownThen = endpoint.ownInFlight + endpoint.endingsSinceReport.size();
+    ownThen -= std::min(ownThen, endpoint.dispatchesSinceReport.size());
+    return static_cast<unsigned>(reported - std::min(reported, ownThen));
 }
 
 void recordReport(EndpointView& endpoint, const EndpointLoadReport& report)
@@ -70,6 +89,8 @@
     endpoint.report = report;
     endpoint.backlog = { report.queuedPrefillTokens, report.measuredAt };
     dropDispatchesUntil(endpoint, report.measuredAt);
+    dropEndingsUntil(endpoint, report.measuredAt);
+    endpoint.othersInFlight = othersIn(endpoint, report);
     for (const OwnDispatch& dispatch : endpoint.dispatchesSinceReport)
         addToBacklog(endpoint, dispatch);
 }
--- a/unittests/Routing/CellViewTest.cpp
+++ b/unittests/Routing/CellViewTest.cpp
@@ -26,7 +26,7 @@
     cell.recordDispatch(handle, 10, TimePoint(1s));
     CHECK(cell.openEndpointsFor("m").empty());
     CHECK(cell.endpointsFor("n").size() == 1);
-    cell.recordSettled(handle);
+    cell.recordSettled(handle, TimePoint(2s));
     CHECK(cell.openEndpointsFor("n").size() == 1);
 }
 
@@ -79,7 +79,7 @@
         else if (action < 4)
             cell.recordDispatch(*handle, 1, TimePoint(1s));
         else
-            cell.recordSettled(*handle);
+            cell.recordSettled(*handle, TimePoint(2s));
         for (const char* model : { "m", "n" }) {
             REQUIRE(cell.openEndpointsFor(model).size() == countOpen(cell, model));
             for (EndpointHandle open : cell.openEndpointsFor(model))
--- a/unittests/Routing/EndpointViewTest.cpp
+++ b/unittests/Routing/EndpointViewTest.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Routing/EndpointView.h"
 
+#include "catkinwing/Routing/CostModel.h"
 #include <catch2/catch.hpp>
 
 using namespace catkinwing;
@@ -47,6 +48,34 @@
     CHECK(backlogAt(endpoint, start + 3s) == Approx(3000));
 }
 
+TEST_CASE("an old report's own requests that ended since are not believed to be there")
+{
+    EndpointView endpoint;
+    endpoint.slots = 8;
+    for (int i = 0; i < 6; ++i)
+        recordDispatch(endpoint, 0, start);
+    for (int i = 0; i < 5; ++i) {
+        recordSettled(endpoint, start + 2s);
+        recordDispatch(endpoint, 0, start + 2s);
+    }
+    // Six own requests and one of another entry, told two seconds late.
+    recordReport(endpoint, { start + 1s, 7, 0, 0 });
+    CHECK(believedInFlight(endpoint, {}, start + 3s) == 7);
+    recordSettled(endpoint, start + 3s);
+    CHECK(believedInFlight(endpoint, {}, start + 3s) == 6);
+    CHECK(predictTimeToFirstToken(endpoint, {}, {}, start + 3s).slotWait == Duration::zero());
+}
+
+TEST_CASE("without reports the remembered endings stay bounded")
+{
+    EndpointView endpoint;
+    for (int i = 0; i < 1000; ++i) {
+        recordDispatch(endpoint, 1, start + i * 100ms);
+        recordSettled(endpoint, start + i * 100ms);
+    }
+    CHECK(endpoint.endingsSinceReport.size() <= 101);
+}
+
 TEST_CASE("a report older than the one held changes nothing")
 {
     EndpointView endpoint;
