Never start a request that can no longer make its deadline

Cause: only expire(), called by a timer, took late requests out, so next() could start one up to a tick after its time. next() now sets them aside for expire() to return; a caller that leaves in between is still found. The new test failed before: next() returned a request one second late.

--- a/include/catkinwing/Admission/AdmissionController.h
+++ b/include/catkinwing/Admission/AdmissionController.h
@@ -24,8 +24,8 @@
 
     /// Queues or refuses a request.
     AdmissionDecision admit(QueuedRequest request, TimePoint now);
-    /// Returns the request to start now and counts it as in flight; expire() is to
-    /// be called first, which costs next to nothing. \p canStart
+    /// Returns the request to start now and counts it as in flight; never one that
+    /// can no longer make its deadline, which expire() returns. \p canStart
     /// says whether a model has a free slot; reservations and the teams' limits
     /// are looked after here.
     std::optional<QueuedRequest> next(const CanStart& canStart, TimePoint now);
@@ -78,6 +78,7 @@
     std::optional<Refusal> refusalByDeadline(const QueuedRequest& request, TimePoint now) const;
     std::optional<Duration> timeToDrain(const QueuedRequest& request, TimePoint now) const;
     std::optional<Refusal> makeRoom(const QueuedRequest& request, TimePoint now, std::vector<DroppedRequest>& dropped);
+    void collectExpired(TimePoint now);
     DroppedRequest drop(QueuedRequest request, Refusal refusal);
     void releaseCaller(const QueuedRequest& request);
     QueuedRequest leaveFlight(RequestId id, double actualCost, TimePoint now);
@@ -91,6 +92,8 @@
     absl::flat_hash_map<std::string, TeamState> m_teams;
     absl::flat_hash_map<std::string, PoolState> m_pools;
     absl::flat_hash_map<RequestId, QueuedRequest> m_inFlight;
+    /// Found late by next() and not yet returned by expire().
+    std::vector<DroppedRequest> m_expired;
 };
 
 } // namespace catkinwing
--- a/lib/Admission/AdmissionController.cpp
+++ b/lib/Admission/AdmissionController.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace catkinwing {
 
@@ -186,6 +187,7 @@
         }
         return canStart(request);
     };
+    collectExpired(now);
     std::optional<QueuedRequest> picked = m_queue.pickNext(mayStartNow, now);
     if (!picked)
         return std::nullopt;
@@ -231,16 +233,27 @@
 bool AdmissionController::remove(RequestId id, TimePoint now)
 {
     std::optional<QueuedRequest> removed = m_queue.remove(id, now);
-    if (removed)
+    if (removed) {
         releaseCaller(*removed);
-    return removed.has_value();
+        return true;
+    }
+    auto late = std::find_if(m_expired.begin(), m_expired.end(), [id](const DroppedRequest& dropped) { return dropped.request.id == id; });
+    if (late == m_expired.end())
+        return false;
+    m_expired.erase(late);
+    return true;
 }
 
-std::vector<DroppedRequest> AdmissionController::expire(TimePoint now)
+void AdmissionController::collectExpired(TimePoint now)
 {
-    std::vector<DroppedRequest> dropped;
     for (QueuedRequest& request : m_queue.expire(now))
-        dropped.push_back(drop(std::move(request), { RefusalReason::Expired, std::nullopt }));
+        m_expired.push_back(drop(std::move(request), { RefusalReason::Expired, std::nullopt }));
+}
+
+std::vector<DroppedRequest> AdmissionController::expire(TimePoint now)
+{
+    collectExpired(now);
+    std::vector<DroppedRequest> dropped = std::exchange(m_expired, {});
     if (now - m_refreshedAt < refreshInterval)
         return dropped;
     m_refreshedAt = now;
--- a/unittests/Admission/AdmissionControllerTest.cpp
+++ b/unittests/Admission/AdmissionControllerTest.cpp
@@ -196,6 +196,22 @@
     CHECK(reasonOf(fixture.admit("a", "", 5s)) == RefusalReason::PredictedLate);
 }
 
+TEST_CASE("a request past its time is never started")
+{
+    Fixture fixture({ teamOf("a", 1) });
+    CHECK(fixture.admit("a", "", 5s).admitted());
+    CHECK(fixture.admit("a", "", 5s).admitted());
+    fixture.now += 6s;
+    CHECK_FALSE(fixture.controller.next(always, fixture.now));
+    // Its caller may still leave before it is answered.
+    CHECK(fixture.controller.remove(1, fixture.now));
+    CHECK_FALSE(fixture.controller.remove(1, fixture.now));
+    std::vector<DroppedRequest> dropped = fixture.controller.expire(fixture.now);
+    REQUIRE(dropped.size() == 1);
+    CHECK(dropped[0].request.id == 2);
+    CHECK(fixture.controller.expire(fixture.now).empty());
+}
+
 TEST_CASE("a full queue drops what has the least right")
 {
     AdmissionLimits limits;
