Pass on only what members need of other zones' digests

Cause: served totals, the configuration's digest and the region went to every entry with every digest, though shares are kept by region and only the relay compares configurations. Change: totals go between zones of one region alone; a digest that is passed on names its region only together with the entries.

--- a/include/catkinwing/Membership/MembershipView.h
+++ b/include/catkinwing/Membership/MembershipView.h
@@ -47,6 +47,7 @@
     TimePoint madeAt {};
     std::vector<ZoneEntry> entries;
     std::vector<ModelRoom> models;
+    /// Configuration in force there; zero unless this entry is the relay.
     std::uint64_t configDigest { 0 };
     /// The members of the own zone, this entry perhaps among them, that exchange
     /// digests with the zone: the first does, the second steps in.
--- a/include/catkinwing/PeerProtocol/PeerMessages.h
+++ b/include/catkinwing/PeerProtocol/PeerMessages.h
@@ -76,6 +76,7 @@
 /// Budget: zoneDigestBytes without entries and contacts.
 struct ZoneDigest {
     std::string zone;
+    /// Left out in a digest that is passed on without entries.
     std::string region;
     /// The entry of the zone that made this digest.
     std::string relay;
@@ -90,12 +91,13 @@
     /// The zone's live entries; left out if the receiver has them.
     std::optional<std::vector<ZoneEntry>> entries;
     std::vector<ModelRoom> models;
-    /// The teams whose counters changed most.
+    /// The teams whose counters changed most; none between regions.
     std::vector<TeamTokens> served;
     /// Set while other teams' changes wait for the next digest.
     bool hasMoreServed { false };
+    /// Configuration in force at the relay; zero in a digest that is passed on.
     std::uint64_t configDigest { 0 };
-    /// Hash of the names of the zones that the sender knows.
+    /// Hash of the names of the zones that the sender knows; zero when passed on.
     std::uint32_t zonesDigest { 0 };
     /// The zones that the sender knows; empty while the hashes agree.
     std::vector<ZoneContact> contacts;
--- a/lib/Membership/DigestExchange.cpp
+++ b/lib/Membership/DigestExchange.cpp
@@ -146,7 +146,9 @@
     if (zone.theirRoster != digest.rosterDigest)
         digest.entries = std::move(entries);
     digest.models = m_models;
-    tellServed(sumOf(m_served, m_servedByMembers), zone.toldServed, m_options.teamsPerDigest, digest);
+    // Shares are kept by region, so other regions need no totals.
+    if (zone.region == m_self.region)
+        tellServed(sumOf(m_served, m_servedByMembers), zone.toldServed, m_options.teamsPerDigest, digest);
     digest.configDigest = m_configDigest;
     digest.zonesDigest = m_zones.digest();
     bool mayTellContacts = !zone.contactsSentAt || now() - *zone.contactsSentAt >= m_options.contactsInterval;
@@ -176,8 +178,10 @@
     digest.age = zone.age(now());
     digest.entries.reset();
     digest.contacts.clear();
+    digest.region.clear();
     digest.knownRoster = 0;
     digest.zonesDigest = 0;
+    digest.configDigest = 0;
     return digest;
 }
 
@@ -185,6 +189,8 @@
 {
     if (!isActive() || hasJustWoken())
         return PeerError { PeerErrorCode::Unavailable, "the entry doesn't take digests now", std::nullopt };
+    if (digest.region.empty())
+        return PeerError { PeerErrorCode::Malformed, "the digest names no region", std::nullopt };
     Zone* zone = m_zones.findOrAdd(digest.zone, digest.region, now());
     if (!zone)
         return PeerError { PeerErrorCode::Unavailable, "the digest is of this zone", std::nullopt };
@@ -248,7 +254,8 @@
     }
     if (!digest.hasMoreServed)
         zone.served.noteComplete();
-    zone.region = digest.region;
+    if (!digest.region.empty())
+        zone.region = digest.region;
     zone.digest = digest;
     zone.digest->entries.reset();
     zone.digest->contacts.clear();
--- a/lib/Membership/HeartbeatExchange.cpp
+++ b/lib/Membership/HeartbeatExchange.cpp
@@ -222,10 +222,12 @@
         bool isRosterKnown = member.channel.rosterDigest(name) == zone.rosterDigest;
         bool hasRosterRoom = content.rosters.size() < m_options.rostersPerHeartbeat;
         bool tellsRoster = !isRosterKnown && hasRosterRoom;
-        if (isVersionKnown && !tellsRoster)
+        // Without its entries a new zone is of no use, so it waits for room.
+        if (isRosterKnown ? isVersionKnown : !hasRosterRoom)
             continue;
         ZoneDigest digest = relayed(zone, member.channel.digestVersion(name));
         if (tellsRoster) {
+            digest.region = zone.region;
             digest.entries = zone.entries;
             content.rosters.push_back({ name, zone.rosterDigest });
         }
--- a/lib/Membership/HeartbeatReception.cpp
+++ b/lib/Membership/HeartbeatReception.cpp
@@ -147,7 +147,8 @@
     for (const ZoneContact& contact : heartbeat.contacts)
         noteContact(contact.zone, contact.region, contact.peerAddress);
     for (const ZoneDigest& digest : heartbeat.digests) {
-        Zone* zone = m_zones.findOrAdd(digest.zone, digest.region, now());
+        bool canAdd = !digest.region.empty();
+        Zone* zone = canAdd ? m_zones.findOrAdd(digest.zone, digest.region, now()) : m_zones.find(digest.zone);
         if (zone)
             accept(*zone, digest, false);
     }
--- a/lib/PeerProtocol/ZoneDigestJson.cpp
+++ b/lib/PeerProtocol/ZoneDigestJson.cpp
@@ -60,7 +60,8 @@
 {
     Json::Value json(Json::objectValue);
     json["z"] = digest.zone;
-    json["r"] = digest.region;
+    if (!digest.region.empty())
+        json["r"] = digest.region;
     json["n"] = digest.relay;
     json["s"] = Json::Value(static_cast<Json::UInt64>(digest.sequence));
     if (digest.age != Duration::zero())
@@ -76,7 +77,8 @@
         json["t"] = countsToJson(digest.served, &TeamTokens::team, &TeamTokens::tokens);
     if (digest.hasMoreServed)
         json["tm"] = true;
-    json["g"] = bitsToJson(digest.configDigest);
+    if (digest.configDigest != 0)
+        json["g"] = bitsToJson(digest.configDigest);
     if (digest.zonesDigest != 0)
         json["y"] = digest.zonesDigest;
     if (!digest.contacts.empty())
@@ -88,7 +90,7 @@
 {
     FieldReader reader(json);
     reader.require("z", out.zone);
-    reader.require("r", out.region);
+    reader.accept("r", out.region);
     reader.require("n", out.relay);
     reader.require("s", out.sequence);
     reader.accept("o", out.age);
