Tell four teams and four endpoints in a heartbeat

The lists made up half of each heartbeat. What waits comes with the next one, the largest changes first.

--- a/include/catkinwing/Membership/MembershipOptions.h
+++ b/include/catkinwing/Membership/MembershipOptions.h
@@ -53,8 +53,8 @@
     /// Time for which a leaving endpoint is kept and told to new members.
     Duration keepLeavingFor { std::chrono::minutes(10) };
     /// Most teams, endpoints and entry lists in one heartbeat.
-    std::size_t teamsPerHeartbeat { 6 };
-    std::size_t endpointsPerHeartbeat { 8 };
+    std::size_t teamsPerHeartbeat { 4 };
+    std::size_t endpointsPerHeartbeat { 4 };
     std::size_t rostersPerHeartbeat { 4 };
     /// Most teams in a zone digest.
     std::size_t teamsPerDigest { 4 };
