Set endpoints aside that refuse connections, even the last of a cell

Cause: at most a third of a cell's endpoints may be ejected, rounded down, and none when most are suspect. Today's cells have two endpoints, so that none was ever ejected; with both dead, each request was tried there, the retry budget was soon spent, and the rest was refused while other zones had room.

Change: outcomes say whether a connection could be made at all. Three refused connections in a row set an endpoint aside for 1 s, doubled up to the base ejection, regardless of cap and panic; it no longer counts as a peer.

The daemon must set EndpointOutcome::unreachable where an attempt ended as not run without a status.

--- a/bench/PolicyBench/Entry.cpp
+++ b/bench/PolicyBench/Entry.cpp
@@ -234,7 +234,7 @@
         run->timeToFirstToken = now() + run->returnDelay - run->arrivedAt;
 }
 
-void Entry::settle(const RunPointer& run, bool failed)
+void Entry::settle(const RunPointer& run, AttemptEnd attemptEnd)
 {
     if (!run->engine)
         return;
@@ -242,9 +242,9 @@
     if (!run->firstTokenAt)
         m_cell.recordFirstToken(handle, run->placement.prefillTokens);
     m_cell.recordSettled(handle, now());
-    EndpointOutcome outcome { m_cell.endpoint(handle).name, benchModel, "1", failed, std::nullopt };
-    bool whole = !failed && run->firstTokenAt && run->traced->outputTokens > 1;
-    if (whole) {
+    bool failed = attemptEnd == AttemptEnd::Unreachable || attemptEnd == AttemptEnd::Failed;
+    EndpointOutcome outcome { m_cell.endpoint(handle).name, benchModel, "1", failed, std::nullopt, attemptEnd == AttemptEnd::Unreachable };
+    if (attemptEnd == AttemptEnd::Whole && run->traced->outputTokens > 1) {
         Duration decodeTime = now() - *run->firstTokenAt;
         double tokens = run->traced->outputTokens - 1;
         outcome.latency = std::chrono::duration_cast<Duration>(decodeTime / tokens);
@@ -263,7 +263,7 @@
 {
     if (run->phase != RequestRun::Phase::Running || run->entry != this || !run->engine)
         return;
-    settle(run, true);
+    settle(run, mayHaveRun ? AttemptEnd::Failed : AttemptEnd::Unreachable);
     if (!takeRetry(run, mayHaveRun)) {
         retire(run, 0);
         return;
@@ -293,7 +293,7 @@
 
 void Entry::end(const RunPointer& run, Ending ending)
 {
-    settle(run, false);
+    settle(run, AttemptEnd::Whole);
     m_outputs.learn({ run->traced->team, run->traced->requestClass, benchModel }, run->traced->outputTokens);
     retire(run, estimateCost({ run->routing.promptTokens, 0, static_cast<double>(run->traced->outputTokens), outputWeight }));
     m_parts.network.ended(run, ending);
@@ -320,9 +320,7 @@
     bool reached = run->engine != nullptr;
     if (reached) {
         run->engine->cancel(run->job);
-        // Cut off, which says nothing of the engine's speed.
-        run->firstTokenAt.reset();
-        settle(run, false);
+        settle(run, AttemptEnd::Cancelled);
     }
     retire(run, reached ? estimateCost({ run->routing.promptTokens, 0, 0, outputWeight }) : 0);
 }
--- a/bench/PolicyBench/Entry.h
+++ b/bench/PolicyBench/Entry.h
@@ -162,7 +162,13 @@
     void start(const RunPointer& run);
     void startAt(const RunPointer& run, const Placement& placement);
     void firstToken(const RunPointer& run);
-    void settle(const RunPointer& run, bool failed);
+    /// How an attempt at an engine ended.
+    enum class AttemptEnd { Whole,
+        /// Cancelled, which says nothing of the engine.
+        Cancelled,
+        Unreachable,
+        Failed };
+    void settle(const RunPointer& run, AttemptEnd attemptEnd);
     void attemptFailed(const RunPointer& run, bool mayHaveRun);
     bool takeRetry(const RunPointer& run, bool mayHaveRun);
     Duration backoff(const RequestRun& run);
--- a/include/catkinwing/Routing/OutlierDetector.h
+++ b/include/catkinwing/Routing/OutlierDetector.h
@@ -12,6 +12,12 @@
 
 /// When an endpoint is set aside, and for how long.
 struct OutlierPolicy {
+    /// Refused connections in a row that set an endpoint aside, whatever its peers
+    /// do: nothing is served there.
+    unsigned consecutiveUnreachable { 3 };
+    /// Time until an unreachable endpoint is tried again; doubles with each
+    /// further refusal up to \c baseEjection.
+    Duration unreachableRetry { std::chrono::seconds(1) };
     /// Errors in a row that make an endpoint suspect.
     unsigned consecutiveErrors { 5 };
     /// Share of errors that makes an endpoint suspect.
@@ -45,10 +51,13 @@
     /// A latency that can be compared across requests, such as the mean time
     /// between tokens, or to the first token for each prefilled token.
     std::optional<Duration> latency;
+    /// True where no connection could be made, so that nothing was sent.
+    bool unreachable { false };
 };
 
 /// Why an endpoint was set aside.
-enum class EjectionCause { ConsecutiveErrors,
+enum class EjectionCause { Unreachable,
+    ConsecutiveErrors,
     ErrorRate,
     Latency };
 
@@ -86,6 +95,11 @@
     struct Entry {
         std::string peerGroup;
         std::string incarnation;
+        unsigned unreachableInARow { 0 };
+        /// Times in a row that it was set aside as unreachable.
+        unsigned unreachableTimes { 0 };
+        /// Ejected as unreachable, which neither cap nor panic concerns.
+        bool unreachable { false };
         unsigned errorsInARow { 0 };
         unsigned outcomes { 0 };
         double errorRate { 0 };
@@ -103,6 +117,7 @@
     std::optional<EjectionCause> suspicion(const Entry& entry, std::optional<double> medianLatency) const;
     std::optional<double> medianLatency(const Group& group) const;
     void evaluateGroup(Group& group, TimePoint now, std::vector<EjectionChange>& changes);
+    void ejectUnreachable(Group& group, TimePoint now, std::vector<EjectionChange>& changes) const;
     void eject(Entry& entry, TimePoint now) const;
     void comeBack(Entry& entry, TimePoint now) const;
     void forgive(Entry& entry, TimePoint now) const;
--- a/lib/Routing/OutlierDetector.cpp
+++ b/lib/Routing/OutlierDetector.cpp
@@ -42,6 +42,9 @@
     // Late outcomes of requests from before the ejection say nothing new.
     if (known.ejected)
         return;
+    known.unreachableInARow = outcome.unreachable ? known.unreachableInARow + 1 : 0;
+    if (!outcome.unreachable)
+        known.unreachableTimes = 0;
     known.errorsInARow = outcome.failed ? known.errorsInARow + 1 : 0;
     known.outcomes += 1;
     known.errorRate += m_policy.smoothing * ((outcome.failed ? 1.0 : 0.0) - known.errorRate);
@@ -100,6 +103,7 @@
         }
         forgive(*known, now);
     }
+    ejectUnreachable(group, now, changes);
     std::optional<double> median = medianLatency(group);
     std::vector<std::pair<std::string, Entry*>> suspects;
     std::size_t out = 0;
@@ -132,6 +136,28 @@
     }
 }
 
+// Cap and panic keep capacity that may still serve. An address that refuses
+// connections serves nobody, and as long as it is in use it draws requests away
+// from cells that could serve them. What is set aside here is then no peer of
+// the others.
+void OutlierDetector::ejectUnreachable(Group& group, TimePoint now, std::vector<EjectionChange>& changes) const
+{
+    for (auto& [endpoint, known] : group) {
+        if (known->ejected || known->unreachableInARow < m_policy.consecutiveUnreachable)
+            continue;
+        Duration time = m_policy.unreachableRetry;
+        for (unsigned i = 0; i < known->unreachableTimes && time < m_policy.baseEjection; ++i)
+            time *= 2;
+        known->unreachableTimes += 1;
+        known->unreachable = true;
+        known->ejected = true;
+        known->until = now + std::min(time, m_policy.baseEjection);
+        changes.push_back({ endpoint, EjectionCause::Unreachable, known->until });
+    }
+    auto isUnreachable = [](const auto& peer) { return peer.second->unreachable; };
+    group.erase(std::remove_if(group.begin(), group.end(), isUnreachable), group.end());
+}
+
 void OutlierDetector::eject(Entry& entry, TimePoint now) const
 {
     Duration time = m_policy.baseEjection;
@@ -144,6 +170,9 @@
 
 void OutlierDetector::comeBack(Entry& entry, TimePoint now) const
 {
+    // One more refused connection sets an unreachable endpoint aside again.
+    entry.unreachableInARow = entry.unreachable ? m_policy.consecutiveUnreachable - 1 : 0;
+    entry.unreachable = false;
     entry.ejected = false;
     entry.returnedAt = now;
     entry.healthySince = now;
--- a/unittests/Routing/OutlierDetectorTest.cpp
+++ b/unittests/Routing/OutlierDetectorTest.cpp
@@ -55,6 +55,54 @@
     CHECK(detector.weight("unknown", start) == 1);
 }
 
+TEST_CASE("endpoints that refuse connections are set aside even where none is left")
+{
+    OutlierDetector detector = makeDetector(2);
+    auto refuse = [&](int endpoint, TimePoint now) { detector.record({ nameOf(endpoint), "m", "a", true, std::nullopt, true }, now); };
+    for (int endpoint : { 0, 1 }) {
+        refuse(endpoint, start);
+        refuse(endpoint, start);
+    }
+    CHECK(detector.evaluate(start).empty());
+    refuse(0, start);
+    refuse(1, start);
+    std::vector<EjectionChange> changes = detector.evaluate(start);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].cause == EjectionCause::Unreachable);
+    CHECK(changes[0].until == start + 1s);
+    CHECK(countEjected(detector, 2) == 2);
+
+    detector.evaluate(start + 1s);
+    CHECK(countEjected(detector, 2) == 0);
+    refuse(0, start + 1s);
+    recordMany(detector, 1, 1, false, std::nullopt, start + 1s);
+    changes = detector.evaluate(start + 1s);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].endpoint == "e0");
+    CHECK(changes[0].until == start + 3s);
+    for (TimePoint now = start + 3s; now < start + 5min; now += 10s) {
+        detector.evaluate(now);
+        CHECK_FALSE(detector.isEjected("e0"));
+        refuse(0, now);
+        changes = detector.evaluate(now);
+        REQUIRE(changes.size() == 1);
+        CHECK(changes[0].until <= now + 10s);
+    }
+}
+
+TEST_CASE("unreachable endpoints are no peers of the others")
+{
+    OutlierDetector detector = makeDetector(6);
+    for (int endpoint : { 0, 1, 2, 3 }) {
+        for (int i = 0; i < 3; ++i)
+            detector.record({ nameOf(endpoint), "m", "a", true, std::nullopt, true }, start);
+    }
+    recordMany(detector, 4, 4, true);
+    CHECK(detector.evaluate(start).size() == 4);
+    CHECK_FALSE(detector.isEjected("e4"));
+    CHECK_FALSE(detector.isEjected("e5"));
+}
+
 TEST_CASE("each further ejection lasts longer, up to a bound, and health forgives")
 {
     OutlierDetector detector = makeDetector(6);
