--- a/include/catkinwing/Gateway/EndpointRegistry.h
+++ b/include/catkinwing/Gateway/EndpointRegistry.h
@@ -21,6 +21,8 @@
     /// Prefill tokens given to began().
     double prefillTokens { 0 };
     bool failed { false };
+    /// No connection could be made.
+    bool unreachable { false };
     bool gotFirstToken { false };
     /// Dispatch to first token; zero if none came.
     Duration timeToFirstToken {};
--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -78,7 +78,7 @@
 
     bool isGarbage(const Attempt& attempt, const AttemptResult& concluded) const;
     AttemptResult conclude(Attempt& attempt, const HttpResult& result);
-    void settle(Attempt& attempt, bool failed);
+    void settle(Attempt& attempt, bool failed, bool unreachable = false);
     void noteRefusal(const Attempt& attempt);
     void cancelAttempts(const std::vector<AttemptId>& ids);
     void cancelAll();
--- a/lib/Gateway/EndpointRegistry.cpp
+++ b/lib/Gateway/EndpointRegistry.cpp
@@ -245,9 +245,9 @@
         return;
     if (!use.gotFirstToken)
         m_cell.recordFirstToken(use.endpoint, use.prefillTokens);
-    m_cell.recordSettled(use.endpoint);
+    m_cell.recordSettled(use.endpoint, now);
     const EndpointView& view = m_cell.endpoint(use.endpoint);
-    EndpointOutcome outcome { view.name, view.models.empty() ? "" : view.models.front(), view.incarnation, use.failed, std::nullopt };
+    EndpointOutcome outcome { view.name, view.models.empty() ? "" : view.models.front(), view.incarnation, use.failed, std::nullopt, use.unreachable };
     bool isMeasured = !use.failed && use.gotFirstToken && use.outputTokens > 1;
     if (isMeasured) {
         Duration decodeTime = use.total - use.timeToFirstToken;
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -315,7 +315,7 @@
     return concluded;
 }
 
-void RequestRun::settle(Attempt& attempt, bool failed)
+void RequestRun::settle(Attempt& attempt, bool failed, bool unreachable)
 {
     if (attempt.hasEnded)
         return;
@@ -328,6 +328,7 @@
     use.endpoint = attempt.endpoint;
     use.prefillTokens = attempt.prefillTokens;
     use.failed = failed;
+    use.unreachable = unreachable;
     use.gotFirstToken = attempt.firstTokenAt.has_value();
     use.total = nowOf(m_broker) - attempt.startedAt;
     if (attempt.firstTokenAt)
@@ -346,7 +347,7 @@
     bool isRefusal = attempt.target == AttemptTarget::Endpoint && concluded.outcome == Outcome::NotRun && concluded.status != 0;
     if (isRefusal)
         noteRefusal(attempt);
-    settle(attempt, concluded.outcome != Outcome::Completed && !isRefusal);
+    settle(attempt, concluded.outcome != Outcome::Completed && !isRefusal, result.end == HttpEnd::ConnectFailed);
     std::vector<AttemptId> cancel;
     RequestState state = m_attempts.finish(id, concluded, cancel);
     cancelAttempts(cancel);
