--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -401,7 +401,8 @@
     directory.announce(ownInstance(InstanceState::Live));
     entryList.start();
     endpointList.start();
-    placement.start();
+    if (settings.weightStore)
+        placement.start();
     poller.start();
     everyBrokerTick();
     everyStateTick();
