Let the fake responder release its callbacks at the end

Found by the address sanitizer: the fake kept the callback for pending bytes after the answer was cut, and with it itself and the faulty responder. The HTTP package's responder drops both callbacks when an answer ends, so the fake now does the same.

--- a/unittests/Standin/FakeResponder.h
+++ b/unittests/Standin/FakeResponder.h
@@ -28,12 +28,12 @@
     void finish() override
     {
         if (isOpen())
-            isFinished = true;
+            end(isFinished);
     }
     void abort() override
     {
         if (isOpen())
-            isAborted = true;
+            end(isAborted);
     }
     void send(const HttpResponseHead& sent, std::string bytes) override
     {
@@ -57,8 +57,9 @@
     void drain()
     {
         pending = 0;
-        if (m_writable)
-            m_writable();
+        auto writable = m_writable;
+        if (writable)
+            writable();
     }
     nlohmann::json json() const { return nlohmann::json::parse(body); }
     std::string header(absl::string_view name) const
@@ -77,6 +78,14 @@
     std::size_t pending { 0 };
 
 private:
+    /// Releases the callbacks, as the real one does.
+    void end(bool& how)
+    {
+        how = true;
+        m_writable = nullptr;
+        m_closed = nullptr;
+    }
+
     std::function<void()> m_writable;
     std::function<void()> m_closed;
 };
