--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -10,7 +10,6 @@
 
 namespace catkinwing {
 
-static constexpr int http2Version = 0x200;
 static constexpr int http11Version = 0x101;
 
 namespace {
@@ -286,7 +285,7 @@
 {
     sockaddr nowhere {};
     nowhere.sa_family = AF_UNSPEC;
-    connect(descriptor, &nowhere, sizeof(nowhere));
+    static_cast<void>(connect(descriptor, &nowhere, sizeof(nowhere)));
 }
 
 // HTTP/1 has no way to say that an answer is cut but to close the connection,
