--- a/lib/Standin/FaultyResponder.cpp
+++ b/lib/Standin/FaultyResponder.cpp
@@ -63,8 +63,7 @@
 void FaultyResponder::watchCaller()
 {
     m_inner->onClosed([weak = weak_from_this()] {
-        auto self = weak.lock();
-        if (self && self->m_state != State::Lost)
+        if (auto self = weak.lock())
             self->tellClosed();
     });
 }
