--- a/include/catkinwing/Membership/MembershipOptions.h
+++ b/include/catkinwing/Membership/MembershipOptions.h
@@ -47,7 +47,7 @@
     /// Time between exchanges with a zone of another region.
     Duration remoteDigestInterval { std::chrono::seconds(15) };
     /// Age of a digest, in intervals, beyond which its zone is unreachable.
-    std::uint32_t unreachableAfterIntervals { 4 };
+    std::uint32_t unreachableAfterIntervals { 3 };
     /// Time between two reports that the same peer's configuration differs.
     Duration configReportInterval { std::chrono::seconds(1) };
     /// Time for which a leaving endpoint is kept and told to new members.
