Leave work that didn't wait out of the drain rate

Cause: a request that finds a free slot is queued and started in the same moment. Its tokens were counted as started in busy time, of which it took none, so that the rate grew with each of them and the predicted wait shrank.

Change: what starts within 1 ms of the queue having been empty isn't counted.

--- a/include/catkinwing/Admission/DrainRate.h
+++ b/include/catkinwing/Admission/DrainRate.h
@@ -11,7 +11,8 @@
 public:
     /// Says from \p now on whether work waits.
     void setBusy(bool busy, TimePoint now);
-    /// Counts started tokens, as estimated.
+    /// Counts started tokens, as estimated. What starts as soon as it came did not
+    /// wait and isn't counted.
     void add(double tokens, TimePoint now);
     /// Returns tokens a second of busy time; empty before there was enough of it.
     std::optional<double> rate(TimePoint now) const;
@@ -25,6 +26,7 @@
     double m_tokens { 0 };
     double m_busySeconds { 0 };
     TimePoint m_at {};
+    TimePoint m_busySince {};
     TimePoint m_busyUntil {};
 };
 
--- a/lib/Admission/DrainRate.cpp
+++ b/lib/Admission/DrainRate.cpp
@@ -8,6 +8,8 @@
 
 /// Busy seconds that the rate looks back over.
 static constexpr double smoothing = 5;
+/// Work that starts sooner than this after the queue was empty did not wait.
+static constexpr Duration leastWait = std::chrono::milliseconds(1);
 /// Busy seconds before a rate is told: a prediction from less would refuse on a guess.
 static constexpr double leastBusy = 1;
 
@@ -16,12 +18,16 @@
     advance(now);
     if (m_busy)
         m_busyUntil = now;
+    else if (busy)
+        m_busySince = now;
     m_busy = busy;
 }
 
 void DrainRate::add(double tokens, TimePoint now)
 {
-    if (!m_busy)
+    // Counted, it would add tokens and no time, and the rate would grow with
+    // every request that finds a free slot.
+    if (!m_busy || now - m_busySince < leastWait)
         return;
     advance(now);
     m_tokens += tokens;
