Believe more in what the prefix index holds after a gap

Cause: a gap in an endpoint's cache events halved the belief in all that it held, and a block that stays in the cache is not stored again, so that the belief came back only by own dispatches, at 0.8. Requests left the endpoints that held their prompts.

Change: dispatchedWeight 0.8 -> 0.95, gapFactor 0.5 -> 0.8.

--- a/include/catkinwing/Routing/PrefixIndex.h
+++ b/include/catkinwing/Routing/PrefixIndex.h
@@ -21,9 +21,9 @@
     /// Belief in a block that an event reported with no gap since.
     double confirmedWeight { 1.0 };
     /// Belief in a block known only from an own dispatch.
-    double dispatchedWeight { 0.8 };
+    double dispatchedWeight { 0.95 };
     /// Factor on the belief for each gap in the endpoint's events since.
-    double gapFactor { 0.5 };
+    double gapFactor { 0.8 };
     /// A belief below this counts as none.
     double negligibleWeight { 0.05 };
 };
