--- a/include/catkinwing/Gateway/EndpointPoller.h
+++ b/include/catkinwing/Gateway/EndpointPoller.h
@@ -13,7 +13,8 @@
 
 /// A page of cache events.
 struct CacheEventPage {
-    /// Number to ask from next time.
+    /// Number of the last event published; lower than one seen before if the
+    /// engine has started anew.
     std::uint64_t last { 0 };
     std::vector<CacheEvent> events;
 };
--- a/include/catkinwing/Gateway/PlacementControl.h
+++ b/include/catkinwing/Gateway/PlacementControl.h
@@ -13,9 +13,10 @@
 public:
     /// All references must outlive this.
     PlacementControl(Store& store, Scheduler& scheduler, Random& random, HttpClient& endpointClient, const DaemonSettings& settings, const std::string& holder, EndpointRegistry& endpoints);
-    void start();
-    /// Gives the lease back.
-    void stop();
+    /// Becomes a candidate for the zone's lease, or gives it back.
+    void setCandidate(bool isCandidate);
+    /// Stops for good.
+    void stop() { setCandidate(false); }
     /// Drops the lease, since the process was frozen.
     void dropAfterFreeze();
     /// Takes over the configuration in force.
@@ -43,6 +44,7 @@
     OrderSender m_sender;
     WeightStoreRate m_rate;
     Orderer m_orderer;
+    bool m_isCandidate { false };
     std::map<std::string, Demand> m_modelDemand;
     std::map<std::string, Demand> m_adapterDemand;
 };
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -329,6 +329,8 @@
     remoteCells.update(view, *config.snapshot(), now);
     entries.update(view, *config.snapshot(), endpoints.models(), now);
     sync.updateDuty();
+    // Two of the zone's entries are candidates: each candidate polls the lease.
+    placement.setCandidate(settings.weightStore && config.isWatching() && !isDraining);
     membership.setLocalState(localState());
     loop.callAfter(stateTick, [this] { everyStateTick(); });
 }
@@ -401,8 +403,6 @@
     directory.announce(ownInstance(InstanceState::Live));
     entryList.start();
     endpointList.start();
-    if (settings.weightStore)
-        placement.start();
     poller.start();
     everyBrokerTick();
     everyStateTick();
--- a/lib/Gateway/EndpointPoller.cpp
+++ b/lib/Gateway/EndpointPoller.cpp
@@ -68,13 +68,14 @@
     CacheEventPage page;
     try {
         nlohmann::json json = nlohmann::json::parse(body.begin(), body.end());
+        auto next = json.at("next").get<std::uint64_t>();
+        page.last = next > 0 ? next - 1 : 0;
         std::string incarnation = json.value("incarnation", std::string());
         for (const nlohmann::json& item : json.at("events")) {
             absl::StatusOr<CacheEvent> event = readEvent(item, models);
             if (!event.ok())
                 return event.status();
             event->incarnation = incarnation;
-            page.last = std::max(page.last, event->sequence);
             page.events.push_back(*std::move(event));
         }
     } catch (const nlohmann::json::exception& fault) {
@@ -154,14 +155,14 @@
 void EndpointPoller::askCacheEvents(const std::string& name, const EndpointSettings& settings)
 {
     std::uint64_t after = m_lastEvents[name];
-    auto done = [this, name, after](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
+    auto done = [this, name](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
         const EndpointSettings* present = m_registry.settings(name);
         if (!present || result.end != HttpEnd::Complete || head.status != statusOk)
             return;
         absl::StatusOr<CacheEventPage> page = parseCacheEvents(body, present->models);
         if (!page.ok())
             return;
-        m_lastEvents[name] = std::max(after, page->last);
+        m_lastEvents[name] = page->last;
         m_registry.applyCacheEvents(name, page->events);
     };
     sendForWhole(m_client, pageRequest(settings, m_self, absl::StrCat("/cache_events?after=", after)), maxPageBytes, std::move(done));
--- a/lib/Gateway/PlacementControl.cpp
+++ b/lib/Gateway/PlacementControl.cpp
@@ -39,14 +39,16 @@
 {
 }
 
-void PlacementControl::start()
-{
-    m_lease.start();
-    m_orderer.start();
-}
-
-void PlacementControl::stop()
+void PlacementControl::setCandidate(bool isCandidate)
 {
+    if (isCandidate == m_isCandidate)
+        return;
+    m_isCandidate = isCandidate;
+    if (isCandidate) {
+        m_lease.start();
+        m_orderer.start();
+        return;
+    }
     m_orderer.stop();
     m_lease.stop();
 }
