--- a/include/catkinwing/Gateway/RequestBroker.h
+++ b/include/catkinwing/Gateway/RequestBroker.h
@@ -69,6 +69,9 @@
     const AdmissionController& admission() const { return m_admission; }
     const BrokerParts& parts() const { return m_parts; }
 
+    /// Called with the tokens that a model call of this entry has cost.
+    std::function<void(const AcceptedRequest&, double tokens)> onServed;
+
 private:
     friend class RequestRun;
 
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -228,6 +228,7 @@
     , placement(store, loop, random, endpointHttp, settings, holderName(membership.self().ref), endpoints)
 {
     endpoints.onCapacity = [this] { broker.schedulePump(); };
+    broker.onServed = [this](const AcceptedRequest& request, double tokens) { placement.noteDemand(request.routing.model, request.routing.adapter, tokens); };
     endpoints.onLeaving = [this](const EndpointLeaving& leaving) { membership.reportLeaving(leaving); };
 }
 
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -576,6 +576,8 @@
         m_broker.m_outputs.learn(m_broker.outputKey(m_request), static_cast<double>(output));
     bool reachedEndpoint = m_endpointAttempts > 0 && (m_attempts.isCompleted() || m_attempts.mayHaveRun());
     double cost = reachedEndpoint ? estimateCost({ m_request.routing.promptTokens, 0, static_cast<double>(output), m_request.outputWeight }) : 0;
+    if (cost > 0 && m_request.isModelCall && m_broker.onServed)
+        m_broker.onServed(m_request, cost);
     m_broker.m_parts.metrics.countRequest(m_request.team, m_request.requestClass.name, outcome);
     // What was forwarded here is counted by the entry that the caller spoke to.
     if (isCounted && m_request.routing.hop == 0)
