--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -95,6 +95,13 @@
     return options;
 }
 
+static std::unique_ptr<DirectoryClient> makeDirectory(HttpClient& http, Scheduler& scheduler, const DaemonSettings& settings)
+{
+    if (settings.directory.empty())
+        return nullptr;
+    return std::make_unique<DirectoryClient>(http, scheduler, directoryOptions(settings));
+}
+
 static InstanceListOptions listOptions(const DaemonSettings& settings, const char* service)
 {
     InstanceListOptions options;
@@ -135,6 +142,8 @@
     std::vector<ModelRoom> zoneRoom();
     void learnEntries(const std::vector<Instance>& instances);
     Instance ownInstance(InstanceState state) const;
+    void announce(InstanceState state);
+    std::unique_ptr<InstanceList> makeList(const char* service, InstanceList::ChangeCallback onChange);
     void drain(std::function<void()> done);
     void drainStep();
     void reloadKeys();
@@ -153,7 +162,8 @@
     FaultableHttpClient endpointHttp;
     FaultableHttpClient peerHttp;
     EtcdStore store;
-    DirectoryClient directory;
+    /// Null where the settings name no directory.
+    std::unique_ptr<DirectoryClient> directory;
     PeerLink link;
     Membership membership;
     ConfigKeeper config;
@@ -170,8 +180,8 @@
     PeerApi peers;
     ConfigWriter writer;
     OperatorApi operators;
-    InstanceList entryList;
-    InstanceList endpointList;
+    std::unique_ptr<InstanceList> entryList;
+    std::unique_ptr<InstanceList> endpointList;
     PlacementControl placement;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> peerServer;
@@ -207,7 +217,7 @@
     , endpointHttp(*plainClient, loop, faults)
     , peerHttp(*peerClient, loop, faults)
     , store(platformHttp, loop, storeOptions(settings))
-    , directory(platformHttp, loop, directoryOptions(settings))
+    , directory(makeDirectory(platformHttp, loop, settings))
     , link(peerHttp, settings.name)
     , membership(identityOf(settings, loop.clock(), random), {}, loop, link, Random(random.bits()), membershipEvents())
     , config(store, loop, random, { [this](const auto& snapshot) { onConfigChanged(snapshot); }, [this](const auto& news) { sync.push(news); } })
@@ -223,8 +233,8 @@
     , peers(membership, config, keyed, callers, link, faults)
     , writer(store, loop, config)
     , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); } })
-    , entryList(platformHttp, loop, random, listOptions(settings, entryService), [this](const auto& instances) { learnEntries(instances); })
-    , endpointList(platformHttp, loop, random, listOptions(settings, endpointService), [this](const auto& instances) { endpoints.applyInstances(instances, loop.clock().now()); })
+    , entryList(makeList(entryService, [this](const auto& instances) { learnEntries(instances); }))
+    , endpointList(makeList(endpointService, [this](const auto& instances) { endpoints.applyInstances(instances, loop.clock().now()); }))
     , placement(store, loop, random, endpointHttp, settings, holderName(membership.self().ref), endpoints)
 {
     endpoints.onCapacity = [this] { broker.schedulePump(); };
@@ -364,6 +374,19 @@
     return instance;
 }
 
+void Daemon::Impl::announce(InstanceState state)
+{
+    if (directory)
+        directory->announce(ownInstance(state));
+}
+
+std::unique_ptr<InstanceList> Daemon::Impl::makeList(const char* service, InstanceList::ChangeCallback onChange)
+{
+    if (settings.directory.empty())
+        return nullptr;
+    return std::make_unique<InstanceList>(platformHttp, loop, random, listOptions(settings, service), std::move(onChange));
+}
+
 static HttpServerOptions serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> tls)
 {
     HttpServerOptions options;
@@ -401,9 +424,11 @@
         seeds.push_back({ seed, "", "" });
     membership.learn(seeds);
     membership.start();
-    directory.announce(ownInstance(InstanceState::Live));
-    entryList.start();
-    endpointList.start();
+    announce(InstanceState::Live);
+    for (InstanceList* list : { entryList.get(), endpointList.get() }) {
+        if (list)
+            list->start();
+    }
     poller.start();
     everyBrokerTick();
     everyStateTick();
@@ -427,7 +452,7 @@
     TransportCounters carried = link.counters();
     return {
         { "store_calls", std::move(calls) },
-        { "directory_announced", directory.isAnnounced() },
+        { "directory_announced", directory && directory->isAnnounced() },
         { "placement_lease", placement.lease().isHeld(loop.clock().now()) },
         { "ledger", { { "won", ledger.won }, { "already_claimed", ledger.alreadyClaimed }, { "not_available", ledger.notAvailable }, { "swaps", ledger.swaps } } },
         { "peer_bytes", { { "sent", carried.bytesSent }, { "received", carried.bytesReceived }, { "batches_sent", carried.batchesSent } } },
@@ -445,7 +470,7 @@
     drainDeadline = loop.clock().now() + config.snapshot()->global->drainGrace;
     callers.startDraining();
     membership.startDraining();
-    directory.announce(ownInstance(InstanceState::Leaving));
+    announce(InstanceState::Leaving);
     placement.stop();
     drainStep();
 }
@@ -463,11 +488,15 @@
     logChange(LogLevel::Info, "drained", { { "cut_off", broker.running() } });
     membership.announceGone();
     callerServer->stopListening();
-    directory.withdraw([this](const absl::Status&) {
+    auto done = [this] {
         for (const std::function<void()>& callback : onDrained)
             callback();
         onDrained.clear();
-    });
+    };
+    if (directory)
+        directory->withdraw([done](const absl::Status&) { done(); });
+    else
+        loop.callAfter(Duration::zero(), done);
 }
 
 void Daemon::Impl::reloadKeys()
--- a/test/e2e/e2e_test.py
+++ b/test/e2e/e2e_test.py
@@ -263,6 +263,13 @@
             self.fleet.set_standin_faults("store", {})
             self.fleet.set_standin_faults("directory", {})
 
+    def test_an_entry_needs_no_directory(self):
+        listen = {kind: f"127.0.0.1:{free_port()}" for kind in ("callers", "peers", "operators")}
+        settings = {"name": "entry-alone", "region": "north", "availabilityZone": "north-c", "listen": listen, "store": [self.fleet.processes["store"].address]}
+        process = self.fleet.start_entry(settings)
+        wait_for(lambda: call(process.operators, "GET", "/readyz")[0] == 200, "the entry to be ready")
+        self.assertEqual(process.stop(), 0)
+
     def test_a_planned_stop_finishes_queue_and_streams(self):
         name = "entry-south-a-2"
         process = self.fleet.processes[name]
