--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -11,13 +11,17 @@
 
 /// How an exchange ended.
 enum class HttpEnd {
-    /// The whole response arrived.
+    /// The whole response arrived. A body with neither a length nor chunks ends
+    /// when the server closes in good order, which can't be told from a cut by
+    /// a process in between; callers that mind look at the head's fields.
     Complete,
     /// No connection; not a byte of the request left.
     ConnectFailed,
-    /// The connection ended before the head of the response.
+    /// The connection ended before the head of the response, or while the
+    /// request was still going out.
     NoResponse,
-    /// The head, or the body's framing, is not HTTP.
+    /// The head, or the body's framing, is not HTTP; also a request that isn't,
+    /// which is not sent.
     Malformed,
     /// The body ended before its announced length or last chunk.
     Truncated,
@@ -34,7 +38,9 @@
     std::string detail;
 };
 
-/// A request to send.
+/// A request to send. Fields that frame the message or manage the connection
+/// (connection, content-length, expect, keep-alive, transfer-encoding, upgrade)
+/// are the client's and are left out; host is added if missing.
 struct HttpClientRequest {
     SocketAddress server;
     std::string method { "GET" };
--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -11,7 +11,13 @@
 namespace catkinwing {
 
 /// The answer to one request. Whoever holds it may answer at any later time;
-/// calls after the caller has gone do nothing.
+/// calls after the caller has gone do nothing. Dropping the last reference to
+/// an answer that has not ended aborts it.
+///
+/// What is sent goes out at the end of the loop's turn. The framing is the
+/// server's: of the head's fields, content-length is kept (an answer that turns
+/// out shorter or longer is aborted) and connection, transfer-encoding, date
+/// and server are left out, as are fields that are not valid HTTP.
 class HttpResponder {
 public:
     virtual ~HttpResponder() = default;
@@ -33,6 +39,8 @@
     /// Calls \p callback whenever the transport has taken all pending bytes.
     virtual void onWritable(std::function<void()> callback) = 0;
     /// Calls \p callback once if the caller goes before the answer has ended.
+    /// An HTTP/1 caller that closes its sending side counts as gone. Not
+    /// called when the server itself is destroyed.
     virtual void onClosed(std::function<void()> callback) = 0;
 };
 
@@ -42,10 +50,13 @@
 /// What a server listens on and the limits it keeps.
 struct HttpServerOptions {
     SocketAddress listen;
-    /// Larger bodies are answered 413.
+    /// Larger bodies are answered 413; over HTTP/2 their stream is reset.
     std::size_t maxBodyBytes { 8u << 20 };
     /// Longest wait for a whole request to arrive on a connection.
     std::chrono::milliseconds requestTimeout { 10'000 };
+    /// Longest time that a caller may take nothing of an answer that has ended;
+    /// its connection is closed then.
+    std::chrono::milliseconds sendTimeout { 60'000 };
     std::size_t maxConnections { 4096 };
     std::size_t maxConnectionsPerCaller { 1024 };
     /// Plain text if null.
@@ -60,8 +71,9 @@
     virtual ~HttpServer() = default;
     /// Returns the address in use, with the port that was taken.
     virtual SocketAddress address() const = 0;
-    /// Closes the listening socket and asks callers to close idle connections;
-    /// requests in progress go on.
+    /// Closes the listening socket; requests in progress, and those that still
+    /// arrive on open connections, go on. HTTP/2 callers are told to go. HTTP/1
+    /// connections close after their next answer, or within seconds if idle.
     virtual void stopListening() = 0;
     virtual std::size_t openConnections() const = 0;
     /// Uses \p tls for the connections accepted from now on.
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -1,9 +1,7 @@
 #include "ClientExchange.h"
 
-#include "HeaderSyntax.h"
 #include "ResponseHeadGuard.h"
 #include <absl/strings/match.h>
-#include <absl/strings/str_cat.h>
 
 namespace catkinwing {
 
@@ -17,17 +15,6 @@
 {
 }
 
-static bool isValid(const HttpClientRequest& request)
-{
-    if (!isFieldName(request.method) || !isRequestTarget(request.target))
-        return false;
-    for (const auto& field : request.headers.fields()) {
-        if (!isFieldName(field.name) || !isFieldValue(field.value))
-            return false;
-    }
-    return true;
-}
-
 std::shared_ptr<HttpExchange> ClientExchange::start(std::shared_ptr<ClientCore> core, HttpClientRequest request,
     HttpClientCallbacks callbacks)
 {
@@ -35,7 +22,7 @@
         new ClientExchange(std::move(core), std::move(request), std::move(callbacks)));
     exchange->m_self = exchange;
     exchange->m_core->addExchange(*exchange);
-    if (isValid(exchange->m_request))
+    if (isValidRequest(exchange->m_request))
         exchange->connect();
     else
         exchange->end(HttpEnd::Malformed, "the request is not valid HTTP");
@@ -82,7 +69,7 @@
     if (client.sock->ssl)
         m_connection->expectLateClose();
     m_mayHaveReachedServer = true;
-    m_head = makeHead();
+    m_head = makeRequestHead(m_request);
     m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
     m_buffers[1] = h2o_iovec_init(m_request.body.data(), m_request.body.size());
     *buffers = m_buffers.data();
@@ -123,36 +110,6 @@
     end(HttpEnd::Malformed, fault);
 }
 
-// How the message is framed, and that the connection may be kept, is decided here.
-static bool isOwnField(absl::string_view name)
-{
-    for (absl::string_view own : { "connection", "content-length", "expect", "keep-alive", "transfer-encoding", "upgrade" }) {
-        if (absl::EqualsIgnoreCase(name, own))
-            return true;
-    }
-    return false;
-}
-
-static bool announcesLength(const HttpClientRequest& request)
-{
-    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-}
-
-std::string ClientExchange::makeHead() const
-{
-    std::string head = absl::StrCat(m_request.method, " ", m_request.target, " HTTP/1.1\r\n");
-    if (!m_request.headers.find("host"))
-        absl::StrAppend(&head, "host: ", m_request.server.toString(), "\r\n");
-    for (const auto& field : m_request.headers.fields()) {
-        if (!isOwnField(field.name))
-            absl::StrAppend(&head, field.name, ": ", field.value, "\r\n");
-    }
-    if (announcesLength(m_request))
-        absl::StrAppend(&head, "content-length: ", m_request.body.size(), "\r\n");
-    absl::StrAppend(&head, "\r\n");
-    return head;
-}
-
 h2o_http1client_body_cb ClientExchange::onHead(h2o_http1client_t* client, const char* error, int, int status, h2o_iovec_t,
     h2o_header_t* fields, std::size_t fieldCount, int headLength)
 {
@@ -179,77 +136,15 @@
     return nullptr;
 }
 
-namespace {
-
-    /// The fields of a response that say how long its body is.
-    struct FramingFields {
-        int transferEncodings { 0 };
-        int lengths { 0 };
-        bool lengthsDiffer { false };
-        bool hasNamelessField { false };
-    };
-
-} // namespace
-
-static absl::string_view toView(h2o_iovec_t bytes)
-{
-    return { bytes.base, bytes.len };
-}
-
-static FramingFields framingFieldsOf(const HttpHeaders& headers)
-{
-    FramingFields found;
-    const std::string* length = nullptr;
-    for (const auto& field : headers.fields()) {
-        if (field.name.empty())
-            found.hasNamelessField = true;
-        if (field.name == "transfer-encoding")
-            ++found.transferEncodings;
-        if (field.name != "content-length")
-            continue;
-        ++found.lengths;
-        found.lengthsDiffer = found.lengthsDiffer || (length && *length != field.value);
-        length = &field.value;
-    }
-    return found;
-}
-
-// h2o takes these in without complaint, and would then misread the body.
-static const char* framingFault(const FramingFields& fields, int status)
-{
-    if (status == 101)
-        return "the server switched protocols unasked";
-    if (fields.hasNamelessField)
-        return "folded header field";
-    if (fields.lengthsDiffer)
-        return "two different content lengths";
-    if (fields.transferEncodings > 1 || (fields.transferEncodings > 0 && fields.lengths > 0))
-        return "ambiguous body length";
-    return nullptr;
-}
-
-static HttpResponseHead makeResponseHead(int status, const h2o_header_t* fields, std::size_t fieldCount)
-{
-    HttpResponseHead head;
-    head.status = status;
-    for (std::size_t i = 0; i < fieldCount; ++i)
-        head.headers.add(std::string(toView(*fields[i].name)), std::string(toView(fields[i].value)));
-    return head;
-}
-
 bool ClientExchange::didGetHead(h2o_http1client_t&, int status, const h2o_header_t* fields, std::size_t fieldCount)
 {
     HttpResponseHead head = makeResponseHead(status, fields, fieldCount);
-    FramingFields framing = framingFieldsOf(head.headers);
-    if (const char* fault = framingFault(framing, status)) {
+    if (const char* fault = framingFault(head)) {
         m_connection->spoil();
         end(HttpEnd::Malformed, fault);
         return false;
     }
-    const std::string* encoding = head.headers.find("transfer-encoding");
-    bool isChunked = encoding && absl::EqualsIgnoreCase(*encoding, "chunked");
-    m_framing = isChunked ? Framing::Chunked : framing.lengths > 0 ? Framing::ContentLength
-                                                                   : Framing::UntilClose;
+    m_framing = framingOf(head);
     enter(Phase::InBody, m_request.idleTimeout);
     auto callbacks = m_callbacks;
     if (callbacks->onHead)
@@ -278,9 +173,9 @@
         return nullptr;
     if (error != h2o_http1client_error_is_eos)
         return error;
-    if (m_framing == Framing::Chunked && client.sock->bytes_read == 0)
+    if (m_framing == BodyFraming::Chunked && client.sock->bytes_read == 0)
         return "no last chunk";
-    if (m_framing == Framing::UntilClose && m_connection->wasReset())
+    if (m_framing == BodyFraming::UntilClose && m_connection->wasReset())
         return "connection reset";
     return nullptr;
 }
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "ClientCore.h"
+#include "ClientMessage.h"
 #include <array>
 
 namespace catkinwing {
@@ -21,13 +22,6 @@
     bool mayHaveReachedServer() const override { return m_mayHaveReachedServer; }
 
 private:
-    /// How the end of the body is known.
-    enum class Framing {
-        None,
-        ContentLength,
-        Chunked,
-        UntilClose,
-    };
     enum class Phase {
         Connecting,
         AwaitingHead,
@@ -71,7 +65,6 @@
     void settle();
     /// Lets go of all that keeps this alive.
     void release();
-    std::string makeHead() const;
 
     EventLoop& m_loop;
     std::shared_ptr<ClientCore> m_core;
@@ -83,7 +76,7 @@
     std::string m_head;
     std::array<h2o_iovec_t, 2> m_buffers {};
     Phase m_phase { Phase::Connecting };
-    Framing m_framing { Framing::None };
+    BodyFraming m_framing { BodyFraming::UntilClose };
     TimerId m_timer { 0 };
     TimePoint m_lastActivity {};
     HttpResult m_result;
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -25,8 +25,8 @@
 // server closes it for being idle.
 static constexpr milliseconds idleCloseDelay { 1'500 };
 static constexpr milliseconds announceInterval { 50 };
-// How long a caller may take nothing of what it was sent.
-static constexpr std::chrono::seconds sendTimeout { 60 };
+// A stall is looked for this often within the send timeout.
+static constexpr int stallChecks = 4;
 static constexpr std::chrono::seconds keepAliveIdle { 15 };
 static constexpr std::chrono::seconds keepAliveInterval { 5 };
 static constexpr int keepAliveProbes = 3;
@@ -37,14 +37,14 @@
 }
 
 // Callers that vanish without a word would otherwise be kept for hours.
-static void setSocketOptions(int descriptor)
+static void setSocketOptions(int descriptor, milliseconds sendTimeout)
 {
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(keepAliveIdle.count()));
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(keepAliveInterval.count()));
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(milliseconds(sendTimeout).count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(sendTimeout.count()));
 }
 
 ServerCore::ServerCore(EventLoop& loop, HttpServerOptions options, HttpHandler handler)
@@ -70,6 +70,7 @@
     m_acceptContext.ctx = &m_context;
     m_acceptContext.hosts = m_configuration.hosts;
     m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
+    scheduleStallCheck();
 }
 
 ServerCore::~ServerCore()
@@ -93,7 +94,7 @@
         return;
     }
     ++connectionsOfCaller;
-    setSocketOptions(descriptor);
+    setSocketOptions(descriptor, m_options.sendTimeout);
     auto connection = std::make_unique<ServerConnection>();
     connection->core = this;
     connection->descriptor = descriptor;
@@ -259,11 +260,32 @@
     m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
 }
 
+void ServerCore::scheduleStallCheck()
+{
+    m_stallTimer = m_loop.callAfter(m_options.sendTimeout / stallChecks, [this] { closeStalledConnections(); });
+}
+
+// The kernel drops HTTP/1 callers that take nothing (TCP_USER_TIMEOUT), but an
+// HTTP/2 caller can leave a stream's window shut and still acknowledge.
+void ServerCore::closeStalledConnections()
+{
+    for (auto& connection : m_connections) {
+        bool isMoving = connection->endedAnswers == 0 || connection->bytesAtCheck != connection->socket->bytes_written;
+        connection->bytesAtCheck = connection->socket->bytes_written;
+        connection->checksWithoutBytes = isMoving ? 0 : connection->checksWithoutBytes + 1;
+        bool isStalled = connection->isHttp2 && connection->checksWithoutBytes >= stallChecks;
+        if (isStalled)
+            shutdown(connection->descriptor, SHUT_RDWR);
+    }
+    scheduleStallCheck();
+}
+
 void ServerCore::shutDown()
 {
     m_isShutDown = true;
     m_loop.cancel(m_announceTimer);
     m_loop.cancel(m_idleCloseTimer);
+    m_loop.cancel(m_stallTimer);
     m_handler = nullptr;
     for (auto& connection : m_connections)
         shutdown(connection->descriptor, SHUT_RDWR);
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -26,6 +26,10 @@
     bool isHttp2 { false };
     bool hadRequest { false };
     std::size_t openRequests { 0 };
+    /// Answers that have ended but not gone out whole.
+    std::size_t endedAnswers { 0 };
+    std::size_t bytesAtCheck { 0 };
+    int checksWithoutBytes { 0 };
     std::list<std::unique_ptr<ServerConnection>>::iterator position;
 };
 
@@ -67,6 +71,8 @@
     bool isReceivingStreams();
     void announceShutdown();
     void closeIdleConnections();
+    void closeStalledConnections();
+    void scheduleStallCheck();
 
     EventLoop& m_loop;
     HttpServerOptions m_options;
@@ -82,6 +88,7 @@
     TimePoint m_announceLimit {};
     TimerId m_announceTimer { 0 };
     TimerId m_idleCloseTimer { 0 };
+    TimerId m_stallTimer { 0 };
 };
 
 } // namespace catkinwing
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -190,6 +190,7 @@
 void ServerResponse::end()
 {
     m_isEnded = true;
+    ++m_connection->endedAnswers;
     unwatchCaller();
     releaseCallbacks();
     scheduleFlush();
@@ -354,6 +355,7 @@
     bool isCallerGone = isOpen();
     unwatchCaller();
     --m_connection->openRequests;
+    m_connection->endedAnswers -= m_isEnded ? 1 : 0;
     bool isServerGone = m_connection->core->isShutDown();
     m_request = nullptr;
     m_connection = nullptr;
--- /dev/null
+++ b/unittests/Http/HttpClientPoolTest.cpp
@@ -0,0 +1,153 @@
+#include "catkinwing/Http/HttpClient.h"
+
+#include "ScriptedServer.h"
+#include <absl/strings/match.h>
+#include <set>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+TEST_CASE("bytes after a response never reach the next request")
+{
+    ScriptedServer scripted;
+    std::string method = GENERATE(as<std::string>(), "GET", "HEAD");
+    std::string response = GENERATE(as<std::string>(),
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    bool isAtOnce = GENERATE(true, false);
+    std::string extra = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil";
+    INFO(method << " " << response << (isAtOnce ? "at once" : "later"));
+    if (method == "HEAD")
+        response = response.substr(0, response.find("\r\n\r\n") + 4);
+    HttpClientRequest request = requestFor(scripted.server.address());
+    request.method = method;
+    auto first = scripted.send(request);
+    auto connection = scripted.serve();
+    connection->send(isAtOnce ? response + extra : response);
+    scripted.waitForEnd(first);
+    CHECK(first->result.end == HttpEnd::Complete);
+    CHECK_FALSE(absl::StrContains(first->body, "evil"));
+    if (!isAtOnce) {
+        connection->send(extra);
+        runFor(scripted.loop, 10ms);
+    }
+    auto second = scripted.send("/second");
+    auto other = scripted.serve();
+    other->send("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood");
+    scripted.waitForEnd(second);
+    CHECK(second->result.end == HttpEnd::Complete);
+    CHECK(second->body == "good");
+    CHECK(connection->receiveToEnd(scripted.loop));
+}
+
+TEST_CASE("an idle connection that the server closed is not used")
+{
+    ScriptedServer scripted;
+    auto first = scripted.send();
+    auto connection = scripted.serve();
+    connection->send(okEmpty);
+    scripted.waitForEnd(first);
+    connection->close();
+    runFor(scripted.loop, 10ms);
+    auto second = scripted.send();
+    auto other = scripted.serve();
+    other->send(okEmpty);
+    scripted.waitForEnd(second);
+    CHECK(second->result.end == HttpEnd::Complete);
+}
+
+TEST_CASE("a used connection that closes on the next request leaves the outcome open, a fresh one is a new one")
+{
+    ScriptedServer scripted;
+    auto first = scripted.send();
+    auto connection = scripted.serve();
+    connection->send(okEmpty);
+    scripted.waitForEnd(first);
+    connection->clear();
+    bool isFresh = GENERATE(false, true);
+    HttpClientRequest request = requestFor(scripted.server.address());
+    request.freshConnection = isFresh;
+    auto second = scripted.send(request);
+    if (isFresh) {
+        scripted.serve()->send(okEmpty);
+        scripted.waitForEnd(second);
+        CHECK(second->result.end == HttpEnd::Complete);
+        return;
+    }
+    REQUIRE(connection->receiveUntil(scripted.loop, "\r\n\r\n"));
+    connection->close();
+    scripted.waitForEnd(second);
+    CHECK(second->result.end == HttpEnd::NoResponse);
+    CHECK(second->result.mayHaveReachedServer);
+}
+
+TEST_CASE("a response that says close, or HTTP/1.0, is not followed by another on its connection")
+{
+    ScriptedServer scripted;
+    auto first = scripted.send();
+    auto connection = scripted.serve();
+    connection->send(GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n"));
+    scripted.waitForEnd(first);
+    CHECK(first->result.end == HttpEnd::Complete);
+    REQUIRE(connection->receiveToEnd(scripted.loop));
+    auto second = scripted.send();
+    CHECK(scripted.serve());
+}
+
+TEST_CASE("the next request may be sent inside onEnd and uses the same connection")
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    std::vector<std::uint16_t> ports;
+    auto server = startServer(loop, [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        ports.push_back(request.caller.port);
+        responder->send(headOf(200), "x");
+    });
+    auto client = makeHttpClient(loop, {});
+    int left = 50;
+    std::function<void()> sendNext = [&] {
+        HttpClientCallbacks callbacks;
+        callbacks.onEnd = [&](const HttpResult& result) {
+            CHECK(result.end == HttpEnd::Complete);
+            if (--left > 0)
+                sendNext();
+        };
+        client->send(requestFor(server->address()), std::move(callbacks));
+    };
+    sendNext();
+    REQUIRE(runUntil(loop, [&] { return left == 0; }));
+    CHECK(std::set<std::uint16_t>(ports.begin(), ports.end()).size() == 1);
+}
+
+TEST_CASE("idle connections are bounded in number and time, and can be forgotten")
+{
+    SystemClock clock;
+    EventLoop loop(clock);
+    std::vector<std::shared_ptr<HttpResponder>> responders;
+    auto server = startServer(loop, [&](const HttpRequest&, std::shared_ptr<HttpResponder> responder) {
+        responders.push_back(std::move(responder));
+    });
+    HttpClientOptions options;
+    options.maxIdleConnectionsPerServer = 2;
+    options.keepIdle = 200ms;
+    auto client = makeHttpClient(loop, options);
+    std::vector<std::shared_ptr<Recorded>> sent;
+    sent.reserve(5);
+    for (int i = 0; i < 5; ++i)
+        sent.push_back(sendRecorded(*client, requestFor(server->address())));
+    REQUIRE(runUntil(loop, [&] { return responders.size() == 5; }));
+    CHECK(server->openConnections() == 5);
+    for (auto& responder : responders)
+        responder->send(headOf(200), "x");
+    REQUIRE(runUntil(loop, [&] { return server->openConnections() == 2; }));
+    bool isForgotten = GENERATE(false, true);
+    TimePoint start = clock.now();
+    if (isForgotten)
+        client->forget(server->address());
+    REQUIRE(runUntil(loop, [&] { return server->openConnections() == 0; }));
+    CHECK((clock.now() - start < Duration(150ms)) == isForgotten);
+}
--- /dev/null
+++ b/unittests/Http/ResponseHeadGuardTest.cpp
@@ -0,0 +1,37 @@
+#include "ResponseHeadGuard.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace catkinwing;
+
+TEST_CASE("heads that h2o takes pass the guard, whole or in part")
+{
+    std::string head = GENERATE(as<std::string>(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length:\t 5\r\n\r\n",
+        "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\nx-content-length: none\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\ncontent-length: this is the body\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\ncontent-length: body\r\n");
+    for (std::size_t length = 0; length <= head.size(); ++length)
+        CHECK(responseHeadFault(head.substr(0, length)) == nullptr);
+}
+
+TEST_CASE("heads that would stop h2o are held back by the guard")
+{
+    std::string fields = GENERATE(as<std::string>(), "content-length: x", "Content-Length:", "content-length: -1", "content-length: 5 ",
+        "content-length: 1234567890123456789", "content-length:\r\n 5", "transfer-encoding: Chunked", "TRANSFER-ENCODING: gzip, chunked",
+        "transfer-encoding: chunked ");
+    std::string before = GENERATE(as<std::string>(), "", "HTTP/1.1 100 Continue\r\nx: y\r\n\r\n", "HTTP/1.1 103 Early Hints\n\n");
+    INFO(fields);
+    CHECK(responseHeadFault(before + "HTTP/1.1 200 OK\r\n" + fields + "\r\n") != nullptr);
+}
+
+TEST_CASE("a head without an end is bounded")
+{
+    std::string head = "HTTP/1.1 200 OK\r\nx: ";
+    CHECK(responseHeadFault(head + std::string(200'000, 'x')) == nullptr);
+    CHECK(responseHeadFault(head + std::string(300'000, 'x')) != nullptr);
+    CHECK(responseHeadFault("HTTP/1.1 200 OK\r\n\r\n" + std::string(300'000, 'x')) == nullptr);
+}
