Leave the hashes out of a heartbeat while the receiver has them

Cause: three hashes were a tenth of each heartbeat and seldom change. Change: they are sent until acknowledged, and again as soon as one differs from any that may have arrived.

--- a/include/catkinwing/PeerProtocol/PeerMessages.h
+++ b/include/catkinwing/PeerProtocol/PeerMessages.h
@@ -103,6 +103,19 @@
     std::vector<ZoneContact> contacts;
 };
 
+/// Hashes by which two entries see that they differ.
+struct StateHashes {
+    /// Hash of the configuration in force at the sender.
+    std::uint64_t config { 0 };
+    /// Hash of the live members of the zone as the sender sees them.
+    std::uint32_t members { 0 };
+    /// Hash of the names of the zones that the sender knows.
+    std::uint32_t zones { 0 };
+
+    friend bool operator==(const StateHashes& a, const StateHashes& b) { return a.config == b.config && a.members == b.members && a.zones == b.zones; }
+    friend bool operator!=(const StateHashes& a, const StateHashes& b) { return !(a == b); }
+};
+
 /// State of one entry, exchanged inside the availability zone. The reply is the
 /// other side's heartbeat.
 ///
@@ -115,11 +128,8 @@
     /// receiver whose recent sequences never come back isn't heard.
     std::uint64_t acknowledged { 0 };
     bool draining { false };
-    std::uint64_t configDigest { 0 };
-    /// Hash of the live members of the zone as the sender sees them.
-    std::uint32_t membersDigest { 0 };
-    /// Hash of the names of the zones that the sender knows.
-    std::uint32_t zonesDigest { 0 };
+    /// Left out if the receiver has them already.
+    std::optional<StateHashes> hashes;
     std::optional<FreezeMark> freeze;
     std::vector<GroupDemand> demand;
     /// The endpoints whose figures changed most since the receiver's last
--- a/lib/Membership/HeartbeatExchange.cpp
+++ b/lib/Membership/HeartbeatExchange.cpp
@@ -167,9 +167,7 @@
     heartbeat.sender = m_self;
     heartbeat.sequence = ++m_lastSequence;
     heartbeat.draining = m_isDraining;
-    heartbeat.configDigest = m_configDigest;
-    heartbeat.membersDigest = m_members.digest(m_self.ref);
-    heartbeat.zonesDigest = m_zones.digest();
+    heartbeat.hashes = StateHashes { m_configDigest, m_members.digest(m_self.ref), m_zones.digest() };
     if (m_freeze.count > 0) {
         heartbeat.freeze = m_freeze;
         heartbeat.freeze->age = now() - *m_wokeAt;
@@ -187,6 +185,9 @@
     SentContent content;
     content.sequence = heartbeat.sequence;
     content.sentAt = now();
+    content.hashes = *heartbeat.hashes;
+    if (member.channel.hasOnly(content.hashes))
+        heartbeat.hashes.reset();
     heartbeat.demand = m_demand;
     content.load = topChanges(m_load, member.channel.load(), m_options.endpointsPerHeartbeat).items;
     for (const NamedCount& load : content.load)
@@ -201,10 +202,10 @@
             content.leaving.push_back(endpoint);
     }
     heartbeat.leaving = content.leaving;
-    if (member.membersDigest != heartbeat.membersDigest)
+    if (member.hashes.members != content.hashes.members)
         heartbeat.members = m_members.addresses();
     bool mayTellContacts = !member.contactsSentAt || now() - *member.contactsSentAt >= m_options.contactsInterval;
-    if (member.zonesDigest != heartbeat.zonesDigest && mayTellContacts) {
+    if (member.hashes.zones != content.hashes.zones && mayTellContacts) {
         heartbeat.contacts = m_zones.contacts();
         member.contactsSentAt = now();
     }
--- a/lib/Membership/HeartbeatReception.cpp
+++ b/lib/Membership/HeartbeatReception.cpp
@@ -109,9 +109,8 @@
     if (member.draining != heartbeat.draining)
         markChanged();
     member.draining = heartbeat.draining;
-    member.configDigest = heartbeat.configDigest;
-    member.membersDigest = heartbeat.membersDigest;
-    member.zonesDigest = heartbeat.zonesDigest;
+    if (heartbeat.hashes)
+        member.hashes = *heartbeat.hashes;
     applyLoad(member, heartbeat);
     applyHearsay(member, heartbeat);
     bool isUsable = member.isUsable(m_options, now(), interval());
@@ -119,8 +118,8 @@
         markChanged();
     member.wasUsable = isUsable;
     m_isMembersViewStale = true;
-    if (heartbeat.configDigest != m_configDigest)
-        reportConfig({ m_self.zone, member.identity.ref.name, member.identity.peerAddress, heartbeat.configDigest }, member.configReportedAt);
+    if (member.hashes.config != m_configDigest)
+        reportConfig({ m_self.zone, member.identity.ref.name, member.identity.peerAddress, member.hashes.config }, member.configReportedAt);
 }
 
 void Membership::Impl::applyLoad(Member& member, const Heartbeat& heartbeat)
--- a/lib/Membership/MemberTable.h
+++ b/lib/Membership/MemberTable.h
@@ -34,10 +34,8 @@
     TimePoint nextAnnounce {};
 
     std::uint32_t freezes { 0 };
-    std::uint64_t configDigest { 0 };
     std::optional<TimePoint> configReportedAt;
-    std::uint32_t membersDigest { 0 };
-    std::uint32_t zonesDigest { 0 };
+    StateHashes hashes;
     std::optional<TimePoint> contactsSentAt;
     std::vector<GroupDemand> demand;
     std::map<std::string, std::uint32_t> load;
--- a/lib/Membership/PeerChannel.cpp
+++ b/lib/Membership/PeerChannel.cpp
@@ -84,6 +84,7 @@
     if (found == m_sent.end())
         return std::nullopt;
     m_isKnown = true;
+    m_hashes = found->hashes;
     noteTold(found->served, m_served);
     noteTold(found->load, m_load);
     noteTold(found->digests, m_digests);
@@ -95,6 +96,12 @@
     return sentAt;
 }
 
+bool PeerChannel::hasOnly(const StateHashes& hashes) const
+{
+    return m_isKnown && m_hashes == hashes
+        && std::all_of(m_sent.begin(), m_sent.end(), [&](const SentContent& sent) { return sent.hashes == hashes; });
+}
+
 std::uint64_t PeerChannel::digestVersion(const std::string& zone) const
 {
     return countIn(m_digests, zone);
--- a/lib/Membership/PeerChannel.h
+++ b/lib/Membership/PeerChannel.h
@@ -31,6 +31,7 @@
 struct SentContent {
     std::uint64_t sequence { 0 };
     TimePoint sentAt {};
+    StateHashes hashes;
     std::vector<NamedCount> served;
     std::vector<NamedCount> load;
     std::vector<EndpointLeaving> leaving;
@@ -54,6 +55,9 @@
 
     /// Returns whether the member has acknowledged anything.
     bool isKnown() const { return m_isKnown; }
+    /// Returns whether the member has these hashes and no others, whichever of the
+    /// latest messages arrived.
+    bool hasOnly(const StateHashes& hashes) const;
     const CountTable& served() const { return m_served; }
     const CountTable& load() const { return m_load; }
     /// Returns the version of the zone's digest that the member has; zero for none.
@@ -69,6 +73,7 @@
 private:
     bool m_isKnown { false };
     std::deque<SentContent> m_sent;
+    StateHashes m_hashes;
     CountTable m_served;
     CountTable m_load;
     CountTable m_digests;
--- a/lib/Membership/ViewBuilder.cpp
+++ b/lib/Membership/ViewBuilder.cpp
@@ -10,7 +10,7 @@
     view.draining = member.draining;
     view.heardAt = member.heardAt;
     view.freezes = member.freezes;
-    view.configDigest = member.configDigest;
+    view.configDigest = member.hashes.config;
     view.demand = member.demand;
     view.load.reserve(member.load.size());
     for (const auto& [endpoint, inFlight] : member.load)
--- a/lib/PeerProtocol/HeartbeatJson.cpp
+++ b/lib/PeerProtocol/HeartbeatJson.cpp
@@ -34,6 +34,22 @@
         && fromJson(json[0], out.count) && fromJson(json[1], out.span) && fromJson(json[2], out.age);
 }
 
+static Json::Value toJson(const StateHashes& hashes)
+{
+    Json::Value json(Json::arrayValue);
+    json.append(bitsToJson(hashes.config));
+    json.append(hashes.members);
+    json.append(hashes.zones);
+    return json;
+}
+
+static bool fromJson(const Json::Value& json, StateHashes& out)
+{
+    constexpr Json::ArrayIndex fields = 3;
+    return json.isArray() && json.size() == fields
+        && bitsFromJson(json[0], out.config) && fromJson(json[1], out.members) && fromJson(json[2], out.zones);
+}
+
 // Written as a whole or not at all.
 static void putWhereabouts(Json::Value& json, const EntryIdentity& sender)
 {
@@ -89,9 +105,8 @@
         json["a"] = Json::Value(static_cast<Json::UInt64>(heartbeat.acknowledged));
     if (heartbeat.draining)
         json["d"] = true;
-    json["g"] = bitsToJson(heartbeat.configDigest);
-    json["m"] = heartbeat.membersDigest;
-    json["z"] = heartbeat.zonesDigest;
+    if (heartbeat.hashes)
+        json["h"] = toJson(*heartbeat.hashes);
     if (heartbeat.freeze)
         json["fz"] = toJson(*heartbeat.freeze);
     putLists(json, heartbeat);
@@ -125,9 +140,7 @@
     reader.require("s", out.sequence);
     reader.accept("a", out.acknowledged);
     reader.accept("d", out.draining);
-    reader.acceptBits("g", out.configDigest);
-    reader.require("m", out.membersDigest);
-    reader.require("z", out.zonesDigest);
+    reader.accept("h", out.hashes);
     reader.accept("fz", out.freeze);
     takeLists(reader, out);
     return reader.finish();
--- a/unittests/Membership/PeerChannelTest.cpp
+++ b/unittests/Membership/PeerChannelTest.cpp
@@ -43,6 +43,24 @@
     CHECK_FALSE(channel.acknowledge(3).has_value());
 }
 
+TEST_CASE("hashes count as known only while no other may have arrived")
+{
+    PeerChannel channel;
+    SentContent first = contentOf(1, {});
+    first.hashes = { 1, 1, 1 };
+    SentContent second = contentOf(2, {});
+    second.hashes = { 2, 1, 1 };
+    channel.record(first);
+    CHECK_FALSE(channel.hasOnly(first.hashes));
+    channel.acknowledge(1);
+    CHECK(channel.hasOnly(first.hashes));
+    channel.record(second);
+    CHECK_FALSE(channel.hasOnly(first.hashes));
+    CHECK_FALSE(channel.hasOnly(second.hashes));
+    channel.acknowledge(2);
+    CHECK(channel.hasOnly(second.hashes));
+}
+
 TEST_CASE("a member that forgot is told all again")
 {
     PeerChannel channel;
--- a/unittests/PeerProtocol/PeerCodecTest.cpp
+++ b/unittests/PeerProtocol/PeerCodecTest.cpp
@@ -18,9 +18,7 @@
     heartbeat.acknowledged = 1234566;
     heartbeat.draining = true;
     heartbeat.hasMoreServed = true;
-    heartbeat.configDigest = UINT64_MAX;
-    heartbeat.membersDigest = UINT32_MAX;
-    heartbeat.zonesDigest = UINT32_MAX - 1;
+    heartbeat.hashes = StateHashes { UINT64_MAX, UINT32_MAX, UINT32_MAX - 1 };
     for (int i = 0; i < 4; ++i)
         heartbeat.demand.push_back({ absl::StrCat("fitting-assistant-", i), 120 });
     for (int i = 0; i < 8; ++i) {
@@ -86,7 +84,7 @@
     const auto& heartbeat = std::get<Heartbeat>((*messages)[0]);
     CHECK(heartbeat.sender.ref == sampleRef);
     CHECK(heartbeat.sender.operatorAddress == sampleAddress);
-    CHECK(heartbeat.configDigest == UINT64_MAX);
+    CHECK(heartbeat.hashes == sampleHeartbeat().hashes);
     CHECK(heartbeat.freeze->span == 6s);
     CHECK(heartbeat.members[1].host == "2001:db8::7");
     CHECK(heartbeat.digests[0].models[3].predictedWait == 1500ms);
