Ask more gain of a forward to another zone

Cause: at a threshold of 50 ms a short queue sends requests to the other zone of the region, whose caches don't hold their prompts; a question not cached takes about 240 ms of prefill there, which its own prediction counts but which delays others.

--- a/include/catkinwing/Routing/Forwarding.h
+++ b/include/catkinwing/Routing/Forwarding.h
@@ -41,7 +41,7 @@
 /// When a request is worth sending to another cell.
 struct ForwardPolicy {
     /// Gain that a forward to another zone of the region must bring.
-    Duration zoneThreshold { std::chrono::milliseconds(50) };
+    Duration zoneThreshold { std::chrono::milliseconds(150) };
     /// Gain that a forward to another region must bring.
     Duration regionThreshold { std::chrono::milliseconds(400) };
     /// Each threshold grows by this factor of itself when the share sent away
