--- a/bench/PolicyBench/Entry.cpp
+++ b/bench/PolicyBench/Entry.cpp
@@ -51,6 +51,7 @@
 
 Entry::Entry(const EntryParts& parts, std::string name, std::string zone, std::string region, std::uint64_t seed)
     : m_parts(parts)
+    , m_forwarding(parts.policy.forwarding)
     , m_name(std::move(name))
     , m_random(seed)
     , m_cell(std::move(region), std::move(zone))
@@ -58,6 +59,8 @@
     , m_outliers(outlierPolicy(parts.policy))
     , m_admission({}, parts.policy.shares, parts.policy.reservation)
 {
+    auto isOwnZone = [this](const ZonePlan& plan) { return plan.name == this->zone(); };
+    m_forwarding.senders = static_cast<unsigned>(std::find_if(parts.scenario.zones.begin(), parts.scenario.zones.end(), isOwnZone)->entries);
     m_admission.configure(teamPolicies(parts.scenario, parts.policy.ours), now());
 }
 
@@ -73,7 +76,7 @@
     bool hasRoom = !m_parts.policy.ours && m_waiting == 0 && m_cell.freeCredits(benchModel) > 0;
     if (!hasRoom && tryForward(run, prediction))
         return;
-    recordRouted(m_forwardState, m_parts.policy.forwarding, false, now());
+    recordRouted(m_forwardState, m_forwarding, false, now());
     admit(run);
 }
 
--- a/bench/PolicyBench/Entry.h
+++ b/bench/PolicyBench/Entry.h
@@ -178,6 +178,8 @@
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
 
     EntryParts m_parts;
+    /// The scenario's policy with the entries of this zone as senders.
+    ForwardPolicy m_forwarding;
     std::string m_name;
     Random m_random;
     CellView m_cell;
--- a/bench/PolicyBench/EntryForwarding.cpp
+++ b/bench/PolicyBench/EntryForwarding.cpp
@@ -42,7 +42,7 @@
     run->routing.timeLeft = run->deadline - now();
     std::optional<std::size_t> chosen;
     if (m_parts.policy.ours) {
-        ForwardDecision decision = decideForward({ run->routing, zone(), region(), prediction, m_remoteCells, m_parts.policy.forwarding, now() }, m_forwardState, m_random);
+        ForwardDecision decision = decideForward({ run->routing, zone(), region(), prediction, m_remoteCells, m_forwarding, now() }, m_forwardState, m_random);
         if (const Forward* forward = std::get_if<Forward>(&decision))
             chosen = forward->cell;
     } else {
@@ -58,7 +58,7 @@
 {
     bool otherRegion = cell.region != region();
     recordForward(cell, benchModel);
-    recordRouted(m_forwardState, m_parts.policy.forwarding, otherRegion, now());
+    recordRouted(m_forwardState, m_forwarding, otherRegion, now());
     run->phase = RequestRun::Phase::Travelling;
     run->toRegion = run->toRegion || otherRegion;
     run->toZone = run->toZone || !otherRegion;
