--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -8,6 +8,7 @@
 import pathlib
 import signal
 import socket
+import ssl
 import subprocess
 import time
 import urllib.error
@@ -37,12 +38,13 @@
     raise TimeoutError(f"gave up waiting for {what}")
 
 
-def call(address, method, path, body=None, headers=None, timeout=30):
-    """Sends one request; returns (status, headers, body text)."""
+def call(address, method, path, body=None, headers=None, timeout=30, tls=None):
+    """Sends one request, over TLS if there is an ssl context; returns (status, headers, body text)."""
     data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method, headers=headers or {})
+    scheme = "https" if tls else "http"
+    request = urllib.request.Request(f"{scheme}://{address}{path}", data=data, method=method, headers=headers or {})
     try:
-        with urllib.request.urlopen(request, timeout=timeout) as answer:
+        with urllib.request.urlopen(request, timeout=timeout, context=tls) as answer:
             return answer.status, answer.headers, answer.read().decode()
     except urllib.error.HTTPError as answer:
         with answer:
@@ -99,11 +101,18 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.processes = {}
         self.operator_token = OPERATOR_TOKEN
+        # File of the authority that signed the entries' certificates, where
+        # callers and operators use TLS.
+        self.authority = None
+
+    def client_tls(self):
+        """Returns the ssl context towards entries; None for plain text."""
+        return ssl.create_default_context(cafile=self.authority) if self.authority else None
 
     def operator_call(self, name, method, path, body=None, headers=None):
         """Sends one request of an operator to an entry."""
         authorization = {"Authorization": f"Bearer {self.operator_token}"}
-        return call(self.processes[name].operators, method, path, body, {**authorization, **(headers or {})})
+        return call(self.processes[name].operators, method, path, body, {**authorization, **(headers or {})}, tls=self.client_tls())
 
     def execution_log(self, name):
         return self.folder / f"{name}.executions.jsonl"
@@ -158,7 +167,7 @@
             if not process.is_running():
                 raise RuntimeError(f"{process.name} ended: {process.log.read_text()}")
             try:
-                return call(process.operators, "GET", "/healthz", timeout=2)[0] == 200
+                return call(process.operators, "GET", "/healthz", timeout=2, tls=self.client_tls())[0] == 200
             except OSError:
                 return False
 
@@ -174,7 +183,7 @@
         """Waits until entries have a configuration and may be sent callers."""
         for name in names:
             operators = self.processes[name].operators
-            wait_for(lambda: call(operators, "GET", "/readyz")[0] == 200, f"{name} to be ready")
+            wait_for(lambda: call(operators, "GET", "/readyz", tls=self.client_tls())[0] == 200, f"{name} to be ready")
 
     def set_standin_faults(self, name, faults):
         status, _, body = call(self.processes[name].address, "PUT", "/standin/faults", faults)
@@ -197,6 +206,8 @@
         command = [str(BUILD / "bin/catkinwingctl"), *map(str, arguments)]
         for name in entries:
             command += ["--entry", self.processes[name].operators]
+        if self.authority:
+            command += ["--authority", str(self.authority)]
         environment = {**os.environ, "CATKINWING_TOKEN": self.operator_token}
         result = subprocess.run(command, capture_output=True, text=True, env=environment)
         if check and result.returncode != 0:
--- a/test/proofs/deployment.py
+++ b/test/proofs/deployment.py
@@ -26,18 +26,18 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def region_document(region, endpoints):
-    zones = [{"name": zone} for zone, facts in ZONES.items() if facts["region"] == region]
-    others = sorted({facts["region"] for facts in ZONES.values()} - {region})
+def region_document(region, endpoints, all_zones):
+    zones = [{"name": zone} for zone, facts in all_zones.items() if facts["region"] == region]
+    others = sorted({facts["region"] for facts in all_zones.values()} - {region})
     links = [{"to": other, "oneWayLatency": "5ms"} for other in others]
     return {"availabilityZones": zones, "links": links, "endpoints": endpoints}
 
 
-def team_document(name, residency):
+def team_document(name, residency, models):
     document = {
         "share": 1,
         "keys": [{"name": "proofs", "sha256": sha256(KEYS[name])}],
-        "models": [MODEL],
+        "models": models,
         "services": [{"name": SERVICE, "idempotentMethods": ["GET"]}],
         "classes": [
             {"name": "short", "timeout": "8s", "shortRequest": True, "priority": 2, "expectedOutputTokens": STREAM_TOKENS},
@@ -54,11 +54,12 @@
 class Deployment:
     """Stand-ins and entries on free ports, with their configuration applied."""
 
-    def __init__(self, folder, seed=1):
+    def __init__(self, folder, seed=1, zones=None):
         self.fleet = Fleet(folder)
         self.fleet.operator_token = OPERATOR_TOKEN
         self.folder = pathlib.Path(folder)
         self.seed = seed
+        self.zones = zones or ZONES
         self.endpoints = {}
         self.entries = {}
         self.documents = {}
@@ -74,11 +75,19 @@
         self.fleet.wait_ready(self.entries)
         wait_for(self._zones_know_each_other, "the zones to know each other", 60)
 
+    def models_of(self, zone):
+        """Returns the models that the zone's engines hold."""
+        return [MODEL]
+
+    def more_settings(self, name):
+        """Returns settings of an entry beyond the usual ones."""
+        return {}
+
     def stop(self):
         self.fleet.stop_all()
 
     def region_of(self, zone):
-        return ZONES[zone]["region"]
+        return self.zones[zone]["region"]
 
     def entry_addresses(self):
         return {name: self.fleet.processes[name].address for name in self.entries}
@@ -90,7 +99,7 @@
                 yield {**line, "endpoint": name, "region": facts["region"], "kind": facts["kind"]}
 
     def _start_endpoints(self):
-        for zone, facts in ZONES.items():
+        for zone, facts in self.zones.items():
             for kind, count in (("engine", facts["engines"]), ("service", facts["services"])):
                 for number in range(1, count + 1):
                     name = f"{kind}-{zone}-{number}"
@@ -101,7 +110,7 @@
         address = f"127.0.0.1:{free_port()}"
         arguments = ["--seed", self.seed]
         if kind == "engine":
-            arguments += ["--slots", 8, "--models", MODEL, "--decode-tokens-per-second", 200, "--load-lag", "200ms"]
+            arguments += ["--slots", 8, "--models", ",".join(self.models_of(self.endpoints[name]["zone"])), "--decode-tokens-per-second", 200, "--load-lag", "200ms"]
         else:
             arguments += ["--delay", "20ms"]
         self.endpoints[name]["address"] = self.fleet.start_standin(kind, name, address, arguments)
@@ -109,22 +118,24 @@
     def _endpoint_document(self, name, facts):
         document = {"name": name, "availabilityZone": facts["zone"], "address": facts["address"], "kind": facts["kind"], "slots": 8}
         if facts["kind"] == "engine":
-            document |= {"models": [MODEL], "prefillTokensPerSecond": 8000, "decodeTokensPerSecond": 1600,
+            document |= {"models": self.models_of(facts["zone"]), "prefillTokensPerSecond": 8000, "decodeTokensPerSecond": 1600,
                          "capabilities": {"priority": True, "cancel": True, "resume": True, "cacheEvents": True}}
         else:
             document["service"] = SERVICE
         return document
 
     def _write_documents(self):
+        models = sorted({model for zone in self.zones for model in self.models_of(zone)})
         self.documents = {
             "global": {"slowStart": "1s", "drainGrace": "30s"},
-            f"models/{MODEL}": {"versions": ["1"], "sizeMegabytes": 10},
-            "teams/roaming": team_document("roaming", None),
-            "teams/resident": team_document("resident", [RESIDENT_REGION]),
+            "teams/roaming": team_document("roaming", None, models),
+            "teams/resident": team_document("resident", [RESIDENT_REGION], models),
         }
-        for region in {facts["region"] for facts in ZONES.values()}:
+        for model in models:
+            self.documents[f"models/{model}"] = {"versions": ["1"], "sizeMegabytes": 10}
+        for region in {facts["region"] for facts in self.zones.values()}:
             endpoints = [self._endpoint_document(name, facts) for name, facts in self.endpoints.items() if facts["region"] == region]
-            self.documents[f"regions/{region}"] = region_document(region, endpoints)
+            self.documents[f"regions/{region}"] = region_document(region, endpoints, self.zones)
         for path, document in self.documents.items():
             file = self.folder / "config" / f"{path}.json"
             file.parent.mkdir(parents=True, exist_ok=True)
@@ -132,7 +143,7 @@
 
     def _start_entries(self, store, directory):
         listeners = {}
-        for zone, facts in ZONES.items():
+        for zone, facts in self.zones.items():
             for number in range(1, facts["entries"] + 1):
                 name = f"entry-{zone}-{number}"
                 self.entries[name] = {"zone": zone, "region": facts["region"]}
@@ -143,12 +154,13 @@
                 "name": name, "region": facts["region"], "availabilityZone": facts["zone"], "listen": listeners[name],
                 "store": [store], "directory": [directory], "peerSeeds": seeds, "testFaults": True,
                 "operatorTokens": [{"name": "proofs", "sha256": sha256(OPERATOR_TOKEN)}],
+                **self.more_settings(name),
             })
 
     def _zones_know_each_other(self):
         for name, facts in self.entries.items():
             reachable = {zone["zone"] for zone in self.fleet.status(name)["zones"] if zone["reachable"] and zone["entries"]}
-            if reachable | {facts["zone"]} != set(ZONES):
+            if reachable | {facts["zone"]} != set(self.zones):
                 return False
         return True
 
