Let peers speak in their own name alone

A peer with a valid certificate could send control messages and forwards in the name of any entry: the common name of its certificate was read and not used. The new test sent a forward with the certificate of entry-south-a-1 in the name of entry-north-a-2; it got 200 and the endpoint ran it.

Where the peers' address uses TLS, PeerApi now answers 403, outcome not-run, unless Catkinwing-From is the common name of the certificate, and counts peers_with_wrong_name. The name in the stamp is not compared: it is the entry where the request came in, which on the second hop is another one than the sender.

--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -220,7 +220,7 @@
     , keyed(
           store, broker, entries, ledgerOptions(), [this](unsigned shard) { return coordinatorOf(membership, shard); }, nullptr, secret)
     , callers({ broker, keyed, config, entries, random, metrics, loop.clock(), settings.region, settings.availabilityZone, tls.callers ? "https" : "http" })
-    , peers(membership, config, keyed, callers, link, faults)
+    , peers(membership, config, keyed, callers, link, faults, metrics, tls.peers ? PeerProof::CertificateName : PeerProof::None)
     , writer(store, loop, config)
     , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); } })
     , entryList(platformHttp, loop, random, listOptions(settings, entryService), [this](const auto& instances) { learnEntries(instances); })
--- a/lib/Gateway/PeerApi.cpp
+++ b/lib/Gateway/PeerApi.cpp
@@ -3,19 +3,39 @@
 #include "catkinwing/Gateway/AttemptRequest.h"
 #include "catkinwing/PeerProtocol/PeerCodec.h"
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 namespace catkinwing {
 
-PeerApi::PeerApi(Membership& membership, ConfigKeeper& config, KeyedRequests& keyed, CallerApi& callers, PeerLink& link, const LinkFaults& faults)
+PeerApi::PeerApi(Membership& membership, ConfigKeeper& config, KeyedRequests& keyed, CallerApi& callers, PeerLink& link, const LinkFaults& faults, Metrics& metrics, PeerProof proof)
     : m_membership(membership)
     , m_config(config)
     , m_keyed(keyed)
     , m_callers(callers)
     , m_link(link)
     , m_faults(faults)
+    , m_metrics(metrics)
+    , m_proof(proof)
 {
 }
 
+bool PeerApi::speaksInOwnName(const HttpRequest& request) const
+{
+    if (m_proof == PeerProof::None)
+        return true;
+    const std::string* from = request.headers.find(fromHeader);
+    return from && !from->empty() && *from == request.certificateName;
+}
+
+static ApiError wrongNameError()
+{
+    ApiError error;
+    error.status = 403;
+    error.code = "wrong_name";
+    error.message = absl::StrCat("the common name of the certificate is not the name in ", fromHeader);
+    return error;
+}
+
 PeerReply PeerApi::reply(const PeerMessage& message)
 {
     if (const ConfigPush* push = std::get_if<ConfigPush>(&message)) {
@@ -40,6 +60,11 @@
 
 void PeerApi::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
 {
+    if (!speaksInOwnName(request)) {
+        m_metrics.count("peers_with_wrong_name");
+        sendError(*responder, "", wrongNameError());
+        return;
+    }
     const std::string* from = request.headers.find(fromHeader);
     bool isBlocked = from && m_faults.blockFrom.count(*from) > 0;
     if (isBlocked) {
--- a/test/e2e/tls_test.py
+++ b/test/e2e/tls_test.py
@@ -191,6 +191,15 @@
                         self.send_as_peer(path, identity, f"m-{kind}")
             self.assertEqual(self.runs_of(f"m-{kind}"), [])
 
+    def test_peers_speak_in_their_own_name_alone(self):
+        identity = self.authority.issue(SOUTH)
+        for path in (FORWARD_PATH, "/peer/rpc"):
+            for origin in ("entry-north-a-2", ""):
+                status, headers, text = self.send_as_peer(path, identity, "m-name", origin)
+                self.assertEqual((status, headers["Catkinwing-Outcome"]), (403, "not-run"), text)
+                self.assertEqual(json.loads(text)["error"]["code"], "wrong_name")
+        self.assertEqual(self.runs_of("m-name"), [])
+
     def test_callers_that_do_not_trust_the_entry_fail(self):
         for listener in LISTENERS:
             with self.assertRaises(ssl.SSLCertVerificationError):
