Hand on at once what a plain service sends piece by piece

Cause, found by scripts/bench-gateway: the first byte of a 200-piece answer of a service came 57 times later than directly, because every answer up to 256 KB was held until whole. Change: held are an engine's plain answers and answers with a known length; a test that failed first checks the pieces.

--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -49,6 +49,8 @@
         std::optional<HttpResponseHead> head;
         bool isDeliverable { false };
         bool isEventStream { false };
+        /// Kept back until it is whole, while it is not too long.
+        bool isHeld { false };
         /// Body that is not, or not yet, handed on.
         std::string buffered;
         TimePoint startedAt;
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -199,6 +199,8 @@
     attempt.isDeliverable = isDeliverableHead(attempt.target, head);
     const std::string* type = head.headers.find("Content-Type");
     attempt.isEventStream = attempt.isDeliverable && type && absl::StartsWithIgnoreCase(*type, "text/event-stream") && m_request.isModelCall;
+    // What a plain service sends piece by piece is handed on piece by piece.
+    attempt.isHeld = !attempt.isEventStream && (m_request.isModelCall || head.headers.find("Content-Length"));
 }
 
 bool RequestRun::offer(AttemptId id)
@@ -248,7 +250,7 @@
         return;
     }
     attempt.buffered.append(bytes.data(), bytes.size());
-    if (attempt.buffered.size() <= maxHeldAnswer && !m_answer.hasHead())
+    if (attempt.isHeld && attempt.buffered.size() <= maxHeldAnswer && !m_answer.hasHead())
         return;
     if (!offer(id))
         return;
--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -115,6 +115,18 @@
     CHECK(responder->body == "{\"answer\":3}");
 }
 
+TEST_CASE("what a plain service sends piece by piece is handed on piece by piece")
+{
+    BrokerFixture fixture;
+    FakeHttpAnswer pieces = FakeHttpAnswer::ok("first");
+    pieces.isLeftOpen = true;
+    fixture.answers = { pieces };
+    auto responder = fixture.run(BrokerFixture::book());
+    fixture.scheduler.advance(100ms);
+    CHECK(responder->body == "first");
+    CHECK_FALSE(responder->isFinished);
+}
+
 TEST_CASE("residency tightened while a request waits keeps it from running")
 {
     BrokerFixture fixture;
