--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -52,7 +52,8 @@
     SocketAddress listen;
     /// Larger bodies are answered 413; over HTTP/2 their stream is reset.
     std::size_t maxBodyBytes { 8u << 20 };
-    /// Longest wait for a whole request to arrive on a connection.
+    /// Longest wait for a whole request to arrive on a connection, and so also
+    /// the time that an idle connection is kept.
     std::chrono::milliseconds requestTimeout { 10'000 };
     /// Longest time that a caller may take nothing of an answer that has ended;
     /// its connection is closed then.
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -144,9 +144,30 @@
     return static_cast<ServerConnection*>(connection.callbacks->get_socket(&connection)->on_close.data);
 }
 
-static void fillTarget(HttpRequest& request, const h2o_req_t& source)
+namespace {
+
+    /// Where a request goes.
+    struct RequestTarget {
+        h2o_iovec_t authority;
+        h2o_iovec_t path;
+    };
+
+} // namespace
+
+// A target may name scheme and host, which then replace the host field.
+static RequestTarget targetOf(const h2o_req_t& source)
+{
+    h2o_iovec_t path = source.input.path;
+    h2o_url_t url;
+    bool isAbsolute = path.len > 0 && path.base[0] != '/' && h2o_url_parse(path.base, path.len, &url) == 0;
+    if (isAbsolute)
+        return { url.authority, url.path };
+    return { source.input.authority, path };
+}
+
+static void fillTarget(HttpRequest& request, h2o_iovec_t target)
 {
-    std::string path = toString(source.input.path);
+    std::string path = toString(target);
     std::size_t mark = path.find('?');
     request.path = path.substr(0, mark);
     if (mark != std::string::npos)
@@ -154,10 +175,10 @@
 }
 
 // h2o takes host and content-length out of HTTP/1 requests only.
-static void fillHeaders(HttpRequest& request, const h2o_req_t& source)
+static void fillHeaders(HttpRequest& request, const h2o_req_t& source, h2o_iovec_t authority)
 {
-    if (source.input.authority.len > 0)
-        request.headers.add("host", toString(source.input.authority));
+    if (authority.len > 0)
+        request.headers.add("host", toString(authority));
     for (std::size_t i = 0; i < source.headers.size; ++i) {
         const h2o_header_t& field = source.headers.entries[i];
         std::string name = toString(*field.name);
@@ -170,8 +191,9 @@
 {
     HttpRequest request;
     request.method = toString(source.input.method);
-    fillTarget(request, source);
-    fillHeaders(request, source);
+    RequestTarget target = targetOf(source);
+    fillTarget(request, target.path);
+    fillHeaders(request, source, target.authority);
     request.body = toString(source.entity);
     request.caller = connection.caller;
     request.certificateName = connection.peer.certificateName;
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -297,3 +297,21 @@
     auto caller = held.call("POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     CHECK(held.requests[0].body == "abcde");
 }
+
+TEST_CASE("a target in absolute form arrives as its path, with its host")
+{
+    HeldServer held;
+    auto caller = held.call("GET http://b:81/abs?q HTTP/1.1\r\nhost: a\r\n\r\n");
+    CHECK(held.requests[0].path == "/abs");
+    CHECK(held.requests[0].query == "q");
+    REQUIRE(held.requests[0].headers.find("host"));
+    CHECK(*held.requests[0].headers.find("host") == "b:81");
+}
+
+TEST_CASE("the path arrives as sent, also with dots and escapes")
+{
+    HeldServer held;
+    auto caller = held.call("GET /a/../b/%2e%2E/c%2f?x=../y HTTP/1.1\r\nhost: a\r\n\r\n");
+    CHECK(held.requests[0].path == "/a/../b/%2e%2E/c%2f");
+    CHECK(held.requests[0].query == "x=../y");
+}
