--- a/include/catkinwing/PeerProtocol/PeerCodec.h
+++ b/include/catkinwing/PeerProtocol/PeerCodec.h
@@ -13,11 +13,13 @@
 constexpr std::size_t configChunkBytes = std::size_t { 256 } << 10;
 
 /// Byte budgets of whole batches, JSON-RPC envelope included and HTTP left out.
-/// A heartbeat in the steady state with 4 groups, 8 teams and 8 endpoints, all with
-/// names of 18 bytes; half of it goes into these names.
-constexpr std::size_t heartbeatBytes = 800;
+/// A heartbeat in the steady state with 4 groups, 4 teams and 4 endpoints, all with
+/// names of 18 bytes, which make up half of it.
+constexpr std::size_t heartbeatBytes = 500;
 /// A zone digest with 4 models and 4 teams, without entries.
 constexpr std::size_t zoneDigestBytes = 460;
+/// What a digest with 4 models of another region adds to a heartbeat.
+constexpr std::size_t relayedDigestBytes = 200;
 /// What each entry adds to a zone digest.
 constexpr std::size_t zoneEntryBytes = 100;
 /// What one leaving endpoint or entry takes.
--- a/unittests/PeerProtocol/PeerCodecTest.cpp
+++ b/unittests/PeerProtocol/PeerCodecTest.cpp
@@ -21,7 +21,7 @@
     heartbeat.hashes = StateHashes { UINT64_MAX, UINT32_MAX, UINT32_MAX - 1 };
     for (int i = 0; i < 4; ++i)
         heartbeat.demand.push_back({ absl::StrCat("fitting-assistant-", i), 120 });
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < 4; ++i) {
         heartbeat.load.push_back({ absl::StrCat("fitting-a-replica-", 100 + i), 12 });
         heartbeat.served.push_back({ absl::StrCat("team-workspace-", 100 + i), 123456789 });
     }
@@ -185,11 +185,22 @@
 {
     Heartbeat steady = sampleHeartbeat();
     steady.sender.zone.clear();
+    steady.hashes.reset();
+    steady.draining = false;
     CHECK(encodeBatch({ steady }).size() <= heartbeatBytes);
     CHECK(encodeReplies({ steady }).size() <= heartbeatBytes);
     ZoneDigest digest = sampleDigest();
     std::size_t bare = encodeBatch({ digest }).size();
     CHECK(bare <= zoneDigestBytes);
+    ZoneDigest relayed = digest;
+    relayed.region.clear();
+    relayed.served.clear();
+    relayed.hasMoreServed = false;
+    relayed.knownRoster = relayed.zonesDigest = 0;
+    relayed.configDigest = 0;
+    std::size_t without = encodeBatch({ steady }).size();
+    steady.digests = { relayed };
+    CHECK(encodeBatch({ steady }).size() - without <= relayedDigestBytes);
     digest.entries.emplace(9, ZoneEntry { sampleRef, sampleAddress, sampleAddress, false });
     CHECK(encodeBatch({ digest }).size() - bare <= 9 * zoneEntryBytes + 10);
     CHECK(encodeBatch({ EndpointLeaving { "fitting-a-replica-100", "i-0123456789abcdef" } }).size() <= leavingBytes);
