--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -321,6 +321,7 @@
 
 void Daemon::Impl::everyBrokerTick()
 {
+    membership.checkFrozen();
     broker.tick();
     loop.callAfter(brokerTick, [this] { everyBrokerTick(); });
 }
