--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -8,6 +8,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#if defined(__has_feature)
+#if __has_feature(address_sanitizer)
+#define __SANITIZE_ADDRESS__ 1
+#endif
+#endif
+
 #ifdef __SANITIZE_ADDRESS__
 // h2o 2.2.5 forgets to free a context's message queue: 88 bytes for each server.
 extern "C" const char* __lsan_default_suppressions();
