--- a/bench/PolicyBench/Plots.cpp
+++ b/bench/PolicyBench/Plots.cpp
@@ -13,6 +13,8 @@
 static constexpr double right = 150;
 static constexpr double top = 30;
 static constexpr double bottom = 45;
+/// The end of a linear axis is a multiple of this.
+static constexpr double linearStep = 20;
 static constexpr std::array<const char*, 4> colours { "#1b6ca8", "#c0392b", "#7f8c8d", "#27ae60" };
 
 namespace {
@@ -62,7 +64,7 @@
     }
     high = std::max(high, 1e-9);
     axis.low = axis.logarithmic ? std::pow(10, std::floor(std::log10(std::min(low, high)))) : 0;
-    axis.high = axis.logarithmic ? std::pow(10, std::ceil(std::log10(high))) : high;
+    axis.high = axis.logarithmic ? std::pow(10, std::ceil(std::log10(high))) : std::ceil(high / linearStep) * linearStep;
     axis.high = std::max(axis.high, axis.low * 10);
     axis.from = isX ? left : height - bottom;
     axis.to = isX ? width - right : top;
@@ -104,7 +106,7 @@
     std::string path;
     for (const auto& [px, py] : line.points)
         path += (path.empty() ? "M" : "L") + number(x.place(px)) + " " + number(y.place(py));
-    std::string svg = "<path d=\"" + path + "\" fill=\"none\" stroke=\"" + colour + "\" stroke-width=\"" + (index == 0 ? "2.5" : "1.2") + "\"/>\n";
+    std::string svg = "<path d=\"" + path + "\" fill=\"none\" stroke=\"" + colour + "\" stroke-width=\"" + (index == 0 ? "2.5" : "1.2") + "\" stroke-linejoin=\"round\"/>\n";
     double at = top + 18 * static_cast<double>(index + 1);
     svg += "<path d=\"M" + number(width - right + 10) + " " + number(at - 4) + "h18\" stroke=\"" + colour + "\" stroke-width=\"3\"/>\n";
     return svg + textAt(width - right + 33, at, "start", line.name);
