Refuse a peer certificate of another name at start and on reload

Since peers speak in their own name alone, an entry with another entry's certificate would be refused by all peers and only their counters would tell.

The daemon now compares the common name of the peers' certificate with its name when it reads the files: it doesn't start, or keeps the old keys and logs keys_not_reloaded. TlsContext tells the name of its own certificate for that.

--- a/include/catkinwing/Http/TlsContext.h
+++ b/include/catkinwing/Http/TlsContext.h
@@ -31,6 +31,8 @@
     ~TlsContext();
     TlsContext(const TlsContext&) = delete;
     TlsContext& operator=(const TlsContext&) = delete;
+    /// Returns the common name of the own certificate; empty without one.
+    std::string commonName() const;
     ssl_ctx_st* native() const { return m_context; }
 
 private:
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -48,8 +48,18 @@
     return TlsContext::forServer(toFiles(*settings));
 }
 
-static absl::StatusOr<TlsContexts> loadTls(const ListenerTls& settings)
+// Its peers would refuse all that an entry with another's certificate sends.
+static absl::Status checkPeerName(const TlsContext& context, const DaemonSettings& settings)
 {
+    std::string name = context.commonName();
+    if (name == settings.name)
+        return absl::OkStatus();
+    return absl::InvalidArgumentError(absl::StrCat("certificate file '", settings.tls.peers->certificateFile, "': common name '", name, "' is not the entry's name '", settings.name, "'"));
+}
+
+static absl::StatusOr<TlsContexts> loadTls(const DaemonSettings& daemonSettings)
+{
+    const ListenerTls& settings = daemonSettings.tls;
     TlsContexts contexts;
     for (auto [from, to] : { std::make_pair(&settings.callers, &contexts.callers), std::make_pair(&settings.peers, &contexts.peers), std::make_pair(&settings.operators, &contexts.operators) }) {
         absl::StatusOr<std::shared_ptr<TlsContext>> context = serverContext(*from);
@@ -62,6 +72,9 @@
         if (!client.ok())
             return client.status();
         contexts.peerClient = *std::move(client);
+        absl::Status named = checkPeerName(*contexts.peerClient, daemonSettings);
+        if (!named.ok())
+            return named;
     }
     return contexts;
 }
@@ -471,7 +484,7 @@
 
 void Daemon::Impl::reloadKeys()
 {
-    absl::StatusOr<TlsContexts> contexts = loadTls(settings.tls);
+    absl::StatusOr<TlsContexts> contexts = loadTls(settings);
     if (!contexts.ok()) {
         logChange(LogLevel::Error, "keys_not_reloaded", { { "reason", std::string(contexts.status().message()) } });
         return;
@@ -486,7 +499,7 @@
 
 absl::StatusOr<std::unique_ptr<Daemon>> Daemon::start(EventLoop& loop, const DaemonSettings& settings, Random random)
 {
-    absl::StatusOr<TlsContexts> tls = loadTls(settings.tls);
+    absl::StatusOr<TlsContexts> tls = loadTls(settings);
     if (!tls.ok())
         return tls.status();
     absl::StatusOr<IssuedKeys::Secret> secret = IssuedKeys::makeSecret();
--- a/lib/Http/TlsContext.cpp
+++ b/lib/Http/TlsContext.cpp
@@ -37,7 +37,7 @@
     return static_cast<SSL*>(X509_STORE_CTX_get_ex_data(verification, SSL_get_ex_data_X509_STORE_CTX_idx()));
 }
 
-static std::string commonNameOf(X509* certificate)
+static std::string commonNameOf(const X509* certificate)
 {
     X509_NAME* subject = X509_get_subject_name(certificate);
     int position = X509_NAME_get_index_by_NID(subject, NID_commonName, -1);
@@ -172,6 +172,12 @@
     return result;
 }
 
+std::string TlsContext::commonName() const
+{
+    X509* certificate = SSL_CTX_get0_certificate(m_context);
+    return certificate ? commonNameOf(certificate) : std::string();
+}
+
 TlsContext::~TlsContext()
 {
     SSL_CTX_free(m_context);
--- a/test/e2e/tls_test.py
+++ b/test/e2e/tls_test.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "proofs"))
 from certificates import Authority  # noqa: E402
 from deployment import KEYS, MODEL, OPERATOR_TOKEN, Deployment, sha256  # noqa: E402
-from fleet import call, wait_for  # noqa: E402
+from fleet import call, free_port, wait_for  # noqa: E402
 
 ZONES = {
     "north-a": {"region": "north", "entries": 2, "engines": 1, "services": 0},
@@ -52,10 +52,14 @@
     def file_of(self, name, suffix):
         return self.folder / f"{name}.{suffix}"
 
-    def install(self, name, identity):
+    def install_files(self, name, identity):
         """Puts an identity where the entry's settings name it."""
         shutil.copy(identity.certificate, self.file_of(name, "pem"))
         shutil.copy(identity.key, self.file_of(name, "key"))
+
+    def install(self, name, identity):
+        """Makes an identity the entry's own."""
+        self.install_files(name, identity)
         self.identities[name] = identity
 
 
@@ -274,6 +278,7 @@
             "a key in the certificate's place": lambda: shutil.copy(other.key, certificate),
             "half a certificate": lambda: certificate.write_text(other.certificate.read_text()[:200]),
             "no file": certificate.unlink,
+            "a certificate of another entry": lambda: self.deployment.install_files(name, self.authority.issue(NORTH)),
         }
         for what, damage in breaks.items():
             with self.subTest(what=what):
@@ -286,6 +291,17 @@
                 self.deployment.install(name, present)
         self.reload(name, "keys_reloaded")
 
+    def test_an_entry_does_not_start_with_the_certificate_of_another(self):
+        settings = json.loads((self.deployment.folder / f"{NORTH}.json").read_text())
+        settings["name"] = "entry-north-a-9"
+        settings["listen"] = {listener: f"127.0.0.1:{free_port()}" for listener in LISTENERS}
+        file = self.deployment.folder / "entry-north-a-9.json"
+        file.write_text(json.dumps(settings))
+        result = subprocess.run([self.fleet_program("catkinwingd"), "--config", str(file)], capture_output=True, text=True, timeout=20)
+        self.assertEqual(result.returncode, 1, result.stderr)
+        for part in ("pem", NORTH, "entry-north-a-9"):
+            self.assertIn(part, result.stderr)
+
     # Secrets
 
     def secrets(self):
--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -216,6 +216,15 @@
     CHECK(open->result.end == HttpEnd::Complete);
 }
 
+TEST_CASE("a context tells the name of its own certificate")
+{
+    TlsWorld world;
+    TlsFiles files = world.authority.issueServer("entry-1");
+    CHECK(serverContext(files)->commonName() == "entry-1");
+    CHECK(clientContext(files)->commonName() == "entry-1");
+    CHECK(clientContext(trustOnly(world.authority))->commonName().empty());
+}
+
 TEST_CASE("files that can't be used are refused as values")
 {
     TlsWorld world;
