--- a/test/e2e/tls_test.py
+++ b/test/e2e/tls_test.py
@@ -47,7 +47,9 @@
     def more_settings(self, name):
         self.install(name, self.authority.issue(name))
         files = {"certificateFile": str(self.file_of(name, "pem")), "keyFile": str(self.file_of(name, "key"))}
-        return {"tls": {"callers": files, "operators": files, "peers": {**files, "authorityFile": str(self.authority.file)}}}
+        authorities = self.file_of(name, "authorities")
+        shutil.copy(self.authority.file, authorities)
+        return {"tls": {"callers": files, "operators": files, "peers": {**files, "authorityFile": str(authorities)}}}
 
     def file_of(self, name, suffix):
         return self.folder / f"{name}.{suffix}"
@@ -175,11 +177,11 @@
                 connection.getresponse()
         self.assertEqual(self.runs_of("m-plain"), [])
 
-    def send_as_peer(self, path, identity, marker, origin=SOUTH):
+    def send_as_peer(self, path, identity, marker, origin=SOUTH, to=NORTH):
         """Sends what an entry in the south would send to one in the north."""
         headers = {"Catkinwing-From": origin, **stamp(origin)}
         context = self.authority.client_tls(identity)
-        return call(self.address(NORTH, "peers"), "POST", path, chat(marker), headers, tls=context)
+        return call(self.address(to, "peers"), "POST", path, chat(marker), headers, tls=context)
 
     def test_peers_need_a_certificate_of_the_authority(self):
         self.assertEqual(self.send_as_peer(FORWARD_PATH, self.authority.issue(SOUTH), "m-peer")[0], 200)
@@ -291,6 +293,20 @@
                 self.deployment.install(name, present)
         self.reload(name, "keys_reloaded")
 
+    def test_an_authority_is_added_and_taken_away(self):
+        name = "entry-north-a-2"
+        authorities = self.deployment.file_of(name, "authorities")
+        newcomer = self.stranger.issue(SOUTH)
+        authorities.write_text(self.authority.file.read_text() + self.stranger.file.read_text())
+        self.reload(name, "keys_reloaded")
+        for number, identity in enumerate((newcomer, self.authority.issue(SOUTH))):
+            self.assertEqual(self.send_as_peer(FORWARD_PATH, identity, f"m-added-{number}", to=name)[0], 200)
+        shutil.copy(self.authority.file, authorities)
+        self.reload(name, "keys_reloaded")
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            self.send_as_peer(FORWARD_PATH, newcomer, "m-taken-away", to=name)
+        self.assertEqual(self.runs_of("m-taken-away"), [])
+
     def test_an_entry_does_not_start_with_the_certificate_of_another(self):
         settings = json.loads((self.deployment.folder / f"{NORTH}.json").read_text())
         settings["name"] = "entry-north-a-9"
