Tell each kind of refused peer apart in the test of TLS

A check outside the sub-tests ended the loop at the first kind that failed, so that a trial in which nothing of a chain was verified said nothing of expired certificates. The checks are the same, each within its sub-test.

--- a/test/e2e/tls_test.py
+++ b/test/e2e/tls_test.py
@@ -195,7 +195,8 @@
                 with self.subTest(kind=kind, path=path):
                     with self.assertRaises((OSError, http.client.HTTPException)):
                         self.send_as_peer(path, identity, f"m-{kind}")
-            self.assertEqual(self.runs_of(f"m-{kind}"), [])
+            with self.subTest(kind=kind):
+                self.assertEqual(self.runs_of(f"m-{kind}"), [])
 
     def test_peers_speak_in_their_own_name_alone(self):
         identity = self.authority.issue(SOUTH)
