--- a/test/e2e/tls_test.py
+++ b/test/e2e/tls_test.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "proofs"))
 from certificates import Authority  # noqa: E402
 from deployment import KEYS, MODEL, OPERATOR_TOKEN, Deployment, sha256  # noqa: E402
-from fleet import call, wait_for  # noqa: E402
+from fleet import call, free_port, wait_for  # noqa: E402
 
 ZONES = {
     "north-a": {"region": "north", "entries": 2, "engines": 1, "services": 0},
@@ -47,15 +47,21 @@
     def more_settings(self, name):
         self.install(name, self.authority.issue(name))
         files = {"certificateFile": str(self.file_of(name, "pem")), "keyFile": str(self.file_of(name, "key"))}
-        return {"tls": {"callers": files, "operators": files, "peers": {**files, "authorityFile": str(self.authority.file)}}}
+        authorities = self.file_of(name, "authorities")
+        shutil.copy(self.authority.file, authorities)
+        return {"tls": {"callers": files, "operators": files, "peers": {**files, "authorityFile": str(authorities)}}}
 
     def file_of(self, name, suffix):
         return self.folder / f"{name}.{suffix}"
 
-    def install(self, name, identity):
+    def install_files(self, name, identity):
         """Puts an identity where the entry's settings name it."""
         shutil.copy(identity.certificate, self.file_of(name, "pem"))
         shutil.copy(identity.key, self.file_of(name, "key"))
+
+    def install(self, name, identity):
+        """Makes an identity the entry's own."""
+        self.install_files(name, identity)
         self.identities[name] = identity
 
 
@@ -171,11 +177,11 @@
                 connection.getresponse()
         self.assertEqual(self.runs_of("m-plain"), [])
 
-    def send_as_peer(self, path, identity, marker, origin=SOUTH):
+    def send_as_peer(self, path, identity, marker, origin=SOUTH, to=NORTH):
         """Sends what an entry in the south would send to one in the north."""
         headers = {"Catkinwing-From": origin, **stamp(origin)}
         context = self.authority.client_tls(identity)
-        return call(self.address(NORTH, "peers"), "POST", path, chat(marker), headers, tls=context)
+        return call(self.address(to, "peers"), "POST", path, chat(marker), headers, tls=context)
 
     def test_peers_need_a_certificate_of_the_authority(self):
         self.assertEqual(self.send_as_peer(FORWARD_PATH, self.authority.issue(SOUTH), "m-peer")[0], 200)
@@ -189,7 +195,8 @@
                 with self.subTest(kind=kind, path=path):
                     with self.assertRaises((OSError, http.client.HTTPException)):
                         self.send_as_peer(path, identity, f"m-{kind}")
-            self.assertEqual(self.runs_of(f"m-{kind}"), [])
+            with self.subTest(kind=kind):
+                self.assertEqual(self.runs_of(f"m-{kind}"), [])
 
     def test_peers_speak_in_their_own_name_alone(self):
         identity = self.authority.issue(SOUTH)
@@ -274,6 +281,7 @@
             "a key in the certificate's place": lambda: shutil.copy(other.key, certificate),
             "half a certificate": lambda: certificate.write_text(other.certificate.read_text()[:200]),
             "no file": certificate.unlink,
+            "a certificate of another entry": lambda: self.deployment.install_files(name, self.authority.issue(NORTH)),
         }
         for what, damage in breaks.items():
             with self.subTest(what=what):
@@ -286,6 +294,31 @@
                 self.deployment.install(name, present)
         self.reload(name, "keys_reloaded")
 
+    def test_an_authority_is_added_and_taken_away(self):
+        name = "entry-north-a-2"
+        authorities = self.deployment.file_of(name, "authorities")
+        newcomer = self.stranger.issue(SOUTH)
+        authorities.write_text(self.authority.file.read_text() + self.stranger.file.read_text())
+        self.reload(name, "keys_reloaded")
+        for number, identity in enumerate((newcomer, self.authority.issue(SOUTH))):
+            self.assertEqual(self.send_as_peer(FORWARD_PATH, identity, f"m-added-{number}", to=name)[0], 200)
+        shutil.copy(self.authority.file, authorities)
+        self.reload(name, "keys_reloaded")
+        with self.assertRaises((OSError, http.client.HTTPException)):
+            self.send_as_peer(FORWARD_PATH, newcomer, "m-taken-away", to=name)
+        self.assertEqual(self.runs_of("m-taken-away"), [])
+
+    def test_an_entry_does_not_start_with_the_certificate_of_another(self):
+        settings = json.loads((self.deployment.folder / f"{NORTH}.json").read_text())
+        settings["name"] = "entry-north-a-9"
+        settings["listen"] = {listener: f"127.0.0.1:{free_port()}" for listener in LISTENERS}
+        file = self.deployment.folder / "entry-north-a-9.json"
+        file.write_text(json.dumps(settings))
+        result = subprocess.run([self.fleet_program("catkinwingd"), "--config", str(file)], capture_output=True, text=True, timeout=20)
+        self.assertEqual(result.returncode, 1, result.stderr)
+        for part in ("pem", NORTH, "entry-north-a-9"):
+            self.assertIn(part, result.stderr)
+
     # Secrets
 
     def secrets(self):
