Make the claim messages fit the ledger's claims

The messages for claims carried text ids, a generation and outcomes that the ledger doesn't have, so nothing could use them. A claim now carries the digest of its key, the fingerprint and the id (entry, incarnation, serial); an answer the verdict, the holder's id, whether the key was used for another request, and when to come back. Both name the claim's serial, so that an answer can't be taken for another claim's. An answer that says more or less than its outcome calls for is refused.

The shard number is gone, since the receiver computes it from the key. The three junk cases of that 32-bit field (negative, fractional, too large) are replaced by the same three on a zone digest's 32-bit field and on the claim's 64-bit serial, with more cases for the claim.

The budget of a claim falls from 200 to 110 bytes, since digests take 11 characters where the hashes took 40; it now holds for the answer as well.

--- a/include/catkinwing/PeerProtocol/PeerCodec.h
+++ b/include/catkinwing/PeerProtocol/PeerCodec.h
@@ -22,8 +22,9 @@
 constexpr std::size_t zoneEntryBytes = 100;
 /// What one leaving endpoint or entry takes.
 constexpr std::size_t leavingBytes = 160;
-/// What one claim takes, and one verdict, with 40-byte key hashes and ids.
-constexpr std::size_t claimBytes = 200;
+/// What one claim takes, and one answer, with names of 19 bytes and the longest
+/// serials.
+constexpr std::size_t claimBytes = 110;
 
 /// Encodes \p messages as one JSON-RPC 2.0 batch.
 std::string encodeBatch(const std::vector<PeerMessage>& messages);
--- a/include/catkinwing/PeerProtocol/PeerMessages.h
+++ b/include/catkinwing/PeerProtocol/PeerMessages.h
@@ -176,47 +176,60 @@
     bool isGone { false };
 };
 
-/// A wish to run the request of one idempotency key.
+/// Names one claim of one run of an entry, and no other.
+struct ClaimRef {
+    /// The claimant, which alone may run the request.
+    std::string entry;
+    /// Random bits of the claimant's incarnation.
+    std::uint64_t incarnation { 0 };
+    /// Counts the claims of that incarnation.
+    std::uint64_t serial { 0 };
+
+    friend bool operator==(const ClaimRef& a, const ClaimRef& b) { return a.serial == b.serial && a.incarnation == b.incarnation && a.entry == b.entry; }
+};
+
+/// A wish to run the request of one idempotency key. Says nothing of the key,
+/// the team and the request but their digests.
 struct Claim {
-    /// Hash of team and key, in the ledger's own form.
-    std::string keyHash;
-    /// Names this claim and no other.
-    std::string claimId;
-    /// The entry that wants to run the request.
-    EntryRef claimant;
-    /// Generation of the ledger's shard that the claim is for.
-    std::uint64_t generation { 0 };
+    /// Digest of team and key.
+    std::uint64_t keyHigh { 0 };
+    std::uint64_t keyLow { 0 };
+    /// Digest of the request.
+    std::uint64_t fingerprint { 0 };
+    ClaimRef id;
 };
 
-/// Claims for one shard of the ledger, sent to its coordinator; answered by ClaimReply.
+/// Claims sent to the coordinator of their shards; answered by ClaimReply.
 struct ClaimBatch {
-    std::uint32_t shard { 0 };
     std::vector<Claim> claims;
 };
 
-/// What became of a claim.
+/// What the ledger says about a claim.
 enum class ClaimOutcome {
-    /// Committed: the claimant alone may run the request.
+    /// Recorded: the claimant alone may run the request.
     Won,
-    /// Another claim holds the key.
-    Held,
-    /// Certainly not written, and the request must not run.
-    NotWritten,
-    /// The write's answer is lost; read the shard before anything else.
-    Unknown,
+    /// The key is held by another claim.
+    AlreadyClaimed,
+    /// Nothing definite; the claim may be recorded all the same.
+    NotAvailable,
 };
 
 /// Answer to one claim.
 struct ClaimAnswer {
-    std::string claimId;
-    ClaimOutcome outcome { ClaimOutcome::Unknown };
-    /// The claim that holds the key, if the outcome is Held.
-    std::optional<Claim> holder;
+    /// Serial of the claim that is answered.
+    std::uint64_t serial { 0 };
+    ClaimOutcome outcome { ClaimOutcome::NotAvailable };
+    /// The claim that holds the key; left out if the outcome is NotAvailable.
+    std::optional<ClaimRef> holder;
+    /// With AlreadyClaimed: the key was used for another request.
+    bool isOtherRequest { false };
+    /// With NotAvailable: when to come back.
+    Duration retryAfter {};
 };
 
 /// Answers to a ClaimBatch, one for each claim in its order.
 struct ClaimReply {
-    std::vector<ClaimAnswer> verdicts;
+    std::vector<ClaimAnswer> answers;
 };
 
 /// Asks a claimant what became of its run; answered by RunningAnswer.
--- a/lib/PeerProtocol/ClaimJson.cpp
+++ b/lib/PeerProtocol/ClaimJson.cpp
@@ -2,7 +2,7 @@
 
 namespace catkinwing {
 
-constexpr std::uint32_t claimOutcomes = 4;
+constexpr std::uint32_t claimOutcomes = 3;
 constexpr std::uint32_t runStates = 3;
 constexpr std::uint32_t peerErrorCodes = 6;
 
@@ -31,46 +31,71 @@
     return enumFromJson(json, peerErrorCodes, out);
 }
 
+static Json::Value toJson(const ClaimRef& ref)
+{
+    Json::Value json(Json::arrayValue);
+    json.append(ref.entry);
+    json.append(bitsToJson(ref.incarnation));
+    json.append(Json::Value(static_cast<Json::UInt64>(ref.serial)));
+    return json;
+}
+
+static bool fromJson(const Json::Value& json, ClaimRef& out)
+{
+    constexpr Json::ArrayIndex fields = 3;
+    return json.isArray() && json.size() == fields && fromJson(json[0], out.entry) && bitsFromJson(json[1], out.incarnation)
+        && fromJson(json[2], out.serial);
+}
+
 static Json::Value toJson(const Claim& claim)
 {
     Json::Value json(Json::arrayValue);
-    json.append(claim.keyHash);
-    json.append(claim.claimId);
-    json.append(toJson(claim.claimant));
-    json.append(Json::Value(static_cast<Json::UInt64>(claim.generation)));
+    json.append(bitsToJson(claim.keyHigh));
+    json.append(bitsToJson(claim.keyLow));
+    json.append(bitsToJson(claim.fingerprint));
+    json.append(toJson(claim.id));
     return json;
 }
 
 static bool fromJson(const Json::Value& json, Claim& out)
 {
     constexpr Json::ArrayIndex fields = 4;
-    return json.isArray() && json.size() == fields && fromJson(json[0], out.keyHash) && fromJson(json[1], out.claimId)
-        && fromJson(json[2], out.claimant) && fromJson(json[3], out.generation);
+    return json.isArray() && json.size() == fields && bitsFromJson(json[0], out.keyHigh) && bitsFromJson(json[1], out.keyLow)
+        && bitsFromJson(json[2], out.fingerprint) && fromJson(json[3], out.id);
 }
 
-static Json::Value toJson(const ClaimAnswer& verdict)
+static Json::Value toJson(const ClaimAnswer& answer)
 {
     Json::Value json(Json::objectValue);
-    json["c"] = verdict.claimId;
-    json["o"] = static_cast<std::uint32_t>(verdict.outcome);
-    if (verdict.holder)
-        json["h"] = toJson(*verdict.holder);
+    json["c"] = Json::Value(static_cast<Json::UInt64>(answer.serial));
+    json["o"] = static_cast<std::uint32_t>(answer.outcome);
+    if (answer.holder)
+        json["h"] = toJson(*answer.holder);
+    if (answer.isOtherRequest)
+        json["x"] = true;
+    if (answer.retryAfter != Duration::zero())
+        json["r"] = toJson(answer.retryAfter);
     return json;
 }
 
+// An answer that says more or less than its outcome calls for is refused.
 static bool fromJson(const Json::Value& json, ClaimAnswer& out)
 {
     FieldReader reader(json);
-    reader.require("c", out.claimId);
+    reader.require("c", out.serial);
     reader.require("o", out.outcome);
     reader.accept("h", out.holder);
-    return reader.finish() && out.holder.has_value() == (out.outcome == ClaimOutcome::Held);
+    reader.accept("x", out.isOtherRequest);
+    reader.accept("r", out.retryAfter);
+    bool isDefinite = out.outcome != ClaimOutcome::NotAvailable;
+    bool saysOther = out.isOtherRequest && out.outcome != ClaimOutcome::AlreadyClaimed;
+    bool saysRetry = out.retryAfter != Duration::zero() && isDefinite;
+    return reader.finish() && out.holder.has_value() == isDefinite && !saysOther && !saysRetry;
 }
 
 Json::Value toJson(const ClaimBatch& batch)
 {
     Json::Value json(Json::objectValue);
-    json["s"] = batch.shard;
     json["c"] = arrayToJson(batch.claims);
     return json;
 }
@@ -78,7 +103,6 @@
 bool fromJson(const Json::Value& json, ClaimBatch& out)
 {
     FieldReader reader(json);
-    reader.require("s", out.shard);
     reader.require("c", out.claims);
     return reader.finish();
 }
@@ -86,14 +110,14 @@
 Json::Value toJson(const ClaimReply& reply)
 {
     Json::Value json(Json::objectValue);
-    json["v"] = arrayToJson(reply.verdicts);
+    json["v"] = arrayToJson(reply.answers);
     return json;
 }
 
 bool fromJson(const Json::Value& json, ClaimReply& out)
 {
     FieldReader reader(json);
-    reader.require("v", out.verdicts);
+    reader.require("v", out.answers);
     return reader.finish();
 }
 
--- a/unittests/PeerProtocol/PeerCodecTest.cpp
+++ b/unittests/PeerProtocol/PeerCodecTest.cpp
@@ -10,6 +10,9 @@
 static const EntryRef sampleRef { "antioquia-a-entry-7", { 1700000000123, 0xfedcba9876543210 } };
 static const SocketAddress sampleAddress { "10.120.130.140", 17001 };
 
+static const ClaimRef sampleClaimRef { sampleRef.name, sampleRef.incarnation.random, UINT64_MAX };
+static const Claim sampleClaim { UINT64_MAX, UINT64_MAX - 1, 0x0123456789abcdef, sampleClaimRef };
+
 static Heartbeat sampleHeartbeat()
 {
     Heartbeat heartbeat;
@@ -62,15 +65,14 @@
     digest.entries = { { sampleRef, sampleAddress, sampleAddress, true }, { sampleRef, sampleAddress, sampleAddress, false } };
     ConfigPush push { { { "teams/renewals", 12, "{\"a\":\"\\u0000\"}" }, { "teams/gone", 13, std::nullopt } } };
     ConfigPull pull { { { "teams/renewals", INT64_MAX } } };
-    Claim claim { std::string(40, 'a'), std::string(40, 'b'), sampleRef, UINT64_MAX };
     return { heartbeat, digest, push, pull, EndpointLeaving { "fitting-a-replica-1", "i-0a" }, EntryLeaving { sampleRef, true },
-        ClaimBatch { 7, { claim } }, RunningAnswerQuery { "c1" } };
+        ClaimBatch { { sampleClaim } }, RunningAnswerQuery { "c1" } };
 }
 
 static std::vector<PeerReply> sampleReplies()
 {
-    Claim claim { std::string(40, 'a'), std::string(40, 'b'), sampleRef, 3 };
-    ClaimReply claims { { { "c1", ClaimOutcome::Won, std::nullopt }, { "c2", ClaimOutcome::Held, claim } } };
+    ClaimReply claims { { { 1, ClaimOutcome::Won, sampleClaimRef, false, {} }, { UINT64_MAX, ClaimOutcome::AlreadyClaimed, sampleClaimRef, true, {} },
+        { 3, ClaimOutcome::NotAvailable, std::nullopt, false, 250ms } } };
     ConfigNewer newer { { { "teams/gone", 13, std::nullopt } }, true };
     return { sampleHeartbeat(), sampleDigest(), newer, claims, RunningAnswer { RunState::Finished }, Acknowledgement {},
         PeerError { PeerErrorCode::OldIncarnation, "a later run is live", sampleRef.incarnation } };
@@ -94,7 +96,11 @@
     const auto& push = std::get<ConfigPush>((*messages)[2]);
     CHECK(push.entries[0].text == "{\"a\":\"\\u0000\"}");
     CHECK_FALSE(push.entries[1].text.has_value());
-    CHECK(std::get<ClaimBatch>((*messages)[6]).claims[0].generation == UINT64_MAX);
+    const Claim& claim = std::get<ClaimBatch>((*messages)[6]).claims.at(0);
+    CHECK(claim.keyHigh == UINT64_MAX);
+    CHECK(claim.keyLow == UINT64_MAX - 1);
+    CHECK(claim.fingerprint == sampleClaim.fingerprint);
+    CHECK(claim.id == sampleClaimRef);
 }
 
 TEST_CASE("each reply comes back from the codec as it was")
@@ -105,7 +111,14 @@
     REQUIRE(replies.ok());
     CHECK(encodeReplies(*replies) == bytes);
     const auto& claims = std::get<ClaimReply>((*replies)[3]);
-    CHECK(claims.verdicts[1].holder->claimant == sampleRef);
+    REQUIRE(claims.answers.size() == 3);
+    CHECK(claims.answers[0].outcome == ClaimOutcome::Won);
+    CHECK(claims.answers[0].holder == sampleClaimRef);
+    CHECK(claims.answers[1].serial == UINT64_MAX);
+    CHECK(claims.answers[1].outcome == ClaimOutcome::AlreadyClaimed);
+    CHECK(claims.answers[1].isOtherRequest);
+    CHECK(claims.answers[2].outcome == ClaimOutcome::NotAvailable);
+    CHECK(claims.answers[2].retryAfter == 250ms);
     CHECK(std::get<RunningAnswer>((*replies)[4]).state == RunState::Finished);
     const auto& error = std::get<PeerError>((*replies)[6]);
     CHECK(error.code == PeerErrorCode::OldIncarnation);
@@ -148,15 +161,71 @@
              R"([{"id":1,"jsonrpc":"2.0","method":"1/running","params":["x"]}])",
              R"([{"id":1,"jsonrpc":"2.0","method":"1/running","params":{"c":1}}])",
              R"([{"id":1,"jsonrpc":"2.0","method":"1/running","params":{"c":"x","d":1}}])",
-             R"([{"id":1,"jsonrpc":"2.0","method":"1/claim","params":{"s":-1,"c":[]}}])",
-             R"([{"id":1,"jsonrpc":"2.0","method":"1/claim","params":{"s":1.0,"c":[]}}])",
-             R"([{"id":1,"jsonrpc":"2.0","method":"1/claim","params":{"s":4294967296,"c":[]}}])",
          }) {
         INFO(junk);
         CHECK(absl::IsInvalidArgument(decodeBatch(junk).status()));
     }
 }
 
+static std::string claimCall(const char* claim)
+{
+    return absl::StrCat(R"([{"id":1,"jsonrpc":"2.0","method":"1/claim","params":{"c":[)", claim, "]}}]");
+}
+
+TEST_CASE("a claim that strays from the protocol is refused")
+{
+    REQUIRE(decodeBatch(claimCall(R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1]])")).ok());
+    for (const char* junk : {
+             "1",
+             "[]",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1],1])",
+             R"(["AAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1]])",
+             R"([1,"AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e",1]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",[1,"AAAAAAAAAAA",1]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",-1]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",1.0]])",
+             R"(["AAAAAAAAAAA","AAAAAAAAAAA","AAAAAAAAAAA",["e","AAAAAAAAAAA",18446744073709551616]])",
+         }) {
+        INFO(junk);
+        CHECK(absl::IsInvalidArgument(decodeBatch(claimCall(junk)).status()));
+    }
+}
+
+TEST_CASE("a number that its field can't hold is refused")
+{
+    ZoneDigest digest = sampleDigest();
+    digest.entries.reset();
+    const std::string whole = encodeBatch({ digest });
+    REQUIRE(decodeBatch(whole).ok());
+    std::size_t place = whole.find("4294967295");
+    REQUIRE(place != std::string::npos);
+    for (const char* number : { "4294967296", "-1", "1.0" }) {
+        std::string damaged = whole;
+        damaged.replace(place, std::string("4294967295").size(), number);
+        INFO(number);
+        CHECK(absl::IsInvalidArgument(decodeBatch(damaged).status()));
+    }
+}
+
+TEST_CASE("an answer to a claim says just what its outcome calls for")
+{
+    auto isTaken = [](const char* answer) {
+        return decodeReplies(absl::StrCat(R"([{"id":1,"jsonrpc":"2.0","result":{"claim":{"v":[)", answer, "]}}}]"), 1).ok();
+    };
+    CHECK(isTaken(R"({"c":1,"o":0,"h":["e","AAAAAAAAAAA",1]})"));
+    CHECK(isTaken(R"({"c":1,"o":1,"h":["e","AAAAAAAAAAA",1],"x":true})"));
+    CHECK(isTaken(R"({"c":1,"o":2,"r":250})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":0})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":1})"));
+    CHECK_FALSE(isTaken(R"({"o":0,"h":["e","AAAAAAAAAAA",1]})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":2,"h":["e","AAAAAAAAAAA",1]})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":0,"h":["e","AAAAAAAAAAA",1],"x":true})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":1,"h":["e","AAAAAAAAAAA",1],"r":250})"));
+    CHECK_FALSE(isTaken(R"({"c":1,"o":3})"));
+}
+
 TEST_CASE("deep nesting and long batches are refused")
 {
     CHECK_FALSE(decodeBatch(std::string(500000, '[')).ok());
@@ -196,9 +265,11 @@
     CHECK(encodeBatch({ digest }).size() - bare <= 9 * zoneEntryBytes + 10);
     CHECK(encodeBatch({ EndpointLeaving { "fitting-a-replica-100", "i-0123456789abcdef" } }).size() <= leavingBytes);
     CHECK(encodeBatch({ EntryLeaving { sampleRef, true } }).size() <= leavingBytes);
-    Claim claim { std::string(40, 'a'), std::string(40, 'b'), sampleRef, 1 };
-    std::size_t one = encodeBatch({ ClaimBatch { 7, { claim } } }).size();
-    CHECK(encodeBatch({ ClaimBatch { 7, { claim, claim } } }).size() - one <= claimBytes);
+    std::size_t one = encodeBatch({ ClaimBatch { { sampleClaim } } }).size();
+    CHECK(encodeBatch({ ClaimBatch { { sampleClaim, sampleClaim } } }).size() - one <= claimBytes);
+    ClaimAnswer answer { UINT64_MAX, ClaimOutcome::AlreadyClaimed, sampleClaimRef, true, {} };
+    std::size_t oneAnswer = encodeReplies({ ClaimReply { { answer } } }).size();
+    CHECK(encodeReplies({ ClaimReply { { answer, answer } } }).size() - oneAnswer <= claimBytes);
 }
 
 TEST_CASE("documents are split under the bound and keep their order")
