--- a/include/catkinwing/Gateway/CallerApi.h
+++ b/include/catkinwing/Gateway/CallerApi.h
@@ -28,16 +28,16 @@
     explicit CallerApi(ApiParts parts);
 
     /// Answers a request from a caller.
-    void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    void handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
     /// Answers a request that another entry forwarded; \p path is the caller's.
-    void handleForwarded(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    void handleForwarded(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
     /// From now on refuses new work as not run and names other entries.
     void startDraining() { m_isDraining = true; }
 
 private:
     using Responder = std::shared_ptr<HttpResponder>;
 
-    void serve(HttpRequest request, const Responder& responder, const CallerIdentity& identity, ReadContext context);
+    void serve(HttpRequest request, const Responder& responder, const CallerIdentity& identity, const ReadContext& context);
     bool answerOutsideResidency(const HttpRequest& request, HttpResponder& responder, const std::string& requestId, const TeamDocument& team);
     void sendModels(HttpResponder& responder, const CallerIdentity& identity) const;
     void sendEntries(const HttpRequest& request, HttpResponder& responder, const CallerIdentity& identity);
--- a/include/catkinwing/Gateway/PeerApi.h
+++ b/include/catkinwing/Gateway/PeerApi.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Gateway/CallerApi.h"
 #include "catkinwing/Gateway/FaultInjection.h"
+#include "catkinwing/Gateway/ForwardedClaims.h"
 #include "catkinwing/Gateway/PeerLink.h"
 #include "catkinwing/Membership/Membership.h"
 #include "catkinwing/Reporting/Metrics.h"
@@ -20,12 +21,15 @@
 class PeerApi {
 public:
     /// All references must outlive this.
-    PeerApi(Membership& membership, ConfigKeeper& config, KeyedRequests& keyed, CallerApi& callers, PeerLink& link, const LinkFaults& faults, Metrics& metrics, PeerProof proof);
+    PeerApi(Membership& membership, ConfigKeeper& config, KeyedRequests& keyed, CallerApi& callers, PeerLink& link, Scheduler& scheduler, const LinkFaults& faults, Metrics& metrics, PeerProof proof);
     void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
 
 private:
+    struct OpenBatch;
+
     bool speaksInOwnName(const HttpRequest& request) const;
     PeerReply reply(const PeerMessage& message);
+    void settle(const std::shared_ptr<OpenBatch>& batch, std::size_t place, const PeerReply& reply);
 
     Membership& m_membership;
     ConfigKeeper& m_config;
@@ -35,6 +39,7 @@
     const LinkFaults& m_faults;
     Metrics& m_metrics;
     PeerProof m_proof;
+    ForwardedClaims m_claims;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Gateway/RemoteCells.h
+++ b/include/catkinwing/Gateway/RemoteCells.h
@@ -18,8 +18,7 @@
     SocketAddress peerAddress;
     bool isOtherRegion { false };
     std::string model;
-    /// The digest that the decision went by.
-    TimePoint digestAt {};
+    TimePoint sentAt {};
 };
 
 /// The other availability zones as targets of forwards.
--- a/lib/Gateway/CallerApi.cpp
+++ b/lib/Gateway/CallerApi.cpp
@@ -29,7 +29,7 @@
     return entry ? entry->revision : 0;
 }
 
-void CallerApi::handle(HttpRequest request, Responder responder)
+void CallerApi::handle(HttpRequest request, const Responder& responder)
 {
     std::string requestId = makeId(m_parts.random);
     std::shared_ptr<const ConfigSnapshot> snapshot = m_parts.config.snapshot();
@@ -49,7 +49,7 @@
     serve(std::move(request), responder, identity, { requestId, m_parts.clock.now(), revisionOf(*identity.team), std::nullopt });
 }
 
-void CallerApi::serve(HttpRequest request, const Responder& responder, const CallerIdentity& identity, ReadContext context)
+void CallerApi::serve(HttpRequest request, const Responder& responder, const CallerIdentity& identity, const ReadContext& context)
 {
     CallerRoute route = routeOf(request.path);
     if (route == CallerRoute::Unknown) {
@@ -194,7 +194,7 @@
     return stamp.originZone == ownZone && stamp.hop <= maxStampHops && headers.find("Idempotency-Key");
 }
 
-void CallerApi::handleForwarded(HttpRequest request, Responder responder)
+void CallerApi::handleForwarded(HttpRequest request, const Responder& responder)
 {
     absl::StatusOr<ForwardStamp> stamp = decodeStamp(stampHeaders(request.headers));
     if (!stamp.ok()) {
@@ -221,7 +221,7 @@
     request.headers.remove("Catkinwing-Timeout-Ms");
     m_parts.metrics.count("forwards_received");
     ReadContext context { stamp->requestId, m_parts.clock.now(), revisionOf(*team), *stamp };
-    serve(std::move(request), responder, { snapshot, team, "" }, std::move(context));
+    serve(std::move(request), responder, { snapshot, team, "" }, context);
 }
 
 } // namespace catkinwing
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -3,9 +3,11 @@
 #include "catkinwing/Gateway/CallerApi.h"
 #include "catkinwing/Gateway/ConfigSync.h"
 #include "catkinwing/Gateway/EndpointPoller.h"
+#include "catkinwing/Gateway/LedgerForwarder.h"
 #include "catkinwing/Gateway/OperatorApi.h"
 #include "catkinwing/Gateway/PeerApi.h"
 #include "catkinwing/Gateway/PlacementControl.h"
+#include "catkinwing/Gateway/ShardCoordinator.h"
 #include "catkinwing/Platform/DirectoryClient.h"
 #include "catkinwing/Platform/EtcdStore.h"
 #include "catkinwing/Platform/InstanceList.h"
@@ -124,23 +126,6 @@
     return options;
 }
 
-// The coordinator of a shard is the live entry of the zone that a rendezvous
-// hash names: zones that share the store disagree, which costs conflicts only.
-static std::string coordinatorOf(Membership& membership, unsigned shard)
-{
-    std::string key = absl::StrCat("ledger/", shard);
-    std::string best = membership.self().ref.name;
-    double bestScore = rendezvousScore(key, best, 1);
-    for (const MemberView& member : membership.view().members) {
-        double score = member.isUsable() ? rendezvousScore(key, member.identity.ref.name, 1) : -1;
-        if (score > bestScore) {
-            best = member.identity.ref.name;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 struct Daemon::Impl {
     Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seed, TlsContexts contexts, const IssuedKeys::Secret& secret);
 
@@ -188,6 +173,7 @@
     ServiceLevelRecorder serviceLevels;
     RequestBroker broker;
     EntryDirectory entries;
+    LedgerForwarder claimForwarder;
     KeyedRequests keyed;
     CallerApi callers;
     PeerApi peers;
@@ -240,10 +226,11 @@
     , poller(settings.name, endpoints, endpointHttp, loop)
     , broker({ loop, random, endpointHttp, peerHttp, endpoints, remoteCells, metrics, serviceLevels, membership.self().ref, settings.region, settings.availabilityZone })
     , entries(membership.self())
+    , claimForwarder(link, entries, loop)
     , keyed(
-          store, broker, entries, ledgerOptions(), [this](unsigned shard) { return coordinatorOf(membership, shard); }, nullptr, secret)
+          store, broker, entries, ledgerOptions(), [this](unsigned shard) { return shardCoordinator(membership.self(), membership.view(), shard); }, &claimForwarder, secret)
     , callers({ broker, keyed, config, entries, random, metrics, loop.clock(), settings.region, settings.availabilityZone, tls.callers ? "https" : "http" })
-    , peers(membership, config, keyed, callers, link, faults, metrics, tls.peers ? PeerProof::CertificateName : PeerProof::None)
+    , peers(membership, config, keyed, callers, link, loop, faults, metrics, tls.peers ? PeerProof::CertificateName : PeerProof::None)
     , writer(store, loop, config)
     , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); } })
     , entryList(makeList(entryService, [this](const auto& instances) { learnEntries(instances); }))
@@ -414,7 +401,7 @@
     HttpServerOptions callerOptions = serverOptions(settings.listen.callers, tls.callers);
     callerOptions.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
     callerOptions.maxConnections = static_cast<std::size_t>(settings.limits.maximumConnections);
-    auto callerListener = HttpServer::listen(loop, callerOptions, [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) { callers.handle(std::move(request), std::move(responder)); });
+    auto callerListener = HttpServer::listen(loop, callerOptions, [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) { callers.handle(std::move(request), responder); });
     if (!callerListener.ok())
         return callerListener.status();
     callerServer = *std::move(callerListener);
@@ -468,7 +455,7 @@
         { "store_calls", std::move(calls) },
         { "directory_announced", directory && directory->isAnnounced() },
         { "placement_lease", placement.lease().isHeld(loop.clock().now()) },
-        { "ledger", { { "won", ledger.won }, { "already_claimed", ledger.alreadyClaimed }, { "not_available", ledger.notAvailable }, { "swaps", ledger.swaps } } },
+        { "ledger", { { "won", ledger.won }, { "already_claimed", ledger.alreadyClaimed }, { "not_available", ledger.notAvailable }, { "swaps", ledger.swaps }, { "swap_conflicts", ledger.swapConflicts }, { "forwarded", ledger.forwarded }, { "forwards_failed", ledger.forwardsFailed } } },
         { "peer_bytes", { { "sent", carried.bytesSent }, { "received", carried.bytesReceived }, { "batches_sent", carried.batchesSent } } },
     };
 }
--- a/lib/Gateway/PeerLink.cpp
+++ b/lib/Gateway/PeerLink.cpp
@@ -40,7 +40,7 @@
     request.idleTimeout = answerTimeout;
     ++m_counters.batchesSent;
     m_counters.bytesSent += request.body.size();
-    auto done = [this, expected = batch.size(), callback = std::move(callback)](const HttpResult& result, const HttpResponseHead& head, std::string body) {
+    auto done = [this, expected = batch.size(), callback = std::move(callback)](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
         absl::Status status = statusFor(result, head);
         if (!status.ok()) {
             callback(status);
--- a/lib/Gateway/RemoteCells.cpp
+++ b/lib/Gateway/RemoteCells.cpp
@@ -102,7 +102,7 @@
     if (!chosen)
         return std::nullopt;
     const ZoneEntry& entry = entries[*chosen];
-    return ForwardTarget { cell.zone, cell.region, entry.ref, entry.peerAddress, cell.region != m_region, "", cell.digestAt };
+    return ForwardTarget { cell.zone, cell.region, entry.ref, entry.peerAddress, cell.region != m_region, "", {} };
 }
 
 std::optional<ForwardTarget> RemoteCells::chooseForward(const RoutingRequest& request, const std::string& session, std::optional<Duration> localPrediction, TimePoint now)
@@ -118,21 +118,16 @@
     if (!target)
         return std::nullopt;
     target->model = request.model;
+    target->sentAt = now;
     recordForward(cell, request.model);
     recordRouted(state, m_policy, forward->otherRegion, now);
     return target;
 }
 
-// A forward that is over holds no slot any more. One that an older digest led to
-// is not counted: the digest in hand has seen it.
 void RemoteCells::noteEnded(const ForwardTarget& target)
 {
-    RemoteCellView* cell = find(target.zone);
-    if (!cell || cell->digestAt != target.digestAt)
-        return;
-    auto model = cell->models.find(target.model);
-    if (model != cell->models.end() && model->second.forwardsSinceDigest > 0)
-        --model->second.forwardsSinceDigest;
+    if (RemoteCellView* cell = find(target.zone))
+        recordForwardEnded(*cell, target.model, target.sentAt);
 }
 
 void RemoteCells::noteKept(const std::string& model, TimePoint now)
