--- a/include/catkinwing/Platform/DirectoryClient.h
+++ b/include/catkinwing/Platform/DirectoryClient.h
@@ -9,7 +9,7 @@
 
 /// Settings of a directory client.
 struct DirectoryClientOptions {
-    /// Tried in turn.
+    /// Tried in turn; with none, nothing is ever announced.
     std::vector<SocketAddress> servers;
     /// Name of the service under which the instance is listed.
     std::string service;
--- a/include/catkinwing/Platform/InstanceList.h
+++ b/include/catkinwing/Platform/InstanceList.h
@@ -9,7 +9,7 @@
 
 /// Settings of a list.
 struct InstanceListOptions {
-    /// Tried in turn.
+    /// Tried in turn; with none, the list stays empty.
     std::vector<SocketAddress> servers;
     /// Name of the service whose instances are wanted.
     std::string service;
--- a/unittests/Platform/DirectoryTest.cpp
+++ b/unittests/Platform/DirectoryTest.cpp
@@ -5,6 +5,7 @@
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -48,6 +49,26 @@
     CHECK(http.requests.size() == before + 1);
 }
 
+TEST_CASE("without a directory nothing is sent and a withdrawal is done")
+{
+    ManualScheduler scheduler;
+    FakeHttpClient http(scheduler);
+    DirectoryClient client(http, scheduler, {});
+    Random random(1);
+    InstanceList list(http, scheduler, random, {}, nullptr);
+    client.announce(entryInstance());
+    list.start();
+    scheduler.advance(61s);
+    std::optional<absl::Status> withdrawn;
+    client.withdraw([&](const absl::Status& status) { withdrawn = status; });
+    scheduler.advance(1s);
+    CHECK(http.requests.empty());
+    CHECK_FALSE(client.isAnnounced());
+    CHECK_FALSE(list.hasAnswer());
+    REQUIRE(withdrawn);
+    CHECK(withdrawn->ok());
+}
+
 TEST_CASE("leaving replaces live and a withdrawn entry stays out")
 {
     ManualScheduler scheduler;
