--- a/include/catkinwing/Gateway/CallerApi.h
+++ b/include/catkinwing/Gateway/CallerApi.h
@@ -3,6 +3,7 @@
 #include "catkinwing/Gateway/ConfigKeeper.h"
 #include "catkinwing/Gateway/EntryDirectory.h"
 #include "catkinwing/Gateway/KeyedRequests.h"
+#include "catkinwing/Gateway/OpenRequests.h"
 #include "catkinwing/Gateway/RequestReader.h"
 
 namespace catkinwing {
@@ -33,6 +34,8 @@
     void handleForwarded(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
     /// From now on refuses new work as not run and names other entries.
     void startDraining() { m_isDraining = true; }
+    /// Returns the number of requests whose answers have not gone out.
+    std::size_t openRequests() { return m_open.count(); }
 
 private:
     using Responder = std::shared_ptr<HttpResponder>;
@@ -46,6 +49,7 @@
     std::int64_t revisionOf(const TeamDocument& team) const;
 
     ApiParts m_parts;
+    OpenRequests m_open;
     bool m_isDraining { false };
 };
 
--- a/lib/Gateway/CallerApi.cpp
+++ b/lib/Gateway/CallerApi.cpp
@@ -51,6 +51,7 @@
 
 void CallerApi::serve(HttpRequest request, const Responder& responder, const CallerIdentity& identity, const ReadContext& context)
 {
+    m_open.add(responder);
     CallerRoute route = routeOf(request.path);
     if (route == CallerRoute::Unknown) {
         sendError(*responder, context.requestId, simpleError(404, "path_not_found", absl::StrCat("path ", request.path, " is not known")));
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -481,12 +481,13 @@
 void Daemon::Impl::drainStep()
 {
     bool isLate = loop.clock().now() >= drainDeadline;
-    if (broker.running() > 0 && !isLate) {
+    bool isBusy = broker.running() > 0 || callers.openRequests() > 0;
+    if (isBusy && !isLate) {
         loop.callAfter(drainTick, [this] { drainStep(); });
         return;
     }
     hasDrained = true;
-    logChange(LogLevel::Info, "drained", { { "cut_off", broker.running() } });
+    logChange(LogLevel::Info, "drained", { { "cut_off", callers.openRequests() } });
     membership.announceGone();
     callerServer->stopListening();
     auto done = [this] {
--- a/test/e2e/e2e_test.py
+++ b/test/e2e/e2e_test.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "proofs"))
 from deployment import KEYS, MODEL, SERVICE, Deployment, sha256  # noqa: E402
-from fleet import call, free_port, wait_for  # noqa: E402
+from fleet import Fleet, call, free_port, wait_for  # noqa: E402
 
 
 def authorization(team="roaming", **headers):
--- a/unittests/Gateway/PeerApiTest.cpp
+++ b/unittests/Gateway/PeerApiTest.cpp
@@ -40,7 +40,7 @@
     KeyedRequests keyed { store, broker, entries, {}, {}, nullptr, {} };
     CallerApi callers { { broker, keyed, config, entries, random, metrics, scheduler.clock(), "north", "north-a", "http" } };
     LinkFaults faults;
-    PeerApi api { membership, config, keyed, callers, link, scheduler, faults };
+    PeerApi api { membership, config, keyed, callers, link, scheduler, faults, metrics, PeerProof::None };
     ClaimBatch claims { { { 1, 2, 3, { "other", 4, 1 } }, { 1, 2, 4, { "other", 4, 2 } }, { 5, 6, 7, { "other", 4, 3 } } } };
     RunningAnswerQuery query { claimIdText({ "entry", 2, 1 }) };
 };
