--- a/lib/Gateway/EndpointPoller.cpp
+++ b/lib/Gateway/EndpointPoller.cpp
@@ -18,6 +18,34 @@
 static constexpr std::size_t askAllUpTo = 16;
 static constexpr std::size_t pollersPerEngine = 2;
 static constexpr int statusOk = 200;
+/// Bounds of an engine's figures; larger ones are taken as junk, and the costs
+/// reckoned from those within stay far from the ends of their types.
+static constexpr double maxRequests = 1e6;
+static constexpr double maxQueuedTokens = 1e9;
+static constexpr double maxSampledAgeMs = 365.0 * 24 * 3'600 * 1'000;
+
+static bool isWithin(double figure, double highest)
+{
+    return figure >= 0 && figure <= highest;
+}
+
+// Figures are read as doubles, which hold every number of JSON, and converted
+// only once they are known to be in range.
+static bool readFigures(const nlohmann::json& json, EndpointStatus& status)
+{
+    auto running = json.at("running").get<double>();
+    auto waiting = json.at("waiting").get<double>();
+    double ageMs = json.value("sampled_age_ms", 0.0);
+    status.queuedPrefillTokens = json.value("queued_prefill_tokens", 0.0);
+    if (!isWithin(running, maxRequests) || !isWithin(waiting, maxRequests))
+        return false;
+    if (!isWithin(ageMs, maxSampledAgeMs) || !isWithin(status.queuedPrefillTokens, maxQueuedTokens))
+        return false;
+    status.running = static_cast<unsigned>(running);
+    status.waiting = static_cast<unsigned>(waiting);
+    status.age = std::chrono::milliseconds(static_cast<std::int64_t>(ageMs));
+    return true;
+}
 
 absl::StatusOr<EndpointStatus> parseLoadPage(absl::string_view body)
 {
@@ -26,10 +54,8 @@
         nlohmann::json json = nlohmann::json::parse(body.begin(), body.end());
         status.incarnation = json.value("incarnation", std::string());
         status.isLeaving = json.value("state", std::string("live")) == "leaving";
-        status.running = json.at("running").get<unsigned>();
-        status.waiting = json.at("waiting").get<unsigned>();
-        status.queuedPrefillTokens = json.value("queued_prefill_tokens", 0.0);
-        status.age = std::chrono::milliseconds(json.value("sampled_age_ms", std::int64_t { 0 }));
+        if (!readFigures(json, status))
+            return absl::InvalidArgumentError("load page: a figure is out of range");
     } catch (const nlohmann::json::exception& fault) {
         return absl::InvalidArgumentError(absl::StrCat("load page: ", fault.what()));
     }
@@ -49,7 +75,10 @@
     event.sequence = json.at("seq").get<std::uint64_t>();
     event.kind = kindOf(json.at("kind").get<std::string>());
     std::vector<std::uint64_t> hashes;
-    for (const nlohmann::json& item : json.value("hashes", nlohmann::json::array())) {
+    // Not copied: a copy of deeply nested values would overflow the stack.
+    auto field = json.find("hashes");
+    const nlohmann::json none = nlohmann::json::array();
+    for (const nlohmann::json& item : field == json.end() ? none : *field) {
         std::uint64_t hash = 0;
         if (!absl::SimpleHexAtoi(item.get<std::string>(), &hash))
             return absl::InvalidArgumentError("cache event: a hash is not hexadecimal");
