Read the store's answers without copying and bound a lease's time

Each answer of the store was copied once after it was parsed. The copy calls itself for each level, so a deeply nested answer, which may have 64 MB, overflowed the stack. A renewal's TTL was turned into milliseconds unchecked, which overflows from 2^63 / 1000 seconds on; etcd grants at most 9,000,000,000.

Found by reading while the fuzz target was written; its inputs found neither. Both tests failed first under the sanitizers: with a segmentation fault, and with "signed integer overflow: * 1000". The parsed value is now moved out, and a longer time makes the answer malformed.

--- a/lib/Platform/EtcdMessages.cpp
+++ b/lib/Platform/EtcdMessages.cpp
@@ -9,6 +9,9 @@
 
 using Json = nlohmann::json;
 
+// etcd grants no longer one.
+static constexpr std::chrono::seconds longestTimeToLive { 9'000'000'000 };
+
 static std::string encode(const std::string& bytes)
 {
     return absl::Base64Escape(bytes);
@@ -97,7 +100,10 @@
 static Json parseObject(absl::string_view text)
 {
     Json parsed = Json::parse(text.begin(), text.end(), nullptr, false);
-    return parsed.is_object() ? parsed : Json(nullptr);
+    // Not copied: a copy of deeply nested values would overflow the stack.
+    if (!parsed.is_object())
+        return nullptr;
+    return parsed;
 }
 
 // An absent field is zero, as the protocol leaves out default values.
@@ -187,7 +193,7 @@
     LeaseAnswer read;
     std::int64_t seconds = 0;
     bool isRead = answer.is_object() && readNumber(answer, "ID", read.lease) && readNumber(answer, "TTL", seconds);
-    if (!isRead || read.lease == 0)
+    if (!isRead || read.lease == 0 || seconds > longestTimeToLive.count())
         return malformed("lease");
     read.timeToLive = std::chrono::seconds(seconds);
     return read;
--- a/unittests/Platform/EtcdStoreTest.cpp
+++ b/unittests/Platform/EtcdStoreTest.cpp
@@ -236,6 +236,27 @@
     CHECK(absl::IsNotFound(left.status()));
 }
 
+TEST_CASE("a renewal with a time to live that can't be is no answer")
+{
+    auto timeToLive = GENERATE(as<std::string> {}, "9223372036854775807", "9223372036854776");
+    Bench bench(FakeHttpAnswer::ok(R"({"result":{"header":{},"ID":"4","TTL":")" + timeToLive + "\"}}\n"));
+    absl::StatusOr<std::chrono::milliseconds> left = absl::CancelledError();
+    bench.store->keepAlive(4, [&](absl::StatusOr<std::chrono::milliseconds> given) { left = std::move(given); });
+    bench.scheduler.advance(1s);
+    CHECK(absl::IsUnavailable(left.status()));
+    CHECK(bench.store->counters().malformed == 1);
+}
+
+TEST_CASE("a deeply nested answer is read like any other")
+{
+    constexpr std::size_t depth = 300'000;
+    std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    Bench bench(FakeHttpAnswer::ok(R"({"header":{"revision":"9"},"more":)" + nested + "}"));
+    auto value = bench.get();
+    REQUIRE(value.ok());
+    CHECK(value->revision == 0);
+}
+
 static constexpr const char* watchStream = R"({"result":{"header":{"revision":"9"},"created":true}}
 {"result":{"header":{"revision":"10"},"events":[{"kv":{"key":"Yy9h","mod_revision":"10","value":"YmFy"}}]}}
 {"result":{"header":{"revision":"12"},"events":[{"type":"DELETE","kv":{"key":"Yy9h","mod_revision":"11"}},{"type":"PUT","kv":{"key":"Yy9i","mod_revision":"12"}}]}}
