--- a/unittests/Dispatch/LedgerViewTest.cpp
+++ b/unittests/Dispatch/LedgerViewTest.cpp
@@ -55,6 +55,13 @@
         CHECK_FALSE(decodeGeneration(absl::string_view(bytes).substr(0, size), 8).ok());
 }
 
+TEST_CASE("a deeply nested document is no generation")
+{
+    constexpr char arrayOfOne = '\x81';
+    std::string bytes(LedgerLayout().maxDocumentBytes, arrayOfOne);
+    CHECK(absl::IsDataLoss(decodeGeneration(bytes, 8).status()));
+}
+
 TEST_CASE("a shard that wasn't written by the rules is refused")
 {
     LedgerLayout layout = layoutOf(3);
