--- a/include/catkinwing/Gateway/OperatorApi.h
+++ b/include/catkinwing/Gateway/OperatorApi.h
@@ -31,7 +31,7 @@
 class OperatorApi {
 public:
     explicit OperatorApi(OperatorParts parts);
-    void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    void handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
 
 private:
     using Responder = std::shared_ptr<HttpResponder>;
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -411,7 +411,7 @@
     if (!peerListener.ok())
         return peerListener.status();
     peerServer = *std::move(peerListener);
-    auto operatorListener = HttpServer::listen(loop, serverOptions(settings.listen.operators, tls.operators), [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) { operators.handle(std::move(request), std::move(responder)); });
+    auto operatorListener = HttpServer::listen(loop, serverOptions(settings.listen.operators, tls.operators), [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) { operators.handle(request, responder); });
     if (!operatorListener.ok())
         return operatorListener.status();
     operatorServer = *std::move(operatorListener);
--- a/lib/Gateway/OperatorApi.cpp
+++ b/lib/Gateway/OperatorApi.cpp
@@ -62,7 +62,7 @@
     return false;
 }
 
-void OperatorApi::handle(HttpRequest request, Responder responder)
+void OperatorApi::handle(const HttpRequest& request, const Responder& responder)
 {
     if (handleOpen(request, *responder))
         return;
