Read the number of the last event from the page of events

The page names it ('next'), so that an engine's restart is seen; the tests written beside that change still had pages without it. They have it now, and a page without it is refused.

--- a/unittests/Gateway/EndpointPollerTest.cpp
+++ b/unittests/Gateway/EndpointPollerTest.cpp
@@ -32,16 +32,17 @@
 {
     constexpr std::size_t depth = 120'000;
     std::string nested = std::string(depth, '[') + std::string(depth, ']');
-    auto page = parseCacheEvents(absl::StrCat(R"({"events":[{"seq":1,"kind":"stored","hashes":)", nested, "}]}"), { "fitting" });
+    auto page = parseCacheEvents(absl::StrCat(R"({"next":2,"events":[{"seq":1,"kind":"stored","hashes":)", nested, "}]}"), { "fitting" });
     CHECK(absl::IsInvalidArgument(page.status()));
 }
 
 TEST_CASE("cache events give the number of the last")
 {
-    auto page = parseCacheEvents(R"({"incarnation":"i-0a","events":[{"seq":8,"kind":"stored","hashes":["1f","2"]},{"seq":9,"kind":"cleared"}]})", { "fitting" });
+    auto page = parseCacheEvents(R"({"incarnation":"i-0a","next":10,"events":[{"seq":8,"kind":"stored","hashes":["1f","2"]},{"seq":9,"kind":"cleared"}]})", { "fitting" });
     REQUIRE(page.ok());
     CHECK(page->last == 9);
     REQUIRE(page->events.size() == 2);
     CHECK(page->events[0].hashes.size() == 2);
     CHECK(page->events[1].hashes.empty());
+    CHECK_FALSE(parseCacheEvents(R"({"events":[]})", { "fitting" }).ok());
 }
