--- a/tools/catkinwing-replay/Main.cpp
+++ b/tools/catkinwing-replay/Main.cpp
@@ -1,10 +1,10 @@
 #include "catkinwing/Replay/Replayer.h"
+#include "catkinwing/Support/File.h"
 #include "catkinwing/Support/Version.h"
 
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace catkinwing;
 
@@ -23,16 +23,6 @@
     return exitFailure;
 }
 
-static absl::StatusOr<std::string> readFile(const std::string& name)
-{
-    std::ifstream file(name);
-    if (!file)
-        return absl::NotFoundError("can't read " + name);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 static absl::StatusOr<ReplayTargets> readTargets(const std::vector<std::string>& texts)
 {
     ReplayTargets targets;
--- a/tools/catkinwingctl/ConfigCommands.cpp
+++ b/tools/catkinwingctl/ConfigCommands.cpp
@@ -6,14 +6,13 @@
 #include "catkinwing/Config/DocumentDiff.h"
 #include "catkinwing/Config/JsonText.h"
 #include "catkinwing/Config/References.h"
+#include "catkinwing/Support/File.h"
 #include "catkinwing/Support/Id.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace catkinwing {
 
@@ -26,16 +25,6 @@
         std::cerr << file << ": " << (fault.pointer.empty() ? "/" : fault.pointer) << ": " << fault.message << "\n";
 }
 
-static absl::StatusOr<std::string> readFile(const std::string& name)
-{
-    std::ifstream file(name);
-    if (!file)
-        return absl::NotFoundError(absl::StrCat("can't read ", name));
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 // A file is one of the tree's documents if its place says so, else the
 // settings of a daemon.
 static int validateFile(const std::string& name)
--- a/tools/catkinwingd/Main.cpp
+++ b/tools/catkinwingd/Main.cpp
@@ -1,29 +1,18 @@
 #include "catkinwing/Config/DaemonSettings.h"
 #include "catkinwing/Gateway/Daemon.h"
+#include "catkinwing/Support/File.h"
 #include "catkinwing/Support/Logging.h"
 #include "catkinwing/Support/Version.h"
 
 #include <csignal>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace catkinwing;
 
 static constexpr int exitFailure = 1;
 static constexpr int exitUsage = 2;
 
-static absl::StatusOr<std::string> readFile(const std::string& name)
-{
-    std::ifstream file(name);
-    if (!file)
-        return absl::NotFoundError("can't read " + name);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 static std::optional<DaemonSettings> loadSettings(const std::string& name)
 {
     absl::StatusOr<std::string> text = readFile(name);
