--- a/cmake/CatkinwingTargets.cmake
+++ b/cmake/CatkinwingTargets.cmake
@@ -22,13 +22,15 @@
 endfunction()
 
 # catkinwing_add_unittest(PACKAGE SOURCES file... DEPENDS target...)
-# Defines PACKAGETests; each Catch2 case is one CTest test named PACKAGE.CASE.
+# Defines PACKAGETests; each Catch2 case is one CTest test named PACKAGE.CASE. The
+# target unit-tests builds them all.
 function(catkinwing_add_unittest package)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${package}Tests ${ARG_SOURCES})
   target_compile_options(${package}Tests PRIVATE ${CATKINWING_WARNINGS})
   target_link_libraries(${package}Tests PRIVATE catkinwing${package} ${ARG_DEPENDS} Catch2::Catch2WithMain)
   set_target_properties(${package}Tests PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/unittests)
+  add_dependencies(unit-tests ${package}Tests)
   catch_discover_tests(${package}Tests TEST_PREFIX "${package}." PROPERTIES TIMEOUT 240)
 endfunction()
 
