Forward what this zone can't serve to a zone that has just come back

Quickstart starts its engines anew, as an engine that was leaving never comes back under the same incarnation; the fake responder releases its callbacks at the end as the real one does (leak reports of the sanitized tests).

--- a/lib/Routing/Forwarding.cpp
+++ b/lib/Routing/Forwarding.cpp
@@ -34,6 +34,16 @@
     return known == cell.models.end() ? nullptr : &known->second;
 }
 
+// What this cell can't serve at all is better served from cold caches than
+// refused, so slow start doesn't hold it back.
+static ForwardPolicy allowancePolicy(const ForwardInputs& inputs)
+{
+    ForwardPolicy policy = inputs.policy;
+    if (!inputs.localPrediction)
+        policy.slowStart.initialWeight = 1;
+    return policy;
+}
+
 static bool mayReceive(const ForwardInputs& inputs, const RemoteCellView& cell)
 {
     if (!isAllowed(inputs.request.residency, cell.region))
@@ -43,7 +53,7 @@
     if (cell.draining || !cell.reachable)
         return false;
     const RemoteModelView* model = findModel(cell, inputs.request.model);
-    return model && forwardAllowance(cell, *model, inputs.policy, inputs.now) > 0;
+    return model && forwardAllowance(cell, *model, allowancePolicy(inputs), inputs.now) > 0;
 }
 
 static Duration predictRemote(const ForwardInputs& inputs, const RemoteCellView& cell)
--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -57,8 +57,10 @@
 
     status, text = wait_for(served_elsewhere, "a request to be served by the other region", 30)
     show("chat request forwarded to the other region", status, text)
+    # An engine that was leaving comes back only as a new start of it.
     for engine in engines:
-        fleet.set_standin_faults(engine, {})
+        fleet.processes[engine].stop()
+        fleet.restart(engine)
 
 
 def main():
--- a/unittests/Gateway/FakeResponder.h
+++ b/unittests/Gateway/FakeResponder.h
@@ -10,13 +10,13 @@
 public:
     void sendHead(const HttpResponseHead& sent) override { head = sent; }
     void write(std::string bytes) override { body += bytes; }
-    void finish() override { isFinished = true; }
-    void abort() override { isAborted = true; }
+    void finish() override { end(isFinished); }
+    void abort() override { end(isAborted); }
     void send(const HttpResponseHead& sent, std::string text) override
     {
         head = sent;
         body = std::move(text);
-        isFinished = true;
+        end(isFinished);
     }
     bool isOpen() const override { return !isGone && !isFinished && !isAborted; }
     std::size_t pendingBytes() const override { return pending; }
@@ -26,9 +26,10 @@
     /// The caller goes away.
     void leave()
     {
-        isGone = true;
-        if (closed)
-            closed();
+        std::function<void()> callback = std::move(closed);
+        end(isGone);
+        if (callback)
+            callback();
     }
     /// Returns the outcome header, or an empty text.
     std::string outcome() const
@@ -46,6 +47,15 @@
     std::size_t pending { 0 };
     std::function<void()> writable;
     std::function<void()> closed;
+
+private:
+    // As the real one does: after the end its callbacks are released.
+    void end(bool& how)
+    {
+        how = true;
+        closed = nullptr;
+        writable = nullptr;
+    }
 };
 
 } // namespace catkinwing
--- a/unittests/Routing/ForwardingTest.cpp
+++ b/unittests/Routing/ForwardingTest.cpp
@@ -177,6 +177,16 @@
     CHECK(before == 10);
 }
 
+TEST_CASE("what this cell can't serve goes to one that has just come back")
+{
+    Origin origin;
+    origin.cells = { makeRemote("valle", "valle-1", 0ms) };
+    origin.cells[0].reachableSince = start;
+    origin.cells[0].models["m"].freeSlots = 2;
+    CHECK(std::holds_alternative<KeepLocal>(origin.decide(60s)));
+    CHECK(origin.target(std::nullopt) == "valle-1");
+}
+
 TEST_CASE("whatever the views, a forward keeps to hop limit, visited zones and residency")
 {
     constexpr std::uint64_t seed = 31337;
