--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -181,6 +181,7 @@
 {
     BrokerFixture fixture;
     std::vector<std::shared_ptr<FakeResponder>> responders;
+    responders.reserve(12);
     for (int i = 0; i < 12; ++i)
         responders.push_back(fixture.run(BrokerFixture::chat(false)));
     fixture.scheduler.advance(4s);
