--- a/include/catkinwing/Gateway/ConfigWriter.h
+++ b/include/catkinwing/Gateway/ConfigWriter.h
@@ -60,6 +60,7 @@
     void compare(const std::shared_ptr<Task>& task, const absl::StatusOr<StoredValue>& stored, bool isRetried);
     void swap(const std::shared_ptr<Task>& task);
     void remove(const std::shared_ptr<Task>& task);
+    void conclude(const std::shared_ptr<Task>& task, SwapResult result);
     void settleWrite(const std::shared_ptr<Task>& task);
     void accept(const std::shared_ptr<Task>& task, StoreRevision revision);
     void reread(const std::shared_ptr<Task>& task);
--- a/lib/Gateway/ConfigWriter.cpp
+++ b/lib/Gateway/ConfigWriter.cpp
@@ -67,22 +67,34 @@
 
 void ConfigWriter::swap(const std::shared_ptr<Task>& task)
 {
-    m_store.compareAndSwap(task->key, task->write.expected, task->value, 0, [this, task](SwapResult result) {
-        switch (result.outcome) {
-        case SwapOutcome::Committed:
-            accept(task, result.revision);
-            return;
-        case SwapOutcome::Conflict:
-            reread(task);
-            return;
-        case SwapOutcome::NotSent:
-            task->done({ WriteOutcome::NotWritten, 0, {}, std::nullopt });
-            return;
-        case SwapOutcome::Unknown:
-            settleWrite(task);
-            return;
-        }
-    });
+    m_store.compareAndSwap(task->key, task->write.expected, task->value, 0, [this, task](SwapResult result) { conclude(task, result); });
+}
+
+void ConfigWriter::remove(const std::shared_ptr<Task>& task)
+{
+    m_store.compareAndDelete(task->key, task->write.expected, [this, task](SwapResult result) { conclude(task, result); });
+}
+
+void ConfigWriter::conclude(const std::shared_ptr<Task>& task, SwapResult result)
+{
+    switch (result.outcome) {
+    case SwapOutcome::Committed:
+        accept(task, result.revision);
+        return;
+    case SwapOutcome::Conflict:
+        reread(task);
+        return;
+    case SwapOutcome::NotSent:
+        task->done({ WriteOutcome::NotWritten, 0, {}, std::nullopt });
+        return;
+    case SwapOutcome::Unknown:
+        break;
+    }
+    // Deleting twice is harmless: the operator sends the write again.
+    if (task->write.text)
+        settleWrite(task);
+    else
+        task->done({ WriteOutcome::Unknown, 0, {}, std::nullopt });
 }
 
 void ConfigWriter::settleWrite(const std::shared_ptr<Task>& task)
@@ -108,27 +120,6 @@
     });
 }
 
-void ConfigWriter::remove(const std::shared_ptr<Task>& task)
-{
-    m_store.compareAndDelete(task->key, task->write.expected, [this, task](SwapResult result) {
-        switch (result.outcome) {
-        case SwapOutcome::Committed:
-            accept(task, result.revision);
-            return;
-        case SwapOutcome::Conflict:
-            reread(task);
-            return;
-        case SwapOutcome::NotSent:
-            task->done({ WriteOutcome::NotWritten, 0, {}, std::nullopt });
-            return;
-        case SwapOutcome::Unknown:
-            // Deleting twice is harmless: the operator sends the write again.
-            task->done({ WriteOutcome::Unknown, 0, {}, std::nullopt });
-            return;
-        }
-    });
-}
-
 void ConfigWriter::accept(const std::shared_ptr<Task>& task, StoreRevision revision)
 {
     // A deletion that was found done has no revision of its own here; the watch
