--- a/bench/LedgerBench/LedgerBench.cpp
+++ b/bench/LedgerBench/LedgerBench.cpp
@@ -1,4 +1,4 @@
-#include "Platform/FakeStore.h"
+#include "Coordination/FakeStore.h"
 #include "catkinwing/Dispatch/IdempotencyLedger.h"
 #include "catkinwing/Dispatch/LedgerView.h"
 #include "catkinwing/Support/ManualScheduler.h"
--- a/fuzz/FuzzStoreAnswers.cpp
+++ b/fuzz/FuzzStoreAnswers.cpp
@@ -1,6 +1,6 @@
+#include "Coordination/FakeHttpClient.h"
 #include "FuzzInput.h"
-#include "Platform/FakeHttpClient.h"
-#include "catkinwing/Platform/EtcdStore.h"
+#include "catkinwing/Coordination/EtcdStore.h"
 #include "catkinwing/Support/ManualScheduler.h"
 
 using namespace catkinwing;
--- a/include/catkinwing/Admission/RetryBudget.h
+++ b/include/catkinwing/Admission/RetryBudget.h
@@ -8,6 +8,8 @@
 public:
     /// \p ratio is the retries earned by a request; at most \p burst are saved.
     explicit RetryBudget(double ratio = 0.1, double burst = 10);
+    /// Changes how much is saved from now on.
+    void setBurst(double burst);
     /// Counts a first attempt.
     void onRequest();
     /// Takes one retry or hedge from the budget; false if it is used up.
--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -2,9 +2,11 @@
 
 #include "catkinwing/Config/ConfigFault.h"
 #include "catkinwing/Config/KeySettings.h"
+#include "catkinwing/Support/Clock.h"
 #include "catkinwing/Support/SocketAddress.h"
 #include <absl/strings/string_view.h>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +50,17 @@
     std::int64_t maximumBodyBytes { 8000000 };
 };
 
+/// Serving by host and path.
+struct IngressSettings {
+    SocketAddress readiness;
+    SocketAddress directory;
+    std::map<std::string, std::string> regionOfZone;
+    Duration drainTimeout { std::chrono::seconds(8) };
+    Duration directoryLifetime { std::chrono::seconds(2) };
+    double retryRatio { 0.2 };
+    double retrySlack { 50 };
+};
+
 /// The settings file of one daemon.
 struct DaemonSettings {
     std::string name;
@@ -63,6 +76,8 @@
     ListenerTls tls;
     std::vector<OperatorToken> operatorTokens;
     DaemonLimits limits;
+    /// Replaces the interface for teams where present.
+    std::optional<IngressSettings> ingress;
     /// Allows the fault switches of the peer listener.
     bool testFaults { false };
 };
--- /dev/null
+++ b/include/catkinwing/Config/RouteTable.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "catkinwing/Support/Clock.h"
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace catkinwing {
+
+/// What may be done with a request whose outcome is unknown.
+enum class RequestKind {
+    /// May be executed more than once.
+    Idempotent,
+    /// May be executed at most once.
+    NonIdempotent,
+    /// Answered by a stream of events; executed at most once unless it resumes.
+    Streaming,
+};
+
+/// A service that a route sends to, with its part of the traffic.
+struct WeightedService {
+    std::string service;
+    double weight { 1 };
+};
+
+/// Where the requests of one host and path prefix go, and how.
+struct Route {
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    RequestKind kind { RequestKind::NonIdempotent };
+    /// Longest time until the final answer, counted from the arrival.
+    std::chrono::milliseconds timeout { 0 };
+    /// Answers later than this are worth less to the client.
+    std::chrono::milliseconds latencyTarget { 0 };
+    /// Longest pause between two events of a stream that is still in time.
+    std::chrono::milliseconds eventPause { 0 };
+    /// Zero is the most urgent.
+    int priority { 0 };
+    /// Most endpoints that may get one request.
+    unsigned attempts { 1 };
+    /// A broken stream may go on at another endpoint.
+    bool isResumable { false };
+    /// Requests share parts of their prompts.
+    bool hasPromptAffinity { false };
+    /// At least one; weights need not add up to one.
+    std::vector<WeightedService> services;
+    /// Regions that may process the requests; all if empty.
+    std::vector<std::string> homeRegions;
+};
+
+/// Tells whether a request of the route may be executed a second time.
+bool mayRepeat(const Route& route);
+
+/// A group of endpoints that serve the same requests.
+struct ServiceSettings {
+    std::string name;
+    std::string healthPath;
+    /// Connections that one endpoint takes from all entries together.
+    unsigned maxConnections { 0 };
+    /// How long an endpoint is cold after it has started.
+    std::chrono::milliseconds warmup { 0 };
+    /// Requests a second that a cold endpoint bears, from all entries
+    /// together; zero means that it needs no care.
+    double coldRequestsPerSecond { 0 };
+    /// Requests that an endpoint runs at once; zero if not stated.
+    unsigned slots { 0 };
+    /// Tokens of prompts and answers that fit in an endpoint's memory; zero if
+    /// it is no model engine.
+    std::int64_t memoryTokens { 0 };
+};
+
+/// Limits of what clients may send.
+struct ClientLimits {
+    std::int64_t maxBodyBytes { 4 << 20 };
+};
+
+/// The routes and services of one version of the configuration.
+class RouteTable {
+public:
+    RouteTable() = default;
+    RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits);
+
+    std::int64_t version() const { return m_version; }
+    const std::vector<Route>& routes() const { return m_routes; }
+    const ClientLimits& limits() const { return m_limits; }
+    /// Returns the route of \p host with the longest prefix that begins
+    /// \p path; null if there is none. Hosts compare without case and port.
+    const Route* find(absl::string_view host, absl::string_view path) const;
+    const ServiceSettings* findService(absl::string_view name) const;
+
+private:
+    std::int64_t m_version { 0 };
+    std::vector<Route> m_routes;
+    std::vector<ServiceSettings> m_services;
+    ClientLimits m_limits;
+    /// Index in m_routes by host and prefix.
+    absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, std::size_t>> m_routesOfHost;
+    absl::flat_hash_map<std::string, std::size_t> m_serviceIndex;
+};
+
+} // namespace catkinwing
--- a/include/catkinwing/Platform/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Platform/Store.h"
+#include "catkinwing/Coordination/Store.h"
 #include "catkinwing/Support/Random.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <optional>
--- a/include/catkinwing/Platform/DirectoryClient.h
+++ b/include/catkinwing/Coordination/DirectoryClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Coordination/Instance.h"
 #include "catkinwing/Http/HttpClient.h"
-#include "catkinwing/Platform/Instance.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/status/status.h>
 
--- a/include/catkinwing/Platform/EtcdStore.h
+++ b/include/catkinwing/Coordination/EtcdStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "catkinwing/Coordination/Store.h"
+#include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Http/HttpClient.h"
-#include "catkinwing/Platform/Store.h"
-#include "catkinwing/Platform/TokenBucket.h"
 #include <array>
 #include <cstddef>
 #include <vector>
--- a/include/catkinwing/Platform/WeightStoreRate.h
+++ b/include/catkinwing/Coordination/WeightStoreRate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Platform/TokenBucket.h"
+#include "catkinwing/Coordination/TokenBucket.h"
 #include <cstddef>
 #include <cstdint>
 
--- a/include/catkinwing/Dispatch/IdempotencyLedger.h
+++ b/include/catkinwing/Dispatch/IdempotencyLedger.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "catkinwing/Coordination/Store.h"
 #include "catkinwing/Dispatch/Claim.h"
 #include "catkinwing/Dispatch/LedgerDocument.h"
-#include "catkinwing/Platform/Store.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <functional>
 #include <memory>
--- a/include/catkinwing/Dispatch/LedgerView.h
+++ b/include/catkinwing/Dispatch/LedgerView.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Coordination/Store.h"
 #include "catkinwing/Dispatch/LedgerDocument.h"
-#include "catkinwing/Platform/Store.h"
 #include <absl/container/flat_hash_map.h>
 #include <absl/types/optional.h>
 
--- a/include/catkinwing/Gateway/ConfigKeeper.h
+++ b/include/catkinwing/Gateway/ConfigKeeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "catkinwing/Config/RevisionedTree.h"
+#include "catkinwing/Coordination/ConfigSource.h"
 #include "catkinwing/PeerProtocol/PeerMessages.h"
-#include "catkinwing/Platform/ConfigSource.h"
 #include <functional>
 #include <memory>
 #include <optional>
--- a/include/catkinwing/Gateway/ConfigWriter.h
+++ b/include/catkinwing/Gateway/ConfigWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Coordination/SettleSwap.h"
 #include "catkinwing/Gateway/ConfigKeeper.h"
-#include "catkinwing/Platform/SettleSwap.h"
 
 namespace catkinwing {
 
--- a/include/catkinwing/Gateway/EndpointRegistry.h
+++ b/include/catkinwing/Gateway/EndpointRegistry.h
@@ -2,8 +2,8 @@
 
 #include "catkinwing/Admission/SlotDivision.h"
 #include "catkinwing/Config/ConfigSnapshot.h"
+#include "catkinwing/Coordination/Instance.h"
 #include "catkinwing/Membership/MembershipView.h"
-#include "catkinwing/Platform/Instance.h"
 #include "catkinwing/Routing/EndpointLifecycle.h"
 #include "catkinwing/Routing/OutlierDetector.h"
 #include "catkinwing/Routing/Placement.h"
--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -76,6 +76,9 @@
     /// arrive on open connections, go on. HTTP/2 callers are told to go. HTTP/1
     /// connections close after their next answer, or within seconds if idle.
     virtual void stopListening() = 0;
+    /// Goes on listening, but closes each connection after its next answer, or
+    /// within seconds if idle, so that callers turn to other servers.
+    virtual void discourage() = 0;
     virtual std::size_t openConnections() const = 0;
     /// Uses \p tls for the connections accepted from now on.
     virtual void replaceTls(std::shared_ptr<TlsContext> tls) = 0;
--- /dev/null
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "catkinwing/Coordination/TokenBucket.h"
+#include "catkinwing/Ingress/Dialect.h"
+#include "catkinwing/Routing/EndpointChoice.h"
+#include "catkinwing/Support/Random.h"
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace catkinwing {
+
+/// One start of one endpoint as this entry knows it. Shared with the requests
+/// that are at it, which may outlive its registration.
+struct EndpointState {
+    EndpointRecord record;
+    std::string region;
+    /// Never reverts.
+    bool isLeaving { false };
+    /// Set while its registration has vanished in an outage of the store.
+    std::optional<TimePoint> isMissingSince;
+    TimePoint coldUntil {};
+    TimePoint suspectUntil {};
+    unsigned failuresInRow { 0 };
+    /// Requests of this entry that it has not answered.
+    unsigned inFlight { 0 };
+    /// This entry's part of what it bears while cold.
+    std::optional<TokenBucket> coldRate;
+};
+
+/// What a request asks of its endpoint.
+struct EndpointRequest {
+    const ServiceSettings* service { nullptr };
+    std::string sharedPart;
+    /// Incarnations that have had the request.
+    const std::vector<std::string>* tried { nullptr };
+    /// Also takes one of those, if no other is there.
+    bool mayBeTried { false };
+};
+
+/// The endpoints of all regions, by their incarnations, and what this entry
+/// has learnt about those of its own region.
+class EndpointTable {
+public:
+    /// \p regionOfZone maps each availability zone to its region.
+    EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone);
+
+    /// Takes a registration as the store has it. A start seen after the table
+    /// was first complete is cold for as long as it says.
+    void put(EndpointRecord record, TimePoint now);
+    /// The registration is gone and the store was calm: nothing more is sent there.
+    void remove(const std::string& incarnation, TimePoint now);
+    /// The registration has vanished while the store was in trouble; removed by
+    /// removeMissing() unless it comes back.
+    void noteMissing(const std::string& incarnation, TimePoint now);
+    /// Removes what has been missing since \p before or earlier.
+    void removeMissing(TimePoint before, TimePoint now);
+    /// Sets the zones to which nothing is sent. Those of a zone that comes back are cold.
+    void setEvacuated(std::set<std::string> zones, const RouteTable* routes, TimePoint now);
+    /// Sets how many entries share the endpoints of the region.
+    void setEntriesOfRegion(std::size_t count) { m_entriesOfRegion = std::max<std::size_t>(count, 1); }
+
+    /// Chooses an endpoint of this region and counts the request against its
+    /// rate while it is cold; null if none may get it.
+    std::shared_ptr<EndpointState> choose(const EndpointRequest& request, TimePoint now, Random& random);
+    void noteBegan(EndpointState& endpoint) const { ++endpoint.inFlight; }
+    /// Notes the end of an attempt; \p isFailure if the endpoint, not the request, was at fault.
+    void noteEnded(EndpointState& endpoint, bool isFailure, TimePoint now);
+    /// The endpoint has said itself that it is leaving, or has gone.
+    void noteLeaving(EndpointState& endpoint) const { endpoint.isLeaving = true; }
+
+    /// Returns how many endpoints of each region could serve \p service.
+    std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
+    std::size_t size() const { return m_endpoints.size(); }
+
+private:
+    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
+
+    bool isUsable(const EndpointState& endpoint) const;
+    bool hasRoom(const EndpointState& endpoint, const ServiceSettings& service) const;
+    bool tryTakeCold(EndpointState& endpoint, const ServiceSettings& service, TimePoint now) const;
+
+    std::string m_region;
+    std::map<std::string, std::string> m_regionOfZone;
+    absl::flat_hash_map<std::string, std::shared_ptr<EndpointState>> m_endpoints;
+    absl::flat_hash_map<std::string, Endpoints> m_ofService;
+    std::set<std::string> m_evacuated;
+    std::size_t m_entriesOfRegion { 1 };
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "catkinwing/Support/Clock.h"
+#include "catkinwing/Support/Random.h"
+#include "catkinwing/Support/SocketAddress.h"
+#include <absl/status/statusor.h>
+#include <absl/strings/string_view.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinwing {
+
+/// What an entry registers in the store about itself, under a lease.
+struct EntryRecord {
+    std::string region;
+    std::string availabilityZone;
+    SocketAddress clients;
+    SocketAddress peers;
+};
+
+/// Text of a registration; the lease's keeper may append to it behind a '#'.
+std::string writeEntryRecord(const EntryRecord& record);
+absl::StatusOr<EntryRecord> readEntryRecord(absl::string_view text);
+
+/// The entries that are registered, this one included.
+class EntryTable {
+public:
+    explicit EntryTable(EntryRecord self);
+
+    void put(const std::string& key, EntryRecord record);
+    void remove(const std::string& key);
+    /// The registration vanished while the store was in trouble.
+    void noteMissing(const std::string& key, TimePoint now);
+    /// Removes what has been missing since \p before or earlier.
+    void removeMissing(TimePoint before);
+
+    /// Returns the addresses for clients of a zone: the entries of the zone, or
+    /// else of the region, or else all.
+    std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone) const;
+    /// Returns an entry of \p region to forward to; nothing if there is none.
+    std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
+    /// Passes \p peer over for a while.
+    void notePeerFailure(const SocketAddress& peer, TimePoint now);
+    void notePeerAnswered(const SocketAddress& peer) { m_suspectUntil.erase(peer); }
+
+    /// Returns how many entries there are, or were within the last seconds, in \p region.
+    std::size_t countOfRegion(const std::string& region) const;
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct Entry {
+        EntryRecord record;
+        std::optional<TimePoint> isMissingSince;
+    };
+
+    EntryRecord m_self;
+    std::map<std::string, Entry> m_entries;
+    std::map<SocketAddress, TimePoint> m_suspectUntil;
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "catkinwing/Admission/RetryBudget.h"
+#include "catkinwing/Http/HttpClient.h"
+#include "catkinwing/Ingress/Dialect.h"
+#include "catkinwing/Ingress/EndpointTable.h"
+#include "catkinwing/Ingress/EntryTable.h"
+#include "catkinwing/Reporting/DecisionLog.h"
+#include "catkinwing/Reporting/Metrics.h"
+#include "catkinwing/Support/Scheduler.h"
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+
+namespace catkinwing {
+
+/// Bounds of sending requests a second time, over all entries together.
+struct RetryLimits {
+    /// Retries earned by each request.
+    double ratio { 0.2 };
+    /// Retries that may be made beyond that in any window.
+    double slack { 50 };
+};
+
+/// What the requests of one entry share. All references outlive the requests.
+struct IngressParts {
+    Scheduler& scheduler;
+    Random& random;
+    HttpClient& endpointClient;
+    HttpClient& peerClient;
+    Metrics& metrics;
+    DecisionLog& log;
+    const Dialect& dialect;
+    std::string region;
+    EndpointTable endpoints;
+    EntryTable entries;
+    RetryLimits retryLimits;
+    /// This entry's part of the budget of each service.
+    absl::flat_hash_map<std::string, RetryBudget> retryBudgets;
+    /// The configuration in force; null before the first one is known.
+    std::shared_ptr<const RouteTable> routes;
+    std::size_t openRequests { 0 };
+
+    RetryBudget& retryBudgetOf(const std::string& service);
+};
+
+} // namespace catkinwing
--- /dev/null
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "catkinwing/Dispatch/EventCursor.h"
+#include "catkinwing/Http/HttpServer.h"
+#include "catkinwing/Ingress/IngressParts.h"
+#include "catkinwing/Ingress/RunDecisions.h"
+
+namespace catkinwing {
+
+/// A client's request as it came in.
+struct RoutedRequest {
+    HttpRequest http;
+    RequestFacts facts;
+    /// Another entry took it from the client; it isn't forwarded again.
+    bool isForwarded { false };
+    TimePoint arrivedAt {};
+    /// Of a forwarded request: attempts that its entry leaves to this one.
+    absl::optional<unsigned> attemptsLeft;
+};
+
+/// The life of one routed request, from its arrival to its final answer. It
+/// keeps itself alive until then.
+class RoutedRun : public std::enable_shared_from_this<RoutedRun> {
+public:
+    RoutedRun(IngressParts& parts, RoutedRequest request, std::shared_ptr<HttpResponder> responder);
+    ~RoutedRun();
+    RoutedRun(const RoutedRun&) = delete;
+    RoutedRun& operator=(const RoutedRun&) = delete;
+
+    void begin();
+
+private:
+    /// The attempt under way.
+    struct Attempt {
+        std::uint64_t number { 0 };
+        AttemptTarget target { AttemptTarget::Endpoint };
+        std::shared_ptr<EndpointState> endpoint;
+        SocketAddress peer;
+        std::shared_ptr<HttpExchange> exchange;
+        TimePoint startedAt {};
+        absl::optional<HttpResponseHead> head;
+        AnswerFacts facts;
+        absl::optional<Outcome> statedOutcome;
+        bool isOurs { false };
+        bool isEventStream { false };
+        std::string body;
+    };
+
+    TimePoint now() const { return m_parts.scheduler.clock().now(); }
+    std::chrono::milliseconds timeLeft() const;
+    bool isAllowedHere() const;
+    std::string sharedPart() const;
+    const std::string& pickService() const;
+
+    void dispatch();
+    bool sendToEndpoint(const std::string& service, bool mayBeTried);
+    bool sendToRegion(const std::string& service);
+    std::optional<std::string> chooseRegion(const std::string& service) const;
+    void startAttempt(Attempt attempt, HttpClientRequest request);
+    HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
+
+    void onHead(const HttpResponseHead& head);
+    void onBody(absl::string_view bytes);
+    void onEnd(const HttpResult& result);
+    void abandonAttempt(const char* reason);
+    void concludeAttempt(HttpEnd end, bool mayHaveReached, const std::string& detail);
+    void settleAttempt(AttemptVerdict verdict, const std::string& detail);
+    void takeAnswer();
+    void takeFailure(AttemptVerdict verdict);
+
+    void deliverHead(const HttpResponseHead& head);
+    void deliver(std::string bytes);
+    void relieveBackPressure();
+    void answerWhole(const HttpResponseHead& head, std::string body);
+    void answerOwn(int status, Outcome outcome, const char* reason);
+    void cutOff(const char* reason);
+    void deadlinePassed();
+    void clientGone();
+    void finish(int status, const char* outcome, const char* reason);
+
+    IngressParts& m_parts;
+    RoutedRequest m_request;
+    std::shared_ptr<HttpResponder> m_responder;
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route* m_route { nullptr };
+    std::string m_service;
+    TimePoint m_deadline {};
+    TimerId m_deadlineTimer { 0 };
+    absl::optional<Attempt> m_attempt;
+    std::uint64_t m_attempts { 0 };
+    unsigned m_runs { 0 };
+    unsigned m_refusals { 0 };
+    bool m_mayHaveRun { false };
+    /// An endpoint has had the request, so that a further one draws on the budget.
+    bool m_hasArrived { false };
+    bool m_lastRan { false };
+    std::vector<std::string> m_triedEndpoints;
+    std::vector<std::string> m_triedRegions;
+    EventCursor m_cursor;
+    bool m_hasHead { false };
+    bool m_isPaused { false };
+    bool m_isDone { false };
+    TimePoint m_firstByteAt {};
+    /// Last whole failure of an endpoint, handed on if nothing better comes.
+    absl::optional<HttpResponseHead> m_failureHead;
+    std::string m_failureBody;
+};
+
+} // namespace catkinwing
--- a/include/catkinwing/Placement/HttpEndpointAdmin.h
+++ b/include/catkinwing/Placement/HttpEndpointAdmin.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Coordination/ServerCall.h"
 #include "catkinwing/Placement/EndpointAdmin.h"
-#include "catkinwing/Platform/ServerCall.h"
 
 namespace catkinwing {
 
--- a/include/catkinwing/Placement/OrderPermission.h
+++ b/include/catkinwing/Placement/OrderPermission.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Coordination/LeaseKeeper.h"
 #include "catkinwing/Placement/PlacementTypes.h"
-#include "catkinwing/Platform/LeaseKeeper.h"
 
 namespace catkinwing {
 
--- a/include/catkinwing/Placement/Orderer.h
+++ b/include/catkinwing/Placement/Orderer.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "catkinwing/Coordination/WeightStoreRate.h"
 #include "catkinwing/Placement/OrderSender.h"
 #include "catkinwing/Placement/PlacementPlanner.h"
-#include "catkinwing/Platform/WeightStoreRate.h"
 
 namespace catkinwing {
 
--- /dev/null
+++ b/include/catkinwing/Routing/EndpointChoice.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "catkinwing/Support/Random.h"
+#include <absl/strings/string_view.h>
+#include <absl/types/span.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace catkinwing {
+
+/// An endpoint that may be chosen.
+struct EndpointCandidate {
+    /// Index in the caller's own list.
+    std::size_t index { 0 };
+    absl::string_view incarnation;
+    /// Requests of this entry that it has not answered.
+    unsigned inFlight { 0 };
+    /// Failed not long ago; chosen only if all others have failed too.
+    bool isSuspect { false };
+};
+
+/// What the choice depends on beside the candidates.
+struct EndpointDemand {
+    /// Names the shared part of the prompt; empty if there is none worth
+    /// reading again.
+    std::string sharedPart;
+};
+
+/// Chooses among \p candidates; nothing only if there are none. Every entry
+/// sends the same shared part to the same endpoint without being told, unless
+/// that one has far more in flight than the others.
+std::optional<std::size_t> chooseEndpoint(absl::Span<const EndpointCandidate> candidates, const EndpointDemand& demand, Random& random);
+
+} // namespace catkinwing
--- a/include/catkinwing/Support/Logging.h
+++ b/include/catkinwing/Support/Logging.h
@@ -10,7 +10,7 @@
     Warning,
     Error };
 
-/// Sends log lines to standard error as JSON, one object a line.
+/// Sends log lines to standard output as JSON, one object a line.
 void initializeLogging();
 
 /// Logs a change of state: \p event names it, \p fields say what changed.
--- a/lib/Admission/RetryBudget.cpp
+++ b/lib/Admission/RetryBudget.cpp
@@ -13,6 +13,12 @@
 {
 }
 
+void RetryBudget::setBurst(double burst)
+{
+    m_burst = burst;
+    m_available = std::min(m_available, burst);
+}
+
 void RetryBudget::onRequest()
 {
     m_available = std::min(m_burst, m_available + m_ratio);
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -48,6 +48,17 @@
     reader.read("maximumBodyBytes", limits.maximumBodyBytes);
 }
 
+static void readIngress(const ObjectReader& reader, IngressSettings& ingress)
+{
+    reader.read("readiness", ingress.readiness, PortRange::FromZero);
+    reader.read("directory", ingress.directory, PortRange::FromZero);
+    reader.read("regionOfZone", ingress.regionOfZone);
+    reader.read("drainTimeout", ingress.drainTimeout, DurationRange::AboveZero);
+    reader.read("directoryLifetime", ingress.directoryLifetime, DurationRange::AboveZero);
+    reader.read("retryRatio", ingress.retryRatio);
+    reader.read("retrySlack", ingress.retrySlack);
+}
+
 static bool isWildcard(const SocketAddress& address)
 {
     return address.host == "0.0.0.0" || address.host == "::";
@@ -87,6 +98,7 @@
     reader.reportRepeats("operatorTokens", settings.operatorTokens, "name", [](const OperatorToken& token) { return token.key.name; });
     reader.reportRepeats("operatorTokens", settings.operatorTokens, "sha256", [](const OperatorToken& token) { return digestText(token.key); });
     reader.readObject("limits", [&](const ObjectReader& member) { readLimits(member, settings.limits); });
+    reader.readObject("ingress", [&](const ObjectReader& member) { readIngress(member, settings.ingress.emplace()); });
     reader.read("testFaults", settings.testFaults);
 }
 
--- a/lib/Config/ObjectReader.cpp
+++ b/lib/Config/ObjectReader.cpp
@@ -88,6 +88,17 @@
         target.push_back(item.is_string() ? item.get<std::string>() : std::string());
 }
 
+void ObjectReader::read(const char* member, std::map<std::string, std::string>& target) const
+{
+    const nlohmann::json* value = find(member);
+    if (!value || !value->is_object())
+        return;
+    for (const auto& [name, text] : value->items()) {
+        if (text.is_string())
+            target.emplace(name, text.get<std::string>());
+    }
+}
+
 void ObjectReader::read(const char* member, Duration& target, DurationRange range) const
 {
     std::string text;
--- a/lib/Config/ObjectReader.h
+++ b/lib/Config/ObjectReader.h
@@ -9,6 +9,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/string_view.h>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -50,6 +51,8 @@
     void read(const char* member, double& target) const;
     void read(const char* member, KeyDigest& target) const;
     void read(const char* member, std::vector<std::string>& target) const;
+    /// Reads an object whose members are all strings.
+    void read(const char* member, std::map<std::string, std::string>& target) const;
     void read(const char* member, Duration& target, DurationRange range) const;
     void read(const char* member, SocketAddress& target, PortRange range) const;
     void read(const char* member, std::vector<SocketAddress>& target) const;
--- /dev/null
+++ b/lib/Config/RouteTable.cpp
@@ -0,0 +1,59 @@
+#include "catkinwing/Config/RouteTable.h"
+
+#include <absl/strings/ascii.h>
+
+namespace catkinwing {
+
+bool mayRepeat(const Route& route)
+{
+    bool isStreaming = route.kind == RequestKind::Streaming;
+    return route.kind == RequestKind::Idempotent || (isStreaming && route.isResumable);
+}
+
+static std::string hostKey(absl::string_view host)
+{
+    std::size_t colon = host.rfind(':');
+    bool isBracketed = !host.empty() && host.back() == ']';
+    if (colon != absl::string_view::npos && !isBracketed)
+        host = host.substr(0, colon);
+    return absl::AsciiStrToLower(host);
+}
+
+RouteTable::RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_services(std::move(services))
+    , m_limits(limits)
+{
+    for (std::size_t i = 0; i < m_routes.size(); ++i)
+        m_routesOfHost[hostKey(m_routes[i].host)].emplace(m_routes[i].prefix, i);
+    for (std::size_t i = 0; i < m_services.size(); ++i)
+        m_serviceIndex.emplace(m_services[i].name, i);
+}
+
+// Every prefix ends with a slash, so only the path's beginnings up to a slash
+// can match: a look-up for each, from the longest on, whatever the number of routes.
+const Route* RouteTable::find(absl::string_view host, absl::string_view path) const
+{
+    auto ofHost = m_routesOfHost.find(hostKey(host));
+    if (ofHost == m_routesOfHost.end())
+        return nullptr;
+    std::size_t slash = path.rfind('/');
+    while (slash != absl::string_view::npos) {
+        auto found = ofHost->second.find(path.substr(0, slash + 1));
+        if (found != ofHost->second.end())
+            return &m_routes[found->second];
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const ServiceSettings* RouteTable::findService(absl::string_view name) const
+{
+    auto found = m_serviceIndex.find(name);
+    return found == m_serviceIndex.end() ? nullptr : &m_services[found->second];
+}
+
+} // namespace catkinwing
--- a/lib/Platform/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/ConfigSource.h"
+#include "catkinwing/Coordination/ConfigSource.h"
 
 #include <algorithm>
 #include <map>
--- a/lib/Platform/ConsulMessages.h
+++ b/lib/Coordination/ConsulMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Platform/Instance.h"
+#include "catkinwing/Coordination/Instance.h"
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
 
--- a/lib/Platform/DirectoryClient.cpp
+++ b/lib/Coordination/DirectoryClient.cpp
@@ -1,7 +1,7 @@
-#include "catkinwing/Platform/DirectoryClient.h"
+#include "catkinwing/Coordination/DirectoryClient.h"
 
 #include "ConsulMessages.h"
-#include "catkinwing/Platform/ServerCall.h"
+#include "catkinwing/Coordination/ServerCall.h"
 #include <optional>
 #include <utility>
 
--- a/lib/Platform/EtcdMessages.h
+++ b/lib/Coordination/EtcdMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Platform/Store.h"
+#include "catkinwing/Coordination/Store.h"
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
 #include <string>
--- a/lib/Platform/EtcdStore.cpp
+++ b/lib/Coordination/EtcdStore.cpp
@@ -1,8 +1,8 @@
-#include "catkinwing/Platform/EtcdStore.h"
+#include "catkinwing/Coordination/EtcdStore.h"
 
 #include "EtcdMessages.h"
 #include "EtcdWatch.h"
-#include "catkinwing/Platform/ServerCall.h"
+#include "catkinwing/Coordination/ServerCall.h"
 #include <algorithm>
 #include <cassert>
 #include <utility>
--- a/lib/Platform/EtcdWatch.h
+++ b/lib/Coordination/EtcdWatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Platform/EtcdStore.h"
+#include "catkinwing/Coordination/EtcdStore.h"
 
 namespace catkinwing {
 
--- a/lib/Platform/Instance.cpp
+++ b/lib/Coordination/Instance.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/Instance.h"
+#include "catkinwing/Coordination/Instance.h"
 
 namespace catkinwing {
 
--- a/lib/Platform/InstanceList.cpp
+++ b/lib/Coordination/InstanceList.cpp
@@ -1,7 +1,7 @@
-#include "catkinwing/Platform/InstanceList.h"
+#include "catkinwing/Coordination/InstanceList.h"
 
 #include "ConsulMessages.h"
-#include "catkinwing/Platform/ServerCall.h"
+#include "catkinwing/Coordination/ServerCall.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
--- a/lib/Platform/ServerCall.cpp
+++ b/lib/Coordination/ServerCall.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/ServerCall.h"
+#include "catkinwing/Coordination/ServerCall.h"
 
 #include <algorithm>
 #include <cassert>
--- a/lib/Platform/SettleSwap.cpp
+++ b/lib/Coordination/SettleSwap.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/SettleSwap.h"
+#include "catkinwing/Coordination/SettleSwap.h"
 
 #include <memory>
 #include <utility>
--- a/lib/Platform/TokenBucket.cpp
+++ b/lib/Coordination/TokenBucket.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/TokenBucket.h"
+#include "catkinwing/Coordination/TokenBucket.h"
 
 #include <algorithm>
 
--- a/lib/Platform/WeightStoreRate.cpp
+++ b/lib/Coordination/WeightStoreRate.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/WeightStoreRate.h"
+#include "catkinwing/Coordination/WeightStoreRate.h"
 
 namespace catkinwing {
 
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -1,5 +1,8 @@
 #include "catkinwing/Gateway/Daemon.h"
 
+#include "catkinwing/Coordination/DirectoryClient.h"
+#include "catkinwing/Coordination/EtcdStore.h"
+#include "catkinwing/Coordination/InstanceList.h"
 #include "catkinwing/Gateway/CallerApi.h"
 #include "catkinwing/Gateway/ConfigSync.h"
 #include "catkinwing/Gateway/EndpointPoller.h"
@@ -8,9 +11,6 @@
 #include "catkinwing/Gateway/PeerApi.h"
 #include "catkinwing/Gateway/PlacementControl.h"
 #include "catkinwing/Gateway/ShardCoordinator.h"
-#include "catkinwing/Platform/DirectoryClient.h"
-#include "catkinwing/Platform/EtcdStore.h"
-#include "catkinwing/Platform/InstanceList.h"
 #include "catkinwing/Support/Logging.h"
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -26,6 +26,7 @@
 
         SocketAddress address() const override { return m_address; }
         void stopListening() override;
+        void discourage() override;
         std::size_t openConnections() const override { return m_core->openConnections(); }
         void replaceTls(std::shared_ptr<TlsContext> tls) override { m_core->replaceTls(std::move(tls)); }
 
@@ -108,7 +109,13 @@
     if (!m_listener)
         return;
     closeListener();
-    m_core->drain();
+    discourage();
+}
+
+void H2oServer::discourage()
+{
+    if (!m_core->isDraining())
+        m_core->drain();
 }
 
 static absl::StatusOr<int> openListener(const SocketAddress& address)
--- /dev/null
+++ b/lib/Ingress/EndpointTable.cpp
@@ -0,0 +1,183 @@
+#include "catkinwing/Ingress/EndpointTable.h"
+
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+/// First time for which an endpoint that failed is passed over; doubled with
+/// each further failure in a row. A crash shows at the next request, and a
+/// restart takes seconds.
+static constexpr milliseconds firstSuspicion { 300 };
+static constexpr milliseconds longestSuspicion { 4'800 };
+/// Requests that may arrive at once at a cold endpoint from one entry.
+static constexpr double coldBurst = 1.0;
+
+EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
+    : m_region(std::move(region))
+    , m_regionOfZone(std::move(regionOfZone))
+{
+}
+
+static void logEndpoint(const char* event, const EndpointState& endpoint)
+{
+    logChange(LogLevel::Info, event,
+        { { "endpoint", endpoint.record.incarnation }, { "service", endpoint.record.service },
+            { "address", endpoint.record.address.toString() }, { "zone", endpoint.record.availabilityZone },
+            { "in_flight", endpoint.inFlight } });
+}
+
+void EndpointTable::put(EndpointRecord record, TimePoint now)
+{
+    std::shared_ptr<EndpointState>& entry = m_endpoints[record.incarnation];
+    bool isNew = !entry;
+    if (isNew) {
+        entry = std::make_shared<EndpointState>();
+        auto region = m_regionOfZone.find(record.availabilityZone);
+        if (region != m_regionOfZone.end())
+            entry->region = region->second;
+        m_ofService[record.service].push_back(entry);
+    }
+    bool wasLeaving = entry->isLeaving;
+    entry->isMissingSince.reset();
+    entry->isLeaving = wasLeaving || record.isLeaving;
+    entry->coldUntil = std::max(entry->coldUntil, now + record.coldFor);
+    entry->record = std::move(record);
+    if (isNew)
+        logEndpoint("endpoint_added", *entry);
+    if (!wasLeaving && entry->isLeaving)
+        logEndpoint("endpoint_leaving", *entry);
+}
+
+void EndpointTable::remove(const std::string& incarnation, TimePoint)
+{
+    auto found = m_endpoints.find(incarnation);
+    if (found == m_endpoints.end())
+        return;
+    std::shared_ptr<EndpointState> endpoint = found->second;
+    endpoint->isLeaving = true;
+    logEndpoint("endpoint_removed", *endpoint);
+    Endpoints& list = m_ofService[endpoint->record.service];
+    list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
+    m_endpoints.erase(found);
+}
+
+void EndpointTable::noteMissing(const std::string& incarnation, TimePoint now)
+{
+    auto found = m_endpoints.find(incarnation);
+    if (found == m_endpoints.end() || found->second->isMissingSince)
+        return;
+    found->second->isMissingSince = now;
+    logEndpoint("endpoint_missing", *found->second);
+}
+
+void EndpointTable::removeMissing(TimePoint before, TimePoint now)
+{
+    std::vector<std::string> gone;
+    for (const auto& [incarnation, endpoint] : m_endpoints) {
+        if (endpoint->isMissingSince && *endpoint->isMissingSince <= before)
+            gone.push_back(incarnation);
+    }
+    for (const std::string& incarnation : gone)
+        remove(incarnation, now);
+}
+
+void EndpointTable::setEvacuated(std::set<std::string> zones, const RouteTable* routes, TimePoint now)
+{
+    for (const auto& [incarnation, endpoint] : m_endpoints) {
+        const std::string& zone = endpoint->record.availabilityZone;
+        bool comesBack = m_evacuated.count(zone) > 0 && zones.count(zone) == 0;
+        const ServiceSettings* service = routes ? routes->findService(endpoint->record.service) : nullptr;
+        // It had no requests, and may have been restarted meanwhile.
+        if (comesBack && service)
+            endpoint->coldUntil = std::max(endpoint->coldUntil, now + service->warmup);
+    }
+    if (zones != m_evacuated)
+        logChange(LogLevel::Info, "evacuated_zones_changed", { { "zones", zones } });
+    m_evacuated = std::move(zones);
+}
+
+bool EndpointTable::isUsable(const EndpointState& endpoint) const
+{
+    return !endpoint.isLeaving && m_evacuated.count(endpoint.record.availabilityZone) == 0;
+}
+
+// The connections that an endpoint takes are divided among the entries of the region.
+bool EndpointTable::hasRoom(const EndpointState& endpoint, const ServiceSettings& service) const
+{
+    if (service.maxConnections == 0)
+        return true;
+    std::size_t share = std::max<std::size_t>(service.maxConnections / m_entriesOfRegion, 1);
+    return endpoint.inFlight < share;
+}
+
+bool EndpointTable::tryTakeCold(EndpointState& endpoint, const ServiceSettings& service, TimePoint now) const
+{
+    if (now >= endpoint.coldUntil || service.coldRequestsPerSecond <= 0) {
+        endpoint.coldRate.reset();
+        return true;
+    }
+    TokenRate rate { service.coldRequestsPerSecond / static_cast<double>(m_entriesOfRegion), coldBurst };
+    if (!endpoint.coldRate)
+        endpoint.coldRate.emplace(rate, now);
+    endpoint.coldRate->setRate(rate, now);
+    return endpoint.coldRate->tryTake(1, now);
+}
+
+std::shared_ptr<EndpointState> EndpointTable::choose(const EndpointRequest& request, TimePoint now, Random& random)
+{
+    auto found = m_ofService.find(request.service->name);
+    if (found == m_ofService.end())
+        return nullptr;
+    const Endpoints& endpoints = found->second;
+    std::vector<EndpointCandidate> candidates;
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+        const EndpointState& endpoint = *endpoints[i];
+        if (endpoint.region != m_region || !isUsable(endpoint) || !hasRoom(endpoint, *request.service))
+            continue;
+        const std::vector<std::string>& tried = *request.tried;
+        bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
+        if (wasTried && !request.mayBeTried)
+            continue;
+        candidates.push_back({ i, endpoint.record.incarnation, endpoint.inFlight, wasTried || now < endpoint.suspectUntil });
+    }
+    while (!candidates.empty()) {
+        std::optional<std::size_t> index = chooseEndpoint(candidates, { request.sharedPart }, random);
+        if (tryTakeCold(*endpoints[*index], *request.service, now))
+            return endpoints[*index];
+        candidates.erase(std::find_if(candidates.begin(), candidates.end(), [&](const auto& candidate) { return candidate.index == *index; }));
+    }
+    return nullptr;
+}
+
+void EndpointTable::noteEnded(EndpointState& endpoint, bool isFailure, TimePoint now)
+{
+    --endpoint.inFlight;
+    if (!isFailure) {
+        endpoint.failuresInRow = 0;
+        endpoint.suspectUntil = {};
+        return;
+    }
+    milliseconds suspicion = firstSuspicion * (1u << std::min(endpoint.failuresInRow, 4u));
+    ++endpoint.failuresInRow;
+    endpoint.suspectUntil = now + std::min(suspicion, longestSuspicion);
+    if (endpoint.failuresInRow == 1)
+        logEndpoint("endpoint_suspect", endpoint);
+}
+
+std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service) const
+{
+    std::map<std::string, std::size_t> counts;
+    auto found = m_ofService.find(service);
+    if (found == m_ofService.end())
+        return counts;
+    for (const auto& endpoint : found->second) {
+        if (isUsable(*endpoint) && !endpoint->region.empty())
+            ++counts[endpoint->region];
+    }
+    return counts;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Ingress/EntryTable.cpp
@@ -0,0 +1,133 @@
+#include "catkinwing/Ingress/EntryTable.h"
+
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace catkinwing {
+
+/// How long an entry that didn't answer a forward is passed over.
+static constexpr std::chrono::milliseconds peerSuspicion { 1'000 };
+
+std::string writeEntryRecord(const EntryRecord& record)
+{
+    nlohmann::json json = {
+        { "region", record.region },
+        { "zone", record.availabilityZone },
+        { "clients", record.clients.toString() },
+        { "peers", record.peers.toString() },
+    };
+    return json.dump();
+}
+
+absl::StatusOr<EntryRecord> readEntryRecord(absl::string_view text)
+{
+    std::size_t end = text.rfind('}');
+    auto json = nlohmann::json::parse(text.substr(0, end == absl::string_view::npos ? 0 : end + 1), nullptr, false);
+    if (!json.is_object())
+        return absl::InvalidArgumentError("registration of an entry is not a JSON object");
+    auto member = [&](const char* name) { return json.contains(name) && json[name].is_string() ? json[name].get<std::string>() : std::string(); };
+    absl::StatusOr<SocketAddress> clients = parseSocketAddress(member("clients"));
+    absl::StatusOr<SocketAddress> peers = parseSocketAddress(member("peers"));
+    if (!clients.ok())
+        return clients.status();
+    if (!peers.ok())
+        return peers.status();
+    return EntryRecord { member("region"), member("zone"), *clients, *peers };
+}
+
+EntryTable::EntryTable(EntryRecord self)
+    : m_self(std::move(self))
+{
+}
+
+void EntryTable::put(const std::string& key, EntryRecord record)
+{
+    bool isNew = m_entries.count(key) == 0;
+    if (isNew)
+        logChange(LogLevel::Info, "entry_added", { { "entry", key }, { "zone", record.availabilityZone }, { "entries", m_entries.size() + 1 } });
+    m_entries[key] = Entry { std::move(record), std::nullopt };
+}
+
+void EntryTable::remove(const std::string& key)
+{
+    if (m_entries.erase(key) > 0)
+        logChange(LogLevel::Info, "entry_removed", { { "entry", key }, { "entries", m_entries.size() } });
+}
+
+void EntryTable::noteMissing(const std::string& key, TimePoint now)
+{
+    auto found = m_entries.find(key);
+    if (found != m_entries.end() && !found->second.isMissingSince)
+        found->second.isMissingSince = now;
+}
+
+void EntryTable::removeMissing(TimePoint before)
+{
+    std::vector<std::string> gone;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.isMissingSince && *entry.isMissingSince <= before)
+            gone.push_back(key);
+    }
+    for (const std::string& key : gone)
+        remove(key);
+}
+
+static void addOnce(std::vector<SocketAddress>& addresses, const SocketAddress& address)
+{
+    if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+        addresses.push_back(address);
+}
+
+std::vector<SocketAddress> EntryTable::entriesFor(const std::string& region, const std::string& availabilityZone) const
+{
+    std::vector<SocketAddress> ofZone;
+    std::vector<SocketAddress> ofRegion;
+    std::vector<SocketAddress> all;
+    for (const auto& [key, entry] : m_entries) {
+        const EntryRecord& record = entry.record;
+        addOnce(all, record.clients);
+        if (record.region == region)
+            addOnce(ofRegion, record.clients);
+        if (record.availabilityZone == availabilityZone)
+            addOnce(ofZone, record.clients);
+    }
+    if (!ofZone.empty())
+        return ofZone;
+    if (!ofRegion.empty())
+        return ofRegion;
+    return all;
+}
+
+std::optional<SocketAddress> EntryTable::choosePeer(const std::string& region, TimePoint now, Random& random) const
+{
+    std::vector<SocketAddress> sound;
+    for (const auto& [key, entry] : m_entries) {
+        const SocketAddress& peer = entry.record.peers;
+        auto suspect = m_suspectUntil.find(peer);
+        bool isSuspect = suspect != m_suspectUntil.end() && now < suspect->second;
+        if (entry.record.region == region && peer != m_self.peers && !isSuspect)
+            addOnce(sound, peer);
+    }
+    if (sound.empty())
+        return std::nullopt;
+    return sound[random.below(sound.size())];
+}
+
+void EntryTable::notePeerFailure(const SocketAddress& peer, TimePoint now)
+{
+    m_suspectUntil[peer] = now + peerSuspicion;
+    logChange(LogLevel::Warning, "entry_suspect", { { "entry", peer.toString() } });
+}
+
+std::size_t EntryTable::countOfRegion(const std::string& region) const
+{
+    std::vector<SocketAddress> found;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.record.region == region)
+            addOnce(found, entry.record.clients);
+    }
+    return found.size();
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -0,0 +1,301 @@
+#include "catkinwing/Ingress/IngressDaemon.h"
+
+#include "StoreFollower.h"
+#include "catkinwing/Coordination/LeaseKeeper.h"
+#include "catkinwing/Http/HttpServer.h"
+#include "catkinwing/Ingress/RoutedRun.h"
+#include "catkinwing/Support/Id.h"
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+/// Entries register below this prefix.
+static constexpr const char* entryPrefix = "catkinwing/entries/";
+/// An entry that dies is out of the directory this much later. Shorter leases
+/// cost more renewals and are lost in short troubles of the store.
+static constexpr milliseconds entryLease { 4'000 };
+static constexpr milliseconds entryRenewal { 1'000 };
+static constexpr milliseconds entryMargin { 500 };
+static constexpr milliseconds entryRetry { 500 };
+/// Clients keep idle connections for as long as the operator's limit says, so
+/// an entry keeps them longer than any usual limit.
+static constexpr milliseconds idleConnectionTimeout { 60'000 };
+static constexpr milliseconds clientSendTimeout { 15'000 };
+/// Idle connections to endpoints are closed before the endpoints do so, since a
+/// request that crosses their close is lost.
+static constexpr milliseconds keepIdleEndpoints { 3'000 };
+static constexpr milliseconds keepIdlePeers { 10'000 };
+/// After SIGTERM clients that hold an old answer of the directory still come
+/// for this long; an entry that has nothing to do doesn't end sooner.
+static constexpr milliseconds minimumDrain { 3'000 };
+/// The end comes this much before the drain timeout, at which the platform kills.
+static constexpr milliseconds drainMargin { 400 };
+static constexpr milliseconds drainCheck { 50 };
+static constexpr milliseconds houseKeepingInterval { 250 };
+static constexpr int statusOk = 200;
+static constexpr int statusNotFound = 404;
+static constexpr int statusUnavailable = 503;
+/// The entry that forwards marks its request by this header.
+static constexpr const char* forwardedHeader = "Catkinwing-Forwarded";
+static constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
+
+struct IngressDaemon::Impl {
+    Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seeded, const Dialect& spoken, const StoreMaker& makeStore)
+        : loop(eventLoop)
+        , settings(daemonSettings)
+        , ingress(*settings.ingress)
+        , random(std::move(seeded))
+        , dialect(spoken)
+        , log(eventLoop.clock())
+        , storeClient(makeHttpClient(eventLoop, {}))
+        , endpointClient(makeHttpClient(eventLoop, endpointClientOptions()))
+        , peerClient(makeHttpClient(eventLoop, peerClientOptions()))
+        , store(makeStore(*storeClient, eventLoop, settings.store))
+        , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
+        , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, 0 }
+        , follower(*store, eventLoop, random, dialect, entryPrefix, parts)
+        , registration(*store, eventLoop, random, registrationOptions())
+    {
+    }
+
+    static HttpClientOptions endpointClientOptions()
+    {
+        HttpClientOptions options;
+        options.keepIdle = keepIdleEndpoints;
+        return options;
+    }
+
+    static HttpClientOptions peerClientOptions()
+    {
+        HttpClientOptions options;
+        options.keepIdle = keepIdlePeers;
+        return options;
+    }
+
+    LeaseKeeperOptions registrationOptions()
+    {
+        LeaseKeeperOptions options;
+        options.key = absl::StrCat(entryPrefix, settings.name, ".", makeId(random).substr(0, 8));
+        options.holder = writeEntryRecord(self);
+        options.timeToLive = entryLease;
+        options.margin = entryMargin;
+        options.renewEvery = entryRenewal;
+        options.retryEvery = entryRetry;
+        return options;
+    }
+
+    absl::Status listen();
+    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler) const;
+    void accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
+    void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
+    void answerDirectory(const HttpRequest& request, HttpResponder& responder);
+    void answerOperator(const HttpRequest& request, HttpResponder& responder);
+    bool isReady() const { return parts.routes && follower.knowsEndpoints() && !isDraining; }
+    void houseKeep();
+    void checkDrained();
+
+    EventLoop& loop;
+    DaemonSettings settings;
+    IngressSettings ingress;
+    Random random;
+    Dialect dialect;
+    Metrics metrics;
+    DecisionLog log;
+    std::unique_ptr<HttpClient> storeClient;
+    std::unique_ptr<HttpClient> endpointClient;
+    std::unique_ptr<HttpClient> peerClient;
+    std::unique_ptr<Store> store;
+    EntryRecord self;
+    IngressParts parts;
+    StoreFollower follower;
+    LeaseKeeper registration;
+    std::unique_ptr<HttpServer> clients;
+    std::unique_ptr<HttpServer> peers;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> directory;
+    std::unique_ptr<HttpServer> operators;
+    bool isDraining { false };
+    bool wasReady { false };
+    TimePoint drainBegan {};
+    std::function<void()> drained;
+};
+
+absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, HttpHandler handler) const
+{
+    HttpServerOptions options;
+    options.listen = address;
+    options.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
+    options.requestTimeout = idleConnectionTimeout;
+    options.sendTimeout = clientSendTimeout;
+    options.maxConnections = static_cast<std::size_t>(settings.limits.maximumConnections);
+    return HttpServer::listen(loop, std::move(options), std::move(handler));
+}
+
+absl::Status IngressDaemon::Impl::listen()
+{
+    using Responder = std::shared_ptr<HttpResponder>;
+    struct Listener {
+        SocketAddress address;
+        std::unique_ptr<HttpServer>* server;
+        HttpHandler handler;
+    };
+    Listener listeners[] = {
+        { settings.listen.callers, &clients, [this](HttpRequest request, Responder responder) { accept(std::move(request), std::move(responder), false); } },
+        { settings.listen.peers, &peers, [this](HttpRequest request, Responder responder) { accept(std::move(request), std::move(responder), true); } },
+        { ingress.readiness, &readiness, [this](const HttpRequest& request, const Responder& responder) { answerReadiness(request, *responder); } },
+        { ingress.directory, &directory, [this](const HttpRequest& request, const Responder& responder) { answerDirectory(request, *responder); } },
+        { settings.listen.operators, &operators, [this](const HttpRequest& request, const Responder& responder) { answerOperator(request, *responder); } },
+    };
+    for (Listener& listener : listeners) {
+        absl::StatusOr<std::unique_ptr<HttpServer>> server = listenOn(listener.address, std::move(listener.handler));
+        if (!server.ok())
+            return server.status();
+        *listener.server = std::move(*server);
+    }
+    return absl::OkStatus();
+}
+
+static void answer(HttpResponder& responder, int status, const char* type, std::string body)
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.headers.add("content-type", type);
+    responder.send(head, std::move(body));
+}
+
+void IngressDaemon::Impl::accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer)
+{
+    RoutedRequest routed;
+    routed.facts = dialect.readRequest(request);
+    routed.isForwarded = isFromPeer;
+    routed.arrivedAt = loop.clock().now();
+    if (isFromPeer) {
+        unsigned attempts = 0;
+        const std::string* text = request.headers.find(attemptsLeftHeader);
+        if (text && absl::SimpleAtoi(*text, &attempts))
+            routed.attemptsLeft = attempts;
+    }
+    routed.http = std::move(request);
+    std::make_shared<RoutedRun>(parts, std::move(routed), std::move(responder))->begin();
+}
+
+void IngressDaemon::Impl::answerReadiness(const HttpRequest& request, HttpResponder& responder) const
+{
+    if (!dialect.isReadinessQuestion(request))
+        answer(responder, statusNotFound, "text/plain", "");
+    else
+        answer(responder, isReady() ? statusOk : statusUnavailable, "text/plain", "");
+}
+
+void IngressDaemon::Impl::answerDirectory(const HttpRequest& request, HttpResponder& responder)
+{
+    std::optional<DirectoryQuestion> question = dialect.readDirectoryQuestion(request);
+    if (!question) {
+        answer(responder, statusNotFound, "text/plain", "");
+        return;
+    }
+    std::vector<SocketAddress> entries = parts.entries.entriesFor(question->region, question->availabilityZone);
+    if (entries.empty() && isReady())
+        entries.push_back(self.clients);
+    if (entries.empty()) {
+        answer(responder, statusUnavailable, "text/plain", "");
+        return;
+    }
+    metrics.count("directory_answers");
+    auto validFor = std::chrono::duration_cast<milliseconds>(ingress.directoryLifetime);
+    answer(responder, statusOk, "application/json", dialect.writeDirectoryAnswer(entries, validFor));
+}
+
+void IngressDaemon::Impl::answerOperator(const HttpRequest& request, HttpResponder& responder)
+{
+    if (request.path != "/metrics") {
+        answer(responder, statusNotFound, "text/plain", "");
+        return;
+    }
+    metrics.set("open_requests", static_cast<double>(parts.openRequests));
+    metrics.set("entries", static_cast<double>(parts.entries.size()));
+    metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
+    metrics.set("configuration_version", parts.routes ? static_cast<double>(parts.routes->version()) : 0);
+    metrics.set("log_lines_dropped", static_cast<double>(log.dropped()));
+    answer(responder, statusOk, "text/plain", metrics.render());
+}
+
+// The registration follows readiness, so that the directory names an entry only
+// once it can serve.
+void IngressDaemon::Impl::houseKeep()
+{
+    follower.houseKeep();
+    parts.endpoints.setEntriesOfRegion(parts.entries.countOfRegion(settings.region));
+    bool isReadyNow = isReady();
+    if (isReadyNow && !wasReady) {
+        logChange(LogLevel::Info, "ready", { { "version", parts.routes->version() }, { "endpoints", parts.endpoints.size() } });
+        registration.start();
+    }
+    wasReady = isReadyNow;
+    loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
+}
+
+void IngressDaemon::Impl::checkDrained()
+{
+    Duration passed = loop.clock().now() - drainBegan;
+    bool hasRested = passed >= std::min<Duration>(minimumDrain, ingress.drainTimeout / 2);
+    bool mustEnd = passed >= ingress.drainTimeout - drainMargin;
+    if (mustEnd || (hasRested && parts.openRequests == 0)) {
+        logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequests } });
+        drained();
+        return;
+    }
+    loop.callAfter(drainCheck, [this] { checkDrained(); });
+}
+
+IngressDaemon::IngressDaemon(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+IngressDaemon::~IngressDaemon() = default;
+
+absl::StatusOr<std::unique_ptr<IngressDaemon>> IngressDaemon::start(EventLoop& loop, const DaemonSettings& settings, Random random,
+    const Dialect& dialect, const StoreMaker& makeStore)
+{
+    auto impl = std::make_unique<Impl>(loop, settings, std::move(random), dialect, makeStore);
+    absl::Status status = impl->listen();
+    if (!status.ok())
+        return status;
+    logChange(LogLevel::Info, "started",
+        { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
+            { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
+    impl->follower.start();
+    impl->houseKeep();
+    return std::unique_ptr<IngressDaemon>(new IngressDaemon(std::move(impl)));
+}
+
+void IngressDaemon::drain(std::function<void()> done)
+{
+    Impl& impl = *m_impl;
+    if (impl.isDraining)
+        return;
+    impl.isDraining = true;
+    impl.drained = std::move(done);
+    impl.drainBegan = impl.loop.clock().now();
+    logChange(LogLevel::Info, "draining", { { "open_requests", impl.parts.openRequests } });
+    impl.registration.stop();
+    impl.clients->discourage();
+    impl.peers->discourage();
+    impl.checkDrained();
+}
+
+void IngressDaemon::reload(const DaemonSettings& settings)
+{
+    logChange(LogLevel::Info, "settings_reloaded", { { "entry", settings.name } });
+    m_impl->ingress.drainTimeout = settings.ingress->drainTimeout;
+    m_impl->ingress.directoryLifetime = settings.ingress->directoryLifetime;
+    m_impl->parts.retryLimits = { settings.ingress->retryRatio, settings.ingress->retrySlack };
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/Ingress/RunDecisions.cpp
@@ -0,0 +1,47 @@
+#include "catkinwing/Ingress/RunDecisions.h"
+
+namespace catkinwing {
+
+/// Endpoints that refuse because they are full are asked at most this often
+/// for one request: a third refusal says that the service is full.
+static constexpr unsigned maxRefusals = 3;
+/// An attempt with less time than this would only fail at its deadline.
+static constexpr std::chrono::milliseconds minTimeForAttempt { 20 };
+
+AttemptVerdict judgeAttempt(const AttemptEvidence& evidence)
+{
+    if (!evidence.mayHaveReached)
+        return AttemptVerdict::NotRun;
+    if (!evidence.hasHead)
+        return AttemptVerdict::Unknown;
+    if (evidence.statedOutcome)
+        return *evidence.statedOutcome == Outcome::NotRun ? AttemptVerdict::NotRun : AttemptVerdict::Unknown;
+    if (evidence.answer.wasNotRun)
+        return AttemptVerdict::NotRun;
+    bool isWhole = evidence.end == HttpEnd::Complete;
+    return isWhole && evidence.answer.isEndpointAnswer && evidence.isOurs ? AttemptVerdict::Answered : AttemptVerdict::Unknown;
+}
+
+static bool maySendAgain(AttemptVerdict verdict, const RunProgress& progress)
+{
+    if (!progress.hasBudget || progress.timeLeft < minTimeForAttempt)
+        return false;
+    if (progress.hasDelivered && !progress.isResumable)
+        return false;
+    if (verdict == AttemptVerdict::NotRun) {
+        bool isSafe = progress.mayRepeat || !progress.mayHaveRun;
+        return isSafe && progress.refusals < maxRefusals;
+    }
+    return progress.mayRepeat && progress.runs < progress.maxRuns;
+}
+
+NextStep decideNext(AttemptVerdict verdict, const RunProgress& progress)
+{
+    if (maySendAgain(verdict, progress))
+        return NextStep::SendAgain;
+    if (progress.hasDelivered)
+        return NextStep::CutOff;
+    return progress.mayHaveRun ? NextStep::FailUnknown : NextStep::RefuseNotRun;
+}
+
+} // namespace catkinwing
--- a/lib/Support/Logging.cpp
+++ b/lib/Support/Logging.cpp
@@ -12,7 +12,7 @@
 void initializeLogging()
 {
     auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
 }
--- a/tools/catkinwingd/Main.cpp
+++ b/tools/catkinwingd/Main.cpp
@@ -1,10 +1,14 @@
 #include "catkinwing/Config/DaemonSettings.h"
 #include "catkinwing/Gateway/Daemon.h"
+#include "catkinwing/Ingress/IngressDaemon.h"
 #include "catkinwing/Support/File.h"
 #include "catkinwing/Support/Logging.h"
 #include "catkinwing/Support/Version.h"
 
+#include "platform/PlatformDialect.h"
+#include "platform/PlatformStore.h"
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -26,30 +30,72 @@
     return std::move(parsed.document);
 }
 
-static int serve(const DaemonSettings& settings)
+static std::unique_ptr<Store> makePlatformStore(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers)
+{
+    return std::make_unique<platform::PlatformStore>(http, scheduler, std::move(servers));
+}
+
+/// Runs \p daemon until it has drained after SIGTERM or SIGINT.
+template <typename AnyDaemon>
+static int runUntilDrained(EventLoop& loop, AnyDaemon& daemon, EventLoop::Callback onHangUp)
 {
-    initializeLogging();
-    SystemClock clock;
-    EventLoop loop(clock);
-    absl::StatusOr<std::unique_ptr<Daemon>> daemon = Daemon::start(loop, settings, Random::fromSystem());
-    if (!daemon.ok()) {
-        std::cerr << "catkinwingd: " << daemon.status().message() << "\n";
-        return exitFailure;
-    }
     bool hasDrained = false;
     auto stop = [&] {
-        (*daemon)->drain([&] {
+        daemon.drain([&] {
             hasDrained = true;
             loop.stop();
         });
     };
     loop.onSignal(SIGTERM, stop);
     loop.onSignal(SIGINT, stop);
-    loop.onSignal(SIGHUP, [&] { (*daemon)->reloadKeys(); });
+    loop.onSignal(SIGHUP, std::move(onHangUp));
     loop.run();
     return hasDrained ? 0 : exitFailure;
 }
 
+static int failToStart(const absl::Status& status)
+{
+    std::cerr << "catkinwingd: " << status.message() << "\n";
+    return exitFailure;
+}
+
+static int serveByRoutes(EventLoop& loop, const DaemonSettings& settings, const std::string& file)
+{
+    absl::StatusOr<std::unique_ptr<IngressDaemon>> daemon = IngressDaemon::start(loop, settings, Random::fromSystem(), platform::platformDialect(), makePlatformStore);
+    if (!daemon.ok())
+        return failToStart(daemon.status());
+    auto reload = [&] {
+        std::optional<DaemonSettings> changed = loadSettings(file);
+        if (changed && changed->ingress)
+            (*daemon)->reload(*changed);
+    };
+    return runUntilDrained(loop, **daemon, reload);
+}
+
+static int serveTeams(EventLoop& loop, const DaemonSettings& settings)
+{
+    absl::StatusOr<std::unique_ptr<Daemon>> daemon = Daemon::start(loop, settings, Random::fromSystem());
+    if (!daemon.ok())
+        return failToStart(daemon.status());
+    return runUntilDrained(loop, **daemon, [&] { (*daemon)->reloadKeys(); });
+}
+
+static int serve(const DaemonSettings& settings, const std::string& file)
+{
+    initializeLogging();
+    SystemClock clock;
+    EventLoop loop(clock);
+    return settings.ingress ? serveByRoutes(loop, settings, file) : serveTeams(loop, settings);
+}
+
+static std::string settingsFile(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("config"))
+        return arguments["config"].as<std::string>();
+    const char* fromEnvironment = std::getenv(platform::settingsFileVariable);
+    return fromEnvironment ? fromEnvironment : "";
+}
+
 int main(int argc, char** argv)
 {
     cxxopts::Options options("catkinwingd", "Entry daemon of the catkinwing inference gateway.\nSIGTERM drains and exits, SIGHUP reloads keys and certificates.");
@@ -64,14 +110,15 @@
             std::cout << "catkinwingd " << versionString() << "\n";
             return 0;
         }
-        if (!arguments.count("config") || !arguments.unmatched().empty()) {
+        std::string file = settingsFile(arguments);
+        if (file.empty() || !arguments.unmatched().empty()) {
             std::cerr << "catkinwingd: --config FILE is needed; see --help\n";
             return exitUsage;
         }
-        std::optional<DaemonSettings> settings = loadSettings(arguments["config"].as<std::string>());
+        std::optional<DaemonSettings> settings = loadSettings(file);
         if (!settings)
             return exitFailure;
-        return arguments.count("check") ? 0 : serve(*settings);
+        return arguments.count("check") ? 0 : serve(*settings, file);
     } catch (const cxxopts::exceptions::exception& fault) {
         std::cerr << "catkinwingd: " << fault.what() << "; see --help\n";
         return exitUsage;
--- a/unittests/Platform/DirectoryTest.cpp
+++ b/unittests/Coordination/DirectoryTest.cpp
@@ -1,7 +1,7 @@
-#include "catkinwing/Platform/DirectoryClient.h"
+#include "catkinwing/Coordination/DirectoryClient.h"
 
 #include "FakeHttpClient.h"
-#include "catkinwing/Platform/InstanceList.h"
+#include "catkinwing/Coordination/InstanceList.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/unittests/Platform/EtcdStoreTest.cpp
+++ b/unittests/Coordination/EtcdStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/EtcdStore.h"
+#include "catkinwing/Coordination/EtcdStore.h"
 
 #include "FakeHttpClient.h"
 #include "catkinwing/Support/ManualScheduler.h"
--- a/unittests/Platform/LeaseKeeperTest.cpp
+++ b/unittests/Coordination/LeaseKeeperTest.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Platform/LeaseKeeper.h"
+#include "catkinwing/Coordination/LeaseKeeper.h"
 
 #include "FakeStore.h"
 #include "FreezableScheduler.h"
--- a/unittests/Platform/TokenBucketTest.cpp
+++ b/unittests/Coordination/TokenBucketTest.cpp
@@ -1,6 +1,6 @@
-#include "catkinwing/Platform/TokenBucket.h"
+#include "catkinwing/Coordination/TokenBucket.h"
 
-#include "catkinwing/Platform/WeightStoreRate.h"
+#include "catkinwing/Coordination/WeightStoreRate.h"
 #include <catch2/catch.hpp>
 
 using namespace catkinwing;
--- a/unittests/Dispatch/IdempotencyLedgerTest.cpp
+++ b/unittests/Dispatch/IdempotencyLedgerTest.cpp
@@ -1,6 +1,6 @@
 #include "catkinwing/Dispatch/IdempotencyLedger.h"
 
-#include "Platform/FakeStore.h"
+#include "Coordination/FakeStore.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Coordination/FakeHttpClient.h"
 #include "FakeResponder.h"
-#include "Platform/FakeHttpClient.h"
 #include "catkinwing/Config/RevisionedTree.h"
 #include "catkinwing/Gateway/RequestBroker.h"
 #include "catkinwing/Gateway/RequestReader.h"
--- a/unittests/Gateway/ConfigWriterTest.cpp
+++ b/unittests/Gateway/ConfigWriterTest.cpp
@@ -1,6 +1,6 @@
 #include "catkinwing/Gateway/ConfigWriter.h"
 
-#include "Platform/FakeStore.h"
+#include "Coordination/FakeStore.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 
--- a/unittests/Gateway/LedgerForwarderTest.cpp
+++ b/unittests/Gateway/LedgerForwarderTest.cpp
@@ -1,6 +1,6 @@
 #include "catkinwing/Gateway/LedgerForwarder.h"
 
-#include "Platform/FakeStore.h"
+#include "Coordination/FakeStore.h"
 #include "catkinwing/Gateway/ForwardedClaims.h"
 #include "catkinwing/PeerProtocol/PeerCodec.h"
 #include "catkinwing/Support/ManualScheduler.h"
--- a/unittests/Gateway/PeerApiTest.cpp
+++ b/unittests/Gateway/PeerApiTest.cpp
@@ -1,7 +1,7 @@
 #include "catkinwing/Gateway/PeerApi.h"
 
 #include "BrokerFixture.h"
-#include "Platform/FakeStore.h"
+#include "Coordination/FakeStore.h"
 #include "catkinwing/Gateway/AttemptRequest.h"
 #include "catkinwing/PeerProtocol/PeerCodec.h"
 #include <catch2/catch.hpp>
--- a/unittests/Placement/HttpEndpointAdminTest.cpp
+++ b/unittests/Placement/HttpEndpointAdminTest.cpp
@@ -1,6 +1,6 @@
 #include "catkinwing/Placement/HttpEndpointAdmin.h"
 
-#include "Platform/FakeHttpClient.h"
+#include "Coordination/FakeHttpClient.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/unittests/Placement/OrderSenderTest.cpp
+++ b/unittests/Placement/OrderSenderTest.cpp
@@ -1,8 +1,8 @@
 #include "catkinwing/Placement/OrderSender.h"
 
+#include "Coordination/FakeStore.h"
+#include "Coordination/FreezableScheduler.h"
 #include "FakeEndpoints.h"
-#include "Platform/FakeStore.h"
-#include "Platform/FreezableScheduler.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
 
--- a/unittests/Placement/OrdererTest.cpp
+++ b/unittests/Placement/OrdererTest.cpp
@@ -1,7 +1,7 @@
 #include "catkinwing/Placement/Orderer.h"
 
+#include "Coordination/FakeStore.h"
 #include "FakeEndpoints.h"
-#include "Platform/FakeStore.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 
--- a/unittests/Replay/ReplayTest.cpp
+++ b/unittests/Replay/ReplayTest.cpp
@@ -1,4 +1,4 @@
-#include "Platform/FakeHttpClient.h"
+#include "Coordination/FakeHttpClient.h"
 #include "catkinwing/Replay/Replayer.h"
 #include "catkinwing/Support/ManualScheduler.h"
 
