--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -56,7 +56,7 @@
     SocketAddress directory;
     std::map<std::string, std::string> regionOfZone;
     Duration drainTimeout { std::chrono::seconds(8) };
-    Duration directoryLifetime { std::chrono::seconds(2) };
+    Duration directoryLifetime { std::chrono::seconds(1) };
     double retryRatio { 0.2 };
     double retrySlack { 50 };
 };
--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -56,6 +56,12 @@
 /// Tells whether a request of the route may be executed a second time.
 bool mayRepeat(const Route& route);
 
+class RouteTable;
+
+/// Returns the regions that every route of \p host allows; empty if none of
+/// them is bound to its homes, or no region suits all that are.
+std::vector<std::string> homeRegionsOf(const RouteTable& table, absl::string_view host);
+
 /// A group of endpoints that serve the same requests.
 struct ServiceSettings {
     std::string name;
--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -79,10 +79,8 @@
 
 /// Where the store holds what operators and endpoints write.
 struct StoreLayout {
-    /// Operators write below this prefix.
-    std::string operatorPrefix;
-    /// Below it: the one document of routes and services.
-    std::string configurationName;
+    /// The one document of routes and services.
+    std::string configurationKey;
     /// Below it: one key for each availability zone that is evacuated.
     std::string evacuationPrefix;
     /// Endpoints register below this prefix under their incarnation.
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -37,8 +37,9 @@
     void removeMissing(TimePoint before);
 
     /// Returns the addresses for clients of a zone: the entries of the zone, or
-    /// else of the region, or else all.
-    std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone) const;
+    /// else of the region, or else of \p homes, the regions that may have the
+    /// clients' requests, or else all.
+    std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const std::vector<std::string>& homes) const;
     /// Returns an entry of \p region to forward to; nothing if there is none.
     std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
     /// Passes \p peer over for a while.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -7,6 +7,9 @@
 
 namespace catkinwing {
 
+/// Attempts that the entry that forwards leaves to the one that it forwards to.
+constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
+
 /// A client's request as it came in.
 struct RoutedRequest {
     HttpRequest http;
@@ -41,6 +44,8 @@
         absl::optional<HttpResponseHead> head;
         AnswerFacts facts;
         absl::optional<Outcome> statedOutcome;
+        /// Endpoints that may have run it, if another entry says.
+        absl::optional<unsigned> statedRuns;
         bool isOurs { false };
         bool isEventStream { false };
         std::string body;
@@ -59,6 +64,8 @@
     void startAttempt(Attempt attempt, HttpClientRequest request);
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
+    void takeStatements(Attempt& attempt);
+    unsigned runsOf(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
     void onEnd(const HttpResult& result);
@@ -68,6 +75,7 @@
     void takeAnswer();
     void takeFailure(AttemptVerdict verdict);
 
+    HttpResponseHead withStatements(HttpResponseHead head) const;
     void deliverHead(const HttpResponseHead& head);
     void deliver(std::string bytes);
     void relieveBackPressure();
--- a/lib/Config/RouteTable.cpp
+++ b/lib/Config/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Config/RouteTable.h"
 
 #include <absl/strings/ascii.h>
+#include <algorithm>
 
 namespace catkinwing {
 
@@ -31,6 +32,24 @@
         m_serviceIndex.emplace(m_services[i].name, i);
 }
 
+std::vector<std::string> homeRegionsOf(const RouteTable& table, absl::string_view host)
+{
+    std::vector<std::string> common;
+    bool isBound = false;
+    for (const Route& route : table.routes()) {
+        if (route.homeRegions.empty() || hostKey(route.host) != hostKey(host))
+            continue;
+        if (!isBound)
+            common = route.homeRegions;
+        auto isElsewhere = [&route](const std::string& region) {
+            return std::find(route.homeRegions.begin(), route.homeRegions.end(), region) == route.homeRegions.end();
+        };
+        common.erase(std::remove_if(common.begin(), common.end(), isElsewhere), common.end());
+        isBound = true;
+    }
+    return common;
+}
+
 // Every prefix ends with a slash, so only the path's beginnings up to a slash
 // can match: a look-up for each, from the longest on, whatever the number of routes.
 const Route* RouteTable::find(absl::string_view host, absl::string_view path) const
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -276,14 +276,22 @@
     return connection.hadRequest ? !connection.isHttp2 : connection.socket->bytes_written == 0;
 }
 
+static bool hasUnreadInput(int descriptor)
+{
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // HTTP/1 has no way to announce that a connection is about to close. A request
-// that has begun to arrive lies in the input.
+// that has begun to arrive lies in the input, or still with the kernel.
 void ServerCore::closeIdleConnections()
 {
     for (auto& connection : m_connections) {
         bool isIdle = connection->openRequests == 0 && connection->socket->input->size == 0;
-        if (isIdle && isHttp1(*connection))
-            shutdown(connection->descriptor, SHUT_RD);
+        if (!isIdle || !isHttp1(*connection) || hasUnreadInput(connection->descriptor))
+            continue;
+        connection->isReadShut = true;
+        shutdown(connection->descriptor, SHUT_RD);
     }
     m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
 }
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -25,6 +25,9 @@
     h2o_socket_cb handshakeReader { nullptr };
     bool isHttp2 { false };
     bool hadRequest { false };
+    /// The server itself has closed the receiving side, so that its end says
+    /// nothing about the caller.
+    bool isReadShut { false };
     std::size_t openRequests { 0 };
     /// Answers that have ended but not gone out whole.
     std::size_t endedAnswers { 0 };
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -80,7 +80,7 @@
 // HTTP/2 connections are read at all times, so h2o itself notices there.
 void ServerResponse::watchCaller()
 {
-    if (!isOpen() || m_request->version >= http2Version)
+    if (!isOpen() || m_request->version >= http2Version || m_connection->isReadShut)
         return;
     std::weak_ptr<ServerResponse> weak = weak_from_this();
     m_watchToken = m_connection->core->peerCloseWatcher().add(m_connection->descriptor, [weak] {
--- /dev/null
+++ b/lib/Ingress/EntryRegistration.cpp
@@ -0,0 +1,141 @@
+#include "catkinwing/Ingress/EntryRegistration.h"
+
+#include "catkinwing/Support/Logging.h"
+
+namespace catkinwing {
+
+struct EntryRegistration::Impl : std::enable_shared_from_this<Impl> {
+    Impl(Store& givenStore, Scheduler& givenScheduler, EntryRegistrationOptions givenOptions)
+        : store(givenStore)
+        , scheduler(givenScheduler)
+        , options(std::move(givenOptions))
+    {
+    }
+
+    // Callbacks of an attempt that is over do nothing.
+    template <typename Function>
+    auto guarded(Function function)
+    {
+        return [weak = weak_from_this(), epoch = epoch, function](const auto&... arguments) {
+            auto self = weak.lock();
+            if (self && self->epoch == epoch)
+                function(*self, arguments...);
+        };
+    }
+
+    void begin();
+    void onGranted(const absl::StatusOr<StoreLease>& granted);
+    void onWritten(SwapResult result);
+    void renew();
+    void onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left);
+    void beginAgain(const char* reason);
+    void dropLease();
+
+    Store& store;
+    Scheduler& scheduler;
+    EntryRegistrationOptions options;
+    std::uint64_t epoch { 0 };
+    StoreLease lease { 0 };
+    bool isRunning { false };
+    bool isRegistered { false };
+};
+
+void EntryRegistration::Impl::begin()
+{
+    ++epoch;
+    store.grantLease(options.timeToLive, guarded([](Impl& self, const absl::StatusOr<StoreLease>& granted) { self.onGranted(granted); }));
+}
+
+void EntryRegistration::Impl::onGranted(const absl::StatusOr<StoreLease>& granted)
+{
+    if (!granted.ok()) {
+        beginAgain("no lease");
+        return;
+    }
+    lease = *granted;
+    store.compareAndSwap(options.key, 0, options.value, lease, guarded([](Impl& self, SwapResult result) { self.onWritten(result); }));
+}
+
+// A write whose answer was lost may have been done, or be done later: either
+// way the key is ours alone, so the lease is renewed as if it had been, and a
+// conflict with an earlier write of ours only means that it is there.
+void EntryRegistration::Impl::onWritten(SwapResult result)
+{
+    if (result.outcome == SwapOutcome::Conflict || result.outcome == SwapOutcome::NotSent) {
+        beginAgain("key not written");
+        return;
+    }
+    isRegistered = true;
+    logChange(LogLevel::Info, "entry_registered", { { "key", options.key }, { "confirmed", result.outcome == SwapOutcome::Committed } });
+    scheduler.callAfter(options.renewEvery, guarded([](Impl& self) { self.renew(); }));
+}
+
+void EntryRegistration::Impl::renew()
+{
+    store.keepAlive(lease, guarded([](Impl& self, const absl::StatusOr<std::chrono::milliseconds>& left) { self.onRenewed(left); }));
+}
+
+void EntryRegistration::Impl::onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left)
+{
+    if (absl::IsNotFound(left.status())) {
+        beginAgain("lease lapsed");
+        return;
+    }
+    scheduler.callAfter(left.ok() ? options.renewEvery : options.retryEvery, guarded([](Impl& self) { self.renew(); }));
+}
+
+void EntryRegistration::Impl::dropLease()
+{
+    ++epoch;
+    if (lease != 0)
+        store.revokeLease(lease, [](const absl::Status&) {});
+    lease = 0;
+    isRegistered = false;
+}
+
+void EntryRegistration::Impl::beginAgain(const char* reason)
+{
+    if (isRegistered)
+        logChange(LogLevel::Warning, "entry_registration_lost", { { "key", options.key }, { "reason", reason } });
+    dropLease();
+    scheduler.callAfter(options.retryEvery, guarded([](Impl& self) { self.begin(); }));
+}
+
+EntryRegistration::EntryRegistration(Store& store, Scheduler& scheduler, EntryRegistrationOptions options)
+    : m_impl(std::make_shared<Impl>(store, scheduler, std::move(options)))
+{
+}
+
+EntryRegistration::~EntryRegistration() = default;
+
+void EntryRegistration::start()
+{
+    if (m_impl->isRunning)
+        return;
+    m_impl->isRunning = true;
+    m_impl->begin();
+}
+
+void EntryRegistration::stop()
+{
+    m_impl->isRunning = false;
+    m_impl->dropLease();
+}
+
+void EntryRegistration::noteVanished()
+{
+    if (m_impl->isRegistered)
+        m_impl->beginAgain("key vanished");
+}
+
+bool EntryRegistration::isRegistered() const
+{
+    return m_impl->isRegistered;
+}
+
+const std::string& EntryRegistration::key() const
+{
+    return m_impl->options.key;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -79,16 +79,19 @@
         addresses.push_back(address);
 }
 
-std::vector<SocketAddress> EntryTable::entriesFor(const std::string& region, const std::string& availabilityZone) const
+std::vector<SocketAddress> EntryTable::entriesFor(const std::string& region, const std::string& availabilityZone, const std::vector<std::string>& homes) const
 {
     std::vector<SocketAddress> ofZone;
     std::vector<SocketAddress> ofRegion;
+    std::vector<SocketAddress> ofHomes;
     std::vector<SocketAddress> all;
     for (const auto& [key, entry] : m_entries) {
         const EntryRecord& record = entry.record;
         addOnce(all, record.clients);
         if (record.region == region)
             addOnce(ofRegion, record.clients);
+        if (std::find(homes.begin(), homes.end(), record.region) != homes.end())
+            addOnce(ofHomes, record.clients);
         if (record.availabilityZone == availabilityZone)
             addOnce(ofZone, record.clients);
     }
@@ -96,7 +99,7 @@
         return ofZone;
     if (!ofRegion.empty())
         return ofRegion;
-    return all;
+    return ofHomes.empty() ? all : ofHomes;
 }
 
 std::optional<SocketAddress> EntryTable::choosePeer(const std::string& region, TimePoint now, Random& random) const
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -1,8 +1,8 @@
 #include "catkinwing/Ingress/IngressDaemon.h"
 
 #include "StoreFollower.h"
-#include "catkinwing/Coordination/LeaseKeeper.h"
 #include "catkinwing/Http/HttpServer.h"
+#include "catkinwing/Ingress/EntryRegistration.h"
 #include "catkinwing/Ingress/RoutedRun.h"
 #include "catkinwing/Support/Id.h"
 #include <absl/strings/numbers.h>
@@ -19,8 +19,6 @@
 /// cost more renewals and are lost in short troubles of the store.
 static constexpr milliseconds entryLease { 4'000 };
 static constexpr milliseconds entryRenewal { 1'000 };
-static constexpr milliseconds entryMargin { 500 };
-static constexpr milliseconds entryRetry { 500 };
 /// Clients keep idle connections for as long as the operator's limit says, so
 /// an entry keeps them longer than any usual limit.
 static constexpr milliseconds idleConnectionTimeout { 60'000 };
@@ -29,9 +27,15 @@
 /// request that crosses their close is lost.
 static constexpr milliseconds keepIdleEndpoints { 3'000 };
 static constexpr milliseconds keepIdlePeers { 10'000 };
+/// For this long after SIGTERM new connections are still taken, each for one
+/// request; by then nobody holds an answer of the directory that names the entry.
+static constexpr milliseconds listenWhileDraining { 3'200 };
+/// What arrives later than this after SIGTERM is refused, since it might not be
+/// finished in time.
+static constexpr milliseconds acceptWhileDraining { 3'500 };
 /// After SIGTERM clients that hold an old answer of the directory still come
 /// for this long; an entry that has nothing to do doesn't end sooner.
-static constexpr milliseconds minimumDrain { 3'000 };
+static constexpr milliseconds minimumDrain { 3'300 };
 /// The end comes this much before the drain timeout, at which the platform kills.
 static constexpr milliseconds drainMargin { 400 };
 static constexpr milliseconds drainCheck { 50 };
@@ -39,9 +43,6 @@
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
-/// The entry that forwards marks its request by this header.
-static constexpr const char* forwardedHeader = "Catkinwing-Forwarded";
-static constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
 
 struct IngressDaemon::Impl {
     Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seeded, const Dialect& spoken, const StoreMaker& makeStore)
@@ -58,8 +59,11 @@
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
             EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, 0 }
-        , follower(*store, eventLoop, random, dialect, entryPrefix, parts)
-        , registration(*store, eventLoop, random, registrationOptions())
+        , registration(*store, eventLoop, registrationOptions())
+        , follower(*store, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
+            if (key == registration.key())
+                registration.noteVanished();
+        })
     {
     }
 
@@ -77,15 +81,13 @@
         return options;
     }
 
-    LeaseKeeperOptions registrationOptions()
+    EntryRegistrationOptions registrationOptions()
     {
-        LeaseKeeperOptions options;
+        EntryRegistrationOptions options;
         options.key = absl::StrCat(entryPrefix, settings.name, ".", makeId(random).substr(0, 8));
-        options.holder = writeEntryRecord(self);
+        options.value = writeEntryRecord(self);
         options.timeToLive = entryLease;
-        options.margin = entryMargin;
         options.renewEvery = entryRenewal;
-        options.retryEvery = entryRetry;
         return options;
     }
 
@@ -112,14 +114,15 @@
     std::unique_ptr<Store> store;
     EntryRecord self;
     IngressParts parts;
+    EntryRegistration registration;
     StoreFollower follower;
-    LeaseKeeper registration;
     std::unique_ptr<HttpServer> clients;
     std::unique_ptr<HttpServer> peers;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> directory;
     std::unique_ptr<HttpServer> operators;
     bool isDraining { false };
+    bool hasStoppedListening { false };
     bool wasReady { false };
     TimePoint drainBegan {};
     std::function<void()> drained;
@@ -168,8 +171,21 @@
     responder.send(head, std::move(body));
 }
 
+static void refuseLate(HttpResponder& responder)
+{
+    HttpResponseHead head;
+    head.status = statusUnavailable;
+    head.headers.add(outcomeHeader, outcomeWord(Outcome::NotRun));
+    head.headers.add("retry-after", "0.1");
+    responder.send(head, "");
+}
+
 void IngressDaemon::Impl::accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer)
 {
+    if (isDraining && loop.clock().now() - drainBegan > acceptWhileDraining) {
+        refuseLate(*responder);
+        return;
+    }
     RoutedRequest routed;
     routed.facts = dialect.readRequest(request);
     routed.isForwarded = isFromPeer;
@@ -199,7 +215,8 @@
         answer(responder, statusNotFound, "text/plain", "");
         return;
     }
-    std::vector<SocketAddress> entries = parts.entries.entriesFor(question->region, question->availabilityZone);
+    std::vector<std::string> homes = parts.routes ? homeRegionsOf(*parts.routes, question->host) : std::vector<std::string>();
+    std::vector<SocketAddress> entries = parts.entries.entriesFor(question->region, question->availabilityZone, homes);
     if (entries.empty() && isReady())
         entries.push_back(self.clients);
     if (entries.empty()) {
@@ -243,6 +260,10 @@
 void IngressDaemon::Impl::checkDrained()
 {
     Duration passed = loop.clock().now() - drainBegan;
+    if (passed >= listenWhileDraining && !hasStoppedListening) {
+        hasStoppedListening = true;
+        clients->stopListening();
+    }
     bool hasRested = passed >= std::min<Duration>(minimumDrain, ingress.drainTimeout / 2);
     bool mustEnd = passed >= ingress.drainTimeout - drainMargin;
     if (mustEnd || (hasRested && parts.openRequests == 0)) {
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -36,8 +36,8 @@
 /// When a refused client should come back: by then an endpoint has answered
 /// some of what it has, or news of other endpoints has come in.
 static constexpr const char* retryAfterSeconds = "0.3";
-/// Attempts that the entry that forwards leaves to the one that it forwards to.
-static constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
+/// A route's priorities begin with zero, the most urgent, like an endpoint's.
+static constexpr int leastUrgent = 9;
 
 RetryBudget& IngressParts::retryBudgetOf(const std::string& service)
 {
@@ -168,6 +168,7 @@
     m_triedEndpoints.push_back(endpoint->record.incarnation);
     AttemptFacts facts;
     facts.incarnation = endpoint->record.incarnation;
+    facts.urgency = std::clamp(m_route->priority, 0, leastUrgent);
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
     request.connectTimeout = endpointConnectTimeout;
     Attempt attempt;
@@ -274,13 +275,26 @@
     return word ? parseOutcome(*word) : absl::nullopt;
 }
 
+// What the other entry says for this one goes no further.
+void RoutedRun::takeStatements(Attempt& attempt)
+{
+    HttpHeaders& headers = attempt.head->headers;
+    attempt.statedOutcome = statedOutcomeOf(*attempt.head);
+    unsigned runs = 0;
+    const std::string* text = headers.find(endpointAttemptsHeader);
+    if (text && absl::SimpleAtoi(*text, &runs))
+        attempt.statedRuns = runs;
+    headers.remove(endpointAttemptsHeader);
+    headers.remove(outcomeHeader);
+}
+
 void RoutedRun::onHead(const HttpResponseHead& head)
 {
     Attempt& attempt = *m_attempt;
     attempt.head = head;
     attempt.facts = m_parts.dialect.readAnswer(head);
     if (attempt.target == AttemptTarget::Entry)
-        attempt.statedOutcome = statedOutcomeOf(head);
+        takeStatements(attempt);
     attempt.isOurs = attempt.facts.attemptId == m_request.facts.attemptId;
     bool isForeign = !attempt.facts.attemptId.empty() && !attempt.isOurs;
     if (isForeign) {
@@ -362,6 +376,14 @@
     return "unknown";
 }
 
+// An entry that doesn't say may have used all the attempts that it had.
+unsigned RoutedRun::runsOf(const Attempt& attempt) const
+{
+    if (attempt.target == AttemptTarget::Endpoint)
+        return 1;
+    return attempt.statedRuns.value_or(m_route->attempts);
+}
+
 void RoutedRun::settleAttempt(AttemptVerdict verdict, const std::string& detail)
 {
     Attempt& attempt = *m_attempt;
@@ -376,7 +398,7 @@
         m_parts.entries.notePeerAnswered(attempt.peer);
     }
     bool isRun = verdict != AttemptVerdict::NotRun;
-    m_runs += isRun ? 1 : 0;
+    m_runs += isRun ? runsOf(attempt) : 0;
     m_refusals += isRun ? 0 : 1;
     m_mayHaveRun = m_mayHaveRun || isRun;
     m_lastRan = isRun;
@@ -448,13 +470,21 @@
     }
 }
 
+// The entry that forwarded counts the runs against its route's limit.
+HttpResponseHead RoutedRun::withStatements(HttpResponseHead head) const
+{
+    if (m_request.isForwarded)
+        head.headers.add(endpointAttemptsHeader, std::to_string(std::max(m_runs, 1u)));
+    return head;
+}
+
 void RoutedRun::deliverHead(const HttpResponseHead& head)
 {
     if (m_hasHead)
         return;
     m_hasHead = true;
     m_firstByteAt = now();
-    m_responder->sendHead(head);
+    m_responder->sendHead(withStatements(head));
 }
 
 void RoutedRun::deliver(std::string bytes)
@@ -484,7 +514,7 @@
     }
     m_firstByteAt = now();
     int status = head.status;
-    m_responder->send(head, std::move(body));
+    m_responder->send(withStatements(head), std::move(body));
     finish(status, "completed", "");
 }
 
@@ -501,7 +531,7 @@
     head.headers.add(outcomeHeader, outcomeWord(outcome));
     if (status == statusUnavailable)
         head.headers.add("retry-after", retryAfterSeconds);
-    m_responder->send(head, absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
+    m_responder->send(withStatements(head), absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
     finish(status, outcomeWord(outcome), reason);
 }
 
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -17,44 +17,42 @@
 static constexpr milliseconds longestRetry { 800 };
 static constexpr milliseconds renewWatches { 60'000 };
 
-StoreFollower::StoreFollower(Store& store, Scheduler& scheduler, Random& random, const Dialect& dialect, std::string entryPrefix, IngressParts& parts)
-    : m_scheduler(scheduler)
-    , m_dialect(dialect)
-    , m_parts(parts)
-    , m_operators(store, scheduler, random, sourceOptions(dialect.layout.operatorPrefix), [this](const auto& changes) { takeOperatorChanges(changes); })
-    , m_endpoints(store, scheduler, random, sourceOptions(dialect.layout.endpointPrefix), [this](const auto& changes) { takeEndpointChanges(changes); })
-    , m_entries(store, scheduler, random, sourceOptions(entryPrefix), [this](const auto& changes) { takeEntryChanges(changes); })
-{
-}
-
-ConfigSourceOptions StoreFollower::sourceOptions(const std::string& prefix) const
+// One watch over all that the store holds: operators, endpoints and entries
+// alike concern every entry, and each watch that waits is a call to be paid for.
+static ConfigSourceOptions sourceOptions()
 {
     ConfigSourceOptions options;
-    options.prefix = prefix;
+    options.prefix = "";
     options.retryDelay = firstRetry;
     options.longestRetryDelay = longestRetry;
     options.renewWatchEvery = renewWatches;
     return options;
 }
 
-void StoreFollower::start()
+StoreFollower::StoreFollower(Store& store, Scheduler& scheduler, Random& random, std::string entryPrefix, IngressParts& parts,
+    std::function<void(const std::string& key)> onEntryGone)
+    : m_scheduler(scheduler)
+    , m_dialect(parts.dialect)
+    , m_parts(parts)
+    , m_entryPrefix(std::move(entryPrefix))
+    , m_onEntryGone(std::move(onEntryGone))
+    , m_source(store, scheduler, random, sourceOptions(), [this](const std::vector<ConfigChange>& changes) {
+        for (const ConfigChange& change : changes)
+            takeChange(change);
+    })
 {
-    m_operators.start();
-    m_endpoints.start();
-    m_entries.start();
 }
 
 bool StoreFollower::isTroubled() const
 {
-    return !m_endpoints.isFollowing() || now() - m_lastTrouble < troubleMemory;
+    return !m_source.isFollowing() || now() - m_lastTrouble < troubleMemory;
 }
 
 void StoreFollower::houseKeep()
 {
-    bool isFollowing = m_endpoints.isFollowing() && m_operators.isFollowing() && m_entries.isFollowing();
+    bool isFollowing = m_source.isFollowing();
     if (isFollowing != m_wasFollowing)
-        logChange(isFollowing ? LogLevel::Info : LogLevel::Warning, isFollowing ? "store_reached" : "store_lost",
-            { { "endpoints_revision", m_endpoints.revision() }, { "operators_revision", m_operators.revision() } });
+        logChange(isFollowing ? LogLevel::Info : LogLevel::Warning, isFollowing ? "store_reached" : "store_lost", { { "revision", m_source.revision() } });
     m_wasFollowing = isFollowing;
     if (!isFollowing) {
         m_lastTrouble = now();
@@ -64,25 +62,27 @@
     m_parts.entries.removeMissing(now() - missingGrace);
 }
 
-void StoreFollower::takeOperatorChanges(const std::vector<ConfigChange>& changes)
+void StoreFollower::takeChange(const ConfigChange& change)
 {
-    bool haveZonesChanged = false;
-    for (const ConfigChange& change : changes) {
-        absl::string_view path = change.path;
-        if (path == m_dialect.layout.configurationName) {
-            takeConfiguration(change);
-            continue;
-        }
-        if (!absl::ConsumePrefix(&path, m_dialect.layout.evacuationPrefix))
-            continue;
-        haveZonesChanged = true;
-        if (change.text)
-            m_evacuatedZones.emplace(path);
-        else
-            m_evacuatedZones.erase(std::string(path));
-    }
-    if (haveZonesChanged)
-        m_parts.endpoints.setEvacuated(m_evacuatedZones, m_parts.routes.get(), now());
+    const StoreLayout& layout = m_dialect.layout;
+    absl::string_view key = change.path;
+    if (key == layout.configurationKey)
+        takeConfiguration(change);
+    else if (absl::ConsumePrefix(&key, layout.evacuationPrefix))
+        takeEvacuation(std::string(key), change.text.has_value());
+    else if (absl::ConsumePrefix(&key, layout.endpointPrefix))
+        takeEndpoint(std::string(key), change);
+    else if (absl::ConsumePrefix(&key, m_entryPrefix))
+        takeEntry(std::string(key), change);
+}
+
+void StoreFollower::takeEvacuation(const std::string& zone, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuatedZones.insert(zone);
+    else
+        m_evacuatedZones.erase(zone);
+    m_parts.endpoints.setEvacuated(m_evacuatedZones, m_parts.routes.get(), now());
 }
 
 // A version that isn't newer, and one that can't be read, leaves the one in force.
@@ -105,40 +105,37 @@
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
 }
 
-void StoreFollower::takeEndpointChanges(const std::vector<ConfigChange>& changes)
+void StoreFollower::takeEndpoint(const std::string& incarnation, const ConfigChange& change)
 {
-    for (const ConfigChange& change : changes) {
-        if (!change.text) {
-            if (isTroubled())
-                m_parts.endpoints.noteMissing(change.path, now());
-            else
-                m_parts.endpoints.remove(change.path, now());
-            continue;
-        }
-        absl::StatusOr<EndpointRecord> record = m_dialect.readEndpoint(change.path, *change.text);
-        if (record.ok())
-            m_parts.endpoints.put(std::move(*record), now());
+    if (!change.text) {
+        if (isTroubled())
+            m_parts.endpoints.noteMissing(incarnation, now());
         else
-            logChange(LogLevel::Error, "endpoint_refused", { { "endpoint", change.path }, { "fault", std::string(record.status().message()) } });
+            m_parts.endpoints.remove(incarnation, now());
+        return;
     }
+    absl::StatusOr<EndpointRecord> record = m_dialect.readEndpoint(incarnation, *change.text);
+    if (record.ok())
+        m_parts.endpoints.put(std::move(*record), now());
+    else
+        logChange(LogLevel::Error, "endpoint_refused", { { "endpoint", incarnation }, { "fault", std::string(record.status().message()) } });
 }
 
-void StoreFollower::takeEntryChanges(const std::vector<ConfigChange>& changes)
+void StoreFollower::takeEntry(const std::string& name, const ConfigChange& change)
 {
-    for (const ConfigChange& change : changes) {
-        if (!change.text) {
-            if (isTroubled())
-                m_parts.entries.noteMissing(change.path, now());
-            else
-                m_parts.entries.remove(change.path);
-            continue;
-        }
-        absl::StatusOr<EntryRecord> record = readEntryRecord(*change.text);
-        if (record.ok())
-            m_parts.entries.put(change.path, std::move(*record));
+    if (!change.text) {
+        m_onEntryGone(change.path);
+        if (isTroubled())
+            m_parts.entries.noteMissing(name, now());
         else
-            logChange(LogLevel::Error, "entry_refused", { { "entry", change.path }, { "fault", std::string(record.status().message()) } });
+            m_parts.entries.remove(name);
+        return;
     }
+    absl::StatusOr<EntryRecord> record = readEntryRecord(*change.text);
+    if (record.ok())
+        m_parts.entries.put(name, std::move(*record));
+    else
+        logChange(LogLevel::Error, "entry_refused", { { "entry", name }, { "fault", std::string(record.status().message()) } });
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -11,30 +11,32 @@
 /// learns into the tables of \p parts.
 class StoreFollower {
 public:
-    StoreFollower(Store& store, Scheduler& scheduler, Random& random, const Dialect& dialect, std::string entryPrefix, IngressParts& parts);
+    /// \p onEntryGone is told the keys of registrations that vanish.
+    StoreFollower(Store& store, Scheduler& scheduler, Random& random, std::string entryPrefix, IngressParts& parts,
+        std::function<void(const std::string& key)> onEntryGone);
 
-    void start();
-    /// Tells whether the endpoints were listed once.
-    bool knowsEndpoints() const { return m_endpoints.revision() > 0; }
+    void start() { m_source.start(); }
+    /// Tells whether the store was listed once.
+    bool knowsEndpoints() const { return m_source.revision() > 0; }
     /// Notes trouble of the store and drops what stays away after it.
     void houseKeep();
 
 private:
-    void takeOperatorChanges(const std::vector<ConfigChange>& changes);
+    void takeChange(const ConfigChange& change);
     void takeConfiguration(const ConfigChange& change);
-    void takeEndpointChanges(const std::vector<ConfigChange>& changes);
-    void takeEntryChanges(const std::vector<ConfigChange>& changes);
+    void takeEvacuation(const std::string& zone, bool isEvacuated);
+    void takeEndpoint(const std::string& incarnation, const ConfigChange& change);
+    void takeEntry(const std::string& name, const ConfigChange& change);
     /// Tells whether a key that vanishes now may have lapsed only because the store was away.
     bool isTroubled() const;
-    ConfigSourceOptions sourceOptions(const std::string& prefix) const;
     TimePoint now() const { return m_scheduler.clock().now(); }
 
     Scheduler& m_scheduler;
     const Dialect& m_dialect;
     IngressParts& m_parts;
-    ConfigSource m_operators;
-    ConfigSource m_endpoints;
-    ConfigSource m_entries;
+    std::string m_entryPrefix;
+    std::function<void(const std::string& key)> m_onEntryGone;
+    ConfigSource m_source;
     std::set<std::string> m_evacuatedZones;
     bool m_wasFollowing { false };
     TimePoint m_lastTrouble {};
