--- a/lib/Ingress/EntryRegistration.cpp
+++ b/lib/Ingress/EntryRegistration.cpp
@@ -26,6 +26,8 @@
     void begin();
     void onGranted(const absl::StatusOr<StoreLease>& granted);
     void onWritten(SwapResult result);
+    void onRead(const absl::StatusOr<StoredValue>& current);
+    void takeUp();
     void renew();
     void onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left);
     void beginAgain(const char* reason);
@@ -56,17 +58,37 @@
     store.compareAndSwap(options.key, 0, options.value, lease, guarded([](Impl& self, SwapResult result) { self.onWritten(result); }));
 }
 
-// A write whose answer was lost may have been done, or be done later: either
-// way the key is ours alone, so the lease is renewed as if it had been, and a
-// conflict with an earlier write of ours only means that it is there.
+// A write whose answer was lost may have been done, or be done later. If it
+// isn't there by now, beginning again ends the lease, and a write under a lease
+// that has ended is refused whenever it comes.
 void EntryRegistration::Impl::onWritten(SwapResult result)
 {
-    if (result.outcome == SwapOutcome::Conflict || result.outcome == SwapOutcome::NotSent) {
+    switch (result.outcome) {
+    case SwapOutcome::Committed:
+        takeUp();
+        return;
+    case SwapOutcome::Unknown:
+        store.get(options.key, guarded([](Impl& self, const absl::StatusOr<StoredValue>& current) { self.onRead(current); }));
+        return;
+    case SwapOutcome::Conflict:
+    case SwapOutcome::NotSent:
         beginAgain("key not written");
         return;
     }
+}
+
+void EntryRegistration::Impl::onRead(const absl::StatusOr<StoredValue>& current)
+{
+    if (current.ok() && current->revision != 0)
+        takeUp();
+    else
+        beginAgain("key not found");
+}
+
+void EntryRegistration::Impl::takeUp()
+{
     isRegistered = true;
-    logChange(LogLevel::Info, "entry_registered", { { "key", options.key }, { "confirmed", result.outcome == SwapOutcome::Committed } });
+    logChange(LogLevel::Info, "entry_registered", { { "key", options.key } });
     scheduler.callAfter(options.renewEvery, guarded([](Impl& self) { self.renew(); }));
 }
 
--- /dev/null
+++ b/unittests/Config/RouteTableTest.cpp
@@ -0,0 +1,63 @@
+#include "catkinwing/Config/RouteTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+
+static Route route(std::string name, std::string host, std::string prefix, std::vector<std::string> homes = {})
+{
+    Route route;
+    route.name = std::move(name);
+    route.host = std::move(host);
+    route.prefix = std::move(prefix);
+    route.services = { { "service", 1 } };
+    route.homeRegions = std::move(homes);
+    return route;
+}
+
+static std::string found(const RouteTable& table, absl::string_view host, absl::string_view path)
+{
+    const Route* route = table.find(host, path);
+    return route ? route->name : "";
+}
+
+TEST_CASE("the longest prefix of the host selects the route")
+{
+    RouteTable table(3, { route("all", "a.example", "/"), route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/y/z/") }, {}, {});
+    CHECK(found(table, "a.example", "/x/y/z") == "long");
+    CHECK(found(table, "a.example", "/x/y/") == "long");
+    CHECK(found(table, "a.example", "/x/y") == "short");
+    CHECK(found(table, "a.example", "/x") == "all");
+    CHECK(found(table, "b.example", "/x/y/z/1") == "other");
+    CHECK(found(table, "b.example", "/x/").empty());
+    CHECK(found(table, "c.example", "/").empty());
+    CHECK(found(table, "a.example", "").empty());
+}
+
+TEST_CASE("hosts compare without case and port")
+{
+    RouteTable table(1, { route("r", "A.Example", "/") }, {}, {});
+    CHECK(found(table, "a.EXAMPLE:8080", "/1") == "r");
+}
+
+TEST_CASE("the homes of a host are those that all its bound routes share")
+{
+    RouteTable table(1, { route("a", "h", "/a/", { "north", "south" }), route("b", "h", "/b/"), route("c", "h", "/c/", { "south", "west" }), route("d", "g", "/", { "east" }) }, {}, {});
+    CHECK(homeRegionsOf(table, "h") == std::vector<std::string> { "south" });
+    CHECK(homeRegionsOf(table, "g") == std::vector<std::string> { "east" });
+    CHECK(homeRegionsOf(table, "f").empty());
+}
+
+TEST_CASE("only idempotent requests and streams that resume may be repeated")
+{
+    Route any;
+    any.kind = RequestKind::Idempotent;
+    CHECK(mayRepeat(any));
+    any.kind = RequestKind::NonIdempotent;
+    any.isResumable = true;
+    CHECK_FALSE(mayRepeat(any));
+    any.kind = RequestKind::Streaming;
+    CHECK(mayRepeat(any));
+    any.isResumable = false;
+    CHECK_FALSE(mayRepeat(any));
+}
--- a/unittests/Http/HttpServerStopTest.cpp
+++ b/unittests/Http/HttpServerStopTest.cpp
@@ -94,3 +94,34 @@
     options.listen = { "localhost", 0 };
     CHECK_FALSE(HttpServer::listen(held.loop, options, [](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {}).ok());
 }
+
+// Timers run in the order of their times after the turn's input was read, so
+// what the first one sends lies in the kernel's buffer when the second closes.
+TEST_CASE("a request that arrives as an idle connection is about to be closed is answered")
+{
+    HeldServer held;
+    auto caller = held.call();
+    held.responders[0]->send(headOf(200), "first");
+    REQUIRE(caller->receiveUntil(held.loop, "first"));
+    held.server->discourage();
+    held.loop.callAfter(1'490ms, [&] { caller->send(getRequest); });
+    auto lastTurn = held.clock.now() + 1'470ms;
+    runUntil(held.loop, [&] { return held.clock.now() >= lastTurn; });
+    while (held.clock.now() < lastTurn + 40ms) { }
+    REQUIRE(runUntil(held.loop, [&] { return held.requests.size() == 2; }));
+    runFor(held.loop, 100ms);
+    CHECK(held.closed == 0);
+    held.responders[1]->send(headOf(200), "second");
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK(absl::EndsWith(caller->received(), "second"));
+}
+
+TEST_CASE("a discouraged server goes on listening and closes each connection after its answer")
+{
+    HeldServer held;
+    held.server->discourage();
+    auto caller = held.call();
+    held.responders[0]->send(headOf(200), "answer");
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK(absl::StrContains(absl::AsciiStrToLower(caller->received()), "connection: close\r\n"));
+}
--- /dev/null
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -0,0 +1,147 @@
+#include "catkinwing/Ingress/EndpointTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A table with a service whose cold endpoints bear ten requests a second.
+struct TableWorld {
+    TableWorld()
+    {
+        service.name = "service";
+        service.coldRequestsPerSecond = 10;
+        service.warmup = 3s;
+        service.maxConnections = 12;
+    }
+
+    void put(const std::string& incarnation, bool isLeaving = false, std::chrono::milliseconds coldFor = 0ms)
+    {
+        EndpointRecord record;
+        record.incarnation = incarnation;
+        record.service = service.name;
+        record.address = { "127.0.0.1", 1 };
+        record.availabilityZone = "north-a";
+        record.isLeaving = isLeaving;
+        record.coldFor = coldFor;
+        table.put(std::move(record), now);
+    }
+
+    std::shared_ptr<EndpointState> choose()
+    {
+        EndpointRequest request;
+        request.service = &service;
+        request.tried = &tried;
+        return table.choose(request, now, random);
+    }
+
+    ServiceSettings service;
+    std::vector<std::string> tried;
+    Random random { 3 };
+    TimePoint now { 100s };
+    EndpointTable table { "north", { { "north-a", "north" }, { "south-a", "south" } } };
+};
+
+} // namespace
+
+TEST_CASE("leaving never reverts, whatever the store says later")
+{
+    TableWorld world;
+    world.put("e1", true);
+    CHECK_FALSE(world.choose());
+    world.put("e1", false);
+    CHECK_FALSE(world.choose());
+}
+
+TEST_CASE("an endpoint that is gone is never chosen, and one that is missing stays until it is removed")
+{
+    TableWorld world;
+    world.put("e1");
+    world.table.noteMissing("e1", world.now);
+    CHECK(world.choose());
+    world.now += 2s;
+    world.table.removeMissing(world.now - 3s, world.now);
+    CHECK(world.choose());
+    world.put("e1");
+    world.table.removeMissing(world.now, world.now);
+    CHECK(world.choose());
+    world.table.noteMissing("e1", world.now);
+    world.table.removeMissing(world.now, world.now);
+    CHECK_FALSE(world.choose());
+    CHECK(world.table.size() == 0);
+}
+
+TEST_CASE("the entries of a region together keep to what a cold endpoint bears")
+{
+    for (std::size_t entries : { 1u, 2u, 3u, 8u }) {
+        TableWorld world;
+        world.put("e1", false, 60s);
+        world.table.setEntriesOfRegion(entries);
+        std::vector<TimePoint> taken;
+        for (int i = 0; i < 20'000; ++i) {
+            world.now += 1ms;
+            if (world.choose())
+                taken.push_back(world.now);
+        }
+        std::size_t most = 0;
+        for (std::size_t begin = 0, end = 0; end < taken.size(); ++end) {
+            while (taken[end] - taken[begin] >= 1s)
+                ++begin;
+            most = std::max(most, end - begin + 1);
+        }
+        CHECK(static_cast<double>(most * entries) <= 10 * 1.5 + 3 + 0.001);
+        CHECK(static_cast<double>(taken.size() * entries) > 20 * 10 * 0.7);
+    }
+}
+
+TEST_CASE("an evacuated zone gets nothing and is cold when it comes back")
+{
+    TableWorld world;
+    world.put("e1");
+    RouteTable routes(1, {}, { world.service }, {});
+    world.table.setEvacuated({ "north-a" }, &routes, world.now);
+    CHECK_FALSE(world.choose());
+    CHECK(world.table.usableByRegion("service").empty());
+    world.table.setEvacuated({}, &routes, world.now);
+    CHECK(world.choose());
+    CHECK_FALSE(world.choose());
+    world.now += 3s;
+    CHECK(world.choose());
+    CHECK(world.choose());
+}
+
+TEST_CASE("connections to an endpoint are divided among the entries")
+{
+    TableWorld world;
+    world.put("e1");
+    world.table.setEntriesOfRegion(3);
+    for (int i = 0; i < 4; ++i) {
+        auto endpoint = world.choose();
+        REQUIRE(endpoint);
+        world.table.noteBegan(*endpoint);
+    }
+    CHECK_FALSE(world.choose());
+}
+
+TEST_CASE("an endpoint that fails is passed over for longer with each failure, and an answer clears it")
+{
+    TableWorld world;
+    world.put("e1");
+    world.put("e2");
+    auto failing = world.choose();
+    for (int i = 0; i < 3; ++i) {
+        world.table.noteBegan(*failing);
+        world.table.noteEnded(*failing, true, world.now);
+    }
+    world.now += 1s;
+    for (int i = 0; i < 50; ++i)
+        CHECK(world.choose() != failing);
+    world.table.noteBegan(*failing);
+    world.table.noteEnded(*failing, false, world.now);
+    bool isBack = false;
+    for (int i = 0; i < 50; ++i)
+        isBack = isBack || world.choose() == failing;
+    CHECK(isBack);
+}
--- /dev/null
+++ b/unittests/Ingress/EntryTableTest.cpp
@@ -0,0 +1,82 @@
+#include "catkinwing/Ingress/EntryTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static SocketAddress at(int port)
+{
+    return { "127.0.0.1", static_cast<std::uint16_t>(port) };
+}
+
+static EntryRecord entry(const std::string& region, const std::string& zone, int port)
+{
+    return { region, zone, at(port), at(port + 1'000) };
+}
+
+static EntryTable smallTable()
+{
+    EntryTable table(entry("north", "north-a", 1));
+    table.put("n1", entry("north", "north-a", 1));
+    table.put("n2", entry("north", "north-b", 2));
+    table.put("s1", entry("south", "south-a", 3));
+    table.put("w1", entry("west", "west-a", 4));
+    return table;
+}
+
+TEST_CASE("clients are sent to their zone, or their region, or a home, or anywhere")
+{
+    EntryTable table = smallTable();
+    using Addresses = std::vector<SocketAddress>;
+    CHECK(table.entriesFor("north", "north-b", {}) == Addresses { at(2) });
+    CHECK(table.entriesFor("north", "north-c", {}) == Addresses { at(1), at(2) });
+    CHECK(table.entriesFor("east", "east-a", { "south" }) == Addresses { at(3) });
+    CHECK(table.entriesFor("east", "east-a", { "nowhere" }).size() == 4);
+    CHECK(table.entriesFor("east", "east-a", {}).size() == 4);
+}
+
+TEST_CASE("an entry that started again stands once in the directory")
+{
+    EntryTable table = smallTable();
+    table.put("n2-again", entry("north", "north-b", 2));
+    CHECK(table.entriesFor("north", "north-b", {}).size() == 1);
+    CHECK(table.countOfRegion("north") == 2);
+}
+
+TEST_CASE("a peer that didn't answer is passed over for a while, and the entry itself is never chosen")
+{
+    EntryTable table = smallTable();
+    Random random(1);
+    TimePoint now { 10s };
+    CHECK(table.choosePeer("south", now, random) == at(1'003));
+    table.notePeerFailure(at(1'003), now);
+    CHECK_FALSE(table.choosePeer("south", now, random));
+    CHECK(table.choosePeer("south", now + 2s, random));
+    for (int i = 0; i < 20; ++i)
+        CHECK(table.choosePeer("north", now, random) == at(1'002));
+}
+
+TEST_CASE("an entry that is missing in an outage stays until it is removed")
+{
+    EntryTable table = smallTable();
+    table.noteMissing("s1", TimePoint { 10s });
+    table.removeMissing(TimePoint { 9s });
+    CHECK(table.size() == 4);
+    table.removeMissing(TimePoint { 10s });
+    CHECK(table.size() == 3);
+}
+
+TEST_CASE("a registration reads back as it was written")
+{
+    EntryRecord record = entry("north", "north-a", 5);
+    absl::StatusOr<EntryRecord> read = readEntryRecord(writeEntryRecord(record));
+    REQUIRE(read.ok());
+    CHECK(read->region == "north");
+    CHECK(read->availabilityZone == "north-a");
+    CHECK(read->clients == at(5));
+    CHECK(read->peers == at(1'005));
+    CHECK_FALSE(readEntryRecord("").ok());
+    CHECK_FALSE(readEntryRecord("{\"clients\":5}").ok());
+    CHECK_FALSE(readEntryRecord("[]").ok());
+}
--- /dev/null
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -0,0 +1,337 @@
+#include "IngressFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static FakeHttpAnswer lost(const HttpClientRequest&)
+{
+    return FakeHttpAnswer::failed(HttpEnd::NoResponse, true);
+}
+
+static FakeHttpAnswer unreachable(const HttpClientRequest&)
+{
+    return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false);
+}
+
+static FakeHttpAnswer fine(const HttpClientRequest& request)
+{
+    return answered(request, 200, "fine");
+}
+
+static FakeHttpAnswer full(const HttpClientRequest&)
+{
+    return refused();
+}
+
+TEST_CASE("a request goes to an endpoint by its incarnation and its answer comes back whole")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { fine };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 200);
+    CHECK(client->body == "fine");
+    CHECK(client->isFinished);
+    CHECK(fixture.sent(0, "incarnation") == "e1");
+    CHECK(fixture.endpointClient.requests[0].target == "/p/1");
+    CHECK(fixture.parts.openRequests == 0);
+}
+
+TEST_CASE("before a configuration is known everything is refused as not run, and not as unknown")
+{
+    IngressFixture fixture;
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    CHECK(client->head->headers.find("retry-after"));
+}
+
+TEST_CASE("a request without a route is told so")
+{
+    IngressFixture fixture;
+    Route other = IngressFixture::unary(RequestKind::Idempotent);
+    other.prefix = "/q/";
+    fixture.configure(other);
+    CHECK(fixture.runToEnd()->status() == 404);
+}
+
+TEST_CASE("a non-idempotent request whose answer is lost fails and isn't sent again")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { lost, fine };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 502);
+    CHECK(client->outcome() == "unknown");
+    CHECK(fixture.endpointClient.requests.size() == 1);
+}
+
+TEST_CASE("what certainly did not run goes to another endpoint")
+{
+    for (auto failure : { unreachable, full }) {
+        IngressFixture fixture;
+        fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+        fixture.addEndpoint("e1");
+        fixture.addEndpoint("e2");
+        fixture.answers = { failure, fine };
+        auto client = fixture.runToEnd();
+        CHECK(client->status() == 200);
+        REQUIRE(fixture.endpointClient.requests.size() == 2);
+        CHECK(fixture.sent(0, "incarnation") != fixture.sent(1, "incarnation"));
+    }
+}
+
+TEST_CASE("a request that every endpoint refuses is refused as not run")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { full };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    CHECK(client->head->headers.find("retry-after"));
+    CHECK(fixture.endpointClient.requests.size() == 2);
+}
+
+TEST_CASE("an idempotent request is tried again up to its route's attempts")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 2));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.addEndpoint("e3");
+    fixture.answers = { lost };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 502);
+    CHECK(fixture.endpointClient.requests.size() == 2);
+}
+
+TEST_CASE("a failure that the endpoint states is handed on if no attempt does better")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 2));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) { return answered(request, 500, "broken"); } };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 500);
+    CHECK(client->body == "broken");
+    CHECK(fixture.endpointClient.requests.size() == 2);
+}
+
+TEST_CASE("a retry needs a token of the budget")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 2));
+    while (fixture.parts.retryBudgetOf("service").tryRetry()) { }
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { lost, fine };
+    CHECK(fixture.runToEnd()->status() == 502);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+}
+
+TEST_CASE("an answer to another request is never handed on")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = answered(request, 200, "of another");
+        answer.headers.set("request-id", "id-0");
+        return answer;
+    } };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 502);
+    CHECK(client->body.find("of another") == std::string::npos);
+    CHECK(fixture.endpointClient.exchanges[0]->isCancelled);
+}
+
+TEST_CASE("an address that belongs to another incarnation isn't used again")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest&) {
+        FakeHttpAnswer answer = FakeHttpAnswer::ok("");
+        answer.status = 421;
+        return answer;
+    } };
+    CHECK(fixture.runToEnd()->status() == 503);
+    CHECK(fixture.runToEnd()->status() == 503);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+}
+
+TEST_CASE("the answer at the route's timeout tells whether the request may have run")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    for (bool hasReached : { true, false }) {
+        fixture.answers = { [hasReached](const HttpClientRequest&) {
+            FakeHttpAnswer answer = FakeHttpAnswer::failed(HttpEnd::TimedOut, hasReached);
+            answer.delay = 1h;
+            return answer;
+        } };
+        auto client = fixture.start();
+        fixture.scheduler.advance(999ms);
+        CHECK_FALSE(client->isFinished);
+        fixture.scheduler.advance(1ms);
+        REQUIRE(client->isFinished);
+        CHECK(client->status() == (hasReached ? 504 : 503));
+        CHECK(client->outcome() == (hasReached ? "unknown" : "not-run"));
+        CHECK(fixture.endpointClient.exchanges.back()->isCancelled);
+    }
+}
+
+TEST_CASE("a client's own deadline is passed on if it is sooner than the route's")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { fine };
+    fixture.runToEnd({ { "time-left", "300" } });
+    CHECK(std::stoi(fixture.sent(0, "time-left")) <= 300);
+    CHECK(std::stoi(fixture.sent(0, "time-left")) > 250);
+}
+
+TEST_CASE("when the client goes its attempt is cancelled")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = fine(request);
+        answer.delay = 500ms;
+        return answer;
+    } };
+    auto client = fixture.start();
+    fixture.scheduler.advance(100ms);
+    client->leave();
+    CHECK(fixture.endpointClient.exchanges[0]->isCancelled);
+    fixture.scheduler.advance(2s);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    CHECK(fixture.parts.openRequests == 0);
+}
+
+TEST_CASE("a stream that breaks goes on at another endpoint after its last whole event")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::stream(true));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [](const HttpClientRequest& request) {
+                           FakeHttpAnswer answer = streamed(request, { 1, 2 });
+                           answer.body.emplace_back("id: 3\nda");
+                           answer.end = HttpEnd::Truncated;
+                           return answer;
+                       },
+        [](const HttpClientRequest& request) { return streamed(request, { 3, 4 }); } };
+    auto client = fixture.runToEnd();
+    CHECK(client->isFinished);
+    CHECK(client->body == eventText(1) + eventText(2) + eventText(3) + eventText(4));
+    CHECK(fixture.sent(1, "resume-after") == "2");
+}
+
+TEST_CASE("a stream that can't resume is cut off visibly, and isn't sent again")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::stream(false));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = streamed(request, { 1 });
+        answer.end = HttpEnd::Truncated;
+        return answer;
+    } };
+    auto client = fixture.runToEnd();
+    CHECK(client->isAborted);
+    CHECK_FALSE(client->isFinished);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+}
+
+TEST_CASE("a stream that ends inside an event isn't whole")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::stream(false));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = streamed(request, { 1 });
+        answer.body.emplace_back("id: 2\nda");
+        return answer;
+    } };
+    auto client = fixture.runToEnd();
+    CHECK(client->isAborted);
+    CHECK(client->body == eventText(1));
+}
+
+TEST_CASE("a route bound to other regions is forwarded there, and only there")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::unary(RequestKind::NonIdempotent);
+    route.homeRegions = { "south" };
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2", "south-a");
+    fixture.addEntry("south-1", "south", 77);
+    fixture.peerClient.handler = fine;
+    CHECK(fixture.runToEnd()->status() == 200);
+    REQUIRE(fixture.peerClient.requests.size() == 1);
+    CHECK(fixture.peerClient.requests[0].server.port == 77);
+    CHECK(fixture.endpointClient.requests.empty());
+    auto forwarded = fixture.runToEnd({}, true);
+    CHECK(forwarded->status() == 503);
+    CHECK(forwarded->outcome() == "not-run");
+    CHECK(fixture.peerClient.requests.size() == 1);
+}
+
+TEST_CASE("runs at another entry's endpoints count against the route's attempts")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 2));
+    fixture.addEndpoint("e2", "south-a");
+    fixture.addEntry("south-1", "south", 77);
+    fixture.peerClient.handler = [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = answered(request, 500, "broken");
+        answer.headers.add(endpointAttemptsHeader, "2");
+        return answer;
+    };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 500);
+    CHECK(fixture.peerClient.requests.size() == 1);
+    CHECK(*fixture.peerClient.requests[0].headers.find(attemptsLeftHeader) == "2");
+    CHECK_FALSE(client->head->headers.find(endpointAttemptsHeader));
+}
+
+TEST_CASE("an entry states its runs to the one that forwarded")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { fine };
+    auto client = fixture.runToEnd({}, true);
+    REQUIRE(client->head->headers.find(endpointAttemptsHeader));
+    CHECK(*client->head->headers.find(endpointAttemptsHeader) == "1");
+}
+
+TEST_CASE("a slow reader slows its endpoint")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::stream(false));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = streamed(request, { 1 });
+        answer.isLeftOpen = true;
+        return answer;
+    } };
+    auto client = fixture.start();
+    client->pending = 1 << 20;
+    fixture.scheduler.advance(10ms);
+    CHECK(client->writable);
+}
--- /dev/null
+++ b/unittests/Ingress/RunDecisionsTest.cpp
@@ -0,0 +1,111 @@
+#include "catkinwing/Ingress/RunDecisions.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static AttemptEvidence wholeAnswer()
+{
+    AttemptEvidence evidence;
+    evidence.mayHaveReached = true;
+    evidence.hasHead = true;
+    evidence.answer.isEndpointAnswer = true;
+    evidence.isOurs = true;
+    return evidence;
+}
+
+TEST_CASE("an attempt counts as not run only by proof")
+{
+    AttemptEvidence evidence;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::NotRun);
+    evidence.mayHaveReached = true;
+    evidence.end = HttpEnd::NoResponse;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Unknown);
+    evidence = wholeAnswer();
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Answered);
+    evidence.answer.wasNotRun = true;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::NotRun);
+}
+
+TEST_CASE("an answer that is cut, unsigned or another request's is none")
+{
+    AttemptEvidence evidence = wholeAnswer();
+    evidence.end = HttpEnd::Truncated;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Unknown);
+    evidence = wholeAnswer();
+    evidence.answer.isEndpointAnswer = false;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Unknown);
+    evidence = wholeAnswer();
+    evidence.isOurs = false;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Unknown);
+}
+
+TEST_CASE("another entry's statement goes before what the answer looks like")
+{
+    AttemptEvidence evidence = wholeAnswer();
+    evidence.target = AttemptTarget::Entry;
+    evidence.statedOutcome = Outcome::NotRun;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::NotRun);
+    evidence.statedOutcome = Outcome::Unknown;
+    CHECK(judgeAttempt(evidence) == AttemptVerdict::Unknown);
+}
+
+static RunProgress freshProgress()
+{
+    RunProgress progress;
+    progress.maxRuns = 2;
+    progress.hasBudget = true;
+    progress.timeLeft = 1s;
+    return progress;
+}
+
+// Goes through every state that a run can be in.
+TEST_CASE("what may have run is never sent again unless it may be repeated, and never refused as not run")
+{
+    for (unsigned bits = 0; bits < 128; ++bits) {
+        auto bit = [bits](unsigned number) { return (bits >> number & 1) != 0; };
+        RunProgress progress = freshProgress();
+        progress.mayRepeat = bit(0);
+        progress.isResumable = bit(0) && bit(1);
+        progress.mayHaveRun = bit(2);
+        progress.hasDelivered = bit(2) && bit(3);
+        progress.hasBudget = bit(4);
+        progress.runs = progress.mayHaveRun ? 1 + bit(5) : 0;
+        AttemptVerdict verdict = bit(6) ? AttemptVerdict::NotRun : AttemptVerdict::Unknown;
+        if (verdict == AttemptVerdict::Unknown && !progress.mayHaveRun)
+            continue;
+        NextStep step = decideNext(verdict, progress);
+        CAPTURE(bits);
+        if (step == NextStep::SendAgain) {
+            CHECK((progress.mayRepeat || !progress.mayHaveRun));
+            CHECK(progress.hasBudget);
+            CHECK((!progress.hasDelivered || progress.isResumable));
+        }
+        if (step == NextStep::RefuseNotRun)
+            CHECK_FALSE(progress.mayHaveRun);
+        if (progress.hasDelivered)
+            CHECK((step == NextStep::SendAgain || step == NextStep::CutOff));
+        else
+            CHECK(step != NextStep::CutOff);
+    }
+}
+
+TEST_CASE("attempts, refusals and time bound what is sent again")
+{
+    RunProgress progress = freshProgress();
+    progress.mayRepeat = true;
+    progress.mayHaveRun = true;
+    progress.runs = 1;
+    CHECK(decideNext(AttemptVerdict::Unknown, progress) == NextStep::SendAgain);
+    progress.runs = 2;
+    CHECK(decideNext(AttemptVerdict::Unknown, progress) == NextStep::FailUnknown);
+    progress = freshProgress();
+    progress.refusals = 1;
+    CHECK(decideNext(AttemptVerdict::NotRun, progress) == NextStep::SendAgain);
+    progress.refusals = 3;
+    CHECK(decideNext(AttemptVerdict::NotRun, progress) == NextStep::RefuseNotRun);
+    progress.refusals = 1;
+    progress.timeLeft = 5ms;
+    CHECK(decideNext(AttemptVerdict::NotRun, progress) == NextStep::RefuseNotRun);
+}
--- /dev/null
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -0,0 +1,75 @@
+#include "platform/Documents.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+static constexpr const char* configuration = R"({"version":7,
+ "routes":[
+  {"name":"r1","host":"a.example","prefix":"/x/","kind":"streaming","timeout_ms":4000,"latency_target_ms":1200,"priority":2,
+   "service":"s1","attempts":3,"affinity":true,"resumable":true,"gap_aim_ms":300,"home_regions":["north","south"]},
+  {"name":"r2","host":"a.example","prefix":"/y/","kind":"something new","timeout_ms":100,"attempts":1,
+   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"home_regions":[]}],
+ "services":[
+  {"name":"s1","health_path":"/h","max_conns":360,"warmup_s":2.5,"cold_per_s":9.7,"engine":{"slots":64,"kv_capacity":354318}},
+  {"name":"s2","health_path":"/h","max_conns":100,"warmup_s":0.0,"cold_per_s":0.0}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+TEST_CASE("a configuration is read into routes and services")
+{
+    ConfigResult<RouteTable> table = readRouteTable(configuration);
+    REQUIRE(table.ok());
+    CHECK(table.document->version() == 7);
+    CHECK(table.document->limits().maxBodyBytes == 1000);
+    const Route* first = table.document->find("a.example", "/x/1");
+    REQUIRE(first);
+    CHECK(first->kind == RequestKind::Streaming);
+    CHECK(first->timeout == 4s);
+    CHECK(first->latencyTarget == 1200ms);
+    CHECK(first->eventPause == 300ms);
+    CHECK(first->priority == 2);
+    CHECK(first->attempts == 3);
+    CHECK(first->isResumable);
+    CHECK(first->hasPromptAffinity);
+    CHECK(first->homeRegions == std::vector<std::string> { "north", "south" });
+    const Route* second = table.document->find("a.example", "/y/1");
+    REQUIRE(second);
+    CHECK(second->kind == RequestKind::NonIdempotent);
+    REQUIRE(second->services.size() == 2);
+    CHECK(second->services[0].weight == 90);
+    const ServiceSettings* service = table.document->findService("s1");
+    REQUIRE(service);
+    CHECK(service->warmup == 2500ms);
+    CHECK(service->coldRequestsPerSecond == Approx(9.7));
+    CHECK(service->slots == 64);
+    CHECK(service->memoryTokens == 354318);
+}
+
+TEST_CASE("a configuration that can't be used is refused with every fault's place")
+{
+    ConfigResult<RouteTable> table = readRouteTable(R"({"routes":[{"prefix":"x","service":"s","timeout_ms":1},{"prefix":"/","timeout_ms":0}]})");
+    CHECK_FALSE(table.ok());
+    std::vector<std::string> places;
+    for (const ConfigFault& fault : table.faults)
+        places.push_back(fault.pointer);
+    CHECK(places == std::vector<std::string> { "/routes/0/prefix", "/routes/1/timeout_ms", "/routes/1/service", "/version" });
+    CHECK_FALSE(readRouteTable("nonsense").ok());
+    CHECK_FALSE(readRouteTable("[]").ok());
+}
+
+TEST_CASE("a registration of an endpoint is read with its state")
+{
+    absl::StatusOr<EndpointRecord> record = readEndpoint("i-1", R"({"service":"s","addr":"10.1.2.3:80","zone":"z","version":"v1","slots":64,"state":"draining","warmup_ms":1500,"remaining_ms":900,"seq":4})");
+    REQUIRE(record.ok());
+    CHECK(record->incarnation == "i-1");
+    CHECK(record->service == "s");
+    CHECK(record->availabilityZone == "z");
+    CHECK(record->address.toString() == "10.1.2.3:80");
+    CHECK(record->isLeaving);
+    CHECK(record->coldFor == 1500ms);
+    CHECK(record->goneIn == 900ms);
+    CHECK_FALSE(readEndpoint("i-1", R"({"service":"s","addr":"nowhere"})").ok());
+    CHECK_FALSE(readEndpoint("i-1", "{").ok());
+}
--- /dev/null
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -0,0 +1,89 @@
+#include "platform/PlatformDialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+static HttpRequest request(HttpHeaders headers)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/x/1";
+    request.headers = std::move(headers);
+    return request;
+}
+
+TEST_CASE("a request's headers are read into typed facts")
+{
+    Dialect dialect = platformDialect();
+    RequestFacts facts = dialect.readRequest(request({ { "host", "a.example" }, { "attempt-id", "9c41" }, { "deadline-ms", "4000" },
+        { "token-count", "1460,80" }, { "prefix-hash", "5c1e07a2:800,91bd3f06:410" }, { "last-event-id", "12" } }));
+    CHECK(facts.host == "a.example");
+    CHECK(facts.attemptId == "9c41");
+    CHECK(facts.timeLeft == 4s);
+    CHECK(facts.promptTokens == 1460);
+    CHECK(facts.maxOutputTokens == 80);
+    REQUIRE(facts.prompt.size() == 2);
+    CHECK(facts.prompt[0].id == "5c1e07a2");
+    CHECK(facts.prompt[1].tokens == 410);
+    CHECK(facts.resumeAfter == 12u);
+}
+
+TEST_CASE("what only the system may say, and what concerns one connection, goes no further")
+{
+    Dialect dialect = platformDialect();
+    RequestFacts facts = dialect.readRequest(request({ { "Host", "h" }, { "Attempt-Id", "1" }, { "Connection", "close, X-Hop" }, { "X-Hop", "1" },
+        { "Expect-Instance", "i" }, { "Hold", "1" }, { "Pin-Ms", "4" }, { "Kv-Backup", "a" }, { "Kv-From", "b" }, { "Kv-Fetch", "c" }, { "Deadline-Ms", "5" },
+        { "Request-Priority", "0" }, { "Catkinwing-Attempts-Left", "9" }, { "Model", "m" }, { "Length-Hint", "7" }, { "X-Other", "kept" } }));
+    std::vector<std::string> names;
+    for (const HttpHeader& field : facts.forwarded.fields())
+        names.push_back(field.name);
+    CHECK(names == std::vector<std::string> { "Host", "Attempt-Id", "Model", "Length-Hint", "X-Other" });
+}
+
+TEST_CASE("an attempt tells its endpoint who is meant and how much time is left")
+{
+    Dialect dialect = platformDialect();
+    AttemptFacts facts;
+    facts.incarnation = "i-1";
+    facts.timeLeft = 250ms;
+    facts.resumeAfter = 3;
+    HttpHeaders headers;
+    dialect.writeAttempt(facts, headers);
+    CHECK(*headers.find("expect-instance") == "i-1");
+    CHECK(*headers.find("deadline-ms") == "250");
+    CHECK(*headers.find("last-event-id") == "3");
+    CHECK_FALSE(headers.find("request-priority"));
+}
+
+TEST_CASE("only a signed answer with a plain body is an endpoint's")
+{
+    Dialect dialect = platformDialect();
+    CHECK(dialect.readAnswer({ 200, { { "reply-seal", "x" }, { "attempt-id", "1" } } }).isEndpointAnswer);
+    CHECK_FALSE(dialect.readAnswer({ 200, { { "attempt-id", "1" } } }).isEndpointAnswer);
+    CHECK_FALSE(dialect.readAnswer({ 200, { { "reply-seal", "x" }, { "content-encoding", "gzip" } } }).isEndpointAnswer);
+    CHECK(dialect.readAnswer({ 503, { { "not-executed", "1" } } }).wasNotRun);
+    CHECK_FALSE(dialect.readAnswer({ 503, {} }).wasNotRun);
+    AnswerFacts other = dialect.readAnswer({ 421, {} });
+    CHECK(other.isOtherIncarnation);
+    CHECK(other.wasNotRun);
+}
+
+TEST_CASE("the directory's question and answer")
+{
+    Dialect dialect = platformDialect();
+    HttpRequest question;
+    question.method = "GET";
+    question.path = "/resolve";
+    question.query = "name=a.example&region=n%20rth&zone=z";
+    std::optional<DirectoryQuestion> read = dialect.readDirectoryQuestion(question);
+    REQUIRE(read);
+    CHECK(read->host == "a.example");
+    CHECK(read->region == "n rth");
+    CHECK(read->availabilityZone == "z");
+    CHECK(dialect.writeDirectoryAnswer({ { "10.1.0.35", 8144 } }, 1500ms) == R"({"addrs":["10.1.0.35:8144"],"ttl_s":1.5})");
+    question.path = "/other";
+    CHECK_FALSE(dialect.readDirectoryQuestion(question));
+}
--- /dev/null
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -0,0 +1,127 @@
+#include "platform/PlatformStore.h"
+
+#include "Coordination/FakeHttpClient.h"
+#include "catkinwing/Support/ManualScheduler.h"
+#include <absl/strings/match.h>
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store client whose calls are answered by a function.
+struct StoreWorld {
+    explicit StoreWorld(FakeHttpClient::Handler handler) { http.handler = std::move(handler); }
+
+    SwapResult swap()
+    {
+        SwapResult result;
+        store.compareAndSwap("k", 0, "v", 1, [&](SwapResult swapped) { result = swapped; });
+        scheduler.advance(5s);
+        return result;
+    }
+
+    ManualScheduler scheduler;
+    FakeHttpClient http { scheduler };
+    PlatformStore store { http, scheduler, { { "127.0.0.1", 1 } } };
+};
+
+} // namespace
+
+static FakeHttpAnswer withStatus(int status, std::string body)
+{
+    FakeHttpAnswer answer = FakeHttpAnswer::ok(std::move(body));
+    answer.status = status;
+    return answer;
+}
+
+TEST_CASE("a swap's outcome is what the answer proves")
+{
+    auto outcomeOf = [](const FakeHttpAnswer& answer) {
+        StoreWorld world([answer](const HttpClientRequest&) { return answer; });
+        return world.swap().outcome;
+    };
+    CHECK(outcomeOf(withStatus(200, R"({"revision":9})")) == SwapOutcome::Committed);
+    CHECK(outcomeOf(withStatus(412, R"({"items":[]})")) == SwapOutcome::Conflict);
+    CHECK(outcomeOf(withStatus(503, "")) == SwapOutcome::NotSent);
+    CHECK(outcomeOf(withStatus(429, "")) == SwapOutcome::NotSent);
+    CHECK(outcomeOf(withStatus(200, "half")) == SwapOutcome::Unknown);
+    CHECK(outcomeOf(FakeHttpAnswer::failed(HttpEnd::NoResponse, true)) == SwapOutcome::Unknown);
+    CHECK(outcomeOf(FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false)) == SwapOutcome::NotSent);
+}
+
+TEST_CASE("a write whose answer is lost is sent once")
+{
+    StoreWorld world([](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::NoResponse, true); });
+    world.swap();
+    CHECK(world.http.requests.size() == 1);
+}
+
+TEST_CASE("a listing goes through all pages and holds as of the first one")
+{
+    StoreWorld world([](const HttpClientRequest& request) {
+        if (absl::StrContains(request.target, "after"))
+            return FakeHttpAnswer::ok(R"({"items":[{"key":"p/2","value":"","revision":12}],"truncated":false,"current_rev":14})");
+        return FakeHttpAnswer::ok(R"({"items":[{"key":"p/1","value":"","revision":8}],"truncated":true,"current_rev":10})");
+    });
+    std::optional<StoreListing> listing;
+    world.store.list("p/", [&](absl::StatusOr<StoreListing> listed) { listing = *listed; });
+    world.scheduler.advance(1s);
+    REQUIRE(listing);
+    CHECK(listing->values.size() == 2);
+    CHECK(listing->revision == 10);
+}
+
+TEST_CASE("a watch goes on from the revision of each answer and ends when history is gone")
+{
+    int answers = 0;
+    StoreWorld world([&](const HttpClientRequest&) {
+        ++answers;
+        FakeHttpAnswer answer = answers == 1 ? FakeHttpAnswer::ok(R"({"events":[{"key":"a","value":"","revision":6}],"current_rev":8})")
+            : answers == 2                   ? FakeHttpAnswer::ok(R"({"events":[],"current_rev":8})")
+                                             : withStatus(410, "");
+        answer.delay = 100ms;
+        return answer;
+    });
+    int events = 0;
+    absl::Status end;
+    auto watch = world.store.watch("", 5, { [&](const std::vector<StoreEvent>& news) { events += static_cast<int>(news.size()); }, [&](const absl::Status& status) { end = status; } });
+    world.scheduler.advance(5s);
+    CHECK(events == 1);
+    CHECK(absl::IsOutOfRange(end));
+    REQUIRE(world.http.requests.size() == 3);
+    CHECK(absl::StrContains(world.http.requests[0].target, "after=4&"));
+    CHECK(absl::StrContains(world.http.requests[1].target, "after=8&"));
+}
+
+TEST_CASE("a watch that is dropped asks no more")
+{
+    StoreWorld world([](const HttpClientRequest&) {
+        FakeHttpAnswer answer = FakeHttpAnswer::ok(R"({"events":[],"current_rev":8})");
+        answer.delay = 100ms;
+        return answer;
+    });
+    auto watch = world.store.watch("", 5, {});
+    world.scheduler.advance(50ms);
+    watch.reset();
+    world.scheduler.advance(5s);
+    CHECK(world.http.requests.size() == 1);
+    CHECK(world.http.exchanges[0]->isCancelled);
+}
+
+TEST_CASE("a lease that has ended is told apart from a store that is away")
+{
+    StoreWorld gone([](const HttpClientRequest&) { return withStatus(404, ""); });
+    StoreWorld away([](const HttpClientRequest&) { return withStatus(503, ""); });
+    absl::Status first;
+    absl::Status second;
+    gone.store.keepAlive(7, [&](absl::StatusOr<std::chrono::milliseconds> left) { first = left.status(); });
+    away.store.keepAlive(7, [&](absl::StatusOr<std::chrono::milliseconds> left) { second = left.status(); });
+    gone.scheduler.advance(1s);
+    away.scheduler.advance(1s);
+    CHECK(absl::IsNotFound(first));
+    CHECK(absl::IsUnavailable(second));
+}
--- /dev/null
+++ b/unittests/Platform/StoreMessagesTest.cpp
@@ -0,0 +1,52 @@
+#include "platform/StoreMessages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE("keys are escaped in queries")
+{
+    CHECK(getTarget("a/b c&d=é") == "/kv-key?key=a/b%20c%26d%3d%c3%a9");
+    CHECK(rangeTarget("p/", "") == "/kv-range?prefix=p/");
+    CHECK(rangeTarget("p/", "p/9") == "/kv-range?prefix=p/&after=p/9");
+    CHECK(watchTarget("", 411, 2500ms) == "/kv-watch?prefix=&after=411&wait_ms=2500");
+}
+
+TEST_CASE("a swap names the revision that it expects")
+{
+    CHECK(swapBody("k", 0, "node-1", 7) == R"({"deletes":[],"expect":[{"key":"k","revision":0}],"puts":[{"key":"k","lease":7,"value":"bm9kZS0x"}]})");
+    CHECK(deleteBody("k", 3) == R"({"deletes":["k"],"expect":[{"key":"k","revision":3}],"puts":[]})");
+}
+
+TEST_CASE("answers of the store are read into the product's types")
+{
+    absl::StatusOr<StoredValue> item = readItem(R"({"key":"k","value":"bm9kZS0x","revision":412,"created_rev":400,"lease":1,"current_rev":530})");
+    REQUIRE(item.ok());
+    CHECK(item->value == "node-1");
+    CHECK(item->revision == 412);
+    absl::StatusOr<RangePage> page = readRangePage(R"({"items":[{"key":"k","value":"","revision":4}],"truncated":true,"current_rev":9})");
+    REQUIRE(page.ok());
+    CHECK(page->isTruncated);
+    CHECK(page->revision == 9);
+    absl::StatusOr<WatchPage> news = readWatchPage(R"({"events":[{"key":"a","value":"","revision":5},{"key":"b","revision":6,"deleted":true}],"current_rev":6})");
+    REQUIRE(news.ok());
+    REQUIRE(news->events.size() == 2);
+    CHECK_FALSE(news->events[0].isDeletion);
+    CHECK(news->events[1].isDeletion);
+    CHECK(news->events[1].current.key == "b");
+    CHECK(readLease(R"({"ttl_ms":3000})")->timeToLive == 3s);
+}
+
+TEST_CASE("an answer that doesn't follow the protocol is a failure, not an empty answer")
+{
+    for (const char* body : { "", "null", "[]", "{}", "{\"items\":5}", "{\"items\":[5],\"current_rev\":1}", "{\"events\":[],\"current_rev\":\"1\"}", R"({"items":[{"key":"k","value":"%","revision":1}],"current_rev":1})", R"({"events":[{"deleted":true}],"current_rev":1})" }) {
+        CAPTURE(body);
+        CHECK_FALSE(readItem(body).ok());
+        CHECK_FALSE(readRangePage(body).ok());
+        CHECK_FALSE(readWatchPage(body).ok());
+        CHECK_FALSE(readSwapRevision(body).ok());
+        CHECK_FALSE(readLease(body).ok());
+    }
+}
--- /dev/null
+++ b/unittests/Routing/EndpointChoiceTest.cpp
@@ -0,0 +1,81 @@
+#include "catkinwing/Routing/EndpointChoice.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace catkinwing;
+
+static std::vector<EndpointCandidate> candidates(const std::vector<std::string>& names)
+{
+    std::vector<EndpointCandidate> list;
+    for (std::size_t i = 0; i < names.size(); ++i)
+        list.push_back({ i, names[i], 0, false });
+    return list;
+}
+
+static const std::vector<std::string> names { "a", "b", "c", "d", "e" };
+
+TEST_CASE("a shared part goes to the same endpoint from every entry")
+{
+    std::vector<EndpointCandidate> list = candidates(names);
+    std::map<std::size_t, int> counts;
+    for (int part = 0; part < 500; ++part) {
+        Random one(1);
+        Random other(2);
+        EndpointDemand demand { std::to_string(part) };
+        std::optional<std::size_t> chosen = chooseEndpoint(list, demand, one);
+        CHECK(chosen == chooseEndpoint(list, demand, other));
+        ++counts[*chosen];
+    }
+    for (const auto& [index, count] : counts)
+        CHECK(count > 60);
+    CHECK(counts.size() == names.size());
+}
+
+TEST_CASE("only the shared parts of an endpoint that goes move")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> all = candidates(names);
+    std::vector<EndpointCandidate> fewer(all.begin(), all.end() - 1);
+    for (int part = 0; part < 200; ++part) {
+        EndpointDemand demand { std::to_string(part) };
+        std::size_t before = *chooseEndpoint(all, demand, random);
+        if (before != all.back().index)
+            CHECK(*chooseEndpoint(fewer, demand, random) == before);
+    }
+}
+
+TEST_CASE("an overloaded owner is passed over")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates(names);
+    EndpointDemand demand { "part" };
+    std::size_t owner = *chooseEndpoint(list, demand, random);
+    list[owner].inFlight = 40;
+    CHECK(*chooseEndpoint(list, demand, random) != owner);
+    for (EndpointCandidate& candidate : list)
+        candidate.inFlight = 40;
+    CHECK(*chooseEndpoint(list, demand, random) == owner);
+}
+
+TEST_CASE("suspects are chosen only where nothing else is")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates(names);
+    for (EndpointCandidate& candidate : list)
+        candidate.isSuspect = candidate.index != 3;
+    for (int i = 0; i < 50; ++i)
+        CHECK(chooseEndpoint(list, {}, random) == 3u);
+    list[3].isSuspect = true;
+    CHECK(chooseEndpoint(list, {}, random).has_value());
+    CHECK_FALSE(chooseEndpoint({}, {}, random).has_value());
+}
+
+TEST_CASE("without a shared part the less loaded of two is taken")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates(names);
+    list[0].inFlight = 100;
+    for (int i = 0; i < 200; ++i)
+        CHECK(chooseEndpoint(list, {}, random) != 0u);
+}
