--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -73,6 +73,9 @@
 
     /// Returns how many endpoints of each region could serve \p service.
     std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
+    /// Returns the region of the endpoint that owns \p sharedPart among those of
+    /// \p regions, or of all if empty; nothing if none is usable.
+    std::optional<std::string> ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const;
     std::size_t size() const { return m_endpoints.size(); }
 
 private:
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -60,6 +60,8 @@
     void dispatch();
     bool sendToEndpoint(const std::string& service, bool mayBeTried);
     bool sendToRegion(const std::string& service);
+    bool sendToOwner();
+    bool sendToEntryOf(const std::string& region);
     std::optional<std::string> chooseRegion(const std::string& service) const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
--- a/include/catkinwing/Routing/EndpointChoice.h
+++ b/include/catkinwing/Routing/EndpointChoice.h
@@ -27,6 +27,10 @@
     std::string sharedPart;
 };
 
+/// Score of an endpoint for a shared part; the highest one owns the part. The
+/// same in every entry.
+std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart);
+
 /// Chooses among \p candidates; nothing only if there are none. Every entry
 /// sends the same shared part to the same endpoint without being told, unless
 /// that one has far more in flight than the others.
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -180,4 +180,26 @@
     return counts;
 }
 
+std::optional<std::string> EndpointTable::ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const
+{
+    auto found = m_ofService.find(service);
+    if (found == m_ofService.end())
+        return std::nullopt;
+    const EndpointState* owner = nullptr;
+    std::uint64_t best = 0;
+    for (const auto& endpoint : found->second) {
+        bool isAllowed = regions.empty() || std::find(regions.begin(), regions.end(), endpoint->region) != regions.end();
+        if (!isAllowed || !isUsable(*endpoint))
+            continue;
+        std::uint64_t score = ownershipScore(endpoint->record.incarnation, sharedPart);
+        if (owner && score <= best)
+            continue;
+        owner = endpoint.get();
+        best = score;
+    }
+    if (!owner)
+        return std::nullopt;
+    return owner->region;
+}
+
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -49,7 +49,7 @@
         : loop(eventLoop)
         , settings(daemonSettings)
         , ingress(*settings.ingress)
-        , random(std::move(seeded))
+        , random(seeded)
         , dialect(spoken)
         , log(eventLoop.clock())
         , storeClient(makeHttpClient(eventLoop, {}))
@@ -284,7 +284,7 @@
 absl::StatusOr<std::unique_ptr<IngressDaemon>> IngressDaemon::start(EventLoop& loop, const DaemonSettings& settings, Random random,
     const Dialect& dialect, const StoreMaker& makeStore)
 {
-    auto impl = std::make_unique<Impl>(loop, settings, std::move(random), dialect, makeStore);
+    auto impl = std::make_unique<Impl>(loop, settings, random, dialect, makeStore);
     absl::Status status = impl->listen();
     if (!status.ok())
         return status;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -136,6 +136,8 @@
 // then an endpoint that has failed the request but would run it again.
 void RoutedRun::dispatch()
 {
+    if (sendToOwner())
+        return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
     if (!m_request.isForwarded && sendToRegion(m_service))
@@ -207,23 +209,42 @@
 bool RoutedRun::sendToRegion(const std::string& service)
 {
     for (std::optional<std::string> region = chooseRegion(service); region; region = chooseRegion(service)) {
-        std::optional<SocketAddress> peer = m_parts.entries.choosePeer(*region, now(), m_parts.random);
-        m_triedRegions.push_back(*region);
-        if (!peer)
-            continue;
-        HttpClientRequest request = makeRequest(*peer, {});
-        request.headers.set(attemptsLeftHeader, std::to_string(m_route->attempts - std::min(m_runs, m_route->attempts)));
-        request.connectTimeout = peerConnectTimeout;
-        Attempt attempt;
-        attempt.target = AttemptTarget::Entry;
-        attempt.peer = *peer;
-        m_parts.metrics.count("forwards_to_regions");
-        startAttempt(std::move(attempt), std::move(request));
-        return true;
+        if (sendToEntryOf(*region))
+            return true;
     }
     return false;
 }
 
+// A long shared part is read once for all regions: sending the request to where
+// it lies costs a round trip, which is less than reading it again.
+bool RoutedRun::sendToOwner()
+{
+    if (m_request.isForwarded || m_attempts > 0)
+        return false;
+    std::string part = sharedPart();
+    if (part.empty())
+        return false;
+    std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part, m_route->homeRegions);
+    return region && *region != m_parts.region && sendToEntryOf(*region);
+}
+
+bool RoutedRun::sendToEntryOf(const std::string& region)
+{
+    std::optional<SocketAddress> peer = m_parts.entries.choosePeer(region, now(), m_parts.random);
+    m_triedRegions.push_back(region);
+    if (!peer)
+        return false;
+    HttpClientRequest request = makeRequest(*peer, {});
+    request.headers.set(attemptsLeftHeader, std::to_string(m_route->attempts - std::min(m_runs, m_route->attempts)));
+    request.connectTimeout = peerConnectTimeout;
+    Attempt attempt;
+    attempt.target = AttemptTarget::Entry;
+    attempt.peer = *peer;
+    m_parts.metrics.count("forwards_to_regions");
+    startAttempt(std::move(attempt), std::move(request));
+    return true;
+}
+
 HttpClientRequest RoutedRun::makeRequest(const SocketAddress& server, AttemptFacts facts) const
 {
     HttpClientRequest request;
--- a/lib/Routing/EndpointChoice.cpp
+++ b/lib/Routing/EndpointChoice.cpp
@@ -55,15 +55,19 @@
     return sum / static_cast<double>(candidates.size());
 }
 
+std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart)
+{
+    return stableHash(incarnation, stableHash(sharedPart));
+}
+
 // Rendezvous hashing: when an endpoint goes, only its own shared parts move.
 static const EndpointCandidate* ownerOf(const std::string& sharedPart, const Candidates& candidates)
 {
     double limit = meanInFlight(candidates) * maxLoadRatio + maxLoadExcess;
-    std::uint64_t seed = stableHash(sharedPart);
     const EndpointCandidate* best = nullptr;
     std::uint64_t bestScore = 0;
     for (const EndpointCandidate* candidate : candidates) {
-        std::uint64_t score = stableHash(candidate->incarnation, seed);
+        std::uint64_t score = ownershipScore(candidate->incarnation, sharedPart);
         bool isOverloaded = candidate->inFlight > limit;
         if (isOverloaded || (best && score <= bestScore))
             continue;
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -19,6 +19,8 @@
             facts.timeLeft = milliseconds(number);
         else if (field.name == "resume-after" && absl::SimpleAtoi(field.value, &number))
             facts.resumeAfter = static_cast<std::uint64_t>(number);
+        else if (field.name == "prompt")
+            facts.prompt = { { field.value, 13'000 }, { "own", 300 } };
         facts.forwarded.add(field.name, field.value);
     }
     return facts;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -291,6 +291,33 @@
     CHECK(fixture.peerClient.requests.size() == 1);
 }
 
+TEST_CASE("a long shared part is read in one region, and here if that one can't be reached")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::unary(RequestKind::Idempotent);
+    route.hasPromptAffinity = true;
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2", "south-a");
+    fixture.addEntry("south-1", "south", 77);
+    fixture.answers = { fine };
+    fixture.peerClient.handler = fine;
+    std::size_t kept = 0;
+    for (int part = 0; part < 40; ++part) {
+        std::size_t before = fixture.endpointClient.requests.size();
+        CHECK(fixture.runToEnd({ { "prompt", std::to_string(part) } })->status() == 200);
+        bool isOurs = fixture.parts.endpoints.ownerRegion("service", std::to_string(part), {}) == "north";
+        CHECK(fixture.endpointClient.requests.size() - before == (isOurs ? 1 : 0));
+        kept += isOurs ? 1 : 0;
+    }
+    CHECK(kept > 8);
+    CHECK(kept < 32);
+    CHECK(fixture.parts.endpoints.ownerRegion("service", "1", { "south" }) == "south");
+    fixture.peerClient.handler = unreachable;
+    for (int part = 0; part < 10; ++part)
+        CHECK(fixture.runToEnd({ { "prompt", std::to_string(part) } })->status() == 200);
+}
+
 TEST_CASE("runs at another entry's endpoints count against the route's attempts")
 {
     IngressFixture fixture;
