--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -59,6 +59,8 @@
     Duration directoryLifetime { std::chrono::seconds(1) };
     double retryRatio { 0.2 };
     double retrySlack { 50 };
+    double coldRatio { 1.5 };
+    double coldSlack { 3 };
 };
 
 /// The settings file of one daemon.
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Ingress/Dialect.h"
+#include "catkinwing/Membership/ShareDivision.h"
 #include "catkinwing/Routing/EndpointChoice.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/container/flat_hash_map.h>
@@ -59,8 +60,11 @@
     void removeMissing(TimePoint before, TimePoint now);
     /// Sets the zones to which nothing is sent. Those of a zone that comes back are cold.
     void setEvacuated(std::set<std::string> zones, const RouteTable* routes, TimePoint now);
-    /// Sets how many entries share the endpoints of the region.
-    void setEntriesOfRegion(std::size_t count) { m_entriesOfRegion = std::max<std::size_t>(count, 1); }
+    /// Sets who shares the endpoints of the region, this entry included under
+    /// the name \p self.
+    void setEntriesOfRegion(std::vector<std::string> entries, std::string self);
+    /// Sets how far all entries together may go beyond a cold endpoint's rate.
+    void setColdTolerance(double ratio, double slack);
 
     /// Chooses an endpoint of this region and counts the request against its
     /// rate while it is cold; null if none may get it.
@@ -90,7 +94,9 @@
     absl::flat_hash_map<std::string, std::shared_ptr<EndpointState>> m_endpoints;
     absl::flat_hash_map<std::string, Endpoints> m_ofService;
     std::set<std::string> m_evacuated;
-    std::size_t m_entriesOfRegion { 1 };
+    std::vector<std::string> m_entriesOfRegion;
+    std::string m_self;
+    SharedRate m_coldTolerance { 0, 1.5, 3 };
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/EntryRegistration.h
+++ b/include/catkinwing/Ingress/EntryRegistration.h
@@ -15,7 +15,9 @@
     /// The key vanishes this long after the last renewal.
     std::chrono::milliseconds timeToLive { 4'000 };
     std::chrono::milliseconds renewEvery { 1'000 };
+    /// First pause after a failure; doubled up to the longest.
     std::chrono::milliseconds retryEvery { 400 };
+    std::chrono::milliseconds longestRetry { 1'600 };
 };
 
 /// Keeps one key in the store for as long as this process lives. Whether the
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -46,8 +46,11 @@
     void notePeerFailure(const SocketAddress& peer, TimePoint now);
     void notePeerAnswered(const SocketAddress& peer) { m_suspectUntil.erase(peer); }
 
-    /// Returns how many entries there are, or were within the last seconds, in \p region.
-    std::size_t countOfRegion(const std::string& region) const;
+    /// Returns the keys of the entries of \p region, one for each address.
+    std::vector<std::string> keysOfRegion(const std::string& region) const;
+    /// Returns the entry of this one's zone that watches the store for the others;
+    /// nothing if that is this one, under the key \p self, or no other is there.
+    std::optional<SocketAddress> relay(const std::string& self, TimePoint now) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/include/catkinwing/Ingress/IngressDaemon.h
+++ b/include/catkinwing/Ingress/IngressDaemon.h
@@ -12,8 +12,10 @@
 
 namespace catkinwing {
 
-/// Makes the client of the store at the given servers.
-using StoreMaker = std::function<std::unique_ptr<Store>(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers)>;
+/// Makes the client of the store at the given servers; \p onCall is to be told
+/// the kind of each request that it sends.
+using StoreMaker = std::function<std::unique_ptr<Store>(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers,
+    std::function<void(const char* kind)> onCall)>;
 
 /// One entry that serves requests by host and path: follows the store, answers
 /// the directory's and the platform's questions, and runs requests.
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -57,6 +57,8 @@
     reader.read("directoryLifetime", ingress.directoryLifetime, DurationRange::AboveZero);
     reader.read("retryRatio", ingress.retryRatio);
     reader.read("retrySlack", ingress.retrySlack);
+    reader.read("coldRatio", ingress.coldRatio);
+    reader.read("coldSlack", ingress.coldSlack);
 }
 
 static bool isWildcard(const SocketAddress& address)
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -12,8 +12,6 @@
 /// restart takes seconds.
 static constexpr milliseconds firstSuspicion { 300 };
 static constexpr milliseconds longestSuspicion { 4'800 };
-/// Requests that may arrive at once at a cold endpoint from one entry.
-static constexpr double coldBurst = 1.0;
 
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
@@ -99,6 +97,17 @@
     m_evacuated = std::move(zones);
 }
 
+void EndpointTable::setEntriesOfRegion(std::vector<std::string> entries, std::string self)
+{
+    m_entriesOfRegion = std::move(entries);
+    m_self = std::move(self);
+}
+
+void EndpointTable::setColdTolerance(double ratio, double slack)
+{
+    m_coldTolerance = { 0, ratio, slack };
+}
+
 bool EndpointTable::isUsable(const EndpointState& endpoint) const
 {
     return !endpoint.isLeaving && m_evacuated.count(endpoint.record.availabilityZone) == 0;
@@ -109,7 +118,7 @@
 {
     if (service.maxConnections == 0)
         return true;
-    std::size_t share = std::max<std::size_t>(service.maxConnections / m_entriesOfRegion, 1);
+    std::size_t share = std::max<std::size_t>(service.maxConnections / std::max<std::size_t>(m_entriesOfRegion.size(), 1), 1);
     return endpoint.inFlight < share;
 }
 
@@ -119,7 +128,12 @@
         endpoint.coldRate.reset();
         return true;
     }
-    TokenRate rate { service.coldRequestsPerSecond / static_cast<double>(m_entriesOfRegion), coldBurst };
+    SharedRate whole = m_coldTolerance;
+    whole.perSecond = service.coldRequestsPerSecond;
+    RateShare share = divideRate(m_entriesOfRegion, m_self, endpoint.record.incarnation, whole);
+    if (share.burst <= 0)
+        return false;
+    TokenRate rate { share.perSecond, share.burst };
     if (!endpoint.coldRate)
         endpoint.coldRate.emplace(rate, now);
     endpoint.coldRate->setRate(rate, now);
--- a/lib/Ingress/EntryRegistration.cpp
+++ b/lib/Ingress/EntryRegistration.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Ingress/EntryRegistration.h"
 
 #include "catkinwing/Support/Logging.h"
+#include <algorithm>
 
 namespace catkinwing {
 
@@ -32,12 +33,19 @@
     void onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left);
     void beginAgain(const char* reason);
     void dropLease();
+    std::chrono::milliseconds nextRetry()
+    {
+        std::chrono::milliseconds delay = retryDelay;
+        retryDelay = std::min(retryDelay * 2, options.longestRetry);
+        return delay;
+    }
 
     Store& store;
     Scheduler& scheduler;
     EntryRegistrationOptions options;
     std::uint64_t epoch { 0 };
     StoreLease lease { 0 };
+    std::chrono::milliseconds retryDelay { options.retryEvery };
     bool isRunning { false };
     bool isRegistered { false };
 };
@@ -88,6 +96,7 @@
 void EntryRegistration::Impl::takeUp()
 {
     isRegistered = true;
+    retryDelay = options.retryEvery;
     logChange(LogLevel::Info, "entry_registered", { { "key", options.key } });
     scheduler.callAfter(options.renewEvery, guarded([](Impl& self) { self.renew(); }));
 }
@@ -103,7 +112,9 @@
         beginAgain("lease lapsed");
         return;
     }
-    scheduler.callAfter(left.ok() ? options.renewEvery : options.retryEvery, guarded([](Impl& self) { self.renew(); }));
+    if (left.ok())
+        retryDelay = options.retryEvery;
+    scheduler.callAfter(left.ok() ? options.renewEvery : nextRetry(), guarded([](Impl& self) { self.renew(); }));
 }
 
 void EntryRegistration::Impl::dropLease()
@@ -120,7 +131,7 @@
     if (isRegistered)
         logChange(LogLevel::Warning, "entry_registration_lost", { { "key", options.key }, { "reason", reason } });
     dropLease();
-    scheduler.callAfter(options.retryEvery, guarded([](Impl& self) { self.begin(); }));
+    scheduler.callAfter(nextRetry(), guarded([](Impl& self) { self.begin(); }));
 }
 
 EntryRegistration::EntryRegistration(Store& store, Scheduler& scheduler, EntryRegistrationOptions options)
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Ingress/EntryTable.h"
 
+#include "catkinwing/Membership/ShareDivision.h"
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -123,14 +124,38 @@
     logChange(LogLevel::Warning, "entry_suspect", { { "entry", peer.toString() } });
 }
 
-std::size_t EntryTable::countOfRegion(const std::string& region) const
+// An entry that started again stands under its old key as well until the old
+// lease lapses; keys sort by name, and either will do.
+std::vector<std::string> EntryTable::keysOfRegion(const std::string& region) const
 {
-    std::vector<SocketAddress> found;
+    std::map<SocketAddress, std::string> byAddress;
     for (const auto& [key, entry] : m_entries) {
         if (entry.record.region == region)
-            addOnce(found, entry.record.clients);
+            byAddress[entry.record.peers] = key;
     }
-    return found.size();
+    std::vector<std::string> keys;
+    keys.reserve(byAddress.size());
+    for (auto& [address, key] : byAddress)
+        keys.push_back(std::move(key));
+    return keys;
+}
+
+std::optional<SocketAddress> EntryTable::relay(const std::string& self, TimePoint now) const
+{
+    std::vector<std::string> candidates;
+    for (const auto& [key, entry] : m_entries) {
+        auto suspect = m_suspectUntil.find(entry.record.peers);
+        bool isSuspect = suspect != m_suspectUntil.end() && now < suspect->second;
+        if (entry.record.availabilityZone == m_self.availabilityZone && !isSuspect)
+            candidates.push_back(key);
+    }
+    std::string chosen = chooseDelegate(candidates, "relay");
+    if (chosen.empty() || chosen == self)
+        return std::nullopt;
+    const SocketAddress& peer = m_entries.at(chosen).record.peers;
+    if (peer == m_self.peers)
+        return std::nullopt;
+    return peer;
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -3,11 +3,14 @@
 #include "StoreFollower.h"
 #include "catkinwing/Http/HttpServer.h"
 #include "catkinwing/Ingress/EntryRegistration.h"
+#include "catkinwing/Ingress/RelayedStore.h"
 #include "catkinwing/Ingress/RoutedRun.h"
 #include "catkinwing/Support/Id.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cstring>
+#include <map>
 
 namespace catkinwing {
 
@@ -40,6 +43,7 @@
 static constexpr milliseconds drainMargin { 400 };
 static constexpr milliseconds drainCheck { 50 };
 static constexpr milliseconds houseKeepingInterval { 250 };
+static constexpr milliseconds stateInterval { 10'000 };
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
@@ -55,12 +59,13 @@
         , storeClient(makeHttpClient(eventLoop, {}))
         , endpointClient(makeHttpClient(eventLoop, endpointClientOptions()))
         , peerClient(makeHttpClient(eventLoop, peerClientOptions()))
-        , store(makeStore(*storeClient, eventLoop, settings.store))
+        , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
             EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, 0 }
         , registration(*store, eventLoop, registrationOptions())
-        , follower(*store, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
+        , relayed(*store, *peerClient, eventLoop, relayChoice())
+        , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
             if (key == registration.key())
                 registration.noteVanished();
         })
@@ -91,6 +96,17 @@
         return options;
     }
 
+    RelayChoice relayChoice()
+    {
+        RelayChoice choice;
+        choice.relay = [this] { return parts.entries.relay(ownKey(), loop.clock().now()); };
+        choice.noteFailure = [this](const SocketAddress& peer) { parts.entries.notePeerFailure(peer, loop.clock().now()); };
+        return choice;
+    }
+
+    /// Key of this entry in the table of entries.
+    std::string ownKey() const { return registration.key().substr(std::strlen(entryPrefix)); }
+
     absl::Status listen();
     absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler) const;
     void accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
@@ -98,6 +114,7 @@
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !isDraining; }
+    void logState();
     void houseKeep();
     void checkDrained();
 
@@ -108,6 +125,8 @@
     Dialect dialect;
     Metrics metrics;
     DecisionLog log;
+    /// Requests to the store by their kind.
+    std::map<std::string, std::uint64_t> storeCalls;
     std::unique_ptr<HttpClient> storeClient;
     std::unique_ptr<HttpClient> endpointClient;
     std::unique_ptr<HttpClient> peerClient;
@@ -115,12 +134,14 @@
     EntryRecord self;
     IngressParts parts;
     EntryRegistration registration;
+    RelayedStore relayed;
     StoreFollower follower;
     std::unique_ptr<HttpServer> clients;
     std::unique_ptr<HttpServer> peers;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> directory;
     std::unique_ptr<HttpServer> operators;
+    TimePoint stateLoggedAt {};
     bool isDraining { false };
     bool hasStoppedListening { false };
     bool wasReady { false };
@@ -182,6 +203,10 @@
 
 void IngressDaemon::Impl::accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer)
 {
+    if (isFromPeer && request.headers.find(changesAfterHeader)) {
+        relayed.answerPeer(request, std::move(responder));
+        return;
+    }
     if (isDraining && loop.clock().now() - drainBegan > acceptWhileDraining) {
         refuseLate(*responder);
         return;
@@ -235,6 +260,9 @@
         return;
     }
     metrics.set("open_requests", static_cast<double>(parts.openRequests));
+    for (const auto& [kind, calls] : storeCalls)
+        metrics.set("store_calls_" + kind, static_cast<double>(calls));
+    metrics.set("watches_store", relayed.isDirect() ? 1 : 0);
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
     metrics.set("configuration_version", parts.routes ? static_cast<double>(parts.routes->version()) : 0);
@@ -242,12 +270,26 @@
     answer(responder, statusOk, "text/plain", metrics.render());
 }
 
+// What the entry believes and has spent, for whoever has only the logs.
+void IngressDaemon::Impl::logState()
+{
+    TimePoint now = loop.clock().now();
+    if (now - stateLoggedAt < stateInterval)
+        return;
+    stateLoggedAt = now;
+    logChange(LogLevel::Info, "state",
+        { { "open_requests", parts.openRequests }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
+            { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayed.isDirect() }, { "store_calls", storeCalls },
+            { "log_lines_dropped", log.dropped() } });
+}
+
 // The registration follows readiness, so that the directory names an entry only
 // once it can serve.
 void IngressDaemon::Impl::houseKeep()
 {
+    logState();
     follower.houseKeep();
-    parts.endpoints.setEntriesOfRegion(parts.entries.countOfRegion(settings.region));
+    parts.endpoints.setEntriesOfRegion(parts.entries.keysOfRegion(settings.region), ownKey());
     bool isReadyNow = isReady();
     if (isReadyNow && !wasReady) {
         logChange(LogLevel::Info, "ready", { { "version", parts.routes->version() }, { "endpoints", parts.endpoints.size() } });
@@ -291,6 +333,7 @@
     logChange(LogLevel::Info, "started",
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
+    impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     impl->follower.start();
     impl->houseKeep();
     return std::unique_ptr<IngressDaemon>(new IngressDaemon(std::move(impl)));
@@ -306,6 +349,7 @@
     impl.drainBegan = impl.loop.clock().now();
     logChange(LogLevel::Info, "draining", { { "open_requests", impl.parts.openRequests } });
     impl.registration.stop();
+    impl.relayed.stopRelaying();
     impl.clients->discourage();
     impl.peers->discourage();
     impl.checkDrained();
--- /dev/null
+++ b/lib/Ingress/RelayedStore.cpp
@@ -0,0 +1,405 @@
+#include "catkinwing/Ingress/RelayedStore.h"
+
+#include "catkinwing/Support/Logging.h"
+#include <absl/strings/numbers.h>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+/// An entry that waits for news is answered after this long at the latest. A
+/// relay that has died is found this late, so this lies well inside the bound
+/// for leaving endpoints.
+static constexpr milliseconds relayWait { 1'200 };
+static constexpr milliseconds relayMargin { 300 };
+static constexpr milliseconds relayConnectTimeout { 300 };
+/// Pause before the next relay in line is asked.
+static constexpr milliseconds nextRelayPause { 120 };
+/// After a second failure in a row an entry watches the store itself for this long.
+static constexpr milliseconds directAfterFailure { 3'000 };
+/// A watch that breaks is mostly open again after one more listing; the entries
+/// that wait are kept for this long before they must turn to the store.
+static constexpr milliseconds holdWithoutWatch { 400 };
+/// How often an entry that watches the store looks for a relay.
+static constexpr milliseconds relaySearch { 500 };
+static constexpr std::size_t maxAnswerBytes = 16u << 20;
+static constexpr int statusOk = 200;
+static constexpr int statusGone = 410;
+static constexpr int statusUnavailable = 503;
+
+namespace {
+
+    /// An entry that waits for changes.
+    struct Waiter {
+        StoreRevision after { 0 };
+        std::shared_ptr<HttpResponder> responder;
+        TimerId timer { 0 };
+    };
+
+} // namespace
+
+struct RelayedStore::Impl : std::enable_shared_from_this<Impl> {
+    class Following;
+
+    Impl(Store& store, HttpClient& client, Scheduler& loop, RelayChoice relayChoice)
+        : direct(store)
+        , peers(client)
+        , scheduler(loop)
+        , choice(std::move(relayChoice))
+    {
+    }
+
+    void answerWaiters();
+    void answer(HttpResponder& responder, StoreRevision after) const;
+    void refuseWaiters();
+    void endDirect();
+    /// Tells whether other entries may wait here for news.
+    bool mayRelay() const { return !hasStopped && (isDirect || scheduler.clock().now() < heldUntil); }
+
+    Store& direct;
+    HttpClient& peers;
+    Scheduler& scheduler;
+    RelayChoice choice;
+    StoreMirror mirror;
+    bool isDirect { false };
+    bool hasStopped { false };
+    TimePoint directUntil {};
+    TimePoint heldUntil {};
+    std::uint64_t lastWaiter { 0 };
+    std::map<std::uint64_t, Waiter> waiters;
+};
+
+/// One watch: directly at the store, or by asking the relay again and again.
+class RelayedStore::Impl::Following : public std::enable_shared_from_this<Following> {
+public:
+    Following(Impl& store, std::string prefix, StoreRevision seen, StoreWatchCallbacks callbacks)
+        : m_store(store)
+        , m_prefix(std::move(prefix))
+        , m_seen(seen)
+        , m_callbacks(std::move(callbacks))
+    {
+    }
+
+    void follow()
+    {
+        std::optional<SocketAddress> relay = findRelay();
+        if (relay)
+            askRelay(*relay);
+        else
+            watchDirectly();
+    }
+
+    void close()
+    {
+        m_callbacks = {};
+        m_isClosed = true;
+        m_store.endDirect();
+        m_direct.reset();
+        m_store.scheduler.cancel(m_searchTimer);
+        if (auto exchange = std::exchange(m_exchange, nullptr))
+            exchange->cancel();
+    }
+
+private:
+    std::optional<SocketAddress> findRelay() const
+    {
+        bool mustBeDirect = m_store.scheduler.clock().now() < m_store.directUntil;
+        return mustBeDirect ? std::nullopt : m_store.choice.relay();
+    }
+
+    void watchDirectly()
+    {
+        logChange(LogLevel::Info, "store_watched_directly", { { "after", m_seen } });
+        m_store.isDirect = true;
+        std::weak_ptr<Following> weak = weak_from_this();
+        StoreWatchCallbacks callbacks;
+        callbacks.onEvents = [weak](const std::vector<StoreEvent>& events) {
+            if (auto self = weak.lock())
+                self->takeEvents(events);
+        };
+        callbacks.onEnd = [weak](const absl::Status& status) {
+            if (auto self = weak.lock())
+                self->fail(status);
+        };
+        m_direct = m_store.direct.watch(m_prefix, m_seen + 1, std::move(callbacks));
+        searchRelay();
+    }
+
+    void searchRelay()
+    {
+        m_searchTimer = m_store.scheduler.callAfter(relaySearch, [weak = weak_from_this()] {
+            auto self = weak.lock();
+            if (!self || self->m_isClosed)
+                return;
+            std::optional<SocketAddress> relay = self->findRelay();
+            if (!relay) {
+                self->searchRelay();
+                return;
+            }
+            self->m_direct.reset();
+            self->m_store.isDirect = false;
+            self->m_store.refuseWaiters();
+            self->askRelay(*relay);
+        });
+    }
+
+    void askRelay(const SocketAddress& relay)
+    {
+        m_askedAt = m_store.scheduler.clock().now();
+        HttpClientRequest request;
+        request.server = relay;
+        request.headers.add(changesAfterHeader, std::to_string(m_seen));
+        request.connectTimeout = relayConnectTimeout;
+        request.headTimeout = relayWait + relayMargin;
+        request.idleTimeout = relayMargin;
+        m_exchange = sendForWhole(m_store.peers, std::move(request), maxAnswerBytes,
+            [weak = weak_from_this(), relay](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
+                if (auto self = weak.lock())
+                    self->takeAnswer(relay, result, head, body);
+            });
+    }
+
+    void takeAnswer(const SocketAddress& relay, const HttpResult& result, const HttpResponseHead& head, const std::string& body)
+    {
+        m_exchange.reset();
+        bool isAnswer = result.end == HttpEnd::Complete && head.status == statusOk;
+        absl::StatusOr<StoreChanges> changes = isAnswer ? decodeStoreChanges(body) : absl::UnavailableError("relay gave no changes");
+        if (!changes.ok()) {
+            turnToStore(relay, head.status, result.detail);
+            return;
+        }
+        std::vector<StoreEvent> events;
+        for (StoreChange& change : changes->changes)
+            events.push_back({ change.isDeletion, { std::move(change.key), std::move(change.value), change.revision } });
+        m_failedRelays = 0;
+        auto self = shared_from_this();
+        if (!events.empty())
+            takeEvents(events);
+        if (!m_isClosed)
+            follow();
+    }
+
+    // A relay that has forgotten what this entry still needs isn't at fault.
+    void turnToStore(const SocketAddress& relay, int status, const std::string& detail)
+    {
+        logChange(LogLevel::Warning, "relay_lost", { { "relay", relay.toString() }, { "status", status }, { "detail", detail }, { "seen", m_seen } });
+        if (status != statusGone)
+            m_store.choice.noteFailure(relay);
+        bool isFirst = std::exchange(m_failedRelays, m_failedRelays + 1) == 0;
+        // One that was silent has already cost much of the time in which news must arrive.
+        bool wasQuick = m_store.scheduler.clock().now() - m_askedAt < relayConnectTimeout || status != 0;
+        if (isFirst && wasQuick) {
+            askNextRelay();
+            return;
+        }
+        m_failedRelays = 0;
+        m_store.directUntil = m_store.scheduler.clock().now() + directAfterFailure;
+        watchDirectly();
+    }
+
+    // The entries of a zone lose their relay together; given a moment, the next
+    // one in line watches the store for the others.
+    void askNextRelay()
+    {
+        m_searchTimer = m_store.scheduler.callAfter(nextRelayPause, [weak = weak_from_this()] {
+            auto self = weak.lock();
+            if (self && !self->m_isClosed)
+                self->follow();
+        });
+    }
+
+    void takeEvents(const std::vector<StoreEvent>& events)
+    {
+        for (const StoreEvent& event : events)
+            m_seen = std::max(m_seen, event.current.revision);
+        m_store.mirror.takeEvents(events);
+        m_store.answerWaiters();
+        auto onEvents = m_callbacks.onEvents;
+        if (onEvents)
+            onEvents(events);
+    }
+
+    void fail(const absl::Status& status)
+    {
+        auto onEnd = std::move(m_callbacks.onEnd);
+        close();
+        if (onEnd)
+            onEnd(status);
+    }
+
+    Impl& m_store;
+    std::string m_prefix;
+    StoreRevision m_seen;
+    StoreWatchCallbacks m_callbacks;
+    std::unique_ptr<StoreWatch> m_direct;
+    std::shared_ptr<HttpExchange> m_exchange;
+    TimerId m_searchTimer { 0 };
+    TimePoint m_askedAt {};
+    /// Relays that failed one after the other.
+    int m_failedRelays { 0 };
+    bool m_isClosed { false };
+};
+
+void RelayedStore::Impl::answer(HttpResponder& responder, StoreRevision after) const
+{
+    HttpResponseHead head;
+    std::optional<StoreChanges> changes = mirror.changesAfter(after);
+    head.status = changes ? statusOk : statusGone;
+    responder.send(head, changes ? encodeStoreChanges(*changes) : "");
+}
+
+void RelayedStore::Impl::answerWaiters()
+{
+    auto waiting = std::exchange(waiters, {});
+    for (auto& [id, waiter] : waiting) {
+        scheduler.cancel(waiter.timer);
+        answer(*waiter.responder, waiter.after);
+    }
+}
+
+void RelayedStore::Impl::refuseWaiters()
+{
+    auto waiting = std::exchange(waiters, {});
+    for (auto& [id, waiter] : waiting) {
+        scheduler.cancel(waiter.timer);
+        HttpResponseHead head;
+        head.status = statusUnavailable;
+        waiter.responder->send(head, "");
+    }
+}
+
+void RelayedStore::Impl::endDirect()
+{
+    if (!isDirect)
+        return;
+    isDirect = false;
+    heldUntil = scheduler.clock().now() + holdWithoutWatch;
+    scheduler.callAfter(holdWithoutWatch, [weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (self && !self->mayRelay())
+            self->refuseWaiters();
+    });
+}
+
+RelayedStore::RelayedStore(Store& direct, HttpClient& peers, Scheduler& scheduler, RelayChoice choice)
+    : m_impl(std::make_shared<Impl>(direct, peers, scheduler, std::move(choice)))
+{
+}
+
+RelayedStore::~RelayedStore() = default;
+
+void RelayedStore::get(const std::string& key, GetCallback done)
+{
+    m_impl->direct.get(key, std::move(done));
+}
+
+void RelayedStore::list(const std::string& prefix, ListCallback done)
+{
+    m_impl->direct.list(prefix, [weak = std::weak_ptr<Impl>(m_impl), done = std::move(done)](const absl::StatusOr<StoreListing>& listing) {
+        auto impl = weak.lock();
+        if (!impl)
+            return;
+        if (listing.ok() && listing->revision >= impl->mirror.revision())
+            impl->mirror.takeListing(*listing);
+        done(listing);
+    });
+}
+
+void RelayedStore::compareAndSwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease, SwapCallback done)
+{
+    m_impl->direct.compareAndSwap(key, expected, value, lease, std::move(done));
+}
+
+void RelayedStore::compareAndDelete(const std::string& key, StoreRevision expected, SwapCallback done)
+{
+    m_impl->direct.compareAndDelete(key, expected, std::move(done));
+}
+
+void RelayedStore::grantLease(milliseconds timeToLive, LeaseCallback done)
+{
+    m_impl->direct.grantLease(timeToLive, std::move(done));
+}
+
+void RelayedStore::keepAlive(StoreLease lease, KeepAliveCallback done)
+{
+    m_impl->direct.keepAlive(lease, std::move(done));
+}
+
+void RelayedStore::revokeLease(StoreLease lease, DoneCallback done)
+{
+    m_impl->direct.revokeLease(lease, std::move(done));
+}
+
+namespace {
+
+    /// Ends the following it holds when it is dropped.
+    template <typename Followed>
+    class RelayedWatch final : public StoreWatch {
+    public:
+        explicit RelayedWatch(std::shared_ptr<Followed> followed)
+            : m_followed(std::move(followed))
+        {
+        }
+        ~RelayedWatch() override { m_followed->close(); }
+        RelayedWatch(const RelayedWatch&) = delete;
+        RelayedWatch& operator=(const RelayedWatch&) = delete;
+
+    private:
+        std::shared_ptr<Followed> m_followed;
+    };
+
+} // namespace
+
+std::unique_ptr<StoreWatch> RelayedStore::watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks)
+{
+    auto following = std::make_shared<Impl::Following>(*m_impl, prefix, firstRevision - 1, std::move(callbacks));
+    following->follow();
+    return std::make_unique<RelayedWatch<Impl::Following>>(std::move(following));
+}
+
+void RelayedStore::answerPeer(const HttpRequest& request, std::shared_ptr<HttpResponder> responder)
+{
+    Impl& impl = *m_impl;
+    const std::string* text = request.headers.find(changesAfterHeader);
+    StoreRevision after = 0;
+    bool isAsked = text && absl::SimpleAtoi(*text, &after);
+    if (!isAsked || !impl.mayRelay()) {
+        HttpResponseHead head;
+        head.status = statusUnavailable;
+        responder->send(head, "");
+        return;
+    }
+    bool hasNews = after == 0 || after < impl.mirror.revision();
+    if (hasNews) {
+        impl.answer(*responder, after);
+        return;
+    }
+    std::uint64_t id = ++impl.lastWaiter;
+    Waiter& waiter = impl.waiters[id];
+    waiter.after = after;
+    waiter.responder = std::move(responder);
+    waiter.timer = impl.scheduler.callAfter(relayWait, [weak = std::weak_ptr<Impl>(m_impl), id] {
+        auto self = weak.lock();
+        if (!self)
+            return;
+        auto found = self->waiters.find(id);
+        if (found == self->waiters.end())
+            return;
+        Waiter due = std::move(found->second);
+        self->waiters.erase(found);
+        self->answer(*due.responder, due.after);
+    });
+}
+
+void RelayedStore::stopRelaying()
+{
+    m_impl->hasStopped = true;
+    m_impl->refuseWaiters();
+}
+
+bool RelayedStore::isDirect() const
+{
+    return m_impl->isDirect;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -12,10 +12,12 @@
 static constexpr milliseconds missingGrace { 2'300 };
 /// A key that vanishes within this time after trouble may be such a one.
 static constexpr milliseconds troubleMemory { 3'000 };
-static constexpr milliseconds firstRetry { 150 };
-/// News must be in force within seconds of the store's return.
-static constexpr milliseconds longestRetry { 800 };
-static constexpr milliseconds renewWatches { 60'000 };
+static constexpr milliseconds firstRetry { 200 };
+/// News must be in force within seconds of the store's return; every call to a
+/// store that is away is paid for as well.
+static constexpr milliseconds longestRetry { 2'000 };
+/// The store's client finds a silent watch by itself, so none is renewed.
+static constexpr std::chrono::hours renewWatches { 24 };
 
 // One watch over all that the store holds: operators, endpoints and entries
 // alike concern every entry, and each watch that waits is a call to be paid for.
--- /dev/null
+++ b/lib/Membership/ShareDivision.cpp
@@ -0,0 +1,40 @@
+#include "catkinwing/Membership/ShareDivision.h"
+
+#include "catkinwing/Support/Hash.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+/// Part of the allowance for sudden requests that is given out. What is kept
+/// back covers entries that for a moment know different lists of entries.
+static constexpr double sharedPart = 0.6;
+
+RateShare divideRate(const std::vector<std::string>& entries, absl::string_view self, absl::string_view subject, const SharedRate& rate)
+{
+    // Within any second each holder sends its part of the rate and one more.
+    double room = (rate.perSecond * (rate.ratio - 1) + rate.slack) * sharedPart;
+    auto holders = static_cast<std::size_t>(std::max(room, 1.0));
+    std::uint64_t ownScore = stableHash(self, stableHash(subject));
+    std::size_t before = 0;
+    bool isMember = false;
+    for (const std::string& entry : entries) {
+        if (entry == self)
+            isMember = true;
+        else if (stableHash(entry, stableHash(subject)) > ownScore)
+            ++before;
+    }
+    if (!isMember || before >= holders)
+        return {};
+    std::size_t count = std::min(holders, entries.size());
+    return { rate.perSecond / static_cast<double>(count), 1 };
+}
+
+std::string chooseDelegate(const std::vector<std::string>& entries, absl::string_view duty)
+{
+    std::uint64_t seed = stableHash(duty);
+    auto isLess = [seed](const std::string& a, const std::string& b) { return stableHash(a, seed) < stableHash(b, seed); };
+    auto best = std::max_element(entries.begin(), entries.end(), isLess);
+    return best == entries.end() ? std::string() : *best;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/lib/PeerProtocol/StoreChanges.cpp
@@ -0,0 +1,57 @@
+#include "catkinwing/PeerProtocol/StoreChanges.h"
+
+#include <nlohmann/json.hpp>
+
+namespace catkinwing {
+
+using nlohmann::json;
+
+// CBOR, since values may be any bytes.
+std::string encodeStoreChanges(const StoreChanges& changes)
+{
+    json list = json::array();
+    for (const StoreChange& change : changes.changes) {
+        json row = json::array({ change.key, change.revision });
+        if (!change.isDeletion)
+            row.push_back(change.value);
+        list.push_back(std::move(row));
+    }
+    json message = json::array({ changes.revision, std::move(list) });
+    std::string bytes;
+    json::to_cbor(message, bytes);
+    return bytes;
+}
+
+static bool readChange(const json& row, StoreChange& change)
+{
+    constexpr std::size_t deletionFields = 2;
+    constexpr std::size_t writeFields = 3;
+    bool isRow = row.is_array() && (row.size() == deletionFields || row.size() == writeFields) && row[0].is_string() && row[1].is_number_integer();
+    if (!isRow || (row.size() == writeFields && !row[2].is_string()))
+        return false;
+    change.key = row[0].get<std::string>();
+    change.revision = row[1].get<std::int64_t>();
+    change.isDeletion = row.size() == deletionFields;
+    if (!change.isDeletion)
+        change.value = row[2].get<std::string>();
+    return true;
+}
+
+absl::StatusOr<StoreChanges> decodeStoreChanges(absl::string_view bytes)
+{
+    json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    bool isMessage = message.is_array() && message.size() == 2 && message[0].is_number_integer() && message[1].is_array();
+    if (!isMessage)
+        return absl::InvalidArgumentError("changes of the store from an entry can't be read");
+    StoreChanges changes;
+    changes.revision = message[0].get<std::int64_t>();
+    for (const json& row : message[1]) {
+        StoreChange change;
+        if (!readChange(row, change))
+            return absl::InvalidArgumentError("a change of the store from an entry can't be read");
+        changes.changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+} // namespace catkinwing
--- a/tools/catkinwingd/Main.cpp
+++ b/tools/catkinwingd/Main.cpp
@@ -30,9 +30,10 @@
     return std::move(parsed.document);
 }
 
-static std::unique_ptr<Store> makePlatformStore(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers)
+static std::unique_ptr<Store> makePlatformStore(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers,
+    std::function<void(const char* kind)> onCall)
 {
-    return std::make_unique<platform::PlatformStore>(http, scheduler, std::move(servers));
+    return std::make_unique<platform::PlatformStore>(http, scheduler, std::move(servers), std::move(onCall));
 }
 
 /// Runs \p daemon until it has drained after SIGTERM or SIGINT.
--- a/unittests/Ingress/EntryRegistrationTest.cpp
+++ b/unittests/Ingress/EntryRegistrationTest.cpp
@@ -51,7 +51,7 @@
     world.store.setDown(true);
     world.scheduler.advance(10s);
     world.store.setDown(false);
-    world.scheduler.advance(1500ms);
+    world.scheduler.advance(2s);
     CHECK(world.isThere());
 }
 
--- /dev/null
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -0,0 +1,226 @@
+#include "catkinwing/Ingress/RelayedStore.h"
+
+#include "Coordination/FakeStore.h"
+#include "Gateway/FakeResponder.h"
+#include "catkinwing/Support/ManualScheduler.h"
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct PeerNetwork;
+
+/// An entry with its own view of the store, reached by the others through a PeerNetwork.
+struct RelayEntry {
+    RelayEntry(FakeStore& shared, ManualScheduler& scheduler, HttpClient& peers, RelayChoice choice)
+        : direct(shared.clientOn(scheduler))
+        , store(*direct, peers, scheduler, std::move(choice))
+    {
+    }
+
+    void start()
+    {
+        store.list("", [this](const absl::StatusOr<StoreListing>& listing) {
+            if (listing.ok())
+                follow(listing->revision + 1);
+        });
+    }
+
+    void follow(StoreRevision first)
+    {
+        watch = store.watch("", first, { [this](const std::vector<StoreEvent>& events) {
+                                            for (const StoreEvent& event : events)
+                                                seen.push_back(event.current.key);
+                                        },
+                                           [this](const absl::Status&) { ++ends; } });
+    }
+
+    std::unique_ptr<Store> direct;
+    RelayedStore store;
+    std::unique_ptr<StoreWatch> watch;
+    std::vector<std::string> seen;
+    int ends { 0 };
+};
+
+/// Carries questions between entries by the port of their address.
+struct PeerNetwork final : HttpClient {
+    struct Exchange final : HttpExchange {
+        void cancel() override { isCancelled = true; }
+        void pause() override { }
+        void resume() override { }
+        bool mayHaveReachedServer() const override { return true; }
+        bool isCancelled { false };
+    };
+
+    explicit PeerNetwork(ManualScheduler& loop)
+        : scheduler(loop)
+    {
+    }
+
+    std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
+    {
+        ++questions;
+        auto exchange = std::make_shared<Exchange>();
+        auto responder = std::make_shared<FakeResponder>();
+        RelayEntry* entry = request.server.port < entries.size() ? entries[request.server.port] : nullptr;
+        if (!entry || isCut) {
+            scheduler.callAfter(isSilent ? Duration(request.headTimeout) : Duration(1ms), [exchange, callbacks] {
+                if (!exchange->isCancelled)
+                    callbacks.onEnd({ HttpEnd::NoResponse, true, "cut" });
+            });
+            return exchange;
+        }
+        HttpRequest asked;
+        asked.headers = request.headers;
+        entry->store.answerPeer(asked, responder);
+        poll(exchange, responder, callbacks);
+        return exchange;
+    }
+    void forget(const SocketAddress&) override { }
+    void replaceTls(std::shared_ptr<TlsContext>) override { }
+
+    void poll(const std::shared_ptr<Exchange>& exchange, const std::shared_ptr<FakeResponder>& responder, const HttpClientCallbacks& callbacks)
+    {
+        scheduler.callAfter(1ms, [this, exchange, responder, callbacks] {
+            if (exchange->isCancelled)
+                return;
+            if (!responder->isFinished) {
+                poll(exchange, responder, callbacks);
+                return;
+            }
+            callbacks.onHead(*responder->head);
+            callbacks.onBody(responder->body);
+            callbacks.onEnd({ HttpEnd::Complete, true, "" });
+        });
+    }
+
+    ManualScheduler& scheduler;
+    std::vector<RelayEntry*> entries;
+    int questions { 0 };
+    bool isCut { false };
+    bool isSilent { false };
+};
+
+/// Two entries; the second one asks the first.
+struct RelayWorld {
+    RelayWorld()
+    {
+        network.entries = { &relay, &follower };
+        relay.start();
+        scheduler.advance(50ms);
+        follower.start();
+        scheduler.advance(50ms);
+    }
+
+    RelayChoice asking(std::uint16_t port)
+    {
+        RelayChoice choice;
+        choice.relay = [this, port]() -> std::optional<SocketAddress> {
+            if (!hasRelay)
+                return std::nullopt;
+            return SocketAddress { "127.0.0.1", port };
+        };
+        choice.noteFailure = [this](const SocketAddress&) { ++failures; };
+        return choice;
+    }
+
+    static RelayChoice askingNobody()
+    {
+        RelayChoice choice;
+        choice.relay = [] { return std::nullopt; };
+        choice.noteFailure = [](const SocketAddress&) {};
+        return choice;
+    }
+
+    ManualScheduler scheduler;
+    FakeStore shared { scheduler };
+    PeerNetwork network { scheduler };
+    bool hasRelay { true };
+    int failures { 0 };
+    RelayEntry relay { shared, scheduler, network, askingNobody() };
+    RelayEntry follower { shared, scheduler, network, asking(0) };
+};
+
+} // namespace
+
+TEST_CASE("news reaches an entry through its relay, in order and once")
+{
+    RelayWorld world;
+    for (int i = 0; i < 20; ++i) {
+        world.shared.put("key-" + std::to_string(i), "value");
+        world.scheduler.advance(i % 3 == 0 ? 700ms : 5ms);
+    }
+    world.scheduler.advance(2s);
+    CHECK(world.relay.store.isDirect());
+    CHECK_FALSE(world.follower.store.isDirect());
+    CHECK(world.follower.seen.size() == 20);
+    CHECK(world.follower.seen == world.relay.seen);
+    CHECK(world.failures == 0);
+}
+
+TEST_CASE("an entry whose relay is gone or silent turns to the store within its wait, and back later")
+{
+    for (bool isSilent : { false, true }) {
+        RelayWorld world;
+        world.network.isSilent = isSilent;
+        world.network.isCut = true;
+        world.scheduler.advance(3'500ms);
+        CHECK(world.follower.store.isDirect());
+        world.shared.put("while-cut", "value");
+        world.scheduler.advance(100ms);
+        CHECK(world.follower.seen == std::vector<std::string> { "while-cut" });
+        world.network.isCut = false;
+        world.scheduler.advance(5s);
+        CHECK_FALSE(world.follower.store.isDirect());
+        world.shared.put("after", "value");
+        world.scheduler.advance(100ms);
+        CHECK(world.follower.seen.back() == "after");
+        CHECK(world.follower.ends == 0);
+    }
+}
+
+TEST_CASE("a relay that has lost the store sends its followers to the store")
+{
+    RelayWorld world;
+    world.relay.watch.reset();
+    world.scheduler.advance(2s);
+    CHECK(world.follower.store.isDirect());
+    CHECK(world.failures > 0);
+    world.shared.put("key", "value");
+    world.scheduler.advance(100ms);
+    CHECK(world.follower.seen == std::vector<std::string> { "key" });
+}
+
+TEST_CASE("a relay that is about to stop sends its followers away at once")
+{
+    RelayWorld world;
+    world.relay.store.stopRelaying();
+    world.scheduler.advance(400ms);
+    CHECK(world.follower.store.isDirect());
+}
+
+TEST_CASE("an entry that knows more than its relay, or less than it remembers, loses nothing")
+{
+    RelayWorld world;
+    StoreMirror mirror(4);
+    StoreListing listing;
+    listing.revision = 10;
+    listing.values = { { "a", "1", 9 } };
+    mirror.takeListing(listing);
+    CHECK_FALSE(mirror.changesAfter(9));
+    REQUIRE(mirror.changesAfter(10));
+    CHECK(mirror.changesAfter(10)->changes.empty());
+    CHECK(mirror.changesAfter(25)->revision == 25);
+    for (StoreRevision revision = 11; revision <= 16; ++revision)
+        mirror.takeEvents({ { false, { "b", "2", revision } } });
+    CHECK_FALSE(mirror.changesAfter(11));
+    CHECK(mirror.changesAfter(12)->changes.size() == 4);
+    mirror.takeEvents({ { true, { "a", "", 17 } } });
+    std::optional<StoreChanges> everything = mirror.changesAfter(0);
+    REQUIRE(everything);
+    CHECK(everything->revision == 17);
+    REQUIRE(everything->changes.size() == 1);
+    CHECK(everything->changes[0].key == "b");
+}
--- /dev/null
+++ b/unittests/Membership/ShareDivisionTest.cpp
@@ -0,0 +1,80 @@
+#include "catkinwing/Membership/ShareDivision.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+
+static std::vector<std::string> entries(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < count; ++i)
+        names.push_back("entry-" + std::to_string(i));
+    return names;
+}
+
+TEST_CASE("shares of a rate never add up to more than all entries may send within a second")
+{
+    for (std::size_t count : { 1u, 2u, 3u, 7u, 30u, 200u }) {
+        for (double perSecond : { 0.5, 2.0, 5.4, 9.7, 40.0 }) {
+            SharedRate rate { perSecond, 1.5, 3 };
+            std::vector<std::string> names = entries(count);
+            double atOnce = 0;
+            double whole = 0;
+            for (const std::string& name : names) {
+                RateShare share = divideRate(names, name, "endpoint", rate);
+                atOnce += share.burst + share.perSecond;
+                whole += share.perSecond;
+            }
+            CAPTURE(count, perSecond);
+            CHECK(atOnce <= perSecond * 1.5 + 3);
+            CHECK(whole == Approx(perSecond));
+        }
+    }
+}
+
+TEST_CASE("entries that for a moment know different lists stay within the rate")
+{
+    SharedRate rate { 5.4, 1.5, 3 };
+    for (std::size_t count : { 5u, 12u, 30u }) {
+        std::vector<std::string> all = entries(count);
+        for (std::size_t gone = 0; gone < count; ++gone) {
+            std::vector<std::string> fewer = all;
+            fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(gone));
+            double atOnce = 0;
+            for (std::size_t i = 0; i < count; ++i) {
+                RateShare share = divideRate(i % 2 ? all : fewer, all[i], "endpoint", rate);
+                atOnce += share.burst + share.perSecond;
+            }
+            CHECK(atOnce <= 5.4 * 1.5 + 3 + 0.2);
+        }
+    }
+}
+
+TEST_CASE("an entry that isn't in the list has no share")
+{
+    CHECK(divideRate(entries(3), "stranger", "endpoint", { 10, 1.5, 3 }).burst == 0);
+    CHECK(divideRate({}, "stranger", "endpoint", { 10, 1.5, 3 }).burst == 0);
+}
+
+TEST_CASE("holders differ between endpoints")
+{
+    std::vector<std::string> names = entries(30);
+    std::size_t endpointsWithShare = 0;
+    for (int endpoint = 0; endpoint < 100; ++endpoint)
+        endpointsWithShare += divideRate(names, names[0], std::to_string(endpoint), { 5.4, 1.5, 3 }).burst > 0 ? 1 : 0;
+    CHECK(endpointsWithShare > 2);
+    CHECK(endpointsWithShare < 25);
+}
+
+TEST_CASE("a delegate is the same for all and changes only when it goes")
+{
+    std::vector<std::string> names = entries(9);
+    std::string delegate = chooseDelegate(names, "duty");
+    CHECK_FALSE(delegate.empty());
+    for (const std::string& gone : names) {
+        std::vector<std::string> fewer = names;
+        fewer.erase(std::find(fewer.begin(), fewer.end(), gone));
+        CHECK((chooseDelegate(fewer, "duty") == delegate) == (gone != delegate));
+    }
+    CHECK(chooseDelegate({}, "duty").empty());
+}
--- /dev/null
+++ b/unittests/PeerProtocol/StoreChangesTest.cpp
@@ -0,0 +1,42 @@
+#include "catkinwing/PeerProtocol/StoreChanges.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+
+TEST_CASE("changes of the store read back as they were written, whatever bytes they hold")
+{
+    StoreChanges changes;
+    changes.revision = 412;
+    changes.changes.push_back({ "servers/a", std::string("\0\xff\"{}", 5), 411, false });
+    changes.changes.push_back({ "servers/b", "", 412, true });
+    absl::StatusOr<StoreChanges> read = decodeStoreChanges(encodeStoreChanges(changes));
+    REQUIRE(read.ok());
+    CHECK(read->revision == 412);
+    REQUIRE(read->changes.size() == 2);
+    CHECK(read->changes[0].key == "servers/a");
+    CHECK(read->changes[0].value == changes.changes[0].value);
+    CHECK(read->changes[0].revision == 411);
+    CHECK_FALSE(read->changes[0].isDeletion);
+    CHECK(read->changes[1].isDeletion);
+}
+
+TEST_CASE("a change costs its key, its value and a few bytes")
+{
+    StoreChanges changes;
+    std::size_t before = encodeStoreChanges(changes).size();
+    changes.changes.push_back({ std::string(20, 'k'), std::string(200, 'v'), 1'000'000, false });
+    CHECK(encodeStoreChanges(changes).size() - before <= 220 + 40);
+}
+
+TEST_CASE("bytes that are no changes are refused")
+{
+    StoreChanges changes;
+    changes.revision = 5;
+    changes.changes.push_back({ "key", "value", 5, false });
+    std::string whole = encodeStoreChanges(changes);
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        CHECK_FALSE(decodeStoreChanges(absl::string_view(whole).substr(0, size)).ok());
+    CHECK_FALSE(decodeStoreChanges(whole + "x").ok());
+    CHECK_FALSE(decodeStoreChanges("\x82\x01\x81\x82\x01\x02").ok());
+}
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -26,7 +26,8 @@
 
     ManualScheduler scheduler;
     FakeHttpClient http { scheduler };
-    PlatformStore store { http, scheduler, { { "127.0.0.1", 1 } } };
+    PlatformStore store { http, scheduler, { { "127.0.0.1", 1 } }, [this](const char* kind) { calls.emplace_back(kind); } };
+    std::vector<std::string> calls;
 };
 
 } // namespace
