--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Ingress/Dialect.h"
+#include "catkinwing/Ingress/PeerLoads.h"
 #include "catkinwing/Membership/ShareDivision.h"
 #include "catkinwing/Routing/EndpointChoice.h"
 #include "catkinwing/Support/Random.h"
@@ -15,8 +16,10 @@
 
 /// One start of one endpoint as this entry knows it. Shared with the requests
 /// that are at it, which may outlive its registration.
-struct EndpointState {
+struct RoutedEndpoint {
     EndpointRecord record;
+    /// Names it in load reports.
+    std::uint32_t hash { 0 };
     std::string region;
     /// Never reverts.
     bool isLeaving { false };
@@ -27,6 +30,10 @@
     unsigned failuresInRow { 0 };
     /// Requests of this entry that it has not answered.
     unsigned inFlight { 0 };
+    /// Tokens of their prompts that it has probably not read yet.
+    std::int64_t unreadTokens { 0 };
+    /// Hashes of the shared parts that this entry has sent there.
+    absl::flat_hash_set<std::uint64_t> partsSent;
     /// This entry's part of what it bears while cold.
     std::optional<TokenBucket> coldRate;
 };
@@ -68,12 +75,19 @@
 
     /// Chooses an endpoint of this region and counts the request against its
     /// rate while it is cold; null if none may get it.
-    std::shared_ptr<EndpointState> choose(const EndpointRequest& request, TimePoint now, Random& random);
-    void noteBegan(EndpointState& endpoint) const { ++endpoint.inFlight; }
+    std::shared_ptr<RoutedEndpoint> choose(const EndpointRequest& request, TimePoint now, Random& random);
+    void noteBegan(RoutedEndpoint& endpoint) const { ++endpoint.inFlight; }
+    /// Returns how many tokens of a prompt the endpoint will have to read, and
+    /// notes that it will have read the shared part.
+    std::int64_t tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const;
     /// Notes the end of an attempt; \p isFailure if the endpoint, not the request, was at fault.
-    void noteEnded(EndpointState& endpoint, bool isFailure, TimePoint now);
+    void noteEnded(RoutedEndpoint& endpoint, bool isFailure, TimePoint now);
     /// The endpoint has said itself that it is leaving, or has gone.
-    void noteLeaving(EndpointState& endpoint) const { endpoint.isLeaving = true; }
+    void noteLeaving(RoutedEndpoint& endpoint) const { endpoint.isLeaving = true; }
+
+    /// What this entry has under way at its region's endpoints, for the others.
+    std::vector<EndpointWorkload> ownLoads() const;
+    PeerLoads& peerLoads() { return m_peerLoads; }
 
     /// Returns how many endpoints of each region could serve \p service.
     std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
@@ -83,19 +97,21 @@
     std::size_t size() const { return m_endpoints.size(); }
 
 private:
-    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
+    using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
 
-    bool isUsable(const EndpointState& endpoint) const;
-    bool hasRoom(const EndpointState& endpoint, const ServiceSettings& service) const;
-    bool tryTakeCold(EndpointState& endpoint, const ServiceSettings& service, TimePoint now) const;
+    EndpointWork workOf(const RoutedEndpoint& endpoint) const;
+    bool isUsable(const RoutedEndpoint& endpoint) const;
+    bool hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
+    bool tryTakeCold(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const;
 
     std::string m_region;
     std::map<std::string, std::string> m_regionOfZone;
-    absl::flat_hash_map<std::string, std::shared_ptr<EndpointState>> m_endpoints;
+    absl::flat_hash_map<std::string, std::shared_ptr<RoutedEndpoint>> m_endpoints;
     absl::flat_hash_map<std::string, Endpoints> m_ofService;
     std::set<std::string> m_evacuated;
     std::vector<std::string> m_entriesOfRegion;
     std::string m_self;
+    PeerLoads m_peerLoads;
     SharedRate m_coldTolerance { 0, 1.5, 3 };
 };
 
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -42,6 +42,8 @@
     std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const std::vector<std::string>& homes) const;
     /// Returns an entry of \p region to forward to; nothing if there is none.
     std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
+    /// Returns the addresses of the other entries of \p region.
+    std::vector<SocketAddress> peersOf(const std::string& region) const;
     /// Passes \p peer over for a while.
     void notePeerFailure(const SocketAddress& peer, TimePoint now);
     void notePeerAnswered(const SocketAddress& peer) { m_suspectUntil.erase(peer); }
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -7,6 +7,7 @@
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
+#include "catkinwing/Routing/RegionPressure.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -36,6 +37,8 @@
     RetryLimits retryLimits;
     /// This entry's part of the budget of each service.
     absl::flat_hash_map<std::string, RetryBudget> retryBudgets;
+    /// How readily each region takes the requests of each service.
+    absl::flat_hash_map<std::string, RegionPressure> pressures;
     /// The configuration in force; null before the first one is known.
     std::shared_ptr<const RouteTable> routes;
     std::size_t openRequests { 0 };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -37,8 +37,11 @@
     struct Attempt {
         std::uint64_t number { 0 };
         AttemptTarget target { AttemptTarget::Endpoint };
-        std::shared_ptr<EndpointState> endpoint;
+        std::shared_ptr<RoutedEndpoint> endpoint;
         SocketAddress peer;
+        std::string region;
+        /// Counted as unread at the endpoint until its first bytes.
+        std::int64_t unreadTokens { 0 };
         std::shared_ptr<HttpExchange> exchange;
         TimePoint startedAt {};
         absl::optional<HttpResponseHead> head;
@@ -54,7 +57,9 @@
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
     bool isAllowedHere() const;
-    std::string sharedPart() const;
+    /// Returns the largest part that the request shares with others, if reading
+    /// it again would matter; null otherwise.
+    const PromptPart* sharedPart() const;
     const std::string& pickService() const;
 
     void dispatch();
@@ -62,7 +67,10 @@
     bool sendToRegion(const std::string& service);
     bool sendToOwner();
     bool sendToEntryOf(const std::string& region);
-    std::optional<std::string> chooseRegion(const std::string& service) const;
+    std::map<std::string, std::size_t> otherRegions(const std::string& service) const;
+    RegionPressure& pressure() const { return m_parts.pressures[m_service]; }
+    bool sendAway();
+    static void noteRead(Attempt& attempt);
     void startAttempt(Attempt attempt, HttpClientRequest request);
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
@@ -104,6 +112,7 @@
     /// An endpoint has had the request, so that a further one draws on the budget.
     bool m_hasArrived { false };
     bool m_lastRan { false };
+    bool m_wasRefusedHere { false };
     std::vector<std::string> m_triedEndpoints;
     std::vector<std::string> m_triedRegions;
     EventCursor m_cursor;
--- /dev/null
+++ b/include/catkinwing/PeerProtocol/LoadReport.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <absl/strings/string_view.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace catkinwing {
+
+/// What an entry has under way at one endpoint.
+struct EndpointWorkload {
+    /// Hash of the endpoint's incarnation.
+    std::uint32_t endpoint { 0 };
+    /// Requests under way.
+    std::uint32_t requests { 0 };
+    /// Tokens of prompts that are still to be read, in thousands, rounded.
+    std::uint32_t unreadKilotokens { 0 };
+};
+
+/// What an entry tells the others of its region several times a second, in one
+/// datagram: about 10 bytes for each endpoint that it uses, and its key.
+struct LoadReport {
+    /// Key of the entry, which is another one after each start.
+    std::string entry;
+    /// Grows with each report, since datagrams may overtake each other.
+    std::uint64_t sequence { 0 };
+    std::vector<EndpointWorkload> loads;
+};
+
+/// Returns the hash by which reports name an endpoint.
+std::uint32_t endpointHash(absl::string_view incarnation);
+std::string encodeLoadReport(const LoadReport& report);
+absl::StatusOr<LoadReport> decodeLoadReport(absl::string_view bytes);
+
+} // namespace catkinwing
--- a/include/catkinwing/Routing/EndpointChoice.h
+++ b/include/catkinwing/Routing/EndpointChoice.h
@@ -9,13 +9,20 @@
 
 namespace catkinwing {
 
+/// Work that an endpoint has before it, as far as the entries of its region know.
+struct EndpointWork {
+    /// Requests that it has not answered.
+    double requests { 0 };
+    /// Thousands of prompt tokens that it has not read.
+    double unreadKilotokens { 0 };
+};
+
 /// An endpoint that may be chosen.
 struct EndpointCandidate {
     /// Index in the caller's own list.
     std::size_t index { 0 };
     absl::string_view incarnation;
-    /// Requests of this entry that it has not answered.
-    unsigned inFlight { 0 };
+    EndpointWork work;
     /// Failed not long ago; chosen only if all others have failed too.
     bool isSuspect { false };
 };
@@ -27,13 +34,16 @@
     std::string sharedPart;
 };
 
+/// Returns the work as a number of requests.
+double endpointLoad(const EndpointWork& work);
+
 /// Score of an endpoint for a shared part; the highest one owns the part. The
 /// same in every entry.
 std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart);
 
 /// Chooses among \p candidates; nothing only if there are none. Every entry
 /// sends the same shared part to the same endpoint without being told, unless
-/// that one has far more in flight than the others.
+/// that one has far more to do than the others.
 std::optional<std::size_t> chooseEndpoint(absl::Span<const EndpointCandidate> candidates, const EndpointDemand& demand, Random& random);
 
 } // namespace catkinwing
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Ingress/EndpointTable.h"
 
+#include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
 
@@ -12,6 +13,8 @@
 /// restart takes seconds.
 static constexpr milliseconds firstSuspicion { 300 };
 static constexpr milliseconds longestSuspicion { 4'800 };
+/// Shared parts that are remembered of an endpoint: more than fit its memory.
+static constexpr std::size_t maxPartsKept = 512;
 
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
@@ -19,7 +22,7 @@
 {
 }
 
-static void logEndpoint(const char* event, const EndpointState& endpoint)
+static void logEndpoint(const char* event, const RoutedEndpoint& endpoint)
 {
     logChange(LogLevel::Info, event,
         { { "endpoint", endpoint.record.incarnation }, { "service", endpoint.record.service },
@@ -29,10 +32,11 @@
 
 void EndpointTable::put(EndpointRecord record, TimePoint now)
 {
-    std::shared_ptr<EndpointState>& entry = m_endpoints[record.incarnation];
+    std::shared_ptr<RoutedEndpoint>& entry = m_endpoints[record.incarnation];
     bool isNew = !entry;
     if (isNew) {
-        entry = std::make_shared<EndpointState>();
+        entry = std::make_shared<RoutedEndpoint>();
+        entry->hash = endpointHash(record.incarnation);
         auto region = m_regionOfZone.find(record.availabilityZone);
         if (region != m_regionOfZone.end())
             entry->region = region->second;
@@ -54,7 +58,7 @@
     auto found = m_endpoints.find(incarnation);
     if (found == m_endpoints.end())
         return;
-    std::shared_ptr<EndpointState> endpoint = found->second;
+    std::shared_ptr<RoutedEndpoint> endpoint = found->second;
     endpoint->isLeaving = true;
     logEndpoint("endpoint_removed", *endpoint);
     Endpoints& list = m_ofService[endpoint->record.service];
@@ -108,13 +112,46 @@
     m_coldTolerance = { 0, ratio, slack };
 }
 
-bool EndpointTable::isUsable(const EndpointState& endpoint) const
+EndpointWork EndpointTable::workOf(const RoutedEndpoint& endpoint) const
+{
+    constexpr double tokensPerKilotoken = 1'000;
+    EndpointWorkload others = m_peerLoads.at(endpoint.hash);
+    EndpointWork work;
+    work.requests = endpoint.inFlight + others.requests;
+    work.unreadKilotokens = static_cast<double>(endpoint.unreadTokens) / tokensPerKilotoken + others.unreadKilotokens;
+    return work;
+}
+
+std::int64_t EndpointTable::tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const
+{
+    if (sharedPart.empty())
+        return promptTokens;
+    if (endpoint.partsSent.size() >= maxPartsKept)
+        endpoint.partsSent.clear();
+    bool isNew = endpoint.partsSent.insert(stableHash(sharedPart)).second;
+    return isNew ? promptTokens : std::max<std::int64_t>(promptTokens - sharedTokens, 0);
+}
+
+std::vector<EndpointWorkload> EndpointTable::ownLoads() const
+{
+    constexpr std::int64_t tokensPerKilotoken = 1'000;
+    std::vector<EndpointWorkload> loads;
+    for (const auto& [incarnation, endpoint] : m_endpoints) {
+        if (endpoint->inFlight == 0)
+            continue;
+        auto kilotokens = static_cast<std::uint32_t>((endpoint->unreadTokens + tokensPerKilotoken / 2) / tokensPerKilotoken);
+        loads.push_back({ endpoint->hash, endpoint->inFlight, kilotokens });
+    }
+    return loads;
+}
+
+bool EndpointTable::isUsable(const RoutedEndpoint& endpoint) const
 {
     return !endpoint.isLeaving && m_evacuated.count(endpoint.record.availabilityZone) == 0;
 }
 
 // The connections that an endpoint takes are divided among the entries of the region.
-bool EndpointTable::hasRoom(const EndpointState& endpoint, const ServiceSettings& service) const
+bool EndpointTable::hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const
 {
     if (service.maxConnections == 0)
         return true;
@@ -122,7 +159,7 @@
     return endpoint.inFlight < share;
 }
 
-bool EndpointTable::tryTakeCold(EndpointState& endpoint, const ServiceSettings& service, TimePoint now) const
+bool EndpointTable::tryTakeCold(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const
 {
     if (now >= endpoint.coldUntil || service.coldRequestsPerSecond <= 0) {
         endpoint.coldRate.reset();
@@ -140,7 +177,7 @@
     return endpoint.coldRate->tryTake(1, now);
 }
 
-std::shared_ptr<EndpointState> EndpointTable::choose(const EndpointRequest& request, TimePoint now, Random& random)
+std::shared_ptr<RoutedEndpoint> EndpointTable::choose(const EndpointRequest& request, TimePoint now, Random& random)
 {
     auto found = m_ofService.find(request.service->name);
     if (found == m_ofService.end())
@@ -148,14 +185,14 @@
     const Endpoints& endpoints = found->second;
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
-        const EndpointState& endpoint = *endpoints[i];
+        const RoutedEndpoint& endpoint = *endpoints[i];
         if (endpoint.region != m_region || !isUsable(endpoint) || !hasRoom(endpoint, *request.service))
             continue;
         const std::vector<std::string>& tried = *request.tried;
         bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
         if (wasTried && !request.mayBeTried)
             continue;
-        candidates.push_back({ i, endpoint.record.incarnation, endpoint.inFlight, wasTried || now < endpoint.suspectUntil });
+        candidates.push_back({ i, endpoint.record.incarnation, workOf(endpoint), wasTried || now < endpoint.suspectUntil });
     }
     while (!candidates.empty()) {
         std::optional<std::size_t> index = chooseEndpoint(candidates, { request.sharedPart }, random);
@@ -166,7 +203,7 @@
     return nullptr;
 }
 
-void EndpointTable::noteEnded(EndpointState& endpoint, bool isFailure, TimePoint now)
+void EndpointTable::noteEnded(RoutedEndpoint& endpoint, bool isFailure, TimePoint now)
 {
     --endpoint.inFlight;
     if (!isFailure) {
@@ -199,7 +236,7 @@
     auto found = m_ofService.find(service);
     if (found == m_ofService.end())
         return std::nullopt;
-    const EndpointState* owner = nullptr;
+    const RoutedEndpoint* owner = nullptr;
     std::uint64_t best = 0;
     for (const auto& endpoint : found->second) {
         bool isAllowed = regions.empty() || std::find(regions.begin(), regions.end(), endpoint->region) != regions.end();
--- a/lib/Ingress/EntryRegistration.cpp
+++ b/lib/Ingress/EntryRegistration.cpp
@@ -109,6 +109,8 @@
 void EntryRegistration::Impl::onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left)
 {
     if (absl::IsNotFound(left.status())) {
+        // The store is there, so there is no reason to wait for it.
+        retryDelay = options.retryEvery;
         beginAgain("lease lapsed");
         return;
     }
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -118,6 +118,16 @@
     return sound[random.below(sound.size())];
 }
 
+std::vector<SocketAddress> EntryTable::peersOf(const std::string& region) const
+{
+    std::vector<SocketAddress> peers;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.record.region == region && entry.record.peers != m_self.peers)
+            addOnce(peers, entry.record.peers);
+    }
+    return peers;
+}
+
 void EntryTable::notePeerFailure(const SocketAddress& peer, TimePoint now)
 {
     m_suspectUntil[peer] = now + peerSuspicion;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Ingress/IngressDaemon.h"
 
 #include "StoreFollower.h"
+#include "catkinwing/Http/DatagramSocket.h"
 #include "catkinwing/Http/HttpServer.h"
 #include "catkinwing/Ingress/EntryRegistration.h"
 #include "catkinwing/Ingress/RelayedStore.h"
@@ -44,6 +45,9 @@
 static constexpr milliseconds drainCheck { 50 };
 static constexpr milliseconds houseKeepingInterval { 250 };
 static constexpr milliseconds stateInterval { 10'000 };
+/// Requests last from 30 ms to seconds; reports that are this old still tell
+/// most of what the others have under way.
+static constexpr milliseconds loadReportInterval { 200 };
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
@@ -62,7 +66,7 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, 0 }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, 0 }
         , registration(*store, eventLoop, registrationOptions())
         , relayed(*store, *peerClient, eventLoop, relayChoice())
         , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -114,6 +118,8 @@
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !isDraining; }
+    void takeLoadReport(absl::string_view bytes);
+    void reportLoad();
     void logState();
     void houseKeep();
     void checkDrained();
@@ -141,6 +147,9 @@
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> directory;
     std::unique_ptr<HttpServer> operators;
+    std::unique_ptr<DatagramSocket> loadReports;
+    std::uint64_t reportSequence { 0 };
+    bool wasIdle { false };
     TimePoint stateLoggedAt {};
     bool isDraining { false };
     bool hasStoppedListening { false };
@@ -175,6 +184,11 @@
         { ingress.directory, &directory, [this](const HttpRequest& request, const Responder& responder) { answerDirectory(request, *responder); } },
         { settings.listen.operators, &operators, [this](const HttpRequest& request, const Responder& responder) { answerOperator(request, *responder); } },
     };
+    absl::StatusOr<std::unique_ptr<DatagramSocket>> socket = DatagramSocket::bind(loop, settings.listen.peers,
+        [this](const SocketAddress&, absl::string_view bytes) { takeLoadReport(bytes); });
+    if (!socket.ok())
+        return socket.status();
+    loadReports = std::move(*socket);
     for (Listener& listener : listeners) {
         absl::StatusOr<std::unique_ptr<HttpServer>> server = listenOn(listener.address, std::move(listener.handler));
         if (!server.ok())
@@ -270,6 +284,30 @@
     answer(responder, statusOk, "text/plain", metrics.render());
 }
 
+void IngressDaemon::Impl::takeLoadReport(absl::string_view bytes)
+{
+    absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
+    if (report.ok())
+        parts.endpoints.peerLoads().take(std::move(*report), loop.clock().now());
+    else
+        metrics.count("load_reports_refused");
+}
+
+// An entry that has nothing under way says so once and then keeps silent.
+void IngressDaemon::Impl::reportLoad()
+{
+    parts.endpoints.peerLoads().expire(loop.clock().now());
+    LoadReport report { ownKey(), ++reportSequence, parts.endpoints.ownLoads() };
+    bool isIdle = report.loads.empty();
+    if (!isIdle || !wasIdle) {
+        std::string bytes = encodeLoadReport(report);
+        for (const SocketAddress& peer : parts.entries.peersOf(settings.region))
+            loadReports->send(peer, bytes);
+    }
+    wasIdle = isIdle;
+    loop.callAfter(loadReportInterval, [this] { reportLoad(); });
+}
+
 // What the entry believes and has spent, for whoever has only the logs.
 void IngressDaemon::Impl::logState()
 {
@@ -336,6 +374,7 @@
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     impl->follower.start();
     impl->houseKeep();
+    impl->reportLoad();
     return std::unique_ptr<IngressDaemon>(new IngressDaemon(std::move(impl)));
 }
 
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -104,17 +104,17 @@
 }
 
 // The last part belongs to the request itself or to its session.
-std::string RoutedRun::sharedPart() const
+const PromptPart* RoutedRun::sharedPart() const
 {
     const std::vector<PromptPart>& prompt = m_request.facts.prompt;
     if (!m_route->hasPromptAffinity || prompt.size() < 2)
-        return {};
+        return nullptr;
     const PromptPart* largest = &prompt.front();
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
         if (prompt[i].tokens > largest->tokens)
             largest = &prompt[i];
     }
-    return largest->tokens >= minSharedTokens ? largest->id : std::string();
+    return largest->tokens >= minSharedTokens ? largest : nullptr;
 }
 
 const std::string& RoutedRun::pickService() const
@@ -132,11 +132,12 @@
     return services.back().service;
 }
 
-// Another endpoint here goes first, since it is nearest; then another region;
-// then an endpoint that has failed the request but would run it again.
+// An endpoint here goes first, since it is nearest, unless this region refuses
+// much; then another region; then an endpoint that has failed the request but
+// would run it again.
 void RoutedRun::dispatch()
 {
-    if (sendToOwner())
+    if (sendToOwner() || sendAway())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -154,6 +155,16 @@
         answerOwn(statusUnavailable, Outcome::NotRun, "no_endpoint");
 }
 
+// An endpoint here that is full says that its like probably are.
+bool RoutedRun::sendAway()
+{
+    if (m_request.isForwarded || !isAllowedHere())
+        return false;
+    bool isFirst = m_attempts == 0;
+    bool shouldGo = m_wasRefusedHere || (isFirst && shouldSpill(pressure(), m_parts.region, otherRegions(m_service), now(), m_parts.random));
+    return shouldGo && sendToRegion(m_service);
+}
+
 bool RoutedRun::sendToEndpoint(const std::string& service, bool mayBeTried)
 {
     const ServiceSettings* settings = m_routes->findService(service);
@@ -161,10 +172,11 @@
         return false;
     EndpointRequest wanted;
     wanted.service = settings;
-    wanted.sharedPart = sharedPart();
+    const PromptPart* shared = sharedPart();
+    wanted.sharedPart = shared ? shared->id : std::string();
     wanted.tried = &m_triedEndpoints;
     wanted.mayBeTried = mayBeTried;
-    std::shared_ptr<EndpointState> endpoint = m_parts.endpoints.choose(wanted, now(), m_parts.random);
+    std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(wanted, now(), m_parts.random);
     if (!endpoint)
         return false;
     m_triedEndpoints.push_back(endpoint->record.incarnation);
@@ -175,40 +187,32 @@
     request.connectTimeout = endpointConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
+    attempt.region = m_parts.region;
     attempt.endpoint = std::move(endpoint);
     m_parts.endpoints.noteBegan(*attempt.endpoint);
+    attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart);
+    attempt.endpoint->unreadTokens += attempt.unreadTokens;
     startAttempt(std::move(attempt), std::move(request));
     return true;
 }
 
-// Regions are taken by the number of endpoints that they could use for it.
-std::optional<std::string> RoutedRun::chooseRegion(const std::string& service) const
+// Regions that may have the request and have not had it, with their endpoints.
+std::map<std::string, std::size_t> RoutedRun::otherRegions(const std::string& service) const
 {
     const std::vector<std::string>& homes = m_route->homeRegions;
-    std::vector<std::pair<std::string, std::size_t>> regions;
-    std::size_t sum = 0;
+    std::map<std::string, std::size_t> regions;
     for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service)) {
         bool isHome = homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
         bool wasTried = std::find(m_triedRegions.begin(), m_triedRegions.end(), region) != m_triedRegions.end();
-        if (region == m_parts.region || !isHome || wasTried)
-            continue;
-        regions.emplace_back(region, usable);
-        sum += usable;
-    }
-    if (sum == 0)
-        return std::nullopt;
-    std::size_t point = m_parts.random.below(sum);
-    for (const auto& [region, usable] : regions) {
-        if (point < usable)
-            return region;
-        point -= usable;
+        if (region != m_parts.region && isHome && !wasTried)
+            regions.emplace(region, usable);
     }
-    return std::nullopt;
+    return regions;
 }
 
 bool RoutedRun::sendToRegion(const std::string& service)
 {
-    for (std::optional<std::string> region = chooseRegion(service); region; region = chooseRegion(service)) {
+    while (std::optional<std::string> region = chooseSpillRegion(pressure(), otherRegions(service), now(), m_parts.random)) {
         if (sendToEntryOf(*region))
             return true;
     }
@@ -221,11 +225,14 @@
 {
     if (m_request.isForwarded || m_attempts > 0)
         return false;
-    std::string part = sharedPart();
-    if (part.empty())
+    const PromptPart* part = sharedPart();
+    if (!part)
         return false;
-    std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part, m_route->homeRegions);
-    return region && *region != m_parts.region && sendToEntryOf(*region);
+    std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part->id, m_route->homeRegions);
+    if (!region || *region == m_parts.region)
+        return false;
+    bool isReady = m_parts.random.unit() < pressure().readiness(*region, now());
+    return isReady && sendToEntryOf(*region);
 }
 
 bool RoutedRun::sendToEntryOf(const std::string& region)
@@ -239,6 +246,7 @@
     request.connectTimeout = peerConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
+    attempt.region = region;
     attempt.peer = *peer;
     m_parts.metrics.count("forwards_to_regions");
     startAttempt(std::move(attempt), std::move(request));
@@ -331,6 +339,14 @@
     attempt.isEventStream = isDeliverable && type && absl::StartsWithIgnoreCase(*type, "text/event-stream");
 }
 
+// Its first bytes show that the endpoint has read the prompt.
+void RoutedRun::noteRead(Attempt& attempt)
+{
+    if (attempt.endpoint)
+        attempt.endpoint->unreadTokens -= attempt.unreadTokens;
+    attempt.unreadTokens = 0;
+}
+
 void RoutedRun::onBody(absl::string_view bytes)
 {
     Attempt& attempt = *m_attempt;
@@ -341,6 +357,7 @@
             abandonAttempt("answer_too_long");
         return;
     }
+    noteRead(attempt);
     std::string events = m_cursor.feed(bytes);
     if (!events.empty()) {
         deliverHead(*attempt.head);
@@ -408,7 +425,14 @@
 void RoutedRun::settleAttempt(AttemptVerdict verdict, const std::string& detail)
 {
     Attempt& attempt = *m_attempt;
+    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotRun || attempt.statedOutcome) && !attempt.facts.isOtherIncarnation;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotRun && !attempt.statedOutcome;
+    noteRead(attempt);
+    if (wasRefused)
+        pressure().noteRefused(attempt.region, now());
+    else if (verdict == AttemptVerdict::Answered)
+        pressure().noteTaken(attempt.region, now());
+    m_wasRefusedHere = m_wasRefusedHere || (wasRefused && attempt.endpoint);
     if (attempt.endpoint) {
         if (attempt.facts.isOtherIncarnation)
             m_parts.endpoints.noteLeaving(*attempt.endpoint);
@@ -588,8 +612,10 @@
     auto self = shared_from_this();
     m_isDone = true;
     m_parts.scheduler.cancel(m_deadlineTimer);
-    if (m_attempt && m_attempt->endpoint)
+    if (m_attempt && m_attempt->endpoint) {
+        noteRead(*m_attempt);
         m_parts.endpoints.noteEnded(*m_attempt->endpoint, false, now());
+    }
     m_parts.metrics.count(absl::StrCat("requests_", absl::string_view(outcome) == "not-run" ? "not_run" : outcome));
     bool isPlain = absl::string_view(outcome) == "completed" && status < firstErrorStatus;
     if (isPlain ? m_parts.log.admitsPlain() : m_parts.log.admitsNotable()) {
--- a/lib/Routing/EndpointChoice.cpp
+++ b/lib/Routing/EndpointChoice.cpp
@@ -6,12 +6,13 @@
 
 namespace catkinwing {
 
-/// An endpoint is passed over for its shared part once it has this many times
-/// the mean of requests in flight, and
-static constexpr double maxLoadRatio = 2.0;
-/// this many requests more than the mean. Reading a shared part again costs
-/// about as much as several short requests, so small differences don't count.
-static constexpr double maxLoadExcess = 8.0;
+/// The owner of a shared part is passed over once it has this many more tokens
+/// to read than the mean, in thousands: that is some half a second of reading,
+/// while a long shared part read elsewhere takes 0.2 s and is paid for.
+static constexpr double maxUnreadExcess = 32.0;
+/// Reading a thousand tokens takes an engine some 11 to 16 ms, in which a short
+/// request's first event waits as long as behind two other short ones.
+static constexpr double requestsPerKilotoken = 2.0;
 
 namespace {
 
@@ -43,15 +44,20 @@
     std::size_t second = random.below(candidates.size() - 1);
     if (second >= first)
         ++second;
-    bool isSecondBetter = candidates[second]->inFlight < candidates[first]->inFlight;
+    bool isSecondBetter = endpointLoad(candidates[second]->work) < endpointLoad(candidates[first]->work);
     return isSecondBetter ? *candidates[second] : *candidates[first];
 }
 
-static double meanInFlight(const Candidates& candidates)
+double endpointLoad(const EndpointWork& work)
+{
+    return work.requests + work.unreadKilotokens * requestsPerKilotoken;
+}
+
+static double meanUnread(const Candidates& candidates)
 {
     double sum = 0;
     for (const EndpointCandidate* candidate : candidates)
-        sum += candidate->inFlight;
+        sum += candidate->work.unreadKilotokens;
     return sum / static_cast<double>(candidates.size());
 }
 
@@ -63,12 +69,12 @@
 // Rendezvous hashing: when an endpoint goes, only its own shared parts move.
 static const EndpointCandidate* ownerOf(const std::string& sharedPart, const Candidates& candidates)
 {
-    double limit = meanInFlight(candidates) * maxLoadRatio + maxLoadExcess;
+    double limit = meanUnread(candidates) + maxUnreadExcess;
     const EndpointCandidate* best = nullptr;
     std::uint64_t bestScore = 0;
     for (const EndpointCandidate* candidate : candidates) {
         std::uint64_t score = ownershipScore(candidate->incarnation, sharedPart);
-        bool isOverloaded = candidate->inFlight > limit;
+        bool isOverloaded = candidate->work.unreadKilotokens > limit;
         if (isOverloaded || (best && score <= bestScore))
             continue;
         best = candidate;
--- /dev/null
+++ b/lib/Routing/RegionPressure.cpp
@@ -0,0 +1,74 @@
+#include "catkinwing/Routing/RegionPressure.h"
+
+#include <algorithm>
+
+namespace catkinwing {
+
+/// A refusal takes this part of the readiness, and an answer adds this much.
+/// They balance where one request in twenty is refused: fewer would mean that
+/// capacity nearby lies idle, more that requests are delayed by being refused.
+static constexpr double lostByRefusal = 0.12;
+static constexpr double gainedByAnswer = 0.006;
+/// Gained each second without any news.
+static constexpr double gainedPerSecond = 0.06;
+static constexpr double leastReadiness = 0.03;
+/// Spilling costs a round trip between regions, so a little pressure is borne.
+static constexpr double spillThreshold = 0.9;
+
+double RegionPressure::readiness(const std::string& region, TimePoint now) const
+{
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return 1;
+    double seconds = std::chrono::duration<double>(now - found->second.at).count();
+    return std::min(1.0, found->second.readiness + seconds * gainedPerSecond);
+}
+
+void RegionPressure::noteTaken(const std::string& region, TimePoint now)
+{
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return;
+    double grown = readiness(region, now) + gainedByAnswer;
+    if (grown >= 1)
+        m_regions.erase(found);
+    else
+        found->second = { grown, now };
+}
+
+void RegionPressure::noteRefused(const std::string& region, TimePoint now)
+{
+    double left = readiness(region, now) * (1 - lostByRefusal);
+    m_regions[region] = { std::max(left, leastReadiness), now };
+}
+
+bool shouldSpill(const RegionPressure& pressure, const std::string& home, const std::map<std::string, std::size_t>& others, TimePoint now, Random& random)
+{
+    double ready = pressure.readiness(home, now);
+    if (ready >= spillThreshold)
+        return false;
+    double best = 0;
+    for (const auto& [region, endpoints] : others) {
+        if (endpoints > 0)
+            best = std::max(best, pressure.readiness(region, now));
+    }
+    return best > ready && random.unit() > ready;
+}
+
+std::optional<std::string> chooseSpillRegion(const RegionPressure& pressure, const std::map<std::string, std::size_t>& regions, TimePoint now, Random& random)
+{
+    double sum = 0;
+    for (const auto& [region, endpoints] : regions)
+        sum += static_cast<double>(endpoints) * pressure.readiness(region, now);
+    if (sum <= 0)
+        return std::nullopt;
+    double point = random.unit() * sum;
+    for (const auto& [region, endpoints] : regions) {
+        point -= static_cast<double>(endpoints) * pressure.readiness(region, now);
+        if (point < 0)
+            return region;
+    }
+    return std::nullopt;
+}
+
+} // namespace catkinwing
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -30,7 +30,7 @@
         table.put(std::move(record), now);
     }
 
-    std::shared_ptr<EndpointState> choose()
+    std::shared_ptr<RoutedEndpoint> choose()
     {
         EndpointRequest request;
         request.service = &service;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -361,4 +361,5 @@
     client->pending = 1 << 20;
     fixture.scheduler.advance(10ms);
     CHECK(client->writable);
+    client->leave();
 }
--- a/unittests/Routing/EndpointChoiceTest.cpp
+++ b/unittests/Routing/EndpointChoiceTest.cpp
@@ -9,7 +9,7 @@
 {
     std::vector<EndpointCandidate> list;
     for (std::size_t i = 0; i < names.size(); ++i)
-        list.push_back({ i, names[i], 0, false });
+        list.push_back({ i, names[i], {}, false });
     return list;
 }
 
@@ -51,10 +51,10 @@
     std::vector<EndpointCandidate> list = candidates(names);
     EndpointDemand demand { "part" };
     std::size_t owner = *chooseEndpoint(list, demand, random);
-    list[owner].inFlight = 40;
+    list[owner].work.unreadKilotokens = 60;
     CHECK(*chooseEndpoint(list, demand, random) != owner);
     for (EndpointCandidate& candidate : list)
-        candidate.inFlight = 40;
+        candidate.work.unreadKilotokens = 60;
     CHECK(*chooseEndpoint(list, demand, random) == owner);
 }
 
@@ -75,7 +75,7 @@
 {
     Random random(1);
     std::vector<EndpointCandidate> list = candidates(names);
-    list[0].inFlight = 100;
+    list[0].work.requests = 100;
     for (int i = 0; i < 200; ++i)
         CHECK(chooseEndpoint(list, {}, random) != 0u);
 }
--- /dev/null
+++ b/unittests/Routing/RegionPressureTest.cpp
@@ -0,0 +1,82 @@
+#include "catkinwing/Routing/RegionPressure.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+TEST_CASE("a region that refuses is asked less, and recovers with answers and with time")
+{
+    RegionPressure pressure;
+    TimePoint now { 10s };
+    CHECK(pressure.readiness("north", now) == 1);
+    for (int i = 0; i < 10; ++i)
+        pressure.noteRefused("north", now);
+    double after = pressure.readiness("north", now);
+    CHECK(after < 0.4);
+    CHECK(after > 0);
+    pressure.noteTaken("north", now);
+    CHECK(pressure.readiness("north", now) > after);
+    CHECK(pressure.readiness("north", now + 60s) == 1);
+    CHECK(pressure.readiness("south", now) == 1);
+}
+
+// Plays a region that bears half of what is asked of it.
+TEST_CASE("what a region can't bear is spilled, and little of the rest is refused")
+{
+    RegionPressure pressure;
+    Random random(5);
+    std::map<std::string, std::size_t> others { { "south", 3 } };
+    int kept = 0;
+    int refused = 0;
+    for (int second = 0; second < 60; ++second) {
+        int room = 50;
+        for (int i = 0; i < 100; ++i) {
+            TimePoint now { 10s + std::chrono::milliseconds(second * 1'000 + i * 10) };
+            if (shouldSpill(pressure, "north", others, now, random))
+                continue;
+            bool isTaken = random.unit() < 0.5 * 100 / 100 + (room > 0 ? 0.25 : -0.4);
+            room -= isTaken ? 1 : 0;
+            if (second < 10)
+                continue;
+            kept += isTaken ? 1 : 0;
+            refused += isTaken ? 0 : 1;
+            if (isTaken)
+                pressure.noteTaken("north", now);
+            else
+                pressure.noteRefused("north", now);
+        }
+    }
+    CHECK(kept > 0);
+    CHECK(refused < 50 * 100 / 2);
+}
+
+TEST_CASE("nothing is spilled where the others refuse as much, or there are none")
+{
+    RegionPressure pressure;
+    Random random(5);
+    TimePoint now { 10s };
+    for (int i = 0; i < 40; ++i) {
+        pressure.noteRefused("north", now);
+        pressure.noteRefused("south", now);
+    }
+    for (int i = 0; i < 100; ++i) {
+        CHECK_FALSE(shouldSpill(pressure, "north", { { "south", 3 } }, now, random));
+        CHECK_FALSE(shouldSpill(pressure, "north", {}, now, random));
+    }
+    CHECK_FALSE(chooseSpillRegion(pressure, {}, now, random));
+}
+
+TEST_CASE("spilled requests go by endpoints and readiness")
+{
+    RegionPressure pressure;
+    Random random(5);
+    TimePoint now { 10s };
+    for (int i = 0; i < 8; ++i)
+        pressure.noteRefused("south", now);
+    int south = 0;
+    for (int i = 0; i < 1'000; ++i)
+        south += chooseSpillRegion(pressure, { { "south", 4 }, { "west", 4 } }, now, random) == "south" ? 1 : 0;
+    CHECK(south > 150);
+    CHECK(south < 400);
+}
