--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -28,6 +28,8 @@
     TimePoint coldUntil {};
     TimePoint suspectUntil {};
     unsigned failuresInRow { 0 };
+    /// Since when it has requests of this entry and has sent nothing.
+    TimePoint quietSince {};
     /// Requests of this entry that it has not answered.
     unsigned inFlight { 0 };
     /// Tokens of their prompts that it has probably not read yet.
@@ -76,7 +78,9 @@
     /// Chooses an endpoint of this region and counts the request against its
     /// rate while it is cold; null if none may get it.
     std::shared_ptr<RoutedEndpoint> choose(const EndpointRequest& request, TimePoint now, Random& random);
-    void noteBegan(RoutedEndpoint& endpoint) const { ++endpoint.inFlight; }
+    void noteBegan(RoutedEndpoint& endpoint, TimePoint now) const;
+    /// Bytes have come from the endpoint.
+    void noteHeard(RoutedEndpoint& endpoint, TimePoint now) const { endpoint.quietSince = now; }
     /// Returns how many tokens of a prompt the endpoint will have to read, and
     /// notes that it will have read the shared part.
     std::int64_t tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const;
@@ -86,7 +90,7 @@
     void noteLeaving(RoutedEndpoint& endpoint) const { endpoint.isLeaving = true; }
 
     /// What this entry has under way at its region's endpoints, for the others.
-    std::vector<EndpointWorkload> ownLoads() const;
+    std::vector<EndpointWorkload> ownLoads(TimePoint now) const;
     PeerLoads& peerLoads() { return m_peerLoads; }
 
     /// Returns how many endpoints of each region could serve \p service.
@@ -99,6 +103,8 @@
 private:
     using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
 
+    static bool isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now);
+    bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
     EndpointWork workOf(const RoutedEndpoint& endpoint) const;
     bool isUsable(const RoutedEndpoint& endpoint) const;
     bool hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
--- a/include/catkinwing/Ingress/PeerLoads.h
+++ b/include/catkinwing/Ingress/PeerLoads.h
@@ -17,6 +17,8 @@
     void expire(TimePoint now);
     /// Returns the sum over all other entries for one endpoint.
     EndpointWorkload at(std::uint32_t endpoint) const;
+    /// Returns how many of them use the endpoint.
+    std::uint32_t usersOf(std::uint32_t endpoint) const;
     /// Returns when the entry was last heard; nothing if it never was.
     bool hasHeard(const std::string& entry) const { return m_reports.count(entry) > 0; }
     std::size_t entries() const { return m_reports.size(); }
@@ -30,7 +32,12 @@
     void add(const LoadReport& report, bool isAdded);
 
     absl::flat_hash_map<std::string, Heard> m_reports;
-    absl::flat_hash_map<std::uint32_t, EndpointWorkload> m_sums;
+    struct Sum {
+        EndpointWorkload load;
+        std::uint32_t users { 0 };
+    };
+
+    absl::flat_hash_map<std::uint32_t, Sum> m_sums;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -119,6 +119,7 @@
     bool m_hasHead { false };
     bool m_isPaused { false };
     bool m_isDone { false };
+    bool m_wasTimedOut { false };
     TimePoint m_firstByteAt {};
     /// Last whole failure of an endpoint, handed on if nothing better comes.
     absl::optional<HttpResponseHead> m_failureHead;
--- a/include/catkinwing/PeerProtocol/LoadReport.h
+++ b/include/catkinwing/PeerProtocol/LoadReport.h
@@ -16,10 +16,12 @@
     std::uint32_t requests { 0 };
     /// Tokens of prompts that are still to be read, in thousands, rounded.
     std::uint32_t unreadKilotokens { 0 };
+    /// One if the entry passes the endpoint over because it failed or is silent.
+    std::uint32_t suspicions { 0 };
 };
 
 /// What an entry tells the others of its region several times a second, in one
-/// datagram: about 10 bytes for each endpoint that it uses, and its key.
+/// datagram: about 12 bytes for each endpoint that it uses, and its key.
 struct LoadReport {
     /// Key of the entry, which is another one after each start.
     std::string entry;
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -13,6 +13,10 @@
 /// restart takes seconds.
 static constexpr milliseconds firstSuspicion { 300 };
 static constexpr milliseconds longestSuspicion { 4'800 };
+/// An endpoint with requests that sends nothing for this long is passed over
+/// until it does: a plain answer takes up to 0.3 s and a full queue 0.25 s more,
+/// and an engine that reads a long prompt still sends the events of others.
+static constexpr milliseconds longestQuiet { 1'000 };
 /// Shared parts that are remembered of an endpoint: more than fit its memory.
 static constexpr std::size_t maxPartsKept = 512;
 
@@ -112,6 +116,32 @@
     m_coldTolerance = { 0, ratio, slack };
 }
 
+void EndpointTable::noteBegan(RoutedEndpoint& endpoint, TimePoint now) const
+{
+    if (endpoint.inFlight == 0)
+        endpoint.quietSince = now;
+    ++endpoint.inFlight;
+}
+
+// A crashed, frozen or cut-off endpoint shows only by its silence.
+bool EndpointTable::isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now)
+{
+    bool isSilent = endpoint.inFlight > 0 && now - endpoint.quietSince > longestQuiet;
+    return isSilent || now < endpoint.suspectUntil;
+}
+
+// One entry alone may wait for a long prompt to be read, or have lost its own
+// path; if most that use an endpoint suspect it, it is the endpoint.
+bool EndpointTable::isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const
+{
+    if (now < endpoint.suspectUntil)
+        return true;
+    bool isSilentHere = isSuspectHere(endpoint, now);
+    std::uint32_t suspicions = m_peerLoads.at(endpoint.hash).suspicions + (isSilentHere ? 1 : 0);
+    std::uint32_t users = m_peerLoads.usersOf(endpoint.hash) + (endpoint.inFlight > 0 ? 1 : 0);
+    return suspicions > 0 && suspicions * 2 > users;
+}
+
 EndpointWork EndpointTable::workOf(const RoutedEndpoint& endpoint) const
 {
     constexpr double tokensPerKilotoken = 1'000;
@@ -132,15 +162,16 @@
     return isNew ? promptTokens : std::max<std::int64_t>(promptTokens - sharedTokens, 0);
 }
 
-std::vector<EndpointWorkload> EndpointTable::ownLoads() const
+std::vector<EndpointWorkload> EndpointTable::ownLoads(TimePoint now) const
 {
     constexpr std::int64_t tokensPerKilotoken = 1'000;
     std::vector<EndpointWorkload> loads;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
-        if (endpoint->inFlight == 0)
+        bool isSuspect = isSuspectHere(*endpoint, now);
+        if (endpoint->inFlight == 0 && !isSuspect)
             continue;
         auto kilotokens = static_cast<std::uint32_t>((endpoint->unreadTokens + tokensPerKilotoken / 2) / tokensPerKilotoken);
-        loads.push_back({ endpoint->hash, endpoint->inFlight, kilotokens });
+        loads.push_back({ endpoint->hash, endpoint->inFlight, kilotokens, isSuspect ? 1u : 0u });
     }
     return loads;
 }
@@ -192,7 +223,7 @@
         bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
         if (wasTried && !request.mayBeTried)
             continue;
-        candidates.push_back({ i, endpoint.record.incarnation, workOf(endpoint), wasTried || now < endpoint.suspectUntil });
+        candidates.push_back({ i, endpoint.record.incarnation, workOf(endpoint), wasTried || isSuspect(endpoint, now) });
     }
     while (!candidates.empty()) {
         std::optional<std::size_t> index = chooseEndpoint(candidates, { request.sharedPart }, random);
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -297,7 +297,7 @@
 void IngressDaemon::Impl::reportLoad()
 {
     parts.endpoints.peerLoads().expire(loop.clock().now());
-    LoadReport report { ownKey(), ++reportSequence, parts.endpoints.ownLoads() };
+    LoadReport report { ownKey(), ++reportSequence, parts.endpoints.ownLoads(loop.clock().now()) };
     bool isIdle = report.loads.empty();
     if (!isIdle || !wasIdle) {
         std::string bytes = encodeLoadReport(report);
--- a/lib/Ingress/PeerLoads.cpp
+++ b/lib/Ingress/PeerLoads.cpp
@@ -9,14 +9,17 @@
 /// others that were lost, or its entry is gone.
 static constexpr std::chrono::milliseconds reportLifetime { 1'000 };
 
+// Unsigned sums wrap, so taking away is adding the negative.
 void PeerLoads::add(const LoadReport& report, bool isAdded)
 {
     for (const EndpointWorkload& load : report.loads) {
-        EndpointWorkload& sum = m_sums[load.endpoint];
-        sum.endpoint = load.endpoint;
-        sum.requests += isAdded ? load.requests : -load.requests;
-        sum.unreadKilotokens += isAdded ? load.unreadKilotokens : -load.unreadKilotokens;
-        if (sum.requests == 0 && sum.unreadKilotokens == 0)
+        Sum& sum = m_sums[load.endpoint];
+        sum.load.endpoint = load.endpoint;
+        sum.load.requests += isAdded ? load.requests : -load.requests;
+        sum.load.unreadKilotokens += isAdded ? load.unreadKilotokens : -load.unreadKilotokens;
+        sum.load.suspicions += isAdded ? load.suspicions : -load.suspicions;
+        sum.users += isAdded ? 1 : -1;
+        if (sum.users == 0)
             m_sums.erase(load.endpoint);
     }
 }
@@ -49,7 +52,13 @@
 EndpointWorkload PeerLoads::at(std::uint32_t endpoint) const
 {
     auto found = m_sums.find(endpoint);
-    return found == m_sums.end() ? EndpointWorkload { endpoint, 0, 0 } : found->second;
+    return found == m_sums.end() ? EndpointWorkload { endpoint, 0, 0, 0 } : found->second.load;
+}
+
+std::uint32_t PeerLoads::usersOf(std::uint32_t endpoint) const
+{
+    auto found = m_sums.find(endpoint);
+    return found == m_sums.end() ? 0 : found->second.users;
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -189,7 +189,7 @@
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
     attempt.endpoint = std::move(endpoint);
-    m_parts.endpoints.noteBegan(*attempt.endpoint);
+    m_parts.endpoints.noteBegan(*attempt.endpoint, now());
     attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart);
     attempt.endpoint->unreadTokens += attempt.unreadTokens;
     startAttempt(std::move(attempt), std::move(request));
@@ -320,6 +320,8 @@
 void RoutedRun::onHead(const HttpResponseHead& head)
 {
     Attempt& attempt = *m_attempt;
+    if (attempt.endpoint)
+        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
     attempt.head = head;
     attempt.facts = m_parts.dialect.readAnswer(head);
     if (attempt.target == AttemptTarget::Entry)
@@ -358,6 +360,8 @@
         return;
     }
     noteRead(attempt);
+    if (attempt.endpoint)
+        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
     std::string events = m_cursor.feed(bytes);
     if (!events.empty()) {
         deliverHead(*attempt.head);
@@ -589,6 +593,7 @@
 void RoutedRun::deadlinePassed()
 {
     m_deadlineTimer = 0;
+    m_wasTimedOut = true;
     bool mayHaveReached = m_attempt && m_attempt->exchange->mayHaveReachedServer();
     if (m_attempt)
         m_attempt->exchange->cancel();
@@ -614,7 +619,8 @@
     m_parts.scheduler.cancel(m_deadlineTimer);
     if (m_attempt && m_attempt->endpoint) {
         noteRead(*m_attempt);
-        m_parts.endpoints.noteEnded(*m_attempt->endpoint, false, now());
+        bool wasSilent = m_wasTimedOut && !m_attempt->head;
+        m_parts.endpoints.noteEnded(*m_attempt->endpoint, wasSilent, now());
     }
     m_parts.metrics.count(absl::StrCat("requests_", absl::string_view(outcome) == "not-run" ? "not_run" : outcome));
     bool isPlain = absl::string_view(outcome) == "completed" && status < firstErrorStatus;
--- a/lib/PeerProtocol/LoadReport.cpp
+++ b/lib/PeerProtocol/LoadReport.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Numbers that a report holds for each endpoint.
-static constexpr std::size_t numbersPerLoad = 3;
+static constexpr std::size_t numbersPerLoad = 4;
 
 std::uint32_t endpointHash(absl::string_view incarnation)
 {
@@ -22,6 +22,7 @@
         numbers.push_back(load.endpoint);
         numbers.push_back(load.requests);
         numbers.push_back(load.unreadKilotokens);
+        numbers.push_back(load.suspicions);
     }
     std::string bytes;
     json::to_cbor(json::array({ report.entry, report.sequence, std::move(numbers) }), bytes);
@@ -44,7 +45,8 @@
             return absl::InvalidArgumentError("a load report holds what is no count");
     }
     for (std::size_t i = 0; i < numbers.size(); i += numbersPerLoad)
-        report.loads.push_back({ numbers[i].get<std::uint32_t>(), numbers[i + 1].get<std::uint32_t>(), numbers[i + 2].get<std::uint32_t>() });
+        report.loads.push_back({ numbers[i].get<std::uint32_t>(), numbers[i + 1].get<std::uint32_t>(), numbers[i + 2].get<std::uint32_t>(),
+            numbers[i + 3].get<std::uint32_t>() });
     return report;
 }
 
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -131,7 +131,7 @@
     for (int i = 0; i < 4; ++i) {
         auto endpoint = world.choose();
         REQUIRE(endpoint);
-        world.table.noteBegan(*endpoint);
+        world.table.noteBegan(*endpoint, world.now);
     }
     CHECK_FALSE(world.choose());
 }
@@ -143,16 +143,58 @@
     world.put("e2");
     auto failing = world.choose();
     for (int i = 0; i < 3; ++i) {
-        world.table.noteBegan(*failing);
+        world.table.noteBegan(*failing, world.now);
         world.table.noteEnded(*failing, true, world.now);
     }
     world.now += 1s;
     for (int i = 0; i < 50; ++i)
         CHECK(world.choose() != failing);
-    world.table.noteBegan(*failing);
+    world.table.noteBegan(*failing, world.now);
     world.table.noteEnded(*failing, false, world.now);
     bool isBack = false;
     for (int i = 0; i < 50; ++i)
         isBack = isBack || world.choose() == failing;
     CHECK(isBack);
 }
+
+TEST_CASE("an endpoint that has requests and sends nothing is passed over until it does")
+{
+    TableWorld world;
+    world.put("e1");
+    world.put("e2");
+    auto silent = world.choose();
+    world.table.noteBegan(*silent, world.now);
+    world.now += 1'100ms;
+    for (int i = 0; i < 50; ++i)
+        CHECK(world.choose() != silent);
+    REQUIRE(world.table.ownLoads(world.now).size() == 1);
+    CHECK(world.table.ownLoads(world.now)[0].suspicions == 1);
+    world.table.noteHeard(*silent, world.now);
+    CHECK(world.table.ownLoads(world.now)[0].suspicions == 0);
+    world.now += 1'100ms;
+    world.table.noteEnded(*silent, false, world.now);
+    CHECK(world.table.ownLoads(world.now).empty());
+}
+
+TEST_CASE("an endpoint that most entries suspect is passed over")
+{
+    TableWorld world;
+    world.put("e1");
+    world.put("e2");
+    auto suspected = world.choose();
+    world.table.peerLoads().take({ "third", 1, { { suspected->hash, 4, 0, 0 } } }, world.now);
+    world.table.peerLoads().take({ "other", 1, { { suspected->hash, 0, 0, 1 } } }, world.now);
+    bool isStillUsed = false;
+    for (int i = 0; i < 200; ++i)
+        isStillUsed = isStillUsed || world.choose() == suspected;
+    CHECK(isStillUsed);
+    world.table.peerLoads().take({ "third", 2, { { suspected->hash, 4, 0, 1 } } }, world.now);
+    for (int i = 0; i < 50; ++i)
+        CHECK(world.choose() != suspected);
+    world.table.peerLoads().take({ "other", 2, {} }, world.now);
+    world.table.peerLoads().take({ "third", 3, {} }, world.now);
+    bool isBack = false;
+    for (int i = 0; i < 50; ++i)
+        isBack = isBack || world.choose() == suspected;
+    CHECK(isBack);
+}
--- a/unittests/Ingress/PeerLoadsTest.cpp
+++ b/unittests/Ingress/PeerLoadsTest.cpp
@@ -9,14 +9,14 @@
 {
     PeerLoads loads;
     TimePoint now { 10s };
-    loads.take({ "a", 1, { { 7, 3, 2 }, { 8, 1, 0 } } }, now);
-    loads.take({ "b", 5, { { 7, 2, 0 } } }, now);
+    loads.take({ "a", 1, { { 7, 3, 2, 0 }, { 8, 1, 0, 0 } } }, now);
+    loads.take({ "b", 5, { { 7, 2, 0, 0 } } }, now);
     CHECK(loads.at(7).requests == 5);
     CHECK(loads.at(7).unreadKilotokens == 2);
-    loads.take({ "a", 3, { { 7, 1, 0 } } }, now + 200ms);
+    loads.take({ "a", 3, { { 7, 1, 0, 0 } } }, now + 200ms);
     CHECK(loads.at(7).requests == 3);
     CHECK(loads.at(8).requests == 0);
-    loads.take({ "a", 2, { { 7, 50, 0 } } }, now + 200ms);
+    loads.take({ "a", 2, { { 7, 50, 0, 0 } } }, now + 200ms);
     CHECK(loads.at(7).requests == 3);
     loads.expire(now + 1'100ms);
     CHECK(loads.at(7).requests == 1);
@@ -36,7 +36,7 @@
             for (std::uint32_t endpoint = 0; endpoint < 30; ++endpoint) {
                 auto requests = static_cast<std::uint32_t>((entry + round * endpoint) % 4);
                 if (requests > 0)
-                    report.loads.push_back({ endpoint, requests, requests / 2 });
+                    report.loads.push_back({ endpoint, requests, requests / 2, 0 });
             }
             last[entry] = report;
             loads.take(std::move(report), now);
