--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -26,8 +26,12 @@
     /// Set while its registration has vanished in an outage of the store.
     std::optional<TimePoint> isMissingSince;
     TimePoint coldUntil {};
+    /// Passed over until then after a failure.
     TimePoint suspectUntil {};
-    unsigned failuresInRow { 0 };
+    /// Share of failures among the last attempts, as of failureShareAt.
+    double failureShare { 0 };
+    TimePoint failureShareAt {};
+    TimePoint nextSuspectLog {};
     /// Since when it has requests of this entry and has sent nothing.
     TimePoint quietSince {};
     /// Requests of this entry that it has not answered.
@@ -103,6 +107,7 @@
 private:
     using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
 
+    static double failureShareOf(const RoutedEndpoint& endpoint, TimePoint now);
     static bool isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now);
     bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
     EndpointWork workOf(const RoutedEndpoint& endpoint) const;
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -3,20 +3,29 @@
 #include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
+#include <cmath>
 
 namespace catkinwing {
 
 using std::chrono::milliseconds;
 
-/// First time for which an endpoint that failed is passed over; doubled with
-/// each further failure in a row. A crash shows at the next request, and a
-/// restart takes seconds.
-static constexpr milliseconds firstSuspicion { 300 };
-static constexpr milliseconds longestSuspicion { 4'800 };
+/// An endpoint that failed is passed over for this long: a crash shows at once,
+/// and most single failures are over by then.
+static constexpr milliseconds suspicion { 300 };
+/// A failure moves the share of failures this far towards one, an answer back
+/// towards zero; it also halves with time, so that the endpoint is tried again.
+static constexpr double failureWeight = 0.2;
+static constexpr double answerWeight = 0.1;
+static constexpr std::chrono::seconds failureHalfTime { 3 };
+/// Reached by two failures in quick succession, or where a third of the
+/// attempts fail.
+static constexpr double worstFailureShare = 0.3;
 /// An endpoint with requests that sends nothing for this long is passed over
 /// until it does: a plain answer takes up to 0.3 s and a full queue 0.25 s more,
 /// and an engine that reads a long prompt still sends the events of others.
 static constexpr milliseconds longestQuiet { 1'000 };
+/// A suspect endpoint is logged this often at most.
+static constexpr std::chrono::seconds suspectLogInterval { 2 };
 /// Shared parts that are remembered of an endpoint: more than fit its memory.
 static constexpr std::size_t maxPartsKept = 512;
 
@@ -127,14 +136,15 @@
 bool EndpointTable::isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now)
 {
     bool isSilent = endpoint.inFlight > 0 && now - endpoint.quietSince > longestQuiet;
-    return isSilent || now < endpoint.suspectUntil;
+    return isSilent || now < endpoint.suspectUntil || failureShareOf(endpoint, now) > worstFailureShare;
 }
 
 // One entry alone may wait for a long prompt to be read, or have lost its own
 // path; if most that use an endpoint suspect it, it is the endpoint.
 bool EndpointTable::isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const
 {
-    if (now < endpoint.suspectUntil)
+    bool hasFailedHere = now < endpoint.suspectUntil || failureShareOf(endpoint, now) > worstFailureShare;
+    if (hasFailedHere)
         return true;
     bool isSilentHere = isSuspectHere(endpoint, now);
     std::uint32_t suspicions = m_peerLoads.at(endpoint.hash).suspicions + (isSilentHere ? 1 : 0);
@@ -234,19 +244,27 @@
     return nullptr;
 }
 
+double EndpointTable::failureShareOf(const RoutedEndpoint& endpoint, TimePoint now)
+{
+    double halves = std::chrono::duration<double>(now - endpoint.failureShareAt) / failureHalfTime;
+    return endpoint.failureShare * std::exp2(-halves);
+}
+
 void EndpointTable::noteEnded(RoutedEndpoint& endpoint, bool isFailure, TimePoint now)
 {
     --endpoint.inFlight;
-    if (!isFailure) {
-        endpoint.failuresInRow = 0;
-        endpoint.suspectUntil = {};
+    bool wasSuspect = isSuspectHere(endpoint, now);
+    double share = failureShareOf(endpoint, now);
+    share += isFailure ? failureWeight * (1 - share) : -answerWeight * share;
+    endpoint.failureShare = share;
+    endpoint.failureShareAt = now;
+    if (isFailure)
+        endpoint.suspectUntil = now + suspicion;
+    bool isNews = share > worstFailureShare && now >= endpoint.nextSuspectLog;
+    if (!isFailure || wasSuspect || !isNews)
         return;
-    }
-    milliseconds suspicion = firstSuspicion * (1u << std::min(endpoint.failuresInRow, 4u));
-    ++endpoint.failuresInRow;
-    endpoint.suspectUntil = now + std::min(suspicion, longestSuspicion);
-    if (endpoint.failuresInRow == 1)
-        logEndpoint("endpoint_suspect", endpoint);
+    endpoint.nextSuspectLog = now + suspectLogInterval;
+    logEndpoint("endpoint_suspect", endpoint);
 }
 
 std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service) const
