--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -40,6 +40,8 @@
         std::shared_ptr<RoutedEndpoint> endpoint;
         SocketAddress peer;
         std::string region;
+        /// Why it was sent there, for logs.
+        const char* why { "" };
         /// Counted as unread at the endpoint until its first bytes.
         std::int64_t unreadTokens { 0 };
         std::shared_ptr<HttpExchange> exchange;
@@ -64,9 +66,9 @@
 
     void dispatch();
     bool sendToEndpoint(const std::string& service, bool mayBeTried);
-    bool sendToRegion(const std::string& service);
+    bool sendToRegion(const std::string& service, const char* why);
     bool sendToOwner();
-    bool sendToEntryOf(const std::string& region);
+    bool sendToEntryOf(const std::string& region, const char* why);
     std::map<std::string, std::size_t> otherRegions(const std::string& service) const;
     RegionPressure& pressure() const { return m_parts.pressures[m_service]; }
     bool sendAway();
@@ -112,6 +114,9 @@
     /// An endpoint has had the request, so that a further one draws on the budget.
     bool m_hasArrived { false };
     bool m_lastRan { false };
+    /// Where the last attempt went and why, for logs.
+    std::string m_lastPlace;
+    const char* m_lastWhy { "" };
     bool m_wasRefusedHere { false };
     std::vector<std::string> m_triedEndpoints;
     std::vector<std::string> m_triedRegions;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -141,7 +141,7 @@
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
-    if (!m_request.isForwarded && sendToRegion(m_service))
+    if (!m_request.isForwarded && sendToRegion(m_service, isAllowedHere() ? "no_endpoint_here" : "homes"))
         return;
     if (m_lastRan && isAllowedHere() && sendToEndpoint(m_service, true))
         return;
@@ -162,7 +162,14 @@
         return false;
     bool isFirst = m_attempts == 0;
     bool shouldGo = m_wasRefusedHere || (isFirst && shouldSpill(pressure(), m_parts.region, otherRegions(m_service), now(), m_parts.random));
-    return shouldGo && sendToRegion(m_service);
+    return shouldGo && sendToRegion(m_service, m_wasRefusedHere ? "refused_here" : "region_refuses");
+}
+
+static const char* whyHere(bool isSecondTime, bool hasSharedPart)
+{
+    if (isSecondTime)
+        return "only_endpoint_left";
+    return hasSharedPart ? "shared_part" : "least_work_of_two";
 }
 
 bool RoutedRun::sendToEndpoint(const std::string& service, bool mayBeTried)
@@ -188,6 +195,7 @@
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
+    attempt.why = whyHere(mayBeTried, shared != nullptr);
     attempt.endpoint = std::move(endpoint);
     m_parts.endpoints.noteBegan(*attempt.endpoint, now());
     attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart);
@@ -210,10 +218,10 @@
     return regions;
 }
 
-bool RoutedRun::sendToRegion(const std::string& service)
+bool RoutedRun::sendToRegion(const std::string& service, const char* why)
 {
     while (std::optional<std::string> region = chooseSpillRegion(pressure(), otherRegions(service), now(), m_parts.random)) {
-        if (sendToEntryOf(*region))
+        if (sendToEntryOf(*region, why))
             return true;
     }
     return false;
@@ -232,10 +240,10 @@
     if (!region || *region == m_parts.region)
         return false;
     bool isReady = m_parts.random.unit() < pressure().readiness(*region, now());
-    return isReady && sendToEntryOf(*region);
+    return isReady && sendToEntryOf(*region, "owner");
 }
 
-bool RoutedRun::sendToEntryOf(const std::string& region)
+bool RoutedRun::sendToEntryOf(const std::string& region, const char* why)
 {
     std::optional<SocketAddress> peer = m_parts.entries.choosePeer(region, now(), m_parts.random);
     m_triedRegions.push_back(region);
@@ -247,6 +255,7 @@
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
     attempt.region = region;
+    attempt.why = why;
     attempt.peer = *peer;
     m_parts.metrics.count("forwards_to_regions");
     startAttempt(std::move(attempt), std::move(request));
@@ -277,6 +286,8 @@
     auto self = shared_from_this();
     attempt.number = ++m_attempts;
     attempt.startedAt = now();
+    m_lastPlace = attempt.endpoint ? attempt.endpoint->record.incarnation : attempt.peer.toString();
+    m_lastWhy = attempt.why;
     std::uint64_t number = attempt.number;
     auto isCurrent = [number](const RoutedRun& run) { return run.m_attempt && run.m_attempt->number == number; };
     HttpClient& client = attempt.target == AttemptTarget::Entry ? m_parts.peerClient : m_parts.endpointClient;
@@ -455,7 +466,7 @@
         return;
     m_parts.log.write(LogLevel::Warning, "attempt_failed",
         { { "request", m_request.facts.attemptId }, { "route", m_route->name },
-            { "endpoint", attempt.endpoint ? attempt.endpoint->record.incarnation : attempt.peer.toString() },
+            { "to", m_lastPlace }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
             { "attempt", attempt.number }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
 }
@@ -633,8 +644,11 @@
         };
         if (m_firstByteAt != TimePoint {})
             fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
-        if (m_attempt)
-            fields["at"] = m_attempt->endpoint ? m_attempt->endpoint->record.incarnation : m_attempt->peer.toString();
+        if (m_attempts > 0) {
+            fields["to"] = m_lastPlace;
+            fields["why"] = m_lastWhy;
+            fields["load_reports"] = m_parts.endpoints.peerLoads().entries();
+        }
         m_parts.log.write(LogLevel::Info, "request_ended", fields);
     }
     m_attempt.reset();
--- a/test/command_line_test.py
+++ b/test/command_line_test.py
@@ -47,6 +47,27 @@
                 for pointer in ("/colour", "/store/0", "/limits/maximumConnections"):
                     self.assertIn(f"{pointer}: ", result.stderr)
 
+    def test_the_story_of_a_request_is_joined_from_several_logs(self):
+        first = [{"event": "request_ended", "request": "a1", "time_ms": 1120, "route": "r", "version": 7, "outcome": "completed", "reason": "",
+                  "status": 200, "took_ms": 120, "forwarded": False, "attempts": 2, "to": "10.0.0.2:7", "why": "refused_here"},
+                 {"event": "attempt_failed", "request": "a1", "time_ms": 1003, "attempt": 1, "to": "i-1", "region": "north", "why": "least_work_of_two",
+                  "verdict": "not-run", "status": 503, "took_ms": 3, "detail": ""},
+                 {"event": "request_ended", "request": "b2", "time_ms": 900}]
+        second = {"event": "request_ended", "request": "a1", "time_ms": 1060, "forwarded": True, "status": 200}
+        with tempfile.TemporaryDirectory() as folder:
+            one, other = pathlib.Path(folder, "one.log"), pathlib.Path(folder, "other.log")
+            one.write_text("not json\n" + "".join(f"12:00 entry-1 {json.dumps(line)}\n" for line in first))
+            other.write_text(json.dumps(second) + "\n")
+            result = run("catkinwingctl", "explain-request", "a1", one, other)
+            self.assertEqual(result.returncode, 0)
+            lines = result.stdout.splitlines()
+            self.assertEqual(len(lines), 3)
+            self.assertIn("attempt 1 to i-1 in north (least_work_of_two) came to not-run", lines[0])
+            self.assertIn("forwarded request", lines[1])
+            self.assertIn("the last to 10.0.0.2:7 (refused_here)", lines[2])
+            self.assertEqual(run("catkinwingctl", "explain-request", "c3", one).returncode, 1)
+            self.assertEqual(run("catkinwingctl", "explain-request", "a1").returncode, 2)
+
     def test_files_that_are_not_there(self):
         self.assertEqual(run("catkinwingd", "--config", "/nonexistent").returncode, 1)
         self.assertEqual(run("catkinwingctl", "validate", "/nonexistent").returncode, 1)
--- a/tools/catkinwingctl/Commands.h
+++ b/tools/catkinwingctl/Commands.h
@@ -35,6 +35,9 @@
 int statusCommand(OperatorClient& client, const CommandOptions& options);
 /// Explains where a request would go.
 int explainCommand(OperatorClient& client, const CommandOptions& options, const std::string& question);
+/// Joins what entries logged about one request into one account; \p words hold
+/// its id and the log files.
+int explainRequestCommand(const std::vector<std::string>& words);
 /// Reports service-level burn from all entries.
 int burnCommand(OperatorClient& client, const CommandOptions& options);
 /// Tells the first entry to drain.
--- a/tools/catkinwingctl/Main.cpp
+++ b/tools/catkinwingctl/Main.cpp
@@ -20,6 +20,7 @@
                                               "  get [PATH]             print a document, or all revisions\n"
                                               "  status                 show entries, endpoints, shares and revisions\n"
                                               "  explain QUESTION       say where a request would go; QUESTION is JSON with team and model\n"
+                                              "  explain-request ID LOG...  tell the story of one request from entries' logs\n"
                                               "  report burn            service-level burn of all entries\n"
                                               "  drain                  shut the first entry down gracefully\n");
     options.positional_help("COMMAND [ARGUMENT]");
@@ -104,6 +105,8 @@
         return usageFault(std::string(options.status().message()));
     if (words.front() == "validate")
         return words.size() == 2 ? validateCommand(words[1]) : usageFault("validate takes one folder or file");
+    if (words.front() == "explain-request")
+        return words.size() > 2 ? explainRequestCommand(words) : usageFault("explain-request takes a request's id and log files");
     if (options->entries.empty())
         return usageFault("--entry IP:PORT is needed");
     absl::StatusOr<std::shared_ptr<TlsContext>> tls = readTls(arguments);
