--- a/include/catkinwing/Admission/RetryBudget.h
+++ b/include/catkinwing/Admission/RetryBudget.h
@@ -10,6 +10,8 @@
     explicit RetryBudget(double ratio = 0.1, double burst = 10);
     /// Changes how much is saved from now on.
     void setBurst(double burst);
+    /// Saves as much as can be.
+    void fill() { m_available = m_burst; }
     /// Counts a first attempt.
     void onRequest();
     /// Takes one retry or hedge from the budget; false if it is used up.
--- a/include/catkinwing/Reporting/Metrics.h
+++ b/include/catkinwing/Reporting/Metrics.h
@@ -21,6 +21,8 @@
     void observeFirstToken(const std::string& className, std::chrono::nanoseconds time);
     /// Observes the time that a request waited in the queue.
     void observeQueueWait(const std::string& className, std::chrono::nanoseconds time);
+    /// Observes how long a stage of a service's requests took, such as "attempt".
+    void observeStage(const std::string& stage, const std::string& service, std::chrono::nanoseconds time);
     /// Counts an event by name, such as "retries" or "forwards".
     void count(const std::string& name, double amount = 1);
     /// Sets a gauge by name, such as "queue_length".
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -281,6 +281,7 @@
     for (const auto& [kind, calls] : storeCalls)
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayed.isDirect() ? 1 : 0);
+    metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entries()));
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
     metrics.set("configuration_version", parts.routes ? static_cast<double>(parts.routes->version()) : 0);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -21,6 +21,10 @@
 /// Plain answers up to this size are held until they are whole, so that a
 /// broken one can be asked for again or fails with a status.
 static constexpr std::size_t maxHeldAnswer = 512u << 10;
+/// Part of the retries beyond the ratio that entries give out. They begin with it,
+/// so that the first refusals after a start can be tried elsewhere; an entry that
+/// starts a second time within a window may give it out twice.
+static constexpr double slackPart = 0.5;
 /// A connection inside the region takes a few milliseconds; one that takes
 /// longer than this goes to an endpoint that is gone or cut off.
 static constexpr milliseconds endpointConnectTimeout { 400 };
@@ -42,9 +46,11 @@
 RetryBudget& IngressParts::retryBudgetOf(const std::string& service)
 {
     auto found = retryBudgets.find(service);
-    if (found == retryBudgets.end())
-        found = retryBudgets.emplace(service, RetryBudget(retryLimits.ratio, 0)).first;
-    double share = retryLimits.slack / static_cast<double>(std::max<std::size_t>(entries.size(), 1));
+    double share = retryLimits.slack * slackPart / static_cast<double>(std::max<std::size_t>(entries.size(), 1));
+    if (found == retryBudgets.end()) {
+        found = retryBudgets.emplace(service, RetryBudget(retryLimits.ratio, share)).first;
+        found->second.fill();
+    }
     found->second.setBurst(share);
     return found->second;
 }
@@ -443,6 +449,7 @@
     bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotRun || attempt.statedOutcome) && !attempt.facts.isOtherIncarnation;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotRun && !attempt.statedOutcome;
     noteRead(attempt);
+    m_parts.metrics.observeStage("attempt", m_service, now() - attempt.startedAt);
     if (wasRefused)
         pressure().noteRefused(attempt.region, now());
     else if (verdict == AttemptVerdict::Answered)
@@ -634,6 +641,10 @@
         m_parts.endpoints.noteEnded(*m_attempt->endpoint, wasSilent, now());
     }
     m_parts.metrics.count(absl::StrCat("requests_", absl::string_view(outcome) == "not-run" ? "not_run" : outcome));
+    if (m_firstByteAt != TimePoint {}) {
+        m_parts.metrics.observeStage("first_byte", m_service, m_firstByteAt - m_request.arrivedAt);
+        m_parts.metrics.observeStage("whole", m_service, now() - m_request.arrivedAt);
+    }
     bool isPlain = absl::string_view(outcome) == "completed" && status < firstErrorStatus;
     if (isPlain ? m_parts.log.admitsPlain() : m_parts.log.admitsNotable()) {
         auto sinceArrival = [this](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - m_request.arrivedAt).count(); };
--- a/lib/Reporting/Metrics.cpp
+++ b/lib/Reporting/Metrics.cpp
@@ -18,6 +18,7 @@
     prometheus::Family<prometheus::Gauge>& gauges;
     prometheus::Family<prometheus::Histogram>& firstToken;
     prometheus::Family<prometheus::Histogram>& queueWait;
+    prometheus::Family<prometheus::Histogram>& stages;
 };
 
 Metrics::Impl::Impl()
@@ -26,6 +27,7 @@
     , gauges(prometheus::BuildGauge().Name("catkinwing_state").Help("Present values by kind.").Register(registry))
     , firstToken(prometheus::BuildHistogram().Name("catkinwing_time_to_first_token_seconds").Help("Time from arrival to the first token.").Register(registry))
     , queueWait(prometheus::BuildHistogram().Name("catkinwing_queue_wait_seconds").Help("Time spent in the queue.").Register(registry))
+    , stages(prometheus::BuildHistogram().Name("catkinwing_stage_seconds").Help("Time of each stage of routed requests, by service.").Register(registry))
 {
 }
 
@@ -61,6 +63,11 @@
     m_impl->queueWait.Add({ { "class", className } }, latencyBuckets()).Observe(seconds(time));
 }
 
+void Metrics::observeStage(const std::string& stage, const std::string& service, std::chrono::nanoseconds time)
+{
+    m_impl->stages.Add({ { "stage", stage }, { "service", service } }, latencyBuckets()).Observe(seconds(time));
+}
+
 void Metrics::count(const std::string& name, double amount)
 {
     m_impl->events.Add({ { "event", name } }).Increment(amount);
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -137,6 +137,17 @@
     CHECK(fixture.endpointClient.requests.size() == 1);
 }
 
+TEST_CASE("a refusal right after the start is tried elsewhere")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.parts.retryBudgets.clear();
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { full, fine };
+    CHECK(fixture.runToEnd()->status() == 200);
+}
+
 TEST_CASE("an answer to another request is never handed on")
 {
     IngressFixture fixture;
