--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -37,6 +37,10 @@
 /// A shared part below this many tokens is read in a few milliseconds and
 /// doesn't bind a request to an endpoint.
 static constexpr std::int64_t minSharedTokens = 1'000;
+/// Owners in a region that refuses more than this leaves are passed over. Short
+/// requests are refused long before long ones suffer, and a part that is read
+/// elsewhere pushes others out there.
+static constexpr double leastOwnerReadiness = 0.3;
 /// When a refused client should come back: by then an endpoint has answered
 /// some of what it has, or news of other endpoints has come in.
 static constexpr const char* retryAfterSeconds = "0.3";
@@ -245,7 +249,7 @@
     std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part->id, m_route->homeRegions);
     if (!region || *region == m_parts.region)
         return false;
-    bool isReady = m_parts.random.unit() < pressure().readiness(*region, now());
+    bool isReady = pressure().readiness(*region, now()) > leastOwnerReadiness;
     return isReady && sendToEntryOf(*region, "owner");
 }
 
--- a/unittests/PeerProtocol/LoadReportTest.cpp
+++ b/unittests/PeerProtocol/LoadReportTest.cpp
@@ -11,7 +11,7 @@
     for (std::uint32_t i = 0; i < 32; ++i)
         report.loads.push_back({ endpointHash("i-" + std::to_string(i)), i, i % 3, i % 2 });
     std::string bytes = encodeLoadReport(report);
-    CHECK(bytes.size() - empty <= 32 * 12);
+    CHECK(bytes.size() - empty <= std::size_t { 32 } * 12);
     absl::StatusOr<LoadReport> read = decodeLoadReport(bytes);
     REQUIRE(read.ok());
     CHECK(read->entry == report.entry);
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -119,8 +119,8 @@
     StoreWorld away([](const HttpClientRequest&) { return withStatus(503, ""); });
     absl::Status first;
     absl::Status second;
-    gone.store.keepAlive(7, [&](absl::StatusOr<std::chrono::milliseconds> left) { first = left.status(); });
-    away.store.keepAlive(7, [&](absl::StatusOr<std::chrono::milliseconds> left) { second = left.status(); });
+    gone.store.keepAlive(7, [&](const absl::StatusOr<std::chrono::milliseconds>& left) { first = left.status(); });
+    away.store.keepAlive(7, [&](const absl::StatusOr<std::chrono::milliseconds>& left) { second = left.status(); });
     gone.scheduler.advance(1s);
     away.scheduler.advance(1s);
     CHECK(absl::IsNotFound(first));
