--- /dev/null
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -0,0 +1,378 @@
+// What becomes of a routed request's attempts, and its final answer.
+#include "catkinwing/Ingress/RoutedRun.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+static constexpr int statusBadGateway = 502;
+static constexpr int statusUnavailable = 503;
+static constexpr int statusGatewayTimeout = 504;
+static constexpr int firstErrorStatus = 500;
+/// Bytes waiting for a slow client beyond which the endpoint is slowed.
+static constexpr std::size_t maxPendingBytes = 128u << 10;
+/// A plain answer is held until it is whole, so that a broken one can be asked
+/// for again or fails with a status. One that is longer than bodies of clients
+/// may be, and this much more, is given up.
+static constexpr std::size_t answerAllowance = 512u << 10;
+/// When a refused client should come back: by then an endpoint has answered
+/// some of what it has, or news of other endpoints has come in.
+static constexpr const char* retryAfterSeconds = "0.3";
+
+static absl::optional<Outcome> statedOutcomeOf(const HttpResponseHead& head)
+{
+    const std::string* word = head.headers.find(outcomeHeader);
+    return word ? parseOutcome(*word) : absl::nullopt;
+}
+
+// What the other entry says for this one goes no further.
+void RoutedRun::takeStatements(Attempt& attempt)
+{
+    HttpHeaders& headers = attempt.head->headers;
+    attempt.statedOutcome = statedOutcomeOf(*attempt.head);
+    unsigned runs = 0;
+    const std::string* text = headers.find(endpointAttemptsHeader);
+    if (text && absl::SimpleAtoi(*text, &runs))
+        attempt.statedRuns = runs;
+    headers.remove(endpointAttemptsHeader);
+    headers.remove(outcomeHeader);
+}
+
+void RoutedRun::onHead(const HttpResponseHead& head)
+{
+    Attempt& attempt = *m_attempt;
+    if (attempt.endpoint)
+        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    attempt.head = head;
+    attempt.facts = m_parts.dialect.readAnswer(head);
+    if (attempt.target == AttemptTarget::Entry)
+        takeStatements(attempt);
+    attempt.isOurs = attempt.facts.attemptId == m_request.facts.attemptId;
+    bool isForeign = !attempt.facts.attemptId.empty() && !attempt.isOurs;
+    if (isForeign) {
+        // The answer to this request would be the next on the connection, but
+        // nothing there can be trusted any more.
+        attempt.head.reset();
+        abandonAttempt("answer_of_another_request");
+        return;
+    }
+    const std::string* type = head.headers.find("content-type");
+    bool isSuccess = head.status >= 200 && head.status < 300;
+    bool isDeliverable = attempt.facts.isEndpointAnswer && attempt.isOurs && isSuccess;
+    attempt.isEventStream = isDeliverable && type && absl::StartsWithIgnoreCase(*type, "text/event-stream");
+}
+
+// Its first bytes show that the endpoint has read the prompt.
+void RoutedRun::noteRead(Attempt& attempt)
+{
+    if (attempt.endpoint)
+        attempt.endpoint->unreadTokens -= attempt.unreadTokens;
+    attempt.unreadTokens = 0;
+}
+
+void RoutedRun::onBody(absl::string_view bytes)
+{
+    Attempt& attempt = *m_attempt;
+    if (!attempt.isEventStream) {
+        attempt.body.append(bytes.data(), bytes.size());
+        bool isTooLong = attempt.body.size() > static_cast<std::size_t>(m_routes->limits().maxBodyBytes) + answerAllowance;
+        if (isTooLong)
+            abandonAttempt("answer_too_long");
+        return;
+    }
+    noteRead(attempt);
+    if (attempt.endpoint)
+        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    std::string events = m_cursor.feed(bytes);
+    if (!events.empty()) {
+        deliverHead(*attempt.head);
+        deliver(std::move(events));
+    }
+    if (m_cursor.isBroken() && m_attempt)
+        abandonAttempt("event_out_of_order");
+}
+
+void RoutedRun::onEnd(const HttpResult& result)
+{
+    concludeAttempt(result.end, result.mayHaveReachedServer, result.detail);
+}
+
+void RoutedRun::abandonAttempt(const char* reason)
+{
+    m_attempt->exchange->cancel();
+    concludeAttempt(HttpEnd::Malformed, true, reason);
+}
+
+void RoutedRun::concludeAttempt(HttpEnd end, bool mayHaveReached, const std::string& detail)
+{
+    const Attempt& attempt = *m_attempt;
+    AttemptEvidence evidence;
+    evidence.target = attempt.target;
+    evidence.end = end;
+    evidence.mayHaveReached = mayHaveReached;
+    evidence.hasHead = attempt.head.has_value();
+    evidence.answer = attempt.facts;
+    evidence.isOurs = attempt.isOurs;
+    evidence.statedOutcome = attempt.statedOutcome;
+    AttemptVerdict verdict = judgeAttempt(evidence);
+    bool endsInsideEvent = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken());
+    if (verdict == AttemptVerdict::Answered && endsInsideEvent)
+        verdict = AttemptVerdict::Unknown;
+    m_hasArrived = m_hasArrived || mayHaveReached;
+    settleAttempt(verdict, detail);
+    if (verdict == AttemptVerdict::Answered)
+        takeAnswer();
+    else
+        takeFailure(verdict);
+}
+
+static const char* verdictName(AttemptVerdict verdict)
+{
+    switch (verdict) {
+    case AttemptVerdict::Answered:
+        return "answered";
+    case AttemptVerdict::NotRun:
+        return "not-run";
+    case AttemptVerdict::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+// An entry that doesn't say may have used all the attempts that it had.
+unsigned RoutedRun::runsOf(const Attempt& attempt) const
+{
+    if (attempt.target == AttemptTarget::Endpoint)
+        return 1;
+    return attempt.statedRuns.value_or(m_route->attempts);
+}
+
+void RoutedRun::settleAttempt(AttemptVerdict verdict, const std::string& detail)
+{
+    Attempt& attempt = *m_attempt;
+    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotRun || attempt.statedOutcome) && !attempt.facts.isOtherIncarnation;
+    bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotRun && !attempt.statedOutcome;
+    noteRead(attempt);
+    m_parts.metrics.observeStage("attempt", m_service, now() - attempt.startedAt);
+    if (wasRefused)
+        pressure().noteRefused(attempt.region, now());
+    else if (verdict == AttemptVerdict::Answered)
+        pressure().noteTaken(attempt.region, now());
+    m_wasRefusedHere = m_wasRefusedHere || (wasRefused && attempt.endpoint);
+    if (attempt.endpoint) {
+        if (attempt.facts.isOtherIncarnation)
+            m_parts.endpoints.noteLeaving(*attempt.endpoint);
+        m_parts.endpoints.noteEnded(*attempt.endpoint, hadNoAnswer, now());
+    } else if (hadNoAnswer) {
+        m_parts.entries.notePeerFailure(attempt.peer, now());
+    } else {
+        m_parts.entries.notePeerAnswered(attempt.peer);
+    }
+    bool isRun = verdict != AttemptVerdict::NotRun;
+    m_runs += isRun ? runsOf(attempt) : 0;
+    m_refusals += isRun ? 0 : 1;
+    m_mayHaveRun = m_mayHaveRun || isRun;
+    m_lastRan = isRun;
+    if (verdict == AttemptVerdict::Answered || !m_parts.log.admitsNotable())
+        return;
+    m_parts.log.write(LogLevel::Warning, "attempt_failed",
+        { { "request", m_request.facts.attemptId }, { "route", m_route->name },
+            { "to", m_lastPlace }, { "region", attempt.region }, { "why", attempt.why },
+            { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
+            { "attempt", attempt.number }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
+}
+
+// A failure that an endpoint states is an answer like any other, but where
+// executing it again does no harm, another attempt may do better.
+void RoutedRun::takeAnswer()
+{
+    Attempt attempt = std::move(*m_attempt);
+    m_attempt.reset();
+    if (attempt.isEventStream) {
+        deliverHead(*attempt.head);
+        m_responder->finish();
+        finish(attempt.head->status, "completed", "");
+        return;
+    }
+    bool isFailure = attempt.head->status >= firstErrorStatus;
+    bool mayTryAgain = isFailure && mayRepeat(*m_route) && !m_hasHead;
+    if (!mayTryAgain) {
+        answerWhole(*attempt.head, std::move(attempt.body));
+        return;
+    }
+    m_failureHead = std::move(attempt.head);
+    m_failureBody = std::move(attempt.body);
+    takeFailure(AttemptVerdict::Unknown);
+}
+
+void RoutedRun::takeFailure(AttemptVerdict verdict)
+{
+    absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
+    RetryBudget& budget = m_parts.retryBudgetOf(m_service);
+    RunProgress progress;
+    progress.mayRepeat = mayRepeat(*m_route);
+    progress.isResumable = m_route->isResumable;
+    progress.mayHaveRun = m_mayHaveRun;
+    progress.runs = m_runs;
+    progress.refusals = m_refusals;
+    progress.maxRuns = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
+    progress.hasDelivered = m_hasHead;
+    progress.hasBudget = !m_hasArrived || budget.available() >= 1;
+    progress.timeLeft = m_deadline - now();
+    switch (decideNext(verdict, progress)) {
+    case NextStep::SendAgain:
+        if (m_hasArrived)
+            budget.tryRetry();
+        m_parts.metrics.count("retries");
+        dispatch();
+        return;
+    case NextStep::RefuseNotRun:
+        answerOwn(statusUnavailable, Outcome::NotRun, "refused_by_endpoints");
+        return;
+    case NextStep::FailUnknown:
+        if (m_failureHead)
+            answerWhole(*m_failureHead, std::move(m_failureBody));
+        else
+            answerOwn(statusBadGateway, Outcome::Unknown, "no_answer");
+        return;
+    case NextStep::CutOff:
+        cutOff("stream_broke");
+        return;
+    }
+}
+
+// The entry that forwarded counts the runs against its route's limit.
+HttpResponseHead RoutedRun::withStatements(HttpResponseHead head) const
+{
+    if (m_request.isForwarded)
+        head.headers.add(endpointAttemptsHeader, std::to_string(std::max(m_runs, 1u)));
+    return head;
+}
+
+void RoutedRun::deliverHead(const HttpResponseHead& head)
+{
+    if (m_hasHead)
+        return;
+    m_hasHead = true;
+    m_firstByteAt = now();
+    m_responder->sendHead(withStatements(head));
+}
+
+void RoutedRun::deliver(std::string bytes)
+{
+    m_responder->write(std::move(bytes));
+    if (m_isPaused || m_responder->pendingBytes() < maxPendingBytes)
+        return;
+    m_isPaused = true;
+    m_attempt->exchange->pause();
+    m_responder->onWritable([self = shared_from_this()] { self->relieveBackPressure(); });
+}
+
+void RoutedRun::relieveBackPressure()
+{
+    if (!m_isPaused || m_isDone)
+        return;
+    m_isPaused = false;
+    if (m_attempt)
+        m_attempt->exchange->resume();
+}
+
+void RoutedRun::answerWhole(const HttpResponseHead& head, std::string body)
+{
+    if (m_hasHead) {
+        cutOff("stream_failed");
+        return;
+    }
+    m_firstByteAt = now();
+    int status = head.status;
+    m_responder->send(withStatements(head), std::move(body));
+    finish(status, "completed", "");
+}
+
+// What the system itself answers, always at once and with its outcome.
+void RoutedRun::answerOwn(int status, Outcome outcome, const char* reason)
+{
+    if (m_hasHead) {
+        cutOff(reason);
+        return;
+    }
+    HttpResponseHead head;
+    head.status = status;
+    head.headers.add("content-type", "application/json");
+    head.headers.add(outcomeHeader, outcomeWord(outcome));
+    if (status == statusUnavailable)
+        head.headers.add("retry-after", retryAfterSeconds);
+    m_responder->send(withStatements(head), absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
+    finish(status, outcomeWord(outcome), reason);
+}
+
+void RoutedRun::cutOff(const char* reason)
+{
+    m_responder->abort();
+    finish(0, "unknown", reason);
+}
+
+void RoutedRun::deadlinePassed()
+{
+    m_deadlineTimer = 0;
+    m_wasTimedOut = true;
+    bool mayHaveReached = m_attempt && m_attempt->exchange->mayHaveReachedServer();
+    if (m_attempt)
+        m_attempt->exchange->cancel();
+    if (mayHaveReached || m_mayHaveRun)
+        answerOwn(statusGatewayTimeout, Outcome::Unknown, "timeout");
+    else
+        answerOwn(statusUnavailable, Outcome::NotRun, "timeout");
+}
+
+void RoutedRun::clientGone()
+{
+    if (m_isDone)
+        return;
+    if (m_attempt)
+        m_attempt->exchange->cancel();
+    finish(0, "client_gone", "client_gone");
+}
+
+void RoutedRun::finish(int status, const char* outcome, const char* reason)
+{
+    auto self = shared_from_this();
+    m_isDone = true;
+    m_parts.scheduler.cancel(m_deadlineTimer);
+    if (m_attempt && m_attempt->endpoint) {
+        noteRead(*m_attempt);
+        bool wasSilent = m_wasTimedOut && !m_attempt->head;
+        m_parts.endpoints.noteEnded(*m_attempt->endpoint, wasSilent, now());
+    }
+    m_parts.metrics.count(absl::StrCat("requests_", absl::string_view(outcome) == "not-run" ? "not_run" : outcome));
+    if (m_firstByteAt != TimePoint {}) {
+        m_parts.metrics.observeStage("first_byte", m_service, m_firstByteAt - m_request.arrivedAt);
+        m_parts.metrics.observeStage("whole", m_service, now() - m_request.arrivedAt);
+    }
+    bool isPlain = absl::string_view(outcome) == "completed" && status < firstErrorStatus;
+    if (isPlain ? m_parts.log.admitsPlain() : m_parts.log.admitsNotable()) {
+        auto sinceArrival = [this](TimePoint time) { return std::chrono::duration_cast<milliseconds>(time - m_request.arrivedAt).count(); };
+        nlohmann::json fields = {
+            { "request", m_request.facts.attemptId }, { "route", m_route ? m_route->name : "" }, { "status", status },
+            { "outcome", outcome }, { "reason", reason }, { "attempts", m_attempts }, { "forwarded", m_request.isForwarded },
+            { "version", m_routes ? m_routes->version() : 0 }, { "took_ms", sinceArrival(now()) }
+        };
+        if (m_firstByteAt != TimePoint {})
+            fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
+        if (m_attempts > 0) {
+            fields["to"] = m_lastPlace;
+            fields["why"] = m_lastWhy;
+            fields["load_reports"] = m_parts.endpoints.peerLoads().entries();
+        }
+        m_parts.log.write(LogLevel::Info, "request_ended", fields);
+    }
+    m_attempt.reset();
+    m_responder.reset();
+}
+
+} // namespace catkinwing
