--- a/include/catkinwing/Standin/StandinFrontend.h
+++ b/include/catkinwing/Standin/StandinFrontend.h
@@ -27,6 +27,8 @@
 public:
     virtual ~StandinService() = default;
     virtual void handle(StandinCall call) = 0;
+    /// Answers a request that a fault switch refuses, as not executed.
+    virtual void refuse(const HttpRequest& request, HttpResponder& responder) const;
     /// Returns the name under which \p request is counted.
     virtual std::string kindOf(const HttpRequest& request) const;
     /// Tells whether \p request belongs in the execution log.
--- a/lib/Standin/StandinFrontend.cpp
+++ b/lib/Standin/StandinFrontend.cpp
@@ -25,6 +25,11 @@
     return absl::StrCat(request.method, " ", request.path);
 }
 
+void StandinService::refuse(const HttpRequest&, HttpResponder& responder) const
+{
+    sendNotExecuted(responder, 503, "refused by a fault switch", refusalRetryAfter);
+}
+
 void sendJson(HttpResponder& responder, int status, const nlohmann::json& body, HttpHeaders headers)
 {
     HttpResponseHead head { status, std::move(headers) };
@@ -87,7 +92,7 @@
         return;
     }
     if (plan.refuse) {
-        sendNotExecuted(*responder, 503, "refused by a fault switch", refusalRetryAfter);
+        m_service.refuse(request, *responder);
         return;
     }
     admit(std::move(request), std::move(responder), identity, plan);
--- a/lib/Standin/StoreService.cpp
+++ b/lib/Standin/StoreService.cpp
@@ -1,4 +1,5 @@
 #include "catkinwing/Standin/JsonReader.h"
+#include "catkinwing/Standin/LeaseExpiry.h"
 #include "catkinwing/Standin/Services.h"
 #include "catkinwing/Standin/StoreCodec.h"
 #include <absl/strings/escaping.h>
@@ -23,11 +24,6 @@
         {
         }
 
-        ~StoreService() override
-        {
-            m_scheduler.cancel(m_expiryTimer);
-        }
-
         void handle(StandinCall call) override;
         std::string kindOf(const HttpRequest& request) const override;
         bool isLogged(const HttpRequest& request) const override;
@@ -62,12 +58,11 @@
         void watch(const StandinCall& call, const nlohmann::json& document);
         void startWatch(const WatchRequest& request, const std::shared_ptr<HttpResponder>& responder);
         void sendError(HttpResponder& responder, const absl::Status& status) const;
-        void armExpiry();
 
         Scheduler& m_scheduler;
         ExecutionLog& m_log;
         StoreState m_state;
-        TimerId m_expiryTimer { 0 };
+        LeaseExpiry m_expiry { m_scheduler, m_state };
         std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
     };
 
@@ -114,7 +109,7 @@
 
 void StoreService::handle(StandinCall call)
 {
-    m_state.expireLeases(m_scheduler.clock().now());
+    m_expiry.run();
     const Route* route = findRoute(call.request.path);
     if (!route || call.request.method != "POST") {
         sendJson(*call.responder, 404, { { "error", "not found" }, { "code", 5 } });
@@ -134,7 +129,7 @@
         return;
     }
     answer(*route, call, *document);
-    armExpiry();
+    m_expiry.run();
 }
 
 void StoreService::answer(const Route& route, const StandinCall& call, const nlohmann::json& document)
@@ -317,19 +312,6 @@
     sendJson(responder, httpStatusOf(status), toJson(status));
 }
 
-void StoreService::armExpiry()
-{
-    m_scheduler.cancel(m_expiryTimer);
-    m_expiryTimer = 0;
-    auto next = m_state.nextExpiry();
-    if (!next)
-        return;
-    m_expiryTimer = m_scheduler.callAfter(*next - m_scheduler.clock().now(), [this] {
-        m_state.expireLeases(m_scheduler.clock().now());
-        armExpiry();
-    });
-}
-
 std::unique_ptr<StandinService> makeStoreService(Scheduler& scheduler, ExecutionLog& log, StoreLimits limits)
 {
     return std::make_unique<StoreService>(scheduler, log, limits);
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -54,16 +54,19 @@
 class Process:
     """A process of the fleet with its log."""
 
-    def __init__(self, name, command, log):
+    def __init__(self, name, command, log, output=None):
         self.name = name
         self.command = command
         self.log = log
+        # Descriptor that takes the output in place of the log.
+        self.output = output
         self.popen = None
         self.address = None
 
     def start(self):
-        with open(self.log, "ab") as output:
-            self.popen = subprocess.Popen(self.command, stdout=output, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        with open(self.log, "ab") as log:
+            output = log if self.output is None else self.output
+            self.popen = subprocess.Popen(self.command, stdout=output, stderr=log, stdin=subprocess.DEVNULL)
 
     def is_running(self):
         return self.popen is not None and self.popen.poll() is None
--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -7,6 +7,7 @@
 
 from example import Example
 from fleet import call, wait_for
+from platform_path import PlatformPath
 
 REGIONS = ["caldas", "antioquia"]
 TEAM_KEY = "manizales-fitters-key"
@@ -63,6 +64,20 @@
         fleet.restart(engine)
 
 
+def served_by_routes(folder):
+    """Shows the shape in which the users' platform runs an entry."""
+    path = PlatformPath(folder)
+    try:
+        path.start()
+        entry = path.resolve()
+        show(f"directory of the platform's shape names {entry}; plain request", *path.ask(entry, "/orders/7"))
+        status, text = path.ask(entry, "/stories/7")
+        show("stream through the same entry", status, text)
+        assert status == 200 and text.count("data: ") == 4, "the stream is not whole"
+    finally:
+        path.stop()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--keep", action="store_true", help="leave everything running and print the addresses")
@@ -76,6 +91,7 @@
         stream_chat(address)
         call_service(address)
         forwarded_chat(deployment, address)
+        served_by_routes(f"{folder}/platform")
         keeps = arguments.keep
         if keeps:
             print(json.dumps(deployment.addresses(), indent=2))
--- a/test/catkinwing-standin/command-line.py
+++ b/test/catkinwing-standin/command-line.py
@@ -47,7 +47,7 @@
     def test_help_and_version_succeed(self):
         self.assertRegex(run("--version").stdout, r"^catkinwing-standin \d+\.\d+\.\d+\n$")
         self.assertIn("directory", run("--help").stdout)
-        for kind in ("store", "directory", "weights", "engine", "service", "raw"):
+        for kind in ("store", "directory", "weights", "engine", "service", "raw", "platform-store", "platform-endpoint"):
             result = run(kind, "--help")
             self.assertEqual(result.returncode, 0)
             self.assertIn("--listen", result.stdout)
@@ -79,7 +79,7 @@
         self.assertEqual(run("raw", "--listen", "127.0.0.1:0", "--answer", "/nonexistent").returncode, 1)
 
     def test_every_kind_starts_and_ends_cleanly(self):
-        for kind in ("store", "directory", "weights", "engine", "service"):
+        for kind in ("store", "directory", "weights", "engine", "service", "platform-store", "platform-endpoint"):
             with self.subTest(kind=kind), Standin(kind) as standin:
                 self.assertEqual(standin.call("/standin/counters")["total"], 0)
                 self.assertEqual(standin.stop(), 0)
--- a/tools/catkinwing-standin/Arguments.cpp
+++ b/tools/catkinwing-standin/Arguments.cpp
@@ -239,6 +239,23 @@
     arguments.closesAfterAnswer = reader.flag("close");
 }
 
+static void addPlatformEndpointOptions(cxxopts::OptionAdder& add)
+{
+    add("incarnation", "name of this start", cxxopts::value<std::string>());
+    add("delay", "time from the start of an execution to its answer or first event", textOption("0s"));
+    add("events", "events of each answer; 0 answers in one piece", countOption("0"));
+    add("pause", "time between two events", textOption("0s"));
+}
+
+static void readPlatformEndpointOptions(OptionReader& reader, Arguments& arguments)
+{
+    platform::EndpointStandinSettings& endpoint = arguments.platformEndpoint;
+    endpoint.incarnation = reader.has("incarnation") ? reader.text("incarnation") : arguments.server.name;
+    endpoint.delay = reader.duration("delay");
+    endpoint.events = static_cast<unsigned>(reader.count("events", 0));
+    endpoint.pause = reader.duration("pause");
+}
+
 constexpr KindEntry kinds[] = {
     { "store", "the key-value store", StandinKind::Store, addStoreOptions, readStoreOptions },
     { "directory", "the directory and the list of instances", StandinKind::Directory, addDirectoryOptions, readDirectoryOptions },
@@ -246,6 +263,8 @@
     { "engine", "an OpenAI-compatible model engine", StandinKind::Engine, addEngineOptions, readEngineOptions },
     { "service", "a plain service", StandinKind::Service, addServiceOptions, readServiceOptions },
     { "raw", "an endpoint that answers with the bytes of a file", StandinKind::Raw, addRawOptions, readRawOptions },
+    { "platform-store", "the store of the users' platform", StandinKind::PlatformStore, addStoreOptions, readStoreOptions },
+    { "platform-endpoint", "an endpoint on the users' platform", StandinKind::PlatformEndpoint, addPlatformEndpointOptions, readPlatformEndpointOptions },
 };
 
 static std::string usage()
@@ -255,7 +274,7 @@
                        "       catkinwing-standin --help | --version\n\n"
                        "Stands in for a system that catkinwing uses or serves. KIND is one of\n";
     for (const KindEntry& entry : kinds)
-        absl::StrAppend(&text, "  ", entry.name, std::string(12 - std::string(entry.name).size(), ' '), entry.description, "\n");
+        absl::StrAppend(&text, "  ", entry.name, std::string(20 - std::string(entry.name).size(), ' '), entry.description, "\n");
     return text;
 }
 
--- a/tools/catkinwing-standin/Arguments.h
+++ b/tools/catkinwing-standin/Arguments.h
@@ -3,6 +3,7 @@
 #include "catkinwing/Standin/RawAnswerer.h"
 #include "catkinwing/Standin/Services.h"
 #include "catkinwing/Standin/StandinServer.h"
+#include "platform/standin/EndpointStandin.h"
 #include <absl/status/statusor.h>
 #include <optional>
 #include <string>
@@ -17,6 +18,8 @@
     Engine,
     Service,
     Raw,
+    PlatformStore,
+    PlatformEndpoint,
 };
 
 /// The command line of a stand-in.
@@ -36,6 +39,7 @@
     /// File with the answer of the raw stand-in.
     std::string answerFile;
     bool closesAfterAnswer { false };
+    platform::EndpointStandinSettings platformEndpoint;
 };
 
 /// Reads the command line; InvalidArgument says what is wrong with it.
--- a/tools/catkinwing-standin/main.cpp
+++ b/tools/catkinwing-standin/main.cpp
@@ -1,6 +1,7 @@
 #include "Arguments.h"
 #include "catkinwing/Standin/HttpWeightFetcher.h"
 #include "catkinwing/Support/Logging.h"
+#include "platform/standin/StoreStandin.h"
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -27,6 +28,10 @@
             fetcher = makeHttpWeightFetcher(client, *arguments.weightServer, arguments.adapterMegabytes);
         return makeEngineService(scheduler, log, arguments.engine, std::move(fetcher));
     }
+    case StandinKind::PlatformStore:
+        return platform::makeStoreStandin(scheduler, log, arguments.store);
+    case StandinKind::PlatformEndpoint:
+        return platform::makeEndpointStandin(scheduler, log, arguments.platformEndpoint);
     case StandinKind::Service:
     case StandinKind::Raw:
         break;
--- /dev/null
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -0,0 +1,160 @@
+// An entry between callers and the platform's stand-ins, over real HTTP.
+#include "PlatformFixture.h"
+
+#include "catkinwing/Ingress/IngressDaemon.h"
+#include "platform/PlatformDialect.h"
+#include <absl/strings/match.h>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+static SocketAddress freeAddress(EventLoop& loop)
+{
+    return startServer(loop, [](const HttpRequest&, const std::shared_ptr<HttpResponder>&) {})->address();
+}
+
+static std::unique_ptr<Store> makeStore(HttpClient& http, Scheduler& scheduler, std::vector<SocketAddress> servers, std::function<void(const char*)> onCall)
+{
+    return std::make_unique<PlatformStore>(http, scheduler, std::move(servers), std::move(onCall));
+}
+
+static nlohmann::json routeOf(const char* prefix, const char* kind, const char* service, int attempts, bool isResumable)
+{
+    return { { "name", prefix }, { "host", "path.example" }, { "prefix", prefix }, { "kind", kind }, { "timeout_ms", 3000 }, { "service", service },
+        { "attempts", attempts }, { "resumable", isResumable } };
+}
+
+static std::string configuration()
+{
+    nlohmann::json routes = { routeOf("/once/", "non_idempotent", "plain", 1, false), routeOf("/often/", "idempotent", "plain", 2, false),
+        routeOf("/stream/", "streaming", "model", 2, true) };
+    nlohmann::json services = { { { "name", "plain" }, { "max_conns", 100 } }, { { "name", "model" }, { "max_conns", 100 } } };
+    return nlohmann::json { { "version", 7 }, { "routes", routes }, { "services", services } }.dump();
+}
+
+namespace {
+
+/// An entry with two endpoints of each service.
+class ServedPath {
+public:
+    ServedPath()
+    {
+        platform.swap("op/config", 0, configuration());
+        for (const char* name : { "plain-1", "plain-2" })
+            add("plain", name, 0);
+        for (const char* name : { "model-1", "model-2" })
+            add("model", name, 5);
+        settings.name = "entry";
+        settings.region = "north";
+        settings.availabilityZone = "north-a";
+        settings.store = { platform.storeServer->address() };
+        settings.ingress.emplace();
+        settings.ingress->regionOfZone = { { "north-a", "north" } };
+        for (SocketAddress* address : { &settings.listen.callers, &settings.listen.peers, &settings.listen.operators, &settings.ingress->readiness, &settings.ingress->directory })
+            *address = freeAddress(platform.loop);
+        settings.advertise = settings.listen;
+        auto started = IngressDaemon::start(platform.loop, settings, Random(1), platformDialect(), makeStore);
+        REQUIRE(started.ok());
+        entry = *std::move(started);
+        REQUIRE(runUntil(platform.loop, [this] { return ask("/often/ready")->head.status == 200; }));
+    }
+
+    void add(const std::string& service, const std::string& incarnation, unsigned events)
+    {
+        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms }));
+        nlohmann::json record = { { "service", service }, { "addr", endpoints.back()->address().toString() }, { "zone", "north-a" }, { "slots", 8 }, { "state", "ready" } };
+        platform.swap("servers/" + incarnation, 0, record.dump());
+    }
+    std::shared_ptr<Recorded> ask(const std::string& target, const std::string& attempt = "a-1")
+    {
+        return platform.ask(settings.listen.callers, "POST", target, "body", { { "Host", "path.example" }, { "Attempt-Id", attempt } });
+    }
+    std::int64_t executions(std::size_t endpoint)
+    {
+        auto counters = platform.ask(endpoints[endpoint]->address(), "GET", "/standin/counters");
+        return nlohmann::json::parse(counters->body).at("executions");
+    }
+    void setFaults(std::size_t endpoint, const nlohmann::json& faults) { platform.setFaults(*endpoints[endpoint], faults); }
+
+    PlatformFixture platform;
+    DaemonSettings settings;
+    std::vector<std::unique_ptr<standin::StandinServer>> endpoints;
+    std::unique_ptr<IngressDaemon> entry;
+};
+
+} // namespace
+
+TEST_CASE("a request comes back with the endpoint's answer and signature")
+{
+    ServedPath path;
+    auto answer = path.ask("/once/order", "attempt-9");
+    CHECK(answer->head.status == 200);
+    REQUIRE(answer->head.headers.find("Reply-Seal"));
+    CHECK(absl::StartsWith(*answer->head.headers.find("Reply-Seal"), "attempt-9.plain-"));
+    CHECK(nlohmann::json::parse(answer->body).at("path") == "/once/order");
+    CHECK(path.ask("/unknown/x")->head.status == 404);
+}
+
+TEST_CASE("what must not be repeated runs once though its answer is lost")
+{
+    ServedPath path;
+    for (std::size_t endpoint : { 0, 1 })
+        path.setFaults(endpoint, { { "loseAnswer", true } });
+    std::int64_t before = path.executions(0) + path.executions(1);
+    auto answer = path.ask("/once/order");
+    CHECK(answer->head.status >= 500);
+    CHECK_FALSE(answer->head.headers.find("Not-Executed"));
+    CHECK(path.executions(0) + path.executions(1) == before + 1);
+}
+
+TEST_CASE("what may be repeated gets its answer from the other endpoint")
+{
+    ServedPath path;
+    path.setFaults(0, { { "loseAnswer", true } });
+    for (int number = 0; number < 6; ++number)
+        CHECK(path.ask("/often/read")->head.status == 200);
+}
+
+TEST_CASE("a refusal as not executed lets even what must not be repeated run elsewhere")
+{
+    ServedPath path;
+    path.setFaults(0, { { "refuse", true } });
+    for (int number = 0; number < 6; ++number)
+        CHECK(path.ask("/once/order")->head.status == 200);
+}
+
+TEST_CASE("a stream that breaks goes on at the other endpoint without a gap or a repeat")
+{
+    ServedPath path;
+    std::string whole = path.ask("/stream/read")->body;
+    path.setFaults(2, { { "cutAfterEvents", 2 } });
+    for (int number = 0; number < 6; ++number) {
+        auto answer = path.ask("/stream/read");
+        CHECK(answer->result.end == HttpEnd::Complete);
+        CHECK(answer->body == whole);
+    }
+}
+
+TEST_CASE("an address that another incarnation has taken gets nothing that was meant for the first")
+{
+    ServedPath path;
+    SocketAddress reused = path.endpoints[0]->address();
+    path.endpoints[0].reset();
+    auto taker = standin::StandinServer::start(path.platform.loop, { "taker", reused, "", 1 },
+        [](Scheduler& scheduler, standin::ExecutionLog& log) { return makeEndpointStandin(scheduler, log, { "taker", 0ms, 0, 0ms }); });
+    REQUIRE(taker.ok());
+    for (int number = 0; number < 6; ++number) {
+        auto answer = path.ask("/once/order");
+        CHECK(answer->head.status == 200);
+        CHECK(nlohmann::json::parse(answer->body).at("endpoint") == "plain-2");
+    }
+}
+
+TEST_CASE("an entry serves on while the store is away")
+{
+    ServedPath path;
+    path.platform.setFaults(*path.platform.storeServer, { { "down", true } });
+    for (int number = 0; number < 3; ++number)
+        CHECK(path.ask("/once/order")->head.status == 200);
+}
--- /dev/null
+++ b/unittests/Platform/StoreStandinTest.cpp
@@ -0,0 +1,79 @@
+// The client of the platform's store against the stand-in, over real HTTP.
+#include "platform/standin/StoreStandin.h"
+
+#include "PlatformFixture.h"
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE("of two swaps from one revision the first takes effect")
+{
+    PlatformFixture platform;
+    SwapResult made = platform.swap("a", 0, "first");
+    REQUIRE(made.outcome == SwapOutcome::Committed);
+    CHECK(platform.swap("a", 0, "second").outcome == SwapOutcome::Conflict);
+    CHECK(platform.swap("a", made.revision, "third").outcome == SwapOutcome::Committed);
+    CHECK(platform.get("a").value == "third");
+}
+
+TEST_CASE("a write that the store refuses wasn't sent, and one whose answer is lost may be done")
+{
+    PlatformFixture platform;
+    platform.setFaults(*platform.storeServer, { { "refuse", { { "times", 1 } } } });
+    CHECK(platform.swap("a", 0, "refused").outcome == SwapOutcome::NotSent);
+    platform.setFaults(*platform.storeServer, { { "loseAnswer", { { "times", 1 } } } });
+    CHECK(platform.swap("a", 0, "lost").outcome == SwapOutcome::Unknown);
+    CHECK(platform.get("a").value == "lost");
+}
+
+TEST_CASE("a key goes with its lease, and a watch tells of both changes")
+{
+    PlatformFixture platform;
+    std::optional<StoreLease> lease;
+    platform.store->grantLease(1s, [&](absl::StatusOr<StoreLease> granted) { lease = *granted; });
+    REQUIRE(runUntil(platform.loop, [&] { return lease.has_value(); }));
+    SwapResult made = platform.swap("entries/one", 0, "here", *lease);
+    std::vector<StoreEvent> seen;
+    auto watch = platform.store->watch("entries/", made.revision, { [&](const std::vector<StoreEvent>& events) { seen.insert(seen.end(), events.begin(), events.end()); }, [](const absl::Status&) {} });
+    REQUIRE(runUntil(platform.loop, [&] { return seen.size() == 2; }));
+    CHECK(seen[0].current.value == "here");
+    CHECK(seen[1].isDeletion);
+    CHECK(platform.swap("entries/one", 0, "late", *lease).outcome == SwapOutcome::NotSent);
+}
+
+TEST_CASE("a watch from a revision that the store has forgotten ends as out of range")
+{
+    standin::StoreLimits limits;
+    limits.maxHistory = 2;
+    PlatformFixture platform(limits);
+    for (const char* key : { "a", "b", "c", "d" })
+        platform.swap(key, 0, "x");
+    std::optional<absl::Status> end;
+    auto watch = platform.store->watch("", 2, { [](const std::vector<StoreEvent>&) {}, [&](const absl::Status& status) { end = status; } });
+    REQUIRE(runUntil(platform.loop, [&] { return end.has_value(); }));
+    CHECK(absl::IsOutOfRange(*end));
+}
+
+TEST_CASE("a listing of several pages holds every key once")
+{
+    PlatformFixture platform;
+    for (int number = 0; number < 120; ++number)
+        platform.swap("many/" + std::to_string(1000 + number), 0, "x");
+    platform.swap("others", 0, "x");
+    std::optional<StoreListing> listing;
+    platform.store->list("many/", [&](absl::StatusOr<StoreListing> listed) { listing = *std::move(listed); });
+    REQUIRE(runUntil(platform.loop, [&] { return listing.has_value(); }));
+    CHECK(listing->values.size() == 120);
+}
+
+TEST_CASE("the store answers what isn't one of its calls and goes on")
+{
+    PlatformFixture platform;
+    SocketAddress address = platform.storeServer->address();
+    CHECK(platform.ask(address, "POST", "/kv-txn", "not json")->head.status == 400);
+    CHECK(platform.ask(address, "POST", "/kv-txn", R"({"expect":[1],"puts":{}})")->head.status == 400);
+    CHECK(platform.ask(address, "POST", "/kv-keep/none")->head.status == 404);
+    CHECK(platform.ask(address, "GET", "/other")->head.status == 404);
+    CHECK(platform.swap("a", 0, "x").outcome == SwapOutcome::Committed);
+}
