Take late at a stop only what surely ends; name no entry that could only refuse

Cause: (1) an entry that stops took everything for 3.5 s after SIGTERM. A stream of a route that allows 6 s, taken after 3.15 s, was cut when the entry ended at 7.6 s. (2) While every entry of a host's homes was stopping, the directory named the entries of another region, which refuse all that the homes bind; 678 of 12,367 requests went there.

Ruled out: a longer stop (the platform kills after its grace); a shorter window for all (short requests still finish); keeping stopped entries in the directory for longer (they take nothing new that outlasts them).

Change: after 3 s a stopping entry refuses, as not run, what its deadline allows beyond the entry's end, and takes the rest. Where every route of a host is bound to homes and none of their entries is known, the directory answers 503, so that clients keep the entries that they know.

Numbers beyond any type and flags of other types in the store's answers are refused or bounded.

--- /dev/null
+++ b/fuzz/FuzzPeerReports.cpp
@@ -0,0 +1,34 @@
+#include "FuzzInput.h"
+#include "catkinwing/PeerProtocol/LoadReport.h"
+#include "catkinwing/PeerProtocol/StoreChanges.h"
+
+using namespace catkinwing;
+
+static void fuzzLoadReport(absl::string_view bytes)
+{
+    absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
+    if (!report.ok())
+        return;
+    std::string again = encodeLoadReport(*report);
+    absl::StatusOr<LoadReport> decoded = decodeLoadReport(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeLoadReport(*decoded) == again, "a report comes back as it was");
+}
+
+static void fuzzStoreChanges(absl::string_view bytes)
+{
+    absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
+    if (!changes.ok())
+        return;
+    std::string again = encodeStoreChanges(*changes);
+    absl::StatusOr<StoreChanges> decoded = decodeStoreChanges(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeStoreChanges(*decoded) == again, "changes come back as they were");
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    fuzzLoadReport(textOf(data, size));
+    fuzzStoreChanges(textOf(data, size));
+    return 0;
+}
--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -58,10 +58,17 @@
 
 class RouteTable;
 
-/// Returns the regions that most of the bound routes of \p host allow; empty if
-/// none of its routes is bound to its homes. A directory answers for the host
-/// alone, without knowing the path.
-std::vector<std::string> homeRegionsOf(const RouteTable& table, absl::string_view host);
+/// Where the requests of a host may be processed. A directory answers for the
+/// host alone, without knowing the path.
+struct HostHomes {
+    /// The regions that most of the host's bound routes allow; empty if none of
+    /// its routes is bound to its homes.
+    std::vector<std::string> regions;
+    /// Every route of the host is bound.
+    bool bindsAll { false };
+};
+
+HostHomes homesOf(const RouteTable& table, absl::string_view host);
 
 /// A group of endpoints that serve the same requests.
 struct ServiceSettings {
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Config/RouteTable.h"
 #include "catkinwing/Support/Clock.h"
 #include "catkinwing/Support/Random.h"
 #include "catkinwing/Support/SocketAddress.h"
@@ -39,9 +40,9 @@
     /// Returns the addresses for clients of a zone: the entries of the zone, or
     /// else of the region, or else of \p homes, the regions that may have the
     /// clients' requests, or else those of these that left a moment ago, which
-    /// still finish what comes, or else all.
-    std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const std::vector<std::string>& homes,
-        TimePoint now) const;
+    /// still finish what comes, or else all; none where the homes bind every
+    /// request, since an entry elsewhere could only refuse.
+    std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const HostHomes& homes, TimePoint now) const;
     /// Returns an entry of \p region to forward to; nothing if there is none.
     std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
     /// Returns the addresses of the other entries of \p region.
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -11,6 +11,7 @@
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/container/flat_hash_map.h>
 #include <memory>
+#include <optional>
 
 namespace catkinwing {
 
@@ -22,6 +23,13 @@
     double slack { 50 };
 };
 
+/// The planned stop of an entry.
+struct PlannedStop {
+    TimePoint began;
+    /// What hasn't been answered by then is cut.
+    TimePoint endsBy;
+};
+
 /// What the requests of one entry share. All references outlive the requests.
 struct IngressParts {
     Scheduler& scheduler;
@@ -41,6 +49,8 @@
     absl::flat_hash_map<std::string, RegionPressure> pressures;
     /// The configuration in force; null before the first one is known.
     std::shared_ptr<const RouteTable> routes;
+    /// Present once the entry stops.
+    std::optional<PlannedStop> stop;
     std::size_t openRequests { 0 };
 
     RetryBudget& retryBudgetOf(const std::string& service);
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -59,6 +59,7 @@
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
     bool isAllowedHere() const;
+    bool endsBeforeStop() const;
     /// Returns the largest part that the request shares with others, if reading
     /// it again would matter; null otherwise.
     const PromptPart* sharedPart() const;
--- a/lib/Config/RouteTable.cpp
+++ b/lib/Config/RouteTable.cpp
@@ -33,22 +33,25 @@
         m_serviceIndex.emplace(m_services[i].name, i);
 }
 
-std::vector<std::string> homeRegionsOf(const RouteTable& table, absl::string_view host)
+HostHomes homesOf(const RouteTable& table, absl::string_view host)
 {
     std::map<std::string, std::size_t> allowedBy;
     std::size_t most = 0;
+    bool hasUnbound = false;
     for (const Route& route : table.routes()) {
         if (hostKey(route.host) != hostKey(host))
             continue;
+        hasUnbound |= route.homeRegions.empty();
         for (const std::string& region : route.homeRegions)
             most = std::max(most, ++allowedBy[region]);
     }
-    std::vector<std::string> best;
+    HostHomes homes;
+    homes.bindsAll = !allowedBy.empty() && !hasUnbound;
     for (const auto& [region, routes] : allowedBy) {
         if (routes == most)
-            best.push_back(region);
+            homes.regions.push_back(region);
     }
-    return best;
+    return homes;
 }
 
 // Every prefix ends with a slash, so only the path's beginnings up to a slash
--- a/lib/Dispatch/LedgerDocument.cpp
+++ b/lib/Dispatch/LedgerDocument.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Dispatch/LedgerDocument.h"
 
+#include "catkinwing/Support/Cbor.h"
 #include <absl/strings/str_cat.h>
 #include <cassert>
 #include <nlohmann/json.hpp>
@@ -129,48 +130,13 @@
     return generation;
 }
 
-namespace {
-
-    /// Walks through a document and stops where it is nested too deeply; the
-    /// library's parser calls itself for each level, without a bound.
-    class DepthScan final : public nlohmann::json_sax<nlohmann::json> {
-    public:
-        bool null() override { return true; }
-        bool boolean(bool /*value*/) override { return true; }
-        bool number_integer(number_integer_t /*value*/) override { return true; }
-        bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-        bool number_float(number_float_t /*value*/, const string_t& /*text*/) override { return true; }
-        bool string(string_t& /*value*/) override { return true; }
-        bool binary(binary_t& /*value*/) override { return true; }
-        bool key(string_t& /*name*/) override { return true; }
-        bool start_object(std::size_t /*items*/) override { return open(); }
-        bool start_array(std::size_t /*items*/) override { return open(); }
-        bool end_object() override { return close(); }
-        bool end_array() override { return close(); }
-        bool parse_error(std::size_t /*position*/, const std::string& /*token*/, const nlohmann::detail::exception& /*error*/) override { return false; }
-
-    private:
-        bool open() { return ++m_depth <= maximumDepth; }
-        bool close()
-        {
-            --m_depth;
-            return true;
-        }
-
-        /// The document, its list of claimants and a claimant.
-        static constexpr std::size_t maximumDepth = 3;
-        std::size_t m_depth { 0 };
-    };
-
-} // namespace
-
 absl::StatusOr<LedgerGeneration> decodeGeneration(absl::string_view bytes, unsigned slots)
 {
-    DepthScan scan;
-    if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &scan, nlohmann::json::input_format_t::cbor))
+    nlohmann::json document = parseCbor(bytes);
+    if (document.is_discarded())
         return absl::DataLossError("ledger document: not CBOR, or nested too deeply");
     try {
-        return decodeDocument(nlohmann::json::from_cbor(bytes.begin(), bytes.end()), slots);
+        return decodeDocument(document, slots);
     } catch (const nlohmann::json::exception& error) {
         return absl::DataLossError(absl::StrCat("ledger document: ", error.what()));
     }
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -92,8 +92,7 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-std::vector<SocketAddress> EntryTable::entriesFor(const std::string& region, const std::string& availabilityZone, const std::vector<std::string>& homes,
-    TimePoint now) const
+std::vector<SocketAddress> EntryTable::entriesFor(const std::string& region, const std::string& availabilityZone, const HostHomes& homes, TimePoint now) const
 {
     std::vector<SocketAddress> ofZone;
     std::vector<SocketAddress> ofRegion;
@@ -105,20 +104,22 @@
         addOnce(all, record.clients);
         if (record.region == region)
             addOnce(ofRegion, record.clients);
-        if (contains(homes, record.region))
+        if (contains(homes.regions, record.region))
             addOnce(ofHomes, record.clients);
         if (record.availabilityZone == availabilityZone)
             addOnce(ofZone, record.clients);
     }
     for (const Departed& departed : m_departed) {
-        bool isAllowed = departed.record.region == region || contains(homes, departed.record.region);
-        if (isAllowed && !homes.empty() && now - departed.at <= stopTime)
+        bool isAllowed = departed.record.region == region || contains(homes.regions, departed.record.region);
+        if (isAllowed && !homes.regions.empty() && now - departed.at <= stopTime)
             addOnce(leaving, departed.record.clients);
     }
     for (std::vector<SocketAddress>* best : { &ofZone, &ofRegion, &ofHomes, &leaving }) {
         if (!best->empty())
             return std::move(*best);
     }
+    if (homes.bindsAll)
+        all.clear();
     return all;
 }
 
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -34,9 +34,6 @@
 /// For this long after SIGTERM new connections are still taken, each for one
 /// request; by then nobody holds an answer of the directory that names the entry.
 static constexpr milliseconds listenWhileDraining { 3'200 };
-/// What arrives later than this after SIGTERM is refused, since it might not be
-/// finished in time.
-static constexpr milliseconds acceptWhileDraining { 3'500 };
 /// An entry that stops doesn't end sooner than this after SIGTERM, and not
 /// within the quiet time after its last request, since clients that hold an old
 /// answer of the directory still come.
@@ -68,7 +65,7 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, 0 }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, 0 }
         , registration(*store, eventLoop, registrationOptions())
         , relayed(*store, *peerClient, eventLoop, relayChoice())
         , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -119,7 +116,7 @@
     void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
-    bool isReady() const { return parts.routes && follower.knowsEndpoints() && !isDraining; }
+    bool isReady() const { return parts.routes && follower.knowsEndpoints() && !parts.stop; }
     void takeLoadReport(absl::string_view bytes);
     void reportLoad();
     void logState();
@@ -153,10 +150,8 @@
     std::uint64_t reportSequence { 0 };
     bool wasIdle { false };
     TimePoint stateLoggedAt {};
-    bool isDraining { false };
     bool hasStoppedListening { false };
     bool wasReady { false };
-    TimePoint drainBegan {};
     TimePoint lastRequestAt {};
     std::function<void()> drained;
 };
@@ -209,25 +204,12 @@
     responder.send(head, std::move(body));
 }
 
-static void refuseLate(HttpResponder& responder)
-{
-    HttpResponseHead head;
-    head.status = statusUnavailable;
-    head.headers.add(outcomeHeader, outcomeWord(Outcome::NotRun));
-    head.headers.add("retry-after", "0.1");
-    responder.send(head, "");
-}
-
 void IngressDaemon::Impl::accept(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer)
 {
     if (isFromPeer && request.headers.find(changesAfterHeader)) {
         relayed.answerPeer(request, std::move(responder));
         return;
     }
-    if (isDraining && loop.clock().now() - drainBegan > acceptWhileDraining) {
-        refuseLate(*responder);
-        return;
-    }
     lastRequestAt = loop.clock().now();
     RoutedRequest routed;
     routed.facts = dialect.readRequest(request);
@@ -258,9 +240,10 @@
         answer(responder, statusNotFound, "text/plain", "");
         return;
     }
-    std::vector<std::string> homes = parts.routes ? homeRegionsOf(*parts.routes, question->host) : std::vector<std::string>();
+    HostHomes homes = parts.routes ? homesOf(*parts.routes, question->host) : HostHomes();
     std::vector<SocketAddress> entries = parts.entries.entriesFor(question->region, question->availabilityZone, homes, loop.clock().now());
-    if (entries.empty() && isReady())
+    bool mayServe = !homes.bindsAll || question->region == settings.region || std::count(homes.regions.begin(), homes.regions.end(), settings.region) > 0;
+    if (entries.empty() && isReady() && mayServe)
         entries.push_back(self.clients);
     if (entries.empty()) {
         answer(responder, statusUnavailable, "text/plain", "");
@@ -344,14 +327,14 @@
 
 void IngressDaemon::Impl::checkDrained()
 {
-    Duration passed = loop.clock().now() - drainBegan;
+    Duration passed = loop.clock().now() - parts.stop->began;
     if (passed >= listenWhileDraining && !hasStoppedListening) {
         hasStoppedListening = true;
         clients->stopListening();
     }
     bool isQuiet = loop.clock().now() - lastRequestAt >= quietBeforeEnd || hasStoppedListening;
     bool hasRested = isQuiet && passed >= std::min<Duration>(minimumDrain, ingress.drainTimeout / 2);
-    bool mustEnd = passed >= ingress.drainTimeout - drainMargin;
+    bool mustEnd = loop.clock().now() >= parts.stop->endsBy;
     if (mustEnd || (hasRested && parts.openRequests == 0)) {
         logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequests } });
         drained();
@@ -387,11 +370,11 @@
 void IngressDaemon::drain(std::function<void()> done)
 {
     Impl& impl = *m_impl;
-    if (impl.isDraining)
+    if (impl.parts.stop)
         return;
-    impl.isDraining = true;
     impl.drained = std::move(done);
-    impl.drainBegan = impl.loop.clock().now();
+    TimePoint now = impl.loop.clock().now();
+    impl.parts.stop = PlannedStop { now, now + impl.ingress.drainTimeout - drainMargin };
     logChange(LogLevel::Info, "draining", { { "open_requests", impl.parts.openRequests } });
     impl.registration.stop();
     impl.relayed.stopRelaying();
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -30,6 +30,10 @@
 /// requests are refused long before long ones suffer, and a part that is read
 /// elsewhere pushes others out there.
 static constexpr double leastOwnerReadiness = 0.3;
+/// An entry that stops takes every request for this long, since clients still
+/// hold answers of the directory that name it and most requests end long before
+/// their deadline; later it takes those that surely end before it does.
+static constexpr milliseconds takeAllWhileStopping { 3'000 };
 /// A route's priorities begin with zero, the most urgent, like an endpoint's.
 static constexpr int leastUrgent = 9;
 
@@ -76,6 +80,10 @@
     if (m_request.facts.timeLeft)
         allowed = std::min(allowed, *m_request.facts.timeLeft);
     m_deadline = m_request.arrivedAt + allowed;
+    if (!endsBeforeStop()) {
+        answerOwn(statusUnavailable, Outcome::NotRun, "stopping");
+        return;
+    }
     m_deadlineTimer = m_parts.scheduler.callAfter(m_deadline - now(), [self] { self->deadlinePassed(); });
     m_responder->onClosed([self] { self->clientGone(); });
     if (!m_responder->isOpen()) {
@@ -93,6 +101,12 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now());
 }
 
+bool RoutedRun::endsBeforeStop() const
+{
+    const std::optional<PlannedStop>& stop = m_parts.stop;
+    return !stop || m_request.arrivedAt - stop->began <= takeAllWhileStopping || m_deadline <= stop->endsBy;
+}
+
 bool RoutedRun::isAllowedHere() const
 {
     const std::vector<std::string>& homes = m_route->homeRegions;
--- a/lib/PeerProtocol/LoadReport.cpp
+++ b/lib/PeerProtocol/LoadReport.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/PeerProtocol/LoadReport.h"
 
+#include "catkinwing/Support/Cbor.h"
 #include "catkinwing/Support/Hash.h"
 #include <nlohmann/json.hpp>
 
@@ -31,7 +32,7 @@
 
 absl::StatusOr<LoadReport> decodeLoadReport(absl::string_view bytes)
 {
-    json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    json message = parseCbor(bytes);
     bool isReport = message.is_array() && message.size() == 3 && message[0].is_string() && message[1].is_number_unsigned() && message[2].is_array()
         && message[2].size() % numbersPerLoad == 0;
     if (!isReport)
--- a/lib/PeerProtocol/StoreChanges.cpp
+++ b/lib/PeerProtocol/StoreChanges.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/PeerProtocol/StoreChanges.h"
 
+#include "catkinwing/Support/Cbor.h"
 #include <nlohmann/json.hpp>
 
 namespace catkinwing {
@@ -39,7 +40,7 @@
 
 absl::StatusOr<StoreChanges> decodeStoreChanges(absl::string_view bytes)
 {
-    json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    json message = parseCbor(bytes);
     bool isMessage = message.is_array() && message.size() == 2 && message[0].is_number_integer() && message[1].is_array();
     if (!isMessage)
         return absl::InvalidArgumentError("changes of the store from an entry can't be read");
--- a/unittests/Config/RouteTableTest.cpp
+++ b/unittests/Config/RouteTableTest.cpp
@@ -43,10 +43,14 @@
 TEST_CASE("the homes of a host are those that most of its bound routes allow")
 {
     RouteTable table(1, { route("a", "h", "/a/", { "north", "south" }), route("b", "h", "/b/"), route("c", "h", "/c/", { "south", "west" }), route("d", "g", "/", { "east" }), route("e", "k", "/a/", { "north", "south" }), route("f", "k", "/b/", { "north", "south" }), route("g", "k", "/c/", { "west" }) }, {}, {});
-    CHECK(homeRegionsOf(table, "h") == std::vector<std::string> { "south" });
-    CHECK(homeRegionsOf(table, "g") == std::vector<std::string> { "east" });
-    CHECK(homeRegionsOf(table, "k") == std::vector<std::string> { "north", "south" });
-    CHECK(homeRegionsOf(table, "f").empty());
+    CHECK(homesOf(table, "h").regions == std::vector<std::string> { "south" });
+    CHECK(homesOf(table, "g").regions == std::vector<std::string> { "east" });
+    CHECK(homesOf(table, "k").regions == std::vector<std::string> { "north", "south" });
+    CHECK(homesOf(table, "f").regions.empty());
+    CHECK_FALSE(homesOf(table, "h").bindsAll);
+    CHECK(homesOf(table, "g").bindsAll);
+    CHECK(homesOf(table, "k").bindsAll);
+    CHECK_FALSE(homesOf(table, "f").bindsAll);
 }
 
 TEST_CASE("only idempotent requests and streams that resume may be repeated")
--- a/unittests/Ingress/EntryTableTest.cpp
+++ b/unittests/Ingress/EntryTableTest.cpp
@@ -31,8 +31,8 @@
     using Addresses = std::vector<SocketAddress>;
     CHECK(table.entriesFor("north", "north-b", {}, TimePoint { 10s }) == Addresses { at(2) });
     CHECK(table.entriesFor("north", "north-c", {}, TimePoint { 10s }) == Addresses { at(1), at(2) });
-    CHECK(table.entriesFor("east", "east-a", { "south" }, TimePoint { 10s }) == Addresses { at(3) });
-    CHECK(table.entriesFor("east", "east-a", { "nowhere" }, TimePoint { 10s }).size() == 4);
+    CHECK(table.entriesFor("east", "east-a", { { "south" } }, TimePoint { 10s }) == Addresses { at(3) });
+    CHECK(table.entriesFor("east", "east-a", { { "nowhere" } }, TimePoint { 10s }).size() == 4);
     CHECK(table.entriesFor("east", "east-a", {}, TimePoint { 10s }).size() == 4);
 }
 
@@ -88,8 +88,20 @@
     table.remove("n1", now - 8s);
     table.remove("n2", now);
     using Addresses = std::vector<SocketAddress>;
-    CHECK(table.entriesFor("north", "north-a", { "north" }, now + 1s) == Addresses { at(2) });
-    CHECK(table.entriesFor("north", "north-a", { "north" }, now + 4s).size() == 2);
+    CHECK(table.entriesFor("north", "north-a", { { "north" } }, now + 1s) == Addresses { at(2) });
+    CHECK(table.entriesFor("north", "north-a", { { "north" } }, now + 4s).size() == 2);
     CHECK(table.entriesFor("north", "north-a", {}, now + 1s).size() == 2);
-    CHECK(table.entriesFor("north", "north-a", { "south" }, now + 1s) == Addresses { at(3) });
+    CHECK(table.entriesFor("north", "north-a", { { "south" } }, now + 1s) == Addresses { at(3) });
+}
+
+TEST_CASE("where homes bind every request no entry elsewhere is named, which could only refuse")
+{
+    EntryTable table = smallTable();
+    TimePoint now { 10s };
+    HostHomes homes { { "south" }, true };
+    CHECK(table.entriesFor("east", "east-a", homes, now) == std::vector<SocketAddress> { at(3) });
+    CHECK(table.entriesFor("north", "north-a", homes, now) == std::vector<SocketAddress> { at(1) });
+    table.remove("s1", now);
+    CHECK(table.entriesFor("east", "east-a", homes, now + 1s) == std::vector<SocketAddress> { at(3) });
+    CHECK(table.entriesFor("east", "east-a", homes, now + 4s).empty());
 }
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -201,6 +201,26 @@
     }
 }
 
+TEST_CASE("an entry that stops takes late only what surely ends before it does")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) { return answered(request, 200, "done"); } };
+    TimePoint began = fixture.scheduler.clock().now();
+    fixture.parts.stop = PlannedStop { began, began + 4500ms };
+    CHECK(fixture.runToEnd()->status() == 200);
+    fixture.parts.stop = PlannedStop { fixture.scheduler.clock().now() - 3001ms, fixture.scheduler.clock().now() + 1000ms };
+    CHECK(fixture.runToEnd()->status() == 200);
+    fixture.parts.stop = PlannedStop { fixture.scheduler.clock().now() - 3001ms, fixture.scheduler.clock().now() + 999ms };
+    auto late = fixture.start();
+    CHECK(late->isFinished);
+    CHECK(late->status() == 503);
+    CHECK(late->outcome() == "not-run");
+    CHECK(fixture.start({ { "time-left", "900" } })->isOpen());
+    CHECK(fixture.endpointClient.requests.size() == 3);
+}
+
 TEST_CASE("a client's own deadline is passed on if it is sooner than the route's")
 {
     IngressFixture fixture;
--- a/unittests/PeerProtocol/LoadReportTest.cpp
+++ b/unittests/PeerProtocol/LoadReportTest.cpp
@@ -25,6 +25,8 @@
 TEST_CASE("a report that holds what is no count is refused")
 {
     CHECK_FALSE(decodeLoadReport("").ok());
+    CHECK_FALSE(decodeLoadReport(std::string("\x9b\xfe\x01\x61\x09\x00\x00\x00\x99", 9)).ok());
+    CHECK_FALSE(decodeLoadReport(std::string(64'000, '\x81')).ok());
     CHECK_FALSE(decodeLoadReport("\x83\x61\x61\x01\x84\x01\x01\x01\x20").ok());
     CHECK_FALSE(decodeLoadReport("\x83\x61\x61\x01\x82\x01\x01").ok());
     CHECK(decodeLoadReport("\x83\x61\x61\x01\x84\x01\x01\x01\x02").ok());
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -73,3 +73,15 @@
     CHECK_FALSE(readEndpoint("i-1", R"({"service":"s","addr":"nowhere"})").ok());
     CHECK_FALSE(readEndpoint("i-1", "{").ok());
 }
+
+TEST_CASE("numbers that no machine could hold count as the most or the least that is sensible")
+{
+    absl::StatusOr<EndpointRecord> record = readEndpoint("i-1", R"({"service":"s","addr":"10.1.2.3:80","zone":"z","slots":1e300,"warmup_ms":-5})");
+    REQUIRE(record.ok());
+    CHECK(record->slots == 1'000'000'000);
+    CHECK(record->coldFor == 0ms);
+    ConfigResult<RouteTable> table = readRouteTable(R"({"version":1,"routes":[{"prefix":"/","service":"s","timeout_ms":1e99,"attempts":-3,"priority":1e99}],"services":[{"name":"s","warmup_s":1e99}]})");
+    REQUIRE(table.ok());
+    CHECK(table.document->routes()[0].attempts == 0);
+    CHECK(table.document->routes()[0].timeout == 1'000'000s);
+}
--- a/unittests/Platform/StoreMessagesTest.cpp
+++ b/unittests/Platform/StoreMessagesTest.cpp
@@ -41,7 +41,7 @@
 
 TEST_CASE("an answer that doesn't follow the protocol is a failure, not an empty answer")
 {
-    for (const char* body : { "", "null", "[]", "{}", "{\"items\":5}", "{\"items\":[5],\"current_rev\":1}", "{\"events\":[],\"current_rev\":\"1\"}", R"({"items":[{"key":"k","value":"%","revision":1}],"current_rev":1})", R"({"events":[{"deleted":true}],"current_rev":1})" }) {
+    for (const char* body : { "", "null", "[]", "{}", "{\"items\":5}", "{\"items\":[5],\"current_rev\":1}", "{\"events\":[],\"current_rev\":\"1\"}", R"({"items":[{"key":"k","value":"%","revision":1}],"current_rev":1})", R"({"events":[{"deleted":true}],"current_rev":1})", R"({"items":[],"truncated":"no","revision":1e300,"ttl_ms":-1e300})", R"({"events":[{"deleted":"x"}],"current_rev":1})" }) {
         CAPTURE(body);
         CHECK_FALSE(readItem(body).ok());
         CHECK_FALSE(readRangePage(body).ok());
