Forward to entries that the store turned away where no other is left

Ruled out: longer leases (the keys are revoked, not lapsed); naming it in the directory (clients may reach an entry that is gone).

Change: a request that may not be processed here goes to an entry whose registration vanished at most 15 s ago, if none is registered there. One that doesn't answer is forgotten at once, so that a lost region costs each entry one attempt for each of its entries.

--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -45,6 +45,10 @@
     std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const HostHomes& homes, TimePoint now) const;
     /// Returns an entry of \p region to forward to; nothing if there is none.
     std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
+    /// Returns an entry of \p region whose registration vanished a while ago and
+    /// that hasn't failed to answer since: the store may have turned it away
+    /// while it serves on.
+    std::optional<SocketAddress> chooseDepartedPeer(const std::string& region, TimePoint now, Random& random) const;
     /// Returns the addresses of the other entries of \p region.
     std::vector<SocketAddress> peersOf(const std::string& region) const;
     /// Passes \p peer over for a while.
@@ -71,7 +75,7 @@
     };
 
     std::map<std::string, Entry> m_entries;
-    /// Entries that were removed within the last seconds.
+    /// Entries that were removed a short while ago.
     std::vector<Departed> m_departed;
     std::map<SocketAddress, TimePoint> m_suspectUntil;
 };
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -9,6 +9,9 @@
 
 /// An entry that stops as planned still takes what comes for this long.
 static constexpr std::chrono::milliseconds stopTime { 2'500 };
+/// An entry that the store turned away is forwarded to for this long, where no
+/// other is left; longer than such troubles usually last.
+static constexpr std::chrono::milliseconds departedKept { 15'000 };
 /// How long an entry that didn't answer a forward is passed over.
 static constexpr std::chrono::milliseconds peerSuspicion { 1'000 };
 
@@ -54,7 +57,7 @@
 
 void EntryTable::remove(const std::string& key, TimePoint now)
 {
-    auto isOver = [now](const Departed& departed) { return now - departed.at > stopTime; };
+    auto isOver = [now](const Departed& departed) { return now - departed.at > departedKept; };
     m_departed.erase(std::remove_if(m_departed.begin(), m_departed.end(), isOver), m_departed.end());
     auto found = m_entries.find(key);
     if (found != m_entries.end())
@@ -138,6 +141,18 @@
     return sound[random.below(sound.size())];
 }
 
+std::optional<SocketAddress> EntryTable::chooseDepartedPeer(const std::string& region, TimePoint now, Random& random) const
+{
+    std::vector<SocketAddress> peers;
+    for (const Departed& departed : m_departed) {
+        if (departed.record.region == region && now - departed.at <= departedKept)
+            addOnce(peers, departed.record.peers);
+    }
+    if (peers.empty())
+        return std::nullopt;
+    return peers[random.below(peers.size())];
+}
+
 std::vector<SocketAddress> EntryTable::peersOf(const std::string& region) const
 {
     std::vector<SocketAddress> peers;
@@ -151,6 +166,8 @@
 void EntryTable::notePeerFailure(const SocketAddress& peer, TimePoint now)
 {
     m_suspectUntil[peer] = now + peerSuspicion;
+    auto isPeer = [&peer](const Departed& departed) { return departed.record.peers == peer; };
+    m_departed.erase(std::remove_if(m_departed.begin(), m_departed.end(), isPeer), m_departed.end());
     logChange(LogLevel::Warning, "entry_suspect", { { "entry", peer.toString() } });
 }
 
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -256,6 +256,9 @@
 bool RoutedRun::sendToEntryOf(const std::string& region, const char* why)
 {
     std::optional<SocketAddress> peer = m_parts.entries.choosePeer(region, now(), m_parts.random);
+    // What may not be processed here has nowhere else to go.
+    if (!peer && !isAllowedHere())
+        peer = m_parts.entries.chooseDepartedPeer(region, now(), m_parts.random);
     m_triedRegions.push_back(region);
     if (!peer)
         return false;
--- a/unittests/Ingress/EntryTableTest.cpp
+++ b/unittests/Ingress/EntryTableTest.cpp
@@ -105,3 +105,18 @@
     CHECK(table.entriesFor("east", "east-a", homes, now + 1s) == std::vector<SocketAddress> { at(3) });
     CHECK(table.entriesFor("east", "east-a", homes, now + 4s).empty());
 }
+
+TEST_CASE("an entry that the store turned away is a peer for a while, until it doesn't answer")
+{
+    EntryTable table = smallTable();
+    Random random(1);
+    TimePoint now { 10s };
+    CHECK_FALSE(table.chooseDepartedPeer("south", now, random));
+    table.remove("s1", now);
+    CHECK_FALSE(table.choosePeer("south", now + 10s, random));
+    CHECK(table.chooseDepartedPeer("south", now + 10s, random) == at(1'003));
+    CHECK_FALSE(table.chooseDepartedPeer("north", now + 10s, random));
+    CHECK_FALSE(table.chooseDepartedPeer("south", now + 20s, random));
+    table.notePeerFailure(at(1'003), now + 10s);
+    CHECK_FALSE(table.chooseDepartedPeer("south", now + 11s, random));
+}
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -221,6 +221,20 @@
     CHECK(fixture.endpointClient.requests.size() == 3);
 }
 
+TEST_CASE("a request bound to another region goes to an entry there that the store turned away")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::unary(RequestKind::NonIdempotent);
+    route.homeRegions = { "south" };
+    fixture.configure(route);
+    fixture.addEndpoint("e1", "south-a");
+    fixture.addEntry("s1", "south", 5'000);
+    fixture.peerClient.handler = [](const HttpClientRequest& request) { return answered(request, 200, "done"); };
+    fixture.parts.entries.remove("s1", fixture.scheduler.clock().now());
+    CHECK(fixture.runToEnd()->status() == 200);
+    CHECK(fixture.peerClient.requests.size() == 1);
+}
+
 TEST_CASE("a client's own deadline is passed on if it is sooner than the route's")
 {
     IngressFixture fixture;
