Bound callers' connections by the descriptors that the machine has

Ruled out: a larger fixed limit (machines have 2,048 to 8,192 descriptors, and a request that is forwarded needs two).

Change: settings may state maximumDescriptors; callers then hold half of them beside a reserve of 300, also from one address.

--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -47,9 +47,14 @@
 struct DaemonLimits {
     /// Open connections of callers.
     std::int64_t maximumConnections { 1024 };
+    /// Descriptors that the process may open; zero if not stated.
+    std::int64_t maximumDescriptors { 0 };
     std::int64_t maximumBodyBytes { 8000000 };
 };
 
+/// Returns the connections that callers may hold open.
+std::int64_t connectionsForCallers(const DaemonLimits& limits);
+
 /// Serving by host and path.
 struct IngressSettings {
     SocketAddress readiness;
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -45,9 +45,18 @@
 static void readLimits(const ObjectReader& reader, DaemonLimits& limits)
 {
     reader.read("maximumConnections", limits.maximumConnections);
+    reader.read("maximumDescriptors", limits.maximumDescriptors);
     reader.read("maximumBodyBytes", limits.maximumBodyBytes);
 }
 
+// A request that is forwarded needs a second descriptor. The reserve is for the
+// listeners, the store, other entries and files.
+std::int64_t connectionsForCallers(const DaemonLimits& limits)
+{
+    constexpr std::int64_t reserve = 300;
+    return limits.maximumDescriptors > 0 ? (limits.maximumDescriptors - reserve) / 2 : limits.maximumConnections;
+}
+
 static void readIngress(const ObjectReader& reader, IngressSettings& ingress)
 {
     reader.read("readiness", ingress.readiness, PortRange::FromZero);
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -400,7 +400,7 @@
 {
     HttpServerOptions callerOptions = serverOptions(settings.listen.callers, tls.callers);
     callerOptions.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
-    callerOptions.maxConnections = static_cast<std::size_t>(settings.limits.maximumConnections);
+    callerOptions.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
     auto callerListener = HttpServer::listen(loop, callerOptions, [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) { callers.handle(std::move(request), responder); });
     if (!callerListener.ok())
         return callerListener.status();
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -163,7 +163,9 @@
     options.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
     options.requestTimeout = idleConnectionTimeout;
     options.sendTimeout = clientSendTimeout;
-    options.maxConnections = static_cast<std::size_t>(settings.limits.maximumConnections);
+    options.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
+    // Many clients may come from one address.
+    options.maxConnectionsPerCaller = options.maxConnections;
     return HttpServer::listen(loop, std::move(options), std::move(handler));
 }
 
--- a/unittests/Config/DocumentTest.cpp
+++ b/unittests/Config/DocumentTest.cpp
@@ -49,6 +49,16 @@
     CHECK_FALSE(result.document->testFaults);
 }
 
+TEST_CASE("callers may hold half of the stated descriptors beside a reserve")
+{
+    json settings = daemonJson();
+    CHECK(connectionsForCallers(parseDaemonSettings(settings.dump()).document->limits) == 1024);
+    settings["limits"] = { { "maximumDescriptors", 4100 } };
+    CHECK(connectionsForCallers(parseDaemonSettings(settings.dump()).document->limits) == 1900);
+    settings["limits"] = { { "maximumDescriptors", 100 } };
+    CHECK_FALSE(parseDaemonSettings(settings.dump()).ok());
+}
+
 /// Returns the object that a schema's defaults make up.
 static json defaultsOf(const json& schema)
 {
