--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -125,6 +125,7 @@
     fixture.scheduler.advance(100ms);
     CHECK(responder->body == "first");
     CHECK_FALSE(responder->isFinished);
+    responder->leave();
 }
 
 TEST_CASE("residency tightened while a request waits keeps it from running")
@@ -233,4 +234,5 @@
     CHECK(waiting->status() == 503);
     CHECK(waiting->outcome() == "not-run");
     CHECK(fixture.broker.queued() == 0);
+    fixture.scheduler.advance(5s);
 }
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -217,7 +217,7 @@
     CHECK(late->isFinished);
     CHECK(late->status() == 503);
     CHECK(late->outcome() == "not-run");
-    CHECK(fixture.start({ { "time-left", "900" } })->isOpen());
+    CHECK(fixture.runToEnd({ { "time-left", "900" } })->status() == 200);
     CHECK(fixture.endpointClient.requests.size() == 3);
 }
 
