Begin with what another entry knows when the store is away at the start

Cause: an entry that starts while the store doesn't answer knows no route and refuses everything until the store is back.

Ruled out: seeds from the settings (the platform names only machines whose role serves its control address); keeping the last listing on disk (there is none); asking before the store has failed once (it mostly answers).

Change: others still send load reports to the address of an entry that has started again. The sender of the last one is asked for everything, once, when the first listing fails; an entry that is asked for everything answers also while it doesn't hear from the store itself.

--- a/include/catkinwing/Ingress/RelayedStore.h
+++ b/include/catkinwing/Ingress/RelayedStore.h
@@ -15,12 +15,16 @@
     std::function<std::optional<SocketAddress>()> relay;
     /// Tells that the entry did not answer as it should.
     std::function<void(const SocketAddress&)> noteFailure;
+    /// Returns an entry to learn everything from while the store doesn't answer
+    /// and this entry knows nothing yet; nothing if none is known.
+    std::function<std::optional<SocketAddress>()> bootstrap;
 };
 
 /// A store whose watch goes through another entry where there is one to ask, so
 /// that the store's calls grow with the zones and not with the entries. Every
 /// other call goes to the store itself. An entry that learns nothing from its
-/// relay turns to the store at once.
+/// relay turns to the store at once. One that starts while the store is away
+/// begins with what another entry knows.
 class RelayedStore final : public Store {
 public:
     /// All references must outlive the store.
@@ -39,7 +43,8 @@
     void revokeLease(StoreLease lease, DoneCallback done) override;
 
     /// Answers another entry that asks for changes; refuses unless this entry
-    /// watches the store itself and hears from it.
+    /// watches the store itself and hears from it. One that asks for everything
+    /// has nowhere else to learn it, and gets what this entry knows.
     void answerPeer(const HttpRequest& request, std::shared_ptr<HttpResponder> responder);
     /// Refuses those that wait, and all that come.
     void stopRelaying();
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -103,6 +103,7 @@
     {
         RelayChoice choice;
         choice.relay = [this] { return parts.entries.relay(ownKey(), loop.clock().now()); };
+        choice.bootstrap = [this] { return lastReporter; };
         choice.noteFailure = [this](const SocketAddress& peer) { parts.entries.notePeerFailure(peer, loop.clock().now()); };
         return choice;
     }
@@ -117,7 +118,7 @@
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !parts.stop; }
-    void takeLoadReport(absl::string_view bytes);
+    void takeLoadReport(const SocketAddress& from, absl::string_view bytes);
     void reportLoad();
     void logState();
     void houseKeep();
@@ -148,6 +149,9 @@
     std::unique_ptr<HttpServer> operators;
     std::unique_ptr<DatagramSocket> loadReports;
     std::uint64_t reportSequence { 0 };
+    /// The entry whose load report came last; reports come from the address at
+    /// which entries answer each other.
+    std::optional<SocketAddress> lastReporter;
     bool wasIdle { false };
     TimePoint stateLoggedAt {};
     bool hasStoppedListening { false };
@@ -185,7 +189,7 @@
         { settings.listen.operators, &operators, [this](const HttpRequest& request, const Responder& responder) { answerOperator(request, *responder); } },
     };
     absl::StatusOr<std::unique_ptr<DatagramSocket>> socket = DatagramSocket::bind(loop, settings.listen.peers,
-        [this](const SocketAddress&, absl::string_view bytes) { takeLoadReport(bytes); });
+        [this](const SocketAddress& from, absl::string_view bytes) { takeLoadReport(from, bytes); });
     if (!socket.ok())
         return socket.status();
     loadReports = std::move(*socket);
@@ -274,13 +278,17 @@
     answer(responder, statusOk, "text/plain", metrics.render());
 }
 
-void IngressDaemon::Impl::takeLoadReport(absl::string_view bytes)
+// Others still know an entry that has started again at its old address, so it
+// hears of them before the store answers.
+void IngressDaemon::Impl::takeLoadReport(const SocketAddress& from, absl::string_view bytes)
 {
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
-    if (report.ok())
-        parts.endpoints.peerLoads().take(std::move(*report), loop.clock().now());
-    else
+    if (!report.ok()) {
         metrics.count("load_reports_refused");
+        return;
+    }
+    lastReporter = from;
+    parts.endpoints.peerLoads().take(std::move(*report), loop.clock().now());
 }
 
 // An entry that has nothing under way says so once and then keeps silent.
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -53,6 +53,8 @@
     void answer(HttpResponder& responder, StoreRevision after) const;
     void refuseWaiters();
     void endDirect();
+    /// Asks another entry for everything; \p failure is the store's.
+    void bootstrap(const absl::Status& failure, ListCallback done);
     /// Tells whether other entries may wait here for news.
     bool mayRelay() const { return !hasStopped && (isDirect || scheduler.clock().now() < heldUntil); }
 
@@ -281,6 +283,40 @@
     });
 }
 
+void RelayedStore::Impl::bootstrap(const absl::Status& failure, ListCallback done)
+{
+    std::optional<SocketAddress> peer = choice.bootstrap ? choice.bootstrap() : std::nullopt;
+    if (mirror.revision() > 0 || !peer) {
+        done(failure);
+        return;
+    }
+    HttpClientRequest request;
+    request.server = *peer;
+    request.headers.add(changesAfterHeader, "0");
+    request.connectTimeout = relayConnectTimeout;
+    request.headTimeout = relayWait;
+    request.idleTimeout = relayWait;
+    sendForWhole(peers, std::move(request), maxAnswerBytes,
+        [weak = weak_from_this(), peer = *peer, failure, done = std::move(done)](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
+            auto self = weak.lock();
+            if (!self)
+                return;
+            bool isAnswer = result.end == HttpEnd::Complete && head.status == statusOk;
+            absl::StatusOr<StoreChanges> known = isAnswer ? decodeStoreChanges(body) : failure;
+            if (!known.ok()) {
+                done(known.status());
+                return;
+            }
+            StoreListing listing;
+            listing.revision = known->revision;
+            for (StoreChange& change : known->changes)
+                listing.values.push_back({ std::move(change.key), std::move(change.value), change.revision });
+            logChange(LogLevel::Warning, "store_learned_from_entry", { { "from", peer.toString() }, { "revision", listing.revision }, { "keys", listing.values.size() } });
+            self->mirror.takeListing(listing);
+            done(std::move(listing));
+        });
+}
+
 RelayedStore::RelayedStore(Store& direct, HttpClient& peers, Scheduler& scheduler, RelayChoice choice)
     : m_impl(std::make_shared<Impl>(direct, peers, scheduler, std::move(choice)))
 {
@@ -299,7 +335,11 @@
         auto impl = weak.lock();
         if (!impl)
             return;
-        if (listing.ok() && listing->revision >= impl->mirror.revision())
+        if (!listing.ok()) {
+            impl->bootstrap(listing.status(), done);
+            return;
+        }
+        if (listing->revision >= impl->mirror.revision())
             impl->mirror.takeListing(*listing);
         done(listing);
     });
@@ -363,7 +403,8 @@
     const std::string* text = request.headers.find(changesAfterHeader);
     StoreRevision after = 0;
     bool isAsked = text && absl::SimpleAtoi(*text, &after);
-    if (!isAsked || !impl.mayRelay()) {
+    bool asksForAll = isAsked && after == 0 && impl.mirror.revision() > 0;
+    if (!asksForAll && (!isAsked || !impl.mayRelay())) {
         HttpResponseHead head;
         head.status = statusUnavailable;
         responder->send(head, "");
--- a/unittests/Ingress/RelayedStoreTest.cpp
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -181,6 +181,31 @@
     }
 }
 
+TEST_CASE("an entry that starts while the store is away begins with what another one knows")
+{
+    RelayWorld world;
+    world.shared.put("key", "value");
+    world.scheduler.advance(1s);
+    world.shared.setDown(true);
+    world.scheduler.advance(3s);
+    RelayChoice choice = RelayWorld::askingNobody();
+    choice.bootstrap = [] { return SocketAddress { "127.0.0.1", 1 }; };
+    RelayEntry late(world.shared, world.scheduler, world.network, choice);
+    std::optional<absl::StatusOr<StoreListing>> listing;
+    late.store.list("", [&](const absl::StatusOr<StoreListing>& listed) { listing = listed; });
+    world.scheduler.advance(3s);
+    REQUIRE(listing.has_value());
+    REQUIRE(listing->ok());
+    CHECK((*listing)->values.size() == 1);
+    CHECK((*listing)->values[0].value == "value");
+    // It knows something now, and asks the store alone.
+    int questions = world.network.questions;
+    late.store.list("", [&](const absl::StatusOr<StoreListing>& listed) { listing = listed; });
+    world.scheduler.advance(3s);
+    CHECK_FALSE(listing->ok());
+    CHECK(world.network.questions == questions);
+}
+
 TEST_CASE("a relay that has lost the store sends its followers to the store")
 {
     RelayWorld world;
