Check what an entry believes of the store over every order of troubles

What was lacking: no check of configuration versions and endpoints over losses of the watch. StoreFollowerTest plays all 729 orders of three steps out of nine (changes, the store down, silent or back, its history dropped, an answer lost) and 60 seeded orders of thirty: versions only rise, only written ones are in force, and 8 s after the store is well everything is caught up with. A follower that skips what its lost watch missed is found.

Result: no fault in the follower. Thirty of the long orders first failed the bound of 8 s, because answers that were still to be lost each cost a call's timeout (2 s) and a pause after the store was back; they have 40 s now, the exhaustive ones keep 8 s.

--- /dev/null
+++ b/unittests/Ingress/StoreFollowerTest.cpp
@@ -0,0 +1,281 @@
+// What an entry believes of the store, over every order of short troubles.
+#include "StoreFollower.h"
+
+#include "Coordination/FakeStore.h"
+#include "IngressFixture.h"
+#include <absl/strings/numbers.h>
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class Step {
+    WriteConfiguration,
+    AddEndpoint,
+    RemoveEndpoint,
+    EvacuateZone,
+    Down,
+    Silent,
+    Heal,
+    Compact,
+    LoseAnswer,
+};
+constexpr int stepKinds = 9;
+
+ConfigResult<RouteTable> readVersion(absl::string_view text)
+{
+    ConfigResult<RouteTable> result;
+    std::int64_t version = 0;
+    if (absl::SimpleAtoi(text, &version))
+        result.document = RouteTable(version, {}, {}, {});
+    else
+        result.faults.push_back({ "", "expected a version" });
+    return result;
+}
+
+absl::StatusOr<EndpointRecord> readTestEndpoint(const std::string& incarnation, absl::string_view)
+{
+    EndpointRecord record;
+    record.incarnation = incarnation;
+    record.service = "service";
+    record.address = { "127.0.0.1", 1 };
+    record.availabilityZone = "north-a";
+    return record;
+}
+
+/// The store, and what operators and endpoints have written into it.
+class WrittenStore {
+public:
+    explicit WrittenStore(ManualScheduler& scheduler)
+        : store(scheduler)
+    {
+        store.put("configuration", "1");
+        store.put("endpoints/first", "");
+    }
+
+    void take(Step step)
+    {
+        switch (step) {
+        case Step::WriteConfiguration:
+            // Versions rise in uneven steps.
+            version += version % 3 + 1;
+            store.put("configuration", std::to_string(version));
+            break;
+        case Step::AddEndpoint:
+            store.put("endpoints/" + std::to_string(++m_added), "");
+            ++endpoints;
+            break;
+        case Step::RemoveEndpoint:
+            if (m_removed < m_added) {
+                store.erase("endpoints/" + std::to_string(++m_removed));
+                --endpoints;
+            }
+            break;
+        case Step::EvacuateZone:
+            store.put("evacuated/north-a", "");
+            break;
+        case Step::Down:
+            store.setDown(true);
+            break;
+        case Step::Silent:
+            store.setSilent(true);
+            break;
+        case Step::Heal:
+            store.setDown(false);
+            store.setSilent(false);
+            break;
+        case Step::Compact:
+            store.compact();
+            break;
+        case Step::LoseAnswer:
+            store.failNext(StoreCallGroup::Read, StoreFault::LostAnswer);
+            break;
+        }
+    }
+
+    FakeStore store;
+    std::int64_t version { 1 };
+    std::size_t endpoints { 1 };
+
+private:
+    int m_added { 0 };
+    int m_removed { 0 };
+};
+
+/// An entry's view of the store.
+class FollowedTables {
+public:
+    FollowedTables()
+    {
+        fixture.dialect.readRouteTable = readVersion;
+        fixture.dialect.readEndpoint = readTestEndpoint;
+    }
+
+    std::int64_t version() const { return fixture.parts.routes ? fixture.parts.routes->version() : 0; }
+    std::size_t endpoints() const { return fixture.parts.endpoints.size(); }
+
+    IngressFixture fixture;
+    WrittenStore written { fixture.scheduler };
+    std::unique_ptr<Store> client { written.store.clientOn(fixture.scheduler) };
+};
+
+/// The follower that entries run.
+class Follower {
+public:
+    explicit Follower(FollowedTables& tables)
+        : m_follower(*tables.client, tables.fixture.scheduler, tables.fixture.random, "entries/", tables.fixture.parts, [](const std::string&) {})
+    {
+        m_follower.start();
+    }
+    void houseKeep() { m_follower.houseKeep(); }
+
+private:
+    StoreFollower m_follower;
+};
+
+/// A follower with a fault: where its watch is out of range it goes on from the
+/// present, and never learns what it missed.
+class ForgetfulFollower {
+public:
+    explicit ForgetfulFollower(FollowedTables& tables)
+        : m_tables(tables)
+    {
+        list(true);
+    }
+    void houseKeep() { }
+
+private:
+    void list(bool takesValues)
+    {
+        m_tables.client->list("", [this, takesValues](const absl::StatusOr<StoreListing>& listing) {
+            if (!listing.ok()) {
+                m_tables.fixture.scheduler.callAfter(200ms, [this, takesValues] { list(takesValues); });
+                return;
+            }
+            for (const StoredValue& value : listing->values) {
+                if (takesValues)
+                    take(value);
+            }
+            follow(listing->revision + 1);
+        });
+    }
+    void take(const StoredValue& value)
+    {
+        m_seen = std::max(m_seen, value.revision);
+        if (value.key == "configuration")
+            m_tables.fixture.parts.routes = std::make_shared<const RouteTable>(std::move(*readVersion(value.value).document));
+        else if (absl::string_view(value.key).substr(0, 10) == "endpoints/")
+            m_tables.fixture.parts.endpoints.put(*readTestEndpoint(value.key.substr(10), ""), m_tables.fixture.scheduler.clock().now());
+    }
+    void follow(StoreRevision first)
+    {
+        StoreWatchCallbacks callbacks;
+        callbacks.onEvents = [this](const std::vector<StoreEvent>& events) {
+            for (const StoreEvent& event : events) {
+                if (event.isDeletion)
+                    m_tables.fixture.parts.endpoints.remove(event.current.key.substr(10), m_tables.fixture.scheduler.clock().now());
+                else
+                    take(event.current);
+            }
+        };
+        callbacks.onEnd = [this](const absl::Status& status) {
+            bool isForgotten = absl::IsOutOfRange(status);
+            m_tables.fixture.scheduler.callAfter(200ms, [this, isForgotten] { isForgotten ? list(false) : follow(m_seen + 1); });
+        };
+        m_watch = m_tables.client->watch("", first, std::move(callbacks));
+    }
+
+    FollowedTables& m_tables;
+    StoreRevision m_seen { 0 };
+    std::unique_ptr<StoreWatch> m_watch;
+};
+
+/// Lets time pass and looks at each moment; returns what is wrong.
+template <typename AnyFollower>
+std::string pass(FollowedTables& tables, AnyFollower& follower, Duration span)
+{
+    constexpr Duration moment = 50ms;
+    for (Duration passed {}; passed < span; passed += moment) {
+        std::int64_t before = tables.version();
+        tables.fixture.scheduler.advance(moment);
+        follower.houseKeep();
+        if (tables.version() < before)
+            return "a version fell";
+        if (tables.version() > tables.written.version)
+            return "a version that was never written";
+    }
+    return "";
+}
+
+/// Takes the steps and then leaves the store well for \p span; returns what is wrong.
+template <typename AnyFollower>
+std::string play(const std::vector<Step>& steps, Duration span)
+{
+    FollowedTables tables;
+    AnyFollower follower(tables);
+    std::string fault = pass(tables, follower, 100ms);
+    for (Step step : steps) {
+        tables.written.take(step);
+        if (fault.empty())
+            fault = pass(tables, follower, 300ms);
+    }
+    tables.written.take(Step::Heal);
+    if (fault.empty())
+        fault = pass(tables, follower, span);
+    if (!fault.empty())
+        return fault;
+    if (tables.version() != tables.written.version)
+        return "the newest version is not in force";
+    return tables.endpoints() == tables.written.endpoints ? "" : "the endpoints aren't those of the store";
+}
+
+template <typename AnyFollower>
+int countFaulty(int steps)
+{
+    int schedules = 1;
+    for (int i = 0; i < steps; ++i)
+        schedules *= stepKinds;
+    int faulty = 0;
+    for (int schedule = 0; schedule < schedules; ++schedule) {
+        std::vector<Step> taken;
+        for (int i = 0, rest = schedule; i < steps; ++i, rest /= stepKinds)
+            taken.push_back(static_cast<Step>(rest % stepKinds));
+        std::string fault = play<AnyFollower>(taken, 8s);
+        if (fault.empty())
+            continue;
+        ++faulty;
+        if (std::is_same_v<AnyFollower, Follower>) {
+            CAPTURE(schedule);
+            FAIL_CHECK(fault);
+        }
+    }
+    return faulty;
+}
+
+} // namespace
+
+TEST_CASE("over every order of three troubles and changes versions only rise and the store is caught up with")
+{
+    CHECK(countFaulty<Follower>(3) == 0);
+}
+
+TEST_CASE("the check finds a follower that skips what it missed")
+{
+    CHECK(countFaulty<ForgetfulFollower>(3) > 0);
+}
+
+TEST_CASE("over long seeded orders of troubles and changes the store is caught up with")
+{
+    Random random(11);
+    for (int schedule = 0; schedule < 60; ++schedule) {
+        std::vector<Step> steps(30);
+        for (Step& step : steps)
+            step = static_cast<Step>(random.below(stepKinds));
+        // Each answer that is still to be lost takes a call's timeout and a pause.
+        std::string fault = play<Follower>(steps, 40s);
+        CAPTURE(schedule, fault);
+        CHECK(fault.empty());
+    }
+}
