--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -74,7 +74,7 @@
     def __init__(self, number, zone, zones, binary, folder, store_port):
         self.name = f"entry-{zone}-{number}"
         self.zone, self.zones, self.binary, self.folder = zone, zones, binary, folder
-        self.ports = {name: free_port() for name in ("callers", "peers", "operators", "readiness", "directory")}
+        self.choose_ports()
         self.store_proxy = Proxy(store_port)
         self.process = None
         self.killed_at = None
@@ -83,6 +83,30 @@
         self.faulted_until = 0.0
         self.own_ends = 0
 
+    def choose_ports(self):
+        self.ports = {name: free_port() for name in ("callers", "peers", "operators", "readiness", "directory")}
+
+    async def start_first(self):
+        """Starts on ports that are its own; a soak beside this one may take one in between."""
+        for _ in range(5):
+            await self.start()
+            self.expected_exit = True
+            if not await self.lost_a_port():
+                self.expected_exit = False
+                return
+            self.choose_ports()
+
+    async def lost_a_port(self):
+        while self.alive():
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", self.ports["operators"])
+                writer.close()
+                return False
+            except OSError:
+                await asyncio.sleep(0.02)
+        with open(os.path.join(self.folder, f"{self.name}.log")) as log:
+            return "Address already in use" in log.read()
+
     async def start(self):
         if not hasattr(self.store_proxy, "port"):
             await self.store_proxy.start()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -74,7 +74,7 @@
             for number in (1, 2):
                 entry = fleet.Entry(number, zone, ZONES, self.arguments.binary, self.folder, self.store.port)
                 self.entries.append(entry)
-                await entry.start()
+                await entry.start_first()
         await self.wait_ready()
 
     async def add_endpoint(self, service, zone):
