Let sanitized unit tests take longer before they count as hung

Cause: the longest unit test takes 12 s, and 142 and 144 s under the sanitizers beside a busy machine; a machine half as fast would pass the bound of 240 s without a fault.

Ruled out: fewer interleavings under the sanitizers (that weakens the check).

Change: 900 s in sanitized builds; all other builds keep 240 s.

--- a/cmake/CatkinwingTargets.cmake
+++ b/cmake/CatkinwingTargets.cmake
@@ -21,6 +21,14 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
+# Longest time of one unit test in seconds, beyond which it counts as hung. The
+# longest takes 12 s; the sanitizers make it 144 s on eight busy cores.
+if(CATKINWING_SANITIZE)
+  set(CATKINWING_UNITTEST_TIMEOUT 900)
+else()
+  set(CATKINWING_UNITTEST_TIMEOUT 240)
+endif()
+
 # catkinwing_add_unittest(PACKAGE SOURCES file... DEPENDS target...)
 # Defines PACKAGETests; each Catch2 case is one CTest test named PACKAGE.CASE. The
 # target unit-tests builds them all.
@@ -31,7 +39,7 @@
   target_link_libraries(${package}Tests PRIVATE catkinwing${package} ${ARG_DEPENDS} Catch2::Catch2WithMain)
   set_target_properties(${package}Tests PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/unittests)
   add_dependencies(unit-tests ${package}Tests)
-  catch_discover_tests(${package}Tests TEST_PREFIX "${package}." PROPERTIES TIMEOUT 240)
+  catch_discover_tests(${package}Tests TEST_PREFIX "${package}." PROPERTIES TIMEOUT ${CATKINWING_UNITTEST_TIMEOUT})
 endfunction()
 
 # catkinwing_add_subdirectories(NAME...) adds those that exist.
