Keep the platform's stand-ins in a package of their own

Ruled out: the stand-ins of lib/Standin itself (its package may not use platform/, and the names would stand beside the product's own store and engine).

--- a/platform/standin/EndpointStandin.cpp
+++ b/lib/PlatformStandin/EndpointStandin.cpp
@@ -1,4 +1,4 @@
-#include "platform/standin/EndpointStandin.h"
+#include "catkinwing/PlatformStandin/EndpointStandin.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/platform/standin/StoreStandin.cpp
+++ b/lib/PlatformStandin/StoreStandin.cpp
@@ -1,4 +1,4 @@
-#include "platform/standin/StoreStandin.h"
+#include "catkinwing/PlatformStandin/StoreStandin.h"
 
 #include "catkinwing/Standin/JsonReader.h"
 #include "catkinwing/Standin/LeaseExpiry.h"
--- a/tools/catkinwing-standin/Arguments.h
+++ b/tools/catkinwing-standin/Arguments.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "catkinwing/PlatformStandin/EndpointStandin.h"
 #include "catkinwing/Standin/RawAnswerer.h"
 #include "catkinwing/Standin/Services.h"
 #include "catkinwing/Standin/StandinServer.h"
-#include "platform/standin/EndpointStandin.h"
 #include <absl/status/statusor.h>
 #include <optional>
 #include <string>
--- a/tools/catkinwing-standin/main.cpp
+++ b/tools/catkinwing-standin/main.cpp
@@ -1,7 +1,7 @@
 #include "Arguments.h"
+#include "catkinwing/PlatformStandin/StoreStandin.h"
 #include "catkinwing/Standin/HttpWeightFetcher.h"
 #include "catkinwing/Support/Logging.h"
-#include "platform/standin/StoreStandin.h"
 #include <csignal>
 #include <fstream>
 #include <iostream>
--- a/unittests/Platform/PlatformFixture.h
+++ b/unittests/Platform/PlatformFixture.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "../Http/HttpFixture.h"
+#include "catkinwing/PlatformStandin/EndpointStandin.h"
+#include "catkinwing/PlatformStandin/StoreStandin.h"
 #include "catkinwing/Standin/StandinServer.h"
 #include "platform/PlatformStore.h"
-#include "platform/standin/EndpointStandin.h"
-#include "platform/standin/StoreStandin.h"
 #include <nlohmann/json.hpp>
 
 namespace catkinwing::platform {
--- a/unittests/Platform/StoreStandinTest.cpp
+++ b/unittests/Platform/StoreStandinTest.cpp
@@ -1,5 +1,5 @@
 // The client of the platform's store against the stand-in, over real HTTP.
-#include "platform/standin/StoreStandin.h"
+#include "catkinwing/PlatformStandin/StoreStandin.h"
 
 #include "PlatformFixture.h"
 
