Tell the starts of an endpoint apart, and pass over registrations of other writers

Cause: a replica may start again under its id. The table kept all of the start before, also that it was leaving, so one that drained and came back got nothing for ever; loads, failures and cached parts of the old start were held against the new one. A registration without or with odd fields was read as far as it could be, so that another writer could redirect requests. Ruled out: telling starts apart by the store's revision of creation; a restart keeps its key, and a relisting after a compaction makes new revisions. Change: a later 'born' makes another RoutedEndpoint of which nothing is known; attempts at the start before are given up at once and its idle connections are dropped; an earlier start neither hides nor revives. One log line a second at most and a counter. Tests: the table, a run whose endpoint starts again, the served path over the stand-in with a drain and restart and with foreign entries. The document test of extreme numbers now names the fields that are asked for; it checks the same.

--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -57,8 +57,11 @@
 
 /// What the store holds about one endpoint.
 struct EndpointRecord {
-    /// Names one start of one endpoint; never used again.
+    /// Names the endpoint; a later start may bear the same name.
     std::string incarnation;
+    /// When this start began, since the Unix epoch by the endpoint's own clock.
+    /// It tells the starts under one name apart; nothing if it isn't stated.
+    std::optional<std::chrono::milliseconds> startedAt;
     std::string service;
     SocketAddress address;
     std::string availabilityZone;
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -8,6 +8,7 @@
 #include "catkinwing/Support/Random.h"
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,8 +22,11 @@
     /// Names it in load reports.
     std::uint32_t hash { 0 };
     std::string region;
-    /// Never reverts.
+    /// Never reverts; a new start under the same name is another RoutedEndpoint.
     bool isLeaving { false };
+    /// What is registered under its name can't be read, so it is not used
+    /// until it can be again.
+    bool isUnreadable { false };
     /// Set while its registration has vanished in an outage of the store.
     std::optional<TimePoint> isMissingSince;
     TimePoint coldUntil {};
@@ -42,6 +46,8 @@
     absl::flat_hash_set<std::uint64_t> partsSent;
     /// This entry's part of what it bears while cold.
     std::optional<TokenBucket> coldRate;
+    /// Gives up each attempt of this entry that is under way there, by its number.
+    absl::flat_hash_map<std::uint64_t, std::function<void(const char* reason)>> giveUps;
 };
 
 /// What a request asks of its endpoint.
@@ -61,9 +67,13 @@
     /// \p regionOfZone maps each availability zone to its region.
     EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone);
 
-    /// Takes a registration as the store has it. A start seen after the table
-    /// was first complete is cold for as long as it says.
+    /// Takes a registration as the store has it. A later start under a known
+    /// name replaces the one before, of which nothing is kept; an earlier one is
+    /// ignored.
     void put(EndpointRecord record, TimePoint now);
+    /// What is registered under the name can't be read. It names no endpoint to
+    /// use; one that was known stays unused until a readable registration.
+    void noteUnreadable(const std::string& incarnation);
     /// The registration is gone and the store was calm: nothing more is sent there.
     void remove(const std::string& incarnation, TimePoint now);
     /// The registration has vanished while the store was in trouble; removed by
@@ -103,6 +113,9 @@
     /// \p regions, or of all if empty; nothing if none is usable.
     std::optional<std::string> ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const;
     std::size_t size() const { return m_endpoints.size(); }
+    /// Calls \p observer with each start that a later one has replaced, before
+    /// the attempts under way there are given up.
+    void onReplaced(std::function<void(RoutedEndpoint&)> observer) { m_onReplaced = std::move(observer); }
 
 private:
     using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
@@ -112,6 +125,9 @@
     bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
     EndpointWork workOf(const RoutedEndpoint& endpoint) const;
     bool isUsable(const RoutedEndpoint& endpoint) const;
+    bool isOutdated(const EndpointRecord& record) const;
+    void endStart(RoutedEndpoint& endpoint);
+    void forget(const std::string& incarnation);
     bool hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
     bool tryTakeCold(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const;
 
@@ -124,6 +140,9 @@
     std::string m_self;
     PeerLoads m_peerLoads;
     SharedRate m_coldTolerance { 0, 1.5, 3 };
+    /// Latest start of names whose endpoint was removed.
+    absl::flat_hash_map<std::string, std::chrono::milliseconds> m_removedStarts;
+    std::function<void(RoutedEndpoint&)> m_onReplaced;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -52,6 +52,8 @@
     /// Present once the entry stops.
     std::optional<PlannedStop> stop;
     std::size_t openRequests { 0 };
+    /// Number of the last attempt of any request.
+    std::uint64_t lastAttempt { 0 };
 
     RetryBudget& retryBudgetOf(const std::string& service);
 };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -35,6 +35,7 @@
 private:
     /// The attempt under way.
     struct Attempt {
+        /// Unique within the entry.
         std::uint64_t number { 0 };
         AttemptTarget target { AttemptTarget::Endpoint };
         std::shared_ptr<RoutedEndpoint> endpoint;
@@ -74,7 +75,9 @@
     RegionPressure& pressure() const { return m_parts.pressures[m_service]; }
     bool sendAway();
     static void noteRead(Attempt& attempt);
+    static void leaveEndpoint(Attempt& attempt);
     void startAttempt(Attempt attempt, HttpClientRequest request);
+    void listenForGiveUp();
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
     void takeStatements(Attempt& attempt);
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -2,8 +2,10 @@
 
 #include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace catkinwing {
 
@@ -28,6 +30,9 @@
 static constexpr std::chrono::seconds suspectLogInterval { 2 };
 /// Shared parts that are remembered of an endpoint: more than fit its memory.
 static constexpr std::size_t maxPartsKept = 512;
+/// Names of removed endpoints whose start is remembered. An old registration is
+/// late by seconds, in which far fewer are removed.
+static constexpr std::size_t maxRemovedStarts = 4'096;
 
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
@@ -35,6 +40,14 @@
 {
 }
 
+// Each attempt takes itself off the list.
+static void giveUpAll(RoutedEndpoint& endpoint, const char* reason)
+{
+    auto giveUps = std::exchange(endpoint.giveUps, {});
+    for (const auto& [attempt, giveUp] : giveUps)
+        giveUp(reason);
+}
+
 static void logEndpoint(const char* event, const RoutedEndpoint& endpoint)
 {
     logChange(LogLevel::Info, event,
@@ -43,42 +56,115 @@
             { "in_flight", endpoint.inFlight } });
 }
 
+// Loads of two starts under one name must not be added up.
+static std::uint32_t hashOf(const EndpointRecord& record)
+{
+    if (!record.startedAt)
+        return endpointHash(record.incarnation);
+    return endpointHash(absl::StrCat(record.incarnation, "@", record.startedAt->count()));
+}
+
+static bool isBefore(const EndpointRecord& record, std::optional<milliseconds> start)
+{
+    return record.startedAt && start && *record.startedAt < *start;
+}
+
+// The store's entries come in order, but one that a relay or a stale read brings
+// may be older than what is known.
+bool EndpointTable::isOutdated(const EndpointRecord& record) const
+{
+    auto removed = m_removedStarts.find(record.incarnation);
+    if (removed != m_removedStarts.end() && isBefore(record, removed->second))
+        return true;
+    auto known = m_endpoints.find(record.incarnation);
+    return known != m_endpoints.end() && isBefore(record, known->second->record.startedAt);
+}
+
 void EndpointTable::put(EndpointRecord record, TimePoint now)
 {
+    if (isOutdated(record))
+        return;
+    std::shared_ptr<RoutedEndpoint> replaced;
+    auto known = m_endpoints.find(record.incarnation);
+    if (known != m_endpoints.end() && isBefore(known->second->record, record.startedAt)) {
+        replaced = known->second;
+        logEndpoint("endpoint_started_again", *replaced);
+        forget(record.incarnation);
+    }
     std::shared_ptr<RoutedEndpoint>& entry = m_endpoints[record.incarnation];
     bool isNew = !entry;
     if (isNew) {
         entry = std::make_shared<RoutedEndpoint>();
-        entry->hash = endpointHash(record.incarnation);
+        entry->hash = hashOf(record);
         auto region = m_regionOfZone.find(record.availabilityZone);
         if (region != m_regionOfZone.end())
             entry->region = region->second;
         m_ofService[record.service].push_back(entry);
     }
+    if (!isNew && entry->record.service != record.service) {
+        Endpoints& before = m_ofService[entry->record.service];
+        before.erase(std::remove(before.begin(), before.end(), entry), before.end());
+        m_ofService[record.service].push_back(entry);
+    }
     bool wasLeaving = entry->isLeaving;
     entry->isMissingSince.reset();
     entry->isLeaving = wasLeaving || record.isLeaving;
+    entry->isUnreadable = false;
     entry->coldUntil = std::max(entry->coldUntil, now + record.coldFor);
+    // A registration that leaves the start out is taken for the one that is known.
+    if (!record.startedAt)
+        record.startedAt = entry->record.startedAt;
     entry->record = std::move(record);
     if (isNew)
         logEndpoint("endpoint_added", *entry);
     if (!wasLeaving && entry->isLeaving)
         logEndpoint("endpoint_leaving", *entry);
+    if (replaced)
+        endStart(*replaced);
 }
 
-void EndpointTable::remove(const std::string& incarnation, TimePoint)
+// Requests that are given up may choose the new start, which is known by now.
+void EndpointTable::endStart(RoutedEndpoint& endpoint)
+{
+    if (m_onReplaced)
+        m_onReplaced(endpoint);
+    giveUpAll(endpoint, "endpoint_started_again");
+}
+
+void EndpointTable::noteUnreadable(const std::string& incarnation)
 {
     auto found = m_endpoints.find(incarnation);
-    if (found == m_endpoints.end())
+    if (found == m_endpoints.end() || found->second->isUnreadable)
         return;
+    found->second->isUnreadable = true;
+    logEndpoint("endpoint_unreadable", *found->second);
+}
+
+// Requests that are at the endpoint keep it until they end.
+void EndpointTable::forget(const std::string& incarnation)
+{
+    auto found = m_endpoints.find(incarnation);
     std::shared_ptr<RoutedEndpoint> endpoint = found->second;
     endpoint->isLeaving = true;
-    logEndpoint("endpoint_removed", *endpoint);
     Endpoints& list = m_ofService[endpoint->record.service];
     list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
     m_endpoints.erase(found);
 }
 
+void EndpointTable::remove(const std::string& incarnation, TimePoint)
+{
+    auto found = m_endpoints.find(incarnation);
+    if (found == m_endpoints.end())
+        return;
+    logEndpoint("endpoint_removed", *found->second);
+    if (found->second->record.startedAt) {
+        if (m_removedStarts.size() >= maxRemovedStarts)
+            m_removedStarts.clear();
+        m_removedStarts[incarnation] = *found->second->record.startedAt;
+    }
+    forget(incarnation);
+}
+
 void EndpointTable::noteMissing(const std::string& incarnation, TimePoint now)
 {
     auto found = m_endpoints.find(incarnation);
@@ -188,7 +274,7 @@
 
 bool EndpointTable::isUsable(const RoutedEndpoint& endpoint) const
 {
-    return !endpoint.isLeaving && m_evacuated.count(endpoint.record.availabilityZone) == 0;
+    return !endpoint.isLeaving && !endpoint.isUnreadable && m_evacuated.count(endpoint.record.availabilityZone) == 0;
 }
 
 // The connections that an endpoint takes are divided among the entries of the region.
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -371,6 +371,8 @@
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
+    // No connection outlives the start that it was made to.
+    impl->parts.endpoints.onReplaced([client = impl->endpointClient.get()](RoutedEndpoint& endpoint) { client->forget(endpoint.record.address); });
     impl->follower.start();
     impl->houseKeep();
     impl->reportLoad();
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -297,7 +297,8 @@
 void RoutedRun::startAttempt(Attempt attempt, HttpClientRequest request)
 {
     auto self = shared_from_this();
-    attempt.number = ++m_attempts;
+    ++m_attempts;
+    attempt.number = ++m_parts.lastAttempt;
     attempt.startedAt = now();
     m_lastPlace = attempt.endpoint ? attempt.endpoint->record.incarnation : attempt.peer.toString();
     m_lastWhy = attempt.why;
@@ -320,6 +321,20 @@
             self->onEnd(result);
     };
     m_attempt->exchange = client.send(std::move(request), std::move(callbacks));
+    listenForGiveUp();
+}
+
+// The endpoint's table may learn that the endpoint is gone before its connection tells.
+void RoutedRun::listenForGiveUp()
+{
+    if (!m_attempt->endpoint)
+        return;
+    std::uint64_t number = m_attempt->number;
+    m_attempt->endpoint->giveUps[number] = [weak = weak_from_this(), number](const char* reason) {
+        std::shared_ptr<RoutedRun> self = weak.lock();
+        if (self && self->m_attempt && self->m_attempt->number == number)
+            self->abandonAttempt(reason);
+    };
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -75,6 +75,14 @@
     attempt.unreadTokens = 0;
 }
 
+// The attempt no longer counts as work of its endpoint.
+void RoutedRun::leaveEndpoint(Attempt& attempt)
+{
+    noteRead(attempt);
+    if (attempt.endpoint)
+        attempt.endpoint->giveUps.erase(attempt.number);
+}
+
 void RoutedRun::onBody(absl::string_view bytes)
 {
     Attempt& attempt = *m_attempt;
@@ -157,7 +165,7 @@
     Attempt& attempt = *m_attempt;
     bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotRun || attempt.statedOutcome) && !attempt.facts.isOtherIncarnation;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotRun && !attempt.statedOutcome;
-    noteRead(attempt);
+    leaveEndpoint(attempt);
     m_parts.metrics.observeStage("attempt", m_service, now() - attempt.startedAt);
     if (wasRefused)
         pressure().noteRefused(attempt.region, now());
@@ -184,7 +192,7 @@
         { { "request", m_request.facts.attemptId }, { "route", m_route->name },
             { "to", m_lastPlace }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
-            { "attempt", attempt.number }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
+            { "attempt", m_attempts }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
 }
 
 // A failure that an endpoint states is an answer like any other, but where
@@ -345,7 +353,7 @@
     m_isDone = true;
     m_parts.scheduler.cancel(m_deadlineTimer);
     if (m_attempt && m_attempt->endpoint) {
-        noteRead(*m_attempt);
+        leaveEndpoint(*m_attempt);
         bool wasSilent = m_wasTimedOut && !m_attempt->head;
         m_parts.endpoints.noteEnded(*m_attempt->endpoint, wasSilent, now());
     }
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -18,6 +18,8 @@
 static constexpr milliseconds longestRetry { 2'000 };
 /// The store's client finds a silent watch by itself, so none is renewed.
 static constexpr std::chrono::hours renewWatches { 24 };
+/// Registrations that can't be read are logged this often at most.
+static constexpr milliseconds refusalLogInterval { 1'000 };
 
 // One watch over all that the store holds: operators, endpoints and entries
 // alike concern every entry, and each watch that waits is a call to be paid for.
@@ -120,7 +122,18 @@
     if (record.ok())
         m_parts.endpoints.put(std::move(*record), now());
     else
-        logChange(LogLevel::Error, "endpoint_refused", { { "endpoint", incarnation }, { "fault", std::string(record.status().message()) } });
+        refuseEndpoint(incarnation, record.status());
+}
+
+// Others may write such entries as often as they like, so the lines are bounded.
+void StoreFollower::refuseEndpoint(const std::string& incarnation, const absl::Status& fault)
+{
+    m_parts.endpoints.noteUnreadable(incarnation);
+    m_parts.metrics.count("endpoint_registrations_refused");
+    if (now() < m_nextRefusalLog)
+        return;
+    m_nextRefusalLog = now() + refusalLogInterval;
+    logChange(LogLevel::Error, "endpoint_refused", { { "endpoint", incarnation }, { "fault", std::string(fault.message()) } });
 }
 
 void StoreFollower::takeEntry(const std::string& name, const ConfigChange& change)
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -26,6 +26,7 @@
     void takeConfiguration(const ConfigChange& change);
     void takeEvacuation(const std::string& zone, bool isEvacuated);
     void takeEndpoint(const std::string& incarnation, const ConfigChange& change);
+    void refuseEndpoint(const std::string& incarnation, const absl::Status& fault);
     void takeEntry(const std::string& name, const ConfigChange& change);
     /// Tells whether a key that vanishes now may have lapsed only because the store was away.
     bool isTroubled() const;
@@ -40,6 +41,7 @@
     std::set<std::string> m_evacuatedZones;
     bool m_wasFollowing { false };
     TimePoint m_lastTrouble {};
+    TimePoint m_nextRefusalLog {};
 };
 
 } // namespace catkinwing
--- a/scripts/platform_path.py
+++ b/scripts/platform_path.py
@@ -29,7 +29,8 @@
         self.write("op/config", configuration())
         for service, events in (("orders", 0), ("stories", 4)):
             address = self.fleet.start_standin("platform-endpoint", f"{service}-1", arguments=["--events", events, "--pause", "20ms", "--delay", self.order_delay])
-            self.write(f"servers/{service}-1", {"service": service, "addr": address, "zone": "manizales-a", "slots": 8, "state": "ready"})
+            self.write(f"servers/{service}-1", {"service": service, "addr": address, "zone": "manizales-a",
+                                                 "version": "v1", "slots": 8, "state": "ready", "warmup_ms": 0, "seq": 1})
         self.start_entry()
 
     def start_entry(self):
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -30,6 +30,19 @@
         table.put(std::move(record), now);
     }
 
+    /// Registers a start of an endpoint that began at \p startedAt.
+    void putStart(const std::string& incarnation, std::chrono::milliseconds startedAt, bool isLeaving = false)
+    {
+        EndpointRecord record;
+        record.incarnation = incarnation;
+        record.startedAt = startedAt;
+        record.service = service.name;
+        record.address = { "127.0.0.1", 1 };
+        record.availabilityZone = "north-a";
+        record.isLeaving = isLeaving;
+        table.put(std::move(record), now);
+    }
+
     std::shared_ptr<RoutedEndpoint> choose()
     {
         EndpointRequest request;
@@ -56,6 +69,79 @@
     CHECK_FALSE(world.choose());
 }
 
+TEST_CASE("a later start under a name is another endpoint, of which nothing is known")
+{
+    TableWorld world;
+    world.putStart("e1", 1'000ms);
+    std::shared_ptr<RoutedEndpoint> before = world.choose();
+    REQUIRE(before);
+    world.table.noteBegan(*before, world.now);
+    world.table.tokensToRead(*before, 20'000, 13'000, "part");
+    world.table.noteEnded(*before, true, world.now);
+    world.putStart("e1", 1'000ms, true);
+    CHECK_FALSE(world.choose());
+    world.putStart("e1", 2'000ms);
+    std::shared_ptr<RoutedEndpoint> after = world.choose();
+    REQUIRE(after);
+    CHECK(after != before);
+    CHECK(after->hash != before->hash);
+    CHECK(after->inFlight == 0);
+    CHECK(after->failureShare == 0);
+    CHECK(after->partsSent.empty());
+    CHECK(before->isLeaving);
+}
+
+TEST_CASE("a registration of an earlier start neither hides nor revives, whether the later one is there or gone")
+{
+    TableWorld world;
+    world.putStart("e1", 2'000ms);
+    world.putStart("e1", 1'000ms, true);
+    CHECK(world.choose());
+    world.table.remove("e1", world.now);
+    world.putStart("e1", 1'000ms);
+    CHECK_FALSE(world.choose());
+    world.putStart("e1", 3'000ms);
+    CHECK(world.choose());
+}
+
+TEST_CASE("a registration that leaves its start out is one of the start that is known")
+{
+    TableWorld world;
+    world.putStart("e1", 2'000ms);
+    world.put("e1", true);
+    CHECK_FALSE(world.choose());
+    world.putStart("e1", 2'000ms);
+    CHECK_FALSE(world.choose());
+    world.putStart("e1", 2'001ms);
+    CHECK(world.choose());
+}
+
+TEST_CASE("a registration that can't be read rests its endpoint, and no other, until one that can")
+{
+    TableWorld world;
+    world.put("e1");
+    world.table.noteUnreadable("e1");
+    world.table.noteUnreadable("never seen");
+    CHECK_FALSE(world.choose());
+    CHECK(world.table.usableByRegion("service").empty());
+    world.put("e2");
+    CHECK(world.choose()->record.incarnation == "e2");
+    world.table.remove("e2", world.now);
+    world.put("e1");
+    CHECK(world.choose());
+}
+
+TEST_CASE("an endpoint that changes its service is no longer one of the old service")
+{
+    TableWorld world;
+    world.put("e1");
+    world.service.name = "other";
+    world.put("e1");
+    CHECK(world.choose());
+    world.service.name = "service";
+    CHECK_FALSE(world.choose());
+}
+
 TEST_CASE("an endpoint that is gone is never chosen, and one that is missing stays until it is removed")
 {
     TableWorld world;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -20,6 +20,15 @@
     return answered(request, 200, "fine");
 }
 
+static FakeHttpAnswer silent(const HttpClientRequest&)
+{
+    FakeHttpAnswer answer;
+    answer.status = 0;
+    answer.isLeftOpen = true;
+    answer.mayHaveReachedServer = true;
+    return answer;
+}
+
 static FakeHttpAnswer full(const HttpClientRequest&)
 {
     return refused();
@@ -408,3 +417,25 @@
     CHECK(client->writable);
     client->leave();
 }
+
+TEST_CASE("an attempt at a start that a later one has replaced is over at once, and an idempotent request runs at the new start")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent));
+    EndpointRecord record;
+    record.incarnation = "e1";
+    record.startedAt = 1s;
+    record.service = "service";
+    record.address = { "127.0.0.1", 1'000 };
+    record.availabilityZone = "north-a";
+    fixture.parts.endpoints.put(record, fixture.scheduler.clock().now());
+    fixture.answers = { silent, fine };
+    auto client = fixture.start();
+    fixture.scheduler.advance(100ms);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    record.startedAt = 2s;
+    fixture.parts.endpoints.put(record, fixture.scheduler.clock().now());
+    fixture.scheduler.advance(100ms);
+    CHECK(client->status() == 200);
+    CHECK(fixture.endpointClient.requests.size() == 2);
+}
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/Documents.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace catkinwing;
 using namespace catkinwing::platform;
@@ -70,13 +71,41 @@
     CHECK(record->isLeaving);
     CHECK(record->coldFor == 1500ms);
     CHECK(record->goneIn == 900ms);
+    CHECK_FALSE(record->startedAt);
     CHECK_FALSE(readEndpoint("i-1", R"({"service":"s","addr":"nowhere"})").ok());
     CHECK_FALSE(readEndpoint("i-1", "{").ok());
 }
 
+TEST_CASE("a registration with a field missing, of another type or with an unknown state names no endpoint")
+{
+    const nlohmann::json whole = { { "service", "s" }, { "addr", "10.1.2.3:80" }, { "zone", "z" }, { "version", "v1" }, { "slots", 64 },
+        { "state", "ready" }, { "warmup_ms", 0 }, { "seq", 4 }, { "born", 1'790'000'000'000 } };
+    absl::StatusOr<EndpointRecord> record = readEndpoint("i-1", whole.dump());
+    REQUIRE(record.ok());
+    CHECK(record->startedAt == 1'790'000'000'000ms);
+    for (const char* field : { "service", "addr", "zone", "version", "slots", "state", "warmup_ms", "seq" }) {
+        CAPTURE(field);
+        nlohmann::json without = whole;
+        without.erase(field);
+        CHECK_FALSE(readEndpoint("i-1", without.dump()).ok());
+    }
+    for (const char* field : { "service", "addr", "zone", "version", "slots", "state", "warmup_ms", "seq", "born" }) {
+        CAPTURE(field);
+        nlohmann::json other = whole;
+        other[field] = nlohmann::json::array({ 1 });
+        CHECK_FALSE(readEndpoint("i-1", other.dump()).ok());
+        other[field] = nullptr;
+        CHECK(readEndpoint("i-1", other.dump()).ok() == (std::string(field) == "born"));
+    }
+    nlohmann::json state = whole;
+    state["state"] = "resting";
+    CHECK_FALSE(readEndpoint("i-1", state.dump()).ok());
+    CHECK_FALSE(readEndpoint("i-1", "\xff\xfe\x00").ok());
+}
+
 TEST_CASE("numbers that no machine could hold count as the most or the least that is sensible")
 {
-    absl::StatusOr<EndpointRecord> record = readEndpoint("i-1", R"({"service":"s","addr":"10.1.2.3:80","zone":"z","slots":1e300,"warmup_ms":-5})");
+    absl::StatusOr<EndpointRecord> record = readEndpoint("i-1", R"({"service":"s","addr":"10.1.2.3:80","zone":"z","version":"v1","state":"ready","seq":1,"slots":1e300,"warmup_ms":-5})");
     REQUIRE(record.ok());
     CHECK(record->slots == 1'000'000'000);
     CHECK(record->coldFor == 0ms);
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -63,8 +63,17 @@
     void add(const std::string& service, const std::string& incarnation, unsigned events)
     {
         endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms }));
-        nlohmann::json record = { { "service", service }, { "addr", endpoints.back()->address().toString() }, { "zone", "north-a" }, { "slots", 8 }, { "state", "ready" } };
-        platform.swap("servers/" + incarnation, 0, record.dump());
+        platform.swap("servers/" + incarnation, 0, registration(service, endpoints.size() - 1).dump());
+    }
+    nlohmann::json registration(const std::string& service, std::size_t endpoint) const
+    {
+        return { { "service", service }, { "addr", endpoints[endpoint]->address().toString() }, { "zone", "north-a" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "warmup_ms", 0 }, { "seq", 1 } };
+    }
+    /// Writes \p text as the registration of an endpoint.
+    void rewrite(const std::string& incarnation, const std::string& text)
+    {
+        std::string key = "servers/" + incarnation;
+        platform.swap(key, platform.get(key).revision, text);
     }
     std::shared_ptr<Recorded> ask(const std::string& target, const std::string& attempt = "a-1")
     {
@@ -158,3 +167,40 @@
     for (int number = 0; number < 3; ++number)
         CHECK(path.ask("/once/order")->head.status == 200);
 }
+
+TEST_CASE("an endpoint that drained and starts again under its name is used again")
+{
+    ServedPath path;
+    nlohmann::json plain = path.registration("plain", 0);
+    plain["born"] = 1'000;
+    path.rewrite("plain-1", plain.dump());
+    plain["state"] = "draining";
+    path.rewrite("plain-1", plain.dump());
+    auto answeredBy = [&](const std::string& name) {
+        return nlohmann::json::parse(path.ask("/once/order")->body).at("endpoint") == name;
+    };
+    CHECK(runUntil(path.platform.loop, [&] { return answeredBy("plain-2") && answeredBy("plain-2") && answeredBy("plain-2") && answeredBy("plain-2"); }));
+    plain["state"] = "ready";
+    plain["born"] = 2'000;
+    path.rewrite("plain-1", plain.dump());
+    CHECK(runUntil(path.platform.loop, [&] { return answeredBy("plain-1"); }));
+}
+
+TEST_CASE("entries of other writers name no endpoint and leave the others in use")
+{
+    ServedPath path;
+    path.platform.swap("servers/stranger", 0, R"({"service":"plain","addr":7})");
+    path.platform.swap("servers/bytes", 0, "\x01\x02{");
+    path.rewrite("plain-1", R"({"service":"plain","addr":"127.0.0.1:1","state":"asleep"})");
+    auto isOnlySecond = [&] {
+        for (int number = 0; number < 8; ++number) {
+            auto answer = path.ask("/once/order");
+            if (answer->head.status != 200 || nlohmann::json::parse(answer->body).at("endpoint") != "plain-2")
+                return false;
+        }
+        return true;
+    };
+    CHECK(runUntil(path.platform.loop, isOnlySecond));
+    path.rewrite("plain-1", path.registration("plain", 0).dump());
+    CHECK(runUntil(path.platform.loop, [&] { return nlohmann::json::parse(path.ask("/once/order")->body).at("endpoint") == "plain-1"; }));
+}
