--- a/fuzz/FuzzPeerReports.cpp
+++ b/fuzz/FuzzPeerReports.cpp
@@ -1,5 +1,6 @@
 #include "FuzzInput.h"
 #include "catkinwing/PeerProtocol/LoadReport.h"
+#include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/PeerProtocol/StoreChanges.h"
 
 using namespace catkinwing;
@@ -15,6 +16,17 @@
     require(encodeLoadReport(*decoded) == again, "a report comes back as it was");
 }
 
+static void fuzzRegionReport(absl::string_view bytes)
+{
+    absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
+    if (!report.ok())
+        return;
+    std::string again = encodeRegionReport(*report);
+    absl::StatusOr<RegionReport> decoded = decodeRegionReport(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeRegionReport(*decoded) == again, "a report comes back as it was");
+}
+
 static void fuzzStoreChanges(absl::string_view bytes)
 {
     absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
@@ -29,6 +41,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     fuzzLoadReport(textOf(data, size));
+    fuzzRegionReport(textOf(data, size));
     fuzzStoreChanges(textOf(data, size));
     return 0;
 }
--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -88,6 +88,13 @@
     std::int64_t memoryTokens { 0 };
 };
 
+/// What the routes of a service ask that are as urgent as one priority or more.
+struct UrgencyLevel {
+    int priority { 0 };
+    /// The shortest latency target among them; zero if none is stated.
+    std::chrono::milliseconds tightestTarget { 0 };
+};
+
 /// Limits of what clients may send.
 struct ClientLimits {
     std::int64_t maxBodyBytes { 4 << 20 };
@@ -101,11 +108,14 @@
 
     std::int64_t version() const { return m_version; }
     const std::vector<Route>& routes() const { return m_routes; }
+    const std::vector<ServiceSettings>& services() const { return m_services; }
     const ClientLimits& limits() const { return m_limits; }
     /// Returns the route of \p host with the longest prefix that begins
     /// \p path; null if there is none. Hosts compare without case and port.
     const Route* find(absl::string_view host, absl::string_view path) const;
     const ServiceSettings* findService(absl::string_view name) const;
+    /// Returns the priorities of the routes to a service, the most urgent first.
+    const std::vector<UrgencyLevel>& urgenciesOf(absl::string_view service) const;
 
 private:
     std::int64_t m_version { 0 };
@@ -115,6 +125,7 @@
     /// Index in m_routes by host and prefix.
     absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, std::size_t>> m_routesOfHost;
     absl::flat_hash_map<std::string, std::size_t> m_serviceIndex;
+    absl::flat_hash_map<std::string, std::vector<UrgencyLevel>> m_urgencies;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "catkinwing/Admission/WaitLimit.h"
 #include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/PeerLoads.h"
 #include "catkinwing/Membership/ShareDivision.h"
+#include "catkinwing/PeerProtocol/RegionReport.h"
+#include "catkinwing/Routing/AnswerTimes.h"
 #include "catkinwing/Routing/EndpointChoice.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/container/flat_hash_map.h>
@@ -44,6 +47,8 @@
     std::int64_t unreadTokens { 0 };
     /// Hashes of the shared parts that this entry has sent there.
     absl::flat_hash_set<std::uint64_t> partsSent;
+    /// How soon it has answered this entry.
+    AnswerTimes answerTimes;
     /// This entry's part of what it bears while cold.
     std::optional<TokenBucket> coldRate;
     /// Gives up each attempt of this entry that is under way there, by its number.
@@ -54,10 +59,13 @@
 struct EndpointRequest {
     const ServiceSettings* service { nullptr };
     std::string sharedPart;
+    std::int64_t sharedTokens { 0 };
     /// Incarnations that have had the request.
     const std::vector<std::string>* tried { nullptr };
     /// Also takes one of those, if no other is there.
     bool mayBeTried { false };
+    /// Leaves out endpoints at which it would wait for longer; all count if null.
+    const WaitDemand* demand { nullptr };
 };
 
 /// The endpoints of all regions, by their incarnations, and what this entry
@@ -93,6 +101,10 @@
     /// rate while it is cold; null if none may get it.
     std::shared_ptr<RoutedEndpoint> choose(const EndpointRequest& request, TimePoint now, Random& random);
     void noteBegan(RoutedEndpoint& endpoint, TimePoint now) const;
+    /// Returns the work before an endpoint, as far as the entries of the region know.
+    EndpointWork workOf(const RoutedEndpoint& endpoint) const;
+    /// Returns how long a request that came now would wait there.
+    static Duration waitAt(const RoutedEndpoint& endpoint, const EndpointWork& work, const ServiceSettings& service);
     /// Bytes have come from the endpoint.
     void noteHeard(RoutedEndpoint& endpoint, TimePoint now) const { endpoint.quietSince = now; }
     /// Returns how many tokens of a prompt the endpoint will have to read, and
@@ -107,12 +119,21 @@
     std::vector<EndpointWorkload> ownLoads(TimePoint now) const;
     PeerLoads& peerLoads() { return m_peerLoads; }
 
+    /// Returns what a request of \p service would meet at the endpoints of this
+    /// region. Cold endpoints count only where all are.
+    ServiceOutlook outlook(const ServiceSettings& service, TimePoint now) const;
+    /// Returns how long the endpoints of the region together are busy with a
+    /// request of \p promptTokens, times the entries that share them: at that
+    /// interval this entry can send them such requests.
+    Duration workPerRequest(absl::string_view service, std::int64_t promptTokens) const;
     /// Returns how many endpoints of each region could serve \p service.
     std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
     /// Returns the region of the endpoint that owns \p sharedPart among those of
     /// \p regions, or of all if empty; nothing if none is usable.
     std::optional<std::string> ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const;
     std::size_t size() const { return m_endpoints.size(); }
+    /// Calls \p visit with each endpoint of every region.
+    void forEach(const std::function<void(RoutedEndpoint&)>& visit) const;
     /// Calls \p observer with each start that a later one has replaced, before
     /// the attempts under way there are given up.
     void onReplaced(std::function<void(RoutedEndpoint&)> observer) { m_onReplaced = std::move(observer); }
@@ -123,7 +144,8 @@
     static double failureShareOf(const RoutedEndpoint& endpoint, TimePoint now);
     static bool isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now);
     bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
-    EndpointWork workOf(const RoutedEndpoint& endpoint) const;
+    EndpointCandidate candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const;
+    static EndpointDemand demandOf(const EndpointRequest& request);
     bool isUsable(const RoutedEndpoint& endpoint) const;
     bool isOutdated(const EndpointRecord& record) const;
     void endStart(RoutedEndpoint& endpoint);
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -51,6 +51,8 @@
     std::optional<SocketAddress> chooseDepartedPeer(const std::string& region, TimePoint now, Random& random) const;
     /// Returns the addresses of the other entries of \p region.
     std::vector<SocketAddress> peersOf(const std::string& region) const;
+    /// Returns the regions that have entries, but for this one's.
+    std::vector<std::string> otherRegions() const;
     /// Passes \p peer over for a while.
     void notePeerFailure(const SocketAddress& peer, TimePoint now);
     void notePeerAnswered(const SocketAddress& peer) { m_suspectUntil.erase(peer); }
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -5,6 +5,7 @@
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointTable.h"
 #include "catkinwing/Ingress/EntryTable.h"
+#include "catkinwing/Ingress/RegionOutlooks.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionPressure.h"
@@ -47,6 +48,10 @@
     absl::flat_hash_map<std::string, RetryBudget> retryBudgets;
     /// How readily each region takes the requests of each service.
     absl::flat_hash_map<std::string, RegionPressure> pressures;
+    /// What other regions say of themselves.
+    RegionOutlooks outlooks;
+    /// When refused clients of each service are to come back.
+    absl::flat_hash_map<std::string, ReturnSchedule> returns;
     /// The configuration in force; null before the first one is known.
     std::shared_ptr<const RouteTable> routes;
     /// Present once the entry stops.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -45,6 +45,12 @@
         const char* why { "" };
         /// Counted as unread at the endpoint until its first bytes.
         std::int64_t unreadTokens { 0 };
+        /// Prompt tokens that the endpoint had to read when it was sent, its own
+        /// included, in thousands.
+        double kilotokensBefore { 0 };
+        /// The endpoint could run it at once.
+        bool hadFreeSlot { false };
+        bool hasBegun { false };
         std::shared_ptr<HttpExchange> exchange;
         TimePoint startedAt {};
         absl::optional<HttpResponseHead> head;
@@ -65,6 +71,7 @@
     /// it again would matter; null otherwise.
     const PromptPart* sharedPart() const;
     const std::string& pickService() const;
+    WaitDemand waitDemand() const;
 
     void dispatch();
     bool sendToEndpoint(const std::string& service, bool mayBeTried);
@@ -72,10 +79,18 @@
     bool sendToOwner();
     bool sendToEntryOf(const std::string& region, const char* why);
     std::map<std::string, std::size_t> otherRegions(const std::string& service) const;
+    std::map<std::string, std::size_t> regionsWithRoom(const std::string& service) const;
     RegionPressure& pressure() const { return m_parts.pressures[m_service]; }
     bool sendAway();
+    /// Sends or refuses a request that has not been sent yet by what the regions
+    /// say of themselves; false if it is to be tried here or by asking.
+    bool decideFirst();
+    std::optional<Duration> waitAway(const std::string& region) const;
+    Duration longestWaitAnywhere() const;
     static void noteRead(Attempt& attempt);
     static void leaveEndpoint(Attempt& attempt);
+    void learnBegin(Attempt& attempt) const;
+    std::chrono::milliseconds returnAfter() const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
     void listenForGiveUp();
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
--- a/include/catkinwing/Routing/EndpointChoice.h
+++ b/include/catkinwing/Routing/EndpointChoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Support/Clock.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/strings/string_view.h>
 #include <absl/types/span.h>
@@ -22,9 +23,15 @@
     /// Index in the caller's own list.
     std::size_t index { 0 };
     absl::string_view incarnation;
-    EndpointWork work;
+    /// How long the request would wait before the endpoint began with it.
+    Duration wait { 0 };
+    /// What the endpoint has to do, as a time: its wait, and how much the
+    /// requests that run there slow each other.
+    Duration load { 0 };
     /// Failed not long ago; chosen only if all others have failed too.
     bool isSuspect { false };
+    /// The request would wait for longer than it may; chosen only for its shared part.
+    bool isTooBusy { false };
 };
 
 /// What the choice depends on beside the candidates.
@@ -32,18 +39,19 @@
     /// Names the shared part of the prompt; empty if there is none worth
     /// reading again.
     std::string sharedPart;
+    /// How long reading the shared part again would take.
+    Duration readingAgain { 0 };
+    /// The longest wait that the request may have.
+    Duration longestWait { Duration::max() };
 };
 
-/// Returns the work as a number of requests.
-double endpointLoad(const EndpointWork& work);
-
 /// Score of an endpoint for a shared part; the highest one owns the part. The
 /// same in every entry.
 std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart);
 
-/// Chooses among \p candidates; nothing only if there are none. Every entry
-/// sends the same shared part to the same endpoint without being told, unless
-/// that one has far more to do than the others.
+/// Chooses among \p candidates; nothing if there are none or all are too busy.
+/// Every entry sends the same shared part to the same endpoint without being
+/// told, unless that one has far more to do than the others.
 std::optional<std::size_t> chooseEndpoint(absl::Span<const EndpointCandidate> candidates, const EndpointDemand& demand, Random& random);
 
 } // namespace catkinwing
--- a/lib/Config/RouteTable.cpp
+++ b/lib/Config/RouteTable.cpp
@@ -21,6 +21,25 @@
     return absl::AsciiStrToLower(host);
 }
 
+static std::chrono::milliseconds tighterOf(std::chrono::milliseconds first, std::chrono::milliseconds second)
+{
+    constexpr std::chrono::milliseconds notStated { 0 };
+    if (first == notStated || second == notStated)
+        return std::max(first, second);
+    return std::min(first, second);
+}
+
+static std::vector<UrgencyLevel> levelsOf(const std::map<int, std::chrono::milliseconds>& targets)
+{
+    std::vector<UrgencyLevel> levels;
+    std::chrono::milliseconds tightest { 0 };
+    for (const auto& [priority, target] : targets) {
+        tightest = tighterOf(tightest, target);
+        levels.push_back({ priority, tightest });
+    }
+    return levels;
+}
+
 RouteTable::RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits)
     : m_version(version)
     , m_routes(std::move(routes))
@@ -31,6 +50,22 @@
         m_routesOfHost[hostKey(m_routes[i].host)].emplace(m_routes[i].prefix, i);
     for (std::size_t i = 0; i < m_services.size(); ++i)
         m_serviceIndex.emplace(m_services[i].name, i);
+    std::map<std::string, std::map<int, std::chrono::milliseconds>> targets;
+    for (const Route& route : m_routes) {
+        for (const WeightedService& service : route.services) {
+            std::chrono::milliseconds& target = targets[service.service][route.priority];
+            target = tighterOf(target, route.latencyTarget);
+        }
+    }
+    for (const auto& [service, ofService] : targets)
+        m_urgencies[service] = levelsOf(ofService);
+}
+
+const std::vector<UrgencyLevel>& RouteTable::urgenciesOf(absl::string_view service) const
+{
+    static const std::vector<UrgencyLevel> none;
+    auto found = m_urgencies.find(service);
+    return found == m_urgencies.end() ? none : found->second;
 }
 
 HostHomes homesOf(const RouteTable& table, absl::string_view host)
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace catkinwing {
@@ -30,6 +31,8 @@
 static constexpr std::chrono::seconds suspectLogInterval { 2 };
 /// Shared parts that are remembered of an endpoint: more than fit its memory.
 static constexpr std::size_t maxPartsKept = 512;
+/// No request is taken for less work than this.
+static constexpr double leastWorkSeconds = 0.001;
 /// Names of removed endpoints whose start is remembered. An old registration is
 /// late by seconds, in which far fewer are removed.
 static constexpr std::size_t maxRemovedStarts = 4'096;
@@ -248,6 +251,28 @@
     return work;
 }
 
+Duration EndpointTable::waitAt(const RoutedEndpoint& endpoint, const EndpointWork& work, const ServiceSettings& service)
+{
+    unsigned slots = endpoint.record.slots > 0 ? endpoint.record.slots : service.slots;
+    return predictWait(endpoint.answerTimes, work, slots);
+}
+
+// A request beside which another runs is slowed as by half a thousand tokens
+// that were read before it.
+static constexpr double requestsPerKilotoken = 2;
+
+EndpointCandidate EndpointTable::candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const
+{
+    EndpointWork work = workOf(endpoint);
+    EndpointCandidate candidate;
+    candidate.incarnation = endpoint.record.incarnation;
+    candidate.wait = waitAt(endpoint, work, *request.service);
+    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(endpoint.answerTimes) * (work.requests / requestsPerKilotoken));
+    candidate.isSuspect = isSuspect(endpoint, now);
+    candidate.isTooBusy = request.demand && candidate.wait > longestWait(*request.demand, idleFirstByte(endpoint.answerTimes));
+    return candidate;
+}
+
 std::int64_t EndpointTable::tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const
 {
     if (sharedPart.empty())
@@ -304,6 +329,18 @@
     return endpoint.coldRate->tryTake(1, now);
 }
 
+EndpointDemand EndpointTable::demandOf(const EndpointRequest& request)
+{
+    constexpr double tokensPerKilotoken = 1'000;
+    EndpointDemand demand;
+    demand.sharedPart = request.sharedPart;
+    AnswerTimes usual;
+    demand.readingAgain = std::chrono::duration_cast<Duration>(timePerKilotoken(usual) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
+    if (request.demand)
+        demand.longestWait = longestWait(*request.demand, idleFirstByte(usual));
+    return demand;
+}
+
 std::shared_ptr<RoutedEndpoint> EndpointTable::choose(const EndpointRequest& request, TimePoint now, Random& random)
 {
     auto found = m_ofService.find(request.service->name);
@@ -319,10 +356,13 @@
         bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
         if (wasTried && !request.mayBeTried)
             continue;
-        candidates.push_back({ i, endpoint.record.incarnation, workOf(endpoint), wasTried || isSuspect(endpoint, now) });
+        EndpointCandidate candidate = candidateOf(endpoint, request, now);
+        candidate.index = i;
+        candidate.isSuspect |= wasTried;
+        candidates.push_back(candidate);
     }
-    while (!candidates.empty()) {
-        std::optional<std::size_t> index = chooseEndpoint(candidates, { request.sharedPart }, random);
+    EndpointDemand demand = demandOf(request);
+    while (std::optional<std::size_t> index = chooseEndpoint(candidates, demand, random)) {
         if (tryTakeCold(*endpoints[*index], *request.service, now))
             return endpoints[*index];
         candidates.erase(std::find_if(candidates.begin(), candidates.end(), [&](const auto& candidate) { return candidate.index == *index; }));
@@ -353,6 +393,56 @@
     logEndpoint("endpoint_suspect", endpoint);
 }
 
+// Requests go to one of those that are less busy, so that half counts.
+ServiceOutlook EndpointTable::outlook(const ServiceSettings& service, TimePoint now) const
+{
+    ServiceOutlook outlook;
+    outlook.service = serviceHash(service.name);
+    auto found = m_ofService.find(service.name);
+    if (found == m_ofService.end())
+        return outlook;
+    std::vector<Duration> waits;
+    Duration reading { 0 };
+    for (const auto& endpoint : found->second) {
+        bool isCold = now < endpoint->coldUntil && service.coldRequestsPerSecond > 0;
+        if (endpoint->region != m_region || !isUsable(*endpoint) || isCold || isSuspect(*endpoint, now))
+            continue;
+        waits.push_back(waitAt(*endpoint, workOf(*endpoint), service));
+        reading += timePerKilotoken(endpoint->answerTimes);
+    }
+    if (waits.empty())
+        return outlook;
+    std::size_t half = (waits.size() + 1) / 2;
+    std::partial_sort(waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(half), waits.end());
+    Duration sum = std::accumulate(waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(half), Duration::zero());
+    outlook.endpoints = static_cast<std::uint32_t>(waits.size());
+    outlook.wait = std::chrono::duration_cast<milliseconds>(sum / half);
+    outlook.perKilotoken = std::chrono::duration_cast<std::chrono::microseconds>(reading / waits.size());
+    return outlook;
+}
+
+// An endpoint is busy with a request for the time of reading its prompt, or for
+// its part of the time that a slot is held, whichever is longer.
+Duration EndpointTable::workPerRequest(absl::string_view service, std::int64_t promptTokens) const
+{
+    constexpr double tokensPerKilotoken = 1'000;
+    auto found = m_ofService.find(service);
+    double perSecond = 0;
+    if (found == m_ofService.end())
+        return Duration::zero();
+    for (const auto& endpoint : found->second) {
+        if (endpoint->region != m_region || !isUsable(*endpoint))
+            continue;
+        double reading = std::chrono::duration<double>(timePerKilotoken(endpoint->answerTimes)).count() * static_cast<double>(promptTokens) / tokensPerKilotoken;
+        double holding = endpoint->answerTimes.heldSeconds / std::max(endpoint->record.slots, 1u);
+        perSecond += 1 / std::max({ reading, holding, leastWorkSeconds });
+    }
+    if (perSecond <= 0)
+        return Duration::zero();
+    double entries = static_cast<double>(std::max<std::size_t>(m_entriesOfRegion.size(), 1));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(entries / perSecond));
+}
+
 std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service) const
 {
     std::map<std::string, std::size_t> counts;
@@ -366,6 +456,12 @@
     return counts;
 }
 
+void EndpointTable::forEach(const std::function<void(RoutedEndpoint&)>& visit) const
+{
+    for (const auto& [incarnation, endpoint] : m_endpoints)
+        visit(*endpoint);
+}
+
 std::optional<std::string> EndpointTable::ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const
 {
     auto found = m_ofService.find(service);
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -4,6 +4,7 @@
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace catkinwing {
 
@@ -163,6 +164,15 @@
     return peers;
 }
 
+std::vector<std::string> EntryTable::otherRegions() const
+{
+    std::set<std::string> regions;
+    for (const auto& [key, entry] : m_entries)
+        regions.insert(entry.record.region);
+    regions.erase(m_self.region);
+    return { regions.begin(), regions.end() };
+}
+
 void EntryTable::notePeerFailure(const SocketAddress& peer, TimePoint now)
 {
     m_suspectUntil[peer] = now + peerSuspicion;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -47,6 +47,10 @@
 /// Requests last from 30 ms to seconds; reports that are this old still tell
 /// most of what the others have under way.
 static constexpr milliseconds loadReportInterval { 200 };
+/// What a region is like goes to so many regions a time, in turn, and to so many
+/// of each one's entries: at most six datagrams of a hundred bytes or so.
+static constexpr std::size_t regionsPerReport = 3;
+static constexpr std::size_t entriesPerRegion = 2;
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
@@ -65,7 +69,7 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, 0 }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, 0, 0 }
         , registration(*store, eventLoop, registrationOptions())
         , relayed(*store, *peerClient, eventLoop, relayChoice())
         , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -119,7 +123,9 @@
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !parts.stop; }
     void takeLoadReport(const SocketAddress& from, absl::string_view bytes);
+    void takeRegionReport(absl::string_view bytes);
     void reportLoad();
+    void reportRegion();
     void logState();
     void houseKeep();
     void checkDrained();
@@ -284,13 +290,46 @@
 {
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
     if (!report.ok()) {
-        metrics.count("load_reports_refused");
+        takeRegionReport(bytes);
         return;
     }
     lastReporter = from;
     parts.endpoints.peerLoads().take(std::move(*report), loop.clock().now());
 }
 
+void IngressDaemon::Impl::takeRegionReport(absl::string_view bytes)
+{
+    absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
+    if (!report.ok())
+        metrics.count("load_reports_refused");
+    else if (report->region != settings.region)
+        parts.outlooks.take(*report, loop.clock().now());
+}
+
+// Each entry tells a few entries elsewhere, so that an entry hears of a region of
+// any size as often as of one with a single entry.
+void IngressDaemon::Impl::reportRegion()
+{
+    if (!isReady())
+        return;
+    std::vector<std::string> regions = parts.entries.otherRegions();
+    if (regions.empty())
+        return;
+    RegionReport report { settings.region, ownKey(), reportSequence, {} };
+    for (const ServiceSettings& service : parts.routes->services())
+        report.services.push_back(parts.endpoints.outlook(service, loop.clock().now()));
+    std::string bytes = encodeRegionReport(report);
+    std::size_t first = random.below(regions.size());
+    for (std::size_t i = 0; i < std::min(regions.size(), regionsPerReport); ++i) {
+        std::vector<SocketAddress> entries = parts.entries.peersOf(regions[(first + i) % regions.size()]);
+        for (std::size_t sent = 0; sent < std::min(entries.size(), entriesPerRegion); ++sent) {
+            std::size_t chosen = sent + random.below(entries.size() - sent);
+            std::swap(entries[sent], entries[chosen]);
+            loadReports->send(entries[sent], bytes);
+        }
+    }
+}
+
 // An entry that has nothing under way says so once and then keeps silent.
 void IngressDaemon::Impl::reportLoad()
 {
@@ -303,6 +342,7 @@
             loadReports->send(peer, bytes);
     }
     wasIdle = isIdle;
+    reportRegion();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
 
--- /dev/null
+++ b/lib/Ingress/RegionOutlooks.cpp
@@ -0,0 +1,77 @@
+#include "catkinwing/Ingress/RegionOutlooks.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+/// Reports come several times a second; after this nothing is known any more.
+static constexpr std::chrono::milliseconds reportLifetime { 1'500 };
+/// What was sent to a region shows in its reports after a way there, an interval
+/// of reports and the way back; on the mean this much later.
+static constexpr std::chrono::milliseconds unreportedTime { 300 };
+/// Longer than any request may wait.
+static constexpr std::chrono::hours noEndpointWait { 1 };
+/// Entries of a region whose sequence is remembered.
+static constexpr std::size_t maxEntriesKept = 256;
+
+void RegionOutlooks::take(const RegionReport& report, TimePoint now)
+{
+    Region& region = m_regions[report.region];
+    if (region.sequences.size() >= maxEntriesKept)
+        region.sequences.clear();
+    std::uint64_t& sequence = region.sequences[report.entry];
+    if (report.sequence <= sequence)
+        return;
+    sequence = report.sequence;
+    region.at = now;
+    for (const ServiceOutlook& outlook : report.services) {
+        Heard& heard = region.services[outlook.service];
+        heard.outlook = outlook;
+        heard.at = now;
+    }
+}
+
+double RegionOutlooks::unreported(const Heard& heard, TimePoint now)
+{
+    double passed = std::chrono::duration<double>(now - heard.sentAt) / unreportedTime;
+    return heard.sentKilotokens * std::exp(-passed);
+}
+
+void RegionOutlooks::noteSent(const std::string& region, absl::string_view service, std::int64_t tokens, TimePoint now)
+{
+    constexpr double tokensPerKilotoken = 1'000;
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return;
+    auto heard = found->second.services.find(serviceHash(service));
+    if (heard == found->second.services.end())
+        return;
+    heard->second.sentKilotokens = unreported(heard->second, now) + static_cast<double>(tokens) / tokensPerKilotoken;
+    heard->second.sentAt = now;
+}
+
+std::optional<Duration> RegionOutlooks::waitIn(const std::string& region, absl::string_view service, TimePoint now) const
+{
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return std::nullopt;
+    auto entry = found->second.services.find(serviceHash(service));
+    if (entry == found->second.services.end() || now - entry->second.at > reportLifetime)
+        return std::nullopt;
+    const Heard& heard = entry->second;
+    if (heard.outlook.endpoints == 0)
+        return noEndpointWait;
+    double kilotokens = unreported(heard, now) / heard.outlook.endpoints;
+    return heard.outlook.wait + std::chrono::duration_cast<Duration>(heard.outlook.perKilotoken * kilotokens);
+}
+
+std::optional<Duration> RegionOutlooks::age(const std::string& region, TimePoint now) const
+{
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return std::nullopt;
+    return now - found->second.at;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Ingress/RoutedRun.h"
 
+#include "catkinwing/Routing/RegionChoice.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -19,6 +20,8 @@
 static constexpr milliseconds endpointConnectTimeout { 400 };
 /// Regions are some 55 ms apart, so a connection takes 110 ms and more.
 static constexpr milliseconds peerConnectTimeout { 700 };
+/// What a forward adds to the first event: the way there and back.
+static constexpr milliseconds regionCrossing { 115 };
 /// The exchange's own timeouts come after the run's, which decides.
 static constexpr milliseconds exchangeMargin { 500 };
 /// Told to endpoints less than is left, so that their answer is here in time.
@@ -142,12 +145,26 @@
     return services.back().service;
 }
 
+WaitDemand RoutedRun::waitDemand() const
+{
+    WaitDemand demand;
+    demand.timeout = m_route->timeout;
+    demand.timeLeft = timeLeft();
+    const std::vector<UrgencyLevel>& levels = m_routes->urgenciesOf(m_service);
+    for (const UrgencyLevel& level : levels) {
+        if (level.priority <= m_route->priority)
+            demand.latencyTarget = level.tightestTarget;
+    }
+    demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
+    return demand;
+}
+
 // An endpoint here goes first, since it is nearest, unless this region refuses
 // much; then another region; then an endpoint that has failed the request but
 // would run it again.
 void RoutedRun::dispatch()
 {
-    if (sendToOwner() || sendAway())
+    if (decideFirst() || sendToOwner() || sendAway())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -165,6 +182,41 @@
         answerOwn(statusUnavailable, Outcome::NotRun, "no_endpoint");
 }
 
+Duration RoutedRun::longestWaitAnywhere() const
+{
+    return longestWait(waitDemand(), idleFirstByte(AnswerTimes()));
+}
+
+std::optional<Duration> RoutedRun::waitAway(const std::string& region) const
+{
+    return m_parts.outlooks.waitIn(region, m_service, now());
+}
+
+bool RoutedRun::decideFirst()
+{
+    const ServiceSettings* settings = m_routes->findService(m_service);
+    bool isFirst = m_attempts == 0 && !m_request.isForwarded;
+    if (!isFirst || !settings)
+        return false;
+    RegionDemand demand;
+    demand.longestWait = longestWaitAnywhere();
+    if (isAllowedHere()) {
+        ServiceOutlook here = m_parts.endpoints.outlook(*settings, now());
+        if (here.endpoints > 0)
+            demand.waitHere = here.wait;
+        demand.mayAskHere = m_parts.endpoints.usableByRegion(m_service).count(m_parts.region) > 0;
+    }
+    std::vector<RegionOption> others;
+    for (const auto& [region, endpoints] : otherRegions(m_service))
+        others.push_back({ region, waitAway(region), regionCrossing });
+    RegionChoice choice = chooseRegion(demand, others, m_parts.random);
+    if (choice.verdict == RegionVerdict::Away)
+        return !sharedPart() && sendToEntryOf(choice.region, "shorter_wait");
+    if (choice.verdict == RegionVerdict::Nowhere)
+        answerOwn(statusUnavailable, Outcome::NotRun, "waits_too_long_everywhere");
+    return choice.verdict == RegionVerdict::Nowhere;
+}
+
 // An endpoint here that is full says that its like probably are.
 bool RoutedRun::sendAway()
 {
@@ -191,8 +243,12 @@
     wanted.service = settings;
     const PromptPart* shared = sharedPart();
     wanted.sharedPart = shared ? shared->id : std::string();
+    wanted.sharedTokens = shared ? shared->tokens : 0;
     wanted.tried = &m_triedEndpoints;
     wanted.mayBeTried = mayBeTried;
+    // What has run or begun to answer is finished if that is possible at all.
+    WaitDemand demand = waitDemand();
+    wanted.demand = m_mayHaveRun || m_hasHead ? nullptr : &demand;
     std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(wanted, now(), m_parts.random);
     if (!endpoint)
         return false;
@@ -207,9 +263,12 @@
     attempt.region = m_parts.region;
     attempt.why = whyHere(mayBeTried, shared != nullptr);
     attempt.endpoint = std::move(endpoint);
+    unsigned slots = attempt.endpoint->record.slots > 0 ? attempt.endpoint->record.slots : settings->slots;
+    attempt.hadFreeSlot = slots == 0 || m_parts.endpoints.workOf(*attempt.endpoint).requests < slots;
     m_parts.endpoints.noteBegan(*attempt.endpoint, now());
     attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart);
     attempt.endpoint->unreadTokens += attempt.unreadTokens;
+    attempt.kilotokensBefore = m_parts.endpoints.workOf(*attempt.endpoint).unreadKilotokens;
     startAttempt(std::move(attempt), std::move(request));
     return true;
 }
@@ -228,9 +287,23 @@
     return regions;
 }
 
+// What has run or begun to answer goes to any region.
+std::map<std::string, std::size_t> RoutedRun::regionsWithRoom(const std::string& service) const
+{
+    std::map<std::string, std::size_t> regions = otherRegions(service);
+    if (m_mayHaveRun || m_hasHead)
+        return regions;
+    Duration longest = longestWaitAnywhere();
+    for (auto region = regions.begin(); region != regions.end();) {
+        std::optional<Duration> wait = waitAway(region->first);
+        region = wait && *wait > longest ? regions.erase(region) : std::next(region);
+    }
+    return regions;
+}
+
 bool RoutedRun::sendToRegion(const std::string& service, const char* why)
 {
-    while (std::optional<std::string> region = chooseSpillRegion(pressure(), otherRegions(service), now(), m_parts.random)) {
+    while (std::optional<std::string> region = chooseSpillRegion(pressure(), regionsWithRoom(service), now(), m_parts.random)) {
         if (sendToEntryOf(*region, why))
             return true;
     }
@@ -249,7 +322,8 @@
     std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part->id, m_route->homeRegions);
     if (!region || *region == m_parts.region)
         return false;
-    bool isReady = pressure().readiness(*region, now()) > leastOwnerReadiness;
+    std::optional<Duration> wait = waitAway(*region);
+    bool isReady = wait ? *wait <= longestWaitAnywhere() : pressure().readiness(*region, now()) > leastOwnerReadiness;
     return isReady && sendToEntryOf(*region, "owner");
 }
 
@@ -271,6 +345,7 @@
     attempt.why = why;
     attempt.peer = *peer;
     m_parts.metrics.count("forwards_to_regions");
+    m_parts.outlooks.noteSent(region, m_service, m_request.facts.promptTokens, now());
     startAttempt(std::move(attempt), std::move(request));
     return true;
 }
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -20,9 +20,12 @@
 /// for again or fails with a status. One that is longer than bodies of clients
 /// may be, and this much more, is given up.
 static constexpr std::size_t answerAllowance = 512u << 10;
-/// When a refused client should come back: by then an endpoint has answered
-/// some of what it has, or news of other endpoints has come in.
-static constexpr const char* retryAfterSeconds = "0.3";
+/// Clients come back after what they are told up to this part of the time that
+/// they have left; later ones would wait for nothing.
+static constexpr int mostOfTimeLeft = 3;
+/// Before a configuration is known, or without a route, nothing tells when a
+/// client should come back; a start takes about this long.
+static constexpr milliseconds returnAfterStart { 500 };
 
 static absl::optional<Outcome> statedOutcomeOf(const HttpResponseHead& head)
 {
@@ -75,6 +78,17 @@
     attempt.unreadTokens = 0;
 }
 
+// The first bytes of an answer say how soon the endpoint answers. Where it had
+// no slot free they say more of the requests before.
+void RoutedRun::learnBegin(Attempt& attempt) const
+{
+    if (attempt.hasBegun)
+        return;
+    attempt.hasBegun = true;
+    if (attempt.endpoint && attempt.hadFreeSlot)
+        learnFirstByte(attempt.endpoint->answerTimes, attempt.kilotokensBefore, now() - attempt.startedAt);
+}
+
 // The attempt no longer counts as work of its endpoint.
 void RoutedRun::leaveEndpoint(Attempt& attempt)
 {
@@ -94,6 +108,7 @@
         return;
     }
     noteRead(attempt);
+    learnBegin(attempt);
     if (attempt.endpoint)
         m_parts.endpoints.noteHeard(*attempt.endpoint, now());
     std::string events = m_cursor.feed(bytes);
@@ -172,6 +187,11 @@
     else if (verdict == AttemptVerdict::Answered)
         pressure().noteTaken(attempt.region, now());
     m_wasRefusedHere = m_wasRefusedHere || (wasRefused && attempt.endpoint);
+    bool isWellAnswered = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
+    if (attempt.endpoint && isWellAnswered) {
+        learnBegin(attempt);
+        learnHeld(attempt.endpoint->answerTimes, now() - attempt.startedAt);
+    }
     if (attempt.endpoint) {
         if (attempt.facts.isOtherIncarnation)
             m_parts.endpoints.noteLeaving(*attempt.endpoint);
@@ -302,6 +322,17 @@
     finish(status, "completed", "");
 }
 
+// All endpoints of the region together, of which this entry has its part, serve
+// those who come back.
+milliseconds RoutedRun::returnAfter() const
+{
+    if (!m_route)
+        return returnAfterStart;
+    milliseconds longest = std::max(timeLeft() / mostOfTimeLeft, milliseconds(1));
+    Duration work = m_parts.endpoints.workPerRequest(m_service, m_request.facts.promptTokens);
+    return m_parts.returns[m_service].book(work, longest, now(), m_parts.random);
+}
+
 // What the system itself answers, always at once and with its outcome.
 void RoutedRun::answerOwn(int status, Outcome outcome, const char* reason)
 {
@@ -314,7 +345,7 @@
     head.headers.add("content-type", "application/json");
     head.headers.add(outcomeHeader, outcomeWord(outcome));
     if (status == statusUnavailable)
-        head.headers.add("retry-after", retryAfterSeconds);
+        head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(returnAfter()).count()));
     m_responder->send(withStatements(head), absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
     finish(status, outcomeWord(outcome), reason);
 }
--- a/lib/Routing/EndpointChoice.cpp
+++ b/lib/Routing/EndpointChoice.cpp
@@ -6,13 +6,13 @@
 
 namespace catkinwing {
 
-/// The owner of a shared part is passed over once it has this many more tokens
-/// to read than the mean, in thousands: that is some half a second of reading,
-/// while a long shared part read elsewhere takes 0.2 s and is paid for.
-static constexpr double maxUnreadExcess = 32.0;
-/// Reading a thousand tokens takes an engine some 11 to 16 ms, in which a short
-/// request's first event waits as long as behind two other short ones.
-static constexpr double requestsPerKilotoken = 2.0;
+/// The owner of a shared part is passed over once its wait is longer than the
+/// shortest by this many times the time of reading the part again: that reading
+/// also delays all others there, and pushes other parts out of the memory.
+static constexpr double readingsBorne = 2;
+/// Waits that differ by less than this are alike; short parts would otherwise
+/// never be read where they lie.
+static constexpr std::chrono::milliseconds waitBorne { 100 };
 
 namespace {
 
@@ -23,15 +23,19 @@
 static Candidates withoutSuspects(absl::Span<const EndpointCandidate> candidates)
 {
     Candidates sound;
+    Candidates all;
     for (const EndpointCandidate& candidate : candidates) {
+        all.push_back(&candidate);
         if (!candidate.isSuspect)
             sound.push_back(&candidate);
     }
-    if (!sound.empty())
-        return sound;
-    for (const EndpointCandidate& candidate : candidates)
-        sound.push_back(&candidate);
-    return sound;
+    return sound.empty() ? all : sound;
+}
+
+static Candidates withoutBusy(Candidates candidates)
+{
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [](const auto* candidate) { return candidate->isTooBusy; }), candidates.end());
+    return candidates;
 }
 
 // Two at random and the less loaded of them: entries that know only their own
@@ -44,21 +48,16 @@
     std::size_t second = random.below(candidates.size() - 1);
     if (second >= first)
         ++second;
-    bool isSecondBetter = endpointLoad(candidates[second]->work) < endpointLoad(candidates[first]->work);
+    bool isSecondBetter = candidates[second]->load < candidates[first]->load;
     return isSecondBetter ? *candidates[second] : *candidates[first];
 }
 
-double endpointLoad(const EndpointWork& work)
+static Duration shortestWait(const Candidates& candidates)
 {
-    return work.requests + work.unreadKilotokens * requestsPerKilotoken;
-}
-
-static double meanUnread(const Candidates& candidates)
-{
-    double sum = 0;
+    Duration shortest = Duration::max();
     for (const EndpointCandidate* candidate : candidates)
-        sum += candidate->work.unreadKilotokens;
-    return sum / static_cast<double>(candidates.size());
+        shortest = std::min(shortest, candidate->wait);
+    return shortest;
 }
 
 std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart)
@@ -67,14 +66,17 @@
 }
 
 // Rendezvous hashing: when an endpoint goes, only its own shared parts move.
-static const EndpointCandidate* ownerOf(const std::string& sharedPart, const Candidates& candidates)
+static const EndpointCandidate* ownerOf(const EndpointDemand& demand, const Candidates& candidates)
 {
-    double limit = meanUnread(candidates) + maxUnreadExcess;
+    auto borne = std::chrono::duration_cast<Duration>(demand.readingAgain * readingsBorne) + waitBorne;
+    // What it saves by not reading again it may wait for.
+    Duration mayWait = demand.longestWait == Duration::max() ? demand.longestWait : demand.longestWait + demand.readingAgain;
+    Duration limit = std::min(shortestWait(candidates) + borne, mayWait);
     const EndpointCandidate* best = nullptr;
     std::uint64_t bestScore = 0;
     for (const EndpointCandidate* candidate : candidates) {
-        std::uint64_t score = ownershipScore(candidate->incarnation, sharedPart);
-        bool isOverloaded = candidate->work.unreadKilotokens > limit;
+        std::uint64_t score = ownershipScore(candidate->incarnation, demand.sharedPart);
+        bool isOverloaded = candidate->wait > limit;
         if (isOverloaded || (best && score <= bestScore))
             continue;
         best = candidate;
@@ -88,8 +90,12 @@
     if (candidates.empty())
         return std::nullopt;
     Candidates sound = withoutSuspects(candidates);
-    const EndpointCandidate* owner = demand.sharedPart.empty() ? nullptr : ownerOf(demand.sharedPart, sound);
-    return owner ? owner->index : lessLoadedOfTwo(sound, random).index;
+    if (const EndpointCandidate* owner = demand.sharedPart.empty() ? nullptr : ownerOf(demand, sound))
+        return owner->index;
+    Candidates free = withoutBusy(std::move(sound));
+    if (free.empty())
+        return std::nullopt;
+    return lessLoadedOfTwo(free, random).index;
 }
 
 } // namespace catkinwing
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -439,3 +439,96 @@
     CHECK(client->status() == 200);
     CHECK(fixture.endpointClient.requests.size() == 2);
 }
+
+namespace {
+
+/// Two endpoints in the north that have \p unread tokens each to read, and an
+/// entry in the south whose region says how long requests wait there.
+struct BusyRegion {
+    explicit BusyRegion(std::int64_t unread)
+    {
+        Route route = IngressFixture::unary(RequestKind::NonIdempotent);
+        route.latencyTarget = 600ms;
+        fixture.configure(route);
+        fixture.addEndpoint("e1");
+        fixture.addEndpoint("e2");
+        fixture.parts.endpoints.forEach([unread](RoutedEndpoint& endpoint) { endpoint.unreadTokens = unread; });
+        fixture.addEndpoint("s1", "south-a");
+        fixture.addEntry("south-entry", "south", 50);
+        fixture.answers = { fine };
+        fixture.peerClient.handler = fine;
+    }
+
+    void hearOfSouth(std::chrono::milliseconds wait)
+    {
+        RegionReport report { "south", "south-entry", ++sequence, { { serviceHash("service"), 2, wait, 20'000us } } };
+        fixture.parts.outlooks.take(report, fixture.scheduler.clock().now());
+    }
+
+    IngressFixture fixture;
+    std::uint64_t sequence { 0 };
+};
+
+} // namespace
+
+TEST_CASE("a request that would wait too long in every region is refused at once, as not run, with a time to come back")
+{
+    BusyRegion world(60'000);
+    world.hearOfSouth(2s);
+    auto client = world.fixture.start();
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    REQUIRE(client->head->headers.find("retry-after"));
+    double seconds = std::stod(*client->head->headers.find("retry-after"));
+    CHECK(seconds > 0.2);
+    CHECK(seconds <= 1.0 / 3 + 0.001);
+    CHECK(world.fixture.endpointClient.requests.empty());
+    CHECK(world.fixture.peerClient.requests.empty());
+}
+
+TEST_CASE("a request that would wait too long here goes to a region that has room")
+{
+    BusyRegion world(60'000);
+    world.hearOfSouth(0ms);
+    CHECK(world.fixture.runToEnd()->status() == 200);
+    CHECK(world.fixture.peerClient.requests.size() == 1);
+    CHECK(world.fixture.endpointClient.requests.empty());
+}
+
+TEST_CASE("a request stays where endpoints have room, though another region is idle")
+{
+    BusyRegion world(1'000);
+    world.hearOfSouth(0ms);
+    CHECK(world.fixture.runToEnd()->status() == 200);
+    CHECK(world.fixture.endpointClient.requests.size() == 1);
+}
+
+TEST_CASE("a forwarded request is refused where it would wait too long, since its entry knows other places")
+{
+    BusyRegion world(60'000);
+    auto client = world.fixture.start({}, true);
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    CHECK(world.fixture.endpointClient.requests.empty());
+}
+
+TEST_CASE("a stream that has begun goes on at an endpoint where a new request would wait too long")
+{
+    BusyRegion world(60'000);
+    Route route = IngressFixture::stream(true);
+    route.latencyTarget = 600ms;
+    world.fixture.configure(route);
+    world.fixture.parts.endpoints.forEach([](RoutedEndpoint& endpoint) { endpoint.unreadTokens = 0; });
+    world.fixture.answers = {
+        [&world](const HttpClientRequest& request) {
+            world.fixture.parts.endpoints.forEach([](RoutedEndpoint& endpoint) { endpoint.unreadTokens += 60'000; });
+            FakeHttpAnswer answer = streamed(request, { 1, 2 });
+            answer.end = HttpEnd::Truncated;
+            return answer;
+        },
+        [](const HttpClientRequest& request) { return streamed(request, { 3 }); }
+    };
+    auto client = world.fixture.runToEnd();
+    CHECK(client->body == eventText(1) + eventText(2) + eventText(3));
+    CHECK(world.fixture.sent(1, "resume-after") == "2");
+}
--- a/unittests/Routing/EndpointChoiceTest.cpp
+++ b/unittests/Routing/EndpointChoiceTest.cpp
@@ -4,12 +4,13 @@
 #include <map>
 
 using namespace catkinwing;
+using namespace std::chrono_literals;
 
 static std::vector<EndpointCandidate> candidates(const std::vector<std::string>& names)
 {
     std::vector<EndpointCandidate> list;
     for (std::size_t i = 0; i < names.size(); ++i)
-        list.push_back({ i, names[i], {}, false });
+        list.push_back({ i, names[i], 0s, 0s, false, false });
     return list;
 }
 
@@ -49,15 +50,43 @@
 {
     Random random(1);
     std::vector<EndpointCandidate> list = candidates(names);
-    EndpointDemand demand { "part" };
+    EndpointDemand demand { "part", 200ms };
     std::size_t owner = *chooseEndpoint(list, demand, random);
-    list[owner].work.unreadKilotokens = 60;
+    list[owner].wait = 400ms;
+    CHECK(*chooseEndpoint(list, demand, random) == owner);
+    list[owner].wait = 700ms;
     CHECK(*chooseEndpoint(list, demand, random) != owner);
     for (EndpointCandidate& candidate : list)
-        candidate.work.unreadKilotokens = 60;
+        candidate.wait = 700ms;
     CHECK(*chooseEndpoint(list, demand, random) == owner);
 }
 
+TEST_CASE("an owner may be waited for as long as reading the part again would take, and no longer")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates(names);
+    EndpointDemand demand { "part", 200ms, 500ms };
+    std::size_t owner = *chooseEndpoint(list, demand, random);
+    for (EndpointCandidate& candidate : list) {
+        candidate.wait = 600ms;
+        candidate.isTooBusy = true;
+    }
+    CHECK(chooseEndpoint(list, demand, random) == owner);
+    list[owner].wait = 701ms;
+    CHECK(chooseEndpoint(list, demand, random) != owner);
+    for (EndpointCandidate& candidate : list)
+        candidate.wait = 701ms;
+    CHECK_FALSE(chooseEndpoint(list, demand, random));
+}
+
+TEST_CASE("an endpoint that is too busy is not chosen, even if it is the only one")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates({ "a" });
+    list[0].isTooBusy = true;
+    CHECK_FALSE(chooseEndpoint(list, {}, random));
+}
+
 TEST_CASE("suspects are chosen only where nothing else is")
 {
     Random random(1);
@@ -75,7 +104,7 @@
 {
     Random random(1);
     std::vector<EndpointCandidate> list = candidates(names);
-    list[0].work.requests = 100;
+    list[0].load = 100ms;
     for (int i = 0; i < 200; ++i)
         CHECK(chooseEndpoint(list, {}, random) != 0u);
 }
--- /dev/null
+++ b/unittests/Routing/RegionChoiceTest.cpp
@@ -0,0 +1,107 @@
+#include "catkinwing/Routing/RegionChoice.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static RegionDemand demandOf(std::optional<Duration> waitHere)
+{
+    RegionDemand demand;
+    demand.waitHere = waitHere;
+    demand.mayAskHere = true;
+    demand.longestWait = 400ms;
+    return demand;
+}
+
+TEST_CASE("a request stays where it waits for little, whatever the others say")
+{
+    Random random(1);
+    for (int i = 0; i < 100; ++i)
+        CHECK(chooseRegion(demandOf(150ms), { { "south", 0ms, 0ms } }, random).verdict == RegionVerdict::Here);
+}
+
+TEST_CASE("a request that would wait too long here goes to a region with room, and is refused where there is none")
+{
+    Random random(1);
+    RegionChoice away = chooseRegion(demandOf(500ms), { { "south", 100ms, 115ms }, { "west", 900ms, 115ms } }, random);
+    CHECK(away.verdict == RegionVerdict::Away);
+    CHECK(away.region == "south");
+    CHECK(chooseRegion(demandOf(500ms), { { "south", 401ms, 0ms } }, random).verdict == RegionVerdict::Nowhere);
+    CHECK(chooseRegion(demandOf(500ms), {}, random).verdict == RegionVerdict::Nowhere);
+}
+
+TEST_CASE("the way to a region with room is no reason to refuse")
+{
+    Random random(1);
+    CHECK(chooseRegion(demandOf(500ms), { { "south", 0ms, 2s } }, random).verdict == RegionVerdict::Away);
+    RegionDemand elsewhere = demandOf(std::nullopt);
+    elsewhere.mayAskHere = false;
+    CHECK(chooseRegion(elsewhere, { { "south", 0ms, 2s } }, random).verdict == RegionVerdict::Away);
+}
+
+TEST_CASE("what isn't known is asked for before anything is refused")
+{
+    Random random(1);
+    CHECK(chooseRegion(demandOf(500ms), { { "south", std::nullopt, 115ms } }, random).verdict == RegionVerdict::Ask);
+    CHECK(chooseRegion(demandOf(std::nullopt), { { "south", 900ms, 115ms } }, random).verdict == RegionVerdict::Ask);
+}
+
+/// Regions of four engines each, and entries that see their load a report late.
+struct Regions {
+    static constexpr int entries = 6;
+    static constexpr std::array<const char*, 3> names { "north", "south", "west" };
+
+    Duration waitOf(double unread) const { return std::chrono::duration_cast<Duration>(perKilotoken * unread / 4); }
+
+    Duration perKilotoken { 20ms };
+    std::array<double, 3> kilotokens {};
+    std::array<double, 3> reported {};
+};
+
+// The figures: an engine reads a thousand tokens in 20 ms with all that runs
+// beside it, so four read 200 thousand a second; the peak is twice that in one
+// region while the others idle, as with peaks at different hours; reports are
+// 0.3 s old on the mean (interval, way, own requests since).
+TEST_CASE("a peak of one region is spread over all, without all entries turning to one region at once")
+{
+    Random random(9);
+    Regions world;
+    Duration longest = 400ms;
+    int refused = 0;
+    int late = 0;
+    int sent = 0;
+    double mostElsewhere = 0;
+    for (int step = 0; step < 10'000; ++step) {
+        if (step % 300 == 0)
+            world.reported = world.kilotokens;
+        // In a millisecond each region reads what its four engines can.
+        for (double& kilotokens : world.kilotokens)
+            kilotokens = std::max(0.0, kilotokens - 0.2);
+        // 400 requests a second of a thousand tokens, all in the north.
+        if (random.unit() >= 0.4)
+            continue;
+        RegionDemand demand;
+        demand.waitHere = world.waitOf(world.kilotokens[0]);
+        demand.longestWait = longest;
+        std::vector<RegionOption> others;
+        for (std::size_t region : { 1, 2 })
+            others.push_back({ Regions::names[region], world.waitOf(world.reported[region]), 115ms });
+        RegionChoice choice = chooseRegion(demand, others, random);
+        ++sent;
+        if (choice.verdict == RegionVerdict::Nowhere) {
+            ++refused;
+            continue;
+        }
+        std::size_t region = choice.verdict == RegionVerdict::Here ? 0 : choice.region == "south" ? 1
+                                                                                                  : 2;
+        late += world.waitOf(world.kilotokens[region]) > longest + 200ms;
+        world.kilotokens[region] += 1;
+        mostElsewhere = std::max({ mostElsewhere, world.kilotokens[1], world.kilotokens[2] });
+    }
+    CHECK(refused == 0);
+    CHECK(late == 0);
+    CHECK(world.waitOf(mostElsewhere) < longest);
+    CHECK(sent > 3'500);
+}
