--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinwing/Admission/RetryBudget.h"
+#include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointTable.h"
@@ -22,6 +22,7 @@
     double ratio { 0.2 };
     /// Retries that may be made beyond that in any window.
     double slack { 50 };
+    Duration window { std::chrono::seconds(10) };
 };
 
 /// The planned stop of an entry.
@@ -45,7 +46,7 @@
     EntryTable entries;
     RetryLimits retryLimits;
     /// This entry's part of the budget of each service.
-    absl::flat_hash_map<std::string, RetryBudget> retryBudgets;
+    absl::flat_hash_map<std::string, RetryWindow> retryBudgets;
     /// How readily each region takes the requests of each service.
     absl::flat_hash_map<std::string, RegionPressure> pressures;
     /// What other regions say of themselves.
@@ -60,7 +61,7 @@
     /// Number of the last attempt of any request.
     std::uint64_t lastAttempt { 0 };
 
-    RetryBudget& retryBudgetOf(const std::string& service);
+    RetryWindow& retryBudgetOf(const std::string& service);
 };
 
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -11,9 +11,9 @@
 static constexpr int statusNotFound = 404;
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
-/// Part of the retries beyond the ratio that entries give out. They begin with it,
-/// so that the first refusals after a start can be tried elsewhere; an entry that
-/// starts a second time within a window may give it out twice.
+/// Part of the retries beyond the ratio that entries give out, so that the first
+/// refusals after a start can be tried elsewhere; an entry that starts a second
+/// time within a window may give it out twice.
 static constexpr double slackPart = 0.5;
 /// A connection inside the region takes a few milliseconds; one that takes
 /// longer than this goes to an endpoint that is gone or cut off.
@@ -40,16 +40,12 @@
 /// A route's priorities begin with zero, the most urgent, like an endpoint's.
 static constexpr int leastUrgent = 9;
 
-RetryBudget& IngressParts::retryBudgetOf(const std::string& service)
+RetryWindow& IngressParts::retryBudgetOf(const std::string& service)
 {
-    auto found = retryBudgets.find(service);
     double share = retryLimits.slack * slackPart / static_cast<double>(std::max<std::size_t>(entries.size(), 1));
-    if (found == retryBudgets.end()) {
-        found = retryBudgets.emplace(service, RetryBudget(retryLimits.ratio, share)).first;
-        found->second.fill();
-    }
-    found->second.setBurst(share);
-    return found->second;
+    RetryWindow& budget = retryBudgets[service];
+    budget.setAllowance({ retryLimits.ratio, share, retryLimits.window });
+    return budget;
 }
 
 RoutedRun::RoutedRun(IngressParts& parts, RoutedRequest request, std::shared_ptr<HttpResponder> responder)
@@ -95,7 +91,7 @@
     }
     m_service = pickService();
     if (!m_request.isForwarded)
-        m_parts.retryBudgetOf(m_service).onRequest();
+        m_parts.retryBudgetOf(m_service).noteRequest(now());
     dispatch();
 }
 
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -241,7 +241,7 @@
 void RoutedRun::takeFailure(AttemptVerdict verdict)
 {
     absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
-    RetryBudget& budget = m_parts.retryBudgetOf(m_service);
+    RetryWindow& budget = m_parts.retryBudgetOf(m_service);
     RunProgress progress;
     progress.mayRepeat = mayRepeat(*m_route);
     progress.isResumable = m_route->isResumable;
@@ -250,12 +250,12 @@
     progress.refusals = m_refusals;
     progress.maxRuns = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
     progress.hasDelivered = m_hasHead;
-    progress.hasBudget = !m_hasArrived || budget.available() >= 1;
+    progress.hasBudget = !m_hasArrived || budget.hasRetry(now());
     progress.timeLeft = m_deadline - now();
     switch (decideNext(verdict, progress)) {
     case NextStep::SendAgain:
         if (m_hasArrived)
-            budget.tryRetry();
+            budget.tryRetry(now());
         m_parts.metrics.count("retries");
         dispatch();
         return;
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -110,7 +110,7 @@
     parts.routes = std::make_shared<const RouteTable>(1, std::vector<Route> { std::move(route) }, std::vector<ServiceSettings> { service }, ClientLimits {});
     // Requests earn the budget that retries draw on.
     for (int i = 0; i < 50; ++i)
-        parts.retryBudgetOf("service").onRequest();
+        parts.retryBudgetOf("service").noteRequest(scheduler.clock().now());
 }
 
 Route IngressFixture::unary(RequestKind kind, unsigned attempts)
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -138,7 +138,7 @@
 {
     IngressFixture fixture;
     fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 2));
-    while (fixture.parts.retryBudgetOf("service").tryRetry()) { }
+    while (fixture.parts.retryBudgetOf("service").tryRetry(fixture.scheduler.clock().now())) { }
     fixture.addEndpoint("e1");
     fixture.addEndpoint("e2");
     fixture.answers = { lost, fine };
