Send long answers to where engines are faster

Change: the pace of each engine is learnt from its streams, the length of a stream from the tokens that its request states; both count in the load by which endpoints are compared, and regions report their pace. Tests: length and pace of streams, the choice of region by pace.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -60,6 +60,8 @@
     const ServiceSettings* service { nullptr };
     std::string sharedPart;
     std::int64_t sharedTokens { 0 };
+    /// Events that its answer is likely to have.
+    double events { 0 };
     /// Incarnations that have had the request.
     const std::vector<std::string>* tried { nullptr };
     /// Also takes one of those, if no other is there.
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -9,6 +9,7 @@
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionPressure.h"
+#include "catkinwing/Routing/StreamLength.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -51,6 +52,8 @@
     absl::flat_hash_map<std::string, RegionPressure> pressures;
     /// What other regions say of themselves.
     RegionOutlooks outlooks;
+    /// How many events the streams of each route have.
+    absl::flat_hash_map<std::string, StreamLength> streamLengths;
     /// When refused clients of each service are to come back.
     absl::flat_hash_map<std::string, ReturnSchedule> returns;
     /// The configuration in force; null before the first one is known.
--- a/include/catkinwing/Ingress/RegionOutlooks.h
+++ b/include/catkinwing/Ingress/RegionOutlooks.h
@@ -20,6 +20,9 @@
     /// Returns how long a request would wait in \p region; nothing if no report
     /// is fresh enough to be believed.
     std::optional<Duration> waitIn(const std::string& region, absl::string_view service, TimePoint now) const;
+    /// Returns the time between two events of a stream in \p region as last
+    /// heard; zero if unknown.
+    Duration timePerEventIn(const std::string& region, absl::string_view service) const;
     /// Returns how old the newest report of \p region is; nothing without one.
     std::optional<Duration> age(const std::string& region, TimePoint now) const;
 
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -51,6 +51,8 @@
         /// The endpoint could run it at once.
         bool hadFreeSlot { false };
         bool hasBegun { false };
+        /// When its last bytes came.
+        TimePoint heardAt {};
         std::shared_ptr<HttpExchange> exchange;
         TimePoint startedAt {};
         absl::optional<HttpResponseHead> head;
@@ -90,6 +92,7 @@
     static void noteRead(Attempt& attempt);
     static void leaveEndpoint(Attempt& attempt);
     void learnBegin(Attempt& attempt) const;
+    double likelyEvents() const;
     std::chrono::milliseconds returnAfter() const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
     void listenForGiveUp();
--- a/include/catkinwing/PeerProtocol/RegionReport.h
+++ b/include/catkinwing/PeerProtocol/RegionReport.h
@@ -19,10 +19,12 @@
     std::chrono::milliseconds wait { 0 };
     /// How long an endpoint takes to read a thousand tokens of prompts.
     std::chrono::microseconds perKilotoken { 0 };
+    /// Time between two events of a stream.
+    std::chrono::microseconds perEvent { 0 };
 };
 
 /// What an entry tells a few entries of other regions several times a second:
-/// about 20 bytes for each service, so that the cost of a region is that of its
+/// about 25 bytes for each service, so that the cost of a region is that of its
 /// services, whatever the number of its endpoints.
 struct RegionReport {
     std::string region;
--- a/include/catkinwing/Routing/AnswerTimes.h
+++ b/include/catkinwing/Routing/AnswerTimes.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Routing/EndpointChoice.h"
 #include "catkinwing/Support/Clock.h"
+#include <cstddef>
 
 namespace catkinwing {
 
@@ -20,6 +21,8 @@
     double sumProducts { 0 };
     /// Seconds that a request occupies a slot.
     double heldSeconds { 0 };
+    /// Seconds between two events of a stream.
+    double eventSeconds { 0 };
 };
 
 /// Notes that the first byte of an answer came after \p took, where the endpoint
@@ -27,7 +30,11 @@
 void learnFirstByte(AnswerTimes& times, double kilotokens, Duration took);
 /// Notes that a request has occupied its endpoint for \p held.
 void learnHeld(AnswerTimes& times, Duration held);
+/// Notes that a stream has gone on by \p events after \p pause.
+void learnEvents(AnswerTimes& times, std::size_t events, Duration pause);
 
+/// Time between two events of a stream.
+Duration timePerEvent(const AnswerTimes& times);
 /// Time until the first byte where nothing is to be read before it.
 Duration idleFirstByte(const AnswerTimes& times);
 /// Time that reading a thousand tokens of prompts takes, with all that runs beside it.
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -267,7 +267,8 @@
     EndpointCandidate candidate;
     candidate.incarnation = endpoint.record.incarnation;
     candidate.wait = waitAt(endpoint, work, *request.service);
-    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(endpoint.answerTimes) * (work.requests / requestsPerKilotoken));
+    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(endpoint.answerTimes) * (work.requests / requestsPerKilotoken))
+        + std::chrono::duration_cast<Duration>(timePerEvent(endpoint.answerTimes) * request.events);
     candidate.isSuspect = isSuspect(endpoint, now);
     candidate.isTooBusy = request.demand && candidate.wait > longestWait(*request.demand, idleFirstByte(endpoint.answerTimes));
     return candidate;
@@ -403,12 +404,14 @@
         return outlook;
     std::vector<Duration> waits;
     Duration reading { 0 };
+    Duration events { 0 };
     for (const auto& endpoint : found->second) {
         bool isCold = now < endpoint->coldUntil && service.coldRequestsPerSecond > 0;
         if (endpoint->region != m_region || !isUsable(*endpoint) || isCold || isSuspect(*endpoint, now))
             continue;
         waits.push_back(waitAt(*endpoint, workOf(*endpoint), service));
         reading += timePerKilotoken(endpoint->answerTimes);
+        events += timePerEvent(endpoint->answerTimes);
     }
     if (waits.empty())
         return outlook;
@@ -418,6 +421,7 @@
     outlook.endpoints = static_cast<std::uint32_t>(waits.size());
     outlook.wait = std::chrono::duration_cast<milliseconds>(sum / half);
     outlook.perKilotoken = std::chrono::duration_cast<std::chrono::microseconds>(reading / waits.size());
+    outlook.perEvent = std::chrono::duration_cast<std::chrono::microseconds>(events / waits.size());
     return outlook;
 }
 
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -69,7 +69,7 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, 0, 0 }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0 }
         , registration(*store, eventLoop, registrationOptions())
         , relayed(*store, *peerClient, eventLoop, relayChoice())
         , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
--- a/lib/Ingress/RegionOutlooks.cpp
+++ b/lib/Ingress/RegionOutlooks.cpp
@@ -66,6 +66,15 @@
     return heard.outlook.wait + std::chrono::duration_cast<Duration>(heard.outlook.perKilotoken * kilotokens);
 }
 
+Duration RegionOutlooks::timePerEventIn(const std::string& region, absl::string_view service) const
+{
+    auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return Duration::zero();
+    auto entry = found->second.services.find(serviceHash(service));
+    return entry == found->second.services.end() ? Duration::zero() : Duration(entry->second.outlook.perEvent);
+}
+
 std::optional<Duration> RegionOutlooks::age(const std::string& region, TimePoint now) const
 {
     auto found = m_regions.find(region);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -194,17 +194,19 @@
     bool isFirst = m_attempts == 0 && !m_request.isForwarded;
     if (!isFirst || !settings)
         return false;
+    auto lastsAt = [events = likelyEvents()](Duration perEvent) { return std::chrono::duration_cast<Duration>(perEvent * events); };
     RegionDemand demand;
     demand.longestWait = longestWaitAnywhere();
     if (isAllowedHere()) {
         ServiceOutlook here = m_parts.endpoints.outlook(*settings, now());
         if (here.endpoints > 0)
             demand.waitHere = here.wait;
+        demand.lastsHere = lastsAt(here.perEvent);
         demand.mayAskHere = m_parts.endpoints.usableByRegion(m_service).count(m_parts.region) > 0;
     }
     std::vector<RegionOption> others;
     for (const auto& [region, endpoints] : otherRegions(m_service))
-        others.push_back({ region, waitAway(region), regionCrossing });
+        others.push_back({ region, waitAway(region), regionCrossing, lastsAt(m_parts.outlooks.timePerEventIn(region, m_service)) });
     RegionChoice choice = chooseRegion(demand, others, m_parts.random);
     if (choice.verdict == RegionVerdict::Away)
         return !sharedPart() && sendToEntryOf(choice.region, "shorter_wait");
@@ -240,6 +242,7 @@
     const PromptPart* shared = sharedPart();
     wanted.sharedPart = shared ? shared->id : std::string();
     wanted.sharedTokens = shared ? shared->tokens : 0;
+    wanted.events = likelyEvents();
     wanted.tried = &m_triedEndpoints;
     wanted.mayBeTried = mayBeTried;
     // What has run or begun to answer is finished if that is possible at all.
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -89,6 +89,13 @@
         learnFirstByte(attempt.endpoint->answerTimes, attempt.kilotokensBefore, now() - attempt.startedAt);
 }
 
+double RoutedRun::likelyEvents() const
+{
+    if (m_route->kind != RequestKind::Streaming)
+        return 0;
+    return predictEvents(m_parts.streamLengths[m_route->name], m_request.facts.maxOutputTokens);
+}
+
 // The attempt no longer counts as work of its endpoint.
 void RoutedRun::leaveEndpoint(Attempt& attempt)
 {
@@ -111,7 +118,13 @@
     learnBegin(attempt);
     if (attempt.endpoint)
         m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    std::size_t before = m_cursor.events();
     std::string events = m_cursor.feed(bytes);
+    bool hasGoneOn = attempt.heardAt != TimePoint {} && !m_isPaused;
+    if (attempt.endpoint && hasGoneOn)
+        learnEvents(attempt.endpoint->answerTimes, m_cursor.events() - before, now() - attempt.heardAt);
+    if (m_cursor.events() > before)
+        attempt.heardAt = now();
     if (!events.empty()) {
         deliverHead(*attempt.head);
         deliver(std::move(events));
@@ -224,6 +237,7 @@
     if (attempt.isEventStream) {
         deliverHead(*attempt.head);
         m_responder->finish();
+        learnEvents(m_parts.streamLengths[m_route->name], m_request.facts.maxOutputTokens, m_cursor.events());
         finish(attempt.head->status, "completed", "");
         return;
     }
@@ -403,6 +417,8 @@
         };
         if (m_firstByteAt != TimePoint {})
             fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
+        if (m_cursor.events() > 0)
+            fields["events"] = m_cursor.events();
         if (m_attempts > 0) {
             fields["to"] = m_lastPlace;
             fields["why"] = m_lastWhy;
--- a/lib/PeerProtocol/RegionReport.cpp
+++ b/lib/PeerProtocol/RegionReport.cpp
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Numbers that a report holds for each service.
-static constexpr std::size_t numbersPerService = 4;
+static constexpr std::size_t numbersPerService = 5;
 /// Members of the message: region, entry, sequence, numbers.
 static constexpr std::size_t members = 4;
 
@@ -27,6 +27,7 @@
         numbers.push_back(outlook.endpoints);
         numbers.push_back(static_cast<std::uint32_t>(outlook.wait.count()));
         numbers.push_back(static_cast<std::uint32_t>(outlook.perKilotoken.count()));
+        numbers.push_back(static_cast<std::uint32_t>(outlook.perEvent.count()));
     }
     std::string bytes;
     json::to_cbor(json::array({ report.region, report.entry, report.sequence, std::move(numbers) }), bytes);
@@ -56,6 +57,7 @@
         outlook.endpoints = numbers[i + 1].get<std::uint32_t>();
         outlook.wait = std::chrono::milliseconds(numbers[i + 2].get<std::uint32_t>());
         outlook.perKilotoken = std::chrono::microseconds(numbers[i + 3].get<std::uint32_t>());
+        outlook.perEvent = std::chrono::microseconds(numbers[i + 4].get<std::uint32_t>());
         report.services.push_back(outlook);
     }
     return report;
--- a/lib/Routing/AnswerTimes.cpp
+++ b/lib/Routing/AnswerTimes.cpp
@@ -25,6 +25,14 @@
 static constexpr double heldGuessSeconds = 0.5;
 static constexpr double heldWeight = 0.05;
 
+/// Engines make an event of five to seven tokens in 25 to 100 ms.
+static constexpr double eventGuessSeconds = 0.03;
+/// The last fifty events count most: what one entry sees of a busy engine in a
+/// tenth of a second.
+static constexpr double eventWeight = 0.02;
+/// A pause beyond this is a fault or the network, and no pace.
+static constexpr double longestPauseSeconds = 1;
+
 static double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -46,6 +54,7 @@
 
 AnswerTimes::AnswerTimes()
     : heldSeconds(heldGuessSeconds)
+    , eventSeconds(eventGuessSeconds)
 {
     addPoint(*this, 0, firstGuessSeconds, guessWeight / 2);
     addPoint(*this, guessKilotokens, firstGuessSeconds + guessKilotokens * secondsPerKilotokenGuess, guessWeight / 2);
@@ -63,6 +72,19 @@
     times.heldSeconds += heldWeight * (secondsOf(held) - times.heldSeconds);
 }
 
+void learnEvents(AnswerTimes& times, std::size_t events, Duration pause)
+{
+    if (events == 0)
+        return;
+    double seconds = std::min(secondsOf(pause), longestPauseSeconds) / static_cast<double>(events);
+    times.eventSeconds += eventWeight * (seconds - times.eventSeconds);
+}
+
+Duration timePerEvent(const AnswerTimes& times)
+{
+    return durationOf(times.eventSeconds);
+}
+
 // Where all answers had the same to read they say nothing of the slope.
 static double slopeOf(const AnswerTimes& times)
 {
--- /dev/null
+++ b/lib/Routing/StreamLength.cpp
@@ -0,0 +1,28 @@
+#include "catkinwing/Routing/StreamLength.h"
+
+namespace catkinwing {
+
+/// The last fifty streams of a kind say most of the next one.
+static constexpr double kept = 0.98;
+/// An event holds five to seven tokens, where no stream has ended yet.
+static constexpr double tokensPerEventGuess = 6;
+
+void learnEvents(StreamLength& length, std::int64_t outputTokens, std::size_t events)
+{
+    auto count = static_cast<double>(events);
+    length.meanEvents += (1 - kept) * (count - length.meanEvents);
+    if (outputTokens <= 0)
+        return;
+    length.tokens = length.tokens * kept + static_cast<double>(outputTokens);
+    length.events = length.events * kept + count;
+}
+
+double predictEvents(const StreamLength& length, std::int64_t outputTokens)
+{
+    if (outputTokens <= 0)
+        return length.meanEvents;
+    double perToken = length.tokens > 0 ? length.events / length.tokens : 1 / tokensPerEventGuess;
+    return static_cast<double>(outputTokens) * perToken;
+}
+
+} // namespace catkinwing
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -95,7 +95,7 @@
     : dialect(testDialect())
     , parts { scheduler, random, endpointClient, peerClient, metrics, log, dialect, "north",
         EndpointTable("north", { { "north-a", "north" }, { "south-a", "south" } }),
-        EntryTable({ "north", "north-a", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } }), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, 0, 0 }
+        EntryTable({ "north", "north-a", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } }), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0 }
 {
     endpointClient.handler = [this](const HttpClientRequest& request) {
         std::size_t index = std::min(endpointClient.requests.size() - 1, answers.size() - 1);
--- a/unittests/Ingress/RegionOutlooksTest.cpp
+++ b/unittests/Ingress/RegionOutlooksTest.cpp
@@ -7,7 +7,7 @@
 
 static RegionReport reportOf(std::uint64_t sequence, std::chrono::milliseconds wait, std::uint32_t endpoints = 4)
 {
-    return { "south", "entry", sequence, { { serviceHash("service"), endpoints, wait, 20'000us } } };
+    return { "south", "entry", sequence, { { serviceHash("service"), endpoints, wait, 20'000us, 60'000us } } };
 }
 
 TEST_CASE("a region is as its latest report says, until that is too old")
@@ -18,6 +18,8 @@
     outlooks.take(reportOf(2, 100ms), now);
     CHECK(outlooks.waitIn("south", "service", now) == Duration(100ms));
     CHECK_FALSE(outlooks.waitIn("south", "other", now));
+    CHECK(outlooks.timePerEventIn("south", "service") == Duration(60ms));
+    CHECK(outlooks.timePerEventIn("south", "other") == Duration(0ms));
     outlooks.take(reportOf(1, 900ms), now + 10ms);
     CHECK(outlooks.waitIn("south", "service", now + 10ms) == Duration(100ms));
     outlooks.take(reportOf(3, 200ms), now + 200ms);
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -461,7 +461,7 @@
 
     void hearOfSouth(std::chrono::milliseconds wait)
     {
-        RegionReport report { "south", "south-entry", ++sequence, { { serviceHash("service"), 2, wait, 20'000us } } };
+        RegionReport report { "south", "south-entry", ++sequence, { { serviceHash("service"), 2, wait, 20'000us, 0us } } };
         fixture.parts.outlooks.take(report, fixture.scheduler.clock().now());
     }
 
--- a/unittests/Routing/AnswerTimesTest.cpp
+++ b/unittests/Routing/AnswerTimesTest.cpp
@@ -62,6 +62,17 @@
     CHECK(idleFirstByte(times) <= 6s);
 }
 
+TEST_CASE("the pace of streams is learnt, and a broken one doesn't spoil it")
+{
+    AnswerTimes times;
+    for (int i = 0; i < 300; ++i)
+        learnEvents(times, 2, 160ms);
+    CHECK(milliseconds(timePerEvent(times)) == Approx(80).epsilon(0.02));
+    learnEvents(times, 0, 10s);
+    learnEvents(times, 1, 10s);
+    CHECK(milliseconds(timePerEvent(times)) < 100);
+}
+
 TEST_CASE("a request waits for the prompts before it and, where no slot is free, for requests to end")
 {
     AnswerTimes times;
--- a/unittests/Routing/RegionChoiceTest.cpp
+++ b/unittests/Routing/RegionChoiceTest.cpp
@@ -32,6 +32,24 @@
     CHECK(chooseRegion(demandOf(500ms), {}, random).verdict == RegionVerdict::Nowhere);
 }
 
+TEST_CASE("long answers go to where engines are faster, and short ones stay")
+{
+    Random random(1);
+    RegionDemand demand = demandOf(0ms);
+    demand.lastsHere = 6s;
+    RegionOption faster { "south", 0ms, 115ms, 2s };
+    int away = 0;
+    for (int i = 0; i < 1'000; ++i)
+        away += chooseRegion(demand, { faster }, random).verdict == RegionVerdict::Away;
+    // Some stay, so that the faster region isn't filled at once.
+    CHECK(away > 300);
+    CHECK(away < 600);
+    demand.lastsHere = 200ms;
+    faster.lasts = 150ms;
+    for (int i = 0; i < 100; ++i)
+        CHECK(chooseRegion(demand, { faster }, random).verdict == RegionVerdict::Here);
+}
+
 TEST_CASE("the way to a region with room is no reason to refuse")
 {
     Random random(1);
--- /dev/null
+++ b/unittests/Routing/StreamLengthTest.cpp
@@ -0,0 +1,23 @@
+#include "catkinwing/Routing/StreamLength.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+
+TEST_CASE("the events of a stream follow from the tokens that its request asks for")
+{
+    StreamLength length;
+    for (int i = 0; i < 100; ++i)
+        learnEvents(length, 100 + i, static_cast<std::size_t>((100 + i) / 5));
+    CHECK(predictEvents(length, 1'000) == Approx(200).epsilon(0.02));
+    CHECK(predictEvents(length, 50) == Approx(10).epsilon(0.02));
+}
+
+TEST_CASE("without stated tokens a stream is as long as those before it")
+{
+    StreamLength length;
+    CHECK(predictEvents(length, 0) > 1);
+    for (int i = 0; i < 500; ++i)
+        learnEvents(length, 0, 70);
+    CHECK(predictEvents(length, 0) == Approx(70).epsilon(0.01));
+}
