Let what may be repeated leave an endpoint that has fallen silent

Cause: a dark endpoint breaks no connection; a request that could run elsewhere waited there until its client left. Ruled out: leaving by the silence of one stream, which a preempted run shows too. Change: after a second (and the time that its unread prompts take) without a byte from the endpoint, and if most entries that use it say so, idempotent requests and streams that resume are sent elsewhere within the retry budget; others stay, since the endpoint may still answer. An entry that stood still blames nobody. Tests: a silent endpoint by kind of request, a stream, an entry that stood still.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -18,6 +18,15 @@
 
 namespace catkinwing {
 
+/// Why attempts under way at an endpoint are given up.
+enum class GiveUpReason {
+    /// A later start has taken its place: nothing will come any more.
+    StartedAgain,
+    /// It has sent nothing for long, and most entries that use it say so; it may
+    /// be alive, so that only what may be repeated leaves.
+    Silent,
+};
+
 /// One start of one endpoint as this entry knows it. Shared with the requests
 /// that are at it, which may outlive its registration.
 struct RoutedEndpoint {
@@ -52,7 +61,7 @@
     /// This entry's part of what it bears while cold.
     std::optional<TokenBucket> coldRate;
     /// Gives up each attempt of this entry that is under way there, by its number.
-    absl::flat_hash_map<std::uint64_t, std::function<void(const char* reason)>> giveUps;
+    absl::flat_hash_map<std::uint64_t, std::function<void(GiveUpReason reason)>> giveUps;
 };
 
 /// What a request asks of its endpoint.
@@ -103,6 +112,10 @@
     /// rate while it is cold; null if none may get it.
     std::shared_ptr<RoutedEndpoint> choose(const EndpointRequest& request, TimePoint now, Random& random);
     void noteBegan(RoutedEndpoint& endpoint, TimePoint now) const;
+    /// Gives up what may be repeated at endpoints of this region that are silent.
+    void leaveSilent(TimePoint now);
+    /// This entry stood still: the silence since was its own.
+    void forgiveSilence(TimePoint now);
     /// Returns the work before an endpoint, as far as the entries of the region know.
     EndpointWork workOf(const RoutedEndpoint& endpoint) const;
     /// Returns how long a request that came now would wait there.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -96,6 +96,8 @@
     std::chrono::milliseconds returnAfter() const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
     void listenForGiveUp();
+    void giveUp(GiveUpReason reason);
+    RunProgress progress();
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
     void takeStatements(Attempt& attempt);
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -44,9 +44,9 @@
 }
 
 // Each attempt takes itself off the list.
-static void giveUpAll(RoutedEndpoint& endpoint, const char* reason)
+static void giveUpAll(const RoutedEndpoint& endpoint, GiveUpReason reason)
 {
-    auto giveUps = std::exchange(endpoint.giveUps, {});
+    auto giveUps = endpoint.giveUps;
     for (const auto& [attempt, giveUp] : giveUps)
         giveUp(reason);
 }
@@ -131,7 +131,7 @@
 {
     if (m_onReplaced)
         m_onReplaced(endpoint);
-    giveUpAll(endpoint, "endpoint_started_again");
+    giveUpAll(endpoint, GiveUpReason::StartedAgain);
 }
 
 void EndpointTable::noteUnreadable(const std::string& incarnation)
@@ -241,6 +241,26 @@
     return suspicions > 0 && suspicions * 2 > users;
 }
 
+// An engine that reads much before the first event of any of its requests is
+// silent for as long as that takes.
+void EndpointTable::leaveSilent(TimePoint now)
+{
+    std::vector<std::shared_ptr<RoutedEndpoint>> silent;
+    for (const auto& [incarnation, endpoint] : m_endpoints) {
+        bool isWaitedFor = !endpoint->giveUps.empty() && now - endpoint->quietSince > longestQuiet + predictWait(endpoint->answerTimes, workOf(*endpoint), 0);
+        if (isWaitedFor && isSuspect(*endpoint, now))
+            silent.push_back(endpoint);
+    }
+    for (const auto& endpoint : silent)
+        giveUpAll(*endpoint, GiveUpReason::Silent);
+}
+
+void EndpointTable::forgiveSilence(TimePoint now)
+{
+    for (const auto& [incarnation, endpoint] : m_endpoints)
+        endpoint->quietSince = now;
+}
+
 EndpointWork EndpointTable::workOf(const RoutedEndpoint& endpoint) const
 {
     constexpr double tokensPerKilotoken = 1'000;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -43,6 +43,9 @@
 static constexpr milliseconds drainMargin { 400 };
 static constexpr milliseconds drainCheck { 50 };
 static constexpr milliseconds houseKeepingInterval { 250 };
+/// A longer time between two rounds of it means that the entry stood still or
+/// is starved, and hears late.
+static constexpr milliseconds longestHouseKeepingPause { 500 };
 static constexpr milliseconds stateInterval { 10'000 };
 /// Requests last from 30 ms to seconds; reports that are this old still tell
 /// most of what the others have under way.
@@ -163,6 +166,7 @@
     bool hasStoppedListening { false };
     bool wasReady { false };
     TimePoint lastRequestAt {};
+    TimePoint houseKeptAt {};
     std::function<void()> drained;
 };
 
@@ -364,6 +368,12 @@
 void IngressDaemon::Impl::houseKeep()
 {
     logState();
+    TimePoint now = loop.clock().now();
+    bool stoodStill = now - houseKeptAt > longestHouseKeepingPause && houseKeptAt != TimePoint {};
+    houseKeptAt = now;
+    if (stoodStill)
+        parts.endpoints.forgiveSilence(now);
+    parts.endpoints.leaveSilent(now);
     follower.houseKeep();
     parts.endpoints.setEntriesOfRegion(parts.entries.keysOfRegion(settings.region), ownKey());
     bool isReadyNow = isReady();
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -404,11 +404,25 @@
     if (!m_attempt->endpoint)
         return;
     std::uint64_t number = m_attempt->number;
-    m_attempt->endpoint->giveUps[number] = [weak = weak_from_this(), number](const char* reason) {
+    m_attempt->endpoint->giveUps[number] = [weak = weak_from_this(), number](GiveUpReason reason) {
         std::shared_ptr<RoutedRun> self = weak.lock();
         if (self && self->m_attempt && self->m_attempt->number == number)
-            self->abandonAttempt(reason);
+            self->giveUp(reason);
     };
 }
 
+// A silent endpoint may still answer: what could only fail elsewhere stays.
+void RoutedRun::giveUp(GiveUpReason reason)
+{
+    if (reason == GiveUpReason::StartedAgain) {
+        abandonAttempt("endpoint_started_again");
+        return;
+    }
+    RunProgress after = progress();
+    after.runs += 1;
+    after.mayHaveRun = true;
+    if (decideNext(AttemptVerdict::Unknown, after) == NextStep::SendAgain)
+        abandonAttempt("endpoint_silent");
+}
+
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -252,10 +252,8 @@
     takeFailure(AttemptVerdict::Unknown);
 }
 
-void RoutedRun::takeFailure(AttemptVerdict verdict)
+RunProgress RoutedRun::progress()
 {
-    absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
-    RetryWindow& budget = m_parts.retryBudgetOf(m_service);
     RunProgress progress;
     progress.mayRepeat = mayRepeat(*m_route);
     progress.isResumable = m_route->isResumable;
@@ -264,12 +262,18 @@
     progress.refusals = m_refusals;
     progress.maxRuns = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
     progress.hasDelivered = m_hasHead;
-    progress.hasBudget = !m_hasArrived || budget.hasRetry(now());
+    progress.hasBudget = !m_hasArrived || m_parts.retryBudgetOf(m_service).hasRetry(now());
     progress.timeLeft = m_deadline - now();
-    switch (decideNext(verdict, progress)) {
+    return progress;
+}
+
+void RoutedRun::takeFailure(AttemptVerdict verdict)
+{
+    absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
+    switch (decideNext(verdict, progress())) {
     case NextStep::SendAgain:
         if (m_hasArrived)
-            budget.tryRetry(now());
+            m_parts.retryBudgetOf(m_service).tryRetry(now());
         m_parts.metrics.count("retries");
         dispatch();
         return;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -532,3 +532,71 @@
     CHECK(client->body == eventText(1) + eventText(2) + eventText(3));
     CHECK(world.fixture.sent(1, "resume-after") == "2");
 }
+
+// A dark engine: nothing comes and no connection breaks. Answers of plain services
+// take up to half a second, so that 1.5 s without a byte from the endpoint is no wait.
+TEST_CASE("what may be repeated leaves an endpoint that has fallen silent, and what may not stays")
+{
+    for (RequestKind kind : { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
+        IngressFixture fixture;
+        Route route = IngressFixture::unary(kind);
+        route.timeout = 5s;
+        fixture.configure(route);
+        fixture.addEndpoint("e1");
+        fixture.addEndpoint("e2");
+        fixture.answers = { silent, fine };
+        auto client = fixture.start();
+        fixture.scheduler.advance(800ms);
+        fixture.parts.endpoints.leaveSilent(fixture.scheduler.clock().now());
+        fixture.scheduler.advance(10ms);
+        CHECK(fixture.endpointClient.requests.size() == 1);
+        fixture.scheduler.advance(800ms);
+        fixture.parts.endpoints.leaveSilent(fixture.scheduler.clock().now());
+        fixture.scheduler.advance(10ms);
+        bool isRepeated = kind == RequestKind::Idempotent;
+        CHECK(fixture.endpointClient.requests.size() == (isRepeated ? 2u : 1u));
+        CHECK((isRepeated ? client->status() == 200 : !client->head));
+    }
+}
+
+TEST_CASE("a stream that may resume leaves a silent endpoint after its last event")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::stream(true);
+    route.timeout = 5s;
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = {
+        [](const HttpClientRequest& request) {
+            FakeHttpAnswer answer = streamed(request, { 1, 2 });
+            answer.isLeftOpen = true;
+            return answer;
+        },
+        [](const HttpClientRequest& request) { return streamed(request, { 3 }); }
+    };
+    auto client = fixture.start();
+    fixture.scheduler.advance(1'600ms);
+    fixture.parts.endpoints.leaveSilent(fixture.scheduler.clock().now());
+    fixture.scheduler.advance(100ms);
+    CHECK(client->body == eventText(1) + eventText(2) + eventText(3));
+    CHECK(fixture.endpointClient.exchanges[0]->isCancelled);
+    CHECK(fixture.sent(1, "resume-after") == "2");
+}
+
+TEST_CASE("an entry that stood still takes no endpoint for silent")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::unary(RequestKind::Idempotent);
+    route.timeout = 5s;
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { silent, fine };
+    fixture.start();
+    fixture.scheduler.advance(3s);
+    fixture.parts.endpoints.forgiveSilence(fixture.scheduler.clock().now());
+    fixture.parts.endpoints.leaveSilent(fixture.scheduler.clock().now());
+    fixture.scheduler.advance(10ms);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+}
