--- a/lib/Admission/WaitLimit.cpp
+++ b/lib/Admission/WaitLimit.cpp
@@ -6,9 +6,11 @@
 
 using std::chrono::milliseconds;
 
-/// Part of the target that may pass before the endpoint begins: the rest is for
-/// reading the request's own prompt and for what the prediction misses.
-static constexpr double waitPart = 0.8;
+/// Part of the target, less what an idle endpoint takes, that may pass before the
+/// endpoint begins. Anything from 0.8 to 1.1 serves alike; at 0.6 too much is refused.
+static constexpr double waitPart = 0.95;
+/// An endpoint that is never in time is waited for by this part of the target.
+static constexpr double leastWaitPart = 0.2;
 /// Less urgent kinds leave this much of the wait to the more urgent ones, which
 /// so find room however much of the others comes.
 static constexpr double lessUrgentPart = 0.7;
@@ -32,7 +34,7 @@
 Duration longestWait(const WaitDemand& demand, Duration idleFirstByte)
 {
     Duration target = demand.latencyTarget > milliseconds::zero() ? demand.latencyTarget : usualTarget;
-    Duration wait = std::max(partOf(target - idleFirstByte, waitPart), partOf(target, 1 - waitPart));
+    Duration wait = std::max(partOf(target - idleFirstByte, waitPart), partOf(target, leastWaitPart));
     bool isReturning = demand.timeLeft < partOf(demand.timeout, freshPart);
     if (isReturning)
         wait = partOf(wait, returnedPart);
