Take no endpoint that has answered little for a busy one

Cause: the wait taken from the learnt line less the quickest answer is 0.1 s for an endpoint with few answers, since the quickest answer is learnt at once and the line is not; beside a well-known endpoint it got nothing for ever. Found by ServedPathTest "entries of other writers", which failed five times of five: the endpoint that had been unreadable was never used again.

--- a/lib/Routing/AnswerTimes.cpp
+++ b/lib/Routing/AnswerTimes.cpp
@@ -116,11 +116,7 @@
 
 Duration predictWait(const AnswerTimes& times, const EndpointWork& work, unsigned slots)
 {
-    // What the others report is some tenths of a second old, so that a busy endpoint
-    // always seems to have more to read than it has. The line is learnt from the
-    // same figures, so that it is right about the time all the same.
-    double atNothing = (times.sumSeconds - slopeOf(times) * times.sumKilotokens) / times.weight;
-    double seconds = std::max(0.0, atNothing + work.unreadKilotokens * slopeOf(times) - times.idleSeconds);
+    double seconds = work.unreadKilotokens * slopeOf(times);
     if (slots > 0) {
         double queued = std::max(0.0, work.requests + 1 - slots);
         seconds += queued * times.heldSeconds / slots;
