Let no test of silent endpoints end with a request open

Cause: the leak checker found the request of two tests that ended before its deadline (IngressTests under the address sanitizer, 6,192 bytes). Change: both tests advance past the deadline and check that nothing is open. Measured: IngressTests under both sanitizers, 80 test cases, passed.

--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -556,6 +556,9 @@
         bool isRepeated = kind == RequestKind::Idempotent;
         CHECK(fixture.endpointClient.requests.size() == (isRepeated ? 2u : 1u));
         CHECK((isRepeated ? client->status() == 200 : !client->head));
+        // Its deadline ends what still waits.
+        fixture.scheduler.advance(10s);
+        CHECK(fixture.parts.openRequests == 0);
     }
 }
 
@@ -599,4 +602,6 @@
     fixture.parts.endpoints.leaveSilent(fixture.scheduler.clock().now());
     fixture.scheduler.advance(10ms);
     CHECK(fixture.endpointClient.requests.size() == 1);
+    fixture.scheduler.advance(10s);
+    CHECK(fixture.parts.openRequests == 0);
 }
