Keep a relay at work across a new watch, and tell followers what a compaction hid

Beside that, a relay that listed the store anew forgot its history, so that every follower was sent to the store.

Change: an entry counts its direct watches, and each ends only its own. A listing that follows a loss of history is compared with the mirror; followers get the differences and are told that a part was concluded from a listing, so that keys that are gone count as missing and not as removed.

Tests: "a relay whose watch broke and was opened again goes on relaying", "after a compaction the followers ...", "a mirror that is listed again ..."; all three fail on the code before.

--- a/include/catkinwing/Ingress/RelayedStore.h
+++ b/include/catkinwing/Ingress/RelayedStore.h
@@ -15,6 +15,9 @@
     std::function<std::optional<SocketAddress>()> relay;
     /// Tells that the entry did not answer as it should.
     std::function<void(const SocketAddress&)> noteFailure;
+    /// Tells that what comes next was concluded from a listing after a part of
+    /// the history was lost.
+    std::function<void()> noteTrouble;
     /// Returns an entry to learn everything from while the store doesn't answer
     /// and this entry knows nothing yet; nothing if none is known.
     std::function<std::optional<SocketAddress>()> bootstrap;
--- a/include/catkinwing/Ingress/StoreMirror.h
+++ b/include/catkinwing/Ingress/StoreMirror.h
@@ -15,7 +15,9 @@
     /// \p maxChanges bounds the changes that are kept.
     explicit StoreMirror(std::size_t maxChanges = 4'096);
 
-    /// Takes a whole listing; what was known before is forgotten.
+    /// Takes a whole listing. What it says differently than before counts as
+    /// changes, so that an entry that knows no more than this one did need not
+    /// list the store as well. A listing older than the mirror is ignored.
     void takeListing(const StoreListing& listing);
     void takeEvents(const std::vector<StoreEvent>& events);
     /// Returns what changed after \p revision, or everything for zero; nothing
@@ -26,6 +28,8 @@
 
 private:
     StoreChanges everything() const;
+    void noteDifferences(const StoreListing& listing);
+    void trim();
 
     std::size_t m_maxChanges;
     std::map<std::string, StoredValue> m_values;
@@ -33,6 +37,8 @@
     StoreRevision m_revision { 0 };
     /// Changes after this revision are all in m_changes.
     StoreRevision m_completeAfter { 0 };
+    /// Revision of the last listing; events up to it are part of it.
+    StoreRevision m_listedRevision { 0 };
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/PeerProtocol/StoreChanges.h
+++ b/include/catkinwing/PeerProtocol/StoreChanges.h
@@ -26,6 +26,10 @@
     /// All changes up to here are told.
     std::int64_t revision { 0 };
     std::vector<StoreChange> changes;
+    /// The sender has missed a part of the history and concludes some of the
+    /// changes from a listing: keys that are gone may only have lapsed while the
+    /// store was away.
+    bool spansListing { false };
 };
 
 std::string encodeStoreChanges(const StoreChanges& changes);
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -111,6 +111,7 @@
         RelayChoice choice;
         choice.relay = [this] { return parts.entries.relay(ownKey(), loop.clock().now()); };
         choice.bootstrap = [this] { return lastReporter; };
+        choice.noteTrouble = [this] { follower.noteTrouble(); };
         choice.noteFailure = [this](const SocketAddress& peer) { parts.entries.notePeerFailure(peer, loop.clock().now()); };
         return choice;
     }
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -55,15 +55,17 @@
     void endDirect();
     /// Asks another entry for everything; \p failure is the store's.
     void bootstrap(const absl::Status& failure, ListCallback done);
+    bool isDirect() const { return directWatches > 0; }
     /// Tells whether other entries may wait here for news.
-    bool mayRelay() const { return !hasStopped && (isDirect || scheduler.clock().now() < heldUntil); }
+    bool mayRelay() const { return !hasStopped && (isDirect() || scheduler.clock().now() < heldUntil); }
 
     Store& direct;
     HttpClient& peers;
     Scheduler& scheduler;
     RelayChoice choice;
     StoreMirror mirror;
-    bool isDirect { false };
+    /// Watches at the store itself: a new one begins before the broken one is dropped.
+    unsigned directWatches { 0 };
     bool hasStopped { false };
     TimePoint directUntil {};
     TimePoint heldUntil {};
@@ -95,7 +97,8 @@
     {
         m_callbacks = {};
         m_isClosed = true;
-        m_store.endDirect();
+        if (m_direct)
+            m_store.endDirect();
         m_direct.reset();
         m_store.scheduler.cancel(m_searchTimer);
         if (auto exchange = std::exchange(m_exchange, nullptr))
@@ -112,7 +115,7 @@
     void watchDirectly()
     {
         logChange(LogLevel::Info, "store_watched_directly", { { "after", m_seen } });
-        m_store.isDirect = true;
+        ++m_store.directWatches;
         std::weak_ptr<Following> weak = weak_from_this();
         StoreWatchCallbacks callbacks;
         callbacks.onEvents = [weak](const std::vector<StoreEvent>& events) {
@@ -139,7 +142,7 @@
                 return;
             }
             self->m_direct.reset();
-            self->m_store.isDirect = false;
+            --self->m_store.directWatches;
             self->m_store.refuseWaiters();
             self->askRelay(*relay);
         });
@@ -175,6 +178,8 @@
             events.push_back({ change.isDeletion, { std::move(change.key), std::move(change.value), change.revision } });
         m_failedRelays = 0;
         auto self = shared_from_this();
+        if (changes->spansListing && m_store.choice.noteTrouble)
+            m_store.choice.noteTrouble();
         if (!events.empty())
             takeEvents(events);
         if (!m_isClosed)
@@ -272,9 +277,9 @@
 
 void RelayedStore::Impl::endDirect()
 {
-    if (!isDirect)
+    --directWatches;
+    if (isDirect())
         return;
-    isDirect = false;
     heldUntil = scheduler.clock().now() + holdWithoutWatch;
     scheduler.callAfter(holdWithoutWatch, [weak = weak_from_this()] {
         auto self = weak.lock();
@@ -339,8 +344,7 @@
             impl->bootstrap(listing.status(), done);
             return;
         }
-        if (listing->revision >= impl->mirror.revision())
-            impl->mirror.takeListing(*listing);
+        impl->mirror.takeListing(*listing);
         done(listing);
     });
 }
@@ -440,7 +444,7 @@
 
 bool RelayedStore::isDirect() const
 {
-    return m_impl->isDirect;
+    return m_impl->isDirect();
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/StoreMirror.cpp
+++ b/lib/Ingress/StoreMirror.cpp
@@ -1,6 +1,8 @@
 #include "catkinwing/Ingress/StoreMirror.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace catkinwing {
 
@@ -9,14 +11,38 @@
 {
 }
 
-void StoreMirror::takeListing(const StoreListing& listing)
+// After a compaction the events since the last one that was seen are lost, and
+// every entry that waits at this one would have to list the store. The listing
+// holds what they brought about: all writes since, and the keys that are gone.
+void StoreMirror::noteDifferences(const StoreListing& listing)
 {
-    m_values.clear();
-    m_changes.clear();
-    for (const StoredValue& value : listing.values)
+    std::vector<StoreChange> changes;
+    std::map<std::string, StoredValue> gone = std::exchange(m_values, {});
+    for (const StoredValue& value : listing.values) {
+        if (value.revision > m_revision)
+            changes.push_back({ value.key, value.value, value.revision, false });
+        gone.erase(value.key);
         m_values[value.key] = value;
+    }
+    for (const auto& [key, value] : gone)
+        changes.push_back({ key, "", listing.revision, true });
+    std::stable_sort(changes.begin(), changes.end(), [](const StoreChange& a, const StoreChange& b) { return a.revision < b.revision; });
+    m_changes.insert(m_changes.end(), changes.begin(), changes.end());
+}
+
+void StoreMirror::takeListing(const StoreListing& listing)
+{
+    if (listing.revision < m_revision)
+        return;
+    bool isFirst = m_revision == 0;
+    noteDifferences(listing);
     m_revision = listing.revision;
-    m_completeAfter = listing.revision;
+    m_listedRevision = listing.revision;
+    if (isFirst) {
+        m_changes.clear();
+        m_completeAfter = listing.revision;
+    }
+    trim();
 }
 
 void StoreMirror::takeEvents(const std::vector<StoreEvent>& events)
@@ -24,7 +50,7 @@
     for (const StoreEvent& event : events) {
         const StoredValue& current = event.current;
         // An event may come twice, from a watch that went on elsewhere.
-        if (current.revision <= m_completeAfter && current.revision <= m_revision)
+        if (current.revision <= std::max(m_completeAfter, m_listedRevision))
             continue;
         if (event.isDeletion)
             m_values.erase(current.key);
@@ -33,6 +59,11 @@
         m_changes.push_back({ current.key, current.value, current.revision, event.isDeletion });
         m_revision = std::max(m_revision, current.revision);
     }
+    trim();
+}
+
+void StoreMirror::trim()
+{
     while (m_changes.size() > m_maxChanges) {
         m_completeAfter = std::max(m_completeAfter, m_changes.front().revision);
         m_changes.pop_front();
@@ -59,6 +90,7 @@
     StoreChanges changes;
     // Whoever asks from further on knows more than this entry.
     changes.revision = std::max(m_revision, revision);
+    changes.spansListing = revision < m_listedRevision;
     for (const StoreChange& change : m_changes) {
         if (change.revision > revision)
             changes.changes.push_back(change);
--- a/lib/PeerProtocol/StoreChanges.cpp
+++ b/lib/PeerProtocol/StoreChanges.cpp
@@ -18,6 +18,8 @@
         list.push_back(std::move(row));
     }
     json message = json::array({ changes.revision, std::move(list) });
+    if (changes.spansListing)
+        message.push_back(true);
     std::string bytes;
     json::to_cbor(message, bytes);
     return bytes;
@@ -41,11 +43,15 @@
 absl::StatusOr<StoreChanges> decodeStoreChanges(absl::string_view bytes)
 {
     json message = parseCbor(bytes);
-    bool isMessage = message.is_array() && message.size() == 2 && message[0].is_number_integer() && message[1].is_array();
+    constexpr std::size_t leastFields = 2;
+    constexpr std::size_t mostFields = 3;
+    bool isMessage = message.is_array() && message.size() >= leastFields && message.size() <= mostFields && message[0].is_number_integer()
+        && message[1].is_array() && (message.size() == leastFields || message[2].is_boolean());
     if (!isMessage)
         return absl::InvalidArgumentError("changes of the store from an entry can't be read");
     StoreChanges changes;
     changes.revision = message[0].get<std::int64_t>();
+    changes.spansListing = message.size() == mostFields && message[2].get<bool>();
     for (const json& row : message[1]) {
         StoreChange change;
         if (!readChange(row, change))
--- a/unittests/Ingress/RelayedStoreTest.cpp
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -123,6 +123,7 @@
             return SocketAddress { "127.0.0.1", port };
         };
         choice.noteFailure = [this](const SocketAddress&) { ++failures; };
+        choice.noteTrouble = [this] { ++troubles; };
         return choice;
     }
 
@@ -139,6 +140,7 @@
     PeerNetwork network { scheduler };
     bool hasRelay { true };
     int failures { 0 };
+    int troubles { 0 };
     RelayEntry relay { shared, scheduler, network, askingNobody() };
     RelayEntry follower { shared, scheduler, network, asking(0) };
 };
@@ -218,6 +220,50 @@
     CHECK(world.follower.seen == std::vector<std::string> { "key" });
 }
 
+// The source of configuration drops its broken watch only after it has opened
+// the next one.
+TEST_CASE("a relay whose watch broke and was opened again goes on relaying")
+{
+    RelayWorld world;
+    for (int i = 0; i < 5; ++i) {
+        world.relay.follow(world.shared.revision() + 1);
+        world.scheduler.advance(2s);
+    }
+    CHECK(world.relay.store.isDirect());
+    CHECK_FALSE(world.follower.store.isDirect());
+    CHECK(world.failures == 0);
+    world.shared.put("key", "value");
+    world.scheduler.advance(100ms);
+    CHECK(world.follower.seen == std::vector<std::string> { "key" });
+    world.relay.watch.reset();
+    world.scheduler.advance(2s);
+    CHECK_FALSE(world.relay.store.isDirect());
+    CHECK(world.follower.store.isDirect());
+}
+
+TEST_CASE("after a compaction the followers of a relay learn from it what the lost events would have told")
+{
+    RelayWorld world;
+    world.shared.put("stays", "1");
+    world.shared.put("goes", "1");
+    world.scheduler.advance(100ms);
+    std::size_t reads = world.shared.calls(StoreCallGroup::Read);
+    // The relay hears nothing of these, and its watch ends.
+    world.relay.watch.reset();
+    world.shared.put("stays", "2");
+    world.shared.erase("goes");
+    world.shared.put("new", "1");
+    world.shared.compact();
+    world.relay.start();
+    world.scheduler.advance(3s);
+    CHECK(world.follower.seen == std::vector<std::string> { "stays", "goes", "stays", "new", "goes" });
+    CHECK(world.troubles > 0);
+    CHECK_FALSE(world.follower.store.isDirect());
+    CHECK(world.follower.ends == 0);
+    // One listing and one watch, both the relay's.
+    CHECK(world.shared.calls(StoreCallGroup::Read) == reads + 2);
+}
+
 TEST_CASE("a relay that is about to stop sends its followers away at once")
 {
     RelayWorld world;
@@ -249,3 +295,29 @@
     REQUIRE(everything->changes.size() == 1);
     CHECK(everything->changes[0].key == "b");
 }
+
+TEST_CASE("a mirror that is listed again tells the differences, and events from before count no more")
+{
+    StoreMirror mirror;
+    mirror.takeListing({ { { "a", "1", 9 }, { "b", "1", 10 } }, 10 });
+    mirror.takeEvents({ { false, { "c", "1", 12 } } });
+    mirror.takeListing({ { { "a", "2", 15 }, { "c", "1", 12 } }, 20 });
+    std::optional<StoreChanges> changes = mirror.changesAfter(10);
+    REQUIRE(changes);
+    CHECK(changes->revision == 20);
+    CHECK(changes->spansListing);
+    REQUIRE(changes->changes.size() == 3);
+    CHECK(changes->changes[0].key == "c");
+    CHECK(changes->changes[1].key == "a");
+    CHECK(changes->changes[1].value == "2");
+    CHECK(changes->changes[2].key == "b");
+    CHECK(changes->changes[2].isDeletion);
+    CHECK(changes->changes[2].revision == 20);
+    CHECK_FALSE(mirror.changesAfter(9));
+    // A watch that went on elsewhere brings what the listing has overtaken.
+    mirror.takeEvents({ { false, { "b", "1", 18 } } });
+    mirror.takeListing({ {}, 15 });
+    CHECK(mirror.changesAfter(0)->changes.size() == 2);
+    CHECK(mirror.changesAfter(20)->changes.empty());
+    CHECK_FALSE(mirror.changesAfter(20)->spansListing);
+}
--- a/unittests/PeerProtocol/StoreChangesTest.cpp
+++ b/unittests/PeerProtocol/StoreChangesTest.cpp
@@ -19,6 +19,12 @@
     CHECK(read->changes[0].revision == 411);
     CHECK_FALSE(read->changes[0].isDeletion);
     CHECK(read->changes[1].isDeletion);
+    CHECK_FALSE(read->spansListing);
+    changes.spansListing = true;
+    read = decodeStoreChanges(encodeStoreChanges(changes));
+    REQUIRE(read.ok());
+    CHECK(read->spansListing);
+    CHECK(read->changes.size() == 2);
 }
 
 TEST_CASE("a change costs its key, its value and a few bytes")
