Let the entries of a region know engines and shared parts together

Cause: where a hundred entries share a region's engines, one sees an answer of each engine in five seconds and each shared part in half an hour. Times were the first guess (0.5 s a slot, where a plain request takes 0.07), a part that another entry had placed was unknown, and an owner by hash changes with each evacuation, cold start and return, so that its parts were read again.

A part goes to the least busy endpoint that keeps it, its owner by hash only where none does. - A part stays in the region where it was used last, and moves where it would be begun sooner, the time of reading it again included; a part of the requests moves, more with the gain.

RoutedRunTest asks for the owner before the request, since the part stays where it went; the check is as strict.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -8,13 +8,15 @@
 #include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/Routing/AnswerTimes.h"
 #include "catkinwing/Routing/EndpointChoice.h"
+#include "catkinwing/Routing/PartHolders.h"
+#include "catkinwing/Routing/PartRegions.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 
 namespace catkinwing {
 
@@ -54,9 +56,10 @@
     unsigned inFlight { 0 };
     /// Tokens of their prompts that it has probably not read yet.
     std::int64_t unreadTokens { 0 };
-    /// Hashes of the shared parts that this entry has sent there.
-    absl::flat_hash_set<std::uint64_t> partsSent;
-    /// How soon it has answered this entry.
+    /// What this entry has learnt from all endpoints of its service in the region;
+    /// shared with them.
+    std::shared_ptr<AnswerTimes> serviceTimes { std::make_shared<AnswerTimes>() };
+    /// How soon it has answered this entry itself.
     AnswerTimes answerTimes;
     /// This entry's part of what it bears while cold.
     std::optional<TokenBucket> coldRate;
@@ -119,12 +122,31 @@
     /// Returns the work before an endpoint, as far as the entries of the region know.
     EndpointWork workOf(const RoutedEndpoint& endpoint) const;
     /// Returns how long a request that came now would wait there.
-    static Duration waitAt(const RoutedEndpoint& endpoint, const EndpointWork& work, const ServiceSettings& service);
+    static Duration waitAt(const RoutedEndpoint& endpoint, const AnswerEstimate& estimate, const EndpointWork& work, const ServiceSettings& service);
+    /// Returns how soon the endpoint answers, beginning with what is known of its service.
+    static AnswerEstimate answersOf(const RoutedEndpoint& endpoint, TimePoint now);
+    /// The first byte of an answer has come; as learnFirstByte().
+    static void noteFirstByte(RoutedEndpoint& endpoint, double kilotokens, Duration took, TimePoint now);
+    /// A request has left its slot after \p held.
+    static void noteHeld(RoutedEndpoint& endpoint, Duration held, TimePoint now);
+    /// A stream has gone on by \p events after \p pause.
+    static void noteEvents(RoutedEndpoint& endpoint, std::size_t events, Duration pause, TimePoint now);
     /// Bytes have come from the endpoint.
     void noteHeard(RoutedEndpoint& endpoint, TimePoint now) const { endpoint.quietSince = now; }
     /// Returns how many tokens of a prompt the endpoint will have to read, and
     /// notes that it will have read the shared part.
-    std::int64_t tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const;
+    std::int64_t tokensToRead(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart, TimePoint now);
+    /// Notes that a request with the shared part went to \p region.
+    void noteSentToRegion(const std::string& region, absl::string_view sharedPart, TimePoint now);
+    /// The endpoint has not run the request, and so has not read its shared part.
+    void noteNotRead(const RoutedEndpoint& endpoint, absl::string_view sharedPart);
+    /// Returns how long a request would wait for the least busy endpoint of this
+    /// region that keeps its shared part; nothing if none does.
+    std::optional<Duration> waitForHolder(const ServiceSettings& service, absl::string_view sharedPart, TimePoint now) const;
+    /// Takes what another entry of the region has sent.
+    void takePartsSent(const std::vector<PartSent>& parts, TimePoint now);
+    /// Returns what this entry has sent since the last call, for the others.
+    std::vector<PartSent> partsSent() { return std::exchange(m_partsSent, {}); }
     /// Notes the end of an attempt; \p isFailure if the endpoint, not the request, was at fault.
     void noteEnded(RoutedEndpoint& endpoint, bool isFailure, TimePoint now);
     /// The endpoint has said itself that it is leaving, or has gone.
@@ -140,12 +162,13 @@
     /// Returns how long the endpoints of the region together are busy with a
     /// request of \p promptTokens, times the entries that share them: at that
     /// interval this entry can send them such requests.
-    Duration workPerRequest(absl::string_view service, std::int64_t promptTokens) const;
+    Duration workPerRequest(absl::string_view service, std::int64_t promptTokens, TimePoint now) const;
     /// Returns how many endpoints of each region could serve \p service.
     std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
-    /// Returns the region of the endpoint that owns \p sharedPart among those of
-    /// \p regions, or of all if empty; nothing if none is usable.
-    std::optional<std::string> ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const;
+    /// Returns the region where \p sharedPart was used last, or else that of the
+    /// endpoint that owns it, among those of \p regions, or of all if empty;
+    /// nothing if none is usable.
+    std::optional<std::string> regionOfPart(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions, TimePoint now) const;
     std::size_t size() const { return m_endpoints.size(); }
     /// Calls \p visit with each endpoint of every region.
     void forEach(const std::function<void(RoutedEndpoint&)>& visit) const;
@@ -156,6 +179,7 @@
 private:
     using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
 
+    void reportPart(const PartSent& sent);
     static double failureShareOf(const RoutedEndpoint& endpoint, TimePoint now);
     static bool isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now);
     bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
@@ -164,18 +188,26 @@
     bool isUsable(const RoutedEndpoint& endpoint) const;
     bool isOutdated(const EndpointRecord& record) const;
     void endStart(RoutedEndpoint& endpoint);
+    void enlist(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service);
     void forget(const std::string& incarnation);
     bool hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
     bool tryTakeCold(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const;
 
     std::string m_region;
     std::map<std::string, std::string> m_regionOfZone;
+    /// Regions by the hash under which load reports name them.
+    absl::flat_hash_map<std::uint32_t, std::string> m_regionOfPlace;
     absl::flat_hash_map<std::string, std::shared_ptr<RoutedEndpoint>> m_endpoints;
     absl::flat_hash_map<std::string, Endpoints> m_ofService;
+    /// What is common to the endpoints of each service in this region.
+    absl::flat_hash_map<std::string, std::shared_ptr<AnswerTimes>> m_serviceTimes;
     std::set<std::string> m_evacuated;
     std::vector<std::string> m_entriesOfRegion;
     std::string m_self;
     PeerLoads m_peerLoads;
+    PartHolders m_partHolders;
+    PartRegions m_partRegions;
+    std::vector<PartSent> m_partsSent;
     SharedRate m_coldTolerance { 0, 1.5, 3 };
     /// Latest start of names whose endpoint was removed.
     absl::flat_hash_map<std::string, std::chrono::milliseconds> m_removedStarts;
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Http/HttpServer.h"
 #include "catkinwing/Ingress/IngressParts.h"
 #include "catkinwing/Ingress/RunDecisions.h"
+#include "catkinwing/Routing/PartRegionChoice.h"
 
 namespace catkinwing {
 
@@ -72,13 +73,15 @@
     /// Returns the largest part that the request shares with others, if reading
     /// it again would matter; null otherwise.
     const PromptPart* sharedPart() const;
+    EndpointDemand demandFor(const PromptPart& part) const;
+    std::vector<PartRegionOption> regionsFor(const PromptPart& part, const std::optional<std::string>& keeper, const ServiceSettings& settings) const;
     const std::string& pickService() const;
     WaitDemand waitDemand() const;
 
     void dispatch();
     bool sendToEndpoint(const std::string& service, bool mayBeTried);
     bool sendToRegion(const std::string& service, const char* why);
-    bool sendToOwner();
+    bool sendToPart();
     bool sendToEntryOf(const std::string& region, const char* why);
     std::map<std::string, std::size_t> otherRegions(const std::string& service) const;
     std::map<std::string, std::size_t> regionsWithRoom(const std::string& service) const;
--- a/include/catkinwing/PeerProtocol/LoadReport.h
+++ b/include/catkinwing/PeerProtocol/LoadReport.h
@@ -20,14 +20,29 @@
     std::uint32_t suspicions { 0 };
 };
 
+/// A prompt with a shared part that an entry has sent to an endpoint, or to
+/// another region.
+struct PartSent {
+    /// Hash of the endpoint's incarnation, or of the region's name.
+    std::uint32_t place { 0 };
+    /// Hash of the part.
+    std::uint32_t part { 0 };
+    /// What the endpoint stores for it beyond what it had, in thousands of tokens;
+    /// zero for a region.
+    std::uint32_t kilotokens { 0 };
+};
+
 /// What an entry tells the others of its region several times a second, in one
-/// datagram: about 12 bytes for each endpoint that it uses, and its key.
+/// datagram: about 12 bytes for each endpoint that it uses and for each part sent, and its key.
 struct LoadReport {
     /// Key of the entry, which is another one after each start.
     std::string entry;
     /// Grows with each report, since datagrams may overtake each other.
     std::uint64_t sequence { 0 };
     std::vector<EndpointWorkload> loads;
+    /// What was sent since the last report; told once, since a lost one only costs
+    /// that a part is read once more.
+    std::vector<PartSent> parts {};
 };
 
 /// Returns the hash by which reports name an endpoint.
--- a/include/catkinwing/Routing/EndpointChoice.h
+++ b/include/catkinwing/Routing/EndpointChoice.h
@@ -32,6 +32,8 @@
     bool isSuspect { false };
     /// The request would wait for longer than it may; chosen only for its shared part.
     bool isTooBusy { false };
+    /// It probably keeps the request's shared part.
+    bool holdsPart { false };
 };
 
 /// What the choice depends on beside the candidates.
@@ -54,8 +56,10 @@
 std::uint64_t ownershipScore(absl::string_view incarnation, absl::string_view sharedPart);
 
 /// Chooses among \p candidates; nothing if there are none or all are too busy.
-/// Every entry sends the same shared part to the same endpoint without being
-/// told, unless that one has far more to do than the others.
+/// A shared part goes to the endpoint that keeps it, to the least busy one if
+/// there are several; one that nobody keeps goes to the same endpoint from every
+/// entry without being told. Endpoints that have far more to do than the others
+/// are passed over.
 std::optional<std::size_t> chooseEndpoint(absl::Span<const EndpointCandidate> candidates, const EndpointDemand& demand, Random& random);
 
 } // namespace catkinwing
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -29,18 +29,25 @@
 static constexpr milliseconds longestQuiet { 1'000 };
 /// A suspect endpoint is logged this often at most.
 static constexpr std::chrono::seconds suspectLogInterval { 2 };
-/// Shared parts that are remembered of an endpoint: more than fit its memory.
-static constexpr std::size_t maxPartsKept = 512;
+/// Parts sent that one load report tells, so that it fits a datagram.
+static constexpr std::size_t maxPartsReported = 64;
 /// No request is taken for less work than this.
 static constexpr double leastWorkSeconds = 0.001;
 /// Names of removed endpoints whose start is remembered. An old registration is
 /// late by seconds, in which far fewer are removed.
 static constexpr std::size_t maxRemovedStarts = 4'096;
 
+static std::uint32_t placeHash(absl::string_view region)
+{
+    return endpointHash(region);
+}
+
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
     , m_regionOfZone(std::move(regionOfZone))
 {
+    for (const auto& [zone, name] : m_regionOfZone)
+        m_regionOfPlace[placeHash(name)] = name;
 }
 
 // Each attempt takes itself off the list.
@@ -102,12 +109,12 @@
         auto region = m_regionOfZone.find(record.availabilityZone);
         if (region != m_regionOfZone.end())
             entry->region = region->second;
-        m_ofService[record.service].push_back(entry);
+        enlist(entry, record.service);
     }
     if (!isNew && entry->record.service != record.service) {
         Endpoints& before = m_ofService[entry->record.service];
         before.erase(std::remove(before.begin(), before.end(), entry), before.end());
-        m_ofService[record.service].push_back(entry);
+        enlist(entry, record.service);
     }
     bool wasLeaving = entry->isLeaving;
     entry->isMissingSince.reset();
@@ -126,6 +133,15 @@
         endStart(*replaced);
 }
 
+void EndpointTable::enlist(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service)
+{
+    m_ofService[service].push_back(endpoint);
+    std::shared_ptr<AnswerTimes>& times = m_serviceTimes[service];
+    if (!times)
+        times = std::make_shared<AnswerTimes>();
+    endpoint->serviceTimes = times;
+}
+
 // Requests that are given up may choose the new start, which is known by now.
 void EndpointTable::endStart(RoutedEndpoint& endpoint)
 {
@@ -247,7 +263,7 @@
 {
     std::vector<std::shared_ptr<RoutedEndpoint>> silent;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
-        bool isWaitedFor = !endpoint->giveUps.empty() && now - endpoint->quietSince > longestQuiet + predictWait(endpoint->answerTimes, workOf(*endpoint), 0);
+        bool isWaitedFor = !endpoint->giveUps.empty() && now - endpoint->quietSince > longestQuiet + predictWait(answersOf(*endpoint, now), workOf(*endpoint), 0);
         if (isWaitedFor && isSuspect(*endpoint, now))
             silent.push_back(endpoint);
     }
@@ -270,10 +286,33 @@
     return work;
 }
 
-Duration EndpointTable::waitAt(const RoutedEndpoint& endpoint, const EndpointWork& work, const ServiceSettings& service)
+AnswerEstimate EndpointTable::answersOf(const RoutedEndpoint& endpoint, TimePoint now)
+{
+    return estimateAnswers(endpoint.answerTimes, estimateAnswers(*endpoint.serviceTimes, usualAnswers(), now), now);
+}
+
+void EndpointTable::noteFirstByte(RoutedEndpoint& endpoint, double kilotokens, Duration took, TimePoint now)
+{
+    learnFirstByte(endpoint.answerTimes, kilotokens, took, now);
+    learnFirstByte(*endpoint.serviceTimes, kilotokens, took, now);
+}
+
+void EndpointTable::noteHeld(RoutedEndpoint& endpoint, Duration held, TimePoint now)
+{
+    learnHeld(endpoint.answerTimes, held, now);
+    learnHeld(*endpoint.serviceTimes, held, now);
+}
+
+void EndpointTable::noteEvents(RoutedEndpoint& endpoint, std::size_t events, Duration pause, TimePoint now)
+{
+    learnEvents(endpoint.answerTimes, events, pause, now);
+    learnEvents(*endpoint.serviceTimes, events, pause, now);
+}
+
+Duration EndpointTable::waitAt(const RoutedEndpoint& endpoint, const AnswerEstimate& estimate, const EndpointWork& work, const ServiceSettings& service)
 {
     unsigned slots = endpoint.record.slots > 0 ? endpoint.record.slots : service.slots;
-    return predictWait(endpoint.answerTimes, work, slots);
+    return predictWait(estimate, work, slots);
 }
 
 // A request beside which another runs is slowed as by half a thousand tokens
@@ -285,26 +324,72 @@
     EndpointWork work = workOf(endpoint);
     EndpointCandidate candidate;
     candidate.incarnation = endpoint.record.incarnation;
-    candidate.wait = waitAt(endpoint, work, *request.service);
-    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(endpoint.answerTimes) * (work.requests / requestsPerKilotoken))
-        + std::chrono::duration_cast<Duration>(timePerEvent(endpoint.answerTimes) * request.events);
+    AnswerEstimate answers = answersOf(endpoint, now);
+    candidate.wait = waitAt(endpoint, answers, work, *request.service);
+    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(answers) * (work.requests / requestsPerKilotoken))
+        + std::chrono::duration_cast<Duration>(timePerEvent(answers) * request.events);
     candidate.isSuspect = isSuspect(endpoint, now);
-    candidate.isTooBusy = request.demand && candidate.wait > longestWait(*request.demand, idleFirstByte(endpoint.answerTimes));
+    candidate.isTooBusy = request.demand && candidate.wait > longestWait(*request.demand, idleFirstByte(answers));
     return candidate;
 }
 
-// All entries of the region send a part to the same endpoint, and only the first
-// of them makes it read: without a word from the others each counts its share.
-std::int64_t EndpointTable::tokensToRead(RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart) const
+std::int64_t EndpointTable::tokensToRead(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart, TimePoint now)
 {
     if (sharedPart.empty())
         return promptTokens;
-    if (endpoint.partsSent.size() >= maxPartsKept)
-        endpoint.partsSent.clear();
-    bool isNew = endpoint.partsSent.insert(stableHash(sharedPart)).second;
-    auto entries = static_cast<std::int64_t>(std::max<std::size_t>(m_entriesOfRegion.size(), 1));
-    std::int64_t ownPart = std::max<std::int64_t>(promptTokens - sharedTokens, 0);
-    return isNew ? ownPart + sharedTokens / entries : ownPart;
+    std::uint32_t part = partHash(sharedPart);
+    bool isKept = m_partHolders.holds(endpoint.hash, part);
+    std::int64_t toRead = isKept ? std::max<std::int64_t>(promptTokens - sharedTokens, 0) : promptTokens;
+    auto kilotokens = static_cast<std::uint32_t>(std::lround(static_cast<double>(toRead) / tokensPerKilotoken));
+    m_partHolders.noteSent(endpoint.hash, part, kilotokens);
+    m_partRegions.noteSent(part, placeHash(m_region), now);
+    reportPart({ endpoint.hash, part, kilotokens });
+    return toRead;
+}
+
+void EndpointTable::reportPart(const PartSent& sent)
+{
+    if (m_partsSent.size() < maxPartsReported)
+        m_partsSent.push_back(sent);
+}
+
+void EndpointTable::noteSentToRegion(const std::string& region, absl::string_view sharedPart, TimePoint now)
+{
+    std::uint32_t part = partHash(sharedPart);
+    m_partRegions.noteSent(part, placeHash(region), now);
+    reportPart({ placeHash(region), part, 0 });
+}
+
+void EndpointTable::noteNotRead(const RoutedEndpoint& endpoint, absl::string_view sharedPart)
+{
+    m_partHolders.forget(endpoint.hash, partHash(sharedPart));
+}
+
+void EndpointTable::takePartsSent(const std::vector<PartSent>& parts, TimePoint now)
+{
+    for (const PartSent& sent : parts) {
+        bool isElsewhere = m_regionOfPlace.count(sent.place) > 0;
+        m_partRegions.noteSent(sent.part, isElsewhere ? sent.place : placeHash(m_region), now);
+        if (!isElsewhere)
+            m_partHolders.noteSent(sent.place, sent.part, sent.kilotokens);
+    }
+}
+
+std::optional<Duration> EndpointTable::waitForHolder(const ServiceSettings& service, absl::string_view sharedPart, TimePoint now) const
+{
+    auto found = m_ofService.find(service.name);
+    if (found == m_ofService.end())
+        return std::nullopt;
+    std::uint32_t part = partHash(sharedPart);
+    std::optional<Duration> least;
+    for (const auto& endpoint : found->second) {
+        if (endpoint->region != m_region || !m_partHolders.holds(endpoint->hash, part) || !isUsable(*endpoint) || isSuspect(*endpoint, now))
+            continue;
+        Duration wait = waitAt(*endpoint, answersOf(*endpoint, now), workOf(*endpoint), service);
+        if (!least || wait < *least)
+            least = wait;
+    }
+    return least;
 }
 
 std::vector<EndpointWorkload> EndpointTable::ownLoads(TimePoint now) const
@@ -357,7 +442,7 @@
 {
     EndpointDemand demand;
     demand.sharedPart = request.sharedPart;
-    AnswerTimes usual;
+    AnswerEstimate usual = usualAnswers();
     demand.readingAgain = std::chrono::duration_cast<Duration>(timePerKilotoken(usual) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
     if (request.demand)
         demand.longestWait = longestWait(*request.demand, idleFirstByte(usual));
@@ -369,7 +454,9 @@
     auto found = m_ofService.find(request.service->name);
     if (found == m_ofService.end())
         return nullptr;
+    m_partHolders.setMemory(request.service->memoryTokens);
     const Endpoints& endpoints = found->second;
+    std::uint32_t part = partHash(request.sharedPart);
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         const RoutedEndpoint& endpoint = *endpoints[i];
@@ -380,6 +467,7 @@
         if (wasTried && !request.mayBeTried)
             continue;
         EndpointCandidate candidate = candidateOf(endpoint, request, now);
+        candidate.holdsPart = !request.sharedPart.empty() && m_partHolders.holds(endpoint.hash, part);
         candidate.index = i;
         candidate.isSuspect |= wasTried;
         candidates.push_back(candidate);
@@ -431,9 +519,10 @@
         bool isCold = now < endpoint->coldUntil && service.coldRequestsPerSecond > 0;
         if (endpoint->region != m_region || !isUsable(*endpoint) || isCold || isSuspect(*endpoint, now))
             continue;
-        waits.push_back(waitAt(*endpoint, workOf(*endpoint), service));
-        reading += timePerKilotoken(endpoint->answerTimes);
-        events += timePerEvent(endpoint->answerTimes);
+        AnswerEstimate answers = answersOf(*endpoint, now);
+        waits.push_back(waitAt(*endpoint, answers, workOf(*endpoint), service));
+        reading += timePerKilotoken(answers);
+        events += timePerEvent(answers);
     }
     if (waits.empty())
         return outlook;
@@ -449,7 +538,7 @@
 
 // An endpoint is busy with a request for the time of reading its prompt, or for
 // its part of the time that a slot is held, whichever is longer.
-Duration EndpointTable::workPerRequest(absl::string_view service, std::int64_t promptTokens) const
+Duration EndpointTable::workPerRequest(absl::string_view service, std::int64_t promptTokens, TimePoint now) const
 {
     auto found = m_ofService.find(service);
     double perSecond = 0;
@@ -458,8 +547,9 @@
     for (const auto& endpoint : found->second) {
         if (endpoint->region != m_region || !isUsable(*endpoint))
             continue;
-        double reading = std::chrono::duration<double>(timePerKilotoken(endpoint->answerTimes)).count() * static_cast<double>(promptTokens) / tokensPerKilotoken;
-        double holding = endpoint->answerTimes.heldSeconds / std::max(endpoint->record.slots, 1u);
+        AnswerEstimate answers = answersOf(*endpoint, now);
+        double reading = answers.secondsPerKilotoken * static_cast<double>(promptTokens) / tokensPerKilotoken;
+        double holding = answers.heldSeconds / std::max(endpoint->record.slots, 1u);
         perSecond += 1 / std::max({ reading, holding, leastWorkSeconds });
     }
     if (perSecond <= 0)
@@ -487,17 +577,26 @@
         visit(*endpoint);
 }
 
-std::optional<std::string> EndpointTable::ownerRegion(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions) const
+static bool isAllowedIn(const std::string& region, const std::vector<std::string>& regions)
+{
+    return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+std::optional<std::string> EndpointTable::regionOfPart(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions, TimePoint now) const
 {
     auto found = m_ofService.find(service);
     if (found == m_ofService.end())
         return std::nullopt;
+    std::optional<std::uint32_t> lastUsed = m_partRegions.regionOf(partHash(sharedPart), now);
+    auto place = lastUsed ? m_regionOfPlace.find(*lastUsed) : m_regionOfPlace.end();
+    const std::string* usedIn = place == m_regionOfPlace.end() ? nullptr : &place->second;
     const RoutedEndpoint* owner = nullptr;
     std::uint64_t best = 0;
     for (const auto& endpoint : found->second) {
-        bool isAllowed = regions.empty() || std::find(regions.begin(), regions.end(), endpoint->region) != regions.end();
-        if (!isAllowed || !isUsable(*endpoint))
+        if (!isAllowedIn(endpoint->region, regions) || !isUsable(*endpoint))
             continue;
+        if (usedIn && endpoint->region == *usedIn)
+            return *usedIn;
         std::uint64_t score = ownershipScore(endpoint->record.incarnation, sharedPart);
         if (owner && score <= best)
             continue;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -299,6 +299,7 @@
         return;
     }
     lastReporter = from;
+    parts.endpoints.takePartsSent(report->parts, loop.clock().now());
     parts.endpoints.peerLoads().take(std::move(*report), loop.clock().now());
 }
 
@@ -339,8 +340,8 @@
 void IngressDaemon::Impl::reportLoad()
 {
     parts.endpoints.peerLoads().expire(loop.clock().now());
-    LoadReport report { ownKey(), ++reportSequence, parts.endpoints.ownLoads(loop.clock().now()) };
-    bool isIdle = report.loads.empty();
+    LoadReport report { ownKey(), ++reportSequence, parts.endpoints.ownLoads(loop.clock().now()), parts.endpoints.partsSent() };
+    bool isIdle = report.loads.empty() && report.parts.empty();
     if (!isIdle || !wasIdle) {
         std::string bytes = encodeLoadReport(report);
         for (const SocketAddress& peer : parts.entries.peersOf(settings.region))
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -160,7 +160,7 @@
 // would run it again.
 void RoutedRun::dispatch()
 {
-    if (decideFirst() || sendToOwner() || sendAway())
+    if (decideFirst() || sendToPart() || sendAway())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -180,7 +180,7 @@
 
 Duration RoutedRun::longestWaitAnywhere() const
 {
-    return longestWait(waitDemand(), idleFirstByte(AnswerTimes()));
+    return longestWait(waitDemand(), idleFirstByte(usualAnswers()));
 }
 
 std::optional<Duration> RoutedRun::waitAway(const std::string& region) const
@@ -265,7 +265,7 @@
     unsigned slots = attempt.endpoint->record.slots > 0 ? attempt.endpoint->record.slots : settings->slots;
     attempt.hadFreeSlot = slots == 0 || m_parts.endpoints.workOf(*attempt.endpoint).requests < slots;
     m_parts.endpoints.noteBegan(*attempt.endpoint, now());
-    attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart);
+    attempt.unreadTokens = m_parts.endpoints.tokensToRead(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, wanted.sharedPart, now());
     attempt.endpoint->unreadTokens += attempt.unreadTokens;
     attempt.kilotokensBefore = m_parts.endpoints.workOf(*attempt.endpoint).unreadKilotokens;
     startAttempt(std::move(attempt), std::move(request));
@@ -309,24 +309,55 @@
     return false;
 }
 
+EndpointDemand RoutedRun::demandFor(const PromptPart& part) const
+{
+    EndpointDemand demand;
+    demand.sharedPart = part.id;
+    demand.readingAgain = std::chrono::duration_cast<Duration>(timePerKilotoken(usualAnswers()) * (static_cast<double>(part.tokens) / tokensPerKilotoken));
+    demand.longestWait = longestWaitAnywhere();
+    return demand;
+}
+
+// What a request with the part would meet in each region that is known and not
+// too busy for it.
+std::vector<PartRegionOption> RoutedRun::regionsFor(const PromptPart& part, const std::optional<std::string>& keeper, const ServiceSettings& settings) const
+{
+    Duration longest = longestWaitForOwner(demandFor(part));
+    std::vector<PartRegionOption> options;
+    auto add = [&](const std::string& region, std::optional<Duration> wait, Duration way, bool isKept) {
+        if (wait && *wait <= longest)
+            options.push_back({ region, *wait, way, isKept });
+    };
+    if (isAllowedHere()) {
+        std::optional<Duration> ofHolder = m_parts.endpoints.waitForHolder(settings, part.id, now());
+        ServiceOutlook here = m_parts.endpoints.outlook(settings, now());
+        std::optional<Duration> ofAny = here.endpoints > 0 ? std::optional<Duration>(here.wait) : std::nullopt;
+        add(m_parts.region, ofHolder ? ofHolder : ofAny, Duration::zero(), ofHolder || keeper == m_parts.region);
+    }
+    for (const auto& [region, endpoints] : otherRegions(m_service))
+        add(region, waitAway(region), regionCrossing, keeper == region);
+    return options;
+}
+
 // A long shared part is read once for all regions: sending the request to where
 // it lies costs a round trip, which is less than reading it again.
-bool RoutedRun::sendToOwner()
+bool RoutedRun::sendToPart()
 {
     if (m_request.isForwarded || m_attempts > 0)
         return false;
     const PromptPart* part = sharedPart();
-    if (!part)
-        return false;
-    std::optional<std::string> region = m_parts.endpoints.ownerRegion(m_service, part->id, m_route->homeRegions);
-    if (!region || *region == m_parts.region)
+    const ServiceSettings* settings = m_routes->findService(m_service);
+    if (!part || !settings)
         return false;
-    std::optional<Duration> wait = waitAway(*region);
-    EndpointDemand demand;
-    demand.readingAgain = std::chrono::duration_cast<Duration>(timePerKilotoken(AnswerTimes()) * (static_cast<double>(part->tokens) / tokensPerKilotoken));
-    demand.longestWait = longestWaitAnywhere();
-    bool isReady = wait ? *wait <= longestWaitForOwner(demand) : pressure().readiness(*region, now()) > leastOwnerReadiness;
-    return isReady && sendToEntryOf(*region, "owner");
+    std::optional<std::string> keeper = m_parts.endpoints.regionOfPart(m_service, part->id, m_route->homeRegions, now());
+    // A region that says nothing of itself is asked if it doesn't refuse much.
+    bool isUnknown = keeper && *keeper != m_parts.region && !waitAway(*keeper);
+    if (isUnknown)
+        return pressure().readiness(*keeper, now()) > leastOwnerReadiness && sendToEntryOf(*keeper, "part");
+    std::vector<PartRegionOption> options = regionsFor(*part, keeper, *settings);
+    const PartRegionOption* chosen = choosePartRegion(options, demandFor(*part).readingAgain, m_parts.random);
+    bool goesAway = chosen && chosen->region != m_parts.region;
+    return goesAway && sendToEntryOf(chosen->region, chosen->keepsPart ? "part" : "part_moved");
 }
 
 bool RoutedRun::sendToEntryOf(const std::string& region, const char* why)
@@ -348,6 +379,8 @@
     attempt.peer = *peer;
     m_parts.metrics.count("forwards_to_regions");
     m_parts.outlooks.noteSent(region, m_service, m_request.facts.promptTokens, now());
+    if (const PromptPart* shared = sharedPart())
+        m_parts.endpoints.noteSentToRegion(region, shared->id, now());
     startAttempt(std::move(attempt), std::move(request));
     return true;
 }
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -86,7 +86,7 @@
         return;
     attempt.hasBegun = true;
     if (attempt.endpoint && attempt.hadFreeSlot)
-        learnFirstByte(attempt.endpoint->answerTimes, attempt.kilotokensBefore, now() - attempt.startedAt);
+        EndpointTable::noteFirstByte(*attempt.endpoint, attempt.kilotokensBefore, now() - attempt.startedAt, now());
 }
 
 double RoutedRun::likelyEvents() const
@@ -122,7 +122,7 @@
     std::string events = m_cursor.feed(bytes);
     bool hasGoneOn = attempt.heardAt != TimePoint {} && !m_isPaused;
     if (attempt.endpoint && hasGoneOn)
-        learnEvents(attempt.endpoint->answerTimes, m_cursor.events() - before, now() - attempt.heardAt);
+        EndpointTable::noteEvents(*attempt.endpoint, m_cursor.events() - before, now() - attempt.heardAt, now());
     if (m_cursor.events() > before)
         attempt.heardAt = now();
     if (!events.empty()) {
@@ -193,6 +193,9 @@
     Attempt& attempt = *m_attempt;
     bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotRun || attempt.statedOutcome) && !attempt.facts.isOtherIncarnation;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotRun && !attempt.statedOutcome;
+    const PromptPart* shared = sharedPart();
+    if (attempt.endpoint && shared && verdict == AttemptVerdict::NotRun)
+        m_parts.endpoints.noteNotRead(*attempt.endpoint, shared->id);
     leaveEndpoint(attempt);
     m_parts.metrics.observeStage("attempt", m_service, now() - attempt.startedAt);
     if (wasRefused)
@@ -203,7 +206,7 @@
     bool isWellAnswered = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
     if (attempt.endpoint && isWellAnswered) {
         learnBegin(attempt);
-        learnHeld(attempt.endpoint->answerTimes, now() - attempt.startedAt);
+        EndpointTable::noteHeld(*attempt.endpoint, now() - attempt.startedAt, now());
     }
     if (attempt.endpoint) {
         if (attempt.facts.isOtherIncarnation)
@@ -347,7 +350,7 @@
     if (!m_route)
         return returnAfterStart;
     milliseconds longest = std::max(timeLeft() / mostOfTimeLeft, milliseconds(1));
-    Duration work = m_parts.endpoints.workPerRequest(m_service, m_request.facts.promptTokens);
+    Duration work = m_parts.endpoints.workPerRequest(m_service, m_request.facts.promptTokens, now());
     return m_parts.returns[m_service].book(work, longest, now(), m_parts.random);
 }
 
--- a/lib/Routing/EndpointChoice.cpp
+++ b/lib/Routing/EndpointChoice.cpp
@@ -76,17 +76,35 @@
     return stableHash(incarnation, stableHash(sharedPart));
 }
 
-// Rendezvous hashing: when an endpoint goes, only its own shared parts move.
-static const EndpointCandidate* ownerOf(const EndpointDemand& demand, const Candidates& candidates)
+// Those of the endpoints that may be asked for a shared part.
+static Candidates withoutOverloaded(const EndpointDemand& demand, Candidates candidates)
 {
     auto borne = std::chrono::duration_cast<Duration>(demand.readingAgain * readingsBorne) + waitBorne;
     Duration limit = std::min(meanWait(candidates) + borne, longestWaitForOwner(demand));
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [limit](const auto* candidate) { return candidate->wait > limit; }), candidates.end());
+    return candidates;
+}
+
+// An owner that has come back, or a new one, doesn't keep what was read
+// elsewhere meanwhile.
+static const EndpointCandidate* leastBusyHolder(const Candidates& candidates)
+{
+    const EndpointCandidate* best = nullptr;
+    for (const EndpointCandidate* candidate : candidates) {
+        if (candidate->holdsPart && (!best || candidate->wait < best->wait))
+            best = candidate;
+    }
+    return best;
+}
+
+// Rendezvous hashing: when an endpoint goes, only its own shared parts move.
+static const EndpointCandidate* ownerOf(const EndpointDemand& demand, const Candidates& candidates)
+{
     const EndpointCandidate* best = nullptr;
     std::uint64_t bestScore = 0;
     for (const EndpointCandidate* candidate : candidates) {
         std::uint64_t score = ownershipScore(candidate->incarnation, demand.sharedPart);
-        bool isOverloaded = candidate->wait > limit;
-        if (isOverloaded || (best && score <= bestScore))
+        if (best && score <= bestScore)
             continue;
         best = candidate;
         bestScore = score;
@@ -99,8 +117,12 @@
     if (candidates.empty())
         return std::nullopt;
     Candidates sound = withoutSuspects(candidates);
-    if (const EndpointCandidate* owner = demand.sharedPart.empty() ? nullptr : ownerOf(demand, sound))
-        return owner->index;
+    if (!demand.sharedPart.empty()) {
+        Candidates ready = withoutOverloaded(demand, sound);
+        const EndpointCandidate* holder = leastBusyHolder(ready);
+        if (const EndpointCandidate* chosen = holder ? holder : ownerOf(demand, ready))
+            return chosen->index;
+    }
     Candidates free = withoutBusy(std::move(sound));
     if (free.empty())
         return std::nullopt;
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -76,7 +76,9 @@
     std::shared_ptr<RoutedEndpoint> before = world.choose();
     REQUIRE(before);
     world.table.noteBegan(*before, world.now);
-    world.table.tokensToRead(*before, 20'000, 13'000, "part");
+    CHECK(world.table.tokensToRead(*before, 20'000, 13'000, "part", world.now) == 20'000);
+    CHECK(world.table.tokensToRead(*before, 20'000, 13'000, "part", world.now) == 7'000);
+    CHECK(world.table.waitForHolder(world.service, "part", world.now));
     world.table.noteEnded(*before, true, world.now);
     world.putStart("e1", 1'000ms, true);
     CHECK_FALSE(world.choose());
@@ -87,7 +89,7 @@
     CHECK(after->hash != before->hash);
     CHECK(after->inFlight == 0);
     CHECK(after->failureShare == 0);
-    CHECK(after->partsSent.empty());
+    CHECK_FALSE(world.table.waitForHolder(world.service, "part", world.now));
     CHECK(before->isLeaving);
 }
 
@@ -304,3 +306,50 @@
         isBack = isBack || world.choose() == suspected;
     CHECK(isBack);
 }
+
+// A hundred entries of a region: each part is sent by another entry each time.
+TEST_CASE("a shared part goes to the endpoint to which another entry has sent it")
+{
+    TableWorld world;
+    for (int i = 0; i < 40; ++i)
+        world.put("e" + std::to_string(i));
+    EndpointRequest request;
+    request.service = &world.service;
+    request.tried = &world.tried;
+    request.sharedPart = "part";
+    request.sharedTokens = 13'000;
+    std::shared_ptr<RoutedEndpoint> owner = world.table.choose(request, world.now, world.random);
+    std::shared_ptr<RoutedEndpoint> holder = world.choose();
+    REQUIRE(holder != owner);
+    world.table.takePartsSent({ { holder->hash, partHash("part"), 17 } }, world.now);
+    CHECK(world.table.choose(request, world.now, world.random) == holder);
+    CHECK(world.table.tokensToRead(*holder, 17'000, 13'000, "part", world.now) == 4'000);
+    std::vector<PartSent> told = world.table.partsSent();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].place == holder->hash);
+    CHECK(told[0].kilotokens == 4);
+    CHECK(world.table.partsSent().empty());
+    world.table.noteNotRead(*holder, "part");
+    CHECK(world.table.choose(request, world.now, world.random) == owner);
+}
+
+TEST_CASE("a shared part stays in the region to which it was sent last")
+{
+    TableWorld world;
+    world.put("here");
+    EndpointRecord away;
+    away.incarnation = "away";
+    away.service = world.service.name;
+    away.availabilityZone = "south-a";
+    world.table.put(away, world.now);
+    for (const char* part : { "a", "b", "c", "d", "e", "f" }) {
+        world.table.noteSentToRegion("south", part, world.now);
+        CHECK(world.table.regionOfPart("service", part, {}, world.now) == "south");
+        CHECK(world.table.regionOfPart("service", part, { "north" }, world.now) == "north");
+        world.table.takePartsSent({ { 12'345, partHash(part), 17 } }, world.now);
+        CHECK(world.table.regionOfPart("service", part, {}, world.now) == "north");
+    }
+    world.table.remove("away", world.now);
+    world.table.noteSentToRegion("south", "a", world.now);
+    CHECK(world.table.regionOfPart("service", "a", {}, world.now) == "north");
+}
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -359,14 +359,15 @@
     std::size_t kept = 0;
     for (int part = 0; part < 40; ++part) {
         std::size_t before = fixture.endpointClient.requests.size();
+        TimePoint now = fixture.scheduler.clock().now();
+        bool isOurs = fixture.parts.endpoints.regionOfPart("service", std::to_string(part), {}, now) == "north";
         CHECK(fixture.runToEnd({ { "prompt", std::to_string(part) } })->status() == 200);
-        bool isOurs = fixture.parts.endpoints.ownerRegion("service", std::to_string(part), {}) == "north";
         CHECK(fixture.endpointClient.requests.size() - before == (isOurs ? 1 : 0));
         kept += isOurs ? 1 : 0;
     }
     CHECK(kept > 8);
     CHECK(kept < 32);
-    CHECK(fixture.parts.endpoints.ownerRegion("service", "1", { "south" }) == "south");
+    CHECK(fixture.parts.endpoints.regionOfPart("service", "1", { "south" }, fixture.scheduler.clock().now()) == "south");
     fixture.peerClient.handler = unreachable;
     for (int part = 0; part < 10; ++part)
         CHECK(fixture.runToEnd({ { "prompt", std::to_string(part) } })->status() == 200);
--- a/unittests/PeerProtocol/LoadReportTest.cpp
+++ b/unittests/PeerProtocol/LoadReportTest.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("a load report reads back as it was written, in about twelve bytes an endpoint")
 {
-    LoadReport report { "entry-1.abcd", 77, {} };
+    LoadReport report { "entry-1.abcd", 77, {}, {} };
     std::size_t empty = encodeLoadReport(report).size();
     for (std::uint32_t i = 0; i < 32; ++i)
         report.loads.push_back({ endpointHash("i-" + std::to_string(i)), i, i % 3, i % 2 });
@@ -22,6 +22,25 @@
         CHECK_FALSE(decodeLoadReport(absl::string_view(bytes).substr(0, size)).ok());
 }
 
+TEST_CASE("a load report tells the parts sent, in about twelve bytes each")
+{
+    LoadReport report { "entry-1.abcd", 77, { { 1, 2, 3, 0 } }, {} };
+    std::size_t before = encodeLoadReport(report).size();
+    for (std::uint32_t i = 0; i < 32; ++i)
+        report.parts.push_back({ endpointHash("i-" + std::to_string(i)), endpointHash("part-" + std::to_string(i)), i });
+    std::string bytes = encodeLoadReport(report);
+    CHECK(bytes.size() - before <= std::size_t { 32 } * 13);
+    absl::StatusOr<LoadReport> read = decodeLoadReport(bytes);
+    REQUIRE(read.ok());
+    CHECK(read->loads.size() == 1);
+    REQUIRE(read->parts.size() == 32);
+    CHECK(read->parts[31].place == endpointHash("i-31"));
+    CHECK(read->parts[31].part == endpointHash("part-31"));
+    CHECK(read->parts[31].kilotokens == 31);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK_FALSE(decodeLoadReport(absl::string_view(bytes).substr(0, size)).ok());
+}
+
 TEST_CASE("a report that holds what is no count is refused")
 {
     CHECK_FALSE(decodeLoadReport("").ok());
@@ -30,4 +49,6 @@
     CHECK_FALSE(decodeLoadReport("\x83\x61\x61\x01\x84\x01\x01\x01\x20").ok());
     CHECK_FALSE(decodeLoadReport("\x83\x61\x61\x01\x82\x01\x01").ok());
     CHECK(decodeLoadReport("\x83\x61\x61\x01\x84\x01\x01\x01\x02").ok());
+    CHECK_FALSE(decodeLoadReport("\x84\x61\x61\x01\x84\x01\x01\x01\x02\x82\x01\x01").ok());
+    CHECK(decodeLoadReport("\x84\x61\x61\x01\x84\x01\x01\x01\x02\x83\x01\x01\x01").ok());
 }
--- a/unittests/Routing/EndpointChoiceTest.cpp
+++ b/unittests/Routing/EndpointChoiceTest.cpp
@@ -10,7 +10,7 @@
 {
     std::vector<EndpointCandidate> list;
     for (std::size_t i = 0; i < names.size(); ++i)
-        list.push_back({ i, names[i], 0s, 0s, false, false });
+        list.push_back({ i, names[i], 0s, 0s, false, false, false });
     return list;
 }
 
@@ -46,6 +46,27 @@
     }
 }
 
+// Its owner by the hash may have been cold or away when the part was read.
+TEST_CASE("a shared part goes to the least busy endpoint that keeps it")
+{
+    Random random(1);
+    std::vector<EndpointCandidate> list = candidates(names);
+    EndpointDemand demand { "part", 200ms };
+    std::size_t owner = *chooseEndpoint(list, demand, random);
+    std::size_t holder = (owner + 1) % list.size();
+    std::size_t other = (owner + 2) % list.size();
+    list[holder].holdsPart = true;
+    list[holder].wait = 300ms;
+    CHECK(chooseEndpoint(list, demand, random) == holder);
+    list[other].holdsPart = true;
+    list[other].wait = 100ms;
+    CHECK(chooseEndpoint(list, demand, random) == other);
+    list[other].isSuspect = true;
+    CHECK(chooseEndpoint(list, demand, random) == holder);
+    list[holder].wait = 1'500ms;
+    CHECK(chooseEndpoint(list, demand, random) == owner);
+}
+
 TEST_CASE("an overloaded owner is passed over")
 {
     Random random(1);
--- /dev/null
+++ b/unittests/Routing/PartHoldersTest.cpp
@@ -0,0 +1,63 @@
+#include "catkinwing/Routing/PartHolders.h"
+#include "catkinwing/Routing/PartRegions.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+TEST_CASE("a part counts as kept until prompts that fill the memory for parts came after it")
+{
+    PartHolders holders;
+    holders.setMemory(100'000);
+    CHECK_FALSE(holders.holds(1, 7));
+    holders.noteSent(1, 7, 17);
+    CHECK(holders.holds(1, 7));
+    CHECK_FALSE(holders.holds(2, 7));
+    // Sixty thousand tokens are left to parts.
+    holders.noteSent(1, 8, 60);
+    CHECK(holders.holds(1, 7));
+    holders.noteSent(1, 9, 1);
+    CHECK_FALSE(holders.holds(1, 7));
+    CHECK(holders.holds(1, 8));
+}
+
+TEST_CASE("a part that is used again stays, wherever else it lies")
+{
+    PartHolders holders;
+    holders.setMemory(100'000);
+    holders.noteSent(1, 7, 17);
+    for (std::uint32_t other = 100; other < 120; ++other) {
+        holders.noteSent(1, other, 20);
+        holders.noteSent(1, 7, 4);
+        CHECK(holders.holds(1, 7));
+    }
+    CHECK_FALSE(holders.holds(1, 100));
+    holders.noteSent(2, 7, 17);
+    CHECK(holders.holds(2, 7));
+    holders.forget(1, 7);
+    CHECK_FALSE(holders.holds(1, 7));
+    CHECK(holders.holds(2, 7));
+}
+
+// Ten thousand engines and as many parts each as they hold.
+TEST_CASE("what is remembered of parts is bounded")
+{
+    PartHolders holders;
+    for (std::uint32_t part = 0; part < 200'000; ++part)
+        holders.noteSent(part % 10'000, part, 17);
+    CHECK(holders.parts() <= 32'768);
+    CHECK(holders.holds(199'999 % 10'000, 199'999));
+}
+
+TEST_CASE("a part stays in the region where it was used last, for some seconds")
+{
+    PartRegions regions;
+    TimePoint now { 100s };
+    CHECK_FALSE(regions.regionOf(7, now));
+    regions.noteSent(7, 1, now);
+    CHECK(regions.regionOf(7, now + 9s) == 1u);
+    regions.noteSent(7, 2, now + 9s);
+    CHECK(regions.regionOf(7, now + 15s) == 2u);
+    CHECK_FALSE(regions.regionOf(7, now + 20s));
+}
