Split the table of endpoints by registrations, choice and shared parts

Cause: the file had grown to 612 lines with three jobs. Change: what a request would meet and the choice of an endpoint, and where shared parts lie, stand in files of their own; no line of logic is changed. Tests of Ingress as before: all pass.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -179,6 +179,8 @@
 private:
     using Endpoints = std::vector<std::shared_ptr<RoutedEndpoint>>;
 
+    /// Hash under which load reports name a region.
+    static std::uint32_t placeHash(absl::string_view region);
     void reportPart(const PartSent& sent);
     static double failureShareOf(const RoutedEndpoint& endpoint, TimePoint now);
     static bool isSuspectHere(const RoutedEndpoint& endpoint, TimePoint now);
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -5,7 +5,6 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <utility>
 
 namespace catkinwing {
@@ -29,19 +28,10 @@
 static constexpr milliseconds longestQuiet { 1'000 };
 /// A suspect endpoint is logged this often at most.
 static constexpr std::chrono::seconds suspectLogInterval { 2 };
-/// Parts sent that one load report tells, so that it fits a datagram.
-static constexpr std::size_t maxPartsReported = 64;
-/// No request is taken for less work than this.
-static constexpr double leastWorkSeconds = 0.001;
 /// Names of removed endpoints whose start is remembered. An old registration is
 /// late by seconds, in which far fewer are removed.
 static constexpr std::size_t maxRemovedStarts = 4'096;
 
-static std::uint32_t placeHash(absl::string_view region)
-{
-    return endpointHash(region);
-}
-
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
     , m_regionOfZone(std::move(regionOfZone))
@@ -278,121 +268,6 @@
         endpoint->quietSince = now;
 }
 
-EndpointWork EndpointTable::workOf(const RoutedEndpoint& endpoint) const
-{
-    EndpointWorkload others = m_peerLoads.at(endpoint.hash);
-    EndpointWork work;
-    work.requests = endpoint.inFlight + others.requests;
-    work.unreadKilotokens = static_cast<double>(endpoint.unreadTokens) / tokensPerKilotoken + others.unreadKilotokens;
-    return work;
-}
-
-AnswerEstimate EndpointTable::answersOf(const RoutedEndpoint& endpoint, TimePoint now)
-{
-    return estimateAnswers(endpoint.answerTimes, estimateAnswers(*endpoint.serviceTimes, usualAnswers(), now), now);
-}
-
-void EndpointTable::noteFirstByte(RoutedEndpoint& endpoint, double kilotokens, Duration took, TimePoint now)
-{
-    learnFirstByte(endpoint.answerTimes, kilotokens, took, now);
-    learnFirstByte(*endpoint.serviceTimes, kilotokens, took, now);
-}
-
-void EndpointTable::noteHeld(RoutedEndpoint& endpoint, Duration held, TimePoint now)
-{
-    learnHeld(endpoint.answerTimes, held, now);
-    learnHeld(*endpoint.serviceTimes, held, now);
-}
-
-void EndpointTable::noteEvents(RoutedEndpoint& endpoint, std::size_t events, Duration pause, TimePoint now)
-{
-    learnEvents(endpoint.answerTimes, events, pause, now);
-    learnEvents(*endpoint.serviceTimes, events, pause, now);
-}
-
-Duration EndpointTable::waitAt(const RoutedEndpoint& endpoint, const AnswerEstimate& estimate, const EndpointWork& work, const ServiceSettings& service)
-{
-    unsigned slots = endpoint.record.slots > 0 ? endpoint.record.slots : service.slots;
-    return predictWait(estimate, work, slots);
-}
-
-// A request beside which another runs is slowed as by half a thousand tokens
-// that were read before it.
-static constexpr double requestsPerKilotoken = 2;
-
-EndpointCandidate EndpointTable::candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const
-{
-    EndpointWork work = workOf(endpoint);
-    EndpointCandidate candidate;
-    candidate.incarnation = endpoint.record.incarnation;
-    AnswerEstimate answers = answersOf(endpoint, now);
-    candidate.wait = waitAt(endpoint, answers, work, *request.service);
-    candidate.load = candidate.wait + std::chrono::duration_cast<Duration>(timePerKilotoken(answers) * (work.requests / requestsPerKilotoken))
-        + std::chrono::duration_cast<Duration>(timePerEvent(answers) * request.events);
-    candidate.isSuspect = isSuspect(endpoint, now);
-    candidate.isTooBusy = request.demand && candidate.wait > longestWait(*request.demand, idleFirstByte(answers));
-    return candidate;
-}
-
-std::int64_t EndpointTable::tokensToRead(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedPart, TimePoint now)
-{
-    if (sharedPart.empty())
-        return promptTokens;
-    std::uint32_t part = partHash(sharedPart);
-    bool isKept = m_partHolders.holds(endpoint.hash, part);
-    std::int64_t toRead = isKept ? std::max<std::int64_t>(promptTokens - sharedTokens, 0) : promptTokens;
-    auto kilotokens = static_cast<std::uint32_t>(std::lround(static_cast<double>(toRead) / tokensPerKilotoken));
-    m_partHolders.noteSent(endpoint.hash, part, kilotokens);
-    m_partRegions.noteSent(part, placeHash(m_region), now);
-    reportPart({ endpoint.hash, part, kilotokens });
-    return toRead;
-}
-
-void EndpointTable::reportPart(const PartSent& sent)
-{
-    if (m_partsSent.size() < maxPartsReported)
-        m_partsSent.push_back(sent);
-}
-
-void EndpointTable::noteSentToRegion(const std::string& region, absl::string_view sharedPart, TimePoint now)
-{
-    std::uint32_t part = partHash(sharedPart);
-    m_partRegions.noteSent(part, placeHash(region), now);
-    reportPart({ placeHash(region), part, 0 });
-}
-
-void EndpointTable::noteNotRead(const RoutedEndpoint& endpoint, absl::string_view sharedPart)
-{
-    m_partHolders.forget(endpoint.hash, partHash(sharedPart));
-}
-
-void EndpointTable::takePartsSent(const std::vector<PartSent>& parts, TimePoint now)
-{
-    for (const PartSent& sent : parts) {
-        bool isElsewhere = m_regionOfPlace.count(sent.place) > 0;
-        m_partRegions.noteSent(sent.part, isElsewhere ? sent.place : placeHash(m_region), now);
-        if (!isElsewhere)
-            m_partHolders.noteSent(sent.place, sent.part, sent.kilotokens);
-    }
-}
-
-std::optional<Duration> EndpointTable::waitForHolder(const ServiceSettings& service, absl::string_view sharedPart, TimePoint now) const
-{
-    auto found = m_ofService.find(service.name);
-    if (found == m_ofService.end())
-        return std::nullopt;
-    std::uint32_t part = partHash(sharedPart);
-    std::optional<Duration> least;
-    for (const auto& endpoint : found->second) {
-        if (endpoint->region != m_region || !m_partHolders.holds(endpoint->hash, part) || !isUsable(*endpoint) || isSuspect(*endpoint, now))
-            continue;
-        Duration wait = waitAt(*endpoint, answersOf(*endpoint, now), workOf(*endpoint), service);
-        if (!least || wait < *least)
-            least = wait;
-    }
-    return least;
-}
-
 std::vector<EndpointWorkload> EndpointTable::ownLoads(TimePoint now) const
 {
     constexpr std::int64_t tokensRounded = 1'000;
@@ -412,76 +287,6 @@
     return !endpoint.isLeaving && !endpoint.isUnreadable && m_evacuated.count(endpoint.record.availabilityZone) == 0;
 }
 
-// The connections that an endpoint takes are divided among the entries of the region.
-bool EndpointTable::hasRoom(const RoutedEndpoint& endpoint, const ServiceSettings& service) const
-{
-    if (service.maxConnections == 0)
-        return true;
-    std::size_t share = std::max<std::size_t>(service.maxConnections / std::max<std::size_t>(m_entriesOfRegion.size(), 1), 1);
-    return endpoint.inFlight < share;
-}
-
-bool EndpointTable::tryTakeCold(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const
-{
-    if (now >= endpoint.coldUntil || service.coldRequestsPerSecond <= 0) {
-        endpoint.coldRate.reset();
-        return true;
-    }
-    SharedRate whole = m_coldTolerance;
-    whole.perSecond = service.coldRequestsPerSecond;
-    RateShare share = divideRate(m_entriesOfRegion, m_self, endpoint.record.incarnation, whole);
-    if (share.burst <= 0)
-        return false;
-    TokenRate rate { share.perSecond, share.burst };
-    if (!endpoint.coldRate)
-        endpoint.coldRate.emplace(rate, now);
-    endpoint.coldRate->setRate(rate, now);
-    return endpoint.coldRate->tryTake(1, now);
-}
-
-EndpointDemand EndpointTable::demandOf(const EndpointRequest& request)
-{
-    EndpointDemand demand;
-    demand.sharedPart = request.sharedPart;
-    AnswerEstimate usual = usualAnswers();
-    demand.readingAgain = std::chrono::duration_cast<Duration>(timePerKilotoken(usual) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
-    if (request.demand)
-        demand.longestWait = longestWait(*request.demand, idleFirstByte(usual));
-    return demand;
-}
-
-std::shared_ptr<RoutedEndpoint> EndpointTable::choose(const EndpointRequest& request, TimePoint now, Random& random)
-{
-    auto found = m_ofService.find(request.service->name);
-    if (found == m_ofService.end())
-        return nullptr;
-    m_partHolders.setMemory(request.service->memoryTokens);
-    const Endpoints& endpoints = found->second;
-    std::uint32_t part = partHash(request.sharedPart);
-    std::vector<EndpointCandidate> candidates;
-    for (std::size_t i = 0; i < endpoints.size(); ++i) {
-        const RoutedEndpoint& endpoint = *endpoints[i];
-        if (endpoint.region != m_region || !isUsable(endpoint) || !hasRoom(endpoint, *request.service))
-            continue;
-        const std::vector<std::string>& tried = *request.tried;
-        bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
-        if (wasTried && !request.mayBeTried)
-            continue;
-        EndpointCandidate candidate = candidateOf(endpoint, request, now);
-        candidate.holdsPart = !request.sharedPart.empty() && m_partHolders.holds(endpoint.hash, part);
-        candidate.index = i;
-        candidate.isSuspect |= wasTried;
-        candidates.push_back(candidate);
-    }
-    EndpointDemand demand = demandOf(request);
-    while (std::optional<std::size_t> index = chooseEndpoint(candidates, demand, random)) {
-        if (tryTakeCold(*endpoints[*index], *request.service, now))
-            return endpoints[*index];
-        candidates.erase(std::find_if(candidates.begin(), candidates.end(), [&](const auto& candidate) { return candidate.index == *index; }));
-    }
-    return nullptr;
-}
-
 double EndpointTable::failureShareOf(const RoutedEndpoint& endpoint, TimePoint now)
 {
     double halves = std::chrono::duration<double>(now - endpoint.failureShareAt) / failureHalfTime;
@@ -505,60 +310,6 @@
     logEndpoint("endpoint_suspect", endpoint);
 }
 
-// Requests go to one of those that are less busy, so that half counts.
-ServiceOutlook EndpointTable::outlook(const ServiceSettings& service, TimePoint now) const
-{
-    ServiceOutlook outlook;
-    outlook.service = serviceHash(service.name);
-    auto found = m_ofService.find(service.name);
-    if (found == m_ofService.end())
-        return outlook;
-    std::vector<Duration> waits;
-    Duration reading { 0 };
-    Duration events { 0 };
-    for (const auto& endpoint : found->second) {
-        bool isCold = now < endpoint->coldUntil && service.coldRequestsPerSecond > 0;
-        if (endpoint->region != m_region || !isUsable(*endpoint) || isCold || isSuspect(*endpoint, now))
-            continue;
-        AnswerEstimate answers = answersOf(*endpoint, now);
-        waits.push_back(waitAt(*endpoint, answers, workOf(*endpoint), service));
-        reading += timePerKilotoken(answers);
-        events += timePerEvent(answers);
-    }
-    if (waits.empty())
-        return outlook;
-    std::size_t half = (waits.size() + 1) / 2;
-    std::partial_sort(waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(half), waits.end());
-    Duration sum = std::accumulate(waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(half), Duration::zero());
-    outlook.endpoints = static_cast<std::uint32_t>(waits.size());
-    outlook.wait = std::chrono::duration_cast<milliseconds>(sum / half);
-    outlook.perKilotoken = std::chrono::duration_cast<std::chrono::microseconds>(reading / waits.size());
-    outlook.perEvent = std::chrono::duration_cast<std::chrono::microseconds>(events / waits.size());
-    return outlook;
-}
-
-// An endpoint is busy with a request for the time of reading its prompt, or for
-// its part of the time that a slot is held, whichever is longer.
-Duration EndpointTable::workPerRequest(absl::string_view service, std::int64_t promptTokens, TimePoint now) const
-{
-    auto found = m_ofService.find(service);
-    double perSecond = 0;
-    if (found == m_ofService.end())
-        return Duration::zero();
-    for (const auto& endpoint : found->second) {
-        if (endpoint->region != m_region || !isUsable(*endpoint))
-            continue;
-        AnswerEstimate answers = answersOf(*endpoint, now);
-        double reading = answers.secondsPerKilotoken * static_cast<double>(promptTokens) / tokensPerKilotoken;
-        double holding = answers.heldSeconds / std::max(endpoint->record.slots, 1u);
-        perSecond += 1 / std::max({ reading, holding, leastWorkSeconds });
-    }
-    if (perSecond <= 0)
-        return Duration::zero();
-    double entries = static_cast<double>(std::max<std::size_t>(m_entriesOfRegion.size(), 1));
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(entries / perSecond));
-}
-
 std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service) const
 {
     std::map<std::string, std::size_t> counts;
@@ -578,35 +329,4 @@
         visit(*endpoint);
 }
 
-static bool isAllowedIn(const std::string& region, const std::vector<std::string>& regions)
-{
-    return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
-}
-
-std::optional<std::string> EndpointTable::regionOfPart(absl::string_view service, absl::string_view sharedPart, const std::vector<std::string>& regions, TimePoint now) const
-{
-    auto found = m_ofService.find(service);
-    if (found == m_ofService.end())
-        return std::nullopt;
-    std::optional<std::uint32_t> lastUsed = m_partRegions.regionOf(partHash(sharedPart), now);
-    auto place = lastUsed ? m_regionOfPlace.find(*lastUsed) : m_regionOfPlace.end();
-    const std::string* usedIn = place == m_regionOfPlace.end() ? nullptr : &place->second;
-    const RoutedEndpoint* owner = nullptr;
-    std::uint64_t best = 0;
-    for (const auto& endpoint : found->second) {
-        if (!isAllowedIn(endpoint->region, regions) || !isUsable(*endpoint))
-            continue;
-        if (usedIn && endpoint->region == *usedIn)
-            return *usedIn;
-        std::uint64_t score = ownershipScore(endpoint->record.incarnation, sharedPart);
-        if (owner && score <= best)
-            continue;
-        owner = endpoint.get();
-        best = score;
-    }
-    if (!owner)
-        return std::nullopt;
-    return owner->region;
-}
-
 } // namespace catkinwing
--- a/lib/Ingress/LoadExchange.cpp
+++ b/lib/Ingress/LoadExchange.cpp
@@ -19,7 +19,8 @@
 static constexpr std::size_t mostLoads = 2'000;
 /// Parts told in one digest; beyond it they are learnt by reading them once more.
 static constexpr std::size_t mostParts = 256;
-/// Under this name the loads of the region stand among the reports.
+/// Under this name the loads of the region stand among the reports of entries,
+/// whose keys are never empty.
 static constexpr const char* regionName = "";
 
 LoadExchange::LoadExchange(EndpointTable& endpoints, const EntryTable& entries, EntryRecord self)
