Tell no part that is bound to other regions, and divide region reports by turn

Cause, found in reading: an entry outside a part's homes noted where it forwarded the part and told its neighbours the hash, while hashes of bound prompts are to stay in their homes. Change: such a part leaves no trace; the count follows the due check. Test: "a part that may not be processed here is not told to the entries here".

--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -326,9 +326,10 @@
 // any size as often as of one with a single entry.
 void IngressDaemon::Impl::reportRegion()
 {
+    if (!isReady() || loads.sequence() % regionReportEvery != 0)
+        return;
     auto siblings = static_cast<double>(parts.entries.keysOfRegion(settings.region).size());
-    bool isDue = loads.sequence() % regionReportEvery == 0;
-    if (!isReady() || !isDue || random.unit() * siblings > entriesReporting)
+    if (random.unit() * siblings > entriesReporting)
         return;
     std::vector<std::string> regions = parts.entries.otherRegions();
     if (regions.empty())
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -379,7 +379,9 @@
     attempt.peer = *peer;
     m_parts.metrics.count("forwards_to_regions");
     m_parts.outlooks.noteSent(region, m_service, m_request.facts.promptTokens, now());
-    if (const PromptPart* shared = sharedPart())
+    // What is bound to other regions leaves no trace here, not even a hash.
+    const PromptPart* shared = isAllowedHere() ? sharedPart() : nullptr;
+    if (shared)
         m_parts.endpoints.noteSentToRegion(region, shared->id, now());
     startAttempt(std::move(attempt), std::move(request));
     return true;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -373,6 +373,24 @@
         CHECK(fixture.runToEnd({ { "prompt", std::to_string(part) } })->status() == 200);
 }
 
+// Entries tell each other the hashes of parts within a region.
+TEST_CASE("a part that may not be processed here is not told to the entries here")
+{
+    for (bool isBound : { true, false }) {
+        IngressFixture fixture;
+        Route route = IngressFixture::unary(RequestKind::Idempotent);
+        route.hasPromptAffinity = true;
+        if (isBound)
+            route.homeRegions = { "south" };
+        fixture.configure(route);
+        fixture.addEndpoint("e2", "south-a");
+        fixture.addEntry("south-1", "south", 77);
+        fixture.peerClient.handler = fine;
+        CHECK(fixture.runToEnd({ { "prompt", "part" } })->status() == 200);
+        CHECK(fixture.parts.endpoints.partsSent().size() == (isBound ? 0 : 1));
+    }
+}
+
 TEST_CASE("runs at another entry's endpoints count against the route's attempts")
 {
     IngressFixture fixture;
