Correct two comments that said more than was measured

A comment named a share of requests that no run gave, and one took the mean size of a group of entries for its most.

--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -49,8 +49,8 @@
 static constexpr milliseconds longestHouseKeepingPause { 500 };
 static constexpr milliseconds stateInterval { 10'000 };
 /// Requests last from 30 ms to seconds, and what is known of them by way of a
-/// collector is one and a half such intervals old on the mean. Twice as old costs
-/// a twentieth of the requests that are in time under overload.
+/// collector is some one and a half such intervals old. Where loads are twice as
+/// old, entries send more than they should to the same endpoints.
 static constexpr milliseconds loadReportInterval { 100 };
 /// What a region is like is told each so many intervals.
 static constexpr std::uint64_t regionReportEvery = 2;
--- a/lib/Membership/EntryGroups.cpp
+++ b/lib/Membership/EntryGroups.cpp
@@ -8,7 +8,8 @@
 namespace catkinwing {
 
 /// A collector hears ten reports a second of each member and sends as many
-/// digests: some 1,300 datagrams a second at the most.
+/// digests: some 1,300 datagrams a second for so many. Members are spread by hash,
+/// so that this is the mean and a group may be half as large again.
 static constexpr std::size_t mostMembers = 64;
 static constexpr std::size_t collectorsPerGroup = 2;
 
--- a/lib/Routing/PartHolders.cpp
+++ b/lib/Routing/PartHolders.cpp
@@ -12,8 +12,8 @@
 static constexpr double memoryForParts = 0.6;
 /// Assumed where an engine's memory isn't stated.
 static constexpr std::int64_t usualMemoryTokens = 300'000;
-/// Parts that are remembered; some 40 bytes each. At a hundred a region's engine,
-/// enough for three hundred engines.
+/// Parts that are remembered, some 40 bytes each: enough for three hundred engines
+/// with a hundred parts each.
 static constexpr std::size_t maxParts = 32'768;
 
 std::uint32_t partHash(absl::string_view sharedPart)
