Log why a watch of the store ended, each listing, and how old what is known is

Neither logs nor metrics told the hypotheses on a late send to a leaving endpoint apart: why an entry's watch had ended, when it had listed the store again, and when the store had last confirmed what the entry acts on.

--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -62,6 +62,9 @@
 
     /// Returns the store revision up to which all changes were emitted; zero before the first list.
     StoreRevision revision() const;
+    /// Returns when the store last told that nothing more had changed; nothing
+    /// before the first list. Stores that only push changes tell with changes alone.
+    std::optional<TimePoint> confirmedAt() const;
     /// Tells whether a watch is open and no failure has been seen since.
     bool isFollowing() const;
     const ConfigSourceCounters& counters() const;
--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -68,6 +68,9 @@
     /// The watch ended, for instance because the connection was lost; called
     /// once. OutOfRange if its first revision was compacted away.
     std::function<void(const absl::Status&)> onEnd;
+    /// The store has answered: all that had changed by now has been told. A
+    /// store that only pushes changes doesn't tell.
+    std::function<void()> onCurrent {};
 };
 
 /// The platform's key-value service. All callbacks run later, on the loop;
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -38,6 +38,7 @@
     Duration spread(std::chrono::milliseconds pause);
     void callLater(Duration delay, void (Impl::*step)());
     void noteFailure();
+    void noteConfirmed() { confirmedAt = scheduler.clock().now(); }
 
     void list();
     void onListed(const absl::StatusOr<StoreListing>& listing);
@@ -69,6 +70,7 @@
     bool isListing { false };
     std::chrono::milliseconds retryDelay;
     StoreRevision revision { 0 };
+    std::optional<TimePoint> confirmedAt;
     std::map<std::string, Known> known;
 };
 
@@ -114,6 +116,7 @@
         return;
     }
     retryDelay = options.retryDelay;
+    noteConfirmed();
     takeOver(*listing);
     openWatch();
 }
@@ -165,12 +168,18 @@
         if (number == self.watchNumber)
             self.onWatchEnd(status);
     });
+    callbacks.onCurrent = [weak = weak_from_this(), number = watchNumber] {
+        auto self = weak.lock();
+        if (self && number == self->watchNumber)
+            self->noteConfirmed();
+    };
     currentWatch = store.watch(options.prefix, revision + 1, std::move(callbacks));
 }
 
 void ConfigSource::Impl::onEvents(const std::vector<StoreEvent>& events)
 {
     retryDelay = options.retryDelay;
+    noteConfirmed();
     std::vector<ConfigChange> changes;
     for (const auto& event : events) {
         std::optional<std::string> text;
@@ -269,6 +278,11 @@
     return m_impl->revision;
 }
 
+std::optional<TimePoint> ConfigSource::confirmedAt() const
+{
+    return m_impl->confirmedAt;
+}
+
 bool ConfigSource::isFollowing() const
 {
     return m_impl->isFollowing;
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -126,6 +126,10 @@
             if (auto self = weak.lock())
                 self->fail(status);
         };
+        callbacks.onCurrent = [weak] {
+            if (auto self = weak.lock())
+                self->tellCurrent();
+        };
         m_direct = m_store.direct.watch(m_prefix, m_seen + 1, std::move(callbacks));
         searchRelay();
     }
@@ -182,6 +186,7 @@
             m_store.choice.noteTrouble();
         if (!events.empty())
             takeEvents(events);
+        tellCurrent();
         if (!m_isClosed)
             follow();
     }
@@ -226,8 +231,16 @@
             onEvents(events);
     }
 
+    void tellCurrent()
+    {
+        auto onCurrent = m_callbacks.onCurrent;
+        if (onCurrent)
+            onCurrent();
+    }
+
     void fail(const absl::Status& status)
     {
+        logChange(LogLevel::Warning, "store_watch_ended", { { "after", m_seen }, { "detail", std::string(status.message()) } });
         auto onEnd = std::move(m_callbacks.onEnd);
         close();
         if (onEnd)
@@ -341,9 +354,11 @@
         if (!impl)
             return;
         if (!listing.ok()) {
+            logChange(LogLevel::Warning, "store_listing_failed", { { "detail", std::string(listing.status().message()) } });
             impl->bootstrap(listing.status(), done);
             return;
         }
+        logChange(LogLevel::Info, "store_listed", { { "revision", listing->revision }, { "before", impl->mirror.revision() }, { "keys", listing->values.size() } });
         impl->mirror.takeListing(*listing);
         done(listing);
     });
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -47,6 +47,14 @@
 {
 }
 
+std::optional<Duration> StoreFollower::age() const
+{
+    std::optional<TimePoint> confirmedAt = m_source.confirmedAt();
+    if (!confirmedAt)
+        return std::nullopt;
+    return now() - *confirmedAt;
+}
+
 bool StoreFollower::isTroubled() const
 {
     return !m_source.isFollowing() || now() - m_lastTrouble < troubleMemory;
--- a/unittests/Coordination/FakeStore.cpp
+++ b/unittests/Coordination/FakeStore.cpp
@@ -127,6 +127,7 @@
     auto state = std::make_shared<Watch>(Watch { prefix, firstRevision, std::move(callbacks) });
     m_watches.push_back(state);
     scheduleFlush();
+    confirmFromTimeToTime(state);
     return std::make_unique<WatchHandle>(std::move(state));
 }
 
@@ -255,6 +256,17 @@
     m_scheduler.callAfter(m_latency / 2, [this] { flush(); });
 }
 
+// Each watch is a series of calls that wait for a while and are answered.
+void FakeStore::confirmFromTimeToTime(const std::weak_ptr<Watch>& watch)
+{
+    m_scheduler.callAfter(m_watchWait, [this, watch] {
+        if (watch.expired())
+            return;
+        scheduleFlush();
+        confirmFromTimeToTime(watch);
+    });
+}
+
 void FakeStore::flush()
 {
     if (m_isSilent)
@@ -280,8 +292,11 @@
         watch->next = std::max(watch->next, m_revision + 1);
         // The callback may drop the watch, and with it the function it runs in.
         auto onEvents = watch->callbacks.onEvents;
+        auto onCurrent = watch->callbacks.onCurrent;
         if (!events.empty())
             onEvents(events);
+        if (onCurrent)
+            onCurrent();
     }
     auto isGone = [](const auto& weak) { return weak.expired(); };
     m_watches.erase(std::remove_if(m_watches.begin(), m_watches.end(), isGone), m_watches.end());
@@ -309,7 +324,9 @@
         }
         std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) override
         {
-            StoreWatchCallbacks onClient { later(std::move(callbacks.onEvents)), later(std::move(callbacks.onEnd)) };
+            StoreWatchCallbacks onClient { later(std::move(callbacks.onEvents)), later(std::move(callbacks.onEnd)), {} };
+            if (callbacks.onCurrent)
+                onClient.onCurrent = [&scheduler = m_scheduler, onCurrent = std::move(callbacks.onCurrent)] { scheduler.callAfter(Duration::zero(), onCurrent); };
             return m_store.watch(prefix, firstRevision, std::move(onClient));
         }
         void grantLease(std::chrono::milliseconds timeToLive, LeaseCallback done) override { m_store.grantLease(timeToLive, later(std::move(done))); }
--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -100,12 +100,14 @@
     void expireLease(StoreLease lease);
     void armLease(StoreLease lease);
     void scheduleFlush();
+    void confirmFromTimeToTime(const std::weak_ptr<Watch>& watch);
     void flush();
 
     Scheduler& m_scheduler;
     Duration m_latency { std::chrono::milliseconds(2) };
     Duration m_callTimeout { std::chrono::seconds(2) };
     Duration m_lateBy { std::chrono::seconds(3) };
+    Duration m_watchWait { std::chrono::milliseconds(1'200) };
     bool m_isDown { false };
     bool m_isSilent { false };
     StoreRevision m_revision { 1 };
