Add a failing test for the return of an entry from a cut

After a cut from the store an entry uses endpoints that have left meanwhile for more than the five seconds that it may take to be back, where the store has forgotten the history that its watch asks for and the endpoint is gone from the listing.

--- /dev/null
+++ b/unittests/Ingress/StoreZone.cpp
@@ -0,0 +1,384 @@
+#include "StoreZone.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+/// Times of the client of the platform's store.
+static constexpr milliseconds watchTimeout { 1'600 };
+static constexpr milliseconds callTimeout { 1'000 };
+static constexpr milliseconds refusalTime { 10 };
+static constexpr milliseconds storeLatency { 20 };
+/// How often a fake looks whether something has changed.
+static constexpr milliseconds look { 10 };
+static constexpr milliseconds houseKeepingInterval { 250 };
+static constexpr std::uint16_t firstPort = 100;
+
+static std::string nameOf(std::size_t entry)
+{
+    return "entry-" + std::to_string(entry);
+}
+
+/// An entry's path to the store, with the timeouts of its client.
+class StoreZone::Path final : public Store {
+public:
+    Path(StoreZone& zone, std::size_t entry, Scheduler& scheduler)
+        : m_zone(zone)
+        , m_entry(entry)
+        , m_scheduler(scheduler)
+        , m_client(zone.m_store.clientOn(scheduler))
+    {
+    }
+
+    void list(const std::string& prefix, ListCallback done) override
+    {
+        if (isSound()) {
+            m_client->list(prefix, std::move(done));
+            return;
+        }
+        m_scheduler.callAfter(refuses() ? refusalTime : callTimeout, [done = std::move(done)] { done(absl::UnavailableError("no answer")); });
+    }
+
+    std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) override;
+
+    void get(const std::string& key, GetCallback done) override { m_client->get(key, std::move(done)); }
+    void compareAndSwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease, SwapCallback done) override
+    {
+        m_client->compareAndSwap(key, expected, value, lease, std::move(done));
+    }
+    void compareAndDelete(const std::string& key, StoreRevision expected, SwapCallback done) override { m_client->compareAndDelete(key, expected, std::move(done)); }
+    void grantLease(milliseconds timeToLive, LeaseCallback done) override { m_client->grantLease(timeToLive, std::move(done)); }
+    void keepAlive(StoreLease lease, KeepAliveCallback done) override { m_client->keepAlive(lease, std::move(done)); }
+    void revokeLease(StoreLease lease, DoneCallback done) override { m_client->revokeLease(lease, std::move(done)); }
+
+private:
+    struct Watch;
+    class Handle;
+
+    EntryFault fault() const { return m_zone.m_entries[m_entry].fault; }
+    bool refuses() const { return fault() == EntryFault::StoreRefuses; }
+    bool isSound() const { return fault() == EntryFault::None || fault() == EntryFault::Frozen; }
+    void lookAfter(const std::shared_ptr<Watch>& watch);
+    void deliver(Watch& watch);
+
+    StoreZone& m_zone;
+    std::size_t m_entry;
+    Scheduler& m_scheduler;
+    std::unique_ptr<Store> m_client;
+};
+
+/// A watch on the path; what comes while the path is cut arrives with the path's
+/// return, if the call has not timed out by then.
+struct StoreZone::Path::Watch {
+    void end(const absl::Status& status)
+    {
+        auto onEnd = std::move(callbacks.onEnd);
+        callbacks = {};
+        inner.reset();
+        if (onEnd)
+            onEnd(status);
+    }
+
+    StoreWatchCallbacks callbacks;
+    std::unique_ptr<StoreWatch> inner;
+    TimePoint askedAt {};
+    std::vector<StoreEvent> held;
+    std::optional<absl::Status> heldEnd;
+    bool isHeldCurrent { false };
+};
+
+class StoreZone::Path::Handle final : public StoreWatch {
+public:
+    explicit Handle(std::shared_ptr<Watch> watch)
+        : m_watch(std::move(watch))
+    {
+    }
+    ~Handle() override
+    {
+        m_watch->callbacks = {};
+        m_watch->inner.reset();
+    }
+    Handle(const Handle&) = delete;
+    Handle& operator=(const Handle&) = delete;
+
+private:
+    std::shared_ptr<Watch> m_watch;
+};
+
+std::unique_ptr<StoreWatch> StoreZone::Path::watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks)
+{
+    auto watch = std::make_shared<Watch>();
+    watch->callbacks = std::move(callbacks);
+    watch->askedAt = m_scheduler.clock().now();
+    StoreWatchCallbacks inner;
+    inner.onEvents = [weak = std::weak_ptr<Watch>(watch)](const std::vector<StoreEvent>& events) {
+        if (auto held = weak.lock())
+            held->held.insert(held->held.end(), events.begin(), events.end());
+    };
+    inner.onEnd = [weak = std::weak_ptr<Watch>(watch)](const absl::Status& status) {
+        if (auto held = weak.lock())
+            held->heldEnd = status;
+    };
+    inner.onCurrent = [weak = std::weak_ptr<Watch>(watch)] {
+        if (auto held = weak.lock())
+            held->isHeldCurrent = true;
+    };
+    watch->inner = m_client->watch(prefix, firstRevision, std::move(inner));
+    lookAfter(watch);
+    return std::make_unique<Handle>(std::move(watch));
+}
+
+// Either callback may drop the watch.
+void StoreZone::Path::deliver(Watch& watch)
+{
+    std::vector<StoreEvent> events = std::exchange(watch.held, {});
+    bool isCurrent = std::exchange(watch.isHeldCurrent, false);
+    if (events.empty() && !isCurrent)
+        return;
+    watch.askedAt = m_scheduler.clock().now();
+    auto onEvents = watch.callbacks.onEvents;
+    if (!events.empty() && onEvents)
+        onEvents(events);
+    auto onCurrent = watch.callbacks.onCurrent;
+    if (isCurrent && onCurrent)
+        onCurrent();
+}
+
+void StoreZone::Path::lookAfter(const std::shared_ptr<Watch>& watch)
+{
+    m_scheduler.callAfter(look, [this, weak = std::weak_ptr<Watch>(watch)] {
+        auto held = weak.lock();
+        if (!held || !held->callbacks.onEnd)
+            return;
+        bool hasTimedOut = m_scheduler.clock().now() - held->askedAt >= watchTimeout;
+        if (refuses() || (!isSound() && hasTimedOut)) {
+            held->end(absl::UnavailableError("no answer"));
+            return;
+        }
+        if (isSound()) {
+            deliver(*held);
+            if (held->heldEnd) {
+                held->end(*held->heldEnd);
+                return;
+            }
+        }
+        lookAfter(held);
+    });
+}
+
+/// Carries an entry's questions to the others by the port of their address.
+class StoreZone::Client final : public HttpClient {
+public:
+    Client(StoreZone& zone, std::size_t entry, Scheduler& scheduler)
+        : m_zone(zone)
+        , m_entry(entry)
+        , m_scheduler(scheduler)
+    {
+    }
+
+    std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override;
+    void forget(const SocketAddress&) override { }
+    void replaceTls(std::shared_ptr<TlsContext>) override { }
+
+private:
+    struct Exchange final : HttpExchange {
+        void cancel() override { isCancelled = true; }
+        void pause() override { }
+        void resume() override { }
+        bool mayHaveReachedServer() const override { return true; }
+
+        HttpClientRequest request;
+        HttpClientCallbacks callbacks;
+        std::size_t server { 0 };
+        /// Start of the process that has the question; zero until one has.
+        std::uint64_t serverStart { 0 };
+        std::shared_ptr<FakeResponder> responder { std::make_shared<FakeResponder>() };
+        TimePoint until {};
+        bool isCancelled { false };
+    };
+
+    void lookAfter(const std::shared_ptr<Exchange>& exchange);
+    void deliver(Exchange& exchange);
+
+    StoreZone& m_zone;
+    std::size_t m_entry;
+    Scheduler& m_scheduler;
+};
+
+struct StoreZone::Process {
+    Process(StoreZone& zone, std::size_t entry)
+        : path(zone, entry, fixture.scheduler)
+        , client(zone, entry, fixture.scheduler)
+        , relayed(path, client, fixture.scheduler, choice(entry))
+        , follower(relayed, fixture.scheduler, fixture.random, "entries/", fixture.parts, [](const std::string&) {})
+    {
+        fixture.random = Random(entry + 1);
+        fixture.dialect.readEndpoint = readEndpoint;
+        for (std::size_t i = 0; i < zone.m_entries.size(); ++i)
+            fixture.addEntry(nameOf(i), "north", firstPort + static_cast<int>(i));
+        follower.start();
+        houseKeep();
+    }
+
+    static absl::StatusOr<EndpointRecord> readEndpoint(const std::string& incarnation, absl::string_view text)
+    {
+        EndpointRecord record;
+        record.incarnation = incarnation;
+        record.service = "service";
+        record.address = { "127.0.0.1", 1 };
+        record.availabilityZone = "north-a";
+        record.isLeaving = text == "leaving";
+        return record;
+    }
+
+    RelayChoice choice(std::size_t entry)
+    {
+        RelayChoice made;
+        made.relay = [this, entry] { return fixture.parts.entries.relay(nameOf(entry), fixture.scheduler.clock().now()); };
+        made.noteFailure = [this](const SocketAddress& peer) { fixture.parts.entries.notePeerFailure(peer, fixture.scheduler.clock().now()); };
+        made.noteTrouble = [this] { follower.noteTrouble(); };
+        made.bootstrap = [entry]() -> std::optional<SocketAddress> {
+            return SocketAddress { "127.0.0.1", static_cast<std::uint16_t>(firstPort + (entry == 0 ? 1 : 0)) };
+        };
+        return made;
+    }
+
+    void houseKeep()
+    {
+        follower.houseKeep();
+        fixture.scheduler.callAfter(houseKeepingInterval, [this] { houseKeep(); });
+    }
+
+    IngressFixture fixture;
+    Path path;
+    Client client;
+    RelayedStore relayed;
+    StoreFollower follower;
+};
+
+std::shared_ptr<HttpExchange> StoreZone::Client::send(HttpClientRequest request, HttpClientCallbacks callbacks)
+{
+    auto exchange = std::make_shared<Exchange>();
+    exchange->server = request.server.port - firstPort;
+    exchange->until = m_scheduler.clock().now() + request.headTimeout;
+    exchange->request = std::move(request);
+    exchange->callbacks = std::move(callbacks);
+    lookAfter(exchange);
+    return exchange;
+}
+
+void StoreZone::Client::deliver(Exchange& exchange)
+{
+    Entry& server = m_zone.m_entries[exchange.server];
+    if (exchange.serverStart > 0 || !server.process || server.fault == EntryFault::Frozen || !m_zone.isReachable(m_entry, exchange.server))
+        return;
+    exchange.serverStart = server.starts;
+    HttpRequest asked;
+    asked.headers = exchange.request.headers;
+    server.process->relayed.answerPeer(asked, exchange.responder);
+}
+
+void StoreZone::Client::lookAfter(const std::shared_ptr<Exchange>& exchange)
+{
+    m_scheduler.callAfter(look, [this, exchange] {
+        if (exchange->isCancelled)
+            return;
+        deliver(*exchange);
+        const Entry& server = m_zone.m_entries[exchange->server];
+        bool isRefused = !server.process || (exchange->serverStart > 0 && exchange->serverStart != server.starts);
+        bool isReachable = m_zone.isReachable(m_entry, exchange->server);
+        if (exchange->responder->isFinished && isReachable) {
+            exchange->callbacks.onHead(*exchange->responder->head);
+            exchange->callbacks.onBody(exchange->responder->body);
+            exchange->callbacks.onEnd({ HttpEnd::Complete, true, "" });
+        } else if (isRefused && isReachable) {
+            exchange->callbacks.onEnd({ HttpEnd::NoResponse, true, "closed" });
+        } else if (m_scheduler.clock().now() >= exchange->until) {
+            exchange->callbacks.onEnd({ HttpEnd::TimedOut, true, "timeout" });
+        } else {
+            lookAfter(exchange);
+        }
+    });
+}
+
+StoreZone::StoreZone(std::size_t entries)
+    : m_entries(entries)
+{
+    m_store.setLatency(storeLatency);
+    for (std::size_t i = 0; i < entries; ++i)
+        start(i);
+}
+
+StoreZone::~StoreZone() = default;
+
+void StoreZone::start(std::size_t entry)
+{
+    ++m_entries[entry].starts;
+    m_entries[entry].process = std::make_unique<Process>(*this, entry);
+}
+
+bool StoreZone::isReachable(std::size_t from, std::size_t to) const
+{
+    return m_entries[from].fault != EntryFault::CutOff && m_entries[to].fault != EntryFault::CutOff;
+}
+
+void StoreZone::pass(Duration span)
+{
+    for (Duration passed {}; passed < span; passed += look) {
+        m_scheduler.advance(look);
+        for (Entry& entry : m_entries) {
+            if (!entry.process)
+                continue;
+            if (entry.fault == EntryFault::Frozen)
+                entry.frozenFor += look;
+            else if (entry.frozenFor > Duration::zero())
+                entry.process->fixture.scheduler.freeze(std::exchange(entry.frozenFor, {}) + look);
+            else
+                entry.process->fixture.scheduler.advance(look);
+        }
+    }
+}
+
+void StoreZone::setFault(std::size_t entry, EntryFault fault)
+{
+    Entry& changed = m_entries[entry];
+    bool startsAgain = changed.fault == EntryFault::Killed && fault != EntryFault::Killed;
+    changed.fault = fault;
+    changed.calmSince = now();
+    if (fault == EntryFault::Killed)
+        changed.process.reset();
+    if (startsAgain)
+        start(entry);
+}
+
+void StoreZone::registerEndpoint(const std::string& name, bool isLeaving)
+{
+    m_store.put("endpoints/" + name, isLeaving ? "leaving" : "ready");
+}
+
+bool StoreZone::uses(std::size_t entry, const std::string& endpoint) const
+{
+    bool isUsed = false;
+    if (!m_entries[entry].process)
+        return false;
+    m_entries[entry].process->fixture.parts.endpoints.forEach([&](const RoutedEndpoint& known) {
+        if (known.record.incarnation == endpoint && !known.isLeaving)
+            isUsed = true;
+    });
+    return isUsed;
+}
+
+bool StoreZone::hasBeenCalm(std::size_t entry, Duration span) const
+{
+    return m_entries[entry].fault == EntryFault::None && now() - m_entries[entry].calmSince >= span;
+}
+
+bool StoreZone::isDirect(std::size_t entry) const
+{
+    return m_entries[entry].process && m_entries[entry].process->relayed.isDirect();
+}
+
+} // namespace catkinwing
