Add failing tests for followers of a relay that has lost the store

An entry without any trouble of its own uses an endpoint for more than three seconds after it said that it leaves, where the store does not answer the entry's relay.

--- a/unittests/Ingress/StoreFreshnessTest.cpp
+++ b/unittests/Ingress/StoreFreshnessTest.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// An entry without trouble sends nothing more to an endpoint that leaves after this.
+constexpr Duration leavingBound = 3s;
 /// After trouble of its own an entry has this long until the bounds hold again.
 constexpr Duration calmBound = 5s;
 
@@ -71,3 +73,73 @@
     CHECK(longestUsedAfterCut({ true, true }) < calmBound);
     CHECK(longestUsedAfterCut({ false, true }) < calmBound);
 }
+
+namespace {
+
+struct Trouble {
+    std::size_t entry;
+    EntryFault fault;
+};
+
+/// Lays each trouble over the one before, \p apart from each other, and says that an
+/// endpoint leaves \p until later; returns whether every calm entry knows in time.
+bool isKnownInTime(std::size_t entries, const std::vector<Trouble>& troubles, Duration apart, Duration until)
+{
+    StoreZone zone(entries);
+    zone.registerEndpoint("leaves");
+    zone.pass(calmBound + 1s);
+    for (const Trouble& trouble : troubles) {
+        zone.setFault(trouble.entry, trouble.fault);
+        zone.pass(apart);
+    }
+    zone.pass(until);
+    zone.registerEndpoint("leaves", true);
+    zone.pass(leavingBound);
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        if (zone.hasBeenCalm(entry, calmBound + leavingBound) && zone.uses(entry, "leaves"))
+            return false;
+    }
+    return true;
+}
+
+constexpr EntryFault allFaults[] = { EntryFault::StoreSilent, EntryFault::StoreRefuses, EntryFault::CutOff, EntryFault::Frozen, EntryFault::Killed };
+
+} // namespace
+
+// Seen: an entry that had no trouble sent requests to an endpoint 3.0 s to 3.2 s
+// after it had said that it leaves. How: the entry asks another one of its zone, the
+// relay, for news; the store did not answer the relay, which said "no news" as
+// one does whose watch is sound, and watched anew each time its watch ended.
+// Cause: an answer did not say when the store had last confirmed it, and neither
+// end bounded how old it may be. Proof: the relay's log shows the store lost and
+// reached at one revision in turn, the follower's that it lost its relay only at
+// the end; here every entry in turn is the one in trouble.
+TEST_CASE("an entry without trouble knows in time that an endpoint leaves, whatever befalls another")
+{
+    for (std::size_t entries = 2; entries <= 4; ++entries) {
+        for (std::size_t troubled = 0; troubled < entries; ++troubled) {
+            for (EntryFault fault : allFaults) {
+                for (Duration until = 0ms; until < 4s; until += 130ms) {
+                    CAPTURE(entries, troubled, static_cast<int>(fault), until.count());
+                    CHECK(isKnownInTime(entries, { { troubled, fault } }, 0ms, until));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("an entry without trouble knows in time that an endpoint leaves, whatever befalls two others")
+{
+    for (std::size_t entries = 3; entries <= 4; ++entries) {
+        for (std::size_t pair = 0; pair < entries * entries; ++pair) {
+            for (EntryFault first : allFaults) {
+                for (EntryFault second : allFaults) {
+                    for (Duration apart : { 300ms, 1'300ms }) {
+                        CAPTURE(entries, pair, static_cast<int>(first), static_cast<int>(second), apart.count());
+                        CHECK(isKnownInTime(entries, { { pair / entries, first }, { pair % entries, second } }, apart, 100ms));
+                    }
+                }
+            }
+        }
+    }
+}
