Bound how old what an entry knows of the store may be, along the whole way

Callers' requests reached endpoints 3.0 s to 3.2 s after they had said that they leave, at entries without any trouble of their own: their relay had lost the store.

Cause: a relay answered "no news" after 1.2 s whatever its own watch brought, and counted as watching again with each watch that it opened. Neither the answer nor the entry that asked bounded how long ago the store had said so.

A relay now answers when the store has answered it, and each answer says how old it is. One that the store doesn't answer refuses, 0.6 s after its watch has failed, and a new watch alone doesn't end that. Whatever the relay does, an entry leaves it once what it knows is 2 s old, and watches the store itself. An entry back from a cut asks its relay for an answer at once, for 0.4 s, before it turns to the store. 2 s, 0.3 s to 0.6 s for the first answer of a watch and the way of a request stay under the three seconds, whichever entries and exchanges fail, since no answer counts for younger than the store's own word. An answer without an age, as an earlier build sends, is refused: while entries of both builds run in a zone, each watches the store itself.

In 60 s of calm no call but the one entry's watch, also where the store takes 250 ms. Two entries of earlier hypotheses are ruled out by the code: one that knows anything never begins with what another knows, so no circle of entries confirms itself.

--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -63,9 +63,6 @@
 
     /// Returns the store revision up to which all changes were emitted; zero before the first list.
     StoreRevision revision() const;
-    /// Returns when the store last told that nothing more had changed; nothing
-    /// before the first list. Stores that only push changes tell with changes alone.
-    std::optional<TimePoint> confirmedAt() const;
     /// Returns since when the store has answered this source, whatever it said,
     /// without a failure since; nothing while it doesn't.
     std::optional<TimePoint> reachedAt() const;
--- a/include/catkinwing/Ingress/RelayedStore.h
+++ b/include/catkinwing/Ingress/RelayedStore.h
@@ -25,8 +25,8 @@
 
 /// A store whose watch goes through another entry where there is one to ask, so
 /// that the store's calls grow with the zones and not with the entries. Every
-/// other call goes to the store itself. An entry that learns nothing from its
-/// relay turns to the store at once. One that starts while the store is away
+/// other call goes to the store itself. An entry turns to the store once its
+/// relay hasn't told for two seconds what the store says. One that starts while the store is away
 /// begins with what another entry knows.
 class RelayedStore final : public Store {
 public:
@@ -45,14 +45,18 @@
     void keepAlive(StoreLease lease, KeepAliveCallback done) override;
     void revokeLease(StoreLease lease, DoneCallback done) override;
 
-    /// Answers another entry that asks for changes; refuses unless this entry
-    /// watches the store itself and hears from it. One that asks for everything
-    /// has nowhere else to learn it, and gets what this entry knows.
+    /// Answers another entry that asks for changes, as soon as the store has
+    /// answered this one; refuses unless this entry watches the store itself and
+    /// hears from it. One that asks for everything has nowhere else to learn it,
+    /// and gets what this entry knows. Each answer says how old it is.
     void answerPeer(const HttpRequest& request, std::shared_ptr<HttpResponder> responder);
     /// Refuses those that wait, and all that come.
     void stopRelaying();
     /// Tells whether this entry watches the store itself.
     bool isDirect() const;
+    /// Returns how long ago the store has told, itself or through a relay, that
+    /// nothing else had changed; nothing before the first listing.
+    std::optional<Duration> age() const;
 
 private:
     struct Impl;
--- a/include/catkinwing/PeerProtocol/StoreChanges.h
+++ b/include/catkinwing/PeerProtocol/StoreChanges.h
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -11,6 +12,11 @@
 /// Header by which an entry asks another for what has changed in the store
 /// after a revision; zero asks for everything.
 constexpr const char* changesAfterHeader = "Catkinwing-Changes-After";
+/// Header by which it asks for an answer at once, also if nothing has changed.
+constexpr const char* changesAtOnceHeader = "Catkinwing-Changes-At-Once";
+
+/// What is older is told as this old.
+constexpr std::chrono::hours longestStoreAge { 1 };
 
 /// One key of the store, or that it is gone.
 struct StoreChange {
@@ -30,6 +36,9 @@
     /// changes from a listing: keys that are gone may only have lapsed while the
     /// store was away.
     bool spansListing { false };
+    /// How long ago the store itself last told the sender that nothing else had
+    /// changed; at most longestStoreAge, to the millisecond.
+    std::chrono::milliseconds age { 0 };
 };
 
 std::string encodeStoreChanges(const StoreChanges& changes);
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -39,7 +39,6 @@
     void callLater(Duration delay, void (Impl::*step)());
     void noteFailure();
     void noteReached();
-    void noteConfirmed();
     /// Pause before the next attempt after one that has just failed.
     Duration retryPause();
 
@@ -74,7 +73,6 @@
     bool isListing { false };
     std::chrono::milliseconds retryDelay;
     StoreRevision revision { 0 };
-    std::optional<TimePoint> confirmedAt;
     std::optional<TimePoint> reachedAt;
     /// When the last list or watch began.
     TimePoint attemptBeganAt {};
@@ -106,12 +104,6 @@
         reachedAt = scheduler.clock().now();
 }
 
-void ConfigSource::Impl::noteConfirmed()
-{
-    noteReached();
-    confirmedAt = scheduler.clock().now();
-}
-
 // What took until its timeout has kept the store from being asked for long
 // enough; the return of the store is to be found within one pause.
 Duration ConfigSource::Impl::retryPause()
@@ -145,7 +137,7 @@
         return;
     }
     retryDelay = options.retryDelay;
-    noteConfirmed();
+    noteReached();
     takeOver(*listing);
     openWatch();
 }
@@ -201,7 +193,7 @@
     callbacks.onCurrent = [weak = weak_from_this(), number = watchNumber] {
         auto self = weak.lock();
         if (self && number == self->watchNumber)
-            self->noteConfirmed();
+            self->noteReached();
     };
     currentWatch = store.watch(options.prefix, revision + 1, std::move(callbacks));
 }
@@ -209,7 +201,7 @@
 void ConfigSource::Impl::onEvents(const std::vector<StoreEvent>& events)
 {
     retryDelay = options.retryDelay;
-    noteConfirmed();
+    noteReached();
     std::vector<ConfigChange> changes;
     for (const auto& event : events) {
         std::optional<std::string> text;
@@ -320,11 +312,6 @@
     return m_impl->revision;
 }
 
-std::optional<TimePoint> ConfigSource::confirmedAt() const
-{
-    return m_impl->confirmedAt;
-}
-
 std::optional<TimePoint> ConfigSource::reachedAt() const
 {
     return m_impl->reachedAt;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -288,7 +288,7 @@
     for (const auto& [kind, calls] : storeCalls)
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayed.isDirect() ? 1 : 0);
-    metrics.set("store_age_seconds", std::chrono::duration<double>(follower.age().value_or(Duration::zero())).count());
+    metrics.set("store_age_seconds", std::chrono::duration<double>(relayed.age().value_or(Duration::zero())).count());
     metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entries()));
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
@@ -368,7 +368,7 @@
     logChange(LogLevel::Info, "state",
         { { "open_requests", parts.openRequests }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
             { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayed.isDirect() },
-            { "store_age_ms", std::chrono::duration_cast<milliseconds>(follower.age().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
+            { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayed.age().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
             { "log_lines_dropped", log.dropped() } });
 }
 
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -7,21 +7,24 @@
 
 using std::chrono::milliseconds;
 
-/// An entry that waits for news is answered after this long at the latest. A
-/// relay that has died is found this late, so this lies well inside the bound
-/// for leaving endpoints.
-static constexpr milliseconds relayWait { 1'200 };
+/// What an entry knows of the store may be this old before it watches the store
+/// itself. That takes another 0.3 s, or 0.6 s where the store is slow, and lies
+/// inside the 3 s in which nothing more may be sent to an endpoint that leaves. The store answers
+/// a watch that is well every 1.2 s, some tenths later where it is slow.
+static constexpr milliseconds maxAge { 2'000 };
+/// Longest wait for an answer at once, where each pause delays an entry's return.
+static constexpr milliseconds atOnceTimeout { 400 };
+/// Longest silence inside an answer.
 static constexpr milliseconds relayMargin { 300 };
 static constexpr milliseconds relayConnectTimeout { 300 };
+static constexpr milliseconds bootstrapTimeout { 1'200 };
 /// Pause before the next relay in line is asked.
 static constexpr milliseconds nextRelayPause { 120 };
 /// After a second failure in a row an entry watches the store itself for this long.
 static constexpr milliseconds directAfterFailure { 3'000 };
-/// A watch that breaks is mostly open again after one more listing; the entries
+/// A watch that breaks is mostly answered again after one more listing; the entries
 /// that wait are kept for this long before they must turn to the store.
-static constexpr milliseconds holdWithoutWatch { 400 };
-/// How often an entry that watches the store looks for a relay.
-static constexpr milliseconds relaySearch { 500 };
+static constexpr milliseconds holdWithoutWatch { 600 };
 static constexpr std::size_t maxAnswerBytes = 16u << 20;
 static constexpr int statusOk = 200;
 static constexpr int statusGone = 410;
@@ -33,7 +36,6 @@
     struct Waiter {
         StoreRevision after { 0 };
         std::shared_ptr<HttpResponder> responder;
-        TimerId timer { 0 };
     };
 
 } // namespace
@@ -49,15 +51,21 @@
     {
     }
 
+    TimePoint now() const { return scheduler.clock().now(); }
     void answerWaiters();
     void answer(HttpResponder& responder, StoreRevision after) const;
     void refuseWaiters();
+    /// The store has answered this entry itself.
+    void noteHeard();
+    /// What this entry knows holds as of \p time.
+    void noteCurrent(TimePoint time);
     void endDirect();
+    std::optional<Duration> age() const;
     /// Asks another entry for everything; \p failure is the store's.
     void bootstrap(const absl::Status& failure, ListCallback done);
     bool isDirect() const { return directWatches > 0; }
-    /// Tells whether other entries may wait here for news.
-    bool mayRelay() const { return !hasStopped && (isDirect() || scheduler.clock().now() < heldUntil); }
+    /// Tells whether other entries may wait here for the store's next answer.
+    bool mayRelay() const;
 
     Store& direct;
     HttpClient& peers;
@@ -68,9 +76,16 @@
     unsigned directWatches { 0 };
     bool hasStopped { false };
     TimePoint directUntil {};
-    TimePoint heldUntil {};
-    std::uint64_t lastWaiter { 0 };
-    std::map<std::uint64_t, Waiter> waiters;
+    /// When the store last answered this entry's own watch; nothing if that was
+    /// an earlier watch, or none.
+    std::optional<TimePoint> heardAt;
+    /// Since when it has not answered, though it was asked. A new watch alone
+    /// doesn't end this.
+    std::optional<TimePoint> lostAt;
+    /// As of when what is known is the store's, by its own word or a relay's.
+    std::optional<TimePoint> currentAt;
+    /// Answered whenever the store has answered this entry.
+    std::vector<Waiter> waiters;
 };
 
 /// One watch: directly at the store, or by asking the relay again and again.
@@ -100,7 +115,7 @@
         if (m_direct)
             m_store.endDirect();
         m_direct.reset();
-        m_store.scheduler.cancel(m_searchTimer);
+        m_store.scheduler.cancel(m_nextRelayTimer);
         if (auto exchange = std::exchange(m_exchange, nullptr))
             exchange->cancel();
     }
@@ -108,7 +123,7 @@
 private:
     std::optional<SocketAddress> findRelay() const
     {
-        bool mustBeDirect = m_store.scheduler.clock().now() < m_store.directUntil;
+        bool mustBeDirect = m_store.now() < m_store.directUntil;
         return mustBeDirect ? std::nullopt : m_store.choice.relay();
     }
 
@@ -119,8 +134,10 @@
         std::weak_ptr<Following> weak = weak_from_this();
         StoreWatchCallbacks callbacks;
         callbacks.onEvents = [weak](const std::vector<StoreEvent>& events) {
-            if (auto self = weak.lock())
+            if (auto self = weak.lock()) {
+                self->m_store.noteHeard();
                 self->takeEvents(events);
+            }
         };
         callbacks.onEnd = [weak](const absl::Status& status) {
             if (auto self = weak.lock())
@@ -128,38 +145,45 @@
         };
         callbacks.onCurrent = [weak] {
             if (auto self = weak.lock())
-                self->tellCurrent();
+                self->takeConfirmation();
         };
         m_direct = m_store.direct.watch(m_prefix, m_seen + 1, std::move(callbacks));
-        searchRelay();
     }
 
-    void searchRelay()
+    // Right after the store's own word a relay has the most time for its first answer.
+    void takeConfirmation()
     {
-        m_searchTimer = m_store.scheduler.callAfter(relaySearch, [weak = weak_from_this()] {
-            auto self = weak.lock();
-            if (!self || self->m_isClosed)
-                return;
-            std::optional<SocketAddress> relay = self->findRelay();
-            if (!relay) {
-                self->searchRelay();
-                return;
-            }
-            self->m_direct.reset();
-            --self->m_store.directWatches;
-            self->m_store.refuseWaiters();
-            self->askRelay(*relay);
-        });
+        m_store.noteHeard();
+        m_store.answerWaiters();
+        tellCurrent();
+        std::optional<SocketAddress> relay = m_isClosed ? std::nullopt : findRelay();
+        if (relay)
+            leaveStore(*relay);
+    }
+
+    void leaveStore(const SocketAddress& relay)
+    {
+        m_direct.reset();
+        --m_store.directWatches;
+        m_store.heardAt.reset();
+        m_store.refuseWaiters();
+        askRelay(relay);
     }
 
     void askRelay(const SocketAddress& relay)
     {
-        m_askedAt = m_store.scheduler.clock().now();
+        m_askedAt = m_store.now();
         HttpClientRequest request;
         request.server = relay;
         request.headers.add(changesAfterHeader, std::to_string(m_seen));
         request.connectTimeout = relayConnectTimeout;
-        request.headTimeout = relayWait + relayMargin;
+        // Who is back from a cut can't wait for the relay to be well, and another
+        // one only for as long as what is known may still be used.
+        Duration left = maxAge - m_store.age().value_or(maxAge);
+        bool isBack = left <= Duration::zero();
+        if (isBack)
+            request.headers.add(changesAtOnceHeader, "1");
+        request.headTimeout = isBack ? atOnceTimeout : std::chrono::ceil<milliseconds>(left);
         request.idleTimeout = relayMargin;
         m_exchange = sendForWhole(m_store.peers, std::move(request), maxAnswerBytes,
             [weak = weak_from_this(), relay](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
@@ -173,10 +197,13 @@
         m_exchange.reset();
         bool isAnswer = result.end == HttpEnd::Complete && head.status == statusOk;
         absl::StatusOr<StoreChanges> changes = isAnswer ? decodeStoreChanges(body) : absl::UnavailableError("relay gave no changes");
+        if (changes.ok() && changes->age > maxAge)
+            changes = absl::UnavailableError("relay has not heard from the store");
         if (!changes.ok()) {
-            turnToStore(relay, head.status, result.detail);
+            turnToStore(relay, head.status, isAnswer ? std::string(changes.status().message()) : result.detail);
             return;
         }
+        m_store.noteCurrent(m_store.now() - changes->age);
         std::vector<StoreEvent> events;
         for (StoreChange& change : changes->changes)
             events.push_back({ change.isDeletion, { std::move(change.key), std::move(change.value), change.revision } });
@@ -199,13 +226,13 @@
             m_store.choice.noteFailure(relay);
         bool isFirst = std::exchange(m_failedRelays, m_failedRelays + 1) == 0;
         // One that was silent has already cost much of the time in which news must arrive.
-        bool wasQuick = m_store.scheduler.clock().now() - m_askedAt < relayConnectTimeout || status != 0;
+        bool wasQuick = m_store.now() - m_askedAt < relayConnectTimeout || status != 0;
         if (isFirst && wasQuick) {
             askNextRelay();
             return;
         }
         m_failedRelays = 0;
-        m_store.directUntil = m_store.scheduler.clock().now() + directAfterFailure;
+        m_store.directUntil = m_store.now() + directAfterFailure;
         watchDirectly();
     }
 
@@ -213,7 +240,7 @@
     // one in line watches the store for the others.
     void askNextRelay()
     {
-        m_searchTimer = m_store.scheduler.callAfter(nextRelayPause, [weak = weak_from_this()] {
+        m_nextRelayTimer = m_store.scheduler.callAfter(nextRelayPause, [weak = weak_from_this()] {
             auto self = weak.lock();
             if (self && !self->m_isClosed)
                 self->follow();
@@ -253,7 +280,7 @@
     StoreWatchCallbacks m_callbacks;
     std::unique_ptr<StoreWatch> m_direct;
     std::shared_ptr<HttpExchange> m_exchange;
-    TimerId m_searchTimer { 0 };
+    TimerId m_nextRelayTimer { 0 };
     TimePoint m_askedAt {};
     /// Relays that failed one after the other.
     int m_failedRelays { 0 };
@@ -264,6 +291,8 @@
 {
     HttpResponseHead head;
     std::optional<StoreChanges> changes = mirror.changesAfter(after);
+    if (changes)
+        changes->age = std::chrono::ceil<milliseconds>(age().value_or(longestStoreAge));
     head.status = changes ? statusOk : statusGone;
     responder.send(head, changes ? encodeStoreChanges(*changes) : "");
 }
@@ -271,29 +300,58 @@
 void RelayedStore::Impl::answerWaiters()
 {
     auto waiting = std::exchange(waiters, {});
-    for (auto& [id, waiter] : waiting) {
-        scheduler.cancel(waiter.timer);
+    for (Waiter& waiter : waiting)
         answer(*waiter.responder, waiter.after);
-    }
 }
 
 void RelayedStore::Impl::refuseWaiters()
 {
     auto waiting = std::exchange(waiters, {});
-    for (auto& [id, waiter] : waiting) {
-        scheduler.cancel(waiter.timer);
+    for (Waiter& waiter : waiting) {
         HttpResponseHead head;
         head.status = statusUnavailable;
         waiter.responder->send(head, "");
     }
 }
 
+void RelayedStore::Impl::noteCurrent(TimePoint time)
+{
+    currentAt = std::max(currentAt.value_or(time), time);
+}
+
+void RelayedStore::Impl::noteHeard()
+{
+    heardAt = now();
+    lostAt.reset();
+    noteCurrent(now());
+}
+
+std::optional<Duration> RelayedStore::Impl::age() const
+{
+    if (!currentAt)
+        return std::nullopt;
+    return now() - *currentAt;
+}
+
+// A watch that has just been opened is likely to be answered at once. One that
+// follows a watch without an answer isn't: entries that waited here would learn
+// nothing, and would take that for no news.
+bool RelayedStore::Impl::mayRelay() const
+{
+    if (hasStopped)
+        return false;
+    if (lostAt)
+        return now() < *lostAt + holdWithoutWatch;
+    return isDirect() && (!heardAt || now() - *heardAt <= maxAge);
+}
+
 void RelayedStore::Impl::endDirect()
 {
     --directWatches;
     if (isDirect())
         return;
-    heldUntil = scheduler.clock().now() + holdWithoutWatch;
+    if (!lostAt)
+        lostAt = now();
     scheduler.callAfter(holdWithoutWatch, [weak = weak_from_this()] {
         auto self = weak.lock();
         if (self && !self->mayRelay())
@@ -312,8 +370,8 @@
     request.server = *peer;
     request.headers.add(changesAfterHeader, "0");
     request.connectTimeout = relayConnectTimeout;
-    request.headTimeout = relayWait;
-    request.idleTimeout = relayWait;
+    request.headTimeout = bootstrapTimeout;
+    request.idleTimeout = bootstrapTimeout;
     sendForWhole(peers, std::move(request), maxAnswerBytes,
         [weak = weak_from_this(), peer = *peer, failure, done = std::move(done)](const HttpResult& result, const HttpResponseHead& head, const std::string& body) {
             auto self = weak.lock();
@@ -330,6 +388,7 @@
             for (StoreChange& change : known->changes)
                 listing.values.push_back({ std::move(change.key), std::move(change.value), change.revision });
             logChange(LogLevel::Warning, "store_learned_from_entry", { { "from", peer.toString() }, { "revision", listing.revision }, { "keys", listing.values.size() } });
+            self->noteCurrent(self->now() - known->age);
             self->mirror.takeListing(listing);
             done(std::move(listing));
         });
@@ -349,7 +408,7 @@
 
 void RelayedStore::list(const std::string& prefix, ListCallback done)
 {
-    m_impl->direct.list(prefix, [weak = std::weak_ptr<Impl>(m_impl), done = std::move(done)](const absl::StatusOr<StoreListing>& listing) {
+    m_impl->direct.list(prefix, [weak = std::weak_ptr<Impl>(m_impl), askedAt = m_impl->now(), done = std::move(done)](const absl::StatusOr<StoreListing>& listing) {
         auto impl = weak.lock();
         if (!impl)
             return;
@@ -359,6 +418,7 @@
             return;
         }
         logChange(LogLevel::Info, "store_listed", { { "revision", listing->revision }, { "before", impl->mirror.revision() }, { "keys", listing->values.size() } });
+        impl->noteCurrent(askedAt);
         impl->mirror.takeListing(*listing);
         done(listing);
     });
@@ -429,26 +489,12 @@
         responder->send(head, "");
         return;
     }
-    bool hasNews = after == 0 || after < impl.mirror.revision();
-    if (hasNews) {
+    bool hasNews = after < impl.mirror.revision();
+    bool isAtOnce = request.headers.find(changesAtOnceHeader) != nullptr;
+    if (after == 0 || (impl.heardAt && (hasNews || isAtOnce)))
         impl.answer(*responder, after);
-        return;
-    }
-    std::uint64_t id = ++impl.lastWaiter;
-    Waiter& waiter = impl.waiters[id];
-    waiter.after = after;
-    waiter.responder = std::move(responder);
-    waiter.timer = impl.scheduler.callAfter(relayWait, [weak = std::weak_ptr<Impl>(m_impl), id] {
-        auto self = weak.lock();
-        if (!self)
-            return;
-        auto found = self->waiters.find(id);
-        if (found == self->waiters.end())
-            return;
-        Waiter due = std::move(found->second);
-        self->waiters.erase(found);
-        self->answer(*due.responder, due.after);
-    });
+    else
+        impl.waiters.push_back({ after, std::move(responder) });
 }
 
 void RelayedStore::stopRelaying()
@@ -462,4 +508,9 @@
     return m_impl->isDirect();
 }
 
+std::optional<Duration> RelayedStore::age() const
+{
+    return m_impl->age();
+}
+
 } // namespace catkinwing
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -46,14 +46,6 @@
 {
 }
 
-std::optional<Duration> StoreFollower::age() const
-{
-    std::optional<TimePoint> confirmedAt = m_source.confirmedAt();
-    if (!confirmedAt)
-        return std::nullopt;
-    return now() - *confirmedAt;
-}
-
 bool StoreFollower::isTroubled() const
 {
     std::optional<TimePoint> reachedAt = m_source.reachedAt();
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -18,8 +18,6 @@
     void start() { m_source.start(); }
     /// Tells whether the store was listed once.
     bool knowsEndpoints() const { return m_source.revision() > 0; }
-    /// Returns how old what is known of the store is; nothing before the first listing.
-    std::optional<Duration> age() const;
     /// Notes trouble that shows elsewhere than in this entry's own watch.
     void noteTrouble() { m_lastTrouble = now(); }
     /// Notes trouble of the store and drops what stays away after it.
--- a/lib/PeerProtocol/StoreChanges.cpp
+++ b/lib/PeerProtocol/StoreChanges.cpp
@@ -1,11 +1,13 @@
 #include "catkinwing/PeerProtocol/StoreChanges.h"
 
 #include "catkinwing/Support/Cbor.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace catkinwing {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 
 // CBOR, since values may be any bytes.
 std::string encodeStoreChanges(const StoreChanges& changes)
@@ -17,9 +19,8 @@
             row.push_back(change.value);
         list.push_back(std::move(row));
     }
-    json message = json::array({ changes.revision, std::move(list) });
-    if (changes.spansListing)
-        message.push_back(true);
+    milliseconds age = std::min<milliseconds>(changes.age, longestStoreAge);
+    json message = json::array({ changes.revision, std::move(list), changes.spansListing, age.count() });
     std::string bytes;
     json::to_cbor(message, bytes);
     return bytes;
@@ -40,18 +41,22 @@
     return true;
 }
 
+static bool isMessage(const json& message)
+{
+    constexpr std::size_t fields = 4;
+    return message.is_array() && message.size() == fields && message[0].is_number_integer() && message[1].is_array()
+        && message[2].is_boolean() && message[3].is_number_unsigned() && message[3] <= milliseconds(longestStoreAge).count();
+}
+
 absl::StatusOr<StoreChanges> decodeStoreChanges(absl::string_view bytes)
 {
     json message = parseCbor(bytes);
-    constexpr std::size_t leastFields = 2;
-    constexpr std::size_t mostFields = 3;
-    bool isMessage = message.is_array() && message.size() >= leastFields && message.size() <= mostFields && message[0].is_number_integer()
-        && message[1].is_array() && (message.size() == leastFields || message[2].is_boolean());
-    if (!isMessage)
+    if (!isMessage(message))
         return absl::InvalidArgumentError("changes of the store from an entry can't be read");
     StoreChanges changes;
     changes.revision = message[0].get<std::int64_t>();
-    changes.spansListing = message.size() == mostFields && message[2].get<bool>();
+    changes.spansListing = message[2].get<bool>();
+    changes.age = milliseconds(message[3].get<std::int64_t>());
     for (const json& row : message[1]) {
         StoreChange change;
         if (!readChange(row, change))
--- a/unittests/Ingress/StoreFreshnessTest.cpp
+++ b/unittests/Ingress/StoreFreshnessTest.cpp
@@ -143,3 +143,19 @@
         }
     }
 }
+
+TEST_CASE("in calm times one entry of a zone watches the store, also a slow one, and no other asks it")
+{
+    for (Duration latency : { 20ms, 250ms }) {
+        StoreZone zone(4);
+        zone.store().setLatency(latency);
+        zone.pass(10s);
+        std::size_t calls = zone.store().calls(StoreCallGroup::Read);
+        zone.pass(60s);
+        std::size_t direct = 0;
+        for (std::size_t entry = 0; entry < zone.size(); ++entry)
+            direct += zone.isDirect(entry) ? 1 : 0;
+        CHECK(direct == 1);
+        CHECK(zone.store().calls(StoreCallGroup::Read) == calls);
+    }
+}
--- a/unittests/PeerProtocol/StoreChangesTest.cpp
+++ b/unittests/PeerProtocol/StoreChangesTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace catkinwing;
+using namespace std::chrono_literals;
 
 TEST_CASE("changes of the store read back as they were written, whatever bytes they hold")
 {
@@ -20,11 +21,18 @@
     CHECK_FALSE(read->changes[0].isDeletion);
     CHECK(read->changes[1].isDeletion);
     CHECK_FALSE(read->spansListing);
+    CHECK(read->age == 0ms);
     changes.spansListing = true;
+    changes.age = 1'700ms;
     read = decodeStoreChanges(encodeStoreChanges(changes));
     REQUIRE(read.ok());
     CHECK(read->spansListing);
     CHECK(read->changes.size() == 2);
+    CHECK(read->age == 1'700ms);
+    changes.age = 30h;
+    read = decodeStoreChanges(encodeStoreChanges(changes));
+    REQUIRE(read.ok());
+    CHECK(read->age == longestStoreAge);
 }
 
 TEST_CASE("a change costs its key, its value and a few bytes")
@@ -44,5 +52,10 @@
     for (std::size_t size = 0; size < whole.size(); ++size)
         CHECK_FALSE(decodeStoreChanges(absl::string_view(whole).substr(0, size)).ok());
     CHECK_FALSE(decodeStoreChanges(whole + "x").ok());
-    CHECK_FALSE(decodeStoreChanges("\x82\x01\x81\x82\x01\x02").ok());
+    CHECK_FALSE(decodeStoreChanges("\x84\x01\x81\x82\x01\x02\xf4\x00").ok());
+    // Without an age, with a negative one, and with one beyond the longest.
+    CHECK(decodeStoreChanges(absl::string_view("\x84\x01\x80\xf4\x00", 5)).ok());
+    CHECK_FALSE(decodeStoreChanges("\x83\x01\x80\xf4").ok());
+    CHECK_FALSE(decodeStoreChanges("\x84\x01\x80\xf4\x20").ok());
+    CHECK_FALSE(decodeStoreChanges("\x84\x01\x80\xf4\x1a\xff\xff\xff\xff").ok());
 }
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -98,6 +98,33 @@
     CHECK(absl::StrContains(world.http.requests[1].target, "after=8&"));
 }
 
+TEST_CASE("a watch is answered at once at first, and then as often after news as without")
+{
+    int answers = 0;
+    StoreWorld world([&](const HttpClientRequest&) {
+        ++answers;
+        FakeHttpAnswer answer = answers == 2 ? FakeHttpAnswer::ok(R"({"events":[{"key":"a","value":"","revision":6}],"current_rev":8})")
+                                             : FakeHttpAnswer::ok(R"({"events":[],"current_rev":8})");
+        answer.delay = 10ms;
+        return answer;
+    });
+    int confirmations = 0;
+    StoreWatchCallbacks callbacks;
+    callbacks.onEvents = [](const std::vector<StoreEvent>&) {};
+    callbacks.onEnd = [](const absl::Status&) {};
+    callbacks.onCurrent = [&] { ++confirmations; };
+    auto watch = world.store.watch("", 5, std::move(callbacks));
+    while (answers < 4)
+        world.scheduler.advance(5ms);
+    watch.reset();
+    CHECK(confirmations == 3);
+    CHECK(absl::StrContains(world.http.requests[0].target, "wait_ms=0"));
+    CHECK(world.http.requests[0].headTimeout == 1'000ms);
+    CHECK(absl::StrContains(world.http.requests[1].target, "wait_ms=1200"));
+    CHECK(absl::StrContains(world.http.requests[2].target, "wait_ms=1000"));
+    CHECK(absl::StrContains(world.http.requests[3].target, "wait_ms=1200"));
+}
+
 TEST_CASE("a watch that is dropped asks no more")
 {
     StoreWorld world([](const HttpClientRequest&) {
