Refuse changes to an entry that knows a part of what its relay missed

Callers' requests could be sent for good to an endpoint that had left, and other changes be missed, at an entry that followed a relay which had known less than the entry.

Cause: a relay that has missed a part of the history tells the differences between its own past and a listing. They are whole for an entry that knows just as much or less as the relay did; one that knows a part of what was missed may know a key that came and went in it, which no difference names. The mirror went on from any revision.

It now refuses revisions inside the missed part, and those from before an earlier missed part; who is refused lists the store itself. The endpoint is then found missing by the entry's own listing. What it costs: a listing for an entry that was ahead of its relay across a compaction.

--- a/include/catkinwing/Ingress/StoreMirror.h
+++ b/include/catkinwing/Ingress/StoreMirror.h
@@ -39,6 +39,8 @@
     StoreRevision m_completeAfter { 0 };
     /// Revision of the last listing; events up to it are part of it.
     StoreRevision m_listedRevision { 0 };
+    /// Revision up to which the mirror held before that listing.
+    StoreRevision m_listedAfter { 0 };
 };
 
 } // namespace catkinwing
--- a/lib/Ingress/StoreMirror.cpp
+++ b/lib/Ingress/StoreMirror.cpp
@@ -36,6 +36,10 @@
         return;
     bool isFirst = m_revision == 0;
     noteDifferences(listing);
+    // The differences hold for one gap alone; who is from before another one is told too little.
+    if (m_listedAfter < m_listedRevision)
+        m_completeAfter = std::max(m_completeAfter, m_listedRevision);
+    m_listedAfter = m_revision;
     m_revision = listing.revision;
     m_listedRevision = listing.revision;
     if (isFirst) {
@@ -87,6 +91,10 @@
         return everything();
     if (revision < m_completeAfter)
         return std::nullopt;
+    // Whoever knows a part of what was missed may know keys that came and went
+    // there, of which the differences say nothing.
+    if (m_listedAfter < revision && revision < m_listedRevision)
+        return std::nullopt;
     StoreChanges changes;
     // Whoever asks from further on knows more than this entry.
     changes.revision = std::max(m_revision, revision);
