Don't take what another entry knows for an answer of the store

An entry that starts while the store doesn't answer it begins with what another entry knows, and that counted as the store's answer: store_reached was logged, and the time in which registrations may come back began, before the store had said anything. A listing now says that it is second-hand. The new test failed on the code before: the source counted as having reached a silent store for five seconds.

--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -48,6 +48,8 @@
     std::vector<StoredValue> values;
     /// Revision of the whole store as of which the listing holds.
     StoreRevision revision { 0 };
+    /// Another entry told it in the store's place, which may say otherwise by now.
+    bool isSecondHand { false };
 };
 
 /// A change seen by a watch; the value is empty if the key was deleted.
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -137,7 +137,8 @@
         return;
     }
     retryDelay = options.retryDelay;
-    noteReached();
+    if (!listing->isSecondHand)
+        noteReached();
     takeOver(*listing);
     openWatch();
 }
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -385,6 +385,7 @@
             }
             StoreListing listing;
             listing.revision = known->revision;
+            listing.isSecondHand = true;
             for (StoreChange& change : known->changes)
                 listing.values.push_back({ std::move(change.key), std::move(change.value), change.revision });
             logChange(LogLevel::Warning, "store_learned_from_entry", { { "from", peer.toString() }, { "revision", listing.revision }, { "keys", listing.values.size() } });
--- a/unittests/Ingress/RelayedStoreTest.cpp
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Coordination/FakeStore.h"
 #include "Gateway/FakeResponder.h"
+#include "catkinwing/Coordination/ConfigSource.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <catch2/catch.hpp>
 
@@ -208,6 +209,34 @@
     CHECK(world.network.questions == questions);
 }
 
+// What another entry knows may be as old as its own last word from the store.
+TEST_CASE("an entry that begins with what another one knows has not reached the store by that")
+{
+    RelayWorld world;
+    world.shared.put("key", "value");
+    world.scheduler.advance(1s);
+    world.shared.setSilent(true);
+    world.scheduler.advance(3s);
+    RelayChoice choice = RelayWorld::askingNobody();
+    choice.bootstrap = [] { return SocketAddress { "127.0.0.1", 1 }; };
+    RelayEntry late(world.shared, world.scheduler, world.network, choice);
+    Random random(1);
+    ConfigSourceOptions options;
+    options.prefix = "";
+    ConfigSource source(late.store, world.scheduler, random, options, [](const std::vector<ConfigChange>&) {});
+    source.start();
+    for (int i = 0; i < 50; ++i) {
+        world.scheduler.advance(100ms);
+        CHECK_FALSE(source.reachedAt());
+    }
+    CHECK(source.revision() == world.shared.revision());
+    CHECK(late.store.age() > 5s);
+    world.shared.setSilent(false);
+    world.scheduler.advance(10s);
+    CHECK(source.reachedAt());
+    CHECK(late.store.age() < 2s);
+}
+
 TEST_CASE("a relay that has lost the store sends its followers to the store")
 {
     RelayWorld world;
