Don't ask a relay again and again for a revision without a change

Found in reading; callers saw nothing but a busy entry. A relay that had listed the store after a lost history answers up to the listing's revision. Where the last revisions are of a key that came and went, no change names them; the entry that asked took only the changes' revisions for told, and asked for the rest at once, again and again until the next change. It now goes on from the revision that the answer reaches, which is whole up to there by its meaning.

--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -8,9 +8,9 @@
 using std::chrono::milliseconds;
 
 /// What an entry knows of the store may be this old before it watches the store
-/// itself. That takes another 0.3 s, or 0.6 s where the store is slow, and lies
-/// inside the 3 s in which nothing more may be sent to an endpoint that leaves. The store answers
-/// a watch that is well every 1.2 s, some tenths later where it is slow.
+/// itself. That takes 0.3 s more, 0.6 s where the store is slow, which together is
+/// less than the 3 s after which nothing may be sent to an endpoint that leaves. The
+/// store answers a sound watch every 1.2 s, some tenths later where it is slow.
 static constexpr milliseconds maxAge { 2'000 };
 /// Longest wait for an answer at once, where each pause delays an entry's return.
 static constexpr milliseconds atOnceTimeout { 400 };
@@ -76,11 +76,10 @@
     unsigned directWatches { 0 };
     bool hasStopped { false };
     TimePoint directUntil {};
-    /// When the store last answered this entry's own watch; nothing if that was
-    /// an earlier watch, or none.
+    /// When the store last answered this entry's own watch; nothing before the
+    /// first answer since the entry last left a relay.
     std::optional<TimePoint> heardAt;
-    /// Since when it has not answered, though it was asked. A new watch alone
-    /// doesn't end this.
+    /// Since when it has no watch that is answered; a new watch alone doesn't end this.
     std::optional<TimePoint> lostAt;
     /// As of when what is known is the store's, by its own word or a relay's.
     std::optional<TimePoint> currentAt;
@@ -213,6 +212,8 @@
             m_store.choice.noteTrouble();
         if (!events.empty())
             takeEvents(events);
+        // The last revisions may have left no change to tell.
+        m_seen = std::max(m_seen, changes->revision);
         tellCurrent();
         if (!m_isClosed)
             follow();
--- a/unittests/Ingress/RelayedStoreTest.cpp
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -293,6 +293,25 @@
     CHECK(world.shared.calls(StoreCallGroup::Read) == reads + 2);
 }
 
+// What the relay missed may have come and gone, and then no change names the
+// revision that the answer reaches.
+TEST_CASE("a follower is told once of a revision that no change is left of")
+{
+    RelayWorld world;
+    world.shared.put("stays", "1");
+    world.scheduler.advance(100ms);
+    world.relay.watch.reset();
+    world.shared.put("passes", "1");
+    world.shared.erase("passes");
+    world.shared.compact();
+    world.relay.start();
+    world.scheduler.advance(1s);
+    int questions = world.network.questions;
+    world.scheduler.advance(6s);
+    CHECK(world.network.questions - questions <= 6);
+    CHECK_FALSE(world.follower.store.isDirect());
+}
+
 TEST_CASE("a relay that is about to stop sends its followers away at once")
 {
     RelayWorld world;
