--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -51,7 +51,7 @@
     void openWatch();
     void onEvents(const std::vector<StoreEvent>& events);
     void onWatchEnd(const absl::Status& status);
-    void listForgotten();
+    void listAfterCompaction();
     void renewWatchFromTimeToTime();
     bool isNews(const std::string& path, StoreRevision changedAt, bool isTombstone);
     void emit(const std::vector<ConfigChange>& changes);
@@ -216,7 +216,7 @@
 
 // Deletions in the part that was compacted show only in a list. The store has
 // answered, so nothing speaks for a longer pause than spreads the callers.
-void ConfigSource::Impl::listForgotten()
+void ConfigSource::Impl::listAfterCompaction()
 {
     noteReached();
     isFollowing = false;
@@ -226,7 +226,7 @@
 void ConfigSource::Impl::onWatchEnd(const absl::Status& status)
 {
     if (absl::IsOutOfRange(status)) {
-        listForgotten();
+        listAfterCompaction();
         return;
     }
     Duration pause = retryPause();
--- a/lib/Ingress/StoreMirror.cpp
+++ b/lib/Ingress/StoreMirror.cpp
@@ -36,7 +36,8 @@
         return;
     bool isFirst = m_revision == 0;
     noteDifferences(listing);
-    // The differences hold for one gap alone; who is from before another one is told too little.
+    // The differences cover the last gap alone; whoever is from before an earlier
+    // one would be told too little.
     if (m_listedAfter < m_listedRevision)
         m_completeAfter = std::max(m_completeAfter, m_listedRevision);
     m_listedAfter = m_revision;
--- a/unittests/Ingress/StoreZone.h
+++ b/unittests/Ingress/StoreZone.h
@@ -25,7 +25,7 @@
     Killed,
 };
 
-/// Steps of a seeded or enumerated schedule; at most four entries are usual.
+/// Entries that know each other, and what goes wrong with each. Registrations of entries stay.
 class StoreZone {
 public:
     explicit StoreZone(std::size_t entries);
