--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -21,8 +21,8 @@
 struct ConfigSourceOptions {
     /// Store keys that begin so are documents.
     std::string prefix { "/catkinwing/config/" };
-    /// First pause after a failure; doubled up to the longest, with jitter. It
-    /// counts from the begin of what failed.
+    /// First pause after a failure, counted from the start of the failed attempt;
+    /// doubled up to the longest, with jitter.
     std::chrono::milliseconds retryDelay { 500 };
     std::chrono::milliseconds longestRetryDelay { 10'000 };
     /// The watch is opened anew this often from the revision reached, which
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -104,8 +104,8 @@
         reachedAt = scheduler.clock().now();
 }
 
-// What took until its timeout has kept the store from being asked for long
-// enough; the return of the store is to be found within one pause.
+// An attempt that ran into its timeout has used up its pause, so that the store's
+// return is found within one pause.
 Duration ConfigSource::Impl::retryPause()
 {
     Duration taken = scheduler.clock().now() - attemptBeganAt;
@@ -215,7 +215,7 @@
 }
 
 // Deletions in the part that was compacted show only in a list. The store has
-// answered, so nothing speaks for a longer pause than spreads the callers.
+// answered, so the pause need only spread the callers.
 void ConfigSource::Impl::listAfterCompaction()
 {
     noteReached();
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -176,8 +176,8 @@
         request.server = relay;
         request.headers.add(changesAfterHeader, std::to_string(m_seen));
         request.connectTimeout = relayConnectTimeout;
-        // Who is back from a cut can't wait for the relay to be well, and another
-        // one only for as long as what is known may still be used.
+        // An entry that is back from a cut can't wait until the relay is well; any
+        // other waits for as long as what it knows may still be used.
         Duration left = maxAge - m_store.age().value_or(maxAge);
         bool isBack = left <= Duration::zero();
         if (isBack)
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -12,8 +12,8 @@
 /// seconds of its return; those still missing after this are gone.
 static constexpr milliseconds missingGrace { 2'300 };
 static constexpr milliseconds firstRetry { 200 };
-/// Together with the grace less than the five seconds that an entry has to be
-/// back; every call to a store that is away is paid for as well.
+/// This pause and the grace together stay below the five seconds that an entry has
+/// to be back; each call to a store that is away is paid for as well.
 static constexpr milliseconds longestRetry { 1'500 };
 /// The store's client finds a silent watch by itself, so none is renewed.
 static constexpr std::chrono::hours renewWatches { 24 };
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -51,15 +51,31 @@
         settings.store = { platform.storeServer->address() };
         settings.ingress.emplace();
         settings.ingress->regionOfZone = { { "north-a", "north" } };
+        startEntry();
+        REQUIRE(runUntil(platform.loop, [this] { return ask("/often/ready")->head.status == 200; }));
+    }
+
+    // Another test may take a port between the choice and the start.
+    void startEntry()
+    {
+        constexpr int tries = 5;
+        absl::Status status = absl::UnavailableError("Address already in use");
+        for (int i = 0; i < tries && absl::StrContains(status.message(), "already in use"); ++i) {
+            chooseAddresses();
+            auto started = IngressDaemon::start(platform.loop, settings, Random(1), platformDialect(), makeStore);
+            status = started.status();
+            if (started.ok())
+                entry = *std::move(started);
+        }
+        CAPTURE(status.ToString());
+        REQUIRE(status.ok());
+    }
+    void chooseAddresses()
+    {
         for (SocketAddress* address : { &settings.listen.callers, &settings.listen.peers, &settings.listen.operators, &settings.ingress->readiness, &settings.ingress->directory })
             *address = freeAddress(platform.loop);
         settings.advertise = settings.listen;
-        auto started = IngressDaemon::start(platform.loop, settings, Random(1), platformDialect(), makeStore);
-        REQUIRE(started.ok());
-        entry = *std::move(started);
-        REQUIRE(runUntil(platform.loop, [this] { return ask("/often/ready")->head.status == 200; }));
     }
-
     void add(const std::string& service, const std::string& incarnation, unsigned events)
     {
         endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms }));
