--- a/unittests/Ingress/StoreFreshnessTest.cpp
+++ b/unittests/Ingress/StoreFreshnessTest.cpp
@@ -64,8 +64,8 @@
 // for 2.3 s more, since its registration might only have lapsed. Cause: the time that an
 // entry takes to be back was the sum of pauses that each counted from the one
 // before, instead of from the store's return. Proof: the counters of the entry
-// show the second listing 2 s after the failed watch, and the requests ended 2.5 s
-// after the listing; these schedules take up to as long.
+// show the second listing up to 2 s after the failed watch, and the requests ended
+// two to three seconds after the listing; these schedules went over the bound.
 TEST_CASE("an entry that was cut off from the store uses no endpoint that left for longer than it may take to be back")
 {
     CHECK(longestUsedAfterCut({ true, false }) < calmBound);
