Name in the log what a failed attempt asked

Whether one and the same request was under way at each of several crashes couldn't be read from the logs: an attempt's id is new each time. It is computed when it is first asked for, and not where a request is only forwarded, so that one that is bound to other regions leaves no trace here. Test: "a request that comes again has the same fingerprint, and no other has it".

--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -19,6 +19,8 @@
 /// What a client's request says about itself.
 struct RequestFacts {
     std::string host;
+    /// Credentials that it carries; empty without any.
+    std::string caller;
     /// Names the client's attempt; echoed by the endpoint.
     std::string attemptId;
     /// How long the client waits, counted from the arrival.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -5,6 +5,7 @@
 #include "catkinwing/Ingress/IngressParts.h"
 #include "catkinwing/Ingress/RunDecisions.h"
 #include "catkinwing/Routing/PartRegionChoice.h"
+#include "catkinwing/Support/RequestFingerprint.h"
 
 namespace catkinwing {
 
@@ -70,6 +71,7 @@
     std::chrono::milliseconds timeLeft() const;
     bool isAllowedHere() const;
     bool endsBeforeStop() const;
+    const RequestFingerprint& fingerprint();
     /// Returns the largest part that the request shares with others, if reading
     /// it again would matter; null otherwise.
     const PromptPart* sharedPart() const;
@@ -131,6 +133,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route { nullptr };
     std::string m_service;
+    /// Computed when it is first asked for.
+    absl::optional<RequestFingerprint> m_fingerprint;
     TimePoint m_deadline {};
     TimerId m_deadlineTimer { 0 };
     absl::optional<Attempt> m_attempt;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Ingress/RoutedRun.h"
 
 #include "catkinwing/Routing/RegionChoice.h"
+#include "catkinwing/Routing/RequestIdentity.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -106,6 +107,15 @@
     return !stop || m_request.arrivedAt - stop->began <= takeAllWhileStopping || m_deadline <= stop->endsBy;
 }
 
+const RequestFingerprint& RoutedRun::fingerprint()
+{
+    if (!m_fingerprint) {
+        const HttpRequest& http = m_request.http;
+        m_fingerprint = fingerprintOf({ m_request.facts.host, m_request.facts.caller, http.method, http.path, http.query, http.body });
+    }
+    return *m_fingerprint;
+}
+
 bool RoutedRun::isAllowedHere() const
 {
     const std::vector<std::string>& homes = m_route->homeRegions;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -225,7 +225,7 @@
     if (verdict == AttemptVerdict::Answered || !m_parts.log.admitsNotable())
         return;
     m_parts.log.write(LogLevel::Warning, "attempt_failed",
-        { { "request", m_request.facts.attemptId }, { "route", m_route->name },
+        { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "route", m_route->name },
             { "to", m_lastPlace }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
             { "attempt", m_attempts }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
--- /dev/null
+++ b/lib/Routing/RequestIdentity.cpp
@@ -0,0 +1,21 @@
+#include "catkinwing/Routing/RequestIdentity.h"
+
+#include "catkinwing/Config/KeyDigest.h"
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace catkinwing {
+
+// Each field begins with its length, so that no field can spill into the next.
+RequestFingerprint fingerprintOf(const RequestIdentity& identity)
+{
+    std::string text;
+    for (absl::string_view field : { identity.host, identity.caller, identity.method, identity.path, identity.query, identity.body })
+        absl::StrAppend(&text, field.size(), ":", field);
+    KeyDigest digest = digestKey(text);
+    RequestFingerprint fingerprint;
+    std::copy_n(digest.bytes.begin(), RequestFingerprint::size, fingerprint.bytes.begin());
+    return fingerprint;
+}
+
+} // namespace catkinwing
--- /dev/null
+++ b/unittests/Routing/RequestIdentityTest.cpp
@@ -0,0 +1,28 @@
+#include "catkinwing/Routing/RequestIdentity.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace catkinwing;
+
+TEST_CASE("a request that comes again has the same fingerprint, and no other has it")
+{
+    RequestIdentity asked { "h", "key-1", "POST", "/p/1", "q=1", "body" };
+    CHECK(fingerprintOf(asked) == fingerprintOf({ "h", "key-1", "POST", "/p/1", "q=1", "body" }));
+    std::set<RequestFingerprint> all;
+    const RequestIdentity others[] = {
+        asked,
+        { "g", "key-1", "POST", "/p/1", "q=1", "body" },
+        { "h", "key-2", "POST", "/p/1", "q=1", "body" },
+        { "h", "key-1", "PUT", "/p/1", "q=1", "body" },
+        { "h", "key-1", "POST", "/p/2", "q=1", "body" },
+        { "h", "key-1", "POST", "/p/1", "q=2", "body" },
+        { "h", "key-1", "POST", "/p/1", "q=1", "bode" },
+        // The same text, divided otherwise.
+        { "h", "key-1", "POST", "/p/1", "q=1b", "ody" },
+        { "hk", "ey-1", "POST", "/p/1", "q=1", "body" },
+    };
+    for (const RequestIdentity& other : others)
+        all.insert(fingerprintOf(other));
+    CHECK(all.size() == std::size(others));
+}
