Refuse requests that crash the endpoints which run them

Callers saw half of their requests fail or be refused while one request, sent again and again at any entry, crashed 19 and 24 endpoints in a row.

Cause: an entry knew a request by its attempt's id, which is new each time, and booked a broken connection on the endpoint alone. Nothing tied a request that comes again to what it did before, at one entry or between them.

Now an entry knows a request by a fingerprint of what it asks. A connection that breaks under it counts as a crash unless the endpoint is heard from or answers the request elsewhere within half a second. Crashes go to a few entries that count them for that request (two of all by rendezvous, two of the region); from the second on, all entries tell each other, in datagrams beside the load reports. After three crashes one after another, with no answer between, the request is refused at once as not run, with the time until it may be tried again: two minutes and a spread, doubled each time. One answer clears it everywhere.

Why others aren't refused: a popular request is answered between crashes; endpoints that go at the same moment count once; crashes that a refused request caused are taken off all others. A refusal is no longer booked on the region either, and holds for all regions, so no other one is asked.

--- a/fuzz/FuzzPeerReports.cpp
+++ b/fuzz/FuzzPeerReports.cpp
@@ -1,4 +1,5 @@
 #include "FuzzInput.h"
+#include "catkinwing/PeerProtocol/CrashReport.h"
 #include "catkinwing/PeerProtocol/LoadDigest.h"
 #include "catkinwing/PeerProtocol/LoadReport.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
@@ -39,6 +40,17 @@
     require(encodeRegionReport(*decoded) == again, "a report comes back as it was");
 }
 
+static void fuzzCrashReport(absl::string_view bytes)
+{
+    absl::StatusOr<CrashReport> report = decodeCrashReport(bytes);
+    if (!report.ok())
+        return;
+    std::string again = encodeCrashReport(*report);
+    absl::StatusOr<CrashReport> decoded = decodeCrashReport(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeCrashReport(*decoded) == again, "a report comes back as it was");
+}
+
 static void fuzzStoreChanges(absl::string_view bytes)
 {
     absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
@@ -55,6 +67,7 @@
     fuzzLoadReport(textOf(data, size));
     fuzzLoadDigest(textOf(data, size));
     fuzzRegionReport(textOf(data, size));
+    fuzzCrashReport(textOf(data, size));
     fuzzStoreChanges(textOf(data, size));
     return 0;
 }
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -67,6 +67,14 @@
     };
     /// Returns the entries of \p region, this one included, one for each address.
     std::vector<Peer> entriesOfRegion(const std::string& region) const;
+    /// Another entry and where it is.
+    struct Neighbor {
+        std::string key;
+        std::string region;
+        SocketAddress address;
+    };
+    /// Returns the other entries of all regions, one for each address.
+    std::vector<Neighbor> others() const;
     /// Returns the entry of this one's zone that watches the store for the others;
     /// nothing if that is this one, under the key \p self, or no other is there.
     std::optional<SocketAddress> relay(const std::string& self, TimePoint now) const;
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Http/HttpClient.h"
+#include "catkinwing/Ingress/CrashingRequests.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointTable.h"
 #include "catkinwing/Ingress/EntryTable.h"
@@ -63,6 +64,7 @@
     std::size_t openRequests { 0 };
     /// Number of the last attempt of any request.
     std::uint64_t lastAttempt { 0 };
+    CrashingRequests crashing {};
 
     RetryWindow& retryBudgetOf(const std::string& service);
 };
--- a/include/catkinwing/Ingress/LoadExchange.h
+++ b/include/catkinwing/Ingress/LoadExchange.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Ingress/EndpointTable.h"
 #include "catkinwing/Ingress/EntryTable.h"
+#include "catkinwing/Ingress/OutgoingDatagram.h"
 #include "catkinwing/PeerProtocol/LoadDigest.h"
 #include <map>
 #include <string>
@@ -9,12 +10,6 @@
 
 namespace catkinwing {
 
-/// Bytes for another entry.
-struct OutgoingDatagram {
-    SocketAddress to;
-    std::string bytes;
-};
-
 /// How the entries of a region learn each other's loads. A few tell each other.
 /// Where they are many each reports to the collectors of its group alone, which
 /// add up the reports, exchange the sums with the other groups' collectors, and
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -12,6 +12,10 @@
 /// Attempts that the entry that forwards leaves to the one that it forwards to.
 constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
 
+/// Says that a refusal holds at every entry and endpoint, for the time that it
+/// tells the client to wait.
+constexpr const char* refusedEverywhereHeader = "Catkinwing-Refused-Everywhere";
+
 /// A client's request as it came in.
 struct RoutedRequest {
     HttpRequest http;
@@ -62,6 +66,8 @@
         absl::optional<Outcome> statedOutcome;
         /// Endpoints that may have run it, if another entry says.
         absl::optional<unsigned> statedRuns;
+        /// Of another entry's refusal that holds everywhere: when to come back.
+        absl::optional<std::chrono::milliseconds> statedReturn;
         bool isOurs { false };
         bool isEventStream { false };
         std::string body;
@@ -72,6 +78,9 @@
     bool isAllowedHere() const;
     bool endsBeforeStop() const;
     const RequestFingerprint& fingerprint();
+    bool refuseIfCrashing();
+    void refuseEverywhere(std::chrono::milliseconds returnAfter);
+    void learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     /// Returns the largest part that the request shares with others, if reading
     /// it again would matter; null otherwise.
     const PromptPart* sharedPart() const;
@@ -107,6 +116,7 @@
 
     void takeStatements(Attempt& attempt);
     unsigned runsOf(const Attempt& attempt) const;
+    void noteHeard(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
     void onEnd(const HttpResult& result);
@@ -159,6 +169,8 @@
     TimePoint m_firstByteAt {};
     /// Last whole failure of an endpoint, handed on if nothing better comes.
     absl::optional<HttpResponseHead> m_failureHead;
+    /// When the client is to come back, where that isn't for the load to say.
+    absl::optional<std::chrono::milliseconds> m_returnAfter;
     std::string m_failureBody;
 };
 
--- /dev/null
+++ b/lib/Ingress/CrashingRequests.cpp
@@ -0,0 +1,258 @@
+#include "catkinwing/Ingress/CrashingRequests.h"
+
+#include "catkinwing/Support/Hash.h"
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+#include <utility>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+/// An endpoint that isn't heard from for this long after a connection broke has
+/// crashed: streams of others there go on every few tens of milliseconds, and
+/// the next request to it shows the same.
+static constexpr milliseconds settleTime { 500 };
+/// What comes this soon after the break may have been sent before it.
+static constexpr milliseconds bytesInFlight { 50 };
+/// Broken connections under consideration: all that an entry has open to a few endpoints.
+static constexpr std::size_t mostPending = 1'024;
+/// Requests kept; some 150 bytes each and 12 for each crash.
+static constexpr std::size_t mostKnown = 4'096;
+/// Of these, the part that makes room for others when all are taken.
+static constexpr std::size_t roomMade = mostKnown / 4;
+/// News is told this often, each time to others.
+static constexpr unsigned tellNewsTimes = 5;
+/// Entries try a refused request again over this part of its refusal's time, so
+/// that the first one's experience reaches the others.
+static constexpr milliseconds longestDelay { 60'000 };
+/// A refusal told for longer than this isn't one of ours.
+static constexpr std::chrono::hours longestRefusal { 2 };
+/// Crashes told with a longer age belong to nothing that is still known.
+static constexpr std::chrono::hours longestAge { 3 };
+
+static milliseconds ageOf(TimePoint at, TimePoint now)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(now - at), milliseconds(0));
+}
+
+void CrashingRequests::noteBroken(const RequestFingerprint& request, std::uint32_t endpoint, std::vector<std::uint32_t> regions, TimePoint now)
+{
+    if (m_pending.size() < mostPending)
+        m_pending.push_back({ request, endpoint, now, false, std::move(regions) });
+}
+
+void CrashingRequests::noteAlive(std::uint32_t endpoint, TimePoint now)
+{
+    if (m_pending.empty())
+        return;
+    auto isRefuted = [&](const Broken& broken) { return broken.endpoint == endpoint && now - broken.at > bytesInFlight; };
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isRefuted), m_pending.end());
+}
+
+void CrashingRequests::noteGone(std::uint32_t endpoint, TimePoint)
+{
+    for (Broken& broken : m_pending)
+        broken.isGone |= broken.endpoint == endpoint;
+}
+
+void CrashingRequests::noteSurvived(const RequestFingerprint& request, TimePoint now)
+{
+    auto isSame = [&](const Broken& broken) { return broken.request == request; };
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isSame), m_pending.end());
+    auto found = m_known.find(request);
+    if (found == m_known.end() || found->second.history.crashes.empty())
+        return;
+    Known& known = found->second;
+    unsigned refusals = known.history.refusals;
+    if (catkinwing::noteSurvived(known.history, now))
+        noteChange(request, known, refusals, now);
+}
+
+// Each entry begins to try again at its own time.
+Duration CrashingRequests::delayOf(const RequestFingerprint& request) const
+{
+    absl::string_view bytes(reinterpret_cast<const char*>(request.bytes.data()), request.bytes.size());
+    return milliseconds(stableHash(bytes, m_seed) % static_cast<std::uint64_t>(longestDelay.count()));
+}
+
+// Connections that broke just now would lead to a refusal if they are crashes.
+bool CrashingRequests::mayBeRefusedSoon(const RequestFingerprint& request, CrashHistory history) const
+{
+    unsigned refusals = history.refusals;
+    for (const Broken& broken : m_pending) {
+        if (broken.request == request && !isExplained(request, broken.endpoint))
+            noteCrash(history, { broken.endpoint, broken.at });
+    }
+    return history.refusals > refusals;
+}
+
+std::optional<Duration> CrashingRequests::refusedFor(const RequestFingerprint& request, TimePoint now) const
+{
+    auto found = m_known.find(request);
+    CrashHistory history = found == m_known.end() ? CrashHistory() : found->second.history;
+    if (history.refusals > 0) {
+        Duration left = history.refusedUntil + delayOf(request) - now;
+        if (left > Duration::zero())
+            return left;
+    }
+    return mayBeRefusedSoon(request, std::move(history)) ? std::optional<Duration>(settleTime) : std::nullopt;
+}
+
+bool CrashingRequests::isSuspect(const Known& known)
+{
+    return known.history.refusals > 0 || separateCrashes(known.history) > 1 || known.history.survivedAt != TimePoint {};
+}
+
+bool CrashingRequests::isExplained(const RequestFingerprint& request, std::uint32_t endpoint) const
+{
+    auto cause = m_causes.find(endpoint);
+    return cause != m_causes.end() && cause->second != request;
+}
+
+// What ran beside a refused request on the endpoints that it crashed isn't to blame.
+void CrashingRequests::explainCrashes(const RequestFingerprint& request, const CrashHistory& history)
+{
+    for (const EndpointCrash& crash : history.crashes) {
+        if (!m_causes.emplace(crash.endpoint, request).second)
+            continue;
+        for (auto& [other, known] : m_known) {
+            if (other != request && known.history.refusals == 0)
+                removeCrash(known.history, crash.endpoint);
+        }
+    }
+}
+
+void CrashingRequests::noteChange(const RequestFingerprint& request, Known& known, unsigned refusalsBefore, TimePoint now)
+{
+    const CrashHistory& history = known.history;
+    if (isSuspect(known))
+        known.timesToTell = tellNewsTimes;
+    if (history.refusals > refusalsBefore) {
+        logChange(LogLevel::Warning, "request_refused_for_crashes",
+            { { "fingerprint", request.toHex() }, { "crashes", history.crashes.size() }, { "last_crash_ms_ago", history.crashes.empty() ? 0 : ageOf(history.crashes.back().at, now).count() },
+                { "refusals", history.refusals }, { "refused_for_ms", ageOf(now, history.refusedUntil).count() } });
+    } else if (history.refusals < refusalsBefore) {
+        logChange(LogLevel::Info, "request_survived", { { "fingerprint", request.toHex() }, { "refusals", refusalsBefore } });
+    }
+    if (history.refusals > 0)
+        explainCrashes(request, history);
+}
+
+// Those that are refused stay longest; of the others, the ones with the latest crash.
+void CrashingRequests::makeRoom()
+{
+    std::vector<std::pair<TimePoint, RequestFingerprint>> byTime;
+    for (const auto& [request, known] : m_known)
+        byTime.emplace_back(known.history.crashes.empty() ? TimePoint {} : std::max(known.history.crashes.back().at, known.history.refusedUntil), request);
+    std::nth_element(byTime.begin(), byTime.begin() + roomMade, byTime.end());
+    for (std::size_t i = 0; i < roomMade; ++i)
+        m_known.erase(byTime[i].second);
+}
+
+CrashingRequests::Known& CrashingRequests::obtain(const RequestFingerprint& request)
+{
+    if (m_known.size() >= mostKnown && m_known.count(request) == 0)
+        makeRoom();
+    return m_known[request];
+}
+
+void CrashingRequests::settle(const Broken& broken, TimePoint now)
+{
+    if (isExplained(broken.request, broken.endpoint))
+        return;
+    Known& known = obtain(broken.request);
+    known.regions = broken.regions;
+    unsigned refusals = known.history.refusals;
+    if (!noteCrash(known.history, { broken.endpoint, broken.at }))
+        return;
+    CrashNotice notice;
+    notice.request = broken.request;
+    notice.crashes.push_back({ broken.endpoint, ageOf(broken.at, now) });
+    notice.regions = broken.regions;
+    m_settled.push_back(std::move(notice));
+    noteChange(broken.request, known, refusals, now);
+}
+
+void CrashingRequests::houseKeep(TimePoint now)
+{
+    auto isOpen = [now](const Broken& broken) { return !broken.isGone && now - broken.at < settleTime; };
+    auto settled = std::stable_partition(m_pending.begin(), m_pending.end(), isOpen);
+    std::vector<Broken> ended(std::make_move_iterator(settled), std::make_move_iterator(m_pending.end()));
+    m_pending.erase(settled, m_pending.end());
+    for (const Broken& broken : ended)
+        settle(broken, now);
+    absl::erase_if(m_known, [now](auto& item) { return isForgotten(item.second.history, now); });
+    absl::erase_if(m_causes, [this](const auto& cause) {
+        auto known = m_known.find(cause.second);
+        return known == m_known.end() || known->second.history.refusals == 0;
+    });
+}
+
+void CrashingRequests::take(const CrashNotice& notice, TimePoint now)
+{
+    CrashHistory told;
+    for (const ToldCrash& crash : notice.crashes) {
+        if (crash.age < longestAge && !isExplained(notice.request, crash.endpoint))
+            told.crashes.push_back({ crash.endpoint, now - crash.age });
+    }
+    if (notice.survivedAgo && *notice.survivedAgo < longestAge)
+        told.survivedAt = now - *notice.survivedAgo;
+    if (notice.refusedFor < longestRefusal) {
+        told.refusals = notice.refusals;
+        told.refusedUntil = now + notice.refusedFor;
+    }
+    bool saysNothing = told.crashes.empty() && told.refusals == 0;
+    if (saysNothing && m_known.count(notice.request) == 0)
+        return;
+    Known& known = obtain(notice.request);
+    known.regions = notice.regions;
+    unsigned refusals = known.history.refusals;
+    if (mergeHistory(known.history, told))
+        noteChange(notice.request, known, refusals, now);
+}
+
+CrashNotice CrashingRequests::noticeOf(const RequestFingerprint& request, const Known& known, TimePoint now)
+{
+    const CrashHistory& history = known.history;
+    CrashNotice notice;
+    notice.request = request;
+    std::size_t first = history.crashes.size() - std::min(history.crashes.size(), mostToldCrashes);
+    for (std::size_t i = first; i < history.crashes.size(); ++i)
+        notice.crashes.push_back({ history.crashes[i].endpoint, ageOf(history.crashes[i].at, now) });
+    if (history.survivedAt != TimePoint {})
+        notice.survivedAgo = ageOf(history.survivedAt, now);
+    notice.refusedFor = ageOf(now, history.refusedUntil);
+    notice.refusals = history.refusals;
+    notice.regions = known.regions;
+    return notice;
+}
+
+std::vector<CrashNotice> CrashingRequests::takeNews(TimePoint now)
+{
+    std::vector<CrashNotice> news;
+    for (auto& [request, known] : m_known) {
+        if (known.timesToTell == 0)
+            continue;
+        --known.timesToTell;
+        news.push_back(noticeOf(request, known, now));
+    }
+    return news;
+}
+
+std::vector<CrashNotice> CrashingRequests::suspects(TimePoint now) const
+{
+    std::vector<CrashNotice> notices;
+    for (const auto& [request, known] : m_known) {
+        if (isSuspect(known))
+            notices.push_back(noticeOf(request, known, now));
+    }
+    return notices;
+}
+
+std::size_t CrashingRequests::refused(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto& item) { return item.second.history.refusals > 0 && item.second.history.refusedUntil > now; }));
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -199,6 +199,20 @@
     return peers;
 }
 
+std::vector<EntryTable::Neighbor> EntryTable::others() const
+{
+    std::map<SocketAddress, Neighbor> byAddress;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.record.peers != m_self.peers)
+            byAddress[entry.record.peers] = { key, entry.record.region, entry.record.peers };
+    }
+    std::vector<Neighbor> neighbors;
+    neighbors.reserve(byAddress.size());
+    for (auto& [address, neighbor] : byAddress)
+        neighbors.push_back(std::move(neighbor));
+    return neighbors;
+}
+
 std::vector<std::string> EntryTable::keysOfRegion(const std::string& region) const
 {
     std::vector<std::string> keys;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -3,6 +3,7 @@
 #include "StoreFollower.h"
 #include "catkinwing/Http/DatagramSocket.h"
 #include "catkinwing/Http/HttpServer.h"
+#include "catkinwing/Ingress/CrashExchange.h"
 #include "catkinwing/Ingress/EntryRegistration.h"
 #include "catkinwing/Ingress/LoadExchange.h"
 #include "catkinwing/Ingress/RelayedStore.h"
@@ -79,8 +80,9 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0 }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(random.bits()) }
         , loads(parts.endpoints, parts.entries, self)
+        , crashes(parts.crashing, parts.entries, self, random)
         , registration(*store, eventLoop, registrationOptions())
         , relayed(*store, *peerClient, eventLoop, relayChoice())
         , follower(relayed, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -135,7 +137,7 @@
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !parts.stop; }
     void takeLoadReport(const SocketAddress& from, absl::string_view bytes);
-    void takeRegionReport(absl::string_view bytes);
+    void takeRegionReport(const SocketAddress& from, absl::string_view bytes);
     void reportLoad();
     void reportRegion();
     void logState();
@@ -158,6 +160,7 @@
     EntryRecord self;
     IngressParts parts;
     LoadExchange loads;
+    CrashExchange crashes;
     EntryRegistration registration;
     RelayedStore relayed;
     StoreFollower follower;
@@ -289,6 +292,7 @@
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayed.isDirect() ? 1 : 0);
     metrics.set("store_age_seconds", std::chrono::duration<double>(relayed.age().value_or(Duration::zero())).count());
+    metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashing.refused(loop.clock().now())));
     metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entries()));
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
@@ -304,7 +308,7 @@
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
     absl::StatusOr<LoadDigest> digest = decodeLoadDigest(report.ok() ? absl::string_view() : bytes);
     if (!report.ok() && !digest.ok()) {
-        takeRegionReport(bytes);
+        takeRegionReport(from, bytes);
         return;
     }
     lastReporter = from;
@@ -314,10 +318,13 @@
         loads.takeDigest(std::move(*digest), loop.clock().now());
 }
 
-void IngressDaemon::Impl::takeRegionReport(absl::string_view bytes)
+void IngressDaemon::Impl::takeRegionReport(const SocketAddress& from, absl::string_view bytes)
 {
     absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
-    if (!report.ok())
+    absl::StatusOr<CrashReport> ofCrashes = decodeCrashReport(report.ok() ? absl::string_view() : bytes);
+    if (ofCrashes.ok())
+        crashes.take(from, *ofCrashes, loop.clock().now());
+    else if (!report.ok())
         metrics.count("load_reports_refused");
     else if (report->region != settings.region)
         parts.outlooks.take(*report, loop.clock().now());
@@ -354,6 +361,8 @@
 {
     for (const OutgoingDatagram& datagram : loads.tick(ownKey(), loop.clock().now()))
         loadReports->send(datagram.to, datagram.bytes);
+    for (const OutgoingDatagram& datagram : crashes.tick(loop.clock().now()))
+        loadReports->send(datagram.to, datagram.bytes);
     reportRegion();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -170,7 +170,7 @@
 // would run it again.
 void RoutedRun::dispatch()
 {
-    if (decideFirst() || sendToPart() || sendAway())
+    if (refuseIfCrashing() || decideFirst() || sendToPart() || sendAway())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -188,6 +188,29 @@
         answerOwn(statusUnavailable, Outcome::NotRun, "no_endpoint");
 }
 
+// A request that is bound to other regions is refused there, since nothing of it
+// is known here.
+bool RoutedRun::refuseIfCrashing()
+{
+    if (m_parts.crashing.isEmpty() || !isAllowedHere())
+        return false;
+    std::optional<Duration> left = m_parts.crashing.refusedFor(fingerprint(), now());
+    if (left)
+        refuseEverywhere(std::chrono::duration_cast<milliseconds>(*left));
+    return left.has_value();
+}
+
+void RoutedRun::refuseEverywhere(milliseconds returnAfter)
+{
+    m_returnAfter = returnAfter;
+    if (m_failureHead)
+        answerWhole(*m_failureHead, std::move(m_failureBody));
+    else if (m_mayHaveRun)
+        answerOwn(statusBadGateway, Outcome::Unknown, "crashes_endpoints");
+    else
+        answerOwn(statusUnavailable, Outcome::NotRun, "crashes_endpoints");
+}
+
 Duration RoutedRun::longestWaitAnywhere() const
 {
     return longestWait(waitDemand(), idleFirstByte(usualAnswers()));
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -27,6 +27,9 @@
 /// client should come back; a start takes about this long.
 static constexpr milliseconds returnAfterStart { 500 };
 
+/// Another entry's refusal for longer than this isn't believed.
+static constexpr std::chrono::duration<double> longestStatedReturn = std::chrono::hours(2);
+
 static absl::optional<Outcome> statedOutcomeOf(const HttpResponseHead& head)
 {
     const std::string* word = head.headers.find(outcomeHeader);
@@ -42,15 +45,27 @@
     const std::string* text = headers.find(endpointAttemptsHeader);
     if (text && absl::SimpleAtoi(*text, &runs))
         attempt.statedRuns = runs;
+    double seconds = 0;
+    const std::string* returnAfter = headers.find(refusedEverywhereHeader);
+    if (returnAfter && absl::SimpleAtod(*returnAfter, &seconds) && seconds > 0 && seconds < longestStatedReturn.count())
+        attempt.statedReturn = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
     headers.remove(endpointAttemptsHeader);
     headers.remove(outcomeHeader);
+    headers.remove(refusedEverywhereHeader);
+}
+
+void RoutedRun::noteHeard(const Attempt& attempt) const
+{
+    if (!attempt.endpoint)
+        return;
+    m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    m_parts.crashing.noteAlive(attempt.endpoint->hash, now());
 }
 
 void RoutedRun::onHead(const HttpResponseHead& head)
 {
     Attempt& attempt = *m_attempt;
-    if (attempt.endpoint)
-        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    noteHeard(attempt);
     attempt.head = head;
     attempt.facts = m_parts.dialect.readAnswer(head);
     if (attempt.target == AttemptTarget::Entry)
@@ -116,8 +131,7 @@
     }
     noteRead(attempt);
     learnBegin(attempt);
-    if (attempt.endpoint)
-        m_parts.endpoints.noteHeard(*attempt.endpoint, now());
+    noteHeard(attempt);
     std::size_t before = m_cursor.events();
     std::string events = m_cursor.feed(bytes);
     bool hasGoneOn = attempt.heardAt != TimePoint {} && !m_isPaused;
@@ -160,6 +174,7 @@
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
     m_hasArrived = m_hasArrived || mayHaveReached;
+    learnCrash(attempt, end, verdict);
     settleAttempt(verdict, detail);
     if (verdict == AttemptVerdict::Answered)
         takeAnswer();
@@ -167,6 +182,28 @@
         takeFailure(verdict);
 }
 
+// A whole answer of another incarnation, or no connection, says that the endpoint
+// is gone; a broken one that it may have crashed.
+void RoutedRun::learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
+{
+    if (!attempt.endpoint)
+        return;
+    CrashingRequests& crashing = m_parts.crashing;
+    std::uint32_t endpoint = attempt.endpoint->hash;
+    bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
+    if (isBroken) {
+        std::vector<std::uint32_t> regions;
+        for (const std::string& region : m_route->homeRegions)
+            regions.push_back(regionHash(region));
+        crashing.noteBroken(fingerprint(), endpoint, std::move(regions), now());
+    }
+    if (end == HttpEnd::ConnectFailed || attempt.facts.isOtherIncarnation)
+        crashing.noteGone(endpoint, now());
+    bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
+    if (hasSurvived && !crashing.isEmpty())
+        crashing.noteSurvived(fingerprint(), now());
+}
+
 static const char* verdictName(AttemptVerdict verdict)
 {
     switch (verdict) {
@@ -198,7 +235,7 @@
         m_parts.endpoints.noteNotRead(*attempt.endpoint, shared->id);
     leaveEndpoint(attempt);
     m_parts.metrics.observeStage("attempt", m_service, now() - attempt.startedAt);
-    if (wasRefused)
+    if (wasRefused && !attempt.statedReturn)
         pressure().noteRefused(attempt.region, now());
     else if (verdict == AttemptVerdict::Answered)
         pressure().noteTaken(attempt.region, now());
@@ -273,6 +310,10 @@
 void RoutedRun::takeFailure(AttemptVerdict verdict)
 {
     absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
+    if (failed && failed->statedReturn) {
+        refuseEverywhere(*failed->statedReturn);
+        return;
+    }
     switch (decideNext(verdict, progress())) {
     case NextStep::SendAgain:
         if (m_hasArrived)
@@ -349,6 +390,8 @@
 {
     if (!m_route)
         return returnAfterStart;
+    if (m_returnAfter)
+        return *m_returnAfter;
     milliseconds longest = std::max(timeLeft() / mostOfTimeLeft, milliseconds(1));
     Duration work = m_parts.endpoints.workPerRequest(m_service, m_request.facts.promptTokens, now());
     return m_parts.returns[m_service].book(work, longest, now(), m_parts.random);
@@ -367,6 +410,8 @@
     head.headers.add(outcomeHeader, outcomeWord(outcome));
     if (status == statusUnavailable)
         head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(returnAfter()).count()));
+    if (m_returnAfter && m_request.isForwarded)
+        head.headers.add(refusedEverywhereHeader, absl::StrCat(std::chrono::duration<double>(*m_returnAfter).count()));
     m_responder->send(withStatements(head), absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
     finish(status, outcomeWord(outcome), reason);
 }
--- /dev/null
+++ b/lib/Routing/CrashHistory.cpp
@@ -0,0 +1,119 @@
+#include "catkinwing/Routing/CrashHistory.h"
+
+#include <algorithm>
+
+namespace catkinwing {
+
+/// Crashes within this time count as one. Entries learn of the same moment some
+/// hundred milliseconds apart.
+static constexpr std::chrono::milliseconds sameMoment { 300 };
+/// Crashes kept of one request.
+static constexpr std::size_t mostCrashes = 16;
+/// A client that repeats a request does so within seconds or a few minutes.
+static constexpr std::chrono::minutes crashKept { 5 };
+/// How long a request is refused first. An engine that it crashes is replaced by
+/// a repaired one in minutes at the soonest; a wrong suspicion ends by then.
+static constexpr std::chrono::minutes firstRefusal { 2 };
+/// Each further refusal is twice as long, up to 32 times the first.
+static constexpr unsigned mostDoublings = 5;
+/// After a refusal one crash is enough to refuse again, for this long.
+static constexpr std::chrono::minutes probation { 10 };
+/// That a request survived is told for this long.
+static constexpr std::chrono::seconds survivalKept { 10 };
+
+/// A time that was told is later by the way of the telling, some hundred
+/// milliseconds each time; such a difference is no news.
+static constexpr std::chrono::seconds tellingError { 1 };
+
+static Duration refusalTime(unsigned refusals)
+{
+    return firstRefusal * (1 << std::min(refusals - 1, mostDoublings));
+}
+
+std::size_t separateCrashes(const CrashHistory& history)
+{
+    std::size_t count = 0;
+    std::optional<TimePoint> last;
+    for (const EndpointCrash& crash : history.crashes) {
+        if (last && crash.at - *last < sameMoment)
+            continue;
+        last = crash.at;
+        ++count;
+    }
+    return count;
+}
+
+static void refuse(CrashHistory& history, TimePoint at)
+{
+    ++history.refusals;
+    history.refusedUntil = at + refusalTime(history.refusals);
+}
+
+bool noteCrash(CrashHistory& history, const EndpointCrash& crash)
+{
+    auto isSame = [&](const EndpointCrash& known) { return known.endpoint == crash.endpoint; };
+    bool isKnown = std::any_of(history.crashes.begin(), history.crashes.end(), isSame);
+    bool isTooOld = history.crashes.size() >= mostCrashes && crash.at <= history.crashes.front().at;
+    if (isKnown || isTooOld || crash.at < history.survivedAt)
+        return false;
+    auto isEarlier = [](const EndpointCrash& a, const EndpointCrash& b) { return a.at < b.at; };
+    history.crashes.insert(std::upper_bound(history.crashes.begin(), history.crashes.end(), crash, isEarlier), crash);
+    if (history.crashes.size() > mostCrashes)
+        history.crashes.erase(history.crashes.begin());
+    bool isProven = history.refusals == 0 ? separateCrashes(history) >= crashesBeforeRefusal : crash.at >= history.refusedUntil;
+    if (isProven)
+        refuse(history, crash.at);
+    return true;
+}
+
+bool noteSurvived(CrashHistory& history, TimePoint at)
+{
+    if (at <= history.survivedAt)
+        return false;
+    history.survivedAt = at;
+    auto isBefore = [at](const EndpointCrash& crash) { return crash.at < at; };
+    history.crashes.erase(std::remove_if(history.crashes.begin(), history.crashes.end(), isBefore), history.crashes.end());
+    if (history.crashes.empty()) {
+        history.refusals = 0;
+        history.refusedUntil = {};
+    }
+    return true;
+}
+
+// Survival first, since it takes out older crashes; then the refusal, so that
+// the crash that led to it doesn't lead to another one.
+bool mergeHistory(CrashHistory& history, const CrashHistory& other)
+{
+    bool hasChanged = other.survivedAt > history.survivedAt + tellingError && noteSurvived(history, other.survivedAt);
+    bool isLater = other.refusals > history.refusals;
+    bool hasSurvivedSince = history.survivedAt != TimePoint {} && (other.crashes.empty() || other.crashes.back().at < history.survivedAt);
+    if (isLater && !hasSurvivedSince) {
+        history.refusals = other.refusals;
+        history.refusedUntil = std::max(history.refusedUntil, other.refusedUntil);
+        hasChanged = true;
+    }
+    for (const EndpointCrash& crash : other.crashes)
+        hasChanged |= noteCrash(history, crash);
+    return hasChanged;
+}
+
+bool removeCrash(CrashHistory& history, std::uint32_t endpoint)
+{
+    auto isSame = [endpoint](const EndpointCrash& crash) { return crash.endpoint == endpoint; };
+    auto last = std::remove_if(history.crashes.begin(), history.crashes.end(), isSame);
+    bool hasAny = last != history.crashes.end();
+    history.crashes.erase(last, history.crashes.end());
+    return hasAny;
+}
+
+bool isForgotten(CrashHistory& history, TimePoint now)
+{
+    if (history.refusals > 0)
+        return now - history.refusedUntil > probation;
+    auto isOld = [now](const EndpointCrash& crash) { return now - crash.at > crashKept; };
+    history.crashes.erase(std::remove_if(history.crashes.begin(), history.crashes.end(), isOld), history.crashes.end());
+    bool hasSurvived = history.survivedAt != TimePoint {} && now - history.survivedAt <= survivalKept;
+    return history.crashes.empty() && !hasSurvived;
+}
+
+} // namespace catkinwing
--- a/unittests/Ingress/CrashWorld.cpp
+++ b/unittests/Ingress/CrashWorld.cpp
@@ -1,6 +1,8 @@
 #include "CrashWorld.h"
 
+#include "catkinwing/Ingress/CrashExchange.h"
 #include <algorithm>
+#include <cassert>
 
 namespace catkinwing {
 
@@ -10,6 +12,9 @@
 static constexpr milliseconds registrationLapse { 1'500 };
 static constexpr milliseconds refusedConnection { 2 };
 static constexpr milliseconds step { 10 };
+static constexpr milliseconds tellInterval { 100 };
+static constexpr milliseconds insideRegion { 1 };
+static constexpr milliseconds betweenRegions { 55 };
 static const std::string regions[] = { "north", "south" };
 
 /// The path of one entry to the endpoints.
@@ -58,7 +63,7 @@
         m_world.arrivals.push_back({ request.body, m_entry, m_world.now() });
         std::uint64_t number = ++m_world.m_requests;
         endpoint.breakOff[number] = [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); };
-        bool isDeadly = request.body == deadlyBody;
+        bool isDeadly = request.body == deadlyBody && !m_world.isRepaired;
         std::weak_ptr<CrashingEndpoint> weak = m_world.endpointAt(request.server);
         m_world.scheduler.callAfter(isDeadly ? m_world.crashesAfter : m_world.runsFor, [this, weak, number, isDeadly, exchange, callbacks, request] {
             std::shared_ptr<CrashingEndpoint> at = weak.lock();
@@ -91,7 +96,8 @@
         , peers(world.scheduler)
         , log(world.scheduler.clock())
         , parts { world.scheduler, world.random, client, peers, metrics, log, world.m_dialect, record.region,
-            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0 }
+            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(world.random.bits()) }
+        , exchange(parts.crashing, parts.entries, record, world.random)
     {
         peers.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false); };
     }
@@ -103,35 +109,49 @@
     Metrics metrics;
     DecisionLog log;
     IngressParts parts;
+    CrashExchange exchange;
 };
 
-CrashWorld::CrashWorld(unsigned seed, std::size_t entriesPerRegion, std::size_t endpointsPerRegion)
+CrashWorld::CrashWorld(unsigned seed, std::size_t entriesPerRegion, std::size_t endpointsPerRegion, std::vector<std::string> homeRegions)
     : random(seed)
 {
-    std::uint16_t port = 0;
-    for (const std::string& region : regions) {
-        for (std::size_t i = 0; i < entriesPerRegion; ++i) {
-            ++port;
-            EntryRecord record { region, region + "-a", { "10.0.0.1", port }, { "10.0.0.2", port } };
-            m_entries.push_back(std::make_unique<Entry>(*this, m_entries.size(), "entry-" + std::to_string(port), record));
-        }
-    }
     Route route = IngressFixture::unary(RequestKind::Idempotent);
     route.timeout = milliseconds(4'000);
+    route.homeRegions = std::move(homeRegions);
     ServiceSettings service;
     service.name = "service";
-    auto routes = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<ServiceSettings> { service }, ClientLimits {});
-    for (const auto& entry : m_entries) {
-        entry->parts.routes = routes;
-        for (const auto& other : m_entries)
-            entry->parts.entries.put(other->key, other->record);
+    m_routes = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    for (const std::string& region : regions) {
+        for (std::size_t i = 0; i < entriesPerRegion; ++i) {
+            auto port = static_cast<std::uint16_t>(m_records.size() + 1);
+            m_records.push_back({ region, region + "-a", { "10.0.0.1", port }, { "10.0.0.2", port } });
+        }
     }
+    m_entries.resize(m_records.size());
+    bytesTold.resize(m_records.size());
+    for (std::size_t i = 0; i < m_records.size(); ++i)
+        makeEntry(i);
     for (const std::string& region : regions) {
         for (std::size_t i = 0; i < endpointsPerRegion; ++i)
             startEndpoint(region, { "10.0.0.3", static_cast<std::uint16_t>(m_endpoints.size() + 1) });
     }
 }
 
+static std::string entryKey(std::size_t index)
+{
+    return "entry-" + std::to_string(index);
+}
+
+void CrashWorld::makeEntry(std::size_t index)
+{
+    m_entries[index] = std::make_unique<Entry>(*this, index, entryKey(index), m_records[index]);
+    m_entryAt[m_records[index].peers] = index;
+    IngressParts& parts = m_entries[index]->parts;
+    parts.routes = m_routes;
+    for (std::size_t i = 0; i < m_records.size(); ++i)
+        parts.entries.put(entryKey(i), m_records[i]);
+}
+
 CrashWorld::~CrashWorld() = default;
 
 IngressParts& CrashWorld::partsOf(std::size_t entry)
@@ -154,10 +174,55 @@
     sent.push_back(std::move(request));
 }
 
+static EndpointRecord recordOf(const CrashingEndpoint& endpoint)
+{
+    EndpointRecord record;
+    record.incarnation = endpoint.incarnation;
+    record.service = "service";
+    record.address = endpoint.address;
+    record.availabilityZone = endpoint.region + "-a";
+    return record;
+}
+
 void CrashWorld::advance(Duration span)
 {
-    for (Duration passed { 0 }; passed < span; passed += step)
+    for (Duration passed { 0 }; passed < span; passed += step) {
         scheduler.advance(step);
+        if (now() >= m_nextTelling) {
+            tell();
+            m_nextTelling = now() + tellInterval;
+        }
+    }
+}
+
+void CrashWorld::tell()
+{
+    for (std::size_t from = 0; from < m_entries.size(); ++from) {
+        for (const OutgoingDatagram& datagram : m_entries[from]->exchange.tick(now())) {
+            bytesTold[from] += datagram.bytes.size();
+            std::size_t to = m_entryAt.at(datagram.to);
+            bool isCross = m_records[from].region != m_records[to].region;
+            bool isLost = m_silenced.count(from) > 0 || m_silenced.count(to) > 0 || (isCross && m_areRegionsCut) || random.unit() < lost;
+            if (isLost)
+                continue;
+            scheduler.callAfter(isCross ? betweenRegions : insideRegion, [this, from, to, bytes = datagram.bytes] {
+                absl::StatusOr<CrashReport> report = decodeCrashReport(bytes);
+                assert(report.ok() && "what is encoded can be decoded");
+                m_entries[to]->exchange.take(m_records[from].peers, *report, now());
+            });
+        }
+    }
+}
+
+// A request that is still under way belongs to the process that was there before.
+void CrashWorld::restartEntry(std::size_t entry)
+{
+    assert(m_entries[entry]->parts.openRequests == 0 && "the entry has no requests");
+    makeEntry(entry);
+    for (const auto& endpoint : m_endpoints) {
+        if (endpoint->isUp)
+            m_entries[entry]->parts.endpoints.put(recordOf(*endpoint), now());
+    }
 }
 
 void CrashWorld::startEndpoint(const std::string& region, const SocketAddress& address)
@@ -167,13 +232,8 @@
     endpoint->region = region;
     endpoint->address = address;
     m_endpoints.push_back(endpoint);
-    EndpointRecord record;
-    record.incarnation = endpoint->incarnation;
-    record.service = "service";
-    record.address = address;
-    record.availabilityZone = region + "-a";
     for (const auto& entry : m_entries)
-        entry->parts.endpoints.put(record, now());
+        entry->parts.endpoints.put(recordOf(*endpoint), now());
 }
 
 void CrashWorld::crash(const std::shared_ptr<CrashingEndpoint>& endpoint)
--- a/unittests/Ingress/CrashWorld.h
+++ b/unittests/Ingress/CrashWorld.h
@@ -5,6 +5,7 @@
 #include "IngressFixture.h"
 #include <map>
 #include <memory>
+#include <set>
 
 namespace catkinwing {
 
@@ -39,7 +40,7 @@
 class CrashWorld {
 public:
     /// As many entries and endpoints in each region as told.
-    explicit CrashWorld(unsigned seed, std::size_t entriesPerRegion = 3, std::size_t endpointsPerRegion = 6);
+    explicit CrashWorld(unsigned seed, std::size_t entriesPerRegion = 3, std::size_t endpointsPerRegion = 6, std::vector<std::string> homeRegions = {});
     ~CrashWorld();
 
     /// Gives a request to an entry.
@@ -51,6 +52,16 @@
     void crashOne(const std::string& region);
     /// Crashes all endpoints of all regions at once.
     void crashAll();
+    /// Gives an entry's place to a new process that knows nothing.
+    void restartEntry(std::size_t entry);
+    /// Cuts off what entries of different regions tell each other, or heals it.
+    void cutRegions(bool isCut) { m_areRegionsCut = isCut; }
+    /// Nothing that is told reaches the entry or leaves it.
+    void silence(std::size_t entry) { m_silenced.insert(entry); }
+    /// Part of what entries tell each other that is lost.
+    double lost { 0 };
+    /// Bytes of reports of crashes that each entry has sent.
+    std::vector<std::size_t> bytesTold;
 
     std::size_t entries() const { return m_entries.size(); }
     IngressParts& partsOf(std::size_t entry);
@@ -70,6 +81,8 @@
     Duration runsFor { std::chrono::milliseconds(60) };
     Duration crashesAfter { std::chrono::milliseconds(250) };
     Duration startsAgainAfter { std::chrono::milliseconds(3'000) };
+    /// Endpoints answer the deadly body like any other.
+    bool isRepaired { false };
 
 private:
     class Client;
@@ -77,6 +90,8 @@
 
     void startEndpoint(const std::string& region, const SocketAddress& address);
     void crash(const std::shared_ptr<CrashingEndpoint>& endpoint);
+    void makeEntry(std::size_t index);
+    void tell();
     std::shared_ptr<CrashingEndpoint> endpointAt(const SocketAddress& address) const;
 
     Dialect m_dialect { testDialect() };
@@ -84,6 +99,12 @@
     std::vector<std::shared_ptr<CrashingEndpoint>> m_endpoints;
     std::size_t m_starts { 0 };
     std::uint64_t m_requests { 0 };
+    std::shared_ptr<const RouteTable> m_routes;
+    std::vector<EntryRecord> m_records;
+    std::map<SocketAddress, std::size_t> m_entryAt;
+    std::set<std::size_t> m_silenced;
+    bool m_areRegionsCut { false };
+    TimePoint m_nextTelling {};
 };
 
 } // namespace catkinwing
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -624,3 +624,45 @@
     fixture.scheduler.advance(10s);
     CHECK(fixture.parts.openRequests == 0);
 }
+
+// Guards against asking region after region for what is refused everywhere.
+TEST_CASE("a refusal that holds everywhere is handed on with its time, and no other region is asked")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1", "south-a");
+    fixture.addEntry("s1", "south", 11);
+    fixture.addEntry("s2", "south", 12);
+    fixture.peerClient.handler = [](const HttpClientRequest&) {
+        FakeHttpAnswer answer = FakeHttpAnswer::ok("");
+        answer.status = 503;
+        answer.headers = { { outcomeHeader, "not-run" }, { refusedEverywhereHeader, "90.5" } };
+        return answer;
+    };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    CHECK(*client->head->headers.find("retry-after") == "90.5");
+    CHECK_FALSE(client->head->headers.find(refusedEverywhereHeader));
+    CHECK(fixture.peerClient.requests.size() == 1);
+    CHECK(fixture.parts.pressures["service"].readiness("south", fixture.scheduler.clock().now()) == 1);
+}
+
+TEST_CASE("a request that is refused everywhere says so to the entry that forwarded it")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::Idempotent, 1));
+    for (int i = 1; i <= 4; ++i)
+        fixture.addEndpoint("e" + std::to_string(i));
+    fixture.answers = { lost };
+    for (int i = 0; i < 3; ++i) {
+        CHECK(fixture.runToEnd()->status() == 502);
+        fixture.parts.crashing.houseKeep(fixture.scheduler.clock().now());
+        fixture.parts.endpoints.remove(fixture.sent(static_cast<std::size_t>(i), "incarnation"), fixture.scheduler.clock().now());
+    }
+    auto client = fixture.runToEnd({}, true);
+    CHECK(client->status() == 503);
+    CHECK(client->outcome() == "not-run");
+    CHECK(client->head->headers.find(refusedEverywhereHeader));
+    CHECK(fixture.endpointClient.requests.size() == 3);
+}
