--- a/include/catkinwing/PlatformStandin/EndpointStandin.h
+++ b/include/catkinwing/PlatformStandin/EndpointStandin.h
@@ -14,6 +14,8 @@
     unsigned events { 0 };
     /// Time between two events.
     Duration pause {};
+    /// Says in each answer that it leaves, whatever its registration says.
+    bool isLeaving { false };
 };
 
 /// Makes a stand-in for an endpoint as the platform runs them: it refuses what
--- a/lib/PlatformStandin/EndpointStandin.cpp
+++ b/lib/PlatformStandin/EndpointStandin.cpp
@@ -85,7 +85,10 @@
 HttpHeaders EndpointStandin::signature(const HttpRequest& request) const
 {
     std::string attempt = fieldOf(request, attemptField);
-    return { { std::string(attemptField), attempt }, { "Reply-Seal", absl::StrCat(attempt, ".", m_settings.incarnation) } };
+    HttpHeaders headers { { std::string(attemptField), attempt }, { "Reply-Seal", absl::StrCat(attempt, ".", m_settings.incarnation) } };
+    if (m_settings.isLeaving)
+        headers.add("Server-Leaving", "1");
+    return headers;
 }
 
 void EndpointStandin::answer(const StandinCall& call)
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -76,9 +76,9 @@
             *address = freeAddress(platform.loop);
         settings.advertise = settings.listen;
     }
-    void add(const std::string& service, const std::string& incarnation, unsigned events)
+    void add(const std::string& service, const std::string& incarnation, unsigned events, bool isLeaving = false)
     {
-        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms }));
+        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms, isLeaving }));
         platform.swap("servers/" + incarnation, 0, registration(service, endpoints.size() - 1).dump());
     }
     nlohmann::json registration(const std::string& service, std::size_t endpoint) const
@@ -100,8 +100,27 @@
         auto counters = platform.ask(endpoints[endpoint]->address(), "GET", "/standin/counters");
         return nlohmann::json::parse(counters->body).at("executions");
     }
+    /// Returns how many requests have come to an endpoint, refused ones included.
+    std::int64_t arrivals(std::size_t endpoint)
+    {
+        auto counters = platform.ask(endpoints[endpoint]->address(), "GET", "/standin/counters");
+        return nlohmann::json::parse(counters->body).at("total");
+    }
     void setFaults(std::size_t endpoint, const nlohmann::json& faults) { platform.setFaults(*endpoints[endpoint], faults); }
 
+    void remove(const std::string& key)
+    {
+        std::optional<SwapResult> result;
+        platform.store->compareAndDelete(key, platform.get(key).revision, [&](SwapResult swapped) { result = swapped; });
+        REQUIRE(runUntil(platform.loop, [&] { return result.has_value(); }));
+    }
+    /// Lets the entry learn what has changed in the store.
+    void settle()
+    {
+        TimePoint began = platform.clock.now();
+        runUntil(platform.loop, [&] { return platform.clock.now() - began > 300ms; });
+    }
+
     PlatformFixture platform;
     DaemonSettings settings;
     std::vector<std::unique_ptr<standin::StandinServer>> endpoints;
@@ -220,3 +239,41 @@
     path.rewrite("plain-1", path.registration("plain", 0).dump());
     CHECK(runUntil(path.platform.loop, [&] { return nlohmann::json::parse(path.ask("/once/order")->body).at("endpoint") == "plain-1"; }));
 }
+
+// Guards against sending to an endpoint that has said in an answer that it leaves,
+// while the store hasn't said so.
+TEST_CASE("an endpoint that says in an answer that it leaves gets nothing more, whatever is registered")
+{
+    ServedPath path;
+    path.add("plain", "plain-3", 0, true);
+    REQUIRE(runUntil(path.platform.loop, [&] { return path.ask("/once/order") && path.executions(4) > 0; }));
+    for (int number = 0; number < 40; ++number)
+        CHECK(path.ask("/once/order")->head.status == 200);
+    CHECK(path.executions(4) == 1);
+    // Its registration lapses and comes back as it was.
+    std::string key = "servers/plain-3";
+    std::string registered = path.platform.get(key).value;
+    path.remove(key);
+    path.settle();
+    path.platform.swap(key, 0, registered);
+    path.settle();
+    for (int number = 0; number < 40; ++number)
+        CHECK(path.ask("/once/order")->head.status == 200);
+    CHECK(path.executions(4) == 1);
+}
+
+// Guards against requests to an endpoint that has asked for none for a while.
+TEST_CASE("an endpoint that refuses with a time to wait gets nothing until then")
+{
+    ServedPath path;
+    path.setFaults(0, { { "refuse", true } });
+    std::int64_t before = path.arrivals(0);
+    TimePoint began = path.platform.clock.now();
+    for (int number = 0; number < 40; ++number)
+        CHECK(path.ask("/once/order")->head.status == 200);
+    // The stand-in asks for a second; each further one brings one more at the most.
+    std::int64_t seconds = std::chrono::duration_cast<std::chrono::seconds>(path.platform.clock.now() - began).count();
+    CHECK(path.arrivals(0) <= before + 1 + seconds);
+    path.setFaults(0, nlohmann::json::object());
+    CHECK(runUntil(path.platform.loop, [&] { return nlohmann::json::parse(path.ask("/once/order")->body).at("endpoint") == "plain-1"; }));
+}
