Believe what an endpoint's answer says of the endpoint

Cause: of an answer only its status, seal and whether it ran were read. All that it says of its endpoint was passed over, so that the store's word alone counted, which was 13 s late. Class: a statement by the party itself is ignored in favour of a copy that may be old.

Now the head of an answer is read for a leave and, on a refusal with 503, for a pause. A leave holds for that start of the endpoint, also where its registration says otherwise or lapses and comes back, for two minutes. A pause holds at this entry until it ends, ten minutes at the most. An answer of another incarnation at the address says nothing of the one that was meant. Where all endpoints want a pause, clients are told when the first one ends.

All tests of Ingress and Platform pass.

--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -54,6 +54,10 @@
     bool wasNotRun { false };
     /// The address belongs to another incarnation.
     bool isOtherIncarnation { false };
+    /// The endpoint leaves and wants no further requests.
+    bool isLeaving { false };
+    /// Of a refusal: how long the endpoint wants no requests from this entry.
+    std::optional<std::chrono::milliseconds> pause;
     std::string attemptId;
 };
 
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -36,6 +36,8 @@
     /// Names it in load reports.
     std::uint32_t hash { 0 };
     std::string region;
+    /// It has asked this entry for no requests until then.
+    TimePoint pausedUntil {};
     /// Never reverts; a new start under the same name is another RoutedEndpoint.
     bool isLeaving { false };
     /// What is registered under its name can't be read, so it is not used
@@ -149,8 +151,14 @@
     std::vector<PartSent> partsSent() { return std::exchange(m_partsSent, {}); }
     /// Notes the end of an attempt; \p isFailure if the endpoint, not the request, was at fault.
     void noteEnded(RoutedEndpoint& endpoint, bool isFailure, TimePoint now);
-    /// The endpoint has said itself that it is leaving, or has gone.
-    void noteLeaving(RoutedEndpoint& endpoint) const { endpoint.isLeaving = true; }
+    /// The endpoint has said itself that it is leaving, or has gone. Holds for this
+    /// start also where its registration says otherwise or comes anew.
+    void noteLeaving(RoutedEndpoint& endpoint, TimePoint now);
+    /// The endpoint has refused a request and wants none for \p pause.
+    static void notePause(RoutedEndpoint& endpoint, std::chrono::milliseconds pause, TimePoint now);
+    /// Returns how long until an endpoint of this region, all of which have asked
+    /// for a pause, may get requests; zero if one may now, or none is there.
+    Duration pauseOf(absl::string_view service, TimePoint now) const;
 
     /// What this entry has under way at its region's endpoints, for the others.
     std::vector<EndpointWorkload> ownLoads(TimePoint now) const;
@@ -164,7 +172,7 @@
     /// interval this entry can send them such requests.
     Duration workPerRequest(absl::string_view service, std::int64_t promptTokens, TimePoint now) const;
     /// Returns how many endpoints of each region could serve \p service.
-    std::map<std::string, std::size_t> usableByRegion(absl::string_view service) const;
+    std::map<std::string, std::size_t> usableByRegion(absl::string_view service, TimePoint now) const;
     /// Returns the region where \p sharedPart was used last, or else that of the
     /// endpoint that owns it, among those of \p regions, or of all if empty;
     /// nothing if none is usable.
@@ -188,6 +196,10 @@
     EndpointCandidate candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const;
     static EndpointDemand demandOf(const EndpointRequest& request);
     bool isUsable(const RoutedEndpoint& endpoint) const;
+    /// As isUsable(), but for those that have asked for a pause.
+    bool isOpen(const RoutedEndpoint& endpoint, TimePoint now) const { return isUsable(endpoint) && now >= endpoint.pausedUntil; }
+    static std::string startName(const EndpointRecord& record);
+    bool hasSaidLeaving(const EndpointRecord& record, TimePoint now) const;
     bool isOutdated(const EndpointRecord& record) const;
     void endStart(RoutedEndpoint& endpoint);
     void enlist(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service);
@@ -213,6 +225,8 @@
     SharedRate m_coldTolerance { 0, 1.5, 3 };
     /// Latest start of names whose endpoint was removed.
     absl::flat_hash_map<std::string, std::chrono::milliseconds> m_removedStarts;
+    /// Until when starts that have said that they leave are believed to, by their names.
+    absl::flat_hash_map<std::string, TimePoint> m_leavingStarts;
     std::function<void(RoutedEndpoint&)> m_onReplaced;
 };
 
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -117,6 +117,7 @@
     void takeStatements(Attempt& attempt);
     unsigned runsOf(const Attempt& attempt) const;
     void noteHeard(const Attempt& attempt) const;
+    void learnStatements(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
     void onEnd(const HttpResult& result);
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -31,6 +31,13 @@
 /// Names of removed endpoints whose start is remembered. An old registration is
 /// late by seconds, in which far fewer are removed.
 static constexpr std::size_t maxRemovedStarts = 4'096;
+/// Starts that are remembered as leaving beyond their registrations.
+static constexpr std::size_t maxLeavingStarts = 4'096;
+/// An endpoint that said that it leaves is gone by then. A later one under its
+/// name that doesn't state its start is used again.
+static constexpr std::chrono::minutes longestLeave { 2 };
+/// A pause ends after this, so that a wrong figure doesn't take an endpoint away for good.
+static constexpr milliseconds longestPause = std::chrono::minutes(10);
 
 EndpointTable::EndpointTable(std::string region, std::map<std::string, std::string> regionOfZone)
     : m_region(std::move(region))
@@ -57,11 +64,9 @@
 }
 
 // Loads of two starts under one name must not be added up.
-static std::uint32_t hashOf(const EndpointRecord& record)
+std::string EndpointTable::startName(const EndpointRecord& record)
 {
-    if (!record.startedAt)
-        return endpointHash(record.incarnation);
-    return endpointHash(absl::StrCat(record.incarnation, "@", record.startedAt->count()));
+    return record.startedAt ? absl::StrCat(record.incarnation, "@", record.startedAt->count()) : record.incarnation;
 }
 
 static bool isBefore(const EndpointRecord& record, std::optional<milliseconds> start)
@@ -95,7 +100,7 @@
     bool isNew = !entry;
     if (isNew) {
         entry = std::make_shared<RoutedEndpoint>();
-        entry->hash = hashOf(record);
+        entry->hash = endpointHash(startName(record));
         auto region = m_regionOfZone.find(record.availabilityZone);
         if (region != m_regionOfZone.end())
             entry->region = region->second;
@@ -108,7 +113,7 @@
     }
     bool wasLeaving = entry->isLeaving;
     entry->isMissing = false;
-    entry->isLeaving = wasLeaving || record.isLeaving;
+    entry->isLeaving = wasLeaving || record.isLeaving || hasSaidLeaving(record, now);
     entry->isUnreadable = false;
     entry->coldUntil = std::max(entry->coldUntil, now + record.coldFor);
     // A registration that leaves the start out is taken for the one that is known.
@@ -220,6 +225,44 @@
     m_coldTolerance = { 0, ratio, slack };
 }
 
+void EndpointTable::noteLeaving(RoutedEndpoint& endpoint, TimePoint now)
+{
+    if (m_leavingStarts.size() >= maxLeavingStarts)
+        absl::erase_if(m_leavingStarts, [now](const auto& start) { return now >= start.second; });
+    if (m_leavingStarts.size() < maxLeavingStarts)
+        m_leavingStarts[startName(endpoint.record)] = now + longestLeave;
+    if (!std::exchange(endpoint.isLeaving, true))
+        logEndpoint("endpoint_leaving", endpoint);
+}
+
+bool EndpointTable::hasSaidLeaving(const EndpointRecord& record, TimePoint now) const
+{
+    auto said = m_leavingStarts.find(startName(record));
+    return said != m_leavingStarts.end() && now < said->second;
+}
+
+void EndpointTable::notePause(RoutedEndpoint& endpoint, milliseconds pause, TimePoint now)
+{
+    if (now >= endpoint.pausedUntil)
+        logEndpoint("endpoint_paused", endpoint);
+    endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + std::min(pause, longestPause));
+}
+
+Duration EndpointTable::pauseOf(absl::string_view service, TimePoint now) const
+{
+    auto found = m_ofService.find(service);
+    std::optional<Duration> shortest;
+    if (found == m_ofService.end())
+        return Duration::zero();
+    for (const auto& endpoint : found->second) {
+        if (endpoint->region != m_region || !isUsable(*endpoint))
+            continue;
+        Duration left = std::max(endpoint->pausedUntil - now, Duration::zero());
+        shortest = shortest ? std::min(*shortest, left) : left;
+    }
+    return shortest.value_or(Duration::zero());
+}
+
 void EndpointTable::noteBegan(RoutedEndpoint& endpoint, TimePoint now) const
 {
     if (endpoint.inFlight == 0)
@@ -310,14 +353,14 @@
     logEndpoint("endpoint_suspect", endpoint);
 }
 
-std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service) const
+std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service, TimePoint now) const
 {
     std::map<std::string, std::size_t> counts;
     auto found = m_ofService.find(service);
     if (found == m_ofService.end())
         return counts;
     for (const auto& endpoint : found->second) {
-        if (isUsable(*endpoint) && !endpoint->region.empty())
+        if (isOpen(*endpoint, now) && !endpoint->region.empty())
             ++counts[endpoint->region];
     }
     return counts;
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -116,7 +116,7 @@
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         const RoutedEndpoint& endpoint = *endpoints[i];
-        if (endpoint.region != m_region || !isUsable(endpoint) || !hasRoom(endpoint, *request.service))
+        if (endpoint.region != m_region || !isOpen(endpoint, now) || !hasRoom(endpoint, *request.service))
             continue;
         const std::vector<std::string>& tried = *request.tried;
         bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
@@ -150,7 +150,7 @@
     Duration events { 0 };
     for (const auto& endpoint : found->second) {
         bool isCold = now < endpoint->coldUntil && service.coldRequestsPerSecond > 0;
-        if (endpoint->region != m_region || !isUsable(*endpoint) || isCold || isSuspect(*endpoint, now))
+        if (endpoint->region != m_region || !isOpen(*endpoint, now) || isCold || isSuspect(*endpoint, now))
             continue;
         AnswerEstimate answers = answersOf(*endpoint, now);
         waits.push_back(waitAt(*endpoint, answers, workOf(*endpoint), service));
--- a/lib/Ingress/EndpointTableParts.cpp
+++ b/lib/Ingress/EndpointTableParts.cpp
@@ -64,7 +64,7 @@
     std::uint32_t part = partHash(sharedPart);
     std::optional<Duration> least;
     for (const auto& endpoint : found->second) {
-        if (endpoint->region != m_region || !m_partHolders.holds(endpoint->hash, part) || !isUsable(*endpoint) || isSuspect(*endpoint, now))
+        if (endpoint->region != m_region || !m_partHolders.holds(endpoint->hash, part) || !isOpen(*endpoint, now) || isSuspect(*endpoint, now))
             continue;
         Duration wait = waitAt(*endpoint, answersOf(*endpoint, now), workOf(*endpoint), service);
         if (!least || wait < *least)
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -235,7 +235,7 @@
         if (here.endpoints > 0)
             demand.waitHere = here.wait;
         demand.lastsHere = lastsAt(here.perEvent);
-        demand.mayAskHere = m_parts.endpoints.usableByRegion(m_service).count(m_parts.region) > 0;
+        demand.mayAskHere = m_parts.endpoints.usableByRegion(m_service, now()).count(m_parts.region) > 0;
     }
     std::vector<RegionOption> others;
     for (const auto& [region, endpoints] : otherRegions(m_service))
@@ -310,7 +310,7 @@
 {
     const std::vector<std::string>& homes = m_route->homeRegions;
     std::map<std::string, std::size_t> regions;
-    for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service)) {
+    for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service, now())) {
         bool isHome = homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
         bool wasTried = std::find(m_triedRegions.begin(), m_triedRegions.end(), region) != m_triedRegions.end();
         if (region != m_parts.region && isHome && !wasTried)
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -62,6 +62,18 @@
     m_parts.crashing.noteAlive(attempt.endpoint->hash, now());
 }
 
+// What the endpoint says of itself goes before its registration, which may be
+// older by as long as the store is silent.
+void RoutedRun::learnStatements(const Attempt& attempt) const
+{
+    if (!attempt.endpoint || attempt.facts.isOtherIncarnation)
+        return;
+    if (attempt.facts.isLeaving)
+        m_parts.endpoints.noteLeaving(*attempt.endpoint, now());
+    if (attempt.facts.wasNotRun && attempt.facts.pause)
+        EndpointTable::notePause(*attempt.endpoint, *attempt.facts.pause, now());
+}
+
 void RoutedRun::onHead(const HttpResponseHead& head)
 {
     Attempt& attempt = *m_attempt;
@@ -79,6 +91,7 @@
         abandonAttempt("answer_of_another_request");
         return;
     }
+    learnStatements(attempt);
     const std::string* type = head.headers.find("content-type");
     bool isSuccess = head.status >= 200 && head.status < 300;
     bool isDeliverable = attempt.facts.isEndpointAnswer && attempt.isOurs && isSuccess;
@@ -247,7 +260,7 @@
     }
     if (attempt.endpoint) {
         if (attempt.facts.isOtherIncarnation)
-            m_parts.endpoints.noteLeaving(*attempt.endpoint);
+            m_parts.endpoints.noteLeaving(*attempt.endpoint, now());
         m_parts.endpoints.noteEnded(*attempt.endpoint, hadNoAnswer, now());
     } else if (hadNoAnswer) {
         m_parts.entries.notePeerFailure(attempt.peer, now());
@@ -394,7 +407,8 @@
         return *m_returnAfter;
     milliseconds longest = std::max(timeLeft() / mostOfTimeLeft, milliseconds(1));
     Duration work = m_parts.endpoints.workPerRequest(m_service, m_request.facts.promptTokens, now());
-    return m_parts.returns[m_service].book(work, longest, now(), m_parts.random);
+    milliseconds pause = std::chrono::ceil<milliseconds>(m_parts.endpoints.pauseOf(m_service, now()));
+    return std::max(m_parts.returns[m_service].book(work, longest, now(), m_parts.random), pause);
 }
 
 // What the system itself answers, always at once and with its outcome.
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -125,7 +125,7 @@
     world.table.noteUnreadable("e1");
     world.table.noteUnreadable("never seen");
     CHECK_FALSE(world.choose());
-    CHECK(world.table.usableByRegion("service").empty());
+    CHECK(world.table.usableByRegion("service", world.now).empty());
     world.put("e2");
     CHECK(world.choose()->record.incarnation == "e2");
     world.table.remove("e2", world.now);
@@ -201,7 +201,7 @@
     RouteTable routes(1, {}, { world.service }, {});
     world.table.setEvacuated({ "north-a" }, &routes, world.now);
     CHECK_FALSE(world.choose());
-    CHECK(world.table.usableByRegion("service").empty());
+    CHECK(world.table.usableByRegion("service", world.now).empty());
     world.table.setEvacuated({}, &routes, world.now);
     CHECK(world.choose());
     CHECK_FALSE(world.choose());
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -40,6 +40,10 @@
     facts.isEndpointAnswer = head.headers.find("endpoint") != nullptr;
     facts.isOtherIncarnation = head.status == 421;
     facts.wasNotRun = facts.isOtherIncarnation || head.headers.find("not-run") != nullptr;
+    facts.isLeaving = head.headers.find("leaving") != nullptr;
+    std::int64_t pause = 0;
+    if (const std::string* text = head.headers.find("pause-ms"); text && absl::SimpleAtoi(*text, &pause))
+        facts.pause = milliseconds(pause);
     if (const std::string* id = head.headers.find("request-id"))
         facts.attemptId = *id;
     return facts;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -666,3 +666,81 @@
     CHECK(client->head->headers.find(refusedEverywhereHeader));
     CHECK(fixture.endpointClient.requests.size() == 3);
 }
+
+static FakeHttpAnswer leaving(const HttpClientRequest& request)
+{
+    FakeHttpAnswer answer = fine(request);
+    answer.headers.add("leaving", "1");
+    return answer;
+}
+
+static FakeHttpAnswer pausing(const HttpClientRequest&)
+{
+    FakeHttpAnswer answer = refused();
+    answer.headers.add("pause-ms", "6000");
+    return answer;
+}
+
+// Guards against believing an old registration rather than the endpoint itself.
+TEST_CASE("what an endpoint says of its leave holds for that start, also when it is registered anew")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { leaving };
+    CHECK(fixture.runToEnd()->status() == 200);
+    CHECK(fixture.runToEnd()->outcome() == "not-run");
+    fixture.parts.endpoints.remove("e1", fixture.scheduler.clock().now());
+    fixture.addEndpoint("e1");
+    CHECK(fixture.runToEnd()->outcome() == "not-run");
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    fixture.addEndpoint("e2");
+    CHECK(fixture.runToEnd()->status() == 200);
+    CHECK(fixture.sent(1, "incarnation") == "e2");
+    // Long after, another endpoint may have the name.
+    fixture.parts.endpoints.remove("e1", fixture.scheduler.clock().now());
+    fixture.parts.endpoints.remove("e2", fixture.scheduler.clock().now());
+    fixture.scheduler.advance(180s);
+    fixture.addEndpoint("e1");
+    CHECK(fixture.runToEnd()->status() == 200);
+}
+
+// Guards against taking what another incarnation says for the word of the one that is meant.
+TEST_CASE("an answer of another incarnation says nothing of a pause of the one that was meant")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [](const HttpClientRequest&) {
+                           FakeHttpAnswer answer = pausing({});
+                           answer.status = 421;
+                           return answer;
+                       },
+        fine };
+    CHECK(fixture.runToEnd()->status() == 200);
+    fixture.parts.endpoints.forEach([&](RoutedEndpoint& endpoint) { CHECK(endpoint.pausedUntil == TimePoint {}); });
+}
+
+// Guards against requests to endpoints that have asked for none for a while.
+TEST_CASE("endpoints that ask for a pause get nothing until its end, and clients are told when that is")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unary(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { pausing, pausing, fine };
+    CHECK(fixture.start()->isOpen());
+    fixture.scheduler.advance(10ms);
+    CHECK(fixture.endpointClient.requests.size() == 2);
+    auto client = fixture.start();
+    REQUIRE(client->outcome() == "not-run");
+    double seconds = std::stod(*client->head->headers.find("retry-after"));
+    CHECK(seconds > 5.9);
+    CHECK(seconds <= 6);
+    fixture.scheduler.advance(5'900ms);
+    CHECK(fixture.start()->outcome() == "not-run");
+    CHECK(fixture.endpointClient.requests.size() == 2);
+    fixture.scheduler.advance(200ms);
+    CHECK(fixture.runToEnd()->status() == 200);
+}
--- a/unittests/Platform/PlatformDialectTest.cpp
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -87,3 +87,19 @@
     question.path = "/other";
     CHECK_FALSE(dialect.readDirectoryQuestion(question));
 }
+
+TEST_CASE("what an endpoint says of itself in an answer is read")
+{
+    Dialect dialect = platformDialect();
+    AnswerFacts plain = dialect.readAnswer({ 200, { { "Attempt-Id", "1" }, { "Reply-Seal", "s" } } });
+    CHECK_FALSE(plain.isLeaving);
+    CHECK_FALSE(plain.pause);
+    CHECK(dialect.readAnswer({ 200, { { "Reply-Seal", "s" }, { "server-leaving", "1" } } }).isLeaving);
+    CHECK_FALSE(dialect.readAnswer({ 200, { { "Server-Leaving", "0" } } }).isLeaving);
+    auto pauseOf = [&](int status, const char* value) { return dialect.readAnswer({ status, { { "Not-Executed", "1" }, { "Retry-After", value } } }).pause; };
+    CHECK(pauseOf(503, "6") == 6s);
+    CHECK(pauseOf(503, "0.25") == 250ms);
+    CHECK_FALSE(pauseOf(429, "6"));
+    for (const char* value : { "", "-1", "0", "nan", "inf", "1e30", "Thu, 03 Dec 2026 08:00:00 GMT" })
+        CHECK_FALSE(pauseOf(503, value));
+}
