Refuse requests that crash endpoints at the gateway as well

The product's own interface sends a request again after a crash and knew it as little as the routed path did. What an entry learns of crashes moves to Membership, which both may use; the gateway counts what its entry has seen itself, for a team and caller, and refuses with 503 and not-run (502 if this request may have run). Its entries don't tell each other yet (open).

Test: "a request under which endpoints crashed one after another is refused, and others are served"; with the refusal taken out it fails (200 where 503 is due).

--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -3,6 +3,7 @@
 #include "catkinwing/Dispatch/AttemptSet.h"
 #include "catkinwing/Dispatch/SseSplicer.h"
 #include "catkinwing/Gateway/RequestBroker.h"
+#include "catkinwing/Support/RequestFingerprint.h"
 
 namespace catkinwing {
 
@@ -55,6 +56,8 @@
         std::string buffered;
         TimePoint startedAt;
         std::optional<TimePoint> firstTokenAt;
+        /// Of the endpoint's start.
+        std::uint32_t startHash { 0 };
         bool hasEnded { false };
     };
 
@@ -69,6 +72,10 @@
     HttpClientRequest forwardRequest(const ForwardTarget& target, AttemptId id) const;
     std::chrono::milliseconds timeLeft() const;
     bool isAllowedHere() const;
+    const RequestFingerprint& fingerprint();
+    bool refuseIfCrashing();
+    std::uint32_t startHash(const std::string& endpoint) const;
+    void learnCrash(const Attempt& attempt, const HttpResult& result, Outcome outcome);
 
     void onHead(AttemptId id, const HttpResponseHead& head);
     void onBody(AttemptId id, absl::string_view bytes);
@@ -105,6 +112,8 @@
     Phase m_phase { Phase::New };
     /// True between next() and finished() of the admission.
     bool m_isStarted { false };
+    /// Computed when it is first asked for.
+    std::optional<RequestFingerprint> m_fingerprint;
     AttemptSet m_attempts;
     std::map<AttemptId, Attempt> m_attemptData;
     SseSplicer m_splicer;
--- a/include/catkinwing/Ingress/CrashExchange.h
+++ b/include/catkinwing/Ingress/CrashExchange.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "catkinwing/Ingress/CrashingRequests.h"
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Ingress/OutgoingDatagram.h"
+#include "catkinwing/Membership/CrashingRequests.h"
 #include "catkinwing/Support/Random.h"
 #include <map>
 #include <vector>
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -2,11 +2,11 @@
 
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Http/HttpClient.h"
-#include "catkinwing/Ingress/CrashingRequests.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointTable.h"
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Ingress/RegionOutlooks.h"
+#include "catkinwing/Membership/CrashingRequests.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionPressure.h"
--- a/include/catkinwing/Ingress/CrashingRequests.h
+++ b/include/catkinwing/Membership/CrashingRequests.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "catkinwing/Membership/CrashHistory.h"
 #include "catkinwing/PeerProtocol/CrashReport.h"
-#include "catkinwing/Routing/CrashHistory.h"
 #include "catkinwing/Support/RequestFingerprint.h"
 #include <absl/container/flat_hash_map.h>
 #include <optional>
--- a/lib/Gateway/RequestBroker.cpp
+++ b/lib/Gateway/RequestBroker.cpp
@@ -244,6 +244,8 @@
 {
     TimePoint now = m_parts.scheduler.clock().now();
     dropAll(m_admission.expire(now));
+    m_crashing.houseKeep(now);
+    m_crashing.takeSettled();
     moveStranded();
     for (const std::string& model : m_parts.endpoints.models())
         m_admission.setSlots(model, m_parts.endpoints.slotsOf(model));
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -88,6 +88,8 @@
         refuse(residencyError());
         return;
     }
+    if (refuseIfCrashing())
+        return;
     PlacementResult result = m_broker.m_parts.endpoints.place(m_request.routing, nowOf(m_broker));
     if (const Placement* placement = std::get_if<Placement>(&result)) {
         startAt(*placement);
@@ -163,6 +165,7 @@
     Attempt attempt;
     attempt.endpoint = placement.endpoint;
     attempt.prefillTokens = placement.prefillTokens;
+    attempt.startHash = startHash(settings->name);
     attempt.startedAt = nowOf(m_broker);
     m_attemptData.emplace(*id, std::move(attempt));
     endpoints.began(placement.endpoint, m_request.routing, placement.prefillTokens, nowOf(m_broker));
@@ -196,6 +199,8 @@
 {
     Attempt& attempt = m_attemptData.at(id);
     attempt.head = head;
+    if (attempt.target == AttemptTarget::Endpoint)
+        m_broker.m_crashing.noteAlive(attempt.startHash, nowOf(m_broker));
     attempt.isDeliverable = isDeliverableHead(attempt.target, head);
     const std::string* type = head.headers.find("Content-Type");
     attempt.isEventStream = attempt.isDeliverable && type && absl::StartsWithIgnoreCase(*type, "text/event-stream") && m_request.isModelCall;
@@ -346,6 +351,7 @@
         return;
     Attempt& attempt = m_attemptData.at(id);
     AttemptResult concluded = conclude(attempt, result);
+    learnCrash(attempt, result, concluded.outcome);
     bool isRefusal = attempt.target == AttemptTarget::Endpoint && concluded.outcome == Outcome::NotRun && concluded.status != 0;
     if (isRefusal)
         noteRefusal(attempt);
--- a/lib/Routing/CrashHistory.cpp
+++ b/lib/Membership/CrashHistory.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Routing/CrashHistory.h"
+#include "catkinwing/Membership/CrashHistory.h"
 
 #include <algorithm>
 
--- a/lib/Ingress/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Ingress/CrashingRequests.h"
+#include "catkinwing/Membership/CrashingRequests.h"
 
 #include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -236,3 +236,39 @@
     CHECK(fixture.broker.queued() == 0);
     fixture.scheduler.advance(5s);
 }
+
+// Guards against a request that crashes one endpoint after another.
+TEST_CASE("a request under which endpoints crashed one after another is refused, and others are served")
+{
+    BrokerFixture fixture;
+    auto startAgain = [&](int start) {
+        for (const char* endpoint : { "engine-1", "engine-2" }) {
+            EndpointStatus status;
+            status.incarnation = "start-" + std::to_string(start);
+            fixture.endpoints.applyStatus(endpoint, status, fixture.scheduler.clock().now());
+        }
+    };
+    for (int i = 0; i < 3; ++i) {
+        startAgain(i);
+        fixture.answers = { FakeHttpAnswer::failed(HttpEnd::NoResponse, true) };
+        auto crashed = fixture.run(BrokerFixture::chat(false));
+        fixture.scheduler.advance(1s);
+        CHECK(crashed->status() == 502);
+        fixture.broker.tick();
+    }
+    startAgain(3);
+    fixture.scheduler.advance(20s);
+    fixture.answers = { FakeHttpAnswer::ok("{\"answer\":1}") };
+    std::size_t before = fixture.endpointClient.requests.size();
+    auto refused = fixture.run(BrokerFixture::chat(false));
+    fixture.scheduler.advance(100ms);
+    CHECK(refused->status() == 503);
+    CHECK(refused->outcome() == "not-run");
+    CHECK(refused->body.find("crashes_endpoints") != std::string::npos);
+    CHECK(fixture.endpointClient.requests.size() == before);
+    HttpRequest other = BrokerFixture::chat(false);
+    other.body.insert(other.body.size() - 1, ",\"user\":\"other\"");
+    auto served = fixture.run(std::move(other));
+    fixture.scheduler.advance(100ms);
+    CHECK(served->status() == 200);
+}
--- a/unittests/Ingress/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Ingress/CrashingRequests.h"
+#include "catkinwing/Membership/CrashingRequests.h"
 
 #include <catch2/catch.hpp>
 
