--- /dev/null
+++ b/unittests/Ingress/CrashExchangeTest.cpp
@@ -0,0 +1,129 @@
+#include "catkinwing/Ingress/CrashExchange.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+/// What control may cost an entry in a second.
+static constexpr std::size_t bytesPerSecond = 3'000;
+
+namespace {
+
+struct TellingEntry {
+    TellingEntry(EntryRecord entryRecord, Random& random)
+        : record(std::move(entryRecord))
+        , entries(record)
+        , exchange(requests, entries, record, random)
+    {
+    }
+
+    EntryRecord record;
+    EntryTable entries;
+    CrashingRequests requests;
+    CrashExchange exchange;
+    std::size_t bytes { 0 };
+};
+
+/// Entries of several regions and the datagrams between them.
+struct TellingWorld {
+    TellingWorld(std::size_t count, std::size_t regions)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            std::string region = "region-" + std::to_string(i % regions);
+            SocketAddress address { "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1), 7 };
+            entries.push_back(std::make_unique<TellingEntry>(EntryRecord { region, region + "-a", address, address }, random));
+            byAddress[address] = entries.back().get();
+        }
+        for (const auto& entry : entries) {
+            for (std::size_t i = 0; i < count; ++i)
+                entry->entries.put("entry-" + std::to_string(i), entries[i]->record);
+        }
+    }
+
+    /// Lets each entry speak; what it sends arrives at the next round.
+    void round()
+    {
+        now += 100ms;
+        for (const auto& [from, datagram] : std::exchange(underWay, {})) {
+            absl::StatusOr<CrashReport> report = decodeCrashReport(datagram.bytes);
+            REQUIRE(report.ok());
+            byAddress.at(datagram.to)->exchange.take(from, *report, now);
+        }
+        for (const auto& entry : entries) {
+            for (OutgoingDatagram& datagram : entry->exchange.tick(now)) {
+                entry->bytes += datagram.bytes.size();
+                underWay.emplace_back(entry->record.peers, std::move(datagram));
+            }
+        }
+    }
+    void rounds(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            round();
+    }
+
+    void crash(std::size_t entry, unsigned char request, std::uint32_t endpoint)
+    {
+        RequestFingerprint fingerprint;
+        fingerprint.bytes[0] = request;
+        entries[entry]->requests.noteBroken(fingerprint, endpoint, {}, now);
+    }
+    std::size_t knowing() const
+    {
+        RequestFingerprint fingerprint;
+        fingerprint.bytes[0] = 1;
+        return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry->requests.refusedFor(fingerprint, now).has_value(); }));
+    }
+    /// Returns the most bytes that an entry has sent since the last call.
+    std::size_t mostBytes()
+    {
+        std::size_t most = 0;
+        for (const auto& entry : entries)
+            most = std::max(most, std::exchange(entry->bytes, 0));
+        return most;
+    }
+
+    TimePoint now { 100s };
+    Random random { 5 };
+    std::vector<std::unique_ptr<TellingEntry>> entries;
+    std::map<SocketAddress, TellingEntry*> byAddress;
+    std::vector<std::pair<SocketAddress, OutgoingDatagram>> underWay;
+};
+
+} // namespace
+
+// Guards against costs that grow with the number of entries.
+TEST_CASE("crashes that three entries saw are known to all soon, at no more bytes for each where they are many")
+{
+    for (std::size_t count : { 7, 30, 295, 550 }) {
+        TellingWorld world(count, 3);
+        for (std::uint32_t i = 0; i < crashesBeforeRefusal; ++i) {
+            world.crash(i * count / crashesBeforeRefusal, 1, 100 + i);
+            world.rounds(4);
+        }
+        // The last crash is settled after half a second and told within one more.
+        world.rounds(12);
+        INFO(count << " entries");
+        CHECK(world.knowing() == count);
+        CHECK(world.mostBytes() <= bytesPerSecond * 2);
+        world.rounds(100);
+        CHECK(world.mostBytes() <= bytesPerSecond);
+    }
+}
+
+// Guards against a crash by chance that costs as much as the requests it broke.
+TEST_CASE("the crash of an endpoint with many requests is told to few, and no request is refused for it")
+{
+    TellingWorld world(295, 3);
+    for (unsigned char i = 0; i < 64; ++i)
+        world.crash(static_cast<std::size_t>(i) * 4, i, 100);
+    world.rounds(10);
+    CHECK(world.mostBytes() <= bytesPerSecond);
+    CHECK(world.knowing() == 0);
+    world.rounds(50);
+    CHECK(world.mostBytes() == 0);
+}
