--- a/unittests/Ingress/CrashWorld.cpp
+++ b/unittests/Ingress/CrashWorld.cpp
@@ -12,6 +12,7 @@
 static constexpr milliseconds registrationLapse { 1'500 };
 static constexpr milliseconds refusedConnection { 2 };
 static constexpr milliseconds step { 10 };
+static constexpr milliseconds routeTimeout { 4'000 };
 static constexpr milliseconds tellInterval { 100 };
 static constexpr milliseconds insideRegion { 1 };
 static constexpr milliseconds betweenRegions { 55 };
@@ -116,7 +117,7 @@
     : random(seed)
 {
     Route route = IngressFixture::unary(RequestKind::Idempotent);
-    route.timeout = milliseconds(4'000);
+    route.timeout = routeTimeout;
     route.homeRegions = std::move(homeRegions);
     ServiceSettings service;
     service.name = "service";
@@ -152,7 +153,11 @@
         parts.entries.put(entryKey(i), m_records[i]);
 }
 
-CrashWorld::~CrashWorld() = default;
+// Lets the requests that are under way reach their deadlines.
+CrashWorld::~CrashWorld()
+{
+    scheduler.advance(routeTimeout + step);
+}
 
 IngressParts& CrashWorld::partsOf(std::size_t entry)
 {
