--- a/include/catkinwing/Admission/RetryWindow.h
+++ b/include/catkinwing/Admission/RetryWindow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinwing/Support/Clock.h"
+#include <cstdint>
 #include <deque>
 
 namespace catkinwing {
@@ -14,6 +15,14 @@
     Duration window { std::chrono::seconds(10) };
 };
 
+/// What a window has counted since its entry started.
+struct RetryTotals {
+    std::uint64_t requests { 0 };
+    std::uint64_t retries { 0 };
+    /// Retries that were not made for want of budget.
+    std::uint64_t denied { 0 };
+};
+
 /// Counts requests and retries over a sliding window, so that a crash under load
 /// may use at once what the requests before it have earned, and no window holds
 /// more retries than are allowed.
@@ -24,6 +33,9 @@
     /// Takes one retry; false if none is left.
     bool tryRetry(TimePoint now);
     bool hasRetry(TimePoint now) const;
+    /// Counts a retry that was not made because none is left.
+    void noteDenied() { ++m_totals.denied; }
+    const RetryTotals& totals() const { return m_totals; }
 
 private:
     struct Step {
@@ -34,6 +46,7 @@
     Step& stepAt(TimePoint now);
 
     RetryAllowance m_allowance;
+    RetryTotals m_totals;
     /// The oldest first.
     std::deque<Step> m_steps;
 };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -126,6 +126,7 @@
     void settleAttempt(AttemptVerdict verdict, const std::string& detail);
     void takeAnswer();
     void takeFailure(AttemptVerdict verdict);
+    NextStep decideNextStep(AttemptVerdict verdict);
 
     HttpResponseHead withStatements(HttpResponseHead head) const;
     void deliverHead(const HttpResponseHead& head);
@@ -156,6 +157,8 @@
     /// An endpoint has had the request, so that a further one draws on the budget.
     bool m_hasArrived { false };
     bool m_lastRan { false };
+    /// It would have been sent again if the budget had allowed it.
+    bool m_wasDeniedRetry { false };
     /// Where the last attempt went and why, for logs.
     std::string m_lastPlace;
     const char* m_lastWhy { "" };
--- a/lib/Admission/RetryWindow.cpp
+++ b/lib/Admission/RetryWindow.cpp
@@ -17,6 +17,7 @@
 void RetryWindow::noteRequest(TimePoint now)
 {
     ++stepAt(now).requests;
+    ++m_totals.requests;
 }
 
 // A step that lies only partly in the window counts with its retries and not
@@ -40,6 +41,7 @@
     if (!hasRetry(now))
         return false;
     ++stepAt(now).retries;
+    ++m_totals.retries;
     return true;
 }
 
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -141,6 +141,8 @@
     void reportLoad();
     void reportRegion();
     void logState();
+    /// Returns what has been counted for the retry budget of each service.
+    nlohmann::json retryTotals() const;
     void houseKeep();
     void checkDrained();
 
@@ -293,6 +295,11 @@
     metrics.set("watches_store", relayed.isDirect() ? 1 : 0);
     metrics.set("store_age_seconds", std::chrono::duration<double>(relayed.age().value_or(Duration::zero())).count());
     metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashing.refused(loop.clock().now())));
+    for (const auto& [service, budget] : parts.retryBudgets) {
+        metrics.set("retry_budget_requests_" + service, static_cast<double>(budget.totals().requests));
+        metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
+        metrics.set("retry_budget_denied_" + service, static_cast<double>(budget.totals().denied));
+    }
     metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entries()));
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
@@ -367,6 +374,16 @@
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
 
+nlohmann::json IngressDaemon::Impl::retryTotals() const
+{
+    nlohmann::json totals = nlohmann::json::object();
+    for (const auto& [service, budget] : parts.retryBudgets) {
+        const RetryTotals& counted = budget.totals();
+        totals[service] = { { "requests", counted.requests }, { "retries", counted.retries }, { "denied", counted.denied } };
+    }
+    return totals;
+}
+
 // What the entry believes and has spent, for whoever has only the logs.
 void IngressDaemon::Impl::logState()
 {
@@ -378,7 +395,7 @@
         { { "open_requests", parts.openRequests }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
             { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayed.isDirect() },
             { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayed.age().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
-            { "log_lines_dropped", log.dropped() } });
+            { "retry_budgets", retryTotals() }, { "log_lines_dropped", log.dropped() } });
 }
 
 // The registration follows readiness, so that the directory names an entry only
@@ -414,7 +431,7 @@
     bool hasRested = isQuiet && passed >= std::min<Duration>(minimumDrain, ingress.drainTimeout / 2);
     bool mustEnd = loop.clock().now() >= parts.stop->endsBy;
     if (mustEnd || (hasRested && parts.openRequests == 0)) {
-        logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequests } });
+        logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequests }, { "retry_budgets", retryTotals() } });
         drained();
         return;
     }
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -320,6 +320,22 @@
     return progress;
 }
 
+NextStep RoutedRun::decideNextStep(AttemptVerdict verdict)
+{
+    RunProgress actual = progress();
+    NextStep next = decideNext(verdict, actual);
+    if (actual.hasBudget)
+        return next;
+    RunProgress withBudget = actual;
+    withBudget.hasBudget = true;
+    m_wasDeniedRetry = decideNext(verdict, withBudget) == NextStep::SendAgain;
+    if (m_wasDeniedRetry) {
+        m_parts.retryBudgetOf(m_service).noteDenied();
+        m_parts.metrics.count("retries_denied");
+    }
+    return next;
+}
+
 void RoutedRun::takeFailure(AttemptVerdict verdict)
 {
     absl::optional<Attempt> failed = std::exchange(m_attempt, absl::nullopt);
@@ -327,7 +343,7 @@
         refuseEverywhere(*failed->statedReturn);
         return;
     }
-    switch (decideNext(verdict, progress())) {
+    switch (decideNextStep(verdict)) {
     case NextStep::SendAgain:
         if (m_hasArrived)
             m_parts.retryBudgetOf(m_service).tryRetry(now());
@@ -483,6 +499,8 @@
         };
         if (m_firstByteAt != TimePoint {})
             fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
+        if (m_wasDeniedRetry)
+            fields["retry_denied"] = true;
         if (m_cursor.events() > 0)
             fields["events"] = m_cursor.events();
         if (m_attempts > 0) {
