Add failing tests for repeats beyond the budget

Six entries of two regions beside endpoints that refuse 55 % to 75 %, with forwards between the entries, without a network.

The fleet of the crash tests gets refusals, forwards and killed entries, and a name that fits both.

--- a/unittests/Ingress/CrashWorld.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -1,6 +1,7 @@
-#include "CrashWorld.h"
+#include "EntryFleet.h"
 
 #include "catkinwing/Ingress/CrashExchange.h"
+#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <cassert>
 
@@ -10,6 +11,7 @@
 
 /// An endpoint that crashed is out of the store this much later.
 static constexpr milliseconds registrationLapse { 1'500 };
+static constexpr milliseconds entryLease { 4'000 };
 static constexpr milliseconds refusedConnection { 2 };
 static constexpr milliseconds step { 10 };
 static constexpr milliseconds routeTimeout { 4'000 };
@@ -19,10 +21,10 @@
 static const std::string regions[] = { "north", "south" };
 
 /// The path of one entry to the endpoints.
-class CrashWorld::Client final : public HttpClient {
+class EntryFleet::Client final : public HttpClient {
 public:
-    Client(CrashWorld& world, std::size_t entry)
-        : m_world(world)
+    Client(EntryFleet& fleet, std::size_t entry)
+        : m_fleet(fleet)
         , m_entry(entry)
     {
     }
@@ -40,9 +42,9 @@
     std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
     {
         auto exchange = std::make_shared<Exchange>();
-        std::shared_ptr<CrashingEndpoint> endpoint = m_world.endpointAt(request.server);
+        std::shared_ptr<CrashingEndpoint> endpoint = m_fleet.endpointAt(request.server);
         if (!endpoint) {
-            m_world.scheduler.callAfter(refusedConnection, [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::ConnectFailed); });
+            m_fleet.scheduler.callAfter(refusedConnection, [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::ConnectFailed); });
             return exchange;
         }
         exchange->mayHaveReached = true;
@@ -61,18 +63,28 @@
 
     void arrive(CrashingEndpoint& endpoint, const HttpClientRequest& request, const HttpClientCallbacks& callbacks, const std::shared_ptr<Exchange>& exchange)
     {
-        m_world.arrivals.push_back({ request.body, m_entry, m_world.now() });
-        std::uint64_t number = ++m_world.m_requests;
+        m_fleet.arrivals.push_back({ *request.headers.find("request-id"), request.body, m_entry, m_fleet.now() });
+        if (m_fleet.random.unit() < m_fleet.refused) {
+            m_fleet.scheduler.callAfter(insideRegion, [exchange, callbacks] {
+                if (exchange->isCancelled)
+                    return;
+                FakeHttpAnswer answer = catkinwing::refused();
+                callbacks.onHead({ answer.status, answer.headers });
+                callbacks.onEnd({ HttpEnd::Complete, true, "" });
+            });
+            return;
+        }
+        std::uint64_t number = ++m_fleet.m_requests;
         endpoint.breakOff[number] = [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); };
-        bool isDeadly = request.body == deadlyBody && !m_world.isRepaired;
-        std::weak_ptr<CrashingEndpoint> weak = m_world.endpointAt(request.server);
-        m_world.scheduler.callAfter(isDeadly ? m_world.crashesAfter : m_world.runsFor, [this, weak, number, isDeadly, exchange, callbacks, request] {
+        bool isDeadly = request.body == deadlyBody && !m_fleet.isRepaired;
+        std::weak_ptr<CrashingEndpoint> weak = m_fleet.endpointAt(request.server);
+        m_fleet.scheduler.callAfter(isDeadly ? m_fleet.crashesAfter : m_fleet.runsFor, [this, weak, number, isDeadly, exchange, callbacks, request] {
             std::shared_ptr<CrashingEndpoint> at = weak.lock();
             if (!at || !at->isUp)
                 return;
             if (isDeadly) {
-                m_world.crashes.push_back(m_world.now());
-                m_world.crash(at);
+                m_fleet.crashes.push_back(m_fleet.now());
+                m_fleet.crash(at);
                 return;
             }
             at->breakOff.erase(number);
@@ -85,35 +97,135 @@
         });
     }
 
-    CrashWorld& m_world;
+    EntryFleet& m_fleet;
+    std::size_t m_entry;
+};
+
+/// Takes an entry's answer to a forwarded request back to the entry that sent it.
+class EntryFleet::PeerResponder final : public HttpResponder {
+public:
+    PeerResponder(Scheduler& scheduler, HttpClientCallbacks callbacks)
+        : m_scheduler(scheduler)
+        , m_callbacks(std::move(callbacks))
+        , m_exchange(std::make_shared<Client::Exchange>())
+    {
+        m_exchange->mayHaveReached = true;
+    }
+
+    void sendHead(const HttpResponseHead& head) override
+    {
+        later([head](const HttpClientCallbacks& to) { to.onHead(head); });
+    }
+    void write(std::string bytes) override
+    {
+        later([bytes](const HttpClientCallbacks& to) { to.onBody(bytes); });
+    }
+    void finish() override { end(HttpEnd::Complete); }
+    void abort() override { end(HttpEnd::Truncated); }
+    void send(const HttpResponseHead& head, std::string body) override
+    {
+        sendHead(head);
+        write(std::move(body));
+        finish();
+    }
+    bool isOpen() const override { return !m_hasEnded; }
+    std::size_t pendingBytes() const override { return 0; }
+    void onWritable(std::function<void()>) override { }
+    void onClosed(std::function<void()> callback) override { m_closed = std::move(callback); }
+
+    /// The process that was to answer ends.
+    void breakOff()
+    {
+        std::function<void()> closed = std::move(m_closed);
+        if (!m_hasEnded)
+            end(HttpEnd::NoResponse);
+        if (closed)
+            closed();
+    }
+    std::shared_ptr<Client::Exchange> exchange() const { return m_exchange; }
+
+private:
+    void later(std::function<void(const HttpClientCallbacks&)> tell)
+    {
+        m_scheduler.callAfter(betweenRegions, [exchange = m_exchange, callbacks = m_callbacks, tell = std::move(tell)] {
+            if (!exchange->isCancelled)
+                tell(callbacks);
+        });
+    }
+    void end(HttpEnd how)
+    {
+        m_hasEnded = true;
+        m_closed = nullptr;
+        later([how](const HttpClientCallbacks& to) { to.onEnd({ how, true, "" }); });
+    }
+
+    Scheduler& m_scheduler;
+    HttpClientCallbacks m_callbacks;
+    std::shared_ptr<Client::Exchange> m_exchange;
+    std::function<void()> m_closed;
+    bool m_hasEnded { false };
+};
+
+/// The path of one entry to the entries of the other region.
+class EntryFleet::PeerClient final : public HttpClient {
+public:
+    PeerClient(EntryFleet& fleet, std::size_t entry)
+        : m_fleet(fleet)
+        , m_entry(entry)
+    {
+    }
+
+    std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
+    {
+        std::size_t to = m_fleet.m_entryAt.at(request.server);
+        bool isCut = m_fleet.m_areRegionsCut && m_fleet.m_records[m_entry].region != m_fleet.m_records[to].region;
+        if (isCut || !m_fleet.isUp(to)) {
+            auto exchange = std::make_shared<Client::Exchange>();
+            m_fleet.scheduler.callAfter(refusedConnection, [exchange, callbacks] {
+                if (!exchange->isCancelled)
+                    callbacks.onEnd({ HttpEnd::ConnectFailed, false, "fault of the fake" });
+            });
+            return exchange;
+        }
+        auto responder = std::make_shared<PeerResponder>(m_fleet.scheduler, std::move(callbacks));
+        m_fleet.scheduler.callAfter(betweenRegions, [this, to, responder, request = std::move(request)] { m_fleet.takeForward(to, request, responder); });
+        return responder->exchange();
+    }
+    void forget(const SocketAddress&) override { }
+    void replaceTls(std::shared_ptr<TlsContext>) override { }
+
+private:
+    EntryFleet& m_fleet;
     std::size_t m_entry;
 };
 
-struct CrashWorld::Entry {
-    Entry(CrashWorld& world, std::size_t index, std::string entryKey, EntryRecord entryRecord)
+struct EntryFleet::Entry {
+    Entry(EntryFleet& fleet, std::size_t index, std::string entryKey, EntryRecord entryRecord)
         : key(std::move(entryKey))
         , record(std::move(entryRecord))
-        , client(world, index)
-        , peers(world.scheduler)
-        , log(world.scheduler.clock())
-        , parts { world.scheduler, world.random, client, peers, metrics, log, world.m_dialect, record.region,
-            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(world.random.bits()) }
-        , exchange(parts.crashing, parts.entries, record, world.random)
+        , client(fleet, index)
+        , peers(fleet, index)
+        , log(fleet.scheduler.clock())
+        , parts { fleet.scheduler, fleet.random, client, peers, metrics, log, fleet.m_dialect, record.region,
+            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(fleet.random.bits()) }
+        , exchange(parts.crashing, parts.entries, record, fleet.random)
     {
-        peers.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false); };
     }
 
     std::string key;
     EntryRecord record;
     Client client;
-    FakeHttpClient peers;
+    PeerClient peers;
     Metrics metrics;
     DecisionLog log;
     IngressParts parts;
     CrashExchange exchange;
+    bool isUp { true };
+    /// What was forwarded here.
+    std::vector<std::weak_ptr<PeerResponder>> forwards;
 };
 
-CrashWorld::CrashWorld(unsigned seed, std::size_t entriesPerRegion, std::size_t endpointsPerRegion, std::vector<std::string> homeRegions)
+EntryFleet::EntryFleet(unsigned seed, std::size_t entriesPerRegion, std::size_t endpointsPerRegion, std::vector<std::string> homeRegions)
     : random(seed)
 {
     Route route = IngressFixture::unary(RequestKind::Idempotent);
@@ -143,7 +255,7 @@
     return "entry-" + std::to_string(index);
 }
 
-void CrashWorld::makeEntry(std::size_t index)
+void EntryFleet::makeEntry(std::size_t index)
 {
     m_entries[index] = std::make_unique<Entry>(*this, index, entryKey(index), m_records[index]);
     m_entryAt[m_records[index].peers] = index;
@@ -154,31 +266,54 @@
 }
 
 // Lets the requests that are under way reach their deadlines.
-CrashWorld::~CrashWorld()
+EntryFleet::~EntryFleet()
 {
     scheduler.advance(routeTimeout + step);
 }
 
-IngressParts& CrashWorld::partsOf(std::size_t entry)
+IngressParts& EntryFleet::partsOf(std::size_t entry)
 {
     return m_entries[entry]->parts;
 }
 
-void CrashWorld::send(std::size_t entry, const std::string& body, const std::string& host)
+void EntryFleet::send(std::size_t entry, const std::string& body, const std::string& host)
 {
-    SentRequest request { body, entry, now(), std::make_shared<FakeResponder>() };
+    SentRequest request { "id-" + std::to_string(sent.size()), body, entry, now(), std::make_shared<FakeResponder>() };
     RoutedRequest routed;
     routed.http.method = "POST";
     routed.http.path = "/p/1";
     routed.http.body = body;
     routed.http.headers.add("host", host);
-    routed.http.headers.add("request-id", "id-" + std::to_string(sent.size()));
+    routed.http.headers.add("request-id", request.id);
     routed.facts = m_dialect.readRequest(routed.http);
     routed.arrivedAt = now();
-    std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), request.answer)->begin();
+    if (isUp(entry))
+        std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), request.answer)->begin();
     sent.push_back(std::move(request));
 }
 
+void EntryFleet::takeForward(std::size_t entry, const HttpClientRequest& request, const std::shared_ptr<PeerResponder>& responder)
+{
+    if (!isUp(entry)) {
+        responder->breakOff();
+        return;
+    }
+    RoutedRequest routed;
+    routed.http.method = request.method;
+    routed.http.path = request.target;
+    routed.http.body = request.body;
+    routed.http.headers = request.headers;
+    routed.facts = m_dialect.readRequest(routed.http);
+    routed.isForwarded = true;
+    unsigned attempts = 0;
+    const std::string* text = request.headers.find(attemptsLeftHeader);
+    if (text && absl::SimpleAtoi(*text, &attempts))
+        routed.attemptsLeft = attempts;
+    routed.arrivedAt = now();
+    m_entries[entry]->forwards.push_back(responder);
+    std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), responder)->begin();
+}
+
 static EndpointRecord recordOf(const CrashingEndpoint& endpoint)
 {
     EndpointRecord record;
@@ -189,7 +324,7 @@
     return record;
 }
 
-void CrashWorld::advance(Duration span)
+void EntryFleet::advance(Duration span)
 {
     for (Duration passed { 0 }; passed < span; passed += step) {
         scheduler.advance(step);
@@ -200,9 +335,11 @@
     }
 }
 
-void CrashWorld::tell()
+void EntryFleet::tell()
 {
     for (std::size_t from = 0; from < m_entries.size(); ++from) {
+        if (!isUp(from))
+            continue;
         for (const OutgoingDatagram& datagram : m_entries[from]->exchange.tick(now())) {
             bytesTold[from] += datagram.bytes.size();
             std::size_t to = m_entryAt.at(datagram.to);
@@ -219,18 +356,50 @@
     }
 }
 
-// A request that is still under way belongs to the process that was there before.
-void CrashWorld::restartEntry(std::size_t entry)
+bool EntryFleet::isUp(std::size_t entry) const
+{
+    return m_entries[entry]->isUp;
+}
+
+void EntryFleet::removeRegistration(std::size_t entry)
+{
+    for (const auto& other : m_entries)
+        other->parts.entries.remove(entryKey(entry), now());
+}
+
+void EntryFleet::killEntry(std::size_t entry)
+{
+    m_entries[entry]->isUp = false;
+    for (const SentRequest& request : sent) {
+        if (request.entry == entry && request.answer->isOpen())
+            request.answer->leave();
+    }
+    for (const std::weak_ptr<PeerResponder>& forward : m_entries[entry]->forwards) {
+        if (std::shared_ptr<PeerResponder> open = forward.lock())
+            open->breakOff();
+    }
+    scheduler.callAfter(entryLease, [this, entry] {
+        if (!isUp(entry))
+            removeRegistration(entry);
+    });
+}
+
+void EntryFleet::restartEntry(std::size_t entry)
 {
     assert(m_entries[entry]->parts.openRequests == 0 && "the entry has no requests");
+    m_ended.push_back(std::move(m_entries[entry]));
     makeEntry(entry);
+    for (const auto& other : m_entries) {
+        if (other)
+            other->parts.entries.put(entryKey(entry), m_records[entry]);
+    }
     for (const auto& endpoint : m_endpoints) {
         if (endpoint->isUp)
             m_entries[entry]->parts.endpoints.put(recordOf(*endpoint), now());
     }
 }
 
-void CrashWorld::startEndpoint(const std::string& region, const SocketAddress& address)
+void EntryFleet::startEndpoint(const std::string& region, const SocketAddress& address)
 {
     auto endpoint = std::make_shared<CrashingEndpoint>();
     endpoint->incarnation = "e" + std::to_string(++m_starts);
@@ -241,7 +410,7 @@
         entry->parts.endpoints.put(recordOf(*endpoint), now());
 }
 
-void CrashWorld::crash(const std::shared_ptr<CrashingEndpoint>& endpoint)
+void EntryFleet::crash(const std::shared_ptr<CrashingEndpoint>& endpoint)
 {
     endpoint->isUp = false;
     for (const auto& [number, breakOff] : std::exchange(endpoint->breakOff, {}))
@@ -256,7 +425,7 @@
     });
 }
 
-void CrashWorld::crashOne(const std::string& region)
+void EntryFleet::crashOne(const std::string& region)
 {
     for (const auto& endpoint : m_endpoints) {
         if (endpoint->isUp && endpoint->region == region) {
@@ -266,7 +435,7 @@
     }
 }
 
-void CrashWorld::crashAll()
+void EntryFleet::crashAll()
 {
     for (const auto& endpoint : m_endpoints) {
         if (endpoint->isUp)
@@ -274,7 +443,7 @@
     }
 }
 
-std::shared_ptr<CrashingEndpoint> CrashWorld::endpointAt(const SocketAddress& address) const
+std::shared_ptr<CrashingEndpoint> EntryFleet::endpointAt(const SocketAddress& address) const
 {
     for (const auto& endpoint : m_endpoints) {
         if (endpoint->isUp && endpoint->address == address)
@@ -283,12 +452,12 @@
     return nullptr;
 }
 
-std::size_t CrashWorld::arrivalsAfter(const std::string& body, TimePoint time) const
+std::size_t EntryFleet::arrivalsAfter(const std::string& body, TimePoint time) const
 {
     return static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& arrival) { return arrival.body == body && arrival.at > time; }));
 }
 
-double CrashWorld::servedShare(const std::string& body, TimePoint from) const
+double EntryFleet::servedShare(const std::string& body, TimePoint from) const
 {
     std::size_t all = 0;
     std::size_t served = 0;
--- a/unittests/Ingress/CrashWorld.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -1,4 +1,4 @@
-// Entries of two regions beside endpoints that crash, without a network.
+// Entries of two regions beside endpoints that crash or refuse, without a network.
 #pragma once
 
 #include "Gateway/FakeResponder.h"
@@ -24,6 +24,7 @@
 
 /// A client's request that has been given to an entry.
 struct SentRequest {
+    std::string id;
     std::string body;
     std::size_t entry { 0 };
     TimePoint at {};
@@ -32,16 +33,17 @@
 
 /// Arrival of a request at an endpoint.
 struct Arrival {
+    std::string request;
     std::string body;
     std::size_t entry { 0 };
     TimePoint at {};
 };
 
-class CrashWorld {
+class EntryFleet {
 public:
     /// As many entries and endpoints in each region as told.
-    explicit CrashWorld(unsigned seed, std::size_t entriesPerRegion = 3, std::size_t endpointsPerRegion = 6, std::vector<std::string> homeRegions = {});
-    ~CrashWorld();
+    explicit EntryFleet(unsigned seed, std::size_t entriesPerRegion = 3, std::size_t endpointsPerRegion = 6, std::vector<std::string> homeRegions = {});
+    ~EntryFleet();
 
     /// Gives a request to an entry.
     void send(std::size_t entry, const std::string& body, const std::string& host = "h");
@@ -54,10 +56,18 @@
     void crashAll();
     /// Gives an entry's place to a new process that knows nothing.
     void restartEntry(std::size_t entry);
+    /// Ends an entry's process with all that is under way there; its registration
+    /// lapses later.
+    void killEntry(std::size_t entry);
+    bool isUp(std::size_t entry) const;
+    /// Takes an entry's registration from all others.
+    void removeRegistration(std::size_t entry);
     /// Cuts off what entries of different regions tell each other, or heals it.
     void cutRegions(bool isCut) { m_areRegionsCut = isCut; }
     /// Nothing that is told reaches the entry or leaves it.
     void silence(std::size_t entry) { m_silenced.insert(entry); }
+    /// Part of what arrives that endpoints refuse to run.
+    double refused { 0 };
     /// Part of what entries tell each other that is lost.
     double lost { 0 };
     /// Bytes of reports of crashes that each entry has sent.
@@ -86,16 +96,21 @@
 
 private:
     class Client;
+    class PeerClient;
+    class PeerResponder;
     struct Entry;
 
     void startEndpoint(const std::string& region, const SocketAddress& address);
     void crash(const std::shared_ptr<CrashingEndpoint>& endpoint);
     void makeEntry(std::size_t index);
     void tell();
+    void takeForward(std::size_t entry, const HttpClientRequest& request, const std::shared_ptr<PeerResponder>& responder);
     std::shared_ptr<CrashingEndpoint> endpointAt(const SocketAddress& address) const;
 
     Dialect m_dialect { testDialect() };
     std::vector<std::unique_ptr<Entry>> m_entries;
+    /// Processes that have ended.
+    std::vector<std::unique_ptr<Entry>> m_ended;
     std::vector<std::shared_ptr<CrashingEndpoint>> m_endpoints;
     std::size_t m_starts { 0 };
     std::uint64_t m_requests { 0 };
--- /dev/null
+++ b/unittests/Ingress/RetryBudgetTest.cpp
@@ -0,0 +1,179 @@
+// What all entries together send again while endpoints refuse.
+#include "EntryFleet.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <unordered_set>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static constexpr double ratio = 0.2;
+static constexpr double slack = 50;
+static constexpr Duration window = 10s;
+static constexpr Duration step = 10ms;
+static constexpr Duration untilRefusals = 10s;
+
+namespace {
+
+/// The ten seconds in which most arrivals beyond the first of each request came,
+/// measured by what is allowed there.
+struct WorstWindow {
+    std::size_t repeats { 0 };
+    double allowed { 0 };
+    double excess() const { return static_cast<double>(repeats) - allowed; }
+};
+
+std::size_t countWithin(const std::vector<TimePoint>& times, TimePoint from)
+{
+    auto first = std::lower_bound(times.begin(), times.end(), from);
+    auto last = std::lower_bound(times.begin(), times.end(), from + window);
+    return static_cast<std::size_t>(last - first);
+}
+
+std::vector<TimePoint> repeatsOf(const EntryFleet& fleet)
+{
+    std::unordered_set<std::string> arrived;
+    std::vector<TimePoint> repeats;
+    for (const Arrival& arrival : fleet.arrivals) {
+        if (!arrived.insert(arrival.request).second)
+            repeats.push_back(arrival.at);
+    }
+    return repeats;
+}
+
+WorstWindow worstWindow(const EntryFleet& fleet)
+{
+    std::vector<TimePoint> repeats = repeatsOf(fleet);
+    std::vector<TimePoint> requests;
+    for (const SentRequest& request : fleet.sent)
+        requests.push_back(request.at);
+    WorstWindow worst;
+    for (TimePoint from = requests.front(); from < fleet.now(); from += step) {
+        std::size_t earning = std::max({ countWithin(requests, from), countWithin(requests, from - window / 2), countWithin(requests, from - window) });
+        WorstWindow seen { countWithin(repeats, from), ratio * static_cast<double>(earning) + slack };
+        if (seen.repeats > 0 && (worst.repeats == 0 || seen.excess() > worst.excess()))
+            worst = seen;
+    }
+    return worst;
+}
+
+using EntryChoice = std::function<std::size_t(EntryFleet&)>;
+
+std::size_t anyEntry(EntryFleet& fleet)
+{
+    return fleet.random.below(fleet.entries());
+}
+
+/// Entries of the first region come first.
+std::size_t anyOfFirstRegion(EntryFleet& fleet)
+{
+    return fleet.random.below(fleet.entries() / 2);
+}
+
+std::size_t anyOfSecondRegion(EntryFleet& fleet)
+{
+    return fleet.entries() / 2 + fleet.random.below(fleet.entries() / 2);
+}
+
+void sendFor(EntryFleet& fleet, Duration span, double perSecond, const EntryChoice& choose)
+{
+    double perStep = perSecond * std::chrono::duration<double>(step).count();
+    for (Duration passed { 0 }; passed < span; passed += step) {
+        double due = perStep;
+        for (; due >= 1; --due)
+            fleet.send(choose(fleet), "body");
+        if (fleet.random.unit() < due)
+            fleet.send(choose(fleet), "body");
+        fleet.advance(step);
+    }
+}
+
+void beginRefusals(EntryFleet& fleet)
+{
+    fleet.refused = 0.55 + 0.2 * fleet.random.unit();
+}
+
+void checkWithinBudget(const EntryFleet& fleet, unsigned seed)
+{
+    WorstWindow worst = worstWindow(fleet);
+    INFO("seed " << seed);
+    CHECK(static_cast<double>(worst.repeats) <= worst.allowed);
+}
+
+} // namespace
+
+// Guards against entries that spend what they earned from clients who have moved,
+// while those who got the clients earn it once more.
+TEST_CASE("repeats keep to the budget of all requests while clients move to entries elsewhere")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        sendFor(fleet, untilRefusals, 100, anyOfFirstRegion);
+        beginRefusals(fleet);
+        sendFor(fleet, 1500ms, 100, anyOfFirstRegion);
+        sendFor(fleet, 12s, 100, anyOfSecondRegion);
+        sendFor(fleet, 6s, 100, anyOfFirstRegion);
+        checkWithinBudget(fleet, seed);
+    }
+}
+
+// Guards against entries that forget with each start what they have spent.
+TEST_CASE("repeats keep to the budget of all requests while entries are killed and start again in turn")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        EntryChoice anyUp = [](EntryFleet& among) {
+            std::size_t entry = anyEntry(among);
+            while (!among.isUp(entry))
+                entry = anyEntry(among);
+            return entry;
+        };
+        sendFor(fleet, untilRefusals, 100, anyUp);
+        beginRefusals(fleet);
+        sendFor(fleet, 500ms, 100, anyUp);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+            fleet.killEntry(entry % 3);
+            sendFor(fleet, 1s, 100, anyUp);
+            fleet.restartEntry(entry % 3);
+            sendFor(fleet, 500ms, 100, anyUp);
+        }
+        sendFor(fleet, 10s, 100, anyUp);
+        checkWithinBudget(fleet, seed);
+    }
+}
+
+// Guards against a part of the slack that grows while registrations lapse.
+TEST_CASE("repeats keep to the budget of all requests while regions are cut off and registrations lapse")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        sendFor(fleet, untilRefusals, 20, anyOfFirstRegion);
+        fleet.cutRegions(true);
+        for (std::size_t entry = 1; entry < fleet.entries(); ++entry)
+            fleet.removeRegistration(entry);
+        beginRefusals(fleet);
+        sendFor(fleet, 1500ms, 20, anyOfFirstRegion);
+        sendFor(fleet, 12s, 20, anyOfSecondRegion);
+        checkWithinBudget(fleet, seed);
+    }
+}
+
+// Guards against a bound that is kept by hardly ever sending again.
+TEST_CASE("at least half of the budget is used under steady load while endpoints refuse")
+{
+    for (double perSecond : { 10.0, 100.0 }) {
+        EntryFleet fleet(1);
+        sendFor(fleet, untilRefusals, perSecond, anyEntry);
+        beginRefusals(fleet);
+        TimePoint began = fleet.now();
+        constexpr int windows = 3;
+        sendFor(fleet, window * windows, perSecond, anyEntry);
+        checkWithinBudget(fleet, 1);
+        std::vector<TimePoint> repeats = repeatsOf(fleet);
+        auto used = std::count_if(repeats.begin(), repeats.end(), [began](TimePoint at) { return at >= began; });
+        double allowed = ratio * perSecond * std::chrono::duration<double>(window).count() + slack;
+        INFO(perSecond << " requests a second");
+        CHECK(static_cast<double>(used) >= windows * allowed / 2);
+    }
+}
