Bound each entry's retries so that the sum over all entries keeps the budget

Callers saw endpoints that were already refusing get up to half more repeats than the operators allow, as soon as clients moved to other entries or entries started again; requests of those who stayed were crowded out.

Cause: an entry might send again 0.2 of the most requests that it had in any ten seconds of the last twenty. Where load moves, the entries that lose it spend what they have earned while those that get it earn the same once more; the sum of each entry's largest window is more than the largest window of the sum. An entry that starts again forgot what it had spent, and got its part of the slack anew; that part grew while registrations lapsed. The class: each keeps to a bound that holds for the sum only while everyone's share stays put.

Now an entry's retries in any ten seconds are at most 0.2 of the mean of its own requests in them and in the ten before. Both spans are the same at all entries, so the bounds add up to 0.2 of the mean of all requests there, which is no more than the larger, whatever moves, restarts or is cut, and without a word between entries. Half can be spent at once, the rest as requests come, at once also where load has just come. Steady load may use the whole ratio, in steps that count an eleventh more time for a retry's way. The slack is divided by the most entries seen of late, and an entry gets two fifths of its part before it has run for a window. Fractions begin at random, so that entries with few requests have their retries. A request is sent a third time only while half of the budget is left, counted through forwards.

RetryWindowTest: 'all that was earned may be retried at once' is replaced. Everything at once leaves nothing for those who take over clients; the new case asks for half at once, the same total within the next window, and no more. The last case is stricter: it compares with the three windows that the rule names and no longer with all between.

--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Membership/EntryGroups.h"
 #include "catkinwing/Support/Clock.h"
 #include "catkinwing/Support/Random.h"
+#include "catkinwing/Support/RecentMaximum.h"
 #include "catkinwing/Support/SocketAddress.h"
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
@@ -79,6 +80,10 @@
     /// nothing if that is this one, under the key \p self, or no other is there.
     std::optional<SocketAddress> relay(const std::string& self, TimePoint now) const;
     std::size_t size() const { return m_entries.size(); }
+    /// Returns the most addresses of entries that were registered at once in the last
+    /// minutes: in a cut, or while registrations lapse, some serve on that are no
+    /// longer listed.
+    std::size_t recentSize(TimePoint now);
     /// Grows whenever an entry comes or goes.
     std::uint64_t changes() const { return m_changes; }
 
@@ -95,6 +100,10 @@
     };
 
     std::map<std::string, Entry> m_entries;
+    RecentMaximum m_recentSize { std::chrono::minutes(10) };
+    /// How many addresses there were after so many changes.
+    std::size_t m_addresses { 0 };
+    std::optional<std::uint64_t> m_countedChanges;
     std::uint64_t m_changes { 0 };
     /// Entries that were removed a short while ago.
     std::vector<Departed> m_departed;
--- a/include/catkinwing/Ingress/IngressParts.h
+++ b/include/catkinwing/Ingress/IngressParts.h
@@ -65,6 +65,8 @@
     /// Number of the last attempt of any request.
     std::uint64_t lastAttempt { 0 };
     CrashingRequests crashing {};
+    /// When this entry's process started.
+    TimePoint startedAt {};
 
     RetryWindow& retryBudgetOf(const std::string& service);
 };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -11,6 +11,8 @@
 
 /// Attempts that the entry that forwards leaves to the one that it forwards to.
 constexpr const char* attemptsLeftHeader = "Catkinwing-Attempts-Left";
+/// Says how often the forwarded request may have arrived at endpoints before.
+constexpr const char* earlierArrivalsHeader = "Catkinwing-Earlier-Arrivals";
 
 /// Says that a refusal holds at every entry and endpoint, for the time that it
 /// tells the client to wait.
@@ -25,8 +27,13 @@
     TimePoint arrivedAt {};
     /// Of a forwarded request: attempts that its entry leaves to this one.
     absl::optional<unsigned> attemptsLeft;
+    /// Of a forwarded request: how often it may have arrived at endpoints before.
+    unsigned earlierArrivals { 0 };
 };
 
+/// Takes what the entry that forwarded the request says of it in its headers.
+void readForwardHeaders(const HttpHeaders& headers, RoutedRequest& request);
+
 /// The life of one routed request, from its arrival to its final answer. It
 /// keeps itself alive until then.
 class RoutedRun : public std::enable_shared_from_this<RoutedRun> {
@@ -112,6 +119,7 @@
     void listenForGiveUp();
     void giveUp(GiveUpReason reason);
     RunProgress progress();
+    RetryOrder retryOrder() const;
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
     void takeStatements(Attempt& attempt);
@@ -154,8 +162,8 @@
     unsigned m_runs { 0 };
     unsigned m_refusals { 0 };
     bool m_mayHaveRun { false };
-    /// An endpoint has had the request, so that a further one draws on the budget.
-    bool m_hasArrived { false };
+    /// Attempts that may have reached an endpoint; a further one draws on the budget.
+    unsigned m_arrivals { 0 };
     bool m_lastRan { false };
     /// It would have been sent again if the budget had allowed it.
     bool m_wasDeniedRetry { false };
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -57,8 +57,22 @@
     ++m_changes;
 }
 
+// An entry that has started again has two registrations for a while.
+std::size_t EntryTable::recentSize(TimePoint now)
+{
+    if (m_countedChanges != m_changes) {
+        std::set<SocketAddress> addresses;
+        for (const auto& [key, entry] : m_entries)
+            addresses.insert(entry.record.peers);
+        m_addresses = addresses.size();
+        m_countedChanges = m_changes;
+    }
+    return m_recentSize.take(m_addresses, now);
+}
+
 void EntryTable::remove(const std::string& key, TimePoint now)
 {
+    recentSize(now);
     auto isOver = [now](const Departed& departed) { return now - departed.at > departedKept; };
     m_departed.erase(std::remove_if(m_departed.begin(), m_departed.end(), isOver), m_departed.end());
     auto found = m_entries.find(key);
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -244,12 +244,8 @@
     routed.facts = dialect.readRequest(request);
     routed.isForwarded = isFromPeer;
     routed.arrivedAt = loop.clock().now();
-    if (isFromPeer) {
-        unsigned attempts = 0;
-        const std::string* text = request.headers.find(attemptsLeftHeader);
-        if (text && absl::SimpleAtoi(*text, &attempts))
-            routed.attemptsLeft = attempts;
-    }
+    if (isFromPeer)
+        readForwardHeaders(request.headers, routed);
     routed.http = std::move(request);
     std::make_shared<RoutedRun>(parts, std::move(routed), std::move(responder))->begin();
 }
@@ -455,6 +451,7 @@
     logChange(LogLevel::Info, "started",
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
+    impl->parts.startedAt = loop.clock().now();
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // No connection outlives the start that it was made to.
     impl->parts.endpoints.onReplaced([client = impl->endpointClient.get()](RoutedEndpoint& endpoint) { client->forget(endpoint.record.address); });
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Routing/RegionChoice.h"
 #include "catkinwing/Routing/RequestIdentity.h"
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -12,10 +13,13 @@
 static constexpr int statusNotFound = 404;
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
-/// Part of the retries beyond the ratio that entries give out, so that the first
-/// refusals after a start can be tried elsewhere; an entry that starts a second
-/// time within a window may give it out twice.
+/// Part of the retries beyond the ratio that entries give out. The rest is for
+/// entries that start again, and for parts of a cut system that don't know of each other.
 static constexpr double slackPart = 0.5;
+/// Part of them that an entry may use before a window has passed since its start, so
+/// that the first refusals can be tried elsewhere. The process before may have used
+/// its own in the same window.
+static constexpr double slackPartAtStart = 0.2;
 /// A connection inside the region takes a few milliseconds; one that takes
 /// longer than this goes to an endpoint that is gone or cut off.
 static constexpr milliseconds endpointConnectTimeout { 400 };
@@ -41,11 +45,27 @@
 /// A route's priorities begin with zero, the most urgent, like an endpoint's.
 static constexpr int leastUrgent = 9;
 
+void readForwardHeaders(const HttpHeaders& headers, RoutedRequest& request)
+{
+    unsigned attemptsLeft = 0;
+    const std::string* text = headers.find(attemptsLeftHeader);
+    if (text && absl::SimpleAtoi(*text, &attemptsLeft))
+        request.attemptsLeft = attemptsLeft;
+    text = headers.find(earlierArrivalsHeader);
+    if (text && !absl::SimpleAtoi(*text, &request.earlierArrivals))
+        request.earlierArrivals = 0;
+}
+
 RetryWindow& IngressParts::retryBudgetOf(const std::string& service)
 {
-    double share = retryLimits.slack * slackPart / static_cast<double>(std::max<std::size_t>(entries.size(), 1));
-    RetryWindow& budget = retryBudgets[service];
-    budget.setAllowance({ retryLimits.ratio, share, retryLimits.window });
+    TimePoint now = scheduler.clock().now();
+    double part = now - startedAt < retryLimits.window ? slackPartAtStart : slackPart;
+    std::size_t sharers = std::max<std::size_t>(entries.recentSize(now), 1);
+    auto found = retryBudgets.find(service);
+    if (found == retryBudgets.end())
+        found = retryBudgets.emplace(service, RetryWindow(random.unit())).first;
+    RetryWindow& budget = found->second;
+    budget.setAllowance({ retryLimits.ratio, retryLimits.slack * part / static_cast<double>(sharers), retryLimits.window });
     return budget;
 }
 
@@ -404,6 +424,7 @@
         return false;
     HttpClientRequest request = makeRequest(*peer, {});
     request.headers.set(attemptsLeftHeader, std::to_string(m_route->attempts - std::min(m_runs, m_route->attempts)));
+    request.headers.set(earlierArrivalsHeader, std::to_string(m_arrivals));
     request.connectTimeout = peerConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -186,7 +186,7 @@
     bool endsInsideEvent = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken());
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
-    m_hasArrived = m_hasArrived || mayHaveReached;
+    m_arrivals += mayHaveReached ? 1 : 0;
     learnCrash(attempt, end, verdict);
     settleAttempt(verdict, detail);
     if (verdict == AttemptVerdict::Answered)
@@ -305,6 +305,11 @@
     takeFailure(AttemptVerdict::Unknown);
 }
 
+RetryOrder RoutedRun::retryOrder() const
+{
+    return m_arrivals + m_request.earlierArrivals > 1 ? RetryOrder::Further : RetryOrder::First;
+}
+
 RunProgress RoutedRun::progress()
 {
     RunProgress progress;
@@ -315,7 +320,7 @@
     progress.refusals = m_refusals;
     progress.maxRuns = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
     progress.hasDelivered = m_hasHead;
-    progress.hasBudget = !m_hasArrived || m_parts.retryBudgetOf(m_service).hasRetry(now());
+    progress.hasBudget = m_arrivals == 0 || m_parts.retryBudgetOf(m_service).hasRetry(now(), retryOrder());
     progress.timeLeft = m_deadline - now();
     return progress;
 }
@@ -345,8 +350,8 @@
     }
     switch (decideNextStep(verdict)) {
     case NextStep::SendAgain:
-        if (m_hasArrived)
-            m_parts.retryBudgetOf(m_service).tryRetry(now());
+        if (m_arrivals > 0)
+            m_parts.retryBudgetOf(m_service).tryRetry(now(), retryOrder());
         m_parts.metrics.count("retries");
         dispatch();
         return;
--- a/unittests/Admission/RetryWindowTest.cpp
+++ b/unittests/Admission/RetryWindowTest.cpp
@@ -3,12 +3,21 @@
 #include "catkinwing/Support/Random.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <numeric>
 #include <vector>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
 
-TEST_CASE("after a crash all that the requests before it have earned may be retried at once")
+static int takeAll(RetryWindow& budget, TimePoint now)
+{
+    int retries = 0;
+    while (budget.tryRetry(now))
+        ++retries;
+    return retries;
+}
+
+TEST_CASE("after a crash half of what the requests before it have earned may be retried at once, and the rest as requests come")
 {
     RetryWindow budget;
     budget.setAllowance({ 0.2, 4, 10s });
@@ -17,15 +26,60 @@
         now += 20ms;
         budget.noteRequest(now);
     }
-    int retries = 0;
-    while (budget.tryRetry(now))
-        ++retries;
+    int retries = takeAll(budget, now);
+    CHECK(retries >= 50);
+    RetryWindow withoutRequests = budget;
+    CHECK(retries + takeAll(withoutRequests, now + 5s) <= 54);
+    for (int i = 0; i < 500; ++i) {
+        now += 20ms;
+        budget.noteRequest(now);
+        retries += budget.tryRetry(now) ? 1 : 0;
+    }
     CHECK(retries > 90);
     CHECK(retries <= 104);
-    CHECK_FALSE(budget.hasRetry(now + 5s));
     CHECK(budget.hasRetry(now + 11s));
 }
 
+// Guards against entries that are too small a part of all to ever send again.
+TEST_CASE("entries with few requests have their retries, and all of them no more than they earn together")
+{
+    constexpr int entries = 295;
+    constexpr double requestsPerSecond = 2;
+    Random random(5);
+    std::vector<RetryWindow> budgets;
+    std::vector<int> retries(entries, 0);
+    for (int i = 0; i < entries; ++i) {
+        budgets.emplace_back(random.unit());
+        budgets.back().setAllowance({ 0.2, 0, 10s });
+    }
+    TimePoint start { 100s };
+    Duration span = 120s;
+    for (TimePoint now = start; now < start + span; now += 100ms) {
+        for (int i = 0; i < entries; ++i) {
+            if (random.unit() < requestsPerSecond / 10)
+                budgets[static_cast<std::size_t>(i)].noteRequest(now);
+            retries[static_cast<std::size_t>(i)] += takeAll(budgets[static_cast<std::size_t>(i)], now);
+        }
+    }
+    double earned = 0.2 * requestsPerSecond * entries * 120;
+    double spent = std::accumulate(retries.begin(), retries.end(), 0.0);
+    CHECK(spent <= earned);
+    CHECK(spent >= earned / 2);
+    CHECK(*std::min_element(retries.begin(), retries.end()) > 0);
+}
+
+TEST_CASE("a request is sent a third time only while half of the budget is left")
+{
+    RetryWindow budget;
+    budget.setAllowance({ 0.2, 10, 10s });
+    TimePoint now { 100s };
+    int further = 0;
+    while (budget.tryRetry(now, RetryOrder::Further))
+        ++further;
+    CHECK(further == 5);
+    CHECK(takeAll(budget, now) == 5);
+}
+
 TEST_CASE("without requests only the slack may be retried")
 {
     RetryWindow budget;
@@ -37,9 +91,8 @@
     CHECK_FALSE(budget.tryRetry(now + 9s));
 }
 
-// Load that rises and falls, and every retry that is allowed: in each window there
-// are no more than the requests of that window or the one before it earn.
-TEST_CASE("no window holds more retries than its requests, or those up to a window before, allow")
+// Load that rises and falls, and every retry that is allowed.
+TEST_CASE("no window holds more retries than its requests, those of the window before, or of the span half a window before, allow")
 {
     Random random(11);
     RetryWindow budget;
@@ -61,7 +114,7 @@
     };
     for (TimePoint from = start; from < start + 50s; from += 97ms) {
         std::ptrdiff_t earned = 0;
-        for (Duration before = 0s; before <= 10s; before += 100ms)
+        for (Duration before = 0s; before <= 10s; before += 5s)
             earned = std::max(earned, within(requests, from - before, from - before + 10s));
         CHECK(static_cast<double>(within(retries, from, from + 10s)) <= 0.2 * static_cast<double>(earned) + 4);
     }
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -1,7 +1,6 @@
 #include "EntryFleet.h"
 
 #include "catkinwing/Ingress/CrashExchange.h"
-#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <cassert>
 
@@ -261,6 +260,7 @@
     m_entryAt[m_records[index].peers] = index;
     IngressParts& parts = m_entries[index]->parts;
     parts.routes = m_routes;
+    parts.startedAt = now();
     for (std::size_t i = 0; i < m_records.size(); ++i)
         parts.entries.put(entryKey(i), m_records[i]);
 }
@@ -305,10 +305,7 @@
     routed.http.headers = request.headers;
     routed.facts = m_dialect.readRequest(routed.http);
     routed.isForwarded = true;
-    unsigned attempts = 0;
-    const std::string* text = request.headers.find(attemptsLeftHeader);
-    if (text && absl::SimpleAtoi(*text, &attempts))
-        routed.attemptsLeft = attempts;
+    readForwardHeaders(request.headers, routed);
     routed.arrivedAt = now();
     m_entries[entry]->forwards.push_back(responder);
     std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), responder)->begin();
