Hold a request back while it isn't known whether it crashes endpoints

Cause: a crash counted at its own entry after half a second, and elsewhere some tenths later; until three had come together, every entry sent the request to the next engine. Crashes within 0.3 s counted as one.

Now a broken connection is told to all entries at once (24 where there are more), the shortest runs first. A crash of an endpoint that got the request after the crash before is counted as another one however soon it comes. The same request waits up to 0.4 s elsewhere, entries taking turns of 0.25 s to send it, and is then refused as not run. What ran beside isn't held up: it comes nowhere else and is sent again at once; what was answered in the last 30 s needn't wait, and the entry that answered it tells the others.

--- a/include/catkinwing/Ingress/CrashExchange.h
+++ b/include/catkinwing/Ingress/CrashExchange.h
@@ -20,6 +20,9 @@
 
     /// Returns what is to be sent now; to be called ten times a second.
     std::vector<OutgoingDatagram> tick(TimePoint now);
+    /// Returns what is to be sent at once of connections that just broke, and of answers
+    /// that refute them.
+    std::vector<OutgoingDatagram> tellUrgent(TimePoint now);
     /// Takes a report if it comes from an entry.
     void take(const SocketAddress& from, const CrashReport& report, TimePoint now);
 
@@ -38,6 +41,7 @@
     std::vector<SocketAddress> anyOf(const CrashNotice& notice, std::size_t count) const;
     void tellCounters(Outbox& outbox, TimePoint now);
     void tellSuspects(Outbox& outbox, TimePoint now);
+    static std::vector<OutgoingDatagram> pack(Outbox outbox);
 
     CrashingRequests& m_requests;
     const EntryTable& m_entries;
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -76,6 +76,9 @@
     };
     /// Returns the other entries of all regions, one for each address.
     std::vector<Neighbor> others() const;
+    /// Returns this entry's place among those of \p regions, or of all if empty, in an
+    /// order that differs from subject to subject.
+    EntryOrder orderFor(std::uint64_t subject, const std::vector<std::string>& regions) const;
     /// Returns the entry of this one's zone that watches the store for the others;
     /// nothing if that is this one, under the key \p self, or no other is there.
     std::optional<SocketAddress> relay(const std::string& self, TimePoint now) const;
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -86,7 +86,10 @@
     bool endsBeforeStop() const;
     const RequestFingerprint& fingerprint();
     bool refuseIfCrashing();
-    void refuseEverywhere(std::chrono::milliseconds returnAfter);
+    /// Waits for the outcome of the same request elsewhere where an endpoint has just
+    /// crashed under it.
+    bool waitIfSuspect();
+    void refuseEverywhere(std::chrono::milliseconds returnAfter, const char* reason = "crashes_endpoints");
     void learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     /// Returns the largest part that the request shares with others, if reading
     /// it again would matter; null otherwise.
@@ -165,6 +168,8 @@
     /// Attempts that may have reached an endpoint; a further one draws on the budget.
     unsigned m_arrivals { 0 };
     bool m_lastRan { false };
+    /// When it began to wait for the outcome of the same request.
+    absl::optional<TimePoint> m_heldSince;
     /// It would have been sent again if the budget had allowed it.
     bool m_wasDeniedRetry { false };
     /// Where the last attempt went and why, for logs.
--- a/include/catkinwing/Membership/CrashHistory.h
+++ b/include/catkinwing/Membership/CrashHistory.h
@@ -12,6 +12,8 @@
     /// Hash of the start of the endpoint; each start crashes once.
     std::uint32_t endpoint { 0 };
     TimePoint at {};
+    /// How long the request had been there.
+    Duration ranFor { 0 };
 };
 
 /// What is known of the endpoints that crashed under one request.
@@ -30,7 +32,8 @@
 constexpr std::size_t crashesBeforeRefusal = 3;
 
 /// Returns the number of crashes that came one after another. Endpoints that go
-/// at the same moment have a cause of their own, such as a loss of power.
+/// at the same moment have a cause of their own, such as a loss of power; one that
+/// ran the request from after the crash before isn't among them.
 std::size_t separateCrashes(const CrashHistory& history);
 
 /// Takes a crash, and refuses the request after the third one; after a refusal
--- a/include/catkinwing/Membership/EntryGroups.h
+++ b/include/catkinwing/Membership/EntryGroups.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,13 @@
     std::vector<std::string> collectors;
 };
 
+/// An entry's place among those that take turns.
+struct EntryOrder {
+    /// From 0 on.
+    std::size_t rank { 0 };
+    std::size_t entries { 1 };
+};
+
 /// Divides the entries of a region into groups of bounded size, each within one
 /// availability zone, so that one that is cut off goes on. All that know the
 /// same entries divide them alike.
--- a/include/catkinwing/PeerProtocol/CrashReport.h
+++ b/include/catkinwing/PeerProtocol/CrashReport.h
@@ -16,6 +16,10 @@
     /// Hash of the start of the endpoint.
     std::uint32_t endpoint { 0 };
     std::chrono::milliseconds age { 0 };
+    /// How long the request had been there.
+    std::chrono::milliseconds ranFor { 0 };
+    /// The endpoint is known to be gone; else its connections broke a moment ago.
+    bool isSettled { true };
 };
 
 /// What an entry knows of one request under which endpoints crashed. Times are
@@ -33,7 +37,7 @@
     std::vector<std::uint32_t> regions;
 };
 
-/// What one datagram tells: about 20 bytes for each request and 10 for each crash.
+/// What one datagram tells: about 20 bytes for each request and 14 for each crash.
 struct CrashReport {
     std::vector<CrashNotice> notices;
 };
--- a/include/catkinwing/Support/RequestFingerprint.h
+++ b/include/catkinwing/Support/RequestFingerprint.h
@@ -3,6 +3,7 @@
 #include <absl/hash/hash.h>
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace catkinwing {
@@ -20,6 +21,9 @@
     friend bool operator<(const RequestFingerprint& a, const RequestFingerprint& b) { return a.bytes < b.bytes; }
 };
 
+/// Hash of a fingerprint that is the same at every entry.
+std::uint64_t stableHash(const RequestFingerprint& fingerprint, std::uint64_t seed = 0);
+
 /// Hash of a fingerprint for tables.
 struct RequestFingerprintHash {
     std::size_t operator()(const RequestFingerprint& fingerprint) const { return absl::Hash<decltype(fingerprint.bytes)>()(fingerprint.bytes); }
--- a/lib/Ingress/CrashExchange.cpp
+++ b/lib/Ingress/CrashExchange.cpp
@@ -20,6 +20,9 @@
 /// News goes to so many others a time; in five times each of 550 entries has it
 /// with near certainty.
 static constexpr std::size_t toldNews = 4;
+/// Entries told at once of a broken connection: all where they are few. Elsewhere
+/// the same request comes to each of them more seldom.
+static constexpr std::size_t toldUrgent = 24;
 /// All that is suspected goes to one other each so many ticks, for entries that
 /// start later or were cut off.
 static constexpr std::uint64_t tellAllEvery = 5;
@@ -50,8 +53,7 @@
 // By rendezvous, so that entries that know the same others choose the same.
 std::vector<SocketAddress> CrashExchange::countersOf(const CrashNotice& notice) const
 {
-    absl::string_view bytes(reinterpret_cast<const char*>(notice.request.bytes.data()), notice.request.bytes.size());
-    std::uint64_t seed = stableHash(bytes);
+    std::uint64_t seed = stableHash(notice.request);
     std::vector<std::pair<std::uint64_t, const EntryTable::Neighbor*>> ranked;
     for (const EntryTable::Neighbor& neighbor : m_others) {
         if (mayKnow(neighbor, notice))
@@ -124,14 +126,29 @@
 std::vector<OutgoingDatagram> CrashExchange::tick(TimePoint now)
 {
     ++m_ticks;
-    if (!m_requests.isEmpty())
-        m_requests.houseKeep(now);
+    m_requests.houseKeep(now);
     if (m_requests.isEmpty() && m_settled.empty())
         return {};
     followEntries();
     Outbox outbox;
     tellCounters(outbox, now);
     tellSuspects(outbox, now);
+    return pack(std::move(outbox));
+}
+
+std::vector<OutgoingDatagram> CrashExchange::tellUrgent(TimePoint now)
+{
+    followEntries();
+    Outbox outbox;
+    for (const CrashNotice& notice : m_requests.takeUrgent(now)) {
+        for (const SocketAddress& other : anyOf(notice, toldUrgent))
+            outbox[other].push_back(notice);
+    }
+    return pack(std::move(outbox));
+}
+
+std::vector<OutgoingDatagram> CrashExchange::pack(Outbox outbox)
+{
     std::vector<OutgoingDatagram> out;
     for (auto& [to, notices] : outbox) {
         notices.resize(std::min(notices.size(), mostNotices * mostDatagrams));
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Ingress/EntryTable.h"
 
 #include "catkinwing/Membership/ShareDivision.h"
+#include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -70,6 +71,19 @@
     return m_recentSize.take(m_addresses, now);
 }
 
+EntryOrder EntryTable::orderFor(std::uint64_t subject, const std::vector<std::string>& regions) const
+{
+    std::uint64_t own = stableHash(m_self.peers.toString(), subject);
+    EntryOrder order;
+    for (const Neighbor& neighbor : others()) {
+        if (!regions.empty() && std::count(regions.begin(), regions.end(), neighbor.region) == 0)
+            continue;
+        ++order.entries;
+        order.rank += stableHash(neighbor.address.toString(), subject) < own ? 1 : 0;
+    }
+    return order;
+}
+
 void EntryTable::remove(const std::string& key, TimePoint now)
 {
     recentSize(now);
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -53,6 +53,8 @@
 /// collector is some one and a half such intervals old. Where loads are twice as
 /// old, entries send more than they should to the same endpoints.
 static constexpr milliseconds loadReportInterval { 100 };
+/// Connections that break within this time are told together.
+static constexpr milliseconds urgentDelay { 2 };
 /// What a region is like is told each so many intervals.
 static constexpr std::uint64_t regionReportEvery = 2;
 /// What a region is like goes to so many regions a time, in turn, and to so many
@@ -138,6 +140,8 @@
     bool isReady() const { return parts.routes && follower.knowsEndpoints() && !parts.stop; }
     void takeLoadReport(const SocketAddress& from, absl::string_view bytes);
     void takeRegionReport(const SocketAddress& from, absl::string_view bytes);
+    void send(const std::vector<OutgoingDatagram>& datagrams);
+    void reportUrgent();
     void reportLoad();
     void reportRegion();
     void logState();
@@ -360,12 +364,22 @@
     }
 }
 
-void IngressDaemon::Impl::reportLoad()
+void IngressDaemon::Impl::send(const std::vector<OutgoingDatagram>& datagrams)
 {
-    for (const OutgoingDatagram& datagram : loads.tick(ownKey(), loop.clock().now()))
-        loadReports->send(datagram.to, datagram.bytes);
-    for (const OutgoingDatagram& datagram : crashes.tick(loop.clock().now()))
+    for (const OutgoingDatagram& datagram : datagrams)
         loadReports->send(datagram.to, datagram.bytes);
+}
+
+// All connections of an endpoint break at the same moment.
+void IngressDaemon::Impl::reportUrgent()
+{
+    loop.callAfter(urgentDelay, [this] { send(crashes.tellUrgent(loop.clock().now())); });
+}
+
+void IngressDaemon::Impl::reportLoad()
+{
+    send(loads.tick(ownKey(), loop.clock().now()));
+    send(crashes.tick(loop.clock().now()));
     reportRegion();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
@@ -452,6 +466,7 @@
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
     impl->parts.startedAt = loop.clock().now();
+    impl->parts.crashing.onUrgent([state = impl.get()] { state->reportUrgent(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // No connection outlives the start that it was made to.
     impl->parts.endpoints.onReplaced([client = impl->endpointClient.get()](RoutedEndpoint& endpoint) { client->forget(endpoint.record.address); });
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -42,6 +42,11 @@
 /// hold answers of the directory that name it and most requests end long before
 /// their deadline; later it takes those that surely end before it does.
 static constexpr milliseconds takeAllWhileStopping { 3'000 };
+/// A request waits this long for the outcome of the same one after a crash under it.
+static constexpr milliseconds longestHold { 400 };
+static constexpr milliseconds holdCheck { 20 };
+/// By then it is mostly known whether the request was to blame.
+static constexpr milliseconds returnAfterHold { 1'000 };
 /// A route's priorities begin with zero, the most urgent, like an endpoint's.
 static constexpr int leastUrgent = 9;
 
@@ -190,7 +195,7 @@
 // would run it again.
 void RoutedRun::dispatch()
 {
-    if (refuseIfCrashing() || decideFirst() || sendToPart() || sendAway())
+    if (refuseIfCrashing() || waitIfSuspect() || decideFirst() || sendToPart() || sendAway())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -220,15 +225,43 @@
     return left.has_value();
 }
 
-void RoutedRun::refuseEverywhere(milliseconds returnAfter)
+bool RoutedRun::waitIfSuspect()
+{
+    CrashingRequests& crashing = m_parts.crashing;
+    if (crashing.isEmpty() || !isAllowedHere())
+        return false;
+    TimePoint time = now();
+    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(fingerprint(), time);
+    if (!crash)
+        return false;
+    bool ranBeside = crash->isOnlyOwn && m_arrivals > 0;
+    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_route->homeRegions);
+    Duration wait = ranBeside ? Duration::zero() : crashing.turnOf(fingerprint(), *crash, order, time) - time;
+    if (wait <= Duration::zero()) {
+        crashing.noteTried(fingerprint(), time);
+        return false;
+    }
+    m_heldSince = m_heldSince.value_or(time);
+    if (time - *m_heldSince >= longestHold) {
+        refuseEverywhere(returnAfterHold, "crash_unsettled");
+        return true;
+    }
+    m_parts.scheduler.callAfter(std::min<Duration>(wait, holdCheck), [self = shared_from_this()] {
+        if (!self->m_isDone)
+            self->dispatch();
+    });
+    return true;
+}
+
+void RoutedRun::refuseEverywhere(milliseconds returnAfter, const char* reason)
 {
     m_returnAfter = returnAfter;
     if (m_failureHead)
         answerWhole(*m_failureHead, std::move(m_failureBody));
     else if (m_mayHaveRun)
-        answerOwn(statusBadGateway, Outcome::Unknown, "crashes_endpoints");
+        answerOwn(statusBadGateway, Outcome::Unknown, reason);
     else
-        answerOwn(statusUnavailable, Outcome::NotRun, "crashes_endpoints");
+        answerOwn(statusUnavailable, Outcome::NotRun, reason);
 }
 
 Duration RoutedRun::longestWaitAnywhere() const
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -202,7 +202,7 @@
     CrashingRequests& crashing = m_parts.crashing;
     // An answer through another entry is an endpoint's as well.
     bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
-    if (hasSurvived && !crashing.isEmpty())
+    if (hasSurvived)
         crashing.noteSurvived(fingerprint(), now());
     if (!attempt.endpoint)
         return;
@@ -212,7 +212,7 @@
         std::vector<std::uint32_t> regions;
         for (const std::string& region : m_route->homeRegions)
             regions.push_back(regionHash(region));
-        crashing.noteBroken(fingerprint(), endpoint, std::move(regions), now());
+        crashing.noteBroken(fingerprint(), endpoint, std::move(regions), now(), now() - attempt.startedAt);
     }
     if (end == HttpEnd::ConnectFailed || attempt.facts.isOtherIncarnation)
         crashing.noteGone(endpoint, now());
--- a/lib/Membership/CrashHistory.cpp
+++ b/lib/Membership/CrashHistory.cpp
@@ -7,6 +7,9 @@
 /// Crashes within this time count as one. Entries learn of the same moment some
 /// hundred milliseconds apart.
 static constexpr std::chrono::milliseconds sameMoment { 300 };
+/// A request that had been at an endpoint for less than this may have been sent to
+/// one that was gone already.
+static constexpr std::chrono::milliseconds leastRun { 20 };
 /// Crashes kept of one request.
 static constexpr std::size_t mostCrashes = 16;
 /// A client that repeats a request does so within seconds or a few minutes.
@@ -30,12 +33,18 @@
     return firstRefusal * (1 << std::min(refusals - 1, mostDoublings));
 }
 
+static bool isSeparate(const EndpointCrash& crash, TimePoint last)
+{
+    bool hasBegunLater = crash.ranFor >= leastRun && crash.at - crash.ranFor > last;
+    return hasBegunLater || crash.at - last >= sameMoment;
+}
+
 std::size_t separateCrashes(const CrashHistory& history)
 {
     std::size_t count = 0;
     std::optional<TimePoint> last;
     for (const EndpointCrash& crash : history.crashes) {
-        if (last && crash.at - *last < sameMoment)
+        if (last && !isSeparate(crash, *last))
             continue;
         last = crash.at;
         ++count;
--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -13,17 +13,28 @@
 /// crashed: streams of others there go on every few tens of milliseconds, and
 /// the next request to it shows the same.
 static constexpr milliseconds settleTime { 500 };
+/// A crash under a request and its news take most of a turn, which is why a request
+/// is sent only as a turn begins.
+static constexpr milliseconds turnLength { 250 };
+static constexpr milliseconds turnBegins { 80 };
+/// After that time without a further crash or an answer the request goes its way.
+static constexpr milliseconds heldAfterCrash { 2'000 };
+/// By then another entry has settled and told what broke there.
+static constexpr milliseconds toldPendingKept { 2'000 };
 /// What comes this soon after the break may have been sent before it.
 static constexpr milliseconds bytesInFlight { 50 };
 /// Broken connections under consideration: all that an entry has open to a few endpoints.
 static constexpr std::size_t mostPending = 1'024;
+/// Broken connections and answers told at once, of all that came together.
+static constexpr std::size_t mostUrgent = 16;
 /// Requests kept; some 150 bytes each and 12 for each crash.
 static constexpr std::size_t mostKnown = 4'096;
 /// Of these, the part that makes room for others when all are taken.
 static constexpr std::size_t roomMade = mostKnown / 4;
-/// Answers are remembered for this long, in which crashes before them are settled and told.
-static constexpr std::chrono::seconds answersKept { 5 };
-/// Answered requests remembered, a few seconds of an entry's.
+/// Answers are remembered for this long: what many clients ask is answered again within it.
+static constexpr std::chrono::seconds answersKept { 30 };
+static constexpr std::chrono::seconds forgetAnswersEvery { 1 };
+/// Answered requests remembered, those of as long at 130 a second.
 static constexpr std::size_t mostAnswered = 4'096;
 /// News is told this often, each time to others.
 static constexpr unsigned tellNewsTimes = 5;
@@ -40,10 +51,47 @@
     return std::max(std::chrono::duration_cast<milliseconds>(now - at), milliseconds(0));
 }
 
-void CrashingRequests::noteBroken(const RequestFingerprint& request, std::uint32_t endpoint, std::vector<std::uint32_t> regions, TimePoint now)
+static ToldCrash toldCrash(const EndpointCrash& crash, bool isSettled, TimePoint now)
 {
-    if (m_pending.size() < mostPending)
-        m_pending.push_back({ request, endpoint, now, false, std::move(regions) });
+    return { crash.endpoint, ageOf(crash.at, now), std::chrono::duration_cast<milliseconds>(crash.ranFor), isSettled };
+}
+
+void CrashingRequests::noteBroken(const RequestFingerprint& request, std::uint32_t endpoint, std::vector<std::uint32_t> regions, TimePoint now, Duration ranFor)
+{
+    if (m_pending.size() >= mostPending)
+        return;
+    m_pending.push_back({ request, endpoint, now, ranFor, std::move(regions) });
+    tellAtOnce({ m_pending.back() });
+}
+
+void CrashingRequests::tellAtOnce(Urgent urgent)
+{
+    if (!m_onUrgent)
+        return;
+    m_urgent.push_back(std::move(urgent));
+    if (m_urgent.size() == 1)
+        m_onUrgent();
+}
+
+// Requests that had just come first: of what ran at a crashed endpoint, they are
+// the most likely to have crashed it.
+std::vector<CrashNotice> CrashingRequests::takeUrgent(TimePoint now)
+{
+    std::vector<Urgent> urgent = std::exchange(m_urgent, {});
+    std::stable_sort(urgent.begin(), urgent.end(), [](const Urgent& a, const Urgent& b) { return a.broken.ranFor < b.broken.ranFor; });
+    urgent.resize(std::min(urgent.size(), mostUrgent));
+    std::vector<CrashNotice> notices;
+    for (Urgent& item : urgent) {
+        CrashNotice notice;
+        notice.request = item.broken.request;
+        if (item.isAnswered)
+            notice.survivedAgo = ageOf(item.broken.at, now);
+        else
+            notice.crashes.push_back(toldCrash({ item.broken.endpoint, item.broken.at, item.broken.ranFor }, false, now));
+        notice.regions = std::move(item.broken.regions);
+        notices.push_back(std::move(notice));
+    }
+    return notices;
 }
 
 void CrashingRequests::noteAlive(std::uint32_t endpoint, TimePoint now)
@@ -60,12 +108,28 @@
         broken.isGone |= broken.endpoint == endpoint;
 }
 
+void CrashingRequests::dropPending(const RequestFingerprint& request, TimePoint answeredAt)
+{
+    auto isRefuted = [&](const Broken& broken) { return broken.request == request && broken.at <= answeredAt; };
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isRefuted), m_pending.end());
+}
+
+void CrashingRequests::noteAnswered(const RequestFingerprint& request, TimePoint at, bool isOwn)
+{
+    if (m_answered.size() >= mostAnswered && m_answered.count(request) == 0)
+        return;
+    Answered& last = m_answered[request];
+    last.at = std::max(last.at, at);
+    last.isOwn |= isOwn;
+}
+
 void CrashingRequests::noteSurvived(const RequestFingerprint& request, TimePoint now)
 {
-    auto isSame = [&](const Broken& broken) { return broken.request == request; };
-    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isSame), m_pending.end());
-    if (m_answered.size() < mostAnswered || m_answered.count(request) > 0)
-        m_answered[request] = now;
+    std::optional<RecentCrash> crash = recentCrash(request, now);
+    dropPending(request, now);
+    noteAnswered(request, now, true);
+    if (crash)
+        tellAtOnce({ { request, 0, now, {}, crash->regions }, true });
     auto found = m_known.find(request);
     if (found == m_known.end() || found->second.history.crashes.empty())
         return;
@@ -78,8 +142,7 @@
 // Each entry begins to try again at its own time.
 Duration CrashingRequests::delayOf(const RequestFingerprint& request) const
 {
-    absl::string_view bytes(reinterpret_cast<const char*>(request.bytes.data()), request.bytes.size());
-    return milliseconds(stableHash(bytes, m_seed) % static_cast<std::uint64_t>(longestDelay.count()));
+    return milliseconds(stableHash(request, m_seed) % static_cast<std::uint64_t>(longestDelay.count()));
 }
 
 // Connections that broke just now would lead to a refusal if they are crashes.
@@ -88,7 +151,7 @@
     unsigned refusals = history.refusals;
     for (const Broken& broken : m_pending) {
         if (broken.request == request && !isExplained(request, broken.endpoint))
-            noteCrash(history, { broken.endpoint, broken.at });
+            noteCrash(history, { broken.endpoint, broken.at, broken.ranFor });
     }
     return history.refusals > refusals;
 }
@@ -105,6 +168,42 @@
     return mayBeRefusedSoon(request, std::move(history)) ? std::optional<Duration>(settleTime) : std::nullopt;
 }
 
+std::optional<CrashingRequests::RecentCrash> CrashingRequests::recentCrash(const RequestFingerprint& request, TimePoint now) const
+{
+    std::optional<RecentCrash> last;
+    auto take = [&](TimePoint at, bool isOwn, const std::vector<std::uint32_t>& regions) {
+        if (now - at <= heldAfterCrash)
+            last = { last ? std::max(last->at, at) : at, isOwn && !last, regions };
+    };
+    for (const Broken& broken : m_pending) {
+        if (broken.request == request && !isExplained(request, broken.endpoint))
+            take(broken.at, !broken.isTold, broken.regions);
+    }
+    auto known = m_known.find(request);
+    if (known != m_known.end() && !known->second.history.crashes.empty())
+        take(known->second.history.crashes.back().at, !isSuspect(known->second), known->second.regions);
+    return last;
+}
+
+// What was answered before the crash is most likely not to blame for it.
+std::optional<CrashingRequests::RecentCrash> CrashingRequests::crashToAwait(const RequestFingerprint& request, TimePoint now) const
+{
+    return m_answered.count(request) > 0 ? std::nullopt : recentCrash(request, now);
+}
+
+TimePoint CrashingRequests::turnOf(const RequestFingerprint& request, const RecentCrash& crash, const EntryOrder& order, TimePoint now) const
+{
+    auto tried = m_tried.find(request);
+    bool isUnderWay = tried != m_tried.end() && tried->second > crash.at;
+    TimePoint earliest = isUnderWay ? std::max(now, tried->second + turnLength) : now;
+    std::int64_t turn = (earliest - crash.at) / turnLength;
+    bool mayBegin = earliest - (crash.at + turn * turnLength) <= turnBegins;
+    turn += mayBegin ? 0 : 1;
+    auto entries = static_cast<std::int64_t>(order.entries);
+    std::int64_t untilOwn = ((static_cast<std::int64_t>(order.rank) - turn) % entries + entries) % entries;
+    return std::max(earliest, crash.at + (turn + untilOwn) * turnLength);
+}
+
 bool CrashingRequests::isSuspect(const Known& known)
 {
     return known.history.refusals > 0 || separateCrashes(known.history) > 1 || known.history.survivedAt != TimePoint {};
@@ -163,7 +262,7 @@
     auto [known, isNew] = m_known.try_emplace(request);
     auto answered = m_answered.find(request);
     if (isNew && answered != m_answered.end())
-        known->second.history.survivedAt = answered->second;
+        known->second.history.survivedAt = answered->second.at;
     return known->second;
 }
 
@@ -174,11 +273,12 @@
     Known& known = obtain(broken.request);
     known.regions = broken.regions;
     unsigned refusals = known.history.refusals;
-    if (!noteCrash(known.history, { broken.endpoint, broken.at }))
+    EndpointCrash crash { broken.endpoint, broken.at, broken.ranFor };
+    if (!noteCrash(known.history, crash))
         return;
     CrashNotice notice;
     notice.request = broken.request;
-    notice.crashes.push_back({ broken.endpoint, ageOf(broken.at, now) });
+    notice.crashes.push_back(toldCrash(crash, true, now));
     if (known.history.survivedAt != TimePoint {})
         notice.survivedAgo = ageOf(known.history.survivedAt, now);
     notice.regions = broken.regions;
@@ -186,15 +286,30 @@
     noteChange(broken.request, known, refusals, now);
 }
 
+void CrashingRequests::forgetAnswers(TimePoint now)
+{
+    if (now - m_answersForgottenAt < forgetAnswersEvery)
+        return;
+    m_answersForgottenAt = now;
+    absl::erase_if(m_answered, [now](const auto& item) { return now - item.second.at > answersKept; });
+}
+
 void CrashingRequests::houseKeep(TimePoint now)
 {
-    auto isOpen = [now](const Broken& broken) { return !broken.isGone && now - broken.at < settleTime; };
+    forgetAnswers(now);
+    if (isEmpty())
+        return;
+    auto isOpen = [now](const Broken& broken) {
+        return broken.isTold ? now - broken.at < toldPendingKept : !broken.isGone && now - broken.at < settleTime;
+    };
     auto settled = std::stable_partition(m_pending.begin(), m_pending.end(), isOpen);
     std::vector<Broken> ended(std::make_move_iterator(settled), std::make_move_iterator(m_pending.end()));
     m_pending.erase(settled, m_pending.end());
-    for (const Broken& broken : ended)
-        settle(broken, now);
-    absl::erase_if(m_answered, [now](const auto& item) { return now - item.second > answersKept; });
+    for (const Broken& broken : ended) {
+        if (!broken.isTold)
+            settle(broken, now);
+    }
+    absl::erase_if(m_tried, [now](const auto& item) { return now - item.second > heldAfterCrash; });
     absl::erase_if(m_known, [now](auto& item) { return isForgotten(item.second.history, now); });
     absl::erase_if(m_causes, [this](const auto& cause) {
         auto known = m_known.find(cause.second);
@@ -202,15 +317,36 @@
     });
 }
 
+// An answer that came since refutes the crash. One from before says that the request
+// is most likely not to blame, so that the others needn't wait either.
+void CrashingRequests::takePending(const CrashNotice& notice, const ToldCrash& crash, TimePoint now)
+{
+    TimePoint at = now - crash.age;
+    auto answered = m_answered.find(notice.request);
+    bool isAnswered = answered != m_answered.end();
+    if (isAnswered && answered->second.isOwn)
+        tellAtOnce({ { notice.request, 0, answered->second.at, {}, notice.regions }, true });
+    bool isRefuted = isAnswered && answered->second.at >= at;
+    if (!isRefuted && m_pending.size() < mostPending)
+        m_pending.push_back({ notice.request, crash.endpoint, at, crash.ranFor, notice.regions, false, true });
+}
+
 void CrashingRequests::take(const CrashNotice& notice, TimePoint now)
 {
     CrashHistory told;
     for (const ToldCrash& crash : notice.crashes) {
-        if (crash.age < longestAge && !isExplained(notice.request, crash.endpoint))
-            told.crashes.push_back({ crash.endpoint, now - crash.age });
+        if (crash.age >= longestAge || isExplained(notice.request, crash.endpoint))
+            continue;
+        if (crash.isSettled)
+            told.crashes.push_back({ crash.endpoint, now - crash.age, crash.ranFor });
+        else
+            takePending(notice, crash, now);
     }
-    if (notice.survivedAgo && *notice.survivedAgo < longestAge)
+    if (notice.survivedAgo && *notice.survivedAgo < longestAge) {
         told.survivedAt = now - *notice.survivedAgo;
+        dropPending(notice.request, told.survivedAt);
+        noteAnswered(notice.request, told.survivedAt, false);
+    }
     if (notice.refusedFor < longestRefusal) {
         told.refusals = notice.refusals;
         told.refusedUntil = now + notice.refusedFor;
@@ -232,7 +368,7 @@
     notice.request = request;
     std::size_t first = history.crashes.size() - std::min(history.crashes.size(), mostToldCrashes);
     for (std::size_t i = first; i < history.crashes.size(); ++i)
-        notice.crashes.push_back({ history.crashes[i].endpoint, ageOf(history.crashes[i].at, now) });
+        notice.crashes.push_back(toldCrash(history.crashes[i], true, now));
     if (history.survivedAt != TimePoint {})
         notice.survivedAgo = ageOf(history.survivedAt, now);
     notice.refusedFor = ageOf(now, history.refusedUntil);
--- a/lib/PeerProtocol/CrashReport.cpp
+++ b/lib/PeerProtocol/CrashReport.cpp
@@ -14,6 +14,8 @@
 /// Members of a notice: fingerprint, crashes, survival (empty or one age),
 /// remaining refusal, refusals, regions.
 static constexpr std::size_t noticeMembers = 6;
+/// Longer times tell no more.
+static constexpr milliseconds longestRun { 60'000 };
 /// Regions that a notice may name.
 static constexpr std::size_t mostRegions = 64;
 
@@ -31,7 +33,7 @@
 {
     json crashes = json::array();
     for (const ToldCrash& crash : notice.crashes)
-        appendCounts(crashes, { crash.endpoint, countOf(crash.age) });
+        appendCounts(crashes, { crash.endpoint, countOf(crash.age), countOf(std::min(crash.ranFor, longestRun)), crash.isSettled ? 1u : 0u });
     json survived = json::array();
     if (notice.survivedAgo)
         survived.push_back(countOf(*notice.survivedAgo));
@@ -59,7 +61,7 @@
     bool isNotice = message.is_array() && message.size() == noticeMembers && message[0].is_binary() && isCount(message[3]) && isCount(message[4]);
     if (!isNotice || message[0].get_binary().size() != RequestFingerprint::size)
         return std::nullopt;
-    std::optional<std::vector<CountRow<2>>> crashes = readCounts<2>(message[1]);
+    std::optional<std::vector<CountRow<4>>> crashes = readCounts<4>(message[1]);
     std::optional<std::vector<CountRow<1>>> survived = readCounts<1>(message[2]);
     std::optional<std::vector<CountRow<1>>> regions = readCounts<1>(message[5]);
     bool isWhole = crashes && survived && regions;
@@ -67,8 +69,8 @@
         return std::nullopt;
     CrashNotice notice;
     std::copy(message[0].get_binary().begin(), message[0].get_binary().end(), notice.request.bytes.begin());
-    for (const CountRow<2>& row : *crashes)
-        notice.crashes.push_back({ row[0], milliseconds(row[1]) });
+    for (const CountRow<4>& row : *crashes)
+        notice.crashes.push_back({ row[0], milliseconds(row[1]), milliseconds(row[2]), row[3] != 0 });
     if (!survived->empty())
         notice.survivedAgo = milliseconds(survived->front()[0]);
     notice.refusedFor = milliseconds(message[3].get<std::uint32_t>());
--- a/unittests/Ingress/CrashingRequestTest.cpp
+++ b/unittests/Ingress/CrashingRequestTest.cpp
@@ -61,6 +61,25 @@
     }
 }
 
+// Guards against sending a request that many clients ask to one endpoint after another
+// before the first crash under it is settled.
+TEST_CASE("a request that crashes endpoints and comes ten times a second crashes no more than four")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        EntryFleet fleet(seed);
+        fleet.crashesAfter = 100ms;
+        fleet.setAttempts(1);
+        for (int i = 0; i < 60; ++i) {
+            fleet.sendToAny(deadlyBody);
+            fleet.sendToAny("other-" + std::to_string(i));
+            fleet.advance(100ms);
+        }
+        INFO("seed " << seed);
+        CHECK(fleet.crashes.size() <= 4);
+        CHECK(fleet.servedShare("other-59") == 1);
+    }
+}
+
 // Guards against a refusal that only those learn of that hear every report.
 TEST_CASE("a request that crashes endpoints is refused by entries that lose reports, start later or lose those who count")
 {
@@ -133,7 +152,7 @@
         fleet.advance(5s);
         INFO("seed " << seed << ", popular " << fleet.servedShare("popular") << ", other " << fleet.servedShare("other"));
         for (const SentRequest& request : fleet.sent)
-            REQUIRE(request.answer->body.find("crashes_endpoints") == std::string::npos);
+            REQUIRE(request.answer->body.find("crash") == std::string::npos);
     }
 }
 
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -227,12 +227,10 @@
 EntryFleet::EntryFleet(unsigned seed, std::size_t entriesPerRegion, std::size_t endpointsPerRegion, std::vector<std::string> homeRegions)
     : random(seed)
 {
-    Route route = IngressFixture::unary(RequestKind::Idempotent);
-    route.timeout = routeTimeout;
-    route.homeRegions = std::move(homeRegions);
-    ServiceSettings service;
-    service.name = "service";
-    m_routes = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    m_route = IngressFixture::unary(RequestKind::Idempotent);
+    m_route.timeout = routeTimeout;
+    m_route.homeRegions = std::move(homeRegions);
+    configure();
     for (const std::string& region : regions) {
         for (std::size_t i = 0; i < entriesPerRegion; ++i) {
             auto port = static_cast<std::uint16_t>(m_records.size() + 1);
@@ -249,6 +247,21 @@
     }
 }
 
+void EntryFleet::configure()
+{
+    ServiceSettings service;
+    service.name = "service";
+    m_routes = std::make_shared<const RouteTable>(1, std::vector<Route> { m_route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    for (const auto& entry : m_entries)
+        entry->parts.routes = m_routes;
+}
+
+void EntryFleet::setAttempts(unsigned attempts)
+{
+    m_route.attempts = attempts;
+    configure();
+}
+
 static std::string entryKey(std::size_t index)
 {
     return "entry-" + std::to_string(index);
@@ -261,6 +274,9 @@
     IngressParts& parts = m_entries[index]->parts;
     parts.routes = m_routes;
     parts.startedAt = now();
+    parts.crashing.onUrgent([this, index, entry = m_entries[index].get()] {
+        scheduler.callAfter(insideRegion, [this, index, entry] { deliver(index, entry->exchange.tellUrgent(now())); });
+    });
     for (std::size_t i = 0; i < m_records.size(); ++i)
         parts.entries.put(entryKey(i), m_records[i]);
 }
@@ -335,21 +351,25 @@
 void EntryFleet::tell()
 {
     for (std::size_t from = 0; from < m_entries.size(); ++from) {
-        if (!isUp(from))
+        if (isUp(from))
+            deliver(from, m_entries[from]->exchange.tick(now()));
+    }
+}
+
+void EntryFleet::deliver(std::size_t from, const std::vector<OutgoingDatagram>& datagrams)
+{
+    for (const OutgoingDatagram& datagram : datagrams) {
+        bytesTold[from] += datagram.bytes.size();
+        std::size_t to = m_entryAt.at(datagram.to);
+        bool isCross = m_records[from].region != m_records[to].region;
+        bool isLost = m_silenced.count(from) > 0 || m_silenced.count(to) > 0 || (isCross && m_areRegionsCut) || random.unit() < lost;
+        if (isLost)
             continue;
-        for (const OutgoingDatagram& datagram : m_entries[from]->exchange.tick(now())) {
-            bytesTold[from] += datagram.bytes.size();
-            std::size_t to = m_entryAt.at(datagram.to);
-            bool isCross = m_records[from].region != m_records[to].region;
-            bool isLost = m_silenced.count(from) > 0 || m_silenced.count(to) > 0 || (isCross && m_areRegionsCut) || random.unit() < lost;
-            if (isLost)
-                continue;
-            scheduler.callAfter(isCross ? betweenRegions : insideRegion, [this, from, to, bytes = datagram.bytes] {
-                absl::StatusOr<CrashReport> report = decodeCrashReport(bytes);
-                assert(report.ok() && "what is encoded can be decoded");
-                m_entries[to]->exchange.take(m_records[from].peers, *report, now());
-            });
-        }
+        scheduler.callAfter(isCross ? betweenRegions : insideRegion, [this, from, to, bytes = datagram.bytes] {
+            absl::StatusOr<CrashReport> report = decodeCrashReport(bytes);
+            assert(report.ok() && "what is encoded can be decoded");
+            m_entries[to]->exchange.take(m_records[from].peers, *report, now());
+        });
     }
 }
 
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -3,6 +3,7 @@
 
 #include "Gateway/FakeResponder.h"
 #include "IngressFixture.h"
+#include "catkinwing/Ingress/OutgoingDatagram.h"
 #include <map>
 #include <memory>
 #include <set>
@@ -48,6 +49,8 @@
     /// Gives a request to an entry.
     void send(std::size_t entry, const std::string& body, const std::string& host = "h");
     void sendToAny(const std::string& body) { send(random.below(m_entries.size()), body); }
+    /// Sets how often a request may be run.
+    void setAttempts(unsigned attempts);
     /// Moves time forward; endpoints that crashed start again after a while.
     void advance(Duration span);
     /// Crashes an endpoint that is up; nothing if there is none in \p region.
@@ -103,7 +106,9 @@
     void startEndpoint(const std::string& region, const SocketAddress& address);
     void crash(const std::shared_ptr<CrashingEndpoint>& endpoint);
     void makeEntry(std::size_t index);
+    void configure();
     void tell();
+    void deliver(std::size_t from, const std::vector<OutgoingDatagram>& datagrams);
     void takeForward(std::size_t entry, const HttpClientRequest& request, const std::shared_ptr<PeerResponder>& responder);
     std::shared_ptr<CrashingEndpoint> endpointAt(const SocketAddress& address) const;
 
@@ -114,6 +119,7 @@
     std::vector<std::shared_ptr<CrashingEndpoint>> m_endpoints;
     std::size_t m_starts { 0 };
     std::uint64_t m_requests { 0 };
+    Route m_route;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<EntryRecord> m_records;
     std::map<SocketAddress, std::size_t> m_entryAt;
--- a/unittests/Membership/CrashHistoryTest.cpp
+++ b/unittests/Membership/CrashHistoryTest.cpp
@@ -34,6 +34,18 @@
     CHECK(history.refusals == 0);
 }
 
+TEST_CASE("a crash of an endpoint that got the request after the crash before has no cause in common with it")
+{
+    CrashHistory history;
+    noteCrash(history, crash(1, 0ms));
+    noteCrash(history, { 2, began + 100ms, 80ms });
+    CHECK(separateCrashes(history) == 2);
+    // Under way at the crash before, or sent to an endpoint that was gone already.
+    noteCrash(history, { 3, began + 150ms, 60ms });
+    noteCrash(history, { 4, began + 160ms, 5ms });
+    CHECK(separateCrashes(history) == 2);
+}
+
 TEST_CASE("an answer takes back all crashes before it")
 {
     CrashHistory history;
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -75,6 +75,90 @@
     CHECK_FALSE(requests.refusedFor(fingerprint(1), now + 2200ms));
 }
 
+/// What another entry tells of a connection that broke just now.
+static CrashNotice brokenElsewhere(std::uint32_t request, std::uint32_t endpoint)
+{
+    CrashNotice notice;
+    notice.request = fingerprint(request);
+    notice.crashes.push_back({ endpoint, 0ms, 80ms, false });
+    return notice;
+}
+
+// Guards against the same request at several endpoints while it isn't known whether
+// it crashes them.
+TEST_CASE("entries take turns to send a request after a crash under it")
+{
+    constexpr std::size_t entries = 3;
+    TimePoint now { 100s };
+    std::vector<CrashingRequests> requests(entries);
+    for (CrashingRequests& known : requests)
+        known.take(brokenElsewhere(1, 7), now);
+    for (TimePoint time = now; time < now + 1500ms; time += 10ms) {
+        int maySend = 0;
+        for (std::size_t rank = 0; rank < entries; ++rank) {
+            std::optional<CrashingRequests::RecentCrash> crash = requests[rank].crashToAwait(fingerprint(1), time);
+            REQUIRE(crash);
+            bool isTurn = requests[rank].turnOf(fingerprint(1), *crash, { rank, entries }, time) <= time;
+            if (isTurn)
+                requests[rank].noteTried(fingerprint(1), time);
+            maySend += isTurn ? 1 : 0;
+        }
+        CHECK(maySend <= 1);
+    }
+    CHECK_FALSE(requests[0].crashToAwait(fingerprint(2), now));
+    CHECK_FALSE(requests[0].crashToAwait(fingerprint(1), now + 5s));
+}
+
+// Guards against holding up what ran beside the request that crashed an endpoint.
+TEST_CASE("a request under which only this entry saw one endpoint crash is told from one that crashed several")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    requests.noteBroken(fingerprint(1), 7, {}, now, 80ms);
+    REQUIRE(requests.crashToAwait(fingerprint(1), now));
+    CHECK(requests.crashToAwait(fingerprint(1), now)->isOnlyOwn);
+    CrashingRequests told = requests;
+    told.take(brokenElsewhere(1, 8), now);
+    CHECK_FALSE(told.crashToAwait(fingerprint(1), now)->isOnlyOwn);
+    requests.noteBroken(fingerprint(1), 8, {}, now + 100ms, 80ms);
+    CHECK_FALSE(requests.crashToAwait(fingerprint(1), now + 100ms)->isOnlyOwn);
+}
+
+TEST_CASE("a request that was answered before a crash doesn't wait, and the entry that answered it tells the others")
+{
+    CrashingRequests requests;
+    bool isUrgent = false;
+    requests.onUrgent([&] { isUrgent = true; });
+    TimePoint now { 100s };
+    requests.noteSurvived(fingerprint(1), now);
+    requests.take(brokenElsewhere(1, 7), now + 2s);
+    CHECK_FALSE(requests.crashToAwait(fingerprint(1), now + 2s));
+    REQUIRE(isUrgent);
+    std::vector<CrashNotice> told = requests.takeUrgent(now + 2s);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].survivedAgo == 2s);
+
+    CrashingRequests other;
+    other.take(brokenElsewhere(1, 7), now + 2s);
+    REQUIRE(other.crashToAwait(fingerprint(1), now + 2s));
+    other.take(told[0], now + 2s);
+    CHECK_FALSE(other.crashToAwait(fingerprint(1), now + 2s));
+}
+
+TEST_CASE("what had just come to a crashed endpoint is told first")
+{
+    CrashingRequests requests;
+    requests.onUrgent([] {});
+    TimePoint now { 100s };
+    for (std::uint32_t i = 0; i < 40; ++i)
+        requests.noteBroken(fingerprint(i), 7, {}, now, i == 30 ? 80ms : 2s);
+    std::vector<CrashNotice> told = requests.takeUrgent(now + 2ms);
+    REQUIRE(told.size() < 40);
+    CHECK(told[0].request == fingerprint(30));
+    CHECK(told[0].crashes[0].ranFor == 80ms);
+    CHECK_FALSE(told[0].crashes[0].isSettled);
+}
+
 TEST_CASE("what ran on endpoints that a refused request crashed isn't to blame for them")
 {
     CrashingRequests requests;
--- a/unittests/PeerProtocol/CrashReportTest.cpp
+++ b/unittests/PeerProtocol/CrashReportTest.cpp
@@ -12,7 +12,7 @@
     CrashNotice notice;
     for (std::size_t i = 0; i < RequestFingerprint::size; ++i)
         notice.request.bytes[i] = static_cast<unsigned char>(200 + i);
-    notice.crashes = { { 4'000'000'000, 1'500ms }, { 7, 0ms } };
+    notice.crashes = { { 4'000'000'000, 1'500ms, 90ms, true }, { 7, 0ms, 0ms, false } };
     notice.survivedAgo = 20ms;
     notice.refusedFor = 2min;
     notice.refusals = 3;
@@ -31,6 +31,9 @@
     REQUIRE(told.crashes.size() == 2);
     CHECK(told.crashes[0].endpoint == 4'000'000'000);
     CHECK(told.crashes[0].age == 1'500ms);
+    CHECK(told.crashes[0].ranFor == 90ms);
+    CHECK(told.crashes[0].isSettled);
+    CHECK_FALSE(told.crashes[1].isSettled);
     CHECK(told.survivedAgo == 20ms);
     CHECK(told.refusedFor == 2min);
     CHECK(told.refusals == 3);
@@ -41,7 +44,7 @@
 TEST_CASE("a report of crashes fits a datagram, and isn't taken for another report")
 {
     CrashNotice longest = notice();
-    longest.crashes.assign(mostToldCrashes, { 4'000'000'000, 300'000ms });
+    longest.crashes.assign(mostToldCrashes, { 4'000'000'000, 300'000ms, 300'000ms, true });
     std::string bytes = encodeCrashReport({ std::vector<CrashNotice>(mostNotices, longest) });
     CHECK(bytes.size() <= 1'400);
     CHECK_FALSE(decodeLoadReport(bytes).ok());
