--- a/include/catkinwing/Ingress/CrashExchange.h
+++ b/include/catkinwing/Ingress/CrashExchange.h
@@ -41,7 +41,7 @@
     std::vector<SocketAddress> anyOf(const CrashNotice& notice, std::size_t count) const;
     void tellCounters(Outbox& outbox, TimePoint now);
     void tellSuspects(Outbox& outbox, TimePoint now);
-    static std::vector<OutgoingDatagram> pack(Outbox outbox);
+    static std::vector<OutgoingDatagram> pack(const Outbox& outbox);
 
     CrashingRequests& m_requests;
     const EntryTable& m_entries;
--- a/lib/Ingress/CrashExchange.cpp
+++ b/lib/Ingress/CrashExchange.cpp
@@ -133,7 +133,7 @@
     Outbox outbox;
     tellCounters(outbox, now);
     tellSuspects(outbox, now);
-    return pack(std::move(outbox));
+    return pack(outbox);
 }
 
 std::vector<OutgoingDatagram> CrashExchange::tellUrgent(TimePoint now)
@@ -144,16 +144,16 @@
         for (const SocketAddress& other : anyOf(notice, toldUrgent))
             outbox[other].push_back(notice);
     }
-    return pack(std::move(outbox));
+    return pack(outbox);
 }
 
-std::vector<OutgoingDatagram> CrashExchange::pack(Outbox outbox)
+std::vector<OutgoingDatagram> CrashExchange::pack(const Outbox& outbox)
 {
     std::vector<OutgoingDatagram> out;
-    for (auto& [to, notices] : outbox) {
-        notices.resize(std::min(notices.size(), mostNotices * mostDatagrams));
-        for (std::size_t first = 0; first < notices.size(); first += mostNotices) {
-            std::size_t last = std::min(first + mostNotices, notices.size());
+    for (const auto& [to, notices] : outbox) {
+        std::size_t count = std::min(notices.size(), mostNotices * mostDatagrams);
+        for (std::size_t first = 0; first < count; first += mostNotices) {
+            std::size_t last = std::min(first + mostNotices, count);
             CrashReport report;
             report.notices.assign(notices.begin() + static_cast<std::ptrdiff_t>(first), notices.begin() + static_cast<std::ptrdiff_t>(last));
             out.push_back({ to, encodeCrashReport(report) });
