Keep no trace of bound requests outside their regions, and log holds

A request that waits writes request_held. What attempts say of crashes stands in a file of its own, and the note on the slack at a start says what the figure is a part of.

--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -89,6 +89,7 @@
     /// Waits for the outcome of the same request elsewhere where an endpoint has just
     /// crashed under it.
     bool waitIfSuspect();
+    void beginHold(const CrashingRequests::RecentCrash& crash, const EntryOrder& order, TimePoint time);
     void refuseEverywhere(std::chrono::milliseconds returnAfter, const char* reason = "crashes_endpoints");
     void learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     /// Returns the largest part that the request shares with others, if reading
--- a/include/catkinwing/Membership/CrashingRequests.h
+++ b/include/catkinwing/Membership/CrashingRequests.h
@@ -74,6 +74,8 @@
     /// Returns the number of requests that are refused now.
     std::size_t refused(TimePoint now) const;
     std::size_t size() const { return m_known.size(); }
+    /// Returns the number of requests whose answers are remembered.
+    std::size_t answered() const { return m_answered.size(); }
 
 private:
     /// A connection that broke a moment ago.
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -1,7 +1,6 @@
 #include "catkinwing/Ingress/RoutedRun.h"
 
 #include "catkinwing/Routing/RegionChoice.h"
-#include "catkinwing/Routing/RequestIdentity.h"
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -16,9 +15,9 @@
 /// Part of the retries beyond the ratio that entries give out. The rest is for
 /// entries that start again, and for parts of a cut system that don't know of each other.
 static constexpr double slackPart = 0.5;
-/// Part of them that an entry may use before a window has passed since its start, so
-/// that the first refusals can be tried elsewhere. The process before may have used
-/// its own in the same window.
+/// The same until a window has passed since an entry's start, so that the first
+/// refusals can be tried elsewhere. The process before may have used its own part in
+/// that window.
 static constexpr double slackPartAtStart = 0.2;
 /// A connection inside the region takes a few milliseconds; one that takes
 /// longer than this goes to an endpoint that is gone or cut off.
@@ -42,11 +41,6 @@
 /// hold answers of the directory that name it and most requests end long before
 /// their deadline; later it takes those that surely end before it does.
 static constexpr milliseconds takeAllWhileStopping { 3'000 };
-/// A request waits this long for the outcome of the same one after a crash under it.
-static constexpr milliseconds longestHold { 400 };
-static constexpr milliseconds holdCheck { 20 };
-/// By then it is mostly known whether the request was to blame.
-static constexpr milliseconds returnAfterHold { 1'000 };
 /// A route's priorities begin with zero, the most urgent, like an endpoint's.
 static constexpr int leastUrgent = 9;
 
@@ -132,15 +126,6 @@
     return !stop || m_request.arrivedAt - stop->began <= takeAllWhileStopping || m_deadline <= stop->endsBy;
 }
 
-const RequestFingerprint& RoutedRun::fingerprint()
-{
-    if (!m_fingerprint) {
-        const HttpRequest& http = m_request.http;
-        m_fingerprint = fingerprintOf({ m_request.facts.host, m_request.facts.caller, http.method, http.path, http.query, http.body });
-    }
-    return *m_fingerprint;
-}
-
 bool RoutedRun::isAllowedHere() const
 {
     const std::vector<std::string>& homes = m_route->homeRegions;
@@ -213,57 +198,6 @@
         answerOwn(statusUnavailable, Outcome::NotRun, "no_endpoint");
 }
 
-// A request that is bound to other regions is refused there, since nothing of it
-// is known here.
-bool RoutedRun::refuseIfCrashing()
-{
-    if (m_parts.crashing.isEmpty() || !isAllowedHere())
-        return false;
-    std::optional<Duration> left = m_parts.crashing.refusedFor(fingerprint(), now());
-    if (left)
-        refuseEverywhere(std::chrono::duration_cast<milliseconds>(*left));
-    return left.has_value();
-}
-
-bool RoutedRun::waitIfSuspect()
-{
-    CrashingRequests& crashing = m_parts.crashing;
-    if (crashing.isEmpty() || !isAllowedHere())
-        return false;
-    TimePoint time = now();
-    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(fingerprint(), time);
-    if (!crash)
-        return false;
-    bool ranBeside = crash->isOnlyOwn && m_arrivals > 0;
-    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_route->homeRegions);
-    Duration wait = ranBeside ? Duration::zero() : crashing.turnOf(fingerprint(), *crash, order, time) - time;
-    if (wait <= Duration::zero()) {
-        crashing.noteTried(fingerprint(), time);
-        return false;
-    }
-    m_heldSince = m_heldSince.value_or(time);
-    if (time - *m_heldSince >= longestHold) {
-        refuseEverywhere(returnAfterHold, "crash_unsettled");
-        return true;
-    }
-    m_parts.scheduler.callAfter(std::min<Duration>(wait, holdCheck), [self = shared_from_this()] {
-        if (!self->m_isDone)
-            self->dispatch();
-    });
-    return true;
-}
-
-void RoutedRun::refuseEverywhere(milliseconds returnAfter, const char* reason)
-{
-    m_returnAfter = returnAfter;
-    if (m_failureHead)
-        answerWhole(*m_failureHead, std::move(m_failureBody));
-    else if (m_mayHaveRun)
-        answerOwn(statusBadGateway, Outcome::Unknown, reason);
-    else
-        answerOwn(statusUnavailable, Outcome::NotRun, reason);
-}
-
 Duration RoutedRun::longestWaitAnywhere() const
 {
     return longestWait(waitDemand(), idleFirstByte(usualAnswers()));
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -195,29 +195,6 @@
         takeFailure(verdict);
 }
 
-// A whole answer of another incarnation, or no connection, says that the endpoint
-// is gone; a broken one that it may have crashed.
-void RoutedRun::learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
-{
-    CrashingRequests& crashing = m_parts.crashing;
-    // An answer through another entry is an endpoint's as well.
-    bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
-    if (hasSurvived)
-        crashing.noteSurvived(fingerprint(), now());
-    if (!attempt.endpoint)
-        return;
-    std::uint32_t endpoint = attempt.endpoint->hash;
-    bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
-    if (isBroken) {
-        std::vector<std::uint32_t> regions;
-        for (const std::string& region : m_route->homeRegions)
-            regions.push_back(regionHash(region));
-        crashing.noteBroken(fingerprint(), endpoint, std::move(regions), now(), now() - attempt.startedAt);
-    }
-    if (end == HttpEnd::ConnectFailed || attempt.facts.isOtherIncarnation)
-        crashing.noteGone(endpoint, now());
-}
-
 static const char* verdictName(AttemptVerdict verdict)
 {
     switch (verdict) {
--- /dev/null
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -0,0 +1,115 @@
+// What a request's attempts say of crashes under it, and its wait or refusal for them.
+#include "catkinwing/Ingress/RoutedRun.h"
+
+#include "catkinwing/Routing/RequestIdentity.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+static constexpr int statusBadGateway = 502;
+static constexpr int statusUnavailable = 503;
+static constexpr int firstErrorStatus = 500;
+/// A request waits this long for the outcome of the same one after a crash under it.
+static constexpr milliseconds longestHold { 400 };
+static constexpr milliseconds holdCheck { 20 };
+/// By then it is mostly known whether the request was to blame.
+static constexpr milliseconds returnAfterHold { 1'000 };
+
+const RequestFingerprint& RoutedRun::fingerprint()
+{
+    if (!m_fingerprint) {
+        const HttpRequest& http = m_request.http;
+        m_fingerprint = fingerprintOf({ m_request.facts.host, m_request.facts.caller, http.method, http.path, http.query, http.body });
+    }
+    return *m_fingerprint;
+}
+
+// A request that is bound to other regions is refused there, since nothing of it
+// is known here.
+bool RoutedRun::refuseIfCrashing()
+{
+    if (m_parts.crashing.isEmpty() || !isAllowedHere())
+        return false;
+    std::optional<Duration> left = m_parts.crashing.refusedFor(fingerprint(), now());
+    if (left)
+        refuseEverywhere(std::chrono::duration_cast<milliseconds>(*left));
+    return left.has_value();
+}
+
+// The time counts over all attempts of the request.
+void RoutedRun::beginHold(const CrashingRequests::RecentCrash& crash, const EntryOrder& order, TimePoint time)
+{
+    m_heldSince = time;
+    if (!m_parts.log.admitsNotable())
+        return;
+    m_parts.log.write(LogLevel::Warning, "request_held",
+        { { "request", m_request.facts.attemptId }, { "fingerprint", fingerprint().toHex() }, { "route", m_route->name },
+            { "crash_ms_ago", std::chrono::duration_cast<milliseconds>(time - crash.at).count() }, { "rank", order.rank }, { "entries", order.entries } });
+}
+
+bool RoutedRun::waitIfSuspect()
+{
+    CrashingRequests& crashing = m_parts.crashing;
+    if (crashing.isEmpty() || !isAllowedHere())
+        return false;
+    TimePoint time = now();
+    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(fingerprint(), time);
+    if (!crash)
+        return false;
+    bool ranBeside = crash->isOnlyOwn && m_arrivals > 0;
+    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_route->homeRegions);
+    Duration wait = ranBeside ? Duration::zero() : crashing.turnOf(fingerprint(), *crash, order, time) - time;
+    if (wait <= Duration::zero()) {
+        crashing.noteTried(fingerprint(), time);
+        return false;
+    }
+    if (!m_heldSince)
+        beginHold(*crash, order, time);
+    if (time - *m_heldSince >= longestHold) {
+        refuseEverywhere(returnAfterHold, "crash_unsettled");
+        return true;
+    }
+    m_parts.scheduler.callAfter(std::min<Duration>(wait, holdCheck), [self = shared_from_this()] {
+        if (!self->m_isDone)
+            self->dispatch();
+    });
+    return true;
+}
+
+void RoutedRun::refuseEverywhere(milliseconds returnAfter, const char* reason)
+{
+    m_returnAfter = returnAfter;
+    if (m_failureHead)
+        answerWhole(*m_failureHead, std::move(m_failureBody));
+    else if (m_mayHaveRun)
+        answerOwn(statusBadGateway, Outcome::Unknown, reason);
+    else
+        answerOwn(statusUnavailable, Outcome::NotRun, reason);
+}
+
+// A whole answer of another incarnation, or no connection, says that the endpoint
+// is gone; a broken one that it may have crashed.
+void RoutedRun::learnCrash(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
+{
+    CrashingRequests& crashing = m_parts.crashing;
+    // An answer through another entry is an endpoint's as well.
+    bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstErrorStatus;
+    if (hasSurvived && isAllowedHere())
+        crashing.noteSurvived(fingerprint(), now());
+    if (!attempt.endpoint)
+        return;
+    std::uint32_t endpoint = attempt.endpoint->hash;
+    bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
+    if (isBroken) {
+        std::vector<std::uint32_t> regions;
+        for (const std::string& region : m_route->homeRegions)
+            regions.push_back(regionHash(region));
+        crashing.noteBroken(fingerprint(), endpoint, std::move(regions), now(), now() - attempt.startedAt);
+    }
+    if (end == HttpEnd::ConnectFailed || attempt.facts.isOtherIncarnation)
+        crashing.noteGone(endpoint, now());
+}
+
+} // namespace catkinwing
--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -292,6 +292,7 @@
         return;
     m_answersForgottenAt = now;
     absl::erase_if(m_answered, [now](const auto& item) { return now - item.second.at > answersKept; });
+    absl::erase_if(m_tried, [now](const auto& item) { return now - item.second > heldAfterCrash; });
 }
 
 void CrashingRequests::houseKeep(TimePoint now)
@@ -309,7 +310,6 @@
         if (!broken.isTold)
             settle(broken, now);
     }
-    absl::erase_if(m_tried, [now](const auto& item) { return now - item.second > heldAfterCrash; });
     absl::erase_if(m_known, [now](auto& item) { return isForgotten(item.second.history, now); });
     absl::erase_if(m_causes, [this](const auto& cause) {
         auto known = m_known.find(cause.second);
--- a/unittests/Ingress/CrashingRequestTest.cpp
+++ b/unittests/Ingress/CrashingRequestTest.cpp
@@ -194,6 +194,20 @@
         CHECK(fleet.partsOf(entry).crashing.isEmpty());
 }
 
+// Guards against traces of what was forwarded to the regions that may have it.
+TEST_CASE("an entry outside the regions of a bound request remembers nothing of its answers")
+{
+    EntryFleet fleet(1, 3, 8, { "north" });
+    fleet.send(4, "bound");
+    fleet.advance(1s);
+    CHECK(fleet.servedShare("bound") == 1);
+    CHECK(fleet.partsOf(4).crashing.answered() == 0);
+    std::size_t atNorth = 0;
+    for (std::size_t entry = 0; entry < 3; ++entry)
+        atNorth += fleet.partsOf(entry).crashing.answered();
+    CHECK(atNorth == 1);
+}
+
 // Guards against a refusal without an end, and against many trials at its end.
 TEST_CASE("a refused request is tried again once minutes later, and refused for longer if it still crashes endpoints")
 {
