--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -191,6 +191,8 @@
     return m_answered.count(request) > 0 ? std::nullopt : recentCrash(request, now);
 }
 
+// Turns are counted from the crash; each is that of the entry whose rank is its number
+// modulo the number of entries.
 TimePoint CrashingRequests::turnOf(const RequestFingerprint& request, const RecentCrash& crash, const EntryOrder& order, TimePoint now) const
 {
     auto tried = m_tried.find(request);
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -28,15 +28,7 @@
     {
     }
 
-    struct Exchange final : HttpExchange {
-        void cancel() override { isCancelled = true; }
-        void pause() override { }
-        void resume() override { }
-        bool mayHaveReachedServer() const override { return mayHaveReached; }
-
-        bool isCancelled { false };
-        bool mayHaveReached { false };
-    };
+    using Exchange = FakeHttpClient::Exchange;
 
     std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
     {
