--- a/fuzz/FuzzPeerReports.cpp
+++ b/fuzz/FuzzPeerReports.cpp
@@ -1,5 +1,6 @@
 #include "FuzzInput.h"
 #include "catkinwing/PeerProtocol/CrashReport.h"
+#include "catkinwing/PeerProtocol/CreditMessages.h"
 #include "catkinwing/PeerProtocol/LoadDigest.h"
 #include "catkinwing/PeerProtocol/LoadReport.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
@@ -51,6 +52,18 @@
     require(encodeCrashReport(*decoded) == again, "a report comes back as it was");
 }
 
+static void fuzzCreditMessage(absl::string_view bytes)
+{
+    // Inputs seldom begin with the mark, so that each is tried behind it as well.
+    absl::StatusOr<CreditMessage> message = decodeCreditMessage(std::string(1, creditMessageMark) + std::string(bytes));
+    if (!message.ok())
+        return;
+    std::string again = encodeCreditMessage(*message);
+    absl::StatusOr<CreditMessage> decoded = decodeCreditMessage(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeCreditMessage(*decoded) == again, "a message comes back as it was");
+}
+
 static void fuzzStoreChanges(absl::string_view bytes)
 {
     absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
@@ -69,5 +82,6 @@
     fuzzRegionReport(textOf(data, size));
     fuzzCrashReport(textOf(data, size));
     fuzzStoreChanges(textOf(data, size));
+    fuzzCreditMessage(textOf(data, size));
     return 0;
 }
--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -66,6 +66,10 @@
     double retrySlack { 50 };
     double coldRatio { 1.5 };
     double coldSlack { 3 };
+    /// Window in which the use of a workspace's limit is judged.
+    Duration limitWindow { std::chrono::seconds(8) };
+    double limitOverage { 0.1 };
+    double limitSlack { 190'000 };
 };
 
 /// The settings file of one daemon.
--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Config/Workspace.h"
 #include "catkinwing/Support/Clock.h"
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
@@ -51,6 +52,8 @@
     std::vector<WeightedService> services;
     /// Regions that may process the requests; all if empty.
     std::vector<std::string> homeRegions;
+    /// Requests need no key.
+    bool isPublic { false };
 };
 
 /// Tells whether a request of the route may be executed a second time.
@@ -100,16 +103,18 @@
     std::int64_t maxBodyBytes { 4 << 20 };
 };
 
-/// The routes and services of one version of the configuration.
+/// The routes, services and workspaces of one version of the configuration.
 class RouteTable {
 public:
     RouteTable() = default;
-    RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits);
+    RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits, WorkspaceTable workspaces = {});
 
     std::int64_t version() const { return m_version; }
     const std::vector<Route>& routes() const { return m_routes; }
     const std::vector<ServiceSettings>& services() const { return m_services; }
     const ClientLimits& limits() const { return m_limits; }
+    /// Callers need a key unless this is empty.
+    const WorkspaceTable& workspaces() const { return m_workspaces; }
     /// Returns the route of \p host with the longest prefix that begins
     /// \p path; null if there is none. Hosts compare without case and port.
     const Route* find(absl::string_view host, absl::string_view path) const;
@@ -122,6 +127,7 @@
     std::vector<Route> m_routes;
     std::vector<ServiceSettings> m_services;
     ClientLimits m_limits;
+    WorkspaceTable m_workspaces;
     /// Index in m_routes by host and prefix.
     absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, std::size_t>> m_routesOfHost;
     absl::flat_hash_map<std::string, std::size_t> m_serviceIndex;
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -68,6 +68,9 @@
     reader.read("retrySlack", ingress.retrySlack);
     reader.read("coldRatio", ingress.coldRatio);
     reader.read("coldSlack", ingress.coldSlack);
+    reader.read("quotaWindow", ingress.limitWindow, DurationRange::AboveZero);
+    reader.read("quotaOverage", ingress.limitOverage);
+    reader.read("quotaSlack", ingress.limitSlack);
 }
 
 static bool isWildcard(const SocketAddress& address)
--- a/lib/Config/RouteTable.cpp
+++ b/lib/Config/RouteTable.cpp
@@ -40,11 +40,12 @@
     return levels;
 }
 
-RouteTable::RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits)
+RouteTable::RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits, WorkspaceTable workspaces)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
     , m_limits(limits)
+    , m_workspaces(std::move(workspaces))
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i)
         m_routesOfHost[hostKey(m_routes[i].host)].emplace(m_routes[i].prefix, i);
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -114,3 +114,78 @@
     CHECK(table.document->routes()[0].attempts == 0);
     CHECK(table.document->routes()[0].timeout == 1'000'000s);
 }
+
+static std::string withWorkspaces(const std::string& workspaces)
+{
+    return R"({"version":1,"routes":[{"prefix":"/","service":"s","timeout_ms":1,"public":true}],"tenants":)" + workspaces + "}";
+}
+
+TEST_CASE("readRouteTable reads workspaces with their keys, limits, priority and homes")
+{
+    ConfigResult<RouteTable> table = readRouteTable(withWorkspaces(R"([
+        {"name":"fitters","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":780743,"burst":900,"home_regions":["north"]},
+        {"name":"parents","api_keys":["k3"]}])"));
+    REQUIRE(table.ok());
+    CHECK(table.document->routes().front().isPublic);
+    const Workspace* fitters = table.document->workspaces().findByKey("k2");
+    REQUIRE(fitters);
+    CHECK(fitters->name == "fitters");
+    CHECK(fitters->priority == 1);
+    CHECK(fitters->limit.unit == LimitUnit::Tokens);
+    CHECK(fitters->limit.perSecond == 780743);
+    CHECK(fitters->limit.burst == 900);
+    CHECK(fitters->limit.plainTokens == 200);
+    CHECK(fitters->homeRegions == std::vector<std::string> { "north" });
+    const Workspace* parents = table.document->workspaces().findByKey("k3");
+    REQUIRE(parents);
+    CHECK_FALSE(parents->priority);
+    CHECK_FALSE(parents->limit.isLimited());
+    CHECK(parents->limit.unit == LimitUnit::Requests);
+}
+
+TEST_CASE("a configuration without workspaces has an empty table of them")
+{
+    ConfigResult<RouteTable> table = readRouteTable(configuration);
+    REQUIRE(table.ok());
+    CHECK(table.document->workspaces().empty());
+}
+
+TEST_CASE("workspaces that can't be told apart or have invalid limits make a configuration invalid")
+{
+    std::string longKey(300, 'k');
+    std::vector<std::string> invalid {
+        R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+        R"([{"name":"a"},{"name":"a"}])",
+        R"([{"api_keys":["k"]}])",
+        R"([{"name":"a","api_keys":["with space"]}])",
+        R"([{"name":"a","api_keys":[""]}])",
+        R"([{"name":"a","api_keys":[")" + longKey + R"("]}])",
+        R"([{"name":"a\r\nX: y"}])",
+        R"([{"name":"a","rate_per_s":-1}])",
+        R"([{"name":"a","rate_per_s":1e30}])",
+        R"([{"name":"a","burst":"many"}])",
+        R"(["a"])",
+        R"({"name":"a"})",
+    };
+    for (const std::string& workspaces : invalid) {
+        ConfigResult<RouteTable> table = readRouteTable(withWorkspaces(workspaces));
+        CAPTURE(workspaces);
+        CHECK_FALSE(table.ok());
+        for (const ConfigFault& fault : table.faults)
+            CHECK(fault.pointer.rfind("/tenants", 0) == 0);
+    }
+    ConfigResult<RouteTable> sharedKey = readRouteTable(withWorkspaces(invalid.front()));
+    REQUIRE(sharedKey.faults.size() == 1);
+    CHECK(sharedKey.faults[0].message == "a key that workspace a holds too");
+    CHECK(readRouteTable(withWorkspaces(R"([{"name":"a","api_keys":["k","k"]}])")).ok());
+}
+
+TEST_CASE("a configuration with many thousands of keys is read")
+{
+    std::string keys = "\"k0\"";
+    for (int i = 1; i < 40'000; ++i)
+        keys += ",\"k" + std::to_string(i) + "\"";
+    ConfigResult<RouteTable> table = readRouteTable(withWorkspaces(R"([{"name":"a","api_keys":[)" + keys + "]}]"));
+    REQUIRE(table.ok());
+    CHECK(table.document->workspaces().findByKey("k39999"));
+}
