--- a/fuzz/FuzzPlatformRequest.cpp
+++ b/fuzz/FuzzPlatformRequest.cpp
@@ -26,14 +26,14 @@
     request.query = std::string(text.substr(0, line));
     request.headers = readHeaders(line == absl::string_view::npos ? "" : text.substr(line + 1));
     RequestFacts facts = dialect.readRequest(request);
-    for (const char* withheld : { "connection", "transfer-encoding", "content-length", "expect-instance", "catkinwing-from" })
+    for (const char* withheld : { "connection", "transfer-encoding", "content-length", "expect-instance", "catkinwing-from", "key", "tenant" })
         require(!facts.forwardedHeaders.find(withheld), "what only the system may set isn't passed on");
     require(!facts.timeLeft || facts.timeLeft->count() >= 0, "a deadline isn't past");
     require(dialect.readDirectoryQuery(request).has_value(), "the path tells a directory's question");
     HttpResponseHead head { 200, request.headers };
     ResponseFacts answer = dialect.readResponse(head);
     require(!answer.isOtherIncarnation, "the status tells another incarnation");
-    AttemptFacts attempt { "i-1", std::chrono::milliseconds(5), 3, 1 };
+    AttemptFacts attempt { "i-1", std::chrono::milliseconds(5), 3, 1, "workspace" };
     dialect.writeAttempt(attempt, facts.forwardedHeaders);
     const std::string* incarnation = facts.forwardedHeaders.find("expect-instance");
     require(incarnation && *incarnation == "i-1", "the attempt's own fields stand alone");
--- /dev/null
+++ b/include/catkinwing/Ingress/CreditExchange.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "catkinwing/Admission/CreditPool.h"
+#include "catkinwing/Config/RouteTable.h"
+#include "catkinwing/Ingress/EntryTable.h"
+#include "catkinwing/Ingress/OutgoingDatagram.h"
+#include "catkinwing/PeerProtocol/CreditMessages.h"
+#include "catkinwing/Support/Scheduler.h"
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace catkinwing {
+
+/// Whether a request is within the limit of its workspace.
+struct CreditDecision {
+    bool isGranted { false };
+    /// The credit that the request has used; to be returned if the request isn't executed.
+    CreditPortion used;
+    /// Of a refused request: when its client should return.
+    std::chrono::milliseconds retryAfter { 0 };
+};
+
+/// What an entry knows of the limit of one workspace, for operators.
+struct CreditState {
+    std::string workspace;
+    double perSecond { 0 };
+    /// Credit of this entry.
+    double atEntry { 0 };
+    /// Credit of the pool at this entry.
+    double atPool { 0 };
+    std::uint64_t granted { 0 };
+    std::uint64_t refused { 0 };
+};
+
+/// Keeps the requests of each workspace within its limit at all entries together.
+///
+/// Each entry accrues its fraction of every limit, and leaves it to the pool of its
+/// region, which is at one of the region's entries. Entries ask the pool for what a
+/// request uses and a little in advance. Pools ask each other for what their regions lack.
+/// An entry that reaches no pool uses its own fraction.
+class CreditExchange {
+public:
+    using Send = std::function<void(const OutgoingDatagram& datagram)>;
+    using FindWorkspaces = std::function<const WorkspaceTable&()>;
+
+    /// All references must outlive the exchange; \p self is the record of this entry.
+    CreditExchange(EntryTable& entries, EntryRecord self, const LimitTolerance& tolerance, Scheduler& scheduler, Random& random,
+        FindWorkspaces findWorkspaces, Send send);
+    ~CreditExchange();
+    CreditExchange(const CreditExchange&) = delete;
+    CreditExchange& operator=(const CreditExchange&) = delete;
+
+    /// Must be called when the other entries are known. Credit accrues from the creation of
+    /// this object on.
+    void start();
+    /// Must be called ten times a second.
+    void tick();
+    void handleMessage(const SocketAddress& from, const CreditMessage& message);
+    /// Calls \p done once with the decision, possibly before it returns, and within half a
+    /// second. \p maxRetryAfter is the max time that the client waits before it returns.
+    void charge(const Workspace& workspace, double amount, std::chrono::milliseconds maxRetryAfter, std::function<void(const CreditDecision&)> done);
+    /// Returns the credit of a request that was not executed.
+    void refund(const Workspace& workspace, const CreditPortion& used);
+    void setTolerance(const LimitTolerance& tolerance) { m_pool.setTolerance(tolerance); }
+    /// Returns the state of each workspace with a limit.
+    std::vector<CreditState> states();
+
+private:
+    struct Waiting;
+    struct Wallet;
+    struct PendingAsk;
+    struct HeldAsk;
+    struct Silence {
+        /// Messages in succession without a reply.
+        unsigned unanswered { 0 };
+        TimePoint lastAt {};
+    };
+
+    TimePoint now() const { return m_scheduler.clock().now(); }
+    Wallet& walletOf(std::uint64_t workspace);
+    /// Returns the entry that holds the pool of \p region, as far as it answers.
+    SocketAddress poolOf(const std::string& region);
+    std::vector<SocketAddress> poolCandidates(const std::string& region);
+    bool isSuspect(const SocketAddress& entry) const;
+    void deposit();
+    void probeSuspects();
+    void askOtherRegions(std::vector<CreditAsk> asks);
+    void ask(const std::shared_ptr<Waiting>& waiting);
+    void onAskTimeout(std::uint64_t id);
+    void decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, std::chrono::milliseconds retryAfter);
+    void settleWaiting(std::uint64_t workspace);
+    CreditAsk askFor(const Waiting& waiting);
+    void answerEntry(const SocketAddress& from, const CreditMessage& message);
+    void answerPool(const SocketAddress& from, const CreditMessage& message);
+    void sendAnswer(const HeldAsk& held, const CreditPortion& portion, std::chrono::milliseconds retryAfter);
+    void grantOrHold(const HeldAsk& held, const WorkspaceLimit& limit);
+    /// Answers the held asks that can be granted or have waited long enough.
+    void settleHeld(std::uint64_t workspace);
+    CreditRow grantRow(std::uint64_t workspace, const CreditPortion& portion) const;
+    void handleReply(const SocketAddress& from, const CreditMessage& reply);
+    void receiveFromRegion(const PendingAsk& asked, std::uint64_t workspace, const CreditPortion& portion);
+    void expireAsks();
+
+    EntryTable& m_entries;
+    EntryRecord m_self;
+    Scheduler& m_scheduler;
+    Random& m_random;
+    FindWorkspaces m_findWorkspaces;
+    Send m_send;
+    CreditPool m_pool;
+    TimePoint m_createdAt;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<Wallet>> m_wallets;
+    /// Asks without a reply, by message ID. Kept for a while after their timeout, since a
+    /// late reply carries credit.
+    std::map<std::uint64_t, PendingAsk> m_pendingAsks;
+    std::uint64_t m_lastId { 0 };
+    std::uint64_t m_ticks { 0 };
+    /// Entries that didn't answer, until they are heard from.
+    std::map<SocketAddress, Silence> m_silences;
+    std::optional<TimePoint> m_startedAt;
+    /// Up to this time the accrual has been deposited.
+    TimePoint m_depositedUntil {};
+    /// Candidates for the pool of each region, as of the entry table's change counter.
+    std::map<std::string, std::vector<SocketAddress>> m_candidates;
+    std::optional<std::uint64_t> m_candidatesVersion;
+    std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
+};
+
+} // namespace catkinwing
--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -21,6 +21,9 @@
     std::string host;
     /// Credentials in the request; empty if there are none.
     std::string caller;
+    /// Key of the caller's workspace; empty if there is none, or more than one. Must not
+    /// be logged or sent to any other process.
+    std::string workspaceKey;
     /// Identifier of the client's attempt; the endpoint echoes it.
     std::string attemptId;
     /// Time until the client times out, counted from the arrival of the request.
@@ -30,6 +33,8 @@
     std::vector<PromptSegment> prompt;
     std::int64_t promptTokens { 0 };
     std::int64_t maxOutputTokens { 0 };
+    /// The request states the numbers of tokens.
+    bool hasTokenCounts { false };
     /// Number of the event after which a stream resumes.
     std::optional<std::uint64_t> resumeAfter;
     /// Header fields that are forwarded to the endpoint.
@@ -46,6 +51,8 @@
     std::optional<std::uint64_t> resumeAfter;
     /// Priority, zero being the most urgent. Without a value the endpoint chooses.
     std::optional<int> priority;
+    /// Name of the caller's workspace; empty if callers have none.
+    std::string workspace;
 };
 
 /// The fields of a response head that the gateway uses.
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Http/HttpClient.h"
+#include "catkinwing/Ingress/CreditExchange.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointTable.h"
 #include "catkinwing/Ingress/EntryTable.h"
@@ -71,6 +72,11 @@
     CrashingRequests crashingRequests {};
     /// When this entry's process started.
     TimePoint startedAt {};
+    /// Limits of workspaces; null if they aren't enforced.
+    CreditExchange* credit { nullptr };
+    /// What the entry knows of the configuration may be outdated, since neither the store nor
+    /// a relay has answered for a while.
+    bool isConfigurationStale { false };
 
     /// Returns the retry budget of \p service after updating its allowance.
     RetryWindow& retryBudgetOf(const std::string& service);
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -14,6 +14,10 @@
 /// Number of earlier attempts of a forwarded request that may have reached an endpoint.
 constexpr const char* earlierAttemptsHeader = "Catkinwing-Earlier-Arrivals";
 
+/// Name of the workspace of a forwarded request, as judged by the entry that the client
+/// connected to.
+constexpr const char* workspaceNameHeader = "Catkinwing-Workspace";
+
 /// Marks a refusal that holds at every entry and endpoint. The value is the
 /// retry-after time in seconds.
 constexpr const char* refusedEverywhereHeader = "Catkinwing-Refused-Everywhere";
@@ -29,6 +33,8 @@
     absl::optional<unsigned> attemptsLeft;
     /// Of a forwarded request: number of earlier attempts that may have reached an endpoint.
     unsigned earlierAttempts { 0 };
+    /// Of a forwarded request: name of its workspace; empty if it has none.
+    std::string workspace;
 };
 
 /// Sets the fields of \p request from the headers that a forwarding entry adds.
@@ -86,7 +92,19 @@
 
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
+    /// Determines the workspace of the request. Returns false if the request was refused.
+    bool identifyWorkspace();
+    /// Determines the regions that may process the request. Returns false if the request
+    /// was refused because there is none.
+    bool determineHomes();
+    /// Requests that the workspace's limit allows go on with dispatch().
+    void chargeWorkspace();
+    void onCreditDecision(const CreditDecision& decision);
+    void returnCredit(bool wasNotRun);
+    std::int64_t limitedAmount() const;
+    int requestPriority() const;
     bool isAllowedHere() const;
+    bool isHome(const std::string& region) const;
     bool canRunBeforeStop() const;
     const RequestFingerprint& fingerprint();
     bool refuseIfCrashing();
@@ -160,6 +178,16 @@
     std::shared_ptr<HttpResponder> m_responder;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route { nullptr };
+    /// The workspace in m_routes; null if callers have none, or if this entry's version doesn't
+    /// contain the workspace of a forwarded request.
+    const Workspace* m_workspace { nullptr };
+    /// Empty if callers have no workspaces.
+    std::string m_workspaceName;
+    /// Regions that may process the request; all if empty.
+    std::vector<std::string> m_homeRegions;
+    /// Credit that the request has used of the workspace's limit.
+    CreditPortion m_usedCredit;
+    bool m_isWaitingForCredit { false };
     std::string m_service;
     /// Computed on first use.
     absl::optional<RequestFingerprint> m_fingerprint;
--- /dev/null
+++ b/lib/Ingress/CreditExchange.cpp
@@ -0,0 +1,547 @@
+#include "catkinwing/Ingress/CreditExchange.h"
+
+#include "catkinwing/Support/Hash.h"
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+#include <cmath>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+/// For this time after its start an entry divides the limits by the minimum number of
+/// entries at least, since others that started at the same time may not be listed yet.
+static constexpr milliseconds startTime { 1'000 };
+static constexpr std::size_t minEntriesAtStart = 32;
+/// Accrual of a longer time, in which the process was stalled, is dropped.
+static constexpr milliseconds maxAccrual { 500 };
+static constexpr std::uint64_t ticksPerDeposit = 2;
+static constexpr std::uint64_t ticksPerRegionAsk = 2;
+/// Entries that didn't answer are asked again at this interval.
+static constexpr std::uint64_t ticksPerProbe = 5;
+/// Entries of a region are a few milliseconds apart, but a small entry may be stalled for
+/// a tenth of a second when its share of the processor is used up.
+static constexpr milliseconds replyTimeout { 150 };
+/// The same for entries of other regions, which are some 110 ms away.
+static constexpr milliseconds regionReplyTimeout { 400 };
+/// An entry is suspect after this many messages in succession without a reply: a single
+/// datagram may be lost.
+static constexpr unsigned maxUnanswered = 2;
+/// A request asks this often before this entry decides alone.
+static constexpr unsigned maxAsks = 2;
+/// A pool holds the ask of an entry for this time while it asks other regions for credit,
+/// which takes 110 ms and more.
+static constexpr milliseconds maxHoldTime { 250 };
+/// By then an entry has the answer to an ask that the pool holds.
+static constexpr milliseconds delayedReplyTimeout { 400 };
+/// A pool holds no asks for this time after other regions had less than half of the credit
+/// that it asked for.
+static constexpr milliseconds scarcityTime { 500 };
+/// A pool holds this many asks of a workspace; further ones are refused at once.
+static constexpr std::size_t maxHeldAsks = 64;
+/// Retry-after time of a request whose credit was lost on the way.
+static constexpr milliseconds retryAfterLoss { 200 };
+/// A suspect entry that wasn't heard from for this time is forgotten.
+static constexpr std::chrono::seconds suspectRetention { 30 };
+/// Sums of portions differ from their exact value by less than this.
+static constexpr double roundingError { 1e-3 };
+/// Other regions are asked at once for a request that lacks credit, but no more often.
+static constexpr milliseconds minRegionAskInterval { 40 };
+static constexpr milliseconds lateReplyRetention { 2'000 };
+/// Number of entries of a region that may hold its pool. If none of them answers, most
+/// likely this entry is cut off.
+static constexpr std::size_t poolCandidateCount = 3;
+/// A pool asks this many other regions at a time.
+static constexpr std::size_t maxAskedRegions = 3;
+/// An entry asks in advance for its use of this time.
+static constexpr Seconds advanceTime { 0.25 };
+/// Smoothing time of an entry's use.
+static constexpr std::chrono::seconds useSmoothing { 2 };
+
+static std::uint32_t toCount(double amount)
+{
+    return static_cast<std::uint32_t>(std::clamp<double>(std::ceil(amount), 0, UINT32_MAX));
+}
+
+/// A request that waits for credit.
+struct CreditExchange::Waiting {
+    std::uint64_t hash { 0 };
+    WorkspaceLimit limit;
+    double amount { 0 };
+    milliseconds maxRetryAfter { 0 };
+    std::function<void(const CreditDecision&)> done;
+    unsigned asks { 0 };
+    /// The last ask has been answered.
+    bool isAnswered { false };
+    bool isDecided { false };
+};
+
+/// An ask whose answer waits for credit of other regions.
+struct CreditExchange::HeldAsk {
+    CreditAsk ask;
+    TimePoint until {};
+    /// The entry that asked, and the ID of its message.
+    SocketAddress from;
+    std::uint64_t id { 0 };
+    /// Set instead if a request of this entry asked.
+    std::shared_ptr<Waiting> waiting;
+};
+
+/// The credit of one workspace at this entry.
+struct CreditExchange::Wallet {
+    AgedCredit credit;
+    DecayingRate use { useSmoothing };
+    std::deque<std::shared_ptr<Waiting>> waiting;
+    std::uint64_t granted { 0 };
+    std::uint64_t refused { 0 };
+    /// Asks that wait for credit of other regions, at the pool.
+    std::deque<HeldAsk> held;
+    /// Other regions have too little credit to wait for it.
+    TimePoint scarceUntil {};
+    /// Other regions are asked at once only this often.
+    TimePoint regionsAskedAt {};
+};
+
+struct CreditExchange::PendingAsk {
+    CreditMessageKind kind { CreditMessageKind::Deposit };
+    SocketAddress to;
+    TimePoint sentAt {};
+    /// Of an entry's ask.
+    std::shared_ptr<Waiting> waiting;
+    bool isTimedOut { false };
+    /// The pool holds the ask.
+    bool isDelayed { false };
+    /// Of a pool's ask: what it asked for, by workspace.
+    std::map<std::uint64_t, double> wanted;
+};
+
+CreditExchange::CreditExchange(EntryTable& entries, EntryRecord self, const LimitTolerance& tolerance, Scheduler& scheduler, Random& random,
+    FindWorkspaces findWorkspaces, Send send)
+    : m_entries(entries)
+    , m_self(std::move(self))
+    , m_scheduler(scheduler)
+    , m_random(random)
+    , m_findWorkspaces(std::move(findWorkspaces))
+    , m_send(std::move(send))
+    , m_pool(tolerance)
+    , m_createdAt(scheduler.clock().now())
+    , m_lastId(random.bits())
+{
+}
+
+CreditExchange::~CreditExchange()
+{
+    *m_isAlive = false;
+}
+
+void CreditExchange::start()
+{
+    if (m_startedAt)
+        return;
+    m_startedAt = now();
+    m_depositedUntil = std::max(m_createdAt, now() - maxAccrual);
+}
+
+CreditExchange::Wallet& CreditExchange::walletOf(std::uint64_t workspace)
+{
+    std::unique_ptr<Wallet>& wallet = m_wallets[workspace];
+    if (!wallet)
+        wallet = std::make_unique<Wallet>();
+    return *wallet;
+}
+
+// Uses rendezvous hashing, so that the entries of a region choose the same candidates.
+// Entries that disagree for a while use several pools, which does no harm: credit is only
+// moved.
+std::vector<SocketAddress> CreditExchange::poolCandidates(const std::string& region)
+{
+    if (m_candidatesVersion != m_entries.changeCount()) {
+        m_candidatesVersion = m_entries.changeCount();
+        m_candidates.clear();
+    }
+    auto [known, isNew] = m_candidates.emplace(region, std::vector<SocketAddress>());
+    if (!isNew)
+        return known->second;
+    std::vector<std::pair<std::uint64_t, SocketAddress>> ranked;
+    for (const EntryTable::Peer& peer : m_entries.entriesOfRegion(region))
+        ranked.emplace_back(stableHash(peer.address.toString(), stableHash("credit")), peer.address);
+    std::sort(ranked.begin(), ranked.end());
+    for (const auto& [score, address] : ranked) {
+        if (known->second.size() < poolCandidateCount)
+            known->second.push_back(address);
+    }
+    return known->second;
+}
+
+bool CreditExchange::isSuspect(const SocketAddress& entry) const
+{
+    auto silence = m_silences.find(entry);
+    return silence != m_silences.end() && silence->second.unanswered >= maxUnanswered;
+}
+
+SocketAddress CreditExchange::poolOf(const std::string& region)
+{
+    for (const SocketAddress& candidate : poolCandidates(region)) {
+        if (candidate == m_self.peerAddress || !isSuspect(candidate))
+            return candidate;
+    }
+    return m_self.peerAddress;
+}
+
+void CreditExchange::tick()
+{
+    ++m_ticks;
+    expireAsks();
+    if (m_findWorkspaces().empty()) {
+        m_depositedUntil = now();
+        return;
+    }
+    if (m_ticks % ticksPerDeposit == 0)
+        deposit();
+    if (m_ticks % ticksPerProbe == 0)
+        probeSuspects();
+    if (m_ticks % ticksPerRegionAsk == 0)
+        askOtherRegions(m_pool.shortages(m_findWorkspaces(), now()));
+    // Answers may begin requests of further workspaces, which changes the table.
+    std::vector<std::uint64_t> withHeldAsks;
+    for (const auto& [workspace, wallet] : m_wallets) {
+        if (!wallet->held.empty())
+            withHeldAsks.push_back(workspace);
+    }
+    for (std::uint64_t workspace : withHeldAsks)
+        settleHeld(workspace);
+}
+
+void CreditExchange::deposit()
+{
+    if (!m_startedAt)
+        return;
+    Duration elapsed = std::min<Duration>(now() - m_depositedUntil, maxAccrual);
+    m_depositedUntil = now();
+    std::size_t minEntries = now() - *m_startedAt < startTime ? minEntriesAtStart : 1;
+    CreditDeposit deposit { elapsed, static_cast<std::uint32_t>(std::max(m_entries.recentMaxAddresses(now()), minEntries)) };
+    SocketAddress pool = poolOf(m_self.region);
+    if (pool == m_self.peerAddress) {
+        m_pool.deposit(m_self.peerAddress, deposit, now());
+        return;
+    }
+    CreditMessage message { CreditMessageKind::Deposit, ++m_lastId, std::chrono::duration_cast<std::chrono::microseconds>(elapsed), deposit.entries, {} };
+    m_pendingAsks[message.id] = { message.kind, pool, now(), nullptr, false, false, {} };
+    m_send({ pool, encodeCreditMessage(message) });
+}
+
+// A deposit of no time asks only for an answer.
+void CreditExchange::probeSuspects()
+{
+    for (auto suspect = m_silences.begin(); suspect != m_silences.end();)
+        suspect = now() - suspect->second.lastAt > suspectRetention ? m_silences.erase(suspect) : std::next(suspect);
+    for (const auto& [entry, silence] : m_silences) {
+        if (!isSuspect(entry))
+            continue;
+        CreditMessage message { CreditMessageKind::Deposit, ++m_lastId, {}, 1, {} };
+        m_pendingAsks[message.id] = { message.kind, entry, now(), nullptr, false, false, {} };
+        m_send({ entry, encodeCreditMessage(message) });
+    }
+}
+
+// Asks each region for its part of what is missing.
+void CreditExchange::askOtherRegions(std::vector<CreditAsk> asks)
+{
+    std::vector<std::string> regions = m_entries.otherRegions();
+    if (asks.empty() || regions.empty())
+        return;
+    auto largerFirst = [](const CreditAsk& a, const CreditAsk& b) { return a.wanted > b.wanted; };
+    std::sort(asks.begin(), asks.end(), largerFirst);
+    asks.resize(std::min(asks.size(), maxCreditRows));
+    std::size_t count = std::min(regions.size(), maxAskedRegions);
+    std::size_t first = m_random.below(regions.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        CreditMessage message { CreditMessageKind::PoolAsk, ++m_lastId, {}, 0, {} };
+        PendingAsk pending { message.kind, {}, now(), nullptr, false, false, {} };
+        for (const CreditAsk& ask : asks) {
+            message.rows.push_back({ ask.workspace, 0, toCount(ask.wanted / static_cast<double>(count)), {} });
+            pending.wanted[ask.workspace] = ask.wanted / static_cast<double>(count);
+        }
+        std::vector<SocketAddress> candidates = poolCandidates(regions[(first + i) % regions.size()]);
+        auto answers = std::find_if(candidates.begin(), candidates.end(), [this](const SocketAddress& candidate) { return !isSuspect(candidate); });
+        if (answers == candidates.end())
+            continue;
+        pending.to = *answers;
+        m_pendingAsks[message.id] = std::move(pending);
+        m_send({ *answers, encodeCreditMessage(message) });
+    }
+}
+
+void CreditExchange::charge(const Workspace& workspace, double amount, milliseconds maxRetryAfter, std::function<void(const CreditDecision&)> done)
+{
+    auto waiting = std::make_shared<Waiting>();
+    waiting->hash = workspaceHash(workspace.name);
+    waiting->limit = workspace.limit;
+    waiting->amount = amount;
+    waiting->maxRetryAfter = maxRetryAfter;
+    waiting->done = std::move(done);
+    Wallet& wallet = walletOf(waiting->hash);
+    wallet.use.add(amount, now());
+    wallet.waiting.push_back(waiting);
+    settleWaiting(waiting->hash);
+    if (!waiting->isDecided)
+        ask(waiting);
+}
+
+void CreditExchange::refund(const Workspace& workspace, const CreditPortion& used)
+{
+    std::uint64_t hash = workspaceHash(workspace.name);
+    walletOf(hash).credit.add(used);
+    settleWaiting(hash);
+}
+
+// Asks for the amount of the request itself: the credit of this entry may be used by the
+// requests before it.
+CreditAsk CreditExchange::askFor(const Waiting& waiting)
+{
+    Wallet& wallet = walletOf(waiting.hash);
+    double advance = wallet.use.rate(now()) * advanceTime.count();
+    return { waiting.hash, waiting.amount, waiting.amount + advance, waiting.maxRetryAfter };
+}
+
+void CreditExchange::ask(const std::shared_ptr<Waiting>& waiting)
+{
+    SocketAddress pool = ++waiting->asks > maxAsks ? m_self.peerAddress : poolOf(m_self.region);
+    CreditAsk ask = askFor(*waiting);
+    if (pool == m_self.peerAddress) {
+        grantOrHold({ ask, now() + maxHoldTime, {}, 0, waiting }, waiting->limit);
+        return;
+    }
+    CreditMessage message { CreditMessageKind::EntryAsk, ++m_lastId, {}, 0, { { ask.workspace, toCount(ask.needed), toCount(ask.wanted), ask.maxRetryAfter } } };
+    m_pendingAsks[message.id] = { message.kind, pool, now(), waiting, false, false, {} };
+    m_send({ pool, encodeCreditMessage(message) });
+    m_scheduler.callAfter(replyTimeout, [this, alive = m_isAlive, id = message.id] {
+        if (*alive)
+            onAskTimeout(id);
+    });
+}
+
+void CreditExchange::onAskTimeout(std::uint64_t id)
+{
+    auto pending = m_pendingAsks.find(id);
+    if (pending == m_pendingAsks.end() || pending->second.isTimedOut)
+        return;
+    if (pending->second.isDelayed && now() - pending->second.sentAt < delayedReplyTimeout) {
+        m_scheduler.callAfter(pending->second.sentAt + delayedReplyTimeout - now(), [this, alive = m_isAlive, id] {
+            if (*alive)
+                onAskTimeout(id);
+        });
+        return;
+    }
+    pending->second.isTimedOut = true;
+    Silence& silence = m_silences[pending->second.to];
+    silence.lastAt = now();
+    if (++silence.unanswered == maxUnanswered)
+        logChange(LogLevel::Warning, "credit_pool_silent", { { "entry", pending->second.to.toString() } });
+    std::shared_ptr<Waiting> waiting = pending->second.waiting;
+    if (waiting && !waiting->isDecided)
+        ask(waiting);
+}
+
+// Serves the waiting requests in their order, as far as the credit lasts.
+void CreditExchange::settleWaiting(std::uint64_t workspace)
+{
+    Wallet& wallet = walletOf(workspace);
+    while (!wallet.waiting.empty()) {
+        std::shared_ptr<Waiting> first = wallet.waiting.front();
+        bool isCovered = wallet.credit.available(now()) + roundingError >= first->amount;
+        if (!first->isDecided && !isCovered && !first->isAnswered)
+            return;
+        wallet.waiting.pop_front();
+        if (first->isDecided)
+            continue;
+        first->isDecided = true;
+        ++(isCovered ? wallet.granted : wallet.refused);
+        CreditDecision decision { isCovered, isCovered ? wallet.credit.take(first->amount, now()) : CreditPortion(), retryAfterLoss };
+        first->done(decision);
+    }
+}
+
+void CreditExchange::decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, milliseconds retryAfter)
+{
+    Wallet& wallet = walletOf(waiting->hash);
+    wallet.credit.add(portion);
+    waiting->isAnswered = true;
+    if (portion.amount > 0 || waiting->isDecided) {
+        settleWaiting(waiting->hash);
+        return;
+    }
+    waiting->isDecided = true;
+    ++wallet.refused;
+    waiting->done({ false, {}, retryAfter });
+    settleWaiting(waiting->hash);
+}
+
+void CreditExchange::handleMessage(const SocketAddress& from, const CreditMessage& message)
+{
+    m_silences.erase(from);
+    switch (message.kind) {
+    case CreditMessageKind::Deposit:
+        m_pool.deposit(from, { message.elapsed, message.entries }, now());
+        m_send({ from, encodeCreditMessage({ CreditMessageKind::Reply, message.id, {}, 0, {} }) });
+        return;
+    case CreditMessageKind::EntryAsk:
+        answerEntry(from, message);
+        return;
+    case CreditMessageKind::PoolAsk:
+        answerPool(from, message);
+        return;
+    case CreditMessageKind::Delay:
+        if (auto pending = m_pendingAsks.find(message.id); pending != m_pendingAsks.end() && pending->second.to == from)
+            pending->second.isDelayed = true;
+        return;
+    case CreditMessageKind::Reply:
+        handleReply(from, message);
+        return;
+    }
+}
+
+// Amounts are rounded down to whole units, so that no credit is created.
+CreditRow CreditExchange::grantRow(std::uint64_t workspace, const CreditPortion& portion) const
+{
+    return { workspace, static_cast<std::uint32_t>(portion.amount), 0, std::chrono::duration_cast<milliseconds>(portion.expiresAt - now()) };
+}
+
+void CreditExchange::answerEntry(const SocketAddress& from, const CreditMessage& message)
+{
+    if (message.rows.size() != 1)
+        return;
+    const CreditRow& row = message.rows.front();
+    CreditAsk ask { row.workspace, static_cast<double>(row.amount), static_cast<double>(row.maxAmount), row.time };
+    const Workspace* workspace = m_findWorkspaces().findByHash(row.workspace);
+    // The version of the asking entry may be another one.
+    if (!workspace || !workspace->limit.isLimited())
+        sendAnswer({ ask, now(), from, message.id, nullptr }, {}, row.time);
+    else
+        grantOrHold({ ask, now() + maxHoldTime, from, message.id, nullptr }, workspace->limit);
+}
+
+void CreditExchange::answerPool(const SocketAddress& from, const CreditMessage& message)
+{
+    CreditMessage reply { CreditMessageKind::Reply, message.id, {}, 0, {} };
+    for (const CreditRow& row : message.rows) {
+        const Workspace* workspace = m_findWorkspaces().findByHash(row.workspace);
+        if (workspace && workspace->limit.isLimited())
+            reply.rows.push_back(grantRow(row.workspace, m_pool.grant({ row.workspace, 0, static_cast<double>(row.maxAmount), {} }, workspace->limit, CreditAsker::Pool, now())));
+    }
+    m_send({ from, encodeCreditMessage(reply) });
+}
+
+void CreditExchange::sendAnswer(const HeldAsk& held, const CreditPortion& portion, milliseconds retryAfter)
+{
+    if (held.waiting) {
+        decide(held.waiting, portion, retryAfter);
+        return;
+    }
+    CreditRow row = portion.amount > 0 ? grantRow(held.ask.workspace, portion) : CreditRow { held.ask.workspace, 0, 0, retryAfter };
+    m_send({ held.from, encodeCreditMessage({ CreditMessageKind::Reply, held.id, {}, 0, { row } }) });
+}
+
+// A region whose demand has just risen has too little credit for a moment, while other
+// regions have more than they need. A short wait then serves the request, unless the
+// workspace has used its limit everywhere.
+void CreditExchange::grantOrHold(const HeldAsk& held, const WorkspaceLimit& limit)
+{
+    CreditPortion portion = m_pool.grant(held.ask, limit, CreditAsker::Entry, now());
+    if (portion.amount > 0) {
+        sendAnswer(held, portion, {});
+        return;
+    }
+    Wallet& wallet = walletOf(held.ask.workspace);
+    bool mayHold = now() >= wallet.scarceUntil && !m_entries.otherRegions().empty() && wallet.held.size() < maxHeldAsks;
+    if (!mayHold) {
+        sendAnswer(held, {}, m_pool.bookRetry(held.ask, limit, now(), m_random));
+        return;
+    }
+    wallet.held.push_back(held);
+    if (!held.waiting)
+        m_send({ held.from, encodeCreditMessage({ CreditMessageKind::Delay, held.id, {}, 0, {} }) });
+    if (now() - wallet.regionsAskedAt < minRegionAskInterval)
+        return;
+    wallet.regionsAskedAt = now();
+    askOtherRegions({ { held.ask.workspace, 0, m_pool.missing(held.ask.workspace, limit, now()), {} } });
+}
+
+void CreditExchange::settleHeld(std::uint64_t workspace)
+{
+    Wallet& wallet = walletOf(workspace);
+    const Workspace* known = m_findWorkspaces().findByHash(workspace);
+    std::deque<HeldAsk> held = std::exchange(wallet.held, {});
+    for (HeldAsk& ask : held) {
+        if (!known) {
+            sendAnswer(ask, {}, retryAfterLoss);
+            continue;
+        }
+        CreditPortion portion = m_pool.grant(ask.ask, known->limit, CreditAsker::Entry, now());
+        bool isScarce = now() < wallet.scarceUntil;
+        if (portion.amount > 0)
+            sendAnswer(ask, portion, {});
+        else if (isScarce || now() >= ask.until)
+            sendAnswer(ask, {}, m_pool.bookRetry(ask.ask, known->limit, now(), m_random));
+        else
+            wallet.held.push_back(std::move(ask));
+    }
+}
+
+// The lifetime of granted credit counts from the moment at which it was asked for, before
+// which it had accrued. So delays of the messages don't add to its age.
+void CreditExchange::handleReply(const SocketAddress& from, const CreditMessage& reply)
+{
+    auto pending = m_pendingAsks.find(reply.id);
+    if (pending == m_pendingAsks.end() || pending->second.to != from)
+        return;
+    PendingAsk asked = std::move(pending->second);
+    m_pendingAsks.erase(pending);
+    for (const CreditRow& row : reply.rows) {
+        CreditPortion portion { static_cast<double>(row.amount), asked.sentAt + row.time };
+        if (asked.kind == CreditMessageKind::PoolAsk)
+            receiveFromRegion(asked, row.workspace, portion);
+        else if (asked.waiting && row.workspace == asked.waiting->hash)
+            decide(asked.waiting, row.amount > 0 ? portion : CreditPortion(), row.time);
+    }
+}
+
+void CreditExchange::receiveFromRegion(const PendingAsk& asked, std::uint64_t workspace, const CreditPortion& portion)
+{
+    constexpr double minFraction = 0.5;
+    auto wanted = asked.wanted.find(workspace);
+    if (wanted == asked.wanted.end())
+        return;
+    m_pool.add(workspace, portion, now());
+    Wallet& wallet = walletOf(workspace);
+    wallet.scarceUntil = portion.amount < minFraction * wanted->second ? now() + scarcityTime : TimePoint {};
+    settleHeld(workspace);
+}
+
+void CreditExchange::expireAsks()
+{
+    for (auto pending = m_pendingAsks.begin(); pending != m_pendingAsks.end();) {
+        Duration age = now() - pending->second.sentAt;
+        std::uint64_t id = pending->first;
+        bool crossesRegions = pending->second.kind == CreditMessageKind::PoolAsk;
+        if (age > (crossesRegions ? regionReplyTimeout : replyTimeout) && !pending->second.isTimedOut)
+            onAskTimeout(id);
+        pending = age > lateReplyRetention ? m_pendingAsks.erase(m_pendingAsks.find(id)) : std::next(m_pendingAsks.find(id));
+    }
+}
+
+std::vector<CreditState> CreditExchange::states()
+{
+    std::vector<CreditState> states;
+    for (const Workspace& workspace : m_findWorkspaces().all()) {
+        if (!workspace.limit.isLimited())
+            continue;
+        std::uint64_t hash = workspaceHash(workspace.name);
+        Wallet& wallet = walletOf(hash);
+        states.push_back({ workspace.name, workspace.limit.perSecond, wallet.credit.available(now()), m_pool.available(hash, workspace.limit, now()), wallet.granted, wallet.refused });
+    }
+    return states;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -50,6 +50,9 @@
 /// A longer time between two rounds of housekeeping means that the process was
 /// paused or starved of CPU time, and receives messages late.
 static constexpr milliseconds maxHouseKeepingGap { 500 };
+/// Without an answer of the store or a relay for this time, the configuration may be outdated.
+/// Both answer several times in it while they work.
+static constexpr milliseconds maxConfigurationAge { 3'000 };
 static constexpr milliseconds stateLogInterval { 10'000 };
 /// Requests take from 30 ms to several seconds, and loads that are received through
 /// a collector are about one and a half intervals old. If loads are twice as old,
@@ -88,6 +91,9 @@
             EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(random.bits()) }
         , loadExchange(parts.endpoints, parts.entries, self)
         , crashExchange(parts.crashingRequests, parts.entries, self, random)
+        , creditExchange(
+              parts.entries, self, limitTolerance(ingress), eventLoop, random, [this]() -> const WorkspaceTable& { return workspaces(); },
+              [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , registration(*store, eventLoop, registrationOptions())
         , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
         , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -97,6 +103,18 @@
     {
     }
 
+    static LimitTolerance limitTolerance(const IngressSettings& settings)
+    {
+        return { settings.limitWindow, settings.limitOverage, settings.limitSlack };
+    }
+
+    /// Returns the workspaces of the configuration in force.
+    const WorkspaceTable& workspaces() const
+    {
+        static const WorkspaceTable none;
+        return parts.routes ? parts.routes->workspaces() : none;
+    }
+
     static HttpClientOptions endpointClientOptions()
     {
         HttpClientOptions options;
@@ -142,6 +160,7 @@
     void answerOperator(const HttpRequest& request, HttpResponder& responder);
     bool isReady() const { return parts.routes && follower.hasListedStore() && !parts.plannedStop; }
     void receiveLoadReport(const SocketAddress& from, absl::string_view bytes);
+    void receiveCreditMessage(const SocketAddress& from, absl::string_view bytes);
     void receiveRegionReport(const SocketAddress& from, absl::string_view bytes);
     void send(const std::vector<OutgoingDatagram>& datagrams);
     void scheduleUrgentReport();
@@ -170,6 +189,7 @@
     IngressContext parts;
     LoadExchange loadExchange;
     CrashExchange crashExchange;
+    CreditExchange creditExchange;
     EntryRegistration registration;
     RelayedStore relayedStore;
     StoreFollower follower;
@@ -298,6 +318,12 @@
     metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
     metrics.set("store_age_seconds", std::chrono::duration<double>(relayedStore.dataAge().value_or(Duration::zero())).count());
     metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashingRequests.refusedCount(loop.clock().now())));
+    for (const CreditState& state : creditExchange.states()) {
+        metrics.set("limit_credit_entry_" + state.workspace, state.atEntry);
+        metrics.set("limit_credit_pool_" + state.workspace, state.atPool);
+        metrics.set("limit_granted_" + state.workspace, static_cast<double>(state.granted));
+        metrics.set("limit_refused_" + state.workspace, static_cast<double>(state.refused));
+    }
     for (const auto& [service, budget] : parts.retryBudgets) {
         metrics.set("retry_budget_requests_" + service, static_cast<double>(budget.totals().requests));
         metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
@@ -315,6 +341,10 @@
 // so a sender is known before the store has answered.
 void IngressDaemon::Impl::receiveLoadReport(const SocketAddress& from, absl::string_view bytes)
 {
+    if (!bytes.empty() && bytes.front() == creditMessageMark) {
+        receiveCreditMessage(from, bytes);
+        return;
+    }
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
     absl::StatusOr<LoadDigest> digest = decodeLoadDigest(report.ok() ? absl::string_view() : bytes);
     if (!report.ok() && !digest.ok()) {
@@ -328,6 +358,15 @@
         loadExchange.handleDigest(std::move(*digest), loop.clock().now());
 }
 
+void IngressDaemon::Impl::receiveCreditMessage(const SocketAddress& from, absl::string_view bytes)
+{
+    absl::StatusOr<CreditMessage> message = decodeCreditMessage(bytes);
+    if (message.ok())
+        creditExchange.handleMessage(from, *message);
+    else
+        metrics.count("credit_messages_refused");
+}
+
 void IngressDaemon::Impl::receiveRegionReport(const SocketAddress& from, absl::string_view bytes)
 {
     absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
@@ -384,6 +423,7 @@
 {
     send(loadExchange.tick(ownKey(), loop.clock().now()));
     send(crashExchange.tick(loop.clock().now()));
+    creditExchange.tick();
     reportRegion();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
@@ -429,8 +469,10 @@
     if (isReadyNow && !wasReady) {
         logChange(LogLevel::Info, "ready", { { "version", parts.routes->version() }, { "endpoints", parts.endpoints.size() } });
         registration.start();
+        creditExchange.start();
     }
     wasReady = isReadyNow;
+    parts.isConfigurationStale = relayedStore.dataAge().value_or(Duration::zero()) > maxConfigurationAge;
     loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
 }
 
@@ -470,6 +512,7 @@
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
     impl->parts.startedAt = loop.clock().now();
+    impl->parts.credit = &impl->creditExchange;
     impl->parts.crashingRequests.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // Closes connections to an endpoint that was restarted: they belong to the earlier
@@ -503,6 +546,7 @@
     m_impl->ingress.drainTimeout = settings.ingress->drainTimeout;
     m_impl->ingress.directoryLifetime = settings.ingress->directoryLifetime;
     m_impl->parts.retryLimits = { settings.ingress->retryRatio, settings.ingress->retrySlack };
+    m_impl->creditExchange.setTolerance(Impl::limitTolerance(*settings.ingress));
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -45,8 +45,6 @@
 /// Afterwards the entry accepts only requests whose deadline is no later than the end
 /// of its planned stop.
 static constexpr milliseconds acceptAllWhileStopping { 3'000 };
-/// Priorities of routes and endpoints start at zero, the most urgent.
-static constexpr int leastUrgentPriority = 9;
 
 void readForwardHeaders(const HttpHeaders& headers, RoutedRequest& request)
 {
@@ -57,6 +55,8 @@
     text = headers.find(earlierAttemptsHeader);
     if (text && !absl::SimpleAtoi(*text, &request.earlierAttempts))
         request.earlierAttempts = 0;
+    if (const std::string* workspace = headers.find(workspaceNameHeader))
+        request.workspace = *workspace;
 }
 
 RetryWindow& IngressContext::retryBudgetOf(const std::string& service)
@@ -103,6 +103,8 @@
     if (m_request.facts.timeLeft)
         allowed = std::min(allowed, *m_request.facts.timeLeft);
     m_deadline = m_request.arrivedAt + allowed;
+    if (!identifyWorkspace() || !determineHomes())
+        return;
     if (!canRunBeforeStop()) {
         sendOwnAnswer(statusUnavailable, Outcome::NotRun, "stopping");
         return;
@@ -114,9 +116,7 @@
         return;
     }
     m_service = pickService();
-    if (!m_request.isForwarded)
-        m_parts.retryBudgetOf(m_service).recordRequest(now());
-    dispatch();
+    chargeWorkspace();
 }
 
 milliseconds RoutedRun::timeLeft() const
@@ -132,8 +132,12 @@
 
 bool RoutedRun::isAllowedHere() const
 {
-    const std::vector<std::string>& homes = m_route->homeRegions;
-    return homes.empty() || std::find(homes.begin(), homes.end(), m_parts.region) != homes.end();
+    return isHome(m_parts.region);
+}
+
+bool RoutedRun::isHome(const std::string& region) const
+{
+    return m_homeRegions.empty() || std::find(m_homeRegions.begin(), m_homeRegions.end(), region) != m_homeRegions.end();
 }
 
 // The last segment belongs to the request itself or to its session and isn't shared.
@@ -279,7 +283,8 @@
     m_triedEndpoints.push_back(endpoint->record.incarnation);
     AttemptFacts facts;
     facts.incarnation = endpoint->record.incarnation;
-    facts.priority = std::clamp(m_route->priority, 0, leastUrgentPriority);
+    facts.priority = requestPriority();
+    facts.workspace = m_workspaceName;
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
     request.connectTimeout = endpointConnectTimeout;
     Attempt attempt;
@@ -301,12 +306,10 @@
 // the number of their usable endpoints.
 std::map<std::string, std::size_t> RoutedRun::untriedRegions(const std::string& service) const
 {
-    const std::vector<std::string>& homes = m_route->homeRegions;
     std::map<std::string, std::size_t> regions;
     for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service, now())) {
-        bool isHome = homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
         bool wasTried = std::find(m_triedRegions.begin(), m_triedRegions.end(), region) != m_triedRegions.end();
-        if (region != m_parts.region && isHome && !wasTried)
+        if (region != m_parts.region && isHome(region) && !wasTried)
             regions.emplace(region, usable);
     }
     return regions;
@@ -376,7 +379,7 @@
     const ServiceSettings* settings = m_routes->findService(m_service);
     if (!segment || !settings)
         return false;
-    std::optional<std::string> keeperRegion = m_parts.endpoints.regionOfSegment(m_service, segment->id, m_route->homeRegions, now());
+    std::optional<std::string> keeperRegion = m_parts.endpoints.regionOfSegment(m_service, segment->id, m_homeRegions, now());
     // A region without a load report gets the request if its acceptance is high enough.
     bool isUnknown = keeperRegion && *keeperRegion != m_parts.region && !expectedWaitIn(*keeperRegion);
     if (isUnknown)
@@ -400,6 +403,8 @@
     HttpClientRequest request = makeRequest(*peer, {});
     request.headers.set(attemptsLeftHeader, std::to_string(m_route->attempts - std::min(m_possiblyRunAttempts, m_route->attempts)));
     request.headers.set(earlierAttemptsHeader, std::to_string(m_possiblyDeliveredAttempts));
+    if (!m_workspaceName.empty())
+        request.headers.set(workspaceNameHeader, m_workspaceName);
     request.connectTimeout = peerConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 static constexpr int statusBadGateway = 502;
+static constexpr int statusTooManyRequests = 429;
 static constexpr int statusUnavailable = 503;
 static constexpr int statusGatewayTimeout = 504;
 static constexpr int firstServerErrorStatus = 500;
@@ -425,7 +426,7 @@
     head.status = status;
     head.headers.add("content-type", "application/json");
     head.headers.add(outcomeHeader, outcomeWord(outcome));
-    if (status == statusUnavailable)
+    if (status == statusUnavailable || status == statusTooManyRequests)
         head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(retryAfter()).count()));
     if (m_retryAfter && m_request.isForwarded)
         head.headers.add(refusedEverywhereHeader, absl::StrCat(std::chrono::duration<double>(*m_retryAfter).count()));
@@ -465,6 +466,7 @@
 {
     auto self = shared_from_this();
     m_isDone = true;
+    returnCredit(absl::string_view(outcome) == outcomeWord(Outcome::NotRun));
     m_parts.scheduler.cancel(m_deadlineTimer);
     if (m_attempt && m_attempt->endpoint) {
         releaseEndpoint(*m_attempt);
@@ -482,7 +484,7 @@
         nlohmann::json fields = {
             { "request", m_request.facts.attemptId }, { "route", m_route ? m_route->name : "" }, { "status", status },
             { "outcome", outcome }, { "reason", reason }, { "attempts", m_attemptCount }, { "forwarded", m_request.isForwarded },
-            { "version", m_routes ? m_routes->version() : 0 }, { "took_ms", sinceArrival(now()) }
+            { "workspace", m_workspaceName }, { "version", m_routes ? m_routes->version() : 0 }, { "took_ms", sinceArrival(now()) }
         };
         if (m_firstByteAt != TimePoint {})
             fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -25,7 +25,7 @@
 {
     if (!m_fingerprint) {
         const HttpRequest& http = m_request.http;
-        m_fingerprint = fingerprintOf({ m_request.facts.host, m_request.facts.caller, http.method, http.path, http.query, http.body });
+        m_fingerprint = fingerprintOf({ m_request.facts.host, m_request.facts.caller + m_workspaceName, http.method, http.path, http.query, http.body });
     }
     return *m_fingerprint;
 }
@@ -63,7 +63,7 @@
     if (!crash)
         return false;
     bool isLikelyUnrelated = crash->isOnlyKnownHere && m_possiblyDeliveredAttempts > 0;
-    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_route->homeRegions);
+    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_homeRegions);
     Duration wait = isLikelyUnrelated ? Duration::zero() : crashing.nextTurn(fingerprint(), *crash, order, time) - time;
     if (wait <= Duration::zero()) {
         crashing.recordAttempt(fingerprint(), time);
@@ -108,7 +108,7 @@
     bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
     if (isBroken) {
         std::vector<std::uint32_t> regions;
-        for (const std::string& region : m_route->homeRegions)
+        for (const std::string& region : m_homeRegions)
             regions.push_back(regionHash(region));
         crashing.recordBrokenConnection(fingerprint(), endpoint, std::move(regions), now(), now() - attempt.startedAt);
     }
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -21,7 +21,13 @@
             facts.resumeAfter = static_cast<std::uint64_t>(number);
         else if (field.name == "prompt")
             facts.prompt = { { field.value, 13'000 }, { "own", 300 } };
-        facts.forwardedHeaders.add(field.name, field.value);
+        else if (field.name == "workspace-key")
+            facts.workspaceKey = field.value;
+        else if (field.name == "tokens") {
+            facts.hasTokenCounts = absl::SimpleAtoi(field.value, &facts.promptTokens);
+        }
+        if (field.name != "workspace-key")
+            facts.forwardedHeaders.add(field.name, field.value);
     }
     return facts;
 }
@@ -30,6 +36,10 @@
 {
     headers.set("time-left", std::to_string(facts.timeLeft.count()));
     headers.set("incarnation", facts.incarnation);
+    if (facts.priority)
+        headers.set("priority", std::to_string(*facts.priority));
+    if (!facts.workspace.empty())
+        headers.set("workspace", facts.workspace);
     if (facts.resumeAfter)
         headers.set("resume-after", std::to_string(*facts.resumeAfter));
 }
@@ -107,11 +117,11 @@
     };
 }
 
-void IngressFixture::configure(Route route)
+void IngressFixture::configure(Route route, std::vector<Workspace> workspaces, std::int64_t version)
 {
     ServiceSettings service;
     service.name = "service";
-    parts.routes = std::make_shared<const RouteTable>(1, std::vector<Route> { std::move(route) }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    parts.routes = std::make_shared<const RouteTable>(version, std::vector<Route> { std::move(route) }, std::vector<ServiceSettings> { service }, ClientLimits {}, WorkspaceTable(std::move(workspaces)));
     // Fills the retry budget, which grows with the number of requests, so that tests may
     // retry.
     for (int i = 0; i < 50; ++i)
@@ -165,6 +175,8 @@
     request.http.headers.add("request-id", "id-1");
     request.facts = dialect.readRequest(request.http);
     request.isForwarded = isForwarded;
+    if (isForwarded)
+        readForwardHeaders(request.http.headers, request);
     request.arrivedAt = scheduler.clock().now();
     std::make_shared<RoutedRun>(parts, std::move(request), responder)->begin();
     return responder;
--- a/unittests/Ingress/IngressFixture.h
+++ b/unittests/Ingress/IngressFixture.h
@@ -25,8 +25,8 @@
 public:
     IngressFixture();
 
-    /// Applies a configuration that consists of one route and its only service.
-    void configure(Route route);
+    /// Applies a configuration that consists of one route, its only service and workspaces.
+    void configure(Route route, std::vector<Workspace> workspaces = {}, std::int64_t version = 1);
     static Route unaryRoute(RequestKind kind, unsigned attempts = 2);
     static Route streamRoute(bool isResumable);
     void addEndpoint(const std::string& incarnation, const std::string& zone = "north-a");
--- a/unittests/Platform/PlatformDialectTest.cpp
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -103,3 +103,31 @@
     for (const char* value : { "", "-1", "0", "nan", "inf", "1e30", "Thu, 03 Dec 2026 08:00:00 GMT" })
         CHECK_FALSE(pauseOf(503, value));
 }
+
+TEST_CASE("the key of a caller is read and never forwarded, nor is a workspace that the client states")
+{
+    Dialect dialect = platformDialect();
+    RequestFacts facts = dialect.readRequest(request({ { "Host", "h" }, { "KEY", "secret" }, { "tenant", "other" }, { "X-Other", "kept" } }));
+    CHECK(facts.workspaceKey == "secret");
+    REQUIRE(facts.forwardedHeaders.fields().size() == 2);
+    CHECK_FALSE(facts.forwardedHeaders.find("key"));
+    CHECK_FALSE(facts.forwardedHeaders.find("tenant"));
+    AttemptFacts attempt;
+    attempt.workspace = "fitters";
+    dialect.writeAttempt(attempt, facts.forwardedHeaders);
+    CHECK(*facts.forwardedHeaders.find("tenant") == "fitters");
+}
+
+TEST_CASE("a request with two keys has none")
+{
+    Dialect dialect = platformDialect();
+    CHECK(dialect.readRequest(request({ { "Key", "a" }, { "key", "b" } })).workspaceKey.empty());
+    CHECK(dialect.readRequest(request({ { "Key", "a" }, { "key", "a" } })).workspaceKey.empty());
+}
+
+TEST_CASE("readRequest tells whether a request states its numbers of tokens")
+{
+    Dialect dialect = platformDialect();
+    CHECK(dialect.readRequest(request({ { "Token-Count", "10,20" } })).hasTokenCounts);
+    CHECK_FALSE(dialect.readRequest(request({})).hasTokenCounts);
+}
