--- a/include/catkinwing/Ingress/CreditExchange.h
+++ b/include/catkinwing/Ingress/CreditExchange.h
@@ -68,10 +68,55 @@
     std::vector<CreditState> states();
 
 private:
-    struct Waiting;
-    struct Wallet;
-    struct PendingAsk;
-    struct HeldAsk;
+    /// A request that waits for credit.
+    struct Waiting {
+        std::uint64_t hash { 0 };
+        WorkspaceLimit limit;
+        double amount { 0 };
+        std::chrono::milliseconds maxRetryAfter { 0 };
+        std::function<void(const CreditDecision&)> done;
+        unsigned asks { 0 };
+        /// The last ask has been answered.
+        bool isAnswered { false };
+        bool isDecided { false };
+    };
+    /// An ask whose answer waits for credit of other regions.
+    struct HeldAsk {
+        CreditAsk ask;
+        TimePoint until {};
+        /// The entry that asked, and the ID of its message.
+        SocketAddress from;
+        std::uint64_t id { 0 };
+        /// Set instead if a request of this entry asked.
+        std::shared_ptr<Waiting> waiting;
+    };
+    /// The credit of one workspace at this entry.
+    struct Wallet {
+        AgedCredit credit;
+        DecayingRate use { std::chrono::seconds(2) };
+        std::deque<std::shared_ptr<Waiting>> waiting;
+        std::uint64_t granted { 0 };
+        std::uint64_t refused { 0 };
+        /// Asks that wait for credit of other regions, at the pool.
+        std::deque<HeldAsk> held;
+        /// Other regions have too little credit to wait for it.
+        TimePoint scarceUntil {};
+        /// Other regions are asked at once only this often.
+        TimePoint regionsAskedAt {};
+    };
+    /// A message without a reply.
+    struct PendingAsk {
+        CreditMessageKind kind { CreditMessageKind::Deposit };
+        SocketAddress to;
+        TimePoint sentAt {};
+        /// Of an entry's ask.
+        std::shared_ptr<Waiting> waiting;
+        bool isTimedOut { false };
+        /// The pool holds the ask.
+        bool isDelayed { false };
+        /// Of a pool's ask: what it asked for, by workspace.
+        std::map<std::uint64_t, double> wanted;
+    };
     struct Silence {
         /// Messages in succession without a reply.
         unsigned unanswered { 0 };
@@ -88,6 +133,9 @@
     void probeSuspects();
     void askOtherRegions(std::vector<CreditAsk> asks);
     void ask(const std::shared_ptr<Waiting>& waiting);
+    /// Sends a message and returns the record that awaits its reply.
+    PendingAsk& sendAwaitingReply(const SocketAddress& to, const CreditMessage& message);
+    CreditMessage newMessage(CreditMessageKind kind) { return { kind, ++m_lastId, {}, 0, {} }; }
     void onAskTimeout(std::uint64_t id);
     void decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, std::chrono::milliseconds retryAfter);
     void settleWaiting(std::uint64_t workspace);
--- a/include/catkinwing/PeerProtocol/CreditMessages.h
+++ b/include/catkinwing/PeerProtocol/CreditMessages.h
@@ -54,6 +54,8 @@
 /// Max number of rows in a message, so that it fits into a datagram of 1,400 bytes.
 constexpr std::size_t maxCreditRows = 48;
 
+/// Returns \p amount as a count of a row, rounded up.
+std::uint32_t toCreditCount(double amount);
 std::string encodeCreditMessage(const CreditMessage& message);
 absl::StatusOr<CreditMessage> decodeCreditMessage(absl::string_view bytes);
 
--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -3,7 +3,6 @@
 #include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
 #include <algorithm>
-#include <cmath>
 
 namespace catkinwing {
 
@@ -30,91 +29,20 @@
 static constexpr unsigned maxUnanswered = 2;
 /// A request asks this often before this entry decides alone.
 static constexpr unsigned maxAsks = 2;
-/// A pool holds the ask of an entry for this time while it asks other regions for credit,
-/// which takes 110 ms and more.
-static constexpr milliseconds maxHoldTime { 250 };
 /// By then an entry has the answer to an ask that the pool holds.
 static constexpr milliseconds delayedReplyTimeout { 400 };
-/// A pool holds no asks for this time after other regions had less than half of the credit
-/// that it asked for.
-static constexpr milliseconds scarcityTime { 500 };
-/// A pool holds this many asks of a workspace; further ones are refused at once.
-static constexpr std::size_t maxHeldAsks = 64;
 /// Retry-after time of a request whose credit was lost on the way.
 static constexpr milliseconds retryAfterLoss { 200 };
 /// A suspect entry that wasn't heard from for this time is forgotten.
 static constexpr std::chrono::seconds suspectRetention { 30 };
 /// Sums of portions differ from their exact value by less than this.
 static constexpr double roundingError { 1e-3 };
-/// Other regions are asked at once for a request that lacks credit, but no more often.
-static constexpr milliseconds minRegionAskInterval { 40 };
 static constexpr milliseconds lateReplyRetention { 2'000 };
 /// Number of entries of a region that may hold its pool. If none of them answers, most
 /// likely this entry is cut off.
 static constexpr std::size_t poolCandidateCount = 3;
-/// A pool asks this many other regions at a time.
-static constexpr std::size_t maxAskedRegions = 3;
 /// An entry asks in advance for its use of this time.
 static constexpr Seconds advanceTime { 0.25 };
-/// Smoothing time of an entry's use.
-static constexpr std::chrono::seconds useSmoothing { 2 };
-
-static std::uint32_t toCount(double amount)
-{
-    return static_cast<std::uint32_t>(std::clamp<double>(std::ceil(amount), 0, UINT32_MAX));
-}
-
-/// A request that waits for credit.
-struct CreditExchange::Waiting {
-    std::uint64_t hash { 0 };
-    WorkspaceLimit limit;
-    double amount { 0 };
-    milliseconds maxRetryAfter { 0 };
-    std::function<void(const CreditDecision&)> done;
-    unsigned asks { 0 };
-    /// The last ask has been answered.
-    bool isAnswered { false };
-    bool isDecided { false };
-};
-
-/// An ask whose answer waits for credit of other regions.
-struct CreditExchange::HeldAsk {
-    CreditAsk ask;
-    TimePoint until {};
-    /// The entry that asked, and the ID of its message.
-    SocketAddress from;
-    std::uint64_t id { 0 };
-    /// Set instead if a request of this entry asked.
-    std::shared_ptr<Waiting> waiting;
-};
-
-/// The credit of one workspace at this entry.
-struct CreditExchange::Wallet {
-    AgedCredit credit;
-    DecayingRate use { useSmoothing };
-    std::deque<std::shared_ptr<Waiting>> waiting;
-    std::uint64_t granted { 0 };
-    std::uint64_t refused { 0 };
-    /// Asks that wait for credit of other regions, at the pool.
-    std::deque<HeldAsk> held;
-    /// Other regions have too little credit to wait for it.
-    TimePoint scarceUntil {};
-    /// Other regions are asked at once only this often.
-    TimePoint regionsAskedAt {};
-};
-
-struct CreditExchange::PendingAsk {
-    CreditMessageKind kind { CreditMessageKind::Deposit };
-    SocketAddress to;
-    TimePoint sentAt {};
-    /// Of an entry's ask.
-    std::shared_ptr<Waiting> waiting;
-    bool isTimedOut { false };
-    /// The pool holds the ask.
-    bool isDelayed { false };
-    /// Of a pool's ask: what it asked for, by workspace.
-    std::map<std::uint64_t, double> wanted;
-};
 
 CreditExchange::CreditExchange(EntryTable& entries, EntryRecord self, const LimitTolerance& tolerance, Scheduler& scheduler, Random& random,
     FindWorkspaces findWorkspaces, Send send)
@@ -226,9 +154,10 @@
         m_pool.deposit(m_self.peerAddress, deposit, now());
         return;
     }
-    CreditMessage message { CreditMessageKind::Deposit, ++m_lastId, std::chrono::duration_cast<std::chrono::microseconds>(elapsed), deposit.entries, {} };
-    m_pendingAsks[message.id] = { message.kind, pool, now(), nullptr, false, false, {} };
-    m_send({ pool, encodeCreditMessage(message) });
+    CreditMessage message = newMessage(CreditMessageKind::Deposit);
+    message.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
+    message.entries = deposit.entries;
+    sendAwaitingReply(pool, message);
 }
 
 // A deposit of no time asks only for an answer.
@@ -239,37 +168,7 @@
     for (const auto& [entry, silence] : m_silences) {
         if (!isSuspect(entry))
             continue;
-        CreditMessage message { CreditMessageKind::Deposit, ++m_lastId, {}, 1, {} };
-        m_pendingAsks[message.id] = { message.kind, entry, now(), nullptr, false, false, {} };
-        m_send({ entry, encodeCreditMessage(message) });
-    }
-}
-
-// Asks each region for its part of what is missing.
-void CreditExchange::askOtherRegions(std::vector<CreditAsk> asks)
-{
-    std::vector<std::string> regions = m_entries.otherRegions();
-    if (asks.empty() || regions.empty())
-        return;
-    auto largerFirst = [](const CreditAsk& a, const CreditAsk& b) { return a.wanted > b.wanted; };
-    std::sort(asks.begin(), asks.end(), largerFirst);
-    asks.resize(std::min(asks.size(), maxCreditRows));
-    std::size_t count = std::min(regions.size(), maxAskedRegions);
-    std::size_t first = m_random.below(regions.size());
-    for (std::size_t i = 0; i < count; ++i) {
-        CreditMessage message { CreditMessageKind::PoolAsk, ++m_lastId, {}, 0, {} };
-        PendingAsk pending { message.kind, {}, now(), nullptr, false, false, {} };
-        for (const CreditAsk& ask : asks) {
-            message.rows.push_back({ ask.workspace, 0, toCount(ask.wanted / static_cast<double>(count)), {} });
-            pending.wanted[ask.workspace] = ask.wanted / static_cast<double>(count);
-        }
-        std::vector<SocketAddress> candidates = poolCandidates(regions[(first + i) % regions.size()]);
-        auto answers = std::find_if(candidates.begin(), candidates.end(), [this](const SocketAddress& candidate) { return !isSuspect(candidate); });
-        if (answers == candidates.end())
-            continue;
-        pending.to = *answers;
-        m_pendingAsks[message.id] = std::move(pending);
-        m_send({ *answers, encodeCreditMessage(message) });
+        sendAwaitingReply(entry, newMessage(CreditMessageKind::Deposit));
     }
 }
 
@@ -310,18 +209,28 @@
     SocketAddress pool = ++waiting->asks > maxAsks ? m_self.peerAddress : poolOf(m_self.region);
     CreditAsk ask = askFor(*waiting);
     if (pool == m_self.peerAddress) {
-        grantOrHold({ ask, now() + maxHoldTime, {}, 0, waiting }, waiting->limit);
+        grantOrHold({ ask, {}, {}, 0, waiting }, waiting->limit);
         return;
     }
-    CreditMessage message { CreditMessageKind::EntryAsk, ++m_lastId, {}, 0, { { ask.workspace, toCount(ask.needed), toCount(ask.wanted), ask.maxRetryAfter } } };
-    m_pendingAsks[message.id] = { message.kind, pool, now(), waiting, false, false, {} };
-    m_send({ pool, encodeCreditMessage(message) });
+    CreditMessage message = newMessage(CreditMessageKind::EntryAsk);
+    message.rows.push_back({ ask.workspace, toCreditCount(ask.needed), toCreditCount(ask.wanted), ask.maxRetryAfter });
+    sendAwaitingReply(pool, message).waiting = waiting;
     m_scheduler.callAfter(replyTimeout, [this, alive = m_isAlive, id = message.id] {
         if (*alive)
             onAskTimeout(id);
     });
 }
 
+CreditExchange::PendingAsk& CreditExchange::sendAwaitingReply(const SocketAddress& to, const CreditMessage& message)
+{
+    PendingAsk& pending = m_pendingAsks[message.id];
+    pending.kind = message.kind;
+    pending.to = to;
+    pending.sentAt = now();
+    m_send({ to, encodeCreditMessage(message) });
+    return pending;
+}
+
 void CreditExchange::onAskTimeout(std::uint64_t id)
 {
     auto pending = m_pendingAsks.find(id);
@@ -402,93 +311,6 @@
     }
 }
 
-// Amounts are rounded down to whole units, so that no credit is created.
-CreditRow CreditExchange::grantRow(std::uint64_t workspace, const CreditPortion& portion) const
-{
-    return { workspace, static_cast<std::uint32_t>(portion.amount), 0, std::chrono::duration_cast<milliseconds>(portion.expiresAt - now()) };
-}
-
-void CreditExchange::answerEntry(const SocketAddress& from, const CreditMessage& message)
-{
-    if (message.rows.size() != 1)
-        return;
-    const CreditRow& row = message.rows.front();
-    CreditAsk ask { row.workspace, static_cast<double>(row.amount), static_cast<double>(row.maxAmount), row.time };
-    const Workspace* workspace = m_findWorkspaces().findByHash(row.workspace);
-    // The version of the asking entry may be another one.
-    if (!workspace || !workspace->limit.isLimited())
-        sendAnswer({ ask, now(), from, message.id, nullptr }, {}, row.time);
-    else
-        grantOrHold({ ask, now() + maxHoldTime, from, message.id, nullptr }, workspace->limit);
-}
-
-void CreditExchange::answerPool(const SocketAddress& from, const CreditMessage& message)
-{
-    CreditMessage reply { CreditMessageKind::Reply, message.id, {}, 0, {} };
-    for (const CreditRow& row : message.rows) {
-        const Workspace* workspace = m_findWorkspaces().findByHash(row.workspace);
-        if (workspace && workspace->limit.isLimited())
-            reply.rows.push_back(grantRow(row.workspace, m_pool.grant({ row.workspace, 0, static_cast<double>(row.maxAmount), {} }, workspace->limit, CreditAsker::Pool, now())));
-    }
-    m_send({ from, encodeCreditMessage(reply) });
-}
-
-void CreditExchange::sendAnswer(const HeldAsk& held, const CreditPortion& portion, milliseconds retryAfter)
-{
-    if (held.waiting) {
-        decide(held.waiting, portion, retryAfter);
-        return;
-    }
-    CreditRow row = portion.amount > 0 ? grantRow(held.ask.workspace, portion) : CreditRow { held.ask.workspace, 0, 0, retryAfter };
-    m_send({ held.from, encodeCreditMessage({ CreditMessageKind::Reply, held.id, {}, 0, { row } }) });
-}
-
-// A region whose demand has just risen has too little credit for a moment, while other
-// regions have more than they need. A short wait then serves the request, unless the
-// workspace has used its limit everywhere.
-void CreditExchange::grantOrHold(const HeldAsk& held, const WorkspaceLimit& limit)
-{
-    CreditPortion portion = m_pool.grant(held.ask, limit, CreditAsker::Entry, now());
-    if (portion.amount > 0) {
-        sendAnswer(held, portion, {});
-        return;
-    }
-    Wallet& wallet = walletOf(held.ask.workspace);
-    bool mayHold = now() >= wallet.scarceUntil && !m_entries.otherRegions().empty() && wallet.held.size() < maxHeldAsks;
-    if (!mayHold) {
-        sendAnswer(held, {}, m_pool.bookRetry(held.ask, limit, now(), m_random));
-        return;
-    }
-    wallet.held.push_back(held);
-    if (!held.waiting)
-        m_send({ held.from, encodeCreditMessage({ CreditMessageKind::Delay, held.id, {}, 0, {} }) });
-    if (now() - wallet.regionsAskedAt < minRegionAskInterval)
-        return;
-    wallet.regionsAskedAt = now();
-    askOtherRegions({ { held.ask.workspace, 0, m_pool.missing(held.ask.workspace, limit, now()), {} } });
-}
-
-void CreditExchange::settleHeld(std::uint64_t workspace)
-{
-    Wallet& wallet = walletOf(workspace);
-    const Workspace* known = m_findWorkspaces().findByHash(workspace);
-    std::deque<HeldAsk> held = std::exchange(wallet.held, {});
-    for (HeldAsk& ask : held) {
-        if (!known) {
-            sendAnswer(ask, {}, retryAfterLoss);
-            continue;
-        }
-        CreditPortion portion = m_pool.grant(ask.ask, known->limit, CreditAsker::Entry, now());
-        bool isScarce = now() < wallet.scarceUntil;
-        if (portion.amount > 0)
-            sendAnswer(ask, portion, {});
-        else if (isScarce || now() >= ask.until)
-            sendAnswer(ask, {}, m_pool.bookRetry(ask.ask, known->limit, now(), m_random));
-        else
-            wallet.held.push_back(std::move(ask));
-    }
-}
-
 // The lifetime of granted credit counts from the moment at which it was asked for, before
 // which it had accrued. So delays of the messages don't add to its age.
 void CreditExchange::handleReply(const SocketAddress& from, const CreditMessage& reply)
@@ -507,18 +329,6 @@
     }
 }
 
-void CreditExchange::receiveFromRegion(const PendingAsk& asked, std::uint64_t workspace, const CreditPortion& portion)
-{
-    constexpr double minFraction = 0.5;
-    auto wanted = asked.wanted.find(workspace);
-    if (wanted == asked.wanted.end())
-        return;
-    m_pool.add(workspace, portion, now());
-    Wallet& wallet = walletOf(workspace);
-    wallet.scarceUntil = portion.amount < minFraction * wanted->second ? now() + scarcityTime : TimePoint {};
-    settleHeld(workspace);
-}
-
 void CreditExchange::expireAsks()
 {
     for (auto pending = m_pendingAsks.begin(); pending != m_pendingAsks.end();) {
--- a/lib/PeerProtocol/CreditMessages.cpp
+++ b/lib/PeerProtocol/CreditMessages.cpp
@@ -3,6 +3,7 @@
 #include "catkinwing/Support/Cbor.h"
 #include "catkinwing/Support/CountRows.h"
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace catkinwing {
@@ -20,6 +21,11 @@
     return static_cast<std::uint32_t>(std::clamp<milliseconds::rep>(number, 0, UINT32_MAX));
 }
 
+std::uint32_t toCreditCount(double amount)
+{
+    return static_cast<std::uint32_t>(std::clamp<double>(std::ceil(amount), 0, UINT32_MAX));
+}
+
 std::string encodeCreditMessage(const CreditMessage& message)
 {
     json rows = json::array();
--- a/unittests/Config/WorkspaceTest.cpp
+++ b/unittests/Config/WorkspaceTest.cpp
@@ -4,7 +4,7 @@
 
 using namespace catkinwing;
 
-static Workspace workspace(std::string name, std::vector<std::string> keys)
+static Workspace workspace(std::string name, const std::vector<std::string>& keys)
 {
     Workspace workspace;
     workspace.name = std::move(name);
@@ -48,8 +48,10 @@
 TEST_CASE("thousands of keys of hundreds of workspaces are told apart")
 {
     std::vector<Workspace> workspaces;
+    workspaces.reserve(330);
     for (int i = 0; i < 330; ++i) {
         std::vector<std::string> keys;
+        keys.reserve(10);
         for (int k = 0; k < 10; ++k)
             keys.push_back("key-" + std::to_string(i) + "-" + std::to_string(k));
         workspaces.push_back(workspace("w" + std::to_string(i), keys));
