--- a/test/soak/checker_test.py
+++ b/test/soak/checker_test.py
@@ -12,6 +12,7 @@
 
     def __init__(self, service="plain"):
         self.service = service
+        self.zone = "north-a"
         self.name = "place"
         self.left_at = None
         self.faulted_until = 0.0
@@ -33,13 +34,13 @@
 
     def request(self, prefix="/plain/once/", status=200, how=None):
         sent = {"attempt": "a", "prefix": prefix, "method": "POST", "target": prefix + "a", "body": b"", "entry": self.entry,
-                "at": self.now, "status": status, "how": how or str(status), "seal": "a.i-1", "events": 0}
+                "at": self.now, "status": status, "how": how or str(status), "seal": "a.i-1", "events": 0, "key": "key-wide-1"}
         self.soak.requests["a"] = sent
         return sent
 
     def run_it(self, sent, **changes):
         self.soak.runs.append({"attempt": sent["attempt"], "at": self.now, "endpoint": Place(), "method": sent["method"],
-                               "target": sent["target"], "body": sent["body"], "from": 0, **changes})
+                               "target": sent["target"], "body": sent["body"], "from": 0, "workspace": "wide", "has_key": False, **changes})
 
     def rules(self):
         self.soak.check_end()
@@ -75,6 +76,40 @@
         self.run_it(self.request(), endpoint=left)
         self.assertEqual(self.rules(), {"drain"})
 
+    def test_a_key_that_reached_an_endpoint(self):
+        self.run_it(self.request(), has_key=True)
+        self.assertEqual(self.rules(), {"keys"})
+
+    def test_a_request_of_another_workspace_or_with_an_unknown_key(self):
+        self.run_it(self.request(), workspace="bound")
+        self.assertEqual(self.rules(), {"keys"})
+        self.soak.breaches.clear()
+        self.request()["key"] = "key-unknown"
+        self.assertEqual(self.rules(), {"keys"})
+
+    def test_a_request_outside_the_homes_of_its_workspace(self):
+        sent = self.request()
+        sent["key"] = "key-bound"
+        south = Place()
+        south.zone = "south-a"
+        self.run_it(sent, workspace="bound", endpoint=south)
+        self.assertEqual(self.rules(), {"homes"})
+
+    def test_more_requests_than_the_limit_of_a_workspace(self):
+        def run_many(count):
+            self.soak.requests.clear()
+            self.soak.runs.clear()
+            self.soak.breaches.clear()
+            for number in range(count):
+                sent = {**self.request(), "attempt": f"n{number}", "key": "key-narrow", "at": self.now + number / 100}
+                self.soak.requests[sent["attempt"]] = sent
+                self.run_it(sent, workspace="narrow", at=sent["at"] + 0.01)
+            del self.soak.requests["a"]
+            return self.rules()
+
+        self.assertEqual(run_many(69), set())
+        self.assertEqual(run_many(70), {"limits"})
+
     def test_a_cut_at_a_planned_stop(self):
         self.run_it(self.request(status=None, how="closed"))
         self.assertEqual(self.rules(), {"planned stop"})
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -75,7 +75,8 @@
         if self.strikes("hang"):
             await asyncio.sleep(3600)
         self.log.append({"attempt": attempt, "at": time.monotonic(), "endpoint": self, "method": method, "target": target,
-                         "body": body, "from": int(fields.get("last-event-id", 0))})
+                         "body": body, "from": int(fields.get("last-event-id", 0)),
+                         "workspace": fields.get("tenant"), "has_key": "key" in fields})
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if self.strikes("lose"):
             writer.transport.abort()
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -115,7 +115,7 @@
             "name": self.name, "region": self.zones[self.zone], "availabilityZone": self.zone,
             "listen": {name: address[name] for name in ("callers", "peers", "operators")},
             "store": [f"127.0.0.1:{self.store_proxy.port}"],
-            "ingress": {"readiness": address["readiness"], "directory": address["directory"], "regionOfZone": self.zones,
+            "ingress": {"readiness": address["readiness"], "directory": address["directory"], "regionOfZone": self.zones, "quotaSlack": 10,
                         "drainTimeout": "8s"},
         }
         path = os.path.join(self.folder, f"{self.name}.json")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -26,6 +26,20 @@
     "/stream/once/": ("model", "streaming", False, 1),
     "/stream/often/": ("model", "streaming", True, 2),
 }
+# Name, keys, homes and limit in requests a second of each workspace.
+WORKSPACES = [
+    ("wide", ["key-wide-1", "key-wide-2"], [], 0),
+    ("bound", ["key-bound"], ["north"], 0),
+    ("narrow", ["key-narrow"], [], 6),
+]
+HOLDERS = {key: name for name, keys, _, _ in WORKSPACES for key in keys}
+HOMES = {name: homes for name, _, homes, _ in WORKSPACES}
+# Callers draw one of these; nobody holds the last one.
+KEYS = ["key-wide-1"] * 6 + ["key-wide-2"] * 6 + ["key-bound"] * 4 + ["key-narrow"] * 5 + ["key-unknown"]
+# What the limit allows within any window, as the settings of the entries say.
+LIMIT_WINDOW = 8.0
+LIMIT_OVERAGE = 0.1
+LIMIT_SLACK = 10
 DRAIN_BOUND = 3.0
 CALM = 5.0
 PROMISES = {429, 503, 408, 421}
@@ -38,7 +52,8 @@
     services = [{"name": name, "health_path": "/h", "max_conns": 200, "proto": "h1", "tls": False, "warmup_s": 0.0, "cold_per_s": 0.0}
                 for name in ("plain", "model")]
     limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-    return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits})
+    workspaces = [{"name": name, "api_keys": keys, "home_regions": homes, "rate_per_s": rate, "burst": rate} for name, keys, homes, rate in WORKSPACES]
+    return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits, "tenants": workspaces})
 
 
 class Soak:
@@ -175,7 +190,10 @@
         sent = {"attempt": attempt, "prefix": prefix, "method": method, "target": path, "body": body, "entry": entry,
                 "at": time.monotonic(), "status": None, "how": None, "events": 0}
         self.requests[attempt] = sent
-        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", "2500")]
+        sent["key"] = random.choice(KEYS)
+        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", "2500"), ("Key", sent["key"])]
+        if random.random() < 0.1:
+            fields.append(("Tenant", "forged"))
         if random.random() < 0.1:
             fields.append(("Expect-Instance", "i-forged"))
         leaves = random.random() < 0.03
@@ -240,6 +258,9 @@
                 self.check_run(sent, run)
         for sent in self.requests.values():
             self.check_planned_stop(sent, by_attempt)
+        for name, keys, _, rate in WORKSPACES:
+            if rate:
+                self.check_limit(name, keys, rate, by_attempt)
         for entry in self.entries:
             if entry.own_ends:
                 self.breach("process", f"{entry.name} ended by itself {entry.own_ends} times")
@@ -249,12 +270,33 @@
             self.breach("unasked", f"{sent['attempt']} ran as {run['method']} {run['target']}, {len(run['body'])} bytes")
         if run["endpoint"].service != ROUTES[sent["prefix"]][0]:
             self.breach("routes", f"{sent['attempt']} ran at {run['endpoint'].service}")
+        self.check_workspace(sent, run)
         left_at = run["endpoint"].left_at
         is_late = left_at is not None and run["at"] > left_at + DRAIN_BOUND
         everyone_calm = all(self.is_calm(entry, left_at) and self.is_calm(entry, run["at"]) for entry in self.entries) if is_late else False
         if is_late and everyone_calm:
             self.breach("drain", f"{sent['attempt']} ran {run['at'] - left_at:.1f} s after its endpoint said that it leaves")
 
+    def check_workspace(self, sent, run):
+        if run.get("has_key"):
+            self.breach("keys", f"{sent['attempt']} reached its endpoint with its key")
+        holder = HOLDERS.get(sent["key"])
+        if holder is None or run.get("workspace") != holder:
+            self.breach("keys", f"{sent['attempt']} of {holder} ran as {run.get('workspace')}")
+        elif HOMES[holder] and ZONES[run["endpoint"].zone] not in HOMES[holder]:
+            self.breach("homes", f"{sent['attempt']} of {holder} ran in {run['endpoint'].zone}")
+
+    def check_limit(self, name, keys, rate, by_attempt):
+        """Counts the requests that were sent and ran within the same window."""
+        allowed = (rate * LIMIT_WINDOW + rate) * (1 + LIMIT_OVERAGE) + LIMIT_SLACK
+        times = sorted((sent["at"], by_attempt[attempt][0]["at"]) for attempt, sent in self.requests.items()
+                       if sent.get("key") in keys and attempt in by_attempt)
+        for began, _ in times:
+            within = sum(1 for sent_at, ran_at in times if began <= sent_at and ran_at <= began + LIMIT_WINDOW)
+            if within > allowed:
+                self.breach("limits", f"{within} requests of {name} ran within {LIMIT_WINDOW} s, {allowed:.0f} may")
+                return
+
     def check_planned_stop(self, sent, by_attempt):
         """Where only planned stops strike, what was passed on is answered."""
         entry = sent["entry"]
