--- a/include/catkinwing/Admission/CreditPool.h
+++ b/include/catkinwing/Admission/CreditPool.h
@@ -103,8 +103,8 @@
 
     LimitTolerance m_tolerance;
     std::deque<Slot> m_slots;
-    /// Last time at which a deposit of the depositor was credited.
-    std::map<SocketAddress, TimePoint> m_lastDeposits;
+    /// Up to this time the deposits of the depositor are credited.
+    std::map<SocketAddress, TimePoint> m_creditedUntil;
     absl::flat_hash_map<std::uint64_t, Account> m_accounts;
 };
 
--- a/include/catkinwing/Ingress/CreditExchange.h
+++ b/include/catkinwing/Ingress/CreditExchange.h
@@ -20,6 +20,10 @@
     CreditPortion used;
     /// Of a refused request: when its client should return.
     std::chrono::milliseconds retryAfter { 0 };
+    /// Credit of the workspace that this entry has left.
+    double remaining { 0 };
+    /// The entry whose pool decided; empty if this entry had enough credit itself.
+    std::string pool;
 };
 
 /// What an entry knows of the limit of one workspace, for operators.
@@ -76,6 +80,8 @@
         std::chrono::milliseconds maxRetryAfter { 0 };
         std::function<void(const CreditDecision&)> done;
         unsigned asks { 0 };
+        /// The entry that was asked last.
+        std::string pool;
         /// The last ask has been answered.
         bool isAnswered { false };
         bool isDecided { false };
@@ -112,6 +118,8 @@
         /// Of an entry's ask.
         std::shared_ptr<Waiting> waiting;
         bool isTimedOut { false };
+        /// Of a deposit: the time that it covers.
+        Duration deposited { 0 };
         /// The pool holds the ask.
         bool isDelayed { false };
         /// Of a pool's ask: what it asked for, by workspace.
@@ -170,6 +178,9 @@
     std::optional<TimePoint> m_startedAt;
     /// Up to this time the accrual has been deposited.
     TimePoint m_depositedUntil {};
+    /// Time of deposits without a reply, and the entry that they were sent to.
+    Duration m_lostDeposit { 0 };
+    SocketAddress m_lostDepositPool;
     /// Candidates for the pool of each region, as of the entry table's change counter.
     std::map<std::string, std::vector<SocketAddress>> m_candidates;
     std::optional<std::uint64_t> m_candidatesVersion;
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -187,7 +187,8 @@
     std::vector<std::string> m_homeRegions;
     /// Credit that the request has used of the workspace's limit.
     CreditPortion m_usedCredit;
-    bool m_isWaitingForCredit { false };
+    /// The decision by which the request was refused for the limit of its workspace.
+    absl::optional<CreditDecision> m_limitRefusal;
     std::string m_service;
     /// Computed on first use.
     absl::optional<RequestFingerprint> m_fingerprint;
--- a/lib/Admission/CreditPool.cpp
+++ b/lib/Admission/CreditPool.cpp
@@ -48,13 +48,15 @@
     return std::max<Duration>(std::chrono::duration_cast<Duration>(lifetime) - unmeasuredDelay, minCreditLifetime);
 }
 
-// Credits a depositor for no more time than has passed since its last deposit, so that a
-// repeated or delayed datagram adds nothing.
+// Credits a depositor for no more time than has passed since the time that is credited
+// already, so that a repeated datagram adds nothing, while deposits that arrive a little
+// early or late count whole. A depositor may repeat a deposit to the same pool.
 void CreditPool::deposit(const SocketAddress& depositor, const CreditDeposit& deposit, TimePoint now)
 {
-    auto [last, isNew] = m_lastDeposits.emplace(depositor, now - maxDepositTime);
-    Duration elapsed = std::min({ deposit.elapsed, Duration(maxDepositTime), now - last->second });
-    last->second = now;
+    auto [credited, isNew] = m_creditedUntil.emplace(depositor, now - maxDepositTime);
+    credited->second = std::max(credited->second, now - maxDepositTime);
+    Duration elapsed = std::min(deposit.elapsed, now - credited->second);
+    credited->second += std::max(elapsed, Duration::zero());
     if (deposit.entries == 0 || elapsed <= Duration::zero())
         return;
     TimePoint at { (now.time_since_epoch() / slotLength) * slotLength };
@@ -65,8 +67,8 @@
         m_slots.pop_front();
     if (!isNew)
         return;
-    for (auto entry = m_lastDeposits.begin(); entry != m_lastDeposits.end();)
-        entry = now - entry->second > depositorRetention ? m_lastDeposits.erase(entry) : std::next(entry);
+    for (auto entry = m_creditedUntil.begin(); entry != m_creditedUntil.end();)
+        entry = now - entry->second > depositorRetention ? m_creditedUntil.erase(entry) : std::next(entry);
 }
 
 // The latest slot may still grow, so it is collected later.
@@ -116,6 +118,7 @@
     double available = account.credit.available(usableAt);
     if (asker == CreditAsker::Pool) {
         double spare = available - reserveOf(account, limit, now);
+        // What expires first is given away: the rest would expire while it is kept in reserve.
         return account.credit.take(std::clamp(spare, 0.0, ask.wanted), usableAt);
     }
     account.lastAskedAt = now;
--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -150,14 +150,18 @@
     std::size_t minEntries = now() - *m_startedAt < startTime ? minEntriesAtStart : 1;
     CreditDeposit deposit { elapsed, static_cast<std::uint32_t>(std::max(m_entries.recentMaxAddresses(now()), minEntries)) };
     SocketAddress pool = poolOf(m_self.region);
+    // Another pool could have credited the lost time already.
+    if (pool == m_lostDepositPool)
+        deposit.elapsed = std::min<Duration>(deposit.elapsed + m_lostDeposit, maxAccrual);
+    m_lostDeposit = Duration::zero();
     if (pool == m_self.peerAddress) {
         m_pool.deposit(m_self.peerAddress, deposit, now());
         return;
     }
     CreditMessage message = newMessage(CreditMessageKind::Deposit);
-    message.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
+    message.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(deposit.elapsed);
     message.entries = deposit.entries;
-    sendAwaitingReply(pool, message);
+    sendAwaitingReply(pool, message).deposited = deposit.elapsed;
 }
 
 // A deposit of no time asks only for an answer.
@@ -207,6 +211,7 @@
 void CreditExchange::ask(const std::shared_ptr<Waiting>& waiting)
 {
     SocketAddress pool = ++waiting->asks > maxAsks ? m_self.peerAddress : poolOf(m_self.region);
+    waiting->pool = pool.toString();
     CreditAsk ask = askFor(*waiting);
     if (pool == m_self.peerAddress) {
         grantOrHold({ ask, {}, {}, 0, waiting }, waiting->limit);
@@ -244,6 +249,10 @@
         return;
     }
     pending->second.isTimedOut = true;
+    if (pending->second.deposited > Duration::zero()) {
+        m_lostDeposit += pending->second.deposited;
+        m_lostDepositPool = pending->second.to;
+    }
     Silence& silence = m_silences[pending->second.to];
     silence.lastAt = now();
     if (++silence.unanswered == maxUnanswered)
@@ -267,8 +276,8 @@
             continue;
         first->isDecided = true;
         ++(isCovered ? wallet.granted : wallet.refused);
-        CreditDecision decision { isCovered, isCovered ? wallet.credit.take(first->amount, now()) : CreditPortion(), retryAfterLoss };
-        first->done(decision);
+        CreditPortion used = isCovered ? wallet.credit.take(first->amount, now()) : CreditPortion();
+        first->done({ isCovered, used, retryAfterLoss, wallet.credit.available(now()), first->pool });
     }
 }
 
@@ -283,7 +292,7 @@
     }
     waiting->isDecided = true;
     ++wallet.refused;
-    waiting->done({ false, {}, retryAfter });
+    waiting->done({ false, {}, retryAfter, wallet.credit.available(now()), waiting->pool });
     settleWaiting(waiting->hash);
 }
 
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -490,6 +490,13 @@
             fields["first_byte_ms"] = sinceArrival(m_firstByteAt);
         if (m_wasDeniedRetry)
             fields["retry_denied"] = true;
+        if (m_limitRefusal) {
+            fields["amount"] = limitedAmount();
+            fields["limit_per_second"] = m_workspace->limit.perSecond;
+            fields["credit_here"] = m_limitRefusal->remaining;
+            fields["pool"] = m_limitRefusal->pool;
+            fields["retry_after_ms"] = m_limitRefusal->retryAfter.count();
+        }
         if (m_cursor.events() > 0)
             fields["events"] = m_cursor.events();
         if (m_attemptCount > 0) {
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -90,17 +90,15 @@
 {
     bool isLimited = !m_request.isForwarded && m_workspace && m_workspace->limit.isLimited() && m_parts.credit;
     if (!isLimited) {
-        onCreditDecision({ true, {}, {} });
+        onCreditDecision({ true, {}, {}, 0, {} });
         return;
     }
-    m_isWaitingForCredit = true;
     m_parts.credit->charge(*m_workspace, static_cast<double>(limitedAmount()), std::max(timeLeft() / timeLeftDivisor, milliseconds(1)),
         [self = shared_from_this()](const CreditDecision& decision) { self->onCreditDecision(decision); });
 }
 
 void RoutedRun::onCreditDecision(const CreditDecision& decision)
 {
-    m_isWaitingForCredit = false;
     m_usedCredit = decision.used;
     if (m_isDone) {
         returnCredit(true);
@@ -109,6 +107,7 @@
     if (!decision.isGranted) {
         m_retryAfter = decision.retryAfter;
         m_parts.metrics.count("requests_over_limit");
+        m_limitRefusal = decision;
         sendOwnAnswer(statusTooManyRequests, Outcome::NotRun, "workspace_limit");
         return;
     }
