--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -1,39 +1,16 @@
 #include "catkinwing/Ingress/IngressDaemon.h"
 
-#include "StoreFollower.h"
-#include "catkinwing/Http/DatagramSocket.h"
-#include "catkinwing/Http/HttpServer.h"
-#include "catkinwing/Ingress/CrashExchange.h"
-#include "catkinwing/Ingress/EntryRegistration.h"
-#include "catkinwing/Ingress/LoadExchange.h"
-#include "catkinwing/Ingress/RelayedStore.h"
-#include "catkinwing/Ingress/RoutedRun.h"
-#include "catkinwing/Support/Id.h"
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
+#include "IngressDaemonImpl.h"
 #include <algorithm>
-#include <cstring>
-#include <map>
 
 namespace catkinwing {
 
 using std::chrono::milliseconds;
 
-/// Prefix of the store keys of entry registrations.
-static constexpr const char* entryPrefix = "catkinwing/entries/";
-/// Lease of an entry's registration: a terminated entry is removed from the
-/// directory after this time. Shorter leases cost more renewals and expire during
-/// short store outages.
-static constexpr milliseconds entryLeaseDuration { 4'000 };
-static constexpr milliseconds entryRenewalInterval { 1'000 };
 /// Clients close idle connections after a limit set by their operator. An entry
 /// keeps them open longer than any common limit.
 static constexpr milliseconds idleConnectionTimeout { 60'000 };
 static constexpr milliseconds clientSendTimeout { 15'000 };
-/// Idle connections to endpoints are closed before the endpoints close them: a
-/// request that is sent while the endpoint closes the connection is lost.
-static constexpr milliseconds endpointIdleTimeout { 3'000 };
-static constexpr milliseconds peerIdleTimeout { 10'000 };
 /// New connections are accepted for this long after SIGTERM, each for one request.
 /// By then no client holds a directory answer that names the entry.
 static constexpr milliseconds drainListenDuration { 3'200 };
@@ -53,163 +30,16 @@
 /// Without an answer of the store or a relay for this time, the configuration may be outdated.
 /// Both answer several times in it while they work.
 static constexpr milliseconds maxConfigurationAge { 3'000 };
-static constexpr milliseconds stateLogInterval { 10'000 };
 /// Requests take from 30 ms to several seconds, and loads that are received through
 /// a collector are about one and a half intervals old. If loads are twice as old,
 /// entries send too many requests to the same endpoints.
 static constexpr milliseconds loadReportInterval { 100 };
 /// Connections that break within this time are covered by one crash report.
 static constexpr milliseconds urgentReportDelay { 2 };
-/// Number of load report intervals between two region reports.
-static constexpr std::uint64_t loadReportsPerRegionReport = 2;
-/// Each region report goes to this many other regions, from a random one on, and to
-/// this many random entries of each: at most six datagrams of about 100 bytes.
-static constexpr std::size_t regionsPerReport = 3;
-static constexpr std::size_t entriesPerRegion = 2;
-/// Expected number of entries of a region that send a region report in one round,
-/// chosen at random. With five rounds a second, an entry in a region of 100 entries
-/// receives several reports a second about another region.
-static constexpr double expectedRegionReporters = 32;
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
 
-struct IngressDaemon::Impl {
-    Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random randomSource, const Dialect& requestDialect, const StoreFactory& makeStore)
-        : loop(eventLoop)
-        , settings(daemonSettings)
-        , ingress(*settings.ingress)
-        , random(randomSource)
-        , dialect(requestDialect)
-        , log(eventLoop.clock())
-        , storeClient(makeHttpClient(eventLoop, {}))
-        , endpointClient(makeHttpClient(eventLoop, endpointClientOptions()))
-        , peerClient(makeHttpClient(eventLoop, peerClientOptions()))
-        , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
-        , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
-        , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(random.bits()) }
-        , loadExchange(parts.endpoints, parts.entries, self)
-        , crashExchange(parts.crashingRequests, parts.entries, self, random)
-        , creditExchange(
-              parts.entries, self, limitTolerance(ingress), eventLoop, random, [this]() -> const WorkspaceTable& { return workspaces(); },
-              [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
-        , registration(*store, eventLoop, registrationOptions())
-        , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
-        , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
-            if (key == registration.key())
-                registration.recordKeyDeleted();
-        })
-    {
-    }
-
-    static LimitTolerance limitTolerance(const IngressSettings& settings)
-    {
-        return { settings.limitWindow, settings.limitOverage, settings.limitSlack };
-    }
-
-    /// Returns the workspaces of the configuration in force.
-    const WorkspaceTable& workspaces() const
-    {
-        static const WorkspaceTable none;
-        return parts.routes ? parts.routes->workspaces() : none;
-    }
-
-    static HttpClientOptions endpointClientOptions()
-    {
-        HttpClientOptions options;
-        options.keepIdle = endpointIdleTimeout;
-        return options;
-    }
-
-    static HttpClientOptions peerClientOptions()
-    {
-        HttpClientOptions options;
-        options.keepIdle = peerIdleTimeout;
-        return options;
-    }
-
-    EntryRegistrationOptions registrationOptions()
-    {
-        EntryRegistrationOptions options;
-        options.key = absl::StrCat(entryPrefix, settings.name, ".", makeId(random).substr(0, 8));
-        options.value = writeEntryRecord(self);
-        options.timeToLive = entryLeaseDuration;
-        options.renewInterval = entryRenewalInterval;
-        return options;
-    }
-
-    RelayCallbacks relayCallbacks()
-    {
-        RelayCallbacks callbacks;
-        callbacks.findRelay = [this] { return parts.entries.relayAddress(ownKey(), loop.clock().now()); };
-        callbacks.findBootstrapPeer = [this] { return lastReportSender; };
-        callbacks.recordHistoryGap = [this] { follower.recordHistoryGap(); };
-        callbacks.recordRelayFailure = [this](const SocketAddress& peer) { parts.entries.recordPeerFailure(peer, loop.clock().now()); };
-        return callbacks;
-    }
-
-    /// Key of this entry in the table of entries.
-    std::string ownKey() const { return registration.key().substr(std::strlen(entryPrefix)); }
-
-    absl::Status listen();
-    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler) const;
-    void handleRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
-    void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
-    void answerDirectory(const HttpRequest& request, HttpResponder& responder);
-    void answerOperator(const HttpRequest& request, HttpResponder& responder);
-    bool isReady() const { return parts.routes && follower.hasListedStore() && !parts.plannedStop; }
-    void receiveLoadReport(const SocketAddress& from, absl::string_view bytes);
-    void receiveCreditMessage(const SocketAddress& from, absl::string_view bytes);
-    void receiveRegionReport(const SocketAddress& from, absl::string_view bytes);
-    void send(const std::vector<OutgoingDatagram>& datagrams);
-    void scheduleUrgentReport();
-    void reportLoad();
-    void reportRegion();
-    void logState();
-    /// Returns the retry budget counters of each service.
-    nlohmann::json retryTotals() const;
-    void houseKeep();
-    void checkDrained();
-
-    EventLoop& loop;
-    DaemonSettings settings;
-    IngressSettings ingress;
-    Random random;
-    Dialect dialect;
-    Metrics metrics;
-    DecisionLog log;
-    /// Number of requests to the store, by kind.
-    std::map<std::string, std::uint64_t> storeCalls;
-    std::unique_ptr<HttpClient> storeClient;
-    std::unique_ptr<HttpClient> endpointClient;
-    std::unique_ptr<HttpClient> peerClient;
-    std::unique_ptr<Store> store;
-    EntryRecord self;
-    IngressContext parts;
-    LoadExchange loadExchange;
-    CrashExchange crashExchange;
-    CreditExchange creditExchange;
-    EntryRegistration registration;
-    RelayedStore relayedStore;
-    StoreFollower follower;
-    std::unique_ptr<HttpServer> clientServer;
-    std::unique_ptr<HttpServer> peerServer;
-    std::unique_ptr<HttpServer> readinessServer;
-    std::unique_ptr<HttpServer> directoryServer;
-    std::unique_ptr<HttpServer> operatorServer;
-    std::unique_ptr<DatagramSocket> loadReportSocket;
-    /// Sender of the last load report or digest. Reports are sent from the address at
-    /// which an entry serves other entries.
-    std::optional<SocketAddress> lastReportSender;
-    TimePoint stateLoggedAt {};
-    bool hasStoppedListening { false };
-    bool wasReady { false };
-    TimePoint lastRequestAt {};
-    TimePoint lastHouseKeepingAt {};
-    std::function<void()> onDrained;
-};
-
 absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, HttpHandler handler) const
 {
     HttpServerOptions options;
@@ -252,14 +82,6 @@
     return absl::OkStatus();
 }
 
-static void sendResponse(HttpResponder& responder, int status, const char* type, std::string body)
-{
-    HttpResponseHead head;
-    head.status = status;
-    head.headers.add("content-type", type);
-    responder.send(head, std::move(body));
-}
-
 void IngressDaemon::Impl::handleRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer)
 {
     if (isFromPeer && request.headers.find(changesAfterHeader)) {
@@ -306,37 +128,6 @@
     sendResponse(responder, statusOk, "application/json", dialect.writeDirectoryResponse(entries, validFor));
 }
 
-void IngressDaemon::Impl::answerOperator(const HttpRequest& request, HttpResponder& responder)
-{
-    if (request.path != "/metrics") {
-        sendResponse(responder, statusNotFound, "text/plain", "");
-        return;
-    }
-    metrics.set("open_requests", static_cast<double>(parts.openRequestCount));
-    for (const auto& [kind, calls] : storeCalls)
-        metrics.set("store_calls_" + kind, static_cast<double>(calls));
-    metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
-    metrics.set("store_age_seconds", std::chrono::duration<double>(relayedStore.dataAge().value_or(Duration::zero())).count());
-    metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashingRequests.refusedCount(loop.clock().now())));
-    for (const CreditState& state : creditExchange.states()) {
-        metrics.set("limit_credit_entry_" + state.workspace, state.atEntry);
-        metrics.set("limit_credit_pool_" + state.workspace, state.atPool);
-        metrics.set("limit_granted_" + state.workspace, static_cast<double>(state.granted));
-        metrics.set("limit_refused_" + state.workspace, static_cast<double>(state.refused));
-    }
-    for (const auto& [service, budget] : parts.retryBudgets) {
-        metrics.set("retry_budget_requests_" + service, static_cast<double>(budget.totals().requests));
-        metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
-        metrics.set("retry_budget_denied_" + service, static_cast<double>(budget.totals().denied));
-    }
-    metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entryCount()));
-    metrics.set("entries", static_cast<double>(parts.entries.size()));
-    metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
-    metrics.set("configuration_version", parts.routes ? static_cast<double>(parts.routes->version()) : 0);
-    metrics.set("log_lines_dropped", static_cast<double>(log.dropped()));
-    sendResponse(responder, statusOk, "text/plain", metrics.render());
-}
-
 // Other entries still send reports to an entry that restarted at its old address,
 // so a sender is known before the store has answered.
 void IngressDaemon::Impl::receiveLoadReport(const SocketAddress& from, absl::string_view bytes)
@@ -379,33 +170,6 @@
         parts.outlooks.update(*report, loop.clock().now());
 }
 
-// Each entry sends reports to a few entries of other regions. The number of senders
-// is limited, so that the reports received don't grow with the sender's region.
-void IngressDaemon::Impl::reportRegion()
-{
-    if (!isReady() || loadExchange.sequence() % loadReportsPerRegionReport != 0)
-        return;
-    auto entriesInRegion = static_cast<double>(parts.entries.keysOfRegion(settings.region).size());
-    if (random.unit() * entriesInRegion > expectedRegionReporters)
-        return;
-    std::vector<std::string> regions = parts.entries.otherRegions();
-    if (regions.empty())
-        return;
-    RegionReport report { settings.region, ownKey(), loadExchange.sequence(), {} };
-    for (const ServiceSettings& service : parts.routes->services())
-        report.services.push_back(parts.endpoints.outlook(service, loop.clock().now()));
-    std::string bytes = encodeRegionReport(report);
-    std::size_t first = random.below(regions.size());
-    for (std::size_t i = 0; i < std::min(regions.size(), regionsPerReport); ++i) {
-        std::vector<SocketAddress> entries = parts.entries.peerAddresses(regions[(first + i) % regions.size()]);
-        for (std::size_t sent = 0; sent < std::min(entries.size(), entriesPerRegion); ++sent) {
-            std::size_t chosen = sent + random.below(entries.size() - sent);
-            std::swap(entries[sent], entries[chosen]);
-            loadReportSocket->send(entries[sent], bytes);
-        }
-    }
-}
-
 void IngressDaemon::Impl::send(const std::vector<OutgoingDatagram>& datagrams)
 {
     for (const OutgoingDatagram& datagram : datagrams)
@@ -428,30 +192,6 @@
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
 
-nlohmann::json IngressDaemon::Impl::retryTotals() const
-{
-    nlohmann::json totals = nlohmann::json::object();
-    for (const auto& [service, budget] : parts.retryBudgets) {
-        const RetryTotals& counted = budget.totals();
-        totals[service] = { { "requests", counted.requests }, { "retries", counted.retries }, { "denied", counted.denied } };
-    }
-    return totals;
-}
-
-// Logs the state and the counters of the entry for analysis from logs alone.
-void IngressDaemon::Impl::logState()
-{
-    TimePoint now = loop.clock().now();
-    if (now - stateLoggedAt < stateLogInterval)
-        return;
-    stateLoggedAt = now;
-    logChange(LogLevel::Info, "state",
-        { { "open_requests", parts.openRequestCount }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
-            { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayedStore.watchesDirectly() },
-            { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayedStore.dataAge().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
-            { "retry_budgets", retryTotals() }, { "log_lines_dropped", log.dropped() } });
-}
-
 // Registers the entry once it is ready, so that the directory doesn't name an entry
 // that can't serve yet.
 void IngressDaemon::Impl::houseKeep()
--- /dev/null
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -0,0 +1,106 @@
+// What an entry tells operators and other regions of itself.
+#include "IngressDaemonImpl.h"
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+static constexpr milliseconds stateLogInterval { 10'000 };
+/// Number of load report intervals between two region reports.
+static constexpr std::uint64_t loadReportsPerRegionReport = 2;
+/// Each region report goes to this many other regions, from a random one on, and to
+/// this many random entries of each: at most six datagrams of about 100 bytes.
+static constexpr std::size_t regionsPerReport = 3;
+static constexpr std::size_t entriesPerRegion = 2;
+/// Expected number of entries of a region that send a region report in one round,
+/// chosen at random. With five rounds a second, an entry in a region of 100 entries
+/// receives several reports a second about another region.
+static constexpr double expectedRegionReporters = 32;
+static constexpr int statusOk = 200;
+static constexpr int statusNotFound = 404;
+
+void IngressDaemon::Impl::answerOperator(const HttpRequest& request, HttpResponder& responder)
+{
+    if (request.path != "/metrics") {
+        sendResponse(responder, statusNotFound, "text/plain", "");
+        return;
+    }
+    metrics.set("open_requests", static_cast<double>(parts.openRequestCount));
+    for (const auto& [kind, calls] : storeCalls)
+        metrics.set("store_calls_" + kind, static_cast<double>(calls));
+    metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
+    metrics.set("store_age_seconds", std::chrono::duration<double>(relayedStore.dataAge().value_or(Duration::zero())).count());
+    metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashingRequests.refusedCount(loop.clock().now())));
+    for (const CreditState& state : creditExchange.states()) {
+        metrics.set("limit_credit_entry_" + state.workspace, state.atEntry);
+        metrics.set("limit_credit_pool_" + state.workspace, state.atPool);
+        metrics.set("limit_granted_" + state.workspace, static_cast<double>(state.granted));
+        metrics.set("limit_refused_" + state.workspace, static_cast<double>(state.refused));
+    }
+    for (const auto& [service, budget] : parts.retryBudgets) {
+        metrics.set("retry_budget_requests_" + service, static_cast<double>(budget.totals().requests));
+        metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
+        metrics.set("retry_budget_denied_" + service, static_cast<double>(budget.totals().denied));
+    }
+    metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entryCount()));
+    metrics.set("entries", static_cast<double>(parts.entries.size()));
+    metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
+    metrics.set("configuration_version", parts.routes ? static_cast<double>(parts.routes->version()) : 0);
+    metrics.set("log_lines_dropped", static_cast<double>(log.dropped()));
+    sendResponse(responder, statusOk, "text/plain", metrics.render());
+}
+
+// Each entry sends reports to a few entries of other regions. The number of senders
+// is limited, so that the reports received don't grow with the sender's region.
+void IngressDaemon::Impl::reportRegion()
+{
+    if (!isReady() || loadExchange.sequence() % loadReportsPerRegionReport != 0)
+        return;
+    auto entriesInRegion = static_cast<double>(parts.entries.keysOfRegion(settings.region).size());
+    if (random.unit() * entriesInRegion > expectedRegionReporters)
+        return;
+    std::vector<std::string> regions = parts.entries.otherRegions();
+    if (regions.empty())
+        return;
+    RegionReport report { settings.region, ownKey(), loadExchange.sequence(), {} };
+    for (const ServiceSettings& service : parts.routes->services())
+        report.services.push_back(parts.endpoints.outlook(service, loop.clock().now()));
+    std::string bytes = encodeRegionReport(report);
+    std::size_t first = random.below(regions.size());
+    for (std::size_t i = 0; i < std::min(regions.size(), regionsPerReport); ++i) {
+        std::vector<SocketAddress> entries = parts.entries.peerAddresses(regions[(first + i) % regions.size()]);
+        for (std::size_t sent = 0; sent < std::min(entries.size(), entriesPerRegion); ++sent) {
+            std::size_t chosen = sent + random.below(entries.size() - sent);
+            std::swap(entries[sent], entries[chosen]);
+            loadReportSocket->send(entries[sent], bytes);
+        }
+    }
+}
+
+nlohmann::json IngressDaemon::Impl::retryTotals() const
+{
+    nlohmann::json totals = nlohmann::json::object();
+    for (const auto& [service, budget] : parts.retryBudgets) {
+        const RetryTotals& counted = budget.totals();
+        totals[service] = { { "requests", counted.requests }, { "retries", counted.retries }, { "denied", counted.denied } };
+    }
+    return totals;
+}
+
+// Logs the state and the counters of the entry for analysis from logs alone.
+void IngressDaemon::Impl::logState()
+{
+    TimePoint now = loop.clock().now();
+    if (now - stateLoggedAt < stateLogInterval)
+        return;
+    stateLoggedAt = now;
+    logChange(LogLevel::Info, "state",
+        { { "open_requests", parts.openRequestCount }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
+            { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayedStore.watchesDirectly() },
+            { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayedStore.dataAge().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
+            { "retry_budgets", retryTotals() }, { "log_lines_dropped", log.dropped() } });
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -130,16 +130,6 @@
     return !stop || m_request.arrivedAt - stop->startedAt <= acceptAllWhileStopping || m_deadline <= stop->abortAt;
 }
 
-bool RoutedRun::isAllowedHere() const
-{
-    return isHome(m_parts.region);
-}
-
-bool RoutedRun::isHome(const std::string& region) const
-{
-    return m_homeRegions.empty() || std::find(m_homeRegions.begin(), m_homeRegions.end(), region) != m_homeRegions.end();
-}
-
 // The last segment belongs to the request itself or to its session and isn't shared.
 const PromptSegment* RoutedRun::sharedSegment() const
 {
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -1,4 +1,5 @@
-// Determines the workspace of a routed request and keeps the request within its limit.
+// Determines the workspace and the homes of a routed request, and keeps the request within
+// the limit of its workspace.
 #include "catkinwing/Ingress/RoutedRun.h"
 
 #include <algorithm>
@@ -66,6 +67,16 @@
     return false;
 }
 
+bool RoutedRun::isAllowedHere() const
+{
+    return isHome(m_parts.region);
+}
+
+bool RoutedRun::isHome(const std::string& region) const
+{
+    return m_homeRegions.empty() || std::find(m_homeRegions.begin(), m_homeRegions.end(), region) != m_homeRegions.end();
+}
+
 // The priority of the workspace goes before the priority of the route.
 int RoutedRun::requestPriority() const
 {
