Test the retry budget while links hold back what is sent

The fleet of tests gets network paths from entries to endpoints that hang, are reset or refuse new connections, connections that are kept, entries of the same region at their real distance, and load reports. The new case holds back what six entries send to their endpoints for 1 to 4 s, twice, delivers it late, also what was given up, and lets endpoints refuse 0.55 to 0.75 of the rest.

--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Ingress/CrashExchange.h"
 #include "catkinwing/Ingress/LimitExchange.h"
+#include "catkinwing/Ingress/LoadExchange.h"
 #include <algorithm>
 #include <cassert>
 
@@ -35,17 +36,33 @@
     {
         auto exchange = std::make_shared<Exchange>();
         std::shared_ptr<SimulatedEndpoint> endpoint = m_fleet.endpointAt(request.server);
-        if (!endpoint) {
-            m_fleet.scheduler.callAfter(connectFailureDelay, [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::ConnectFailed); });
+        bool isKept = endpoint && path.takeIdle(request.server);
+        bool canConnect = endpoint && path.state() == PathState::Open;
+        if (!isKept && !canConnect) {
+            bool isHanging = endpoint && path.state() == PathState::Hanging;
+            Duration delay = isHanging ? Duration(request.connectTimeout) : Duration(connectFailureDelay);
+            m_fleet.scheduler.callAfter(delay, [exchange, callbacks, isHanging] { end(*exchange, callbacks, isHanging ? HttpEnd::TimedOut : HttpEnd::ConnectFailed); });
             return exchange;
         }
         exchange->mayHaveReached = true;
-        handleAttempt(*endpoint, request, callbacks, exchange);
+        std::uint64_t number = ++m_fleet.m_lastRequestNumber;
+        path.addBreaker(number, [exchange, callbacks] {
+            end(*exchange, callbacks, HttpEnd::NoResponse);
+            exchange->isCancelled = true;
+        });
+        path.deliver([this, number, request = std::move(request), callbacks = std::move(callbacks), exchange] {
+            bool isLost = exchange->isCancelled && !m_fleet.deliversCancelledRequests;
+            std::shared_ptr<SimulatedEndpoint> at = m_fleet.endpointAt(request.server);
+            if (!isLost && at)
+                handleAttempt(*at, number, request, callbacks, exchange);
+        });
         return exchange;
     }
-    void forget(const SocketAddress&) override { }
+    void forget(const SocketAddress& server) override { path.forget(server); }
     void replaceTls(std::shared_ptr<TlsContext>) override { }
 
+    SimulatedPath path;
+
 private:
     static void addLimit(const std::string& text, HttpHeaders& headers)
     {
@@ -59,23 +76,37 @@
             callbacks.onEnd({ how, exchange.mayHaveReached, "simulated fault" });
     }
 
-    void handleAttempt(SimulatedEndpoint& endpoint, const HttpClientRequest& request, const HttpClientCallbacks& callbacks, const std::shared_ptr<Exchange>& exchange)
+    /// Passes a complete answer on to the entry. The connection is kept then.
+    void answer(std::uint64_t number, const SocketAddress& server, const std::shared_ptr<Exchange>& exchange, const HttpClientCallbacks& callbacks, const FakeHttpAnswer& answer)
+    {
+        path.deliver([this, number, server, exchange, callbacks, answer] {
+            path.removeBreaker(number);
+            if (exchange->isCancelled)
+                return;
+            path.giveBack(server);
+            callbacks.onHead({ answer.status, answer.headers });
+            for (const std::string& piece : answer.body)
+                callbacks.onBody(piece);
+            callbacks.onEnd({ HttpEnd::Complete, true, "" });
+        });
+    }
+
+    void handleAttempt(SimulatedEndpoint& endpoint, std::uint64_t number, const HttpClientRequest& request, const HttpClientCallbacks& callbacks, const std::shared_ptr<Exchange>& exchange)
     {
         m_fleet.endpointAttempts.push_back({ *request.headers.find("request-id"), request.body, m_entry, m_fleet.now(), m_fleet.indexOf(endpoint) });
         std::string limitText = endpoint.limitText;
         if (m_fleet.random.unit() < m_fleet.refusedFraction) {
-            m_fleet.scheduler.callAfter(latencyInsideRegion, [exchange, callbacks, limitText] {
-                if (exchange->isCancelled)
-                    return;
-                FakeHttpAnswer answer = catkinwing::refusalAnswer();
-                addLimit(limitText, answer.headers);
-                callbacks.onHead({ answer.status, answer.headers });
-                callbacks.onEnd({ HttpEnd::Complete, true, "" });
+            m_fleet.scheduler.callAfter(latencyInsideRegion, [this, number, server = request.server, exchange, callbacks, limitText] {
+                FakeHttpAnswer refusal = catkinwing::refusalAnswer();
+                addLimit(limitText, refusal.headers);
+                answer(number, server, exchange, callbacks, refusal);
             });
             return;
         }
-        std::uint64_t number = ++m_fleet.m_lastRequestNumber;
-        endpoint.connectionBreakers[number] = [exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); };
+        endpoint.connectionBreakers[number] = [this, number, exchange, callbacks] {
+            path.removeBreaker(number);
+            path.deliver([exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); });
+        };
         bool isCrashing = request.body == crashingBody && !m_fleet.isRepaired;
         std::weak_ptr<SimulatedEndpoint> weak = m_fleet.endpointAt(request.server);
         m_fleet.scheduler.callAfter(isCrashing ? m_fleet.crashDelay : m_fleet.answerDelay, [this, weak, number, isCrashing, exchange, callbacks, request] {
@@ -88,13 +119,9 @@
                 return;
             }
             at->connectionBreakers.erase(number);
-            if (exchange->isCancelled)
-                return;
-            FakeHttpAnswer answer = endpointAnswer(request, 200, "fine");
-            addLimit(at->limitText, answer.headers);
-            callbacks.onHead({ answer.status, answer.headers });
-            callbacks.onBody("fine");
-            callbacks.onEnd({ HttpEnd::Complete, true, "" });
+            FakeHttpAnswer reply = endpointAnswer(request, 200, "fine");
+            addLimit(at->limitText, reply.headers);
+            answer(number, request.server, exchange, callbacks, reply);
         });
     }
 
@@ -105,8 +132,9 @@
 /// Sends an entry's answer to a forwarded request back to the entry that forwarded it.
 class EntryFleet::PeerResponder final : public HttpResponder {
 public:
-    PeerResponder(Scheduler& scheduler, HttpClientCallbacks callbacks)
+    PeerResponder(Scheduler& scheduler, Duration latency, HttpClientCallbacks callbacks)
         : m_scheduler(scheduler)
+        , m_latency(latency)
         , m_callbacks(std::move(callbacks))
         , m_exchange(std::make_shared<Client::Exchange>())
     {
@@ -148,7 +176,7 @@
 private:
     void callLater(std::function<void(const HttpClientCallbacks&)> callback)
     {
-        m_scheduler.callAfter(latencyBetweenRegions, [exchange = m_exchange, callbacks = m_callbacks, callback = std::move(callback)] {
+        m_scheduler.callAfter(m_latency, [exchange = m_exchange, callbacks = m_callbacks, callback = std::move(callback)] {
             if (!exchange->isCancelled)
                 callback(callbacks);
         });
@@ -161,6 +189,7 @@
     }
 
     Scheduler& m_scheduler;
+    Duration m_latency;
     HttpClientCallbacks m_callbacks;
     std::shared_ptr<Client::Exchange> m_exchange;
     std::function<void()> m_closed;
@@ -179,7 +208,9 @@
     std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
     {
         std::size_t to = m_fleet.m_entryAt.at(request.server);
-        bool isPartitioned = m_fleet.m_areRegionsPartitioned && m_fleet.m_records[m_entry].region != m_fleet.m_records[to].region;
+        bool crossesRegions = m_fleet.m_records[m_entry].region != m_fleet.m_records[to].region;
+        bool isPartitioned = m_fleet.m_areRegionsPartitioned && crossesRegions;
+        Duration latency = crossesRegions ? latencyBetweenRegions : latencyInsideRegion;
         if (isPartitioned || !m_fleet.isUp(to)) {
             auto exchange = std::make_shared<Client::Exchange>();
             m_fleet.scheduler.callAfter(connectFailureDelay, [exchange, callbacks] {
@@ -188,8 +219,8 @@
             });
             return exchange;
         }
-        auto responder = std::make_shared<PeerResponder>(m_fleet.scheduler, std::move(callbacks));
-        m_fleet.scheduler.callAfter(latencyBetweenRegions, [this, to, responder, request = std::move(request)] { m_fleet.handleForward(to, request, responder); });
+        auto responder = std::make_shared<PeerResponder>(m_fleet.scheduler, latency, std::move(callbacks));
+        m_fleet.scheduler.callAfter(latency, [this, to, responder, request = std::move(request)] { m_fleet.handleForward(to, request, responder); });
         return responder->exchange();
     }
     void forget(const SocketAddress&) override { }
@@ -210,6 +241,7 @@
         , parts { fleet.scheduler, fleet.random, client, peers, metrics, log, fleet.m_dialect, record.region,
             EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(fleet.random.bits()) }
         , exchange(parts.crashingRequests, parts.entries, record, fleet.random)
+        , loadExchange(parts.endpoints, parts.entries, record)
         , limitExchange(parts.endpoints, parts.entries, record, fleet.scheduler, fleet.random, [&fleet, index](const OutgoingDatagram& datagram) { fleet.deliver(index, { datagram }); })
     {
         parts.limitExchange = &limitExchange;
@@ -223,6 +255,7 @@
     DecisionLog log;
     IngressContext parts;
     CrashExchange exchange;
+    LoadExchange loadExchange;
     LimitExchange limitExchange;
     bool isUp { true };
     /// Requests that other entries have forwarded to this one.
@@ -362,15 +395,18 @@
         IngressContext& parts = m_entries[from]->parts;
         parts.endpoints.setSharers(parts.entries.rateSharers(m_records[from].region, now()), m_records[from].peerAddress.toString(), now());
         deliver(from, m_entries[from]->exchange.tick(now()));
+        deliver(from, m_entries[from]->loadExchange.tick(m_entries[from]->key, now()));
         m_entries[from]->limitExchange.tick();
+        parts.endpoints.abortUnresponsive(now());
     }
 }
 
 void EntryFleet::deliver(std::size_t from, const std::vector<OutgoingDatagram>& datagrams)
 {
     for (const OutgoingDatagram& datagram : datagrams) {
-        bool isLimitMessage = datagram.bytes.front() == limitMessageMark;
-        (isLimitMessage ? limitBytesSent : reportBytesSent)[from] += datagram.bytes.size();
+        bool isLoad = decodeLoadReport(datagram.bytes).ok() || decodeLoadDigest(datagram.bytes).ok();
+        if (!isLoad)
+            (datagram.bytes.front() == limitMessageMark ? limitBytesSent : reportBytesSent)[from] += datagram.bytes.size();
         std::size_t to = m_entryAt.at(datagram.to);
         bool crossesRegions = m_records[from].region != m_records[to].region;
         bool isLost = m_droppingEntries.count(from) > 0 || m_droppingEntries.count(to) > 0 || (crossesRegions && m_areRegionsPartitioned) || random.unit() < lostFraction;
@@ -385,6 +421,14 @@
                 m_entries[to]->limitExchange.handleMessage(m_records[from].peerAddress, *message);
                 return;
             }
+            absl::StatusOr<LoadReport> load = decodeLoadReport(bytes);
+            absl::StatusOr<LoadDigest> digest = decodeLoadDigest(bytes);
+            if (load.ok())
+                m_entries[to]->loadExchange.handleReport(std::move(*load), now());
+            else if (digest.ok())
+                m_entries[to]->loadExchange.handleDigest(std::move(*digest), now());
+            if (load.ok() || digest.ok())
+                return;
             absl::StatusOr<CrashReport> report = decodeCrashReport(bytes);
             assert(report.ok() && "an encoded crash report can be decoded");
             m_entries[to]->exchange.handleReport(m_records[from].peerAddress, *report, now());
@@ -392,6 +436,11 @@
     }
 }
 
+void EntryFleet::setPath(std::size_t entry, PathState state)
+{
+    m_entries[entry]->client.path.setState(state);
+}
+
 bool EntryFleet::isUp(std::size_t entry) const
 {
     return m_entries[entry]->isUp;
@@ -451,6 +500,8 @@
     endpoint->isUp = false;
     for (const auto& [number, breakConnection] : std::exchange(endpoint->connectionBreakers, {}))
         scheduler.callAfter(step / 10, breakConnection);
+    for (const auto& entry : m_entries)
+        entry->client.forget(endpoint->address);
     scheduler.callAfter(registrationRemovalDelay, [this, endpoint] {
         for (const auto& entry : m_entries)
             entry->parts.endpoints.remove(endpoint->incarnation, now());
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -4,6 +4,7 @@
 
 #include "Gateway/FakeResponder.h"
 #include "IngressFixture.h"
+#include "SimulatedPath.h"
 #include "catkinwing/Ingress/OutgoingDatagram.h"
 #include <map>
 #include <memory>
@@ -75,10 +76,14 @@
     void removeRegistration(std::size_t entry);
     /// Starts or ends a network partition between the regions.
     void setRegionsPartitioned(bool isPartitioned) { m_areRegionsPartitioned = isPartitioned; }
+    /// Sets the state of the path between an entry and all endpoints.
+    void setPath(std::size_t entry, PathState state);
     /// Drops all datagrams to and from the entry.
     void dropDatagrams(std::size_t entry) { m_droppingEntries.insert(entry); }
     /// Fraction of the attempts that endpoints refuse.
     double refusedFraction { 0 };
+    /// Requests that were cancelled while the path hung arrive when it opens again.
+    bool deliversCancelledRequests { false };
     /// Fraction of the datagrams between entries that are lost.
     double lostFraction { 0 };
     /// Bytes of crash reports that each entry has sent.
--- a/unittests/Ingress/RetryBudgetTest.cpp
+++ b/unittests/Ingress/RetryBudgetTest.cpp
@@ -179,3 +179,31 @@
         CHECK(static_cast<double>(used) >= windows * allowed / 2);
     }
 }
+
+// Guards against first attempts that a link holds back and that arrive, as one more attempt
+// each, after their retries.
+TEST_CASE("retries stay within the budget of all requests while links hold back what is sent and endpoints refuse")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        EntryFleet fleet(seed);
+        fleet.deliversCancelledRequests = true;
+        fleet.answerDelay = 150ms;
+        auto setPaths = [&fleet](PathState state) {
+            for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+                fleet.setPath(entry, state);
+        };
+        sendFor(fleet, timeBeforeRefusals, 100, anyEntry);
+        Duration held = 1s * (1 + fleet.random.below(4));
+        if (seed % 2 == 0)
+            beginRefusals(fleet);
+        for (int cut = 0; cut < 2; ++cut) {
+            setPaths(PathState::Hanging);
+            sendFor(fleet, held, 100, anyEntry);
+            setPaths(PathState::Open);
+            beginRefusals(fleet);
+            sendFor(fleet, 6s, 100, anyEntry);
+        }
+        sendFor(fleet, 6s, 100, anyEntry);
+        checkWithinBudget(fleet, seed);
+    }
+}
