Reset the connection of a request that is given up

What endpoints saw: a request whose client had left, or that had its answer elsewhere, still arrived and ran when a cut link healed.

Cause: the client ended such an exchange by an orderly close, after which the kernel goes on sending what the server hasn't received. Class: giving up locally what the other side may still get.

Closing with a reset discards it. The new case of HttpClientControlTest cancels a request whose body fills the buffers of a server that doesn't read. On the code before, that server read to an orderly end and the case failed (wasReset() false); now it sees the reset.

--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -63,6 +63,12 @@
     return isBack && !m_isSpoilt && !hasInput(m_descriptor);
 }
 
+void ClientConnection::resetOnClose() const
+{
+    linger discard { 1, 0 };
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
 // A connection that the server closed in an orderly way waits for our close.
 bool ClientConnection::wasReset() const
 {
--- a/lib/Http/ClientConnection.h
+++ b/lib/Http/ClientConnection.h
@@ -25,6 +25,9 @@
     /// Tells whether h2o brought the socket back and nothing came in on it since.
     bool isReusable() const;
 
+    /// Makes the connection end by a reset when it is closed, which discards the bytes that
+    /// the server hasn't received.
+    void resetOnClose() const;
     /// Tells whether the server ended the connection by a reset.
     bool wasReset() const;
 
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -335,7 +335,9 @@
     m_loop.impl().defer([self = shared_from_this()] { self->settle(); });
 }
 
-// Inside its own callbacks h2o closes by the value they return.
+// Inside its own callbacks h2o closes by the value they return. The kernel would go on
+// sending what is left of a request after an orderly close, also when a broken link heals
+// seconds later.
 void ClientExchange::dropClient()
 {
     m_loop.cancel(m_timer);
@@ -344,6 +346,8 @@
     bool isTls = m_client->sock && m_client->sock->ssl;
     if (isTls)
         m_connection->expectLateClose();
+    if (m_mayHaveReachedServer)
+        m_connection->resetOnClose();
     if (!m_isInClient)
         h2o_http1client_cancel(m_client);
     m_client = nullptr;
--- a/unittests/Http/HttpClientControlTest.cpp
+++ b/unittests/Http/HttpClientControlTest.cpp
@@ -38,6 +38,24 @@
     CHECK(recorded->exchange->mayHaveReachedServer() == (moment != Moment::AtOnce));
 }
 
+// Guards against a request that is given up and still runs when the link to its server heals.
+TEST_CASE("bytes of a cancelled request that the server hasn't received yet never arrive")
+{
+    ScriptedServer scripted;
+    HttpClientRequest request = requestFor(scripted.server.address());
+    request.method = "POST";
+    request.body = std::string(16 << 20, 'b');
+    auto recorded = scripted.send(request);
+    auto connection = scripted.server.waitForConnection(scripted.loop);
+    REQUIRE(connection);
+    // The body fills the buffers of both sides, since the server doesn't read.
+    runFor(scripted.loop, 50ms);
+    recorded->exchange->cancel();
+    runFor(scripted.loop, 50ms);
+    CHECK(connection->receiveToEnd(scripted.loop));
+    CHECK(connection->wasReset());
+}
+
 TEST_CASE("an exchange can be cancelled inside its own callbacks")
 {
     ScriptedServer scripted;
