Log and count when an entry reaches none of its endpoints

Of entries cut off from all endpoints, logs showed single failed attempts only. An entry now records when it last received bytes from any endpoint and which endpoints failed since. cut_off_from_endpoints, endpoints_reached_again, two counters and the number of unreached endpoints tell it; no decision depends on them yet.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Ingress/Dialect.h"
 #include "catkinwing/Ingress/EndpointLimits.h"
+#include "catkinwing/Ingress/EndpointReach.h"
 #include "catkinwing/Ingress/PeerLoads.h"
 #include "catkinwing/Membership/ShareDivision.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
@@ -149,8 +150,20 @@
     static void recordSlotTime(RoutedEndpoint& endpoint, Duration held, TimePoint now);
     /// Records that a stream received \p events events after \p pause.
     static void recordEvents(RoutedEndpoint& endpoint, std::size_t events, Duration pause, TimePoint now);
-    /// Records that bytes were received from the endpoint.
-    void recordBytesReceived(RoutedEndpoint& endpoint, TimePoint now) const { endpoint.silentSince = now; }
+    /// Records that bytes were received from the endpoint. Returns true if this entry was
+    /// cut off from the endpoints of the service until then.
+    bool recordBytesReceived(RoutedEndpoint& endpoint, TimePoint now);
+    /// Records that a connection to the endpoint failed, broke or hung. Returns true if this
+    /// entry is cut off from the endpoints of the service from now on.
+    bool recordUnreached(const RoutedEndpoint& endpoint, TimePoint now);
+    /// Records as failed the endpoints that leave this entry's requests unanswered while
+    /// nothing is received from any endpoint. Returns true if that shows for the first time
+    /// that this entry is cut off from them.
+    bool recordSilentEndpoints(TimePoint now);
+    /// Returns whether this entry reaches none of the endpoints of the service in this region,
+    /// most likely.
+    bool isCutOff(absl::string_view service, TimePoint now) const { return m_reach.isCutOff(service, now); }
+    EndpointReach& reach() { return m_reach; }
     /// Returns how many tokens of a prompt need prefill at the endpoint, and records that
     /// the endpoint caches the shared segment from now on.
     std::int64_t recordSegmentAndGetPrefillTokens(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedSegment, TimePoint now);
@@ -222,6 +235,8 @@
     static double failureShareOf(const RoutedEndpoint& endpoint, TimePoint now);
     static bool isLocallySuspect(const RoutedEndpoint& endpoint, TimePoint now);
     bool isSuspect(const RoutedEndpoint& endpoint, TimePoint now) const;
+    /// Returns whether the endpoint has sent nothing for \p limit beyond the predicted wait.
+    bool isSilentFor(const RoutedEndpoint& endpoint, Duration limit, TimePoint now) const;
     Endpoints endpointsWithRoom(const ServiceSettings& service, TimePoint now) const;
     EndpointCandidate candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const;
     static EndpointDemand demandOf(const EndpointRequest& request);
@@ -252,6 +267,7 @@
     /// When this entry became one of the sharers; the epoch if it always was.
     TimePoint m_joinedSharersAt {};
     EndpointLimits m_limits;
+    EndpointReach m_reach;
     absl::flat_hash_map<std::uint32_t, std::weak_ptr<RoutedEndpoint>> m_endpointByHash;
     PeerLoads m_peerLoads;
     SegmentHolders m_segmentHolders;
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -156,6 +156,7 @@
     unsigned possiblyRunAttemptsOf(const Attempt& attempt) const;
     void recordEndpointActivity(const Attempt& attempt) const;
     void recordEndpointState(const Attempt& attempt) const;
+    void recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     void recordRequestLimit(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
--- /dev/null
+++ b/lib/Ingress/EndpointReach.cpp
@@ -0,0 +1,59 @@
+#include "catkinwing/Ingress/EndpointReach.h"
+
+namespace catkinwing {
+
+using std::chrono::milliseconds;
+
+// One endpoint that fails may have crashed, which other entries see as well. If several fail
+// and nothing is received from any other, the cause is more likely the network of this entry.
+
+/// Number of endpoints that must have failed.
+static constexpr std::size_t minFailedEndpoints = 2;
+/// Time without bytes from any endpoint. Several endpoints may crash between two answers.
+static constexpr milliseconds minSilence { 100 };
+/// A failure is no evidence any more after this time, unless it was confirmed since.
+static constexpr milliseconds failureLifetime { 10'000 };
+
+bool EndpointReach::showsCut(const Evidence& evidence, TimePoint now)
+{
+    if (evidence.failures.size() < minFailedEndpoints || now - evidence.receivedAt < minSilence)
+        return false;
+    std::size_t recent = 0;
+    for (const auto& [endpoint, at] : evidence.failures)
+        recent += now - at < failureLifetime ? 1 : 0;
+    return recent >= minFailedEndpoints;
+}
+
+bool EndpointReach::recordReceived(absl::string_view service, TimePoint now)
+{
+    bool wasCutOff = isCutOff(service, now);
+    for (Evidence* evidence : { &m_all, &m_services[service] }) {
+        evidence->receivedAt = now;
+        evidence->failures.clear();
+    }
+    return wasCutOff;
+}
+
+void EndpointReach::recordFailure(absl::string_view service, std::uint32_t endpoint, TimePoint now)
+{
+    m_all.failures[endpoint] = now;
+    m_services[service].failures[endpoint] = now;
+}
+
+bool EndpointReach::isCutOff(absl::string_view service, TimePoint now) const
+{
+    if (showsCut(m_all, now))
+        return true;
+    auto found = m_services.find(service);
+    return found != m_services.end() && showsCut(found->second, now);
+}
+
+std::vector<std::uint32_t> EndpointReach::failedEndpoints() const
+{
+    std::vector<std::uint32_t> endpoints;
+    for (const auto& [endpoint, at] : m_all.failures)
+        endpoints.push_back(endpoint);
+    return endpoints;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -28,6 +28,10 @@
 /// adds 0.25 s; an engine that processes a long prompt still sends events of its other
 /// requests.
 static constexpr milliseconds maxSilence { 1'000 };
+/// An entry that receives nothing from any endpoint for this long, though it waits for
+/// several of them, may be cut off. Endpoints that work at all send events every few tens of
+/// milliseconds.
+static constexpr milliseconds maxCommonSilence { 300 };
 /// Minimum interval of the log events about one suspect endpoint.
 static constexpr std::chrono::seconds suspectLogInterval { 2 };
 /// Maximum number of removed endpoints whose start time is kept. An outdated registration
@@ -312,11 +316,16 @@
 
 // An engine that processes long prompts before it sends an event of any request is silent for
 // the duration of the prefill, so the predicted wait is added to the limit.
+bool EndpointTable::isSilentFor(const RoutedEndpoint& endpoint, Duration limit, TimePoint now) const
+{
+    return now - endpoint.silentSince > limit + predictWait(responseEstimateOf(endpoint, now), pendingWork(endpoint), 0);
+}
+
 void EndpointTable::abortUnresponsive(TimePoint now)
 {
     std::vector<std::shared_ptr<RoutedEndpoint>> silent;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
-        bool isSilent = !endpoint->abortCallbacks.empty() && now - endpoint->silentSince > maxSilence + predictWait(responseEstimateOf(*endpoint, now), pendingWork(*endpoint), 0);
+        bool isSilent = !endpoint->abortCallbacks.empty() && isSilentFor(*endpoint, maxSilence, now);
         if (isSilent && isSuspect(*endpoint, now))
             silent.push_back(endpoint);
     }
@@ -324,6 +333,31 @@
         abortAttempts(*endpoint, AbortReason::Unresponsive);
 }
 
+bool EndpointTable::recordBytesReceived(RoutedEndpoint& endpoint, TimePoint now)
+{
+    endpoint.silentSince = now;
+    return m_reach.recordReceived(endpoint.record.service, now);
+}
+
+bool EndpointTable::recordUnreached(const RoutedEndpoint& endpoint, TimePoint now)
+{
+    bool wasCutOff = isCutOff(endpoint.record.service, now);
+    m_reach.recordFailure(endpoint.record.service, endpoint.hash, now);
+    return !wasCutOff && isCutOff(endpoint.record.service, now);
+}
+
+bool EndpointTable::recordSilentEndpoints(TimePoint now)
+{
+    if (now - m_reach.lastReceivedAt() <= maxCommonSilence)
+        return false;
+    bool isNewlyCutOff = false;
+    for (const auto& [incarnation, endpoint] : m_endpoints) {
+        if (endpoint->requestsInFlight > 0 && isSilentFor(*endpoint, maxCommonSilence, now))
+            isNewlyCutOff |= recordUnreached(*endpoint, now);
+    }
+    return isNewlyCutOff;
+}
+
 void EndpointTable::resetSilence(TimePoint now)
 {
     for (const auto& [incarnation, endpoint] : m_endpoints)
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -216,6 +216,8 @@
     lastHouseKeepingAt = now;
     if (wasPaused)
         parts.endpoints.resetSilence(now);
+    if (parts.endpoints.recordSilentEndpoints(now))
+        parts.handleCutOff();
     parts.endpoints.abortUnresponsive(now);
     follower.runHousekeeping();
     parts.endpoints.setSharers(parts.entries.rateSharers(settings.region, now), self.peerAddress.toString(), now);
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -70,6 +70,7 @@
         metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
         metrics.set("retry_budget_denied_" + service, static_cast<double>(budget.totals().denied));
     }
+    metrics.set("unreached_endpoints", static_cast<double>(parts.endpoints.reach().failedEndpoints().size()));
     metrics.set("load_reports", static_cast<double>(parts.endpoints.peerLoads().entryCount()));
     metrics.set("entries", static_cast<double>(parts.entries.size()));
     metrics.set("endpoints", static_cast<double>(parts.endpoints.size()));
@@ -138,6 +139,7 @@
         { { "open_requests", parts.openRequestCount }, { "entries", parts.entries.size() }, { "endpoints", parts.endpoints.size() },
             { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayedStore.watchesDirectly() },
             { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayedStore.dataAge().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
+            { "unreached_endpoints", parts.endpoints.reach().failedEndpoints().size() },
             { "retry_budgets", retryTotals() }, { "endpoint_limits", limitTotals() }, { "log_lines_dropped", log.dropped() } });
 }
 
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -1,6 +1,7 @@
 // Handles the results of a routed request's attempts and sends its final answer.
 #include "catkinwing/Ingress/RoutedRun.h"
 
+#include "catkinwing/Support/Logging.h"
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -53,10 +54,29 @@
 {
     if (!attempt.endpoint)
         return;
-    m_parts.endpoints.recordBytesReceived(*attempt.endpoint, now());
+    if (m_parts.endpoints.recordBytesReceived(*attempt.endpoint, now()))
+        logChange(LogLevel::Info, "endpoints_reached_again", { { "service", m_service }, { "endpoint", attempt.endpoint->record.incarnation } });
     m_parts.crashingRequests.recordEndpointAlive(attempt.endpoint->hash, now());
 }
 
+// A request that was sent on a connection that hung may have arrived, but shows as little of
+// the endpoint as one that failed.
+void RoutedRun::recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
+{
+    bool hasFailed = end != HttpEnd::Complete && end != HttpEnd::Malformed && verdict != AttemptVerdict::Answered;
+    if (!attempt.endpoint || attempt.head || !hasFailed)
+        return;
+    m_parts.metrics.count("attempts_without_endpoint");
+    if (m_parts.endpoints.recordUnreached(*attempt.endpoint, now()))
+        m_parts.handleCutOff();
+}
+
+void IngressContext::handleCutOff()
+{
+    metrics.count("cuts_from_endpoints");
+    logChange(LogLevel::Warning, "cut_off_from_endpoints", { { "failed_endpoints", endpoints.reach().failedEndpoints().size() } });
+}
+
 // The state that the endpoint reports itself takes precedence over its registration,
 // which may be outdated while the store is unavailable.
 void RoutedRun::recordEndpointState(const Attempt& attempt) const
@@ -183,6 +203,7 @@
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
     m_possiblyDeliveredAttempts += mayHaveReached ? 1 : 0;
+    recordReach(attempt, end, verdict);
     recordCrashEvidence(attempt, end, verdict);
     recordAttemptResult(verdict, detail);
     if (verdict == AttemptVerdict::Answered)
