Hand requests over to other entries while an entry reaches no endpoints

What callers saw: at entries that had lost their links to all endpoints nine of ten requests failed for as long as the cut lasted, and at sound entries those that were forwarded to such entries.

Cause: an entry knew its own endpoints and entries of other regions, and nothing else. It judged each endpoint by itself, tried three, and refused; and what it saw of its endpoints went into its reports to others. Class: a fault of the observer is taken for a fault of what it observes.

Change: when several endpoints have failed and nothing is received from any, a request goes to another entry of the region, then to another region. An entry that is cut off as well says so, which uses neither the retry budget nor the refusals that a request may get. One request in 250 ms tries an endpoint, with 100 ms to connect. Idle connections are dropped, hung requests that may be repeated are repeated, and a cut entry reports no suspicions, no room of its region and no crashes that the cut explains.

Why it works: the conclusion needs no message and costs a millisecond if it is wrong; it ends with the first byte of any endpoint.

--- a/include/catkinwing/Ingress/EndpointReach.h
+++ b/include/catkinwing/Ingress/EndpointReach.h
@@ -22,17 +22,25 @@
 
     /// Returns whether the entry reaches none of the endpoints of \p service, most likely.
     bool isCutOff(absl::string_view service, TimePoint now) const;
+    /// Returns whether an attempt at an endpoint of \p service has failed since the last bytes
+    /// were received from any of them.
+    bool hasFailed(absl::string_view service, std::uint32_t endpoint) const;
     /// Returns the endpoints of all services that failed since the last bytes were received
     /// from any endpoint.
     std::vector<std::uint32_t> failedEndpoints() const;
     /// Returns when bytes were last received from any endpoint; the epoch if never.
     TimePoint lastReceivedAt() const { return m_all.receivedAt; }
 
+    /// Returns whether a request may test if the endpoints of \p service are reached again. At
+    /// most one request in each interval may.
+    bool tryProbe(absl::string_view service, TimePoint now);
+
 private:
     struct Evidence {
         TimePoint receivedAt {};
         /// Endpoints that failed since then, with the time of the last failure.
         absl::flat_hash_map<std::uint32_t, TimePoint> failures;
+        TimePoint nextProbeAt {};
     };
 
     static bool showsCut(const Evidence& evidence, TimePoint now);
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -163,6 +163,9 @@
     /// Returns whether this entry reaches none of the endpoints of the service in this region,
     /// most likely.
     bool isCutOff(absl::string_view service, TimePoint now) const { return m_reach.isCutOff(service, now); }
+    /// Returns whether an endpoint of the service in this region is available and hasn't failed
+    /// since bytes were last received from any of them.
+    bool hasUntriedEndpoint(absl::string_view service, TimePoint now) const;
     EndpointReach& reach() { return m_reach; }
     /// Returns how many tokens of a prompt need prefill at the endpoint, and records that
     /// the endpoint caches the shared segment from now on.
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -53,9 +53,10 @@
     /// - all entries, but for homes that bind every request, since an entry outside of
     ///   them would refuse each request.
     std::vector<SocketAddress> entriesFor(const std::string& region, const std::string& availabilityZone, const HostHomes& homes, TimePoint now) const;
-    /// Returns a random entry of \p region to forward to, other than this one and those
-    /// that failed recently; nothing if there is none.
-    std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random) const;
+    /// Returns a random entry of \p region to forward to, other than this one, those that
+    /// failed recently or were cut off from endpoints, and those in \p excluded; nothing if
+    /// there is none.
+    std::optional<SocketAddress> choosePeer(const std::string& region, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded = {}) const;
     /// Returns an entry of \p region whose registration was removed recently and which hasn't
     /// failed to answer since. Such an entry may still serve requests after the store has
     /// dropped its registration.
@@ -67,6 +68,9 @@
     /// Records that \p peer did not answer; choosePeer() and relayAddress() skip it for a while.
     void recordPeerFailure(const SocketAddress& peer, TimePoint now);
     void recordPeerResponse(const SocketAddress& peer) { m_suspectUntil.erase(peer); }
+    /// Records that \p peer refused a request because it reaches no endpoints; choosePeer()
+    /// skips it for a moment.
+    void recordPeerCutOff(const SocketAddress& peer, TimePoint now);
 
     /// Returns the keys of the entries of \p region, one for each address.
     std::vector<std::string> keysOfRegion(const std::string& region) const;
@@ -129,6 +133,7 @@
     /// address of the one before.
     std::map<SocketAddress, Departed> m_removedAddresses;
     std::map<SocketAddress, TimePoint> m_suspectUntil;
+    std::map<SocketAddress, TimePoint> m_cutOffUntil;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -81,7 +81,8 @@
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
 
-    /// Logs and counts that this entry reaches none of the endpoints of its region.
+    /// Drops what this entry has concluded from broken connections, and its idle connections,
+    /// after it was cut off from the endpoints of its region.
     void handleCutOff();
     /// Returns the retry budget of \p service after updating its allowance.
     RetryWindow& retryBudgetOf(const std::string& service);
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -22,6 +22,9 @@
 /// retry-after time in seconds.
 constexpr const char* refusedEverywhereHeader = "Catkinwing-Refused-Everywhere";
 
+/// Marks the refusal of an entry that reaches no endpoint of the request's service.
+constexpr const char* cutOffHeader = "Catkinwing-Cut-Off";
+
 /// A request as received from a client or from another entry.
 struct RoutedRequest {
     HttpRequest http;
@@ -84,6 +87,8 @@
         /// Retry-after time stated by another entry, if its refusal applies to all entries
         /// and regions.
         absl::optional<std::chrono::milliseconds> reportedRetryAfter;
+        /// The other entry refused the request because it reaches no endpoint.
+        bool isPeerCutOff { false };
         /// The answer carries the attempt ID of this request.
         bool isForThisRequest { false };
         bool isEventStream { false };
@@ -129,8 +134,14 @@
     bool askLimitHolders();
     bool sendToEndpoint(const std::string& service, bool mayBeTried);
     bool sendToRegion(const std::string& service, const char* why);
+    /// Sends the request to another entry if this one reaches no endpoints, and refuses it if
+    /// there is no such entry. Returns whether it did either.
+    bool handOverIfCutOff();
+    bool refuseAsCutOff();
+    void recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     bool sendToSegmentRegion();
     bool sendToEntryIn(const std::string& region, const char* why);
+    void sendToEntry(const SocketAddress& peer, const std::string& region, const char* why);
     std::map<std::string, std::size_t> untriedRegions(const std::string& service) const;
     std::map<std::string, std::size_t> regionsWithCapacity(const std::string& service) const;
     RegionAcceptance& regionAcceptance() const { return m_parts.regionAcceptances[m_service]; }
@@ -156,7 +167,6 @@
     unsigned possiblyRunAttemptsOf(const Attempt& attempt) const;
     void recordEndpointActivity(const Attempt& attempt) const;
     void recordEndpointState(const Attempt& attempt) const;
-    void recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     void recordRequestLimit(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
@@ -204,8 +214,10 @@
     std::uint64_t m_attemptCount { 0 };
     /// Number of attempts that may have been executed.
     unsigned m_possiblyRunAttempts { 0 };
-    /// Number of attempts that were certainly not executed.
+    /// Number of attempts that were refused, and certainly not executed.
     unsigned m_notRunAttempts { 0 };
+    /// Number of attempts that reached no endpoint.
+    unsigned m_unreachedAttempts { 0 };
     bool m_mayHaveRun { false };
     /// Number of attempts that may have reached an endpoint. Once there is one, each
     /// further attempt uses the retry budget.
@@ -225,6 +237,10 @@
     bool m_wasRefusedHere { false };
     std::vector<std::string> m_triedEndpoints;
     std::vector<std::string> m_triedRegions;
+    /// Entries that the request was sent to.
+    std::vector<SocketAddress> m_triedEntries;
+    /// The answer is the refusal of an entry that reaches no endpoints.
+    bool m_isRefusedAsCutOff { false };
     EventCursor m_cursor;
     /// The head of the answer has been sent to the client.
     bool m_hasSentHead { false };
--- a/include/catkinwing/Ingress/RunDecisions.h
+++ b/include/catkinwing/Ingress/RunDecisions.h
@@ -45,8 +45,12 @@
     bool mayHaveRun { false };
     /// Number of attempts that may have been executed.
     unsigned possiblyRunAttempts { 0 };
-    /// Number of attempts that were certainly not executed. Includes failed connections.
+    /// Number of attempts that an endpoint or another entry refused, and that were certainly
+    /// not executed.
     unsigned notRunAttempts { 0 };
+    /// Number of attempts that reached no endpoint: failed connections, and refusals of
+    /// entries that reach no endpoint themselves.
+    unsigned unreachedAttempts { 0 };
     /// Max number of attempts that may have been executed.
     unsigned maxAttempts { 1 };
     /// The head of the answer has been sent to the client.
--- a/include/catkinwing/Membership/CrashingRequests.h
+++ b/include/catkinwing/Membership/CrashingRequests.h
@@ -37,6 +37,13 @@
     void recordSurvival(const RequestFingerprint& request, TimePoint now);
     /// Returns the time for which the request is still refused, or none.
     std::optional<Duration> remainingRefusal(const RequestFingerprint& request, TimePoint now) const;
+    /// Returns whether the request may have crashed all of the \p failed endpoints, including
+    /// \p endpoint where its connection has just broken.
+    bool mayHaveCrashed(const RequestFingerprint& request, std::uint32_t endpoint, const std::vector<std::uint32_t>& failed) const;
+    /// Removes the broken connections of this entry that a cut of its network explains: those
+    /// of requests that did not run at all of the \p failed endpoints.
+    void dropBrokenByCut(const std::vector<std::uint32_t>& failed);
+
     /// The latest crash during an attempt of a request.
     struct RecentCrash {
         TimePoint at {};
--- a/lib/Ingress/EndpointReach.cpp
+++ b/lib/Ingress/EndpointReach.cpp
@@ -6,6 +6,7 @@
 
 // One endpoint that fails may have crashed, which other entries see as well. If several fail
 // and nothing is received from any other, the cause is more likely the network of this entry.
+// A wrong conclusion costs little: other entries carry the requests for a moment.
 
 /// Number of endpoints that must have failed.
 static constexpr std::size_t minFailedEndpoints = 2;
@@ -13,6 +14,9 @@
 static constexpr milliseconds minSilence { 100 };
 /// A failure is no evidence any more after this time, unless it was confirmed since.
 static constexpr milliseconds failureLifetime { 10'000 };
+/// Interval of the requests that test whether endpoints are reached again. A request that
+/// does loses at most the connect timeout.
+static constexpr milliseconds probeInterval { 250 };
 
 bool EndpointReach::showsCut(const Evidence& evidence, TimePoint now)
 {
@@ -48,6 +52,12 @@
     return found != m_services.end() && showsCut(found->second, now);
 }
 
+bool EndpointReach::hasFailed(absl::string_view service, std::uint32_t endpoint) const
+{
+    auto found = m_services.find(service);
+    return found != m_services.end() && found->second.failures.count(endpoint) > 0;
+}
+
 std::vector<std::uint32_t> EndpointReach::failedEndpoints() const
 {
     std::vector<std::uint32_t> endpoints;
@@ -56,4 +66,13 @@
     return endpoints;
 }
 
+bool EndpointReach::tryProbe(absl::string_view service, TimePoint now)
+{
+    Evidence& evidence = m_services[service];
+    if (now < evidence.nextProbeAt)
+        return false;
+    evidence.nextProbeAt = now + probeInterval;
+    return true;
+}
+
 } // namespace catkinwing
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -326,7 +326,7 @@
     std::vector<std::shared_ptr<RoutedEndpoint>> silent;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
         bool isSilent = !endpoint->abortCallbacks.empty() && isSilentFor(*endpoint, maxSilence, now);
-        if (isSilent && isSuspect(*endpoint, now))
+        if (isSilent && (isSuspect(*endpoint, now) || isCutOff(endpoint->record.service, now)))
             silent.push_back(endpoint);
     }
     for (const auto& endpoint : silent)
@@ -358,6 +358,16 @@
     return isNewlyCutOff;
 }
 
+bool EndpointTable::hasUntriedEndpoint(absl::string_view service, TimePoint now) const
+{
+    auto found = m_endpointsByService.find(service);
+    if (found == m_endpointsByService.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](const auto& endpoint) {
+        return endpoint->region == m_region && isAvailable(*endpoint, now) && !m_reach.hasFailed(service, endpoint->hash);
+    });
+}
+
 void EndpointTable::resetSilence(TimePoint now)
 {
     for (const auto& [incarnation, endpoint] : m_endpoints)
@@ -369,7 +379,8 @@
     constexpr std::int64_t tokensPerUnit = 1'000;
     std::vector<EndpointWorkload> loads;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
-        bool isSuspect = isLocallySuspect(*endpoint, now);
+        // An entry that is cut off can't tell which endpoints fail.
+        bool isSuspect = isLocallySuspect(*endpoint, now) && !isCutOff(endpoint->record.service, now);
         if (endpoint->requestsInFlight == 0 && !isSuspect)
             continue;
         auto kilotokens = static_cast<std::uint32_t>((endpoint->unprefilledTokens + tokensPerUnit / 2) / tokensPerUnit);
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -20,6 +20,8 @@
 static constexpr std::chrono::minutes sharerRetention { 10 };
 /// Time for which an entry that did not answer a forwarded request is skipped.
 static constexpr std::chrono::milliseconds peerSuspectTime { 1'000 };
+/// Time for which an entry that refused a request because it reaches no endpoints is skipped.
+static constexpr std::chrono::milliseconds peerCutOffTime { 500 };
 
 std::string writeEntryRecord(const EntryRecord& record)
 {
@@ -165,14 +167,20 @@
     return all;
 }
 
-std::optional<SocketAddress> EntryTable::choosePeer(const std::string& region, TimePoint now, Random& random) const
+static bool isMarked(const std::map<SocketAddress, TimePoint>& marks, const SocketAddress& address, TimePoint now)
+{
+    auto found = marks.find(address);
+    return found != marks.end() && now < found->second;
+}
+
+std::optional<SocketAddress> EntryTable::choosePeer(const std::string& region, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const
 {
     std::vector<SocketAddress> candidates;
     for (const auto& [key, entry] : m_entries) {
         const SocketAddress& peer = entry.record.peerAddress;
-        auto suspect = m_suspectUntil.find(peer);
-        bool isSuspect = suspect != m_suspectUntil.end() && now < suspect->second;
-        if (entry.record.region == region && peer != m_self.peerAddress && !isSuspect)
+        bool isSkipped = isMarked(m_suspectUntil, peer, now) || isMarked(m_cutOffUntil, peer, now);
+        bool isExcluded = std::find(excluded.begin(), excluded.end(), peer) != excluded.end();
+        if (entry.record.region == region && peer != m_self.peerAddress && !isSkipped && !isExcluded)
             addOnce(candidates, peer);
     }
     if (candidates.empty())
@@ -211,6 +219,11 @@
     return { regions.begin(), regions.end() };
 }
 
+void EntryTable::recordPeerCutOff(const SocketAddress& peer, TimePoint now)
+{
+    m_cutOffUntil[peer] = now + peerCutOffTime;
+}
+
 void EntryTable::recordPeerFailure(const SocketAddress& peer, TimePoint now)
 {
     m_suspectUntil[peer] = now + peerSuspectTime;
@@ -279,9 +292,7 @@
 {
     std::vector<std::string> candidates;
     for (const auto& [key, entry] : m_entries) {
-        auto suspect = m_suspectUntil.find(entry.record.peerAddress);
-        bool isSuspect = suspect != m_suspectUntil.end() && now < suspect->second;
-        if (entry.record.availabilityZone == m_self.availabilityZone && !isSuspect)
+        if (entry.record.availabilityZone == m_self.availabilityZone && !isMarked(m_suspectUntil, entry.record.peerAddress, now))
             candidates.push_back(key);
     }
     std::string chosen = chooseDelegate(candidates, "relay");
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -92,8 +92,14 @@
     if (regions.empty())
         return;
     RegionReport report { settings.region, ownKey(), loadExchange.sequence(), {} };
-    for (const ServiceSettings& service : parts.routes->services())
-        report.services.push_back(parts.endpoints.outlook(service, loop.clock().now()));
+    TimePoint now = loop.clock().now();
+    for (const ServiceSettings& service : parts.routes->services()) {
+        // An entry that is cut off can't tell whether the region has room.
+        if (!parts.endpoints.isCutOff(service.name, now))
+            report.services.push_back(parts.endpoints.outlook(service, now));
+    }
+    if (report.services.empty())
+        return;
     std::string bytes = encodeRegionReport(report);
     std::size_t first = random.below(regions.size());
     for (std::size_t i = 0; i < std::min(regions.size(), regionsPerReport); ++i) {
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -20,8 +20,11 @@
 /// process may have used its own share in that window.
 static constexpr double allowanceShareAtStart = 0.2;
 /// A connection inside the region takes a few milliseconds; if one takes longer
-/// than this, the endpoint has stopped or is unreachable.
-static constexpr milliseconds endpointConnectTimeout { 400 };
+/// than this, the other side has stopped or is unreachable.
+static constexpr milliseconds localConnectTimeout { 400 };
+/// Connect timeout of a request that tests whether this entry reaches its endpoints again.
+/// Most likely it doesn't, and the request has to be handed over.
+static constexpr milliseconds probeConnectTimeout { 100 };
 /// Regions are some 55 ms apart, so a connection takes 110 ms and more.
 static constexpr milliseconds peerConnectTimeout { 700 };
 /// Round-trip time that forwarding to another region adds to the first event.
@@ -178,7 +181,7 @@
 // tried before, if the last attempt may have run.
 void RoutedRun::dispatch()
 {
-    if (refuseIfCrashing() || holdIfSuspect() || askLimitHolders() || routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded())
+    if (refuseIfCrashing() || holdIfSuspect() || handOverIfCutOff() || askLimitHolders() || routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded())
         return;
     if (isAllowedHere() && sendToEndpoint(m_service, false))
         return;
@@ -276,7 +279,7 @@
     facts.priority = requestPriority();
     facts.workspace = m_workspaceName;
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
-    request.connectTimeout = endpointConnectTimeout;
+    request.connectTimeout = m_parts.endpoints.isCutOff(service, now()) ? probeConnectTimeout : localConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
@@ -384,7 +387,7 @@
 
 bool RoutedRun::sendToEntryIn(const std::string& region, const char* why)
 {
-    std::optional<SocketAddress> peer = m_parts.entries.choosePeer(region, now(), m_parts.random);
+    std::optional<SocketAddress> peer = m_parts.entries.choosePeer(region, now(), m_parts.random, m_triedEntries);
     // A request that may not be processed here can only be served by an entry of another
     // region. Its registration may have been removed while it still runs.
     if (!peer && !isAllowedHere())
@@ -392,26 +395,32 @@
     m_triedRegions.push_back(region);
     if (!peer)
         return false;
-    HttpClientRequest request = makeRequest(*peer, {});
+    m_parts.metrics.count("forwards_to_regions");
+    m_parts.outlooks.recordSent(region, m_service, m_request.facts.promptTokens, now());
+    // Prompt data of a request that is bound to other regions isn't kept here, not even
+    // as a hash.
+    const PromptSegment* shared = isAllowedHere() ? sharedSegment() : nullptr;
+    if (shared)
+        m_parts.endpoints.recordSentToRegion(region, shared->id, now());
+    sendToEntry(*peer, region, why);
+    return true;
+}
+
+void RoutedRun::sendToEntry(const SocketAddress& peer, const std::string& region, const char* why)
+{
+    m_triedEntries.push_back(peer);
+    HttpClientRequest request = makeRequest(peer, {});
     request.headers.set(attemptsLeftHeader, std::to_string(m_route->attempts - std::min(m_possiblyRunAttempts, m_route->attempts)));
     request.headers.set(earlierAttemptsHeader, std::to_string(m_possiblyDeliveredAttempts));
     if (!m_workspaceName.empty())
         request.headers.set(workspaceNameHeader, m_workspaceName);
-    request.connectTimeout = peerConnectTimeout;
+    request.connectTimeout = region == m_parts.region ? localConnectTimeout : peerConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
     attempt.region = region;
     attempt.why = why;
-    attempt.peer = *peer;
-    m_parts.metrics.count("forwards_to_regions");
-    m_parts.outlooks.recordSent(region, m_service, m_request.facts.promptTokens, now());
-    // Prompt data of a request that is bound to other regions isn't kept here, not even
-    // as a hash.
-    const PromptSegment* shared = isAllowedHere() ? sharedSegment() : nullptr;
-    if (shared)
-        m_parts.endpoints.recordSentToRegion(region, shared->id, now());
+    attempt.peer = peer;
     startAttempt(std::move(attempt), std::move(request));
-    return true;
 }
 
 HttpClientRequest RoutedRun::makeRequest(const SocketAddress& server, AttemptFacts facts) const
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -45,6 +45,8 @@
     const std::string* retryAfter = headers.find(refusedEverywhereHeader);
     if (retryAfter && absl::SimpleAtod(*retryAfter, &seconds) && seconds > 0 && seconds < maxReportedRetryAfter.count())
         attempt.reportedRetryAfter = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
+    attempt.isPeerCutOff = headers.find(cutOffHeader) != nullptr;
+    headers.remove(cutOffHeader);
     headers.remove(endpointAttemptsHeader);
     headers.remove(outcomeHeader);
     headers.remove(refusedEverywhereHeader);
@@ -59,24 +61,6 @@
     m_parts.crashingRequests.recordEndpointAlive(attempt.endpoint->hash, now());
 }
 
-// A request that was sent on a connection that hung may have arrived, but shows as little of
-// the endpoint as one that failed.
-void RoutedRun::recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
-{
-    bool hasFailed = end != HttpEnd::Complete && end != HttpEnd::Malformed && verdict != AttemptVerdict::Answered;
-    if (!attempt.endpoint || attempt.head || !hasFailed)
-        return;
-    m_parts.metrics.count("attempts_without_endpoint");
-    if (m_parts.endpoints.recordUnreached(*attempt.endpoint, now()))
-        m_parts.handleCutOff();
-}
-
-void IngressContext::handleCutOff()
-{
-    metrics.count("cuts_from_endpoints");
-    logChange(LogLevel::Warning, "cut_off_from_endpoints", { { "failed_endpoints", endpoints.reach().failedEndpoints().size() } });
-}
-
 // The state that the endpoint reports itself takes precedence over its registration,
 // which may be outdated while the store is unavailable.
 void RoutedRun::recordEndpointState(const Attempt& attempt) const
@@ -202,7 +186,7 @@
     bool endsInsideEvent = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken());
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
-    m_possiblyDeliveredAttempts += mayHaveReached ? 1 : 0;
+    m_possiblyDeliveredAttempts += mayHaveReached && !attempt.isPeerCutOff ? 1 : 0;
     recordReach(attempt, end, verdict);
     recordCrashEvidence(attempt, end, verdict);
     recordAttemptResult(verdict, detail);
@@ -236,7 +220,7 @@
 void RoutedRun::recordAttemptResult(AttemptVerdict verdict, const std::string& detail)
 {
     Attempt& attempt = *m_attempt;
-    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotExecuted || attempt.reportedOutcome) && !attempt.facts.isOtherIncarnation;
+    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotExecuted || attempt.reportedOutcome) && !attempt.facts.isOtherIncarnation && !attempt.isPeerCutOff;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotExecuted && !attempt.reportedOutcome;
     const PromptSegment* shared = sharedSegment();
     if (attempt.endpoint && shared && verdict == AttemptVerdict::NotRun)
@@ -264,7 +248,9 @@
     }
     bool mayHaveRun = verdict != AttemptVerdict::NotRun;
     m_possiblyRunAttempts += mayHaveRun ? possiblyRunAttemptsOf(attempt) : 0;
-    m_notRunAttempts += mayHaveRun ? 0 : 1;
+    bool hasReachedNone = verdict == AttemptVerdict::NotRun && (!attempt.head || attempt.isPeerCutOff);
+    m_unreachedAttempts += hasReachedNone ? 1 : 0;
+    m_notRunAttempts += mayHaveRun || hasReachedNone ? 0 : 1;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     m_mayLastAttemptHaveRun = mayHaveRun;
     if (verdict == AttemptVerdict::Answered || !m_parts.log.admitsNotable())
@@ -313,6 +299,7 @@
     progress.mayHaveRun = m_mayHaveRun;
     progress.possiblyRunAttempts = m_possiblyRunAttempts;
     progress.notRunAttempts = m_notRunAttempts;
+    progress.unreachedAttempts = m_unreachedAttempts;
     progress.maxAttempts = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
     progress.hasSentHead = m_hasSentHead;
     progress.hasRetryBudget = m_possiblyDeliveredAttempts == 0 || m_parts.retryBudgetOf(m_service).hasRetry(now(), retryOrder());
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -106,7 +106,8 @@
         return;
     std::uint32_t endpoint = attempt.endpoint->hash;
     bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
-    if (isBroken) {
+    bool isBrokenByCut = isBroken && m_parts.endpoints.isCutOff(m_service, now()) && !crashing.mayHaveCrashed(fingerprint(), endpoint, m_parts.endpoints.reach().failedEndpoints());
+    if (isBroken && !isBrokenByCut) {
         std::vector<std::uint32_t> regions;
         for (const std::string& region : m_homeRegions)
             regions.push_back(regionHash(region));
--- /dev/null
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -0,0 +1,82 @@
+// Hands a routed request over to another entry while this one reaches no endpoints.
+#include "catkinwing/Ingress/RoutedRun.h"
+
+#include "catkinwing/Support/Logging.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+static constexpr int statusBadGateway = 502;
+static constexpr int statusUnavailable = 503;
+/// A request that couldn't reach this many endpoints is handed over, also if others are
+/// reached.
+static constexpr unsigned maxUnreachedHere = 2;
+
+// A connection that hung may have delivered the request, but says as little of the endpoint
+// as one that failed. Idle connections to endpoints that aren't reached would lose a request
+// each.
+void RoutedRun::recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
+{
+    if (attempt.isPeerCutOff) {
+        m_parts.entries.recordPeerCutOff(attempt.peer, now());
+        m_triedRegions.erase(std::remove(m_triedRegions.begin(), m_triedRegions.end(), attempt.region), m_triedRegions.end());
+    }
+    bool hasFailed = end != HttpEnd::Complete && end != HttpEnd::Malformed && verdict != AttemptVerdict::Answered;
+    if (!attempt.endpoint || attempt.head || !hasFailed)
+        return;
+    m_parts.metrics.count("attempts_without_endpoint");
+    m_parts.endpointClient.forget(attempt.endpoint->record.address);
+    if (m_parts.endpoints.recordUnreached(*attempt.endpoint, now()))
+        m_parts.handleCutOff();
+}
+
+void IngressContext::handleCutOff()
+{
+    metrics.count("cuts_from_endpoints");
+    std::vector<std::uint32_t> failed = endpoints.reach().failedEndpoints();
+    logChange(LogLevel::Warning, "cut_off_from_endpoints", { { "failed_endpoints", failed.size() } });
+    crashingRequests.dropBrokenByCut(failed);
+    endpoints.forEach([this](const RoutedEndpoint& endpoint) {
+        if (endpoint.region == region)
+            endpointClient.forget(endpoint.record.address);
+    });
+}
+
+// Entries of this region reach the same endpoints and are near. Forwarding to another region
+// comes second. Endpoints here that haven't failed come last: the entry may not be cut off
+// after all.
+bool RoutedRun::handOverIfCutOff()
+{
+    if (!isAllowedHere())
+        return false;
+    bool isCutOff = m_parts.endpoints.isCutOff(m_service, now());
+    if (!isCutOff && m_unreachedAttempts < maxUnreachedHere)
+        return false;
+    if (isCutOff && m_unreachedAttempts == 0 && m_parts.endpoints.reach().tryProbe(m_service, now()))
+        return false;
+    if (m_request.isForwarded)
+        return isCutOff && refuseAsCutOff();
+    std::optional<SocketAddress> peer = m_parts.entries.choosePeer(m_parts.region, now(), m_parts.random, m_triedEntries);
+    if (peer) {
+        m_parts.metrics.count("requests_handed_over");
+        sendToEntry(*peer, m_parts.region, "cut_off");
+        return true;
+    }
+    if (sendToRegion(m_service, "cut_off"))
+        return true;
+    return isCutOff && !m_parts.endpoints.hasUntriedEndpoint(m_service, now()) && refuseAsCutOff();
+}
+
+bool RoutedRun::refuseAsCutOff()
+{
+    m_isRefusedAsCutOff = !m_mayHaveRun;
+    if (m_failureHead)
+        sendAnswer(*m_failureHead, std::move(m_failureBody));
+    else if (m_mayHaveRun)
+        sendOwnAnswer(statusBadGateway, Outcome::Unknown, "cut_off");
+    else
+        sendOwnAnswer(statusUnavailable, Outcome::NotRun, "cut_off");
+    return true;
+}
+
+} // namespace catkinwing
--- a/lib/Ingress/RunDecisions.cpp
+++ b/lib/Ingress/RunDecisions.cpp
@@ -2,9 +2,12 @@
 
 namespace catkinwing {
 
-/// A request isn't retried after this many attempts that were certainly not executed,
-/// most of which are refusals: a third refusal indicates that the whole service is full.
+/// A request isn't retried after this many refusals: a third one indicates that the whole
+/// service is full.
 static constexpr unsigned maxNotRunAttempts = 3;
+/// A request isn't retried after this many attempts that reached no endpoint. They say nothing
+/// of the load, but each may take a connect timeout.
+static constexpr unsigned maxUnreachedAttempts = 4;
 /// An attempt with less time left than this would only fail at its deadline.
 static constexpr std::chrono::milliseconds minTimeForAttempt { 20 };
 
@@ -30,7 +33,7 @@
         return false;
     if (verdict == AttemptVerdict::NotRun) {
         bool isSafe = progress.mayRepeat || !progress.mayHaveRun;
-        return isSafe && progress.notRunAttempts < maxNotRunAttempts;
+        return isSafe && progress.notRunAttempts < maxNotRunAttempts && progress.unreachedAttempts < maxUnreachedAttempts;
     }
     return progress.mayRepeat && progress.possiblyRunAttempts < progress.maxAttempts;
 }
--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -19,6 +19,9 @@
 static constexpr milliseconds turnStartWindow { 80 };
 /// Time after its latest crash during which a request is sent only in turns.
 static constexpr milliseconds waitAfterCrash { 2'000 };
+/// Number of endpoints that may have failed for another reason, or have been crashed by the
+/// same request from entries that haven't reported it yet.
+static constexpr std::ptrdiff_t maxUnrelatedFailures = 2;
 /// Retention of broken connections that other entries reported. Within this time the
 /// other entry has settled them and sent the result.
 static constexpr milliseconds reportedPendingRetention { 2'000 };
@@ -110,6 +113,30 @@
         broken.isEndpointUnreachable |= broken.endpoint == endpoint;
 }
 
+// A request that crashes endpoints runs at each endpoint that it crashes. A cut of the
+// network also breaks the connections to many endpoints where the request didn't run.
+bool CrashingRequests::mayHaveCrashed(const RequestFingerprint& request, std::uint32_t endpoint, const std::vector<std::uint32_t>& failed) const
+{
+    auto known = m_known.find(request);
+    auto ranAt = [&](std::uint32_t other) {
+        auto isPending = [&](const BrokenConnection& broken) { return broken.request == request && broken.endpoint == other; };
+        auto isCrash = [&](const EndpointCrash& crash) { return crash.endpoint == other; };
+        bool isKnown = known != m_known.end() && std::any_of(known->second.history.crashes.begin(), known->second.history.crashes.end(), isCrash);
+        return other == endpoint || isKnown || std::any_of(m_pending.begin(), m_pending.end(), isPending);
+    };
+    return std::count_if(failed.begin(), failed.end(), [&](std::uint32_t other) { return !ranAt(other); }) <= maxUnrelatedFailures;
+}
+
+void CrashingRequests::dropBrokenByCut(const std::vector<std::uint32_t>& failed)
+{
+    std::vector<BrokenConnection> kept;
+    for (const BrokenConnection& broken : m_pending) {
+        if (broken.isFromOtherEntry || mayHaveCrashed(broken.request, broken.endpoint, failed))
+            kept.push_back(broken);
+    }
+    m_pending = std::move(kept);
+}
+
 void CrashingRequests::dropPending(const RequestFingerprint& request, TimePoint answeredAt)
 {
     auto isRefuted = [&](const BrokenConnection& broken) { return broken.request == request && broken.at <= answeredAt; };
--- a/unittests/Ingress/CutOffTest.cpp
+++ b/unittests/Ingress/CutOffTest.cpp
@@ -144,22 +144,34 @@
     }
 }
 
-// Guards against connections broken by the cut being taken for crashes that a popular request
-// caused.
+// Guards against connections broken by the cut being taken for crashes that the requests on
+// them caused. Each request is sent by several clients and was never answered before.
 TEST_CASE("a cut convicts no request of crashing endpoints")
 {
+    constexpr int clientsPerRequest = 20;
     for (unsigned seed = 1; seed <= 4; ++seed) {
         EntryFleet fleet(seed, 3, 9);
+        fleet.answerDelay = 200ms;
         sendFor(fleet, 3s);
+        TimePoint began = fleet.now();
+        int sent = 0;
         for (int cut = 0; cut < 4; ++cut) {
             setPaths(fleet, { 0, 1, 3 }, PathState::Resetting);
-            sendFor(fleet, 2s);
+            for (Duration passed { 0 }; passed < 2s; passed += step) {
+                fleet.sendToRandomEntry("request-" + std::to_string(sent++ / clientsPerRequest));
+                fleet.advance(step);
+            }
             setPaths(fleet, { 0, 1, 3 }, PathState::Open);
-            sendFor(fleet, 1s);
+            for (Duration passed { 0 }; passed < 1s; passed += step) {
+                fleet.sendToRandomEntry("request-" + std::to_string(sent++ / clientsPerRequest));
+                fleet.advance(step);
+            }
         }
         fleet.advance(4s);
+        INFO("seed " << seed);
         for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
             CHECK(fleet.partsOf(entry).crashingRequests.refusedCount(fleet.now()) == 0);
+        checkServed(serviceAt(fleet, { 2, 4, 5 }, began, fleet.now()));
     }
 }
 
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -49,6 +49,29 @@
     CHECK(requests.takeSettledNotices().size() == 1);
 }
 
+// Guards against a request that is convicted because its entry lost the links to all endpoints.
+TEST_CASE("connections that broke because the entry was cut off aren't settled as crashes")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    std::vector<std::uint32_t> failed { 1, 2, 3, 4, 5, 6 };
+    for (std::uint32_t endpoint : { 1, 2, 3 })
+        requests.recordBrokenConnection(fingerprint(1), endpoint, {}, now);
+    for (std::uint32_t endpoint : { 1, 2, 3, 4, 5 })
+        requests.recordBrokenConnection(fingerprint(2), endpoint, {}, now);
+    CHECK_FALSE(requests.mayHaveCrashed(fingerprint(1), 1, failed));
+    CHECK(requests.mayHaveCrashed(fingerprint(2), 1, failed));
+    requests.dropBrokenByCut(failed);
+    for (std::uint32_t endpoint : failed)
+        requests.recordEndpointUnreachable(endpoint, now + 10ms);
+    requests.settleAndExpire(now + 50ms);
+    // A request that ran at nearly all of the failed endpoints may have crashed them.
+    std::vector<CrashNotice> settled = requests.takeSettledNotices();
+    CHECK_FALSE(settled.empty());
+    for (const CrashNotice& notice : settled)
+        CHECK(notice.request == fingerprint(2));
+}
+
 TEST_CASE("an answer before a broken connection is settled clears the request")
 {
     CrashingRequests requests;
