Let one entry fill the slots of each brittle endpoint

What callers saw: endpoints that say Server-Brittle let nobody wait and fall over when they turn away more requests in a second than they say. Nothing read the header, every entry sent to every slot, and endpoints fell over again and again.

Cause: what an endpoint rejects is a sum over all entries, and each entry knew its own requests exactly and those of the others with a delay. Class: a limit that an endpoint states, kept by nobody.

Change: while a service is brittle, the slots of an endpoint are filled by one entry of the region, chosen by rendezvous; the others hand requests over to it as they do when they reach no endpoint. At most a third of the allowed rejections are unsettled at a time, and a rejection closes the endpoint until as many are allowed again, so that a holder that is wrong about the load stays within the limit. The end is noticed as that of a request limit: three answers without it over a second.

Why it works: the holder knows what it has sent, and the bound doesn't depend on what it believes.

--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -72,6 +72,11 @@
     std::optional<double> requestLimit;
     /// The response names a limit that isn't a valid number, so it tells nothing about limits.
     bool isRequestLimitInvalid { false };
+    /// Requests a second that a brittle endpoint may reject for lack of room before it crashes;
+    /// nothing if the endpoint isn't brittle.
+    std::optional<double> rejectionLimit;
+    /// The response states a rejection limit that isn't a valid number.
+    bool isRejectionLimitInvalid { false };
     std::string attemptId;
 };
 
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Admission/EndpointRoom.h"
 #include "catkinwing/Admission/WaitLimit.h"
 #include "catkinwing/Coordination/TokenBucket.h"
 #include "catkinwing/Ingress/Dialect.h"
@@ -43,6 +44,12 @@
     TimePoint pausedUntil {};
     /// The request rate to which the endpoint limits all entries together.
     EndpointLimit limit;
+    /// Attempts of this entry at the endpoint while it is brittle.
+    EndpointRoom room;
+    /// Name of the entry that fills the endpoint's slots while it is brittle, as of
+    /// roomHolderVersion.
+    std::string roomHolder;
+    std::uint64_t roomHolderVersion { 0 };
     /// The endpoint is leaving and gets no new requests. Never reset to false, since a new
     /// start under the same name is another RoutedEndpoint.
     bool isLeaving { false };
@@ -193,6 +200,17 @@
     static void recordPause(RoutedEndpoint& endpoint, std::chrono::milliseconds pause, TimePoint now);
     /// The request limits that endpoints of the region name.
     EndpointLimits& limits() { return m_limits; }
+    /// Records that an answer of the service states how many requests a second an endpoint may
+    /// reject, or states nothing of the kind.
+    void recordRejectionLimit(const std::string& service, std::optional<double> perSecond, TimePoint now);
+    /// Returns how many requests a second each endpoint of the service may reject; nothing if
+    /// the endpoints aren't brittle. The slots of a brittle endpoint are filled by one entry.
+    std::optional<double> rejectionLimit(absl::string_view service) const;
+    /// Records that the endpoint rejected a request for lack of room.
+    void recordRejection(RoutedEndpoint& endpoint, TimePoint now);
+    /// Returns the name of another entry that fills the slots of an endpoint of this region, one
+    /// that has room if possible. Leaves out the entries in \p excluded.
+    std::optional<std::string> chooseRoomHolder(const ServiceSettings& service, const std::vector<std::string>& excluded, TimePoint now, Random& random);
     /// Returns the endpoint with the hash; null if there is none.
     std::shared_ptr<RoutedEndpoint> findByHash(std::uint32_t hash) const;
     /// Returns the available endpoints of this region whose limit leaves this entry no request.
@@ -253,6 +271,10 @@
     void addToService(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service);
     void detach(const std::string& incarnation);
     bool hasFreeConnection(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
+    const std::string& roomHolderOf(RoutedEndpoint& endpoint) const;
+    /// Returns whether this entry fills the slots of the brittle endpoint and one is free.
+    bool mayFillSlot(RoutedEndpoint& endpoint, const ServiceSettings& service, double rejectionsPerSecond, TimePoint now) const;
+    static unsigned slotsOf(const RoutedEndpoint& endpoint, const ServiceSettings& service);
     bool tryTakeColdToken(RoutedEndpoint& endpoint, const ServiceSettings& service, TimePoint now) const;
 
     std::string m_region;
@@ -265,6 +287,11 @@
     absl::flat_hash_map<std::string, std::shared_ptr<ResponseTimes>> m_serviceTimes;
     std::set<std::string> m_evacuatedZones;
     std::vector<RateSharer> m_sharers;
+    /// Names of the sharers that are registered, and a counter of their changes.
+    std::vector<std::string> m_listedSharers;
+    std::uint64_t m_listedSharersVersion { 1 };
+    /// Requests a second that each endpoint of a service may reject, by service.
+    absl::flat_hash_map<std::string, NamedLimit> m_rejectionLimits;
     std::string m_ownName;
     bool m_isSharer { true };
     /// When this entry became one of the sharers; the epoch if it always was.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -22,8 +22,13 @@
 /// retry-after time in seconds.
 constexpr const char* refusedEverywhereHeader = "Catkinwing-Refused-Everywhere";
 
-/// Marks the refusal of an entry that reaches no endpoint of the request's service.
-constexpr const char* cutOffHeader = "Catkinwing-Cut-Off";
+/// Marks the refusal of an entry that has sent the request to no endpoint, and names the
+/// reason: notSentCutOff or notSentNoRoom.
+constexpr const char* notSentHeader = "Catkinwing-Not-Sent";
+/// The entry reaches no endpoint of the request's service.
+constexpr const char* notSentCutOff = "cut-off";
+/// The entry fills the slots of brittle endpoints, and none is free.
+constexpr const char* notSentNoRoom = "no-room";
 
 /// A request as received from a client or from another entry.
 struct RoutedRequest {
@@ -87,7 +92,9 @@
         /// Retry-after time stated by another entry, if its refusal applies to all entries
         /// and regions.
         absl::optional<std::chrono::milliseconds> reportedRetryAfter;
-        /// The other entry refused the request because it reaches no endpoint.
+        /// The other entry refused the request without sending it to an endpoint.
+        bool wasNotSent { false };
+        /// It did so because it reaches none.
         bool isPeerCutOff { false };
         /// The answer carries the attempt ID of this request.
         bool isForThisRequest { false };
@@ -138,6 +145,11 @@
     /// there is no such entry. Returns whether it did either.
     bool handOverIfCutOff();
     bool refuseAsCutOff();
+    /// Hands the request over to an entry that fills the slots of a brittle endpoint. Returns
+    /// false if the endpoints aren't brittle or there is no such entry.
+    bool sendToRoomHolder();
+    std::optional<SocketAddress> chooseRoomHolder();
+    void recordRejectionLimit(const Attempt& attempt) const;
     void recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     bool sendToSegmentRegion();
     bool sendToEntryIn(const std::string& region, const char* why);
@@ -239,8 +251,8 @@
     std::vector<std::string> m_triedRegions;
     /// Entries that the request was sent to.
     std::vector<SocketAddress> m_triedEntries;
-    /// The answer is the refusal of an entry that reaches no endpoints.
-    bool m_isRefusedAsCutOff { false };
+    /// Value of notSentHeader in this entry's refusal; null if the refusal has none.
+    const char* m_notSentReason { nullptr };
     EventCursor m_cursor;
     /// The head of the answer has been sent to the client.
     bool m_hasSentHead { false };
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -231,6 +231,14 @@
         m_joinedSharersAt = now;
     m_isSharer = isSharer;
     m_limits.setSharers(sharers, self, now);
+    std::vector<std::string> listed;
+    for (const RateSharer& sharer : sharers) {
+        if (sharer.isListed)
+            listed.push_back(sharer.name);
+    }
+    if (listed != m_listedSharers)
+        ++m_listedSharersVersion;
+    m_listedSharers = std::move(listed);
     m_sharers = std::move(sharers);
     m_ownName = std::move(self);
 }
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -43,10 +43,14 @@
     addEventSample(*endpoint.serviceResponseTimes, events, pause, now);
 }
 
+unsigned EndpointTable::slotsOf(const RoutedEndpoint& endpoint, const ServiceSettings& service)
+{
+    return endpoint.record.slots > 0 ? endpoint.record.slots : service.slots;
+}
+
 Duration EndpointTable::predictedWait(const RoutedEndpoint& endpoint, const ResponseEstimate& estimate, const EndpointWork& work, const ServiceSettings& service)
 {
-    unsigned slots = endpoint.record.slots > 0 ? endpoint.record.slots : service.slots;
-    return predictWait(estimate, work, slots);
+    return predictWait(estimate, work, slotsOf(endpoint, service));
 }
 
 // Number of concurrent requests that delay a request as much as the prefill of a thousand
@@ -121,12 +125,15 @@
     m_segmentHolders.setCacheSize(request.service->memoryTokens);
     const Endpoints& endpoints = found->second;
     std::uint32_t segment = segmentHash(request.sharedSegment);
+    std::optional<double> rejections = rejectionLimit(request.service->name);
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
-        const RoutedEndpoint& endpoint = *endpoints[i];
+        RoutedEndpoint& endpoint = *endpoints[i];
         bool isEligible = endpoint.region == m_region && isAvailable(endpoint, now) && hasFreeConnection(endpoint, *request.service);
         if (!isEligible || !EndpointLimits::hasRequest(endpoint.limit, now))
             continue;
+        if (rejections && !mayFillSlot(endpoint, *request.service, *rejections, now))
+            continue;
         const std::vector<std::string>& tried = *request.attemptedIncarnations;
         bool wasTried = std::find(tried.begin(), tried.end(), endpoint.record.incarnation) != tried.end();
         if (wasTried && !request.allowsAttempted)
@@ -139,8 +146,11 @@
     }
     EndpointDemand demand = demandOf(request);
     while (std::optional<std::size_t> index = chooseEndpoint(candidates, demand, random)) {
-        if (tryTakeColdToken(*endpoints[*index], *request.service, now) && EndpointLimits::tryTake(endpoints[*index]->limit, now))
+        if (tryTakeColdToken(*endpoints[*index], *request.service, now) && EndpointLimits::tryTake(endpoints[*index]->limit, now)) {
+            if (rejections)
+                recordRoomAttempt(endpoints[*index]->room, now);
             return endpoints[*index];
+        }
         candidates.erase(std::find_if(candidates.begin(), candidates.end(), [&](const auto& candidate) { return candidate.index == *index; }));
     }
     return nullptr;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -183,7 +183,7 @@
 {
     if (refuseIfCrashing() || holdIfSuspect() || handOverIfCutOff() || askLimitHolders() || routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded())
         return;
-    if (isAllowedHere() && sendToEndpoint(m_service, false))
+    if (isAllowedHere() && (sendToEndpoint(m_service, false) || sendToRoomHolder()))
         return;
     if (!m_request.isForwarded && sendToRegion(m_service, isAllowedHere() ? "no_endpoint_here" : "homes"))
         return;
@@ -193,10 +193,13 @@
         sendAnswer(*m_failureHead, std::move(m_failureBody));
         return;
     }
-    if (m_mayHaveRun)
+    if (m_mayHaveRun) {
         sendOwnAnswer(statusBadGateway, Outcome::Unknown, "no_endpoint_for_retry");
-    else
-        sendOwnAnswer(statusUnavailable, Outcome::NotRun, areLimitsUsedUp() ? "endpoint_limits" : "no_endpoint");
+        return;
+    }
+    if (m_possiblyDeliveredAttempts == 0 && m_parts.endpoints.rejectionLimit(m_service))
+        m_notSentReason = notSentNoRoom;
+    sendOwnAnswer(statusUnavailable, Outcome::NotRun, areLimitsUsedUp() ? "endpoint_limits" : "no_endpoint");
 }
 
 Duration RoutedRun::maxWait() const
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -45,8 +45,10 @@
     const std::string* retryAfter = headers.find(refusedEverywhereHeader);
     if (retryAfter && absl::SimpleAtod(*retryAfter, &seconds) && seconds > 0 && seconds < maxReportedRetryAfter.count())
         attempt.reportedRetryAfter = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
-    attempt.isPeerCutOff = headers.find(cutOffHeader) != nullptr;
-    headers.remove(cutOffHeader);
+    const std::string* notSent = headers.find(notSentHeader);
+    attempt.wasNotSent = notSent != nullptr;
+    attempt.isPeerCutOff = notSent && *notSent == notSentCutOff;
+    headers.remove(notSentHeader);
     headers.remove(endpointAttemptsHeader);
     headers.remove(outcomeHeader);
     headers.remove(refusedEverywhereHeader);
@@ -92,6 +94,7 @@
         return;
     }
     recordEndpointState(attempt);
+    recordRejectionLimit(attempt);
     const std::string* type = head.headers.find("content-type");
     bool isSuccess = head.status >= 200 && head.status < 300;
     bool isDeliverable = attempt.facts.isEndpointAnswer && attempt.isForThisRequest && isSuccess;
@@ -186,7 +189,7 @@
     bool endsInsideEvent = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken());
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
-    m_possiblyDeliveredAttempts += mayHaveReached && !attempt.isPeerCutOff ? 1 : 0;
+    m_possiblyDeliveredAttempts += mayHaveReached && !attempt.wasNotSent ? 1 : 0;
     recordReach(attempt, end, verdict);
     recordCrashEvidence(attempt, end, verdict);
     recordAttemptResult(verdict, detail);
@@ -238,6 +241,8 @@
         EndpointTable::recordSlotTime(*attempt.endpoint, now() - attempt.startedAt, now());
     }
     if (attempt.endpoint) {
+        if (wasRefused)
+            m_parts.endpoints.recordRejection(*attempt.endpoint, now());
         if (attempt.facts.isOtherIncarnation)
             m_parts.endpoints.recordLeaving(*attempt.endpoint, now());
         m_parts.endpoints.recordAttemptEnded(*attempt.endpoint, hadNoAnswer, now());
--- a/lib/Ingress/RoutedRunEnd.cpp
+++ b/lib/Ingress/RoutedRunEnd.cpp
@@ -58,8 +58,8 @@
         head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(retryAfter()).count()));
     if (m_retryAfter && m_request.isForwarded)
         head.headers.add(refusedEverywhereHeader, absl::StrCat(std::chrono::duration<double>(*m_retryAfter).count()));
-    if (m_isRefusedAsCutOff && m_request.isForwarded)
-        head.headers.add(cutOffHeader, "1");
+    if (m_notSentReason && m_request.isForwarded)
+        head.headers.add(notSentHeader, m_notSentReason);
     m_responder->send(withAttemptsHeader(head), absl::StrCat("{\"error\":{\"code\":\"", reason, "\",\"outcome\":\"", outcomeWord(outcome), "\"}}"));
     finish(status, outcomeWord(outcome), reason);
 }
--- a/lib/Ingress/RoutedRunHandover.cpp
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -1,4 +1,5 @@
-// Hands a routed request over to another entry while this one reaches no endpoints.
+// Hands a routed request over to another entry of the region, while this one reaches no
+// endpoints or while another one fills the slots of brittle endpoints.
 #include "catkinwing/Ingress/RoutedRun.h"
 
 #include "catkinwing/Support/Logging.h"
@@ -56,7 +57,9 @@
         return false;
     if (m_request.isForwarded)
         return isCutOff && refuseAsCutOff();
-    std::optional<SocketAddress> peer = m_parts.entries.choosePeer(m_parts.region, now(), m_parts.random, m_triedEntries);
+    std::optional<SocketAddress> peer = chooseRoomHolder();
+    if (!peer)
+        peer = m_parts.entries.choosePeer(m_parts.region, now(), m_parts.random, m_triedEntries);
     if (peer) {
         m_parts.metrics.count("requests_handed_over");
         sendToEntry(*peer, m_parts.region, "cut_off");
@@ -69,7 +72,7 @@
 
 bool RoutedRun::refuseAsCutOff()
 {
-    m_isRefusedAsCutOff = !m_mayHaveRun;
+    m_notSentReason = m_possiblyDeliveredAttempts == 0 ? notSentCutOff : nullptr;
     if (m_failureHead)
         sendAnswer(*m_failureHead, std::move(m_failureBody));
     else if (m_mayHaveRun)
@@ -79,4 +82,40 @@
     return true;
 }
 
+std::optional<SocketAddress> RoutedRun::chooseRoomHolder()
+{
+    const ServiceSettings* settings = m_routes->findService(m_service);
+    if (!settings || !m_parts.endpoints.rejectionLimit(m_service))
+        return std::nullopt;
+    std::vector<std::string> excluded;
+    for (const SocketAddress& entry : m_triedEntries)
+        excluded.push_back(entry.toString());
+    std::optional<std::string> holder = m_parts.endpoints.chooseRoomHolder(*settings, excluded, now(), m_parts.random);
+    if (!holder)
+        return std::nullopt;
+    absl::StatusOr<SocketAddress> address = parseSocketAddress(*holder);
+    return address.ok() ? std::optional<SocketAddress>(*address) : std::nullopt;
+}
+
+bool RoutedRun::sendToRoomHolder()
+{
+    std::optional<SocketAddress> holder = m_request.isForwarded ? std::nullopt : chooseRoomHolder();
+    if (!holder)
+        return false;
+    m_parts.metrics.count("requests_handed_over");
+    sendToEntry(*holder, m_parts.region, "fills_slots");
+    return true;
+}
+
+// An answer that another entry relays shows as much, unless that entry may have chosen
+// another service.
+void RoutedRun::recordRejectionLimit(const Attempt& attempt) const
+{
+    const ResponseFacts& facts = attempt.facts;
+    bool isOfService = attempt.endpoint || m_route->services.size() == 1;
+    bool isOwnAnswer = attempt.isForThisRequest && (facts.isEndpointAnswer || (attempt.endpoint && facts.wasNotExecuted));
+    if (isOfService && (facts.rejectionLimit || (isOwnAnswer && !facts.isRejectionLimitInvalid)))
+        m_parts.endpoints.recordRejectionLimit(m_service, facts.rejectionLimit, now());
+}
+
 } // namespace catkinwing
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -13,6 +13,8 @@
 /// Time from the crash of an endpoint to the removal of its registration.
 static constexpr milliseconds registrationRemovalDelay { 1'500 };
 static constexpr milliseconds entryLeaseDuration { 4'000 };
+/// Time after which endpoints that have become brittle let no request wait.
+static constexpr milliseconds brittleSettleTime { 5'000 };
 static constexpr milliseconds connectFailureDelay { 2 };
 static constexpr milliseconds step { 10 };
 static constexpr milliseconds routeTimeout { 4'000 };
@@ -64,10 +66,12 @@
     SimulatedPath path;
 
 private:
-    static void addLimit(const std::string& text, HttpHeaders& headers)
+    void addLimits(const std::string& text, HttpHeaders& headers) const
     {
         if (!text.empty())
             headers.add("request-limit", text);
+        if (m_fleet.m_brittleSince)
+            headers.add("rejection-limit", std::to_string(m_fleet.m_rejectionsPerSecond));
     }
 
     static void end(const Exchange& exchange, const HttpClientCallbacks& callbacks, HttpEnd how)
@@ -95,14 +99,18 @@
     {
         m_fleet.endpointAttempts.push_back({ *request.headers.find("request-id"), request.body, m_entry, m_fleet.now(), m_fleet.indexOf(endpoint) });
         std::string limitText = endpoint.limitText;
-        if (m_fleet.random.unit() < m_fleet.refusedFraction) {
+        bool isFull = m_fleet.isFull(endpoint);
+        if (isFull)
+            m_fleet.reject(endpoint);
+        if (isFull || m_fleet.random.unit() < m_fleet.refusedFraction) {
             m_fleet.scheduler.callAfter(latencyInsideRegion, [this, number, server = request.server, exchange, callbacks, limitText] {
                 FakeHttpAnswer refusal = catkinwing::refusalAnswer();
-                addLimit(limitText, refusal.headers);
+                addLimits(limitText, refusal.headers);
                 answer(number, server, exchange, callbacks, refusal);
             });
             return;
         }
+        ++endpoint.runningRequests;
         endpoint.connectionBreakers[number] = [this, number, exchange, callbacks] {
             path.removeBreaker(number);
             path.deliver([exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); });
@@ -119,8 +127,9 @@
                 return;
             }
             at->connectionBreakers.erase(number);
+            --at->runningRequests;
             FakeHttpAnswer reply = endpointAnswer(request, 200, "fine");
-            addLimit(at->limitText, reply.headers);
+            addLimits(at->limitText, reply.headers);
             answer(number, request.server, exchange, callbacks, reply);
         });
     }
@@ -290,6 +299,7 @@
 {
     ServiceSettings service;
     service.name = "service";
+    service.slots = m_slots;
     m_routes = std::make_shared<const RouteTable>(1, std::vector<Route> { m_route }, std::vector<ServiceSettings> { service }, ClientLimits {});
     for (const auto& entry : m_entries)
         entry->parts.routes = m_routes;
@@ -366,6 +376,29 @@
     std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), responder)->begin();
 }
 
+void EntryFleet::setBrittle(unsigned slots, double rejectionsPerSecond)
+{
+    m_brittleSince = now();
+    m_slots = slots;
+    m_rejectionsPerSecond = rejectionsPerSecond;
+    applyRoute();
+}
+
+bool EntryFleet::isFull(const SimulatedEndpoint& endpoint) const
+{
+    return m_brittleSince && now() - *m_brittleSince >= brittleSettleTime && endpoint.runningRequests >= m_slots;
+}
+
+void EntryFleet::reject(SimulatedEndpoint& endpoint)
+{
+    endpoint.rejections.push_back(now());
+    auto recent = std::count_if(endpoint.rejections.begin(), endpoint.rejections.end(), [this](TimePoint at) { return now() - at < std::chrono::seconds(1); });
+    if (static_cast<double>(recent) <= m_rejectionsPerSecond || !endpoint.isUp)
+        return;
+    falls.push_back(now());
+    crash(endpointAt(endpoint.address));
+}
+
 static EndpointRecord recordOf(const SimulatedEndpoint& endpoint)
 {
     EndpointRecord record;
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -24,6 +24,9 @@
     /// Value of the request-rate limit that the endpoint names in its answers; empty if it
     /// names none.
     std::string limitText;
+    unsigned runningRequests { 0 };
+    /// Times at which the endpoint rejected a request because its slots were taken.
+    std::vector<TimePoint> rejections;
     /// Callbacks that end the running requests when the endpoint crashes, by request number.
     std::map<std::uint64_t, std::function<void()>> connectionBreakers;
 };
@@ -62,6 +65,12 @@
     void advance(Duration span);
     /// Sets the limit that an endpoint names in its answers. An empty text stands for none.
     void setLimitText(std::size_t endpoint, const std::string& text) { m_endpoints[endpoint]->limitText = text; }
+    /// Makes all endpoints, also those started later, brittle: from settleTime later on they
+    /// have \p slots places and let no request wait. One that rejects more than \p
+    /// rejectionsPerSecond requests in a second crashes.
+    void setBrittle(unsigned slots, double rejectionsPerSecond);
+    /// Ends what setBrittle() began.
+    void endBrittle() { m_brittleSince.reset(); }
     std::size_t endpoints() const { return m_endpoints.size(); }
     /// Crashes one running endpoint of \p region; does nothing if there is none.
     void crashOne(const std::string& region);
@@ -104,6 +113,8 @@
     Random random;
     /// Times at which endpoints crashed because of crashingBody.
     std::vector<TimePoint> crashes;
+    /// Times at which brittle endpoints crashed.
+    std::vector<TimePoint> falls;
     std::vector<EndpointAttempt> endpointAttempts;
     std::vector<SentRequest> sentRequests;
     /// Time that an endpoint takes to answer a request.
@@ -121,6 +132,8 @@
     class PeerResponder;
     struct Entry;
 
+    bool isFull(const SimulatedEndpoint& endpoint) const;
+    void reject(SimulatedEndpoint& endpoint);
     void startEndpoint(const std::string& region, const SocketAddress& address);
     void crash(const std::shared_ptr<SimulatedEndpoint>& endpoint);
     void makeEntry(std::size_t index);
@@ -145,6 +158,9 @@
     std::map<SocketAddress, std::size_t> m_entryAt;
     std::set<std::size_t> m_droppingEntries;
     bool m_areRegionsPartitioned { false };
+    std::optional<TimePoint> m_brittleSince;
+    unsigned m_slots { 0 };
+    double m_rejectionsPerSecond { 0 };
     TimePoint m_nextReportTime {};
 };
 
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -57,6 +57,8 @@
     double limit = 0;
     if (const std::string* text = head.headers.find("request-limit"); text && absl::SimpleAtod(*text, &limit))
         facts.requestLimit = limit;
+    if (const std::string* text = head.headers.find("rejection-limit"); text && absl::SimpleAtod(*text, &limit))
+        facts.rejectionLimit = limit;
     if (const std::string* id = head.headers.find("request-id"))
         facts.attemptId = *id;
     return facts;
--- a/unittests/Platform/PlatformDialectTest.cpp
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -120,11 +120,26 @@
     CHECK_FALSE(twice.isRequestLimitInvalid);
 }
 
-TEST_CASE("a request limit that a client states isn't forwarded")
+TEST_CASE("readAnswer reads how many requests a brittle endpoint may reject")
 {
     Dialect dialect = platformDialect();
-    RequestFacts facts = dialect.readRequest(request({ { "Host", "h" }, { "Server-Limit", "1" } }));
+    auto read = [&](HttpHeaders headers) { return dialect.readResponse({ 503, std::move(headers) }); };
+    CHECK_FALSE(read({ { "Reply-Seal", "s" }, { "Server-Limit", "2" } }).rejectionLimit);
+    CHECK(read({ { "server-brittle", "5" } }).rejectionLimit == 5.0);
+    CHECK(read({ { "Server-Brittle", "0" } }).rejectionLimit == 0.0);
+    CHECK(read({ { "Server-Brittle", "7" }, { "Server-Brittle", "3" } }).rejectionLimit == 3.0);
+    for (const char* value : { "", "-1", "nan", "inf", "some" }) {
+        CHECK_FALSE(read({ { "Server-Brittle", value } }).rejectionLimit);
+        CHECK(read({ { "Server-Brittle", value } }).isRejectionLimitInvalid);
+    }
+}
+
+TEST_CASE("limits of endpoints that a client states aren't forwarded")
+{
+    Dialect dialect = platformDialect();
+    RequestFacts facts = dialect.readRequest(request({ { "Host", "h" }, { "Server-Limit", "1" }, { "Server-Brittle", "1" } }));
     CHECK_FALSE(facts.forwardedHeaders.find("server-limit"));
+    CHECK_FALSE(facts.forwardedHeaders.find("server-brittle"));
 }
 
 TEST_CASE("the key of a caller is read and never forwarded, nor is a workspace that the client states")
