Send several keep-alive probes within the timeout of a connection

Cause: the server set three probes from 15 s on, 5 s apart, beside a TCP_USER_TIMEOUT equal to the send timeout of 15 s. On Linux that timeout decides when probes give up, whatever their count: a caller's idle connection was closed when a single probe got lost. Class: two settings of which one overrules the other.

Change: the times of the probes are derived from the timeout, so that three fit into it; the count, which has no effect, isn't set. Connections to endpoints, entries and the store set neither: a request's own deadline and the time for which idle connections are kept end them.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -1,5 +1,6 @@
 #include "ServerCore.h"
 
+#include "KeepAlive.h"
 #include "ServerResponse.h"
 #include <absl/strings/string_view.h>
 #include <cassert>
@@ -33,23 +34,21 @@
 static constexpr milliseconds announceInterval { 50 };
 // A stall is looked for this often within the send timeout.
 static constexpr int stallChecks = 4;
-static constexpr std::chrono::seconds keepAliveIdle { 15 };
-static constexpr std::chrono::seconds keepAliveInterval { 5 };
-static constexpr int keepAliveProbes = 3;
 
 static void setOption(int descriptor, int level, int name, int value)
 {
     setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
-// Callers that vanish without a word would otherwise be kept for hours.
+// Callers that vanish without a word would otherwise be kept for hours. A connection ends
+// when the caller has acknowledged neither data nor a probe for the send timeout.
 static void setSocketOptions(int descriptor, milliseconds sendTimeout)
 {
+    KeepAliveTimes probes = keepAliveTimes(sendTimeout);
     setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(keepAliveIdle.count()));
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(keepAliveInterval.count()));
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(probes.idle.count()));
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(probes.interval.count()));
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(sendTimeout.count()));
 }
 
