Test entries longer out of reach, and cut them off from endpoints in the soak

CutOffTest gets a region of thirty entries of which half lose their links in turn, by hanging, resets and refusals, and endpoints that fall silent for a second one after the other, which must neither be taken for unreachable nor for crashed.

The soak cuts entries off from all endpoints, also beside every other harsh fault, and a seventh of its seeds does nothing else and checks the rule of the operators. Its cuts accept a connection first and then hang or reset it, so a request that tests whether endpoints are reached again is lost there. A test without a result now counts as failed after a second only, and requests that may not be repeated test only if no other came for half a second (EndpointReachTest, two cases that fail without it). Checker: the new check finds its breach.

Bounds and window are the rule's: two thirds of the others or 10 + 1 in 50, 5 s after the cut began.

--- a/include/catkinwing/Ingress/EndpointReach.h
+++ b/include/catkinwing/Ingress/EndpointReach.h
@@ -31,9 +31,10 @@
     /// Returns when bytes were last received from any endpoint; the epoch if never.
     TimePoint lastReceivedAt() const { return m_all.receivedAt; }
 
-    /// Returns whether a request may test if the endpoints of \p service are reached again. At
-    /// most one request in each interval may.
-    bool tryProbe(absl::string_view service, TimePoint now);
+    /// Returns whether a request may test if the endpoints of \p service are reached again. A
+    /// request that may not be repeated is used only if no other one has come for a while, since
+    /// a connection that hangs loses it.
+    bool tryProbe(absl::string_view service, bool mayRepeat, TimePoint now);
 
 private:
     struct Evidence {
--- a/lib/Ingress/EndpointReach.cpp
+++ b/lib/Ingress/EndpointReach.cpp
@@ -1,5 +1,7 @@
 #include "catkinwing/Ingress/EndpointReach.h"
 
+#include <algorithm>
+
 namespace catkinwing {
 
 using std::chrono::milliseconds;
@@ -14,9 +16,12 @@
 static constexpr milliseconds minSilence { 100 };
 /// A failure is no evidence any more after this time, unless it was confirmed since.
 static constexpr milliseconds failureLifetime { 10'000 };
-/// Interval of the requests that test whether endpoints are reached again. A request that
-/// does loses at most the connect timeout.
+/// Time from a failed test whether endpoints are reached again to the next one.
 static constexpr milliseconds probeInterval { 250 };
+/// Time after which a test without a result counts as failed.
+static constexpr milliseconds maxProbeTime { 1'000 };
+/// Additional time for which a test waits for a request that may be repeated.
+static constexpr milliseconds repeatableProbeWait { 500 };
 
 bool EndpointReach::showsCut(const Evidence& evidence, TimePoint now)
 {
@@ -40,8 +45,10 @@
 
 void EndpointReach::recordFailure(absl::string_view service, std::uint32_t endpoint, TimePoint now)
 {
+    Evidence& ofService = m_services[service];
     m_all.failures[endpoint] = now;
-    m_services[service].failures[endpoint] = now;
+    ofService.failures[endpoint] = now;
+    ofService.nextProbeAt = std::min(ofService.nextProbeAt, now + probeInterval);
 }
 
 bool EndpointReach::isCutOff(absl::string_view service, TimePoint now) const
@@ -66,12 +73,12 @@
     return endpoints;
 }
 
-bool EndpointReach::tryProbe(absl::string_view service, TimePoint now)
+bool EndpointReach::tryProbe(absl::string_view service, bool mayRepeat, TimePoint now)
 {
     Evidence& evidence = m_services[service];
-    if (now < evidence.nextProbeAt)
+    if (now < evidence.nextProbeAt + (mayRepeat ? milliseconds(0) : repeatableProbeWait))
         return false;
-    evidence.nextProbeAt = now + probeInterval;
+    evidence.nextProbeAt = now + maxProbeTime;
     return true;
 }
 
--- a/lib/Ingress/RoutedRunHandover.cpp
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -53,7 +53,7 @@
     bool isCutOff = m_parts.endpoints.isCutOff(m_service, now());
     if (!isCutOff && m_unreachedAttempts < maxUnreachedHere)
         return false;
-    if (isCutOff && m_unreachedAttempts == 0 && m_parts.endpoints.reach().tryProbe(m_service, now()))
+    if (isCutOff && m_unreachedAttempts == 0 && m_parts.endpoints.reach().tryProbe(m_service, mayRepeat(*m_route), now()))
         return false;
     if (m_request.isForwarded)
         return isCutOff && refuseAsCutOff();
--- a/test/soak/checker_test.py
+++ b/test/soak/checker_test.py
@@ -46,6 +46,18 @@
         self.soak.check_end()
         return {rule for rule, _ in self.soak.breaches}
 
+    def test_clients_of_an_entry_that_is_cut_off_must_be_served(self):
+        self.soak.kind = "cuts"
+        cut = argparse.Namespace(entry=self.entry, began=self.now - 6, ended=self.now + 2)
+        self.soak.partition.cuts.append(cut)
+        for number in range(30):
+            sent = dict(self.request(status=503), attempt=str(number))
+            self.soak.requests[str(number)] = sent
+        self.assertIn("cuts", self.rules())
+        self.soak.breaches.clear()
+        cut.ended = self.now - 1
+        self.assertNotIn("cuts", self.rules())
+
     def test_a_sound_record_breaks_nothing(self):
         self.run_it(self.request())
         self.assertEqual(self.rules(), set())
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -19,8 +19,9 @@
 class Endpoint:
     """Registers in the store, runs requests and notes each run in its log."""
 
-    def __init__(self, store, random, service, zone, log, name):
+    def __init__(self, store, random, service, zone, log, name, partition=None):
         self.store, self.random, self.service, self.zone, self.log = store, random, service, zone, log
+        self.partition = partition
         self.incarnation = name
         self.state = "ready"
         self.fault = None
@@ -66,15 +67,16 @@
     async def handle(self, reader, writer):
         self.writers.add(writer)
         try:
-            while True:
+            lives, _ = await self.partition.passes(writer)
+            while lives:
                 line, fields = await wire.read_head(reader)
                 body = await wire.read_body(reader, fields)
-                if not await self.answer(line, fields, body, writer):
-                    return
+                lives, was_held = await self.partition.passes(writer)
+                lives = lives and await self.answer(line, fields, body, writer, was_held)
         finally:
             self.writers.discard(writer)
 
-    async def answer(self, line, fields, body, writer):
+    async def answer(self, line, fields, body, writer, was_held):
         method, target, _ = line.split(" ")
         attempt = fields.get("attempt-id", "")
         if fields.get("expect-instance") != self.incarnation:
@@ -88,7 +90,7 @@
             await asyncio.sleep(3600)
         self.log.append({"attempt": attempt, "at": time.monotonic(), "endpoint": self, "method": method, "target": target,
                          "body": body, "from": int(fields.get("last-event-id", 0)),
-                         "workspace": fields.get("tenant"), "has_key": "key" in fields})
+                         "workspace": fields.get("tenant"), "has_key": "key" in fields, "was_held": was_held})
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
         if self.strikes("lose"):
             writer.transport.abort()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -16,6 +16,7 @@
 
 import endpoint as endpoints
 import fleet
+import partition
 import wire
 from deployment import HOLDERS, HOMES, KEYS, ROUTES, WORKSPACES, ZONES, configuration
 from store import Store
@@ -30,6 +31,11 @@
 REQUEST_LIMIT_SLACK = 5
 REQUEST_LIMIT_SETTLE = 5.0
 DRAIN_BOUND = 3.0
+# First tries at entries that are cut off from all endpoints, from some time after the cut began: one of the two must hold.
+CUT_SETTLE = 5.0
+CUT_SERVED_RATIO = 2 / 3
+CUT_FAILURES = 10
+CUT_FAILURE_SHARE = 1 / 50
 CALM = 5.0
 PROMISES = {429, 503, 408, 421}
 
@@ -48,8 +54,10 @@
         self.endpoints = []
         self.limited = []
         self.entries = []
+        self.kind = "planned"
         self.planned_only = True
         self.faults = []
+        self.partition = partition.Partition()
 
     def breach(self, rule, what):
         self.breaches.append((rule, what))
@@ -75,7 +83,8 @@
     async def add_endpoint(self, service, zone):
         self.number += 1
         name = f"i-{self.number}"
-        added = endpoints.Endpoint(self.store, fleet.seeded(self.arguments.seed, name), service, zone, self.runs, name)
+        added = endpoints.Endpoint(self.store, fleet.seeded(self.arguments.seed, name), service, zone, self.runs, name,
+                                   self.partition)
         await added.start()
         self.endpoints.append(added)
 
@@ -242,6 +251,8 @@
                 self.check_limit(name, keys, rate, by_attempt)
         for limited in self.limited:
             self.check_request_limits(limited)
+        if self.kind == "cuts":
+            self.check_cuts()
         for entry in self.entries:
             if entry.own_ends:
                 self.breach("process", f"{entry.name} ended by itself {entry.own_ends} times")
@@ -253,7 +264,7 @@
             self.breach("routes", f"{sent['attempt']} ran at {run['endpoint'].service}")
         self.check_workspace(sent, run)
         left_at = run["endpoint"].left_at
-        is_late = left_at is not None and run["at"] > left_at + DRAIN_BOUND
+        is_late = left_at is not None and run["at"] > left_at + DRAIN_BOUND and not run.get("was_held")
         everyone_calm = all(self.is_calm(entry, left_at) and self.is_calm(entry, run["at"]) for entry in self.entries) if is_late else False
         if is_late and everyone_calm:
             self.breach("drain", f"{sent['attempt']} ran {run['at'] - left_at:.1f} s after its endpoint said that it leaves")
@@ -290,6 +301,21 @@
             if most > allowed:
                 self.breach("request limits", f"{limited.incarnation} named {per_second} a second and got {most} in {REQUEST_LIMIT_WINDOW} s, {allowed:.0f} may")
 
+    def check_cuts(self):
+        """Where nothing else strikes, clients of entries that are cut off are served through the others."""
+        def in_cut(sent, entry):
+            return any(cut.entry is entry and cut.began + CUT_SETTLE <= sent["at"] < cut.ended for cut in self.partition.cuts)
+
+        def failed(tries):
+            return sum(1 for sent in tries if sent["status"] is None or sent["status"] >= 500)
+        during = [sent for sent in self.requests.values() if sent["how"] != "left" and any(in_cut(sent, entry) for entry in self.entries)]
+        at_cut = [sent for sent in during if in_cut(sent, sent["entry"])]
+        others = [sent for sent in during if not in_cut(sent, sent["entry"])]
+        served = 1 - failed(at_cut) / max(len(at_cut), 1)
+        served_by_others = 1 - failed(others) / max(len(others), 1)
+        if served < CUT_SERVED_RATIO * served_by_others and failed(at_cut) > CUT_FAILURES + CUT_FAILURE_SHARE * len(at_cut):
+            self.breach("cuts", f"{failed(at_cut)} of {len(at_cut)} first tries at entries that were cut off failed, {failed(others)} of {len(others)} at others")
+
     def check_planned_stop(self, sent, by_attempt):
         """Where only planned stops strike, what was passed on is answered."""
         entry = sent["entry"]
@@ -303,9 +329,10 @@
     def schedule(self):
         planned = [self.stop_entry, self.leave, self.change, self.hang_up]
         harsh = planned + [self.kill_entry, self.freeze_entry, self.cut_store, self.store_fault, self.endpoint_fault,
-                           self.crash_endpoint, self.reset_store, self.compact, self.kill_many]
-        self.planned_only = self.random.random() < 0.3
-        kinds = planned if self.planned_only else harsh
+                           self.crash_endpoint, self.reset_store, self.compact, self.kill_many, self.cut_endpoints]
+        self.kind = self.random.choice(["planned", "planned", "harsh", "harsh", "harsh", "harsh", "cuts"])
+        self.planned_only = self.kind == "planned"
+        kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
             self.faults.append((at, self.random.choice(kinds)))
@@ -323,6 +350,8 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
+        if self.kind == "cuts":
+            return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
         self.limited = random.sample(self.endpoints, max(2, len(self.endpoints) // 4))
@@ -388,6 +417,16 @@
             entry.disturb(0.1)
             entry.store_proxy.reset_all()
 
+    async def cut_endpoints(self):
+        """Cuts one entry of each zone or a single one off from all endpoints, which is no excuse for them."""
+        mode = self.random.choice(partition.MODES)
+        seconds = self.random.uniform(6, 9) if self.kind == "cuts" else self.random.uniform(1, 5)
+        zones = list(ZONES) if self.random.random() < 0.5 else [self.random.choice(list(ZONES))]
+        chosen = [self.random.choice([entry for entry in self.entries if entry.zone == zone]) for zone in zones]
+        already = {cut.entry for cut in self.partition.open_cuts()}
+        if len(already) + len(chosen) <= len(self.entries) / 2:
+            await asyncio.gather(*(self.partition.cut(entry, mode, seconds) for entry in chosen if entry not in already))
+
     async def store_fault(self):
         seconds = self.random.uniform(0.5, 4)
         self.store.trouble(seconds)
@@ -447,8 +486,7 @@
         answered = sum(count for how, count in self.counts.items() if str(how).startswith("2"))
         if answered * 4 < sum(self.counts.values()):
             self.breach("service", f"only {answered} of {sum(self.counts.values())} requests were answered")
-        kind = "planned" if self.planned_only else "harsh"
-        print(f"seed {self.arguments.seed}: {kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
+        print(f"seed {self.arguments.seed}: {self.kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
               f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}")
         if self.breaches or self.arguments.keep:
             print(f"logs: {self.folder}")
--- a/unittests/Ingress/CutOffTest.cpp
+++ b/unittests/Ingress/CutOffTest.cpp
@@ -225,3 +225,39 @@
         CHECK(slow == 0);
     }
 }
+
+TEST_CASE("clients of cut off entries are served in a region of thirty entries, half of which are cut off in turn")
+{
+    EntryFleet fleet(7, 30, 18);
+    sendFor(fleet, 3s, 400);
+    TimePoint began = fleet.now();
+    std::vector<std::size_t> cutOff;
+    for (std::size_t first = 0; first < 15; first += 5) {
+        std::vector<std::size_t> next;
+        for (std::size_t entry = first; entry < first + 5; ++entry)
+            next.push_back(entry);
+        setPaths(fleet, next, cuts[first / 5]);
+        cutOff.insert(cutOff.end(), next.begin(), next.end());
+        sendFor(fleet, 2s, 400);
+    }
+    fleet.advance(4s);
+    checkServed(serviceAt(fleet, cutOff, began + settleTime, fleet.now()));
+}
+
+// Guards against conclusions from the silence of a single endpoint.
+TEST_CASE("endpoints that fall silent for a second are neither taken for unreachable nor for crashed")
+{
+    EntryFleet fleet(8, 3, 9);
+    sendFor(fleet, 3s);
+    TimePoint began = fleet.now();
+    for (std::size_t endpoint = 0; endpoint < 9; ++endpoint) {
+        fleet.silence(endpoint, 1s);
+        sendFor(fleet, 1500ms);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+            CHECK_FALSE(fleet.partsOf(entry).endpoints.isCutOff("service", fleet.now()));
+    }
+    fleet.advance(4s);
+    checkServed(serviceAt(fleet, { 0, 1, 2, 3, 4, 5 }, began, fleet.now()));
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+        CHECK(fleet.partsOf(entry).crashingRequests.refusedCount(fleet.now()) == 0);
+}
--- a/unittests/Ingress/EndpointReachTest.cpp
+++ b/unittests/Ingress/EndpointReachTest.cpp
@@ -53,3 +53,29 @@
     reach.recordFailure("chat", 2, start + 20s);
     CHECK_FALSE(reach.isCutOff("chat", start + 20s));
 }
+
+TEST_CASE("one request at a time tests whether endpoints are reached again")
+{
+    EndpointReach reach;
+    reach.recordFailure("chat", 1, start);
+    reach.recordFailure("chat", 2, start);
+    CHECK(reach.tryProbe("chat", true, start + 1s));
+    CHECK_FALSE(reach.tryProbe("chat", true, start + 1'400ms));
+    reach.recordFailure("chat", 3, start + 1'400ms);
+    CHECK_FALSE(reach.tryProbe("chat", true, start + 1'600ms));
+    CHECK(reach.tryProbe("chat", true, start + 1'700ms));
+    // The test hangs.
+    CHECK_FALSE(reach.tryProbe("chat", true, start + 2'600ms));
+    CHECK(reach.tryProbe("chat", true, start + 2'700ms));
+}
+
+// Guards against requests that are lost one after the other on connections that hang.
+TEST_CASE("a request that may not be repeated tests endpoints only if no other one comes")
+{
+    EndpointReach reach;
+    reach.recordFailure("chat", 1, start);
+    reach.recordFailure("chat", 2, start);
+    CHECK(reach.tryProbe("chat", true, start + 1s));
+    CHECK_FALSE(reach.tryProbe("chat", false, start + 2'100ms));
+    CHECK(reach.tryProbe("chat", false, start + 2'500ms));
+}
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -118,22 +118,33 @@
         bool isCrashing = request.body == crashingBody && !m_fleet.isRepaired;
         std::weak_ptr<SimulatedEndpoint> weak = m_fleet.endpointAt(request.server);
         m_fleet.scheduler.callAfter(isCrashing ? m_fleet.crashDelay : m_fleet.answerDelay, [this, weak, number, isCrashing, exchange, callbacks, request] {
-            std::shared_ptr<SimulatedEndpoint> at = weak.lock();
-            if (!at || !at->isUp)
-                return;
-            if (isCrashing) {
-                m_fleet.crashes.push_back(m_fleet.now());
-                m_fleet.crash(at);
-                return;
-            }
-            at->connectionBreakers.erase(number);
-            --at->runningRequests;
-            FakeHttpAnswer reply = endpointAnswer(request, 200, "fine");
-            addLimits(at->limitText, reply.headers);
-            answer(number, request.server, exchange, callbacks, reply);
+            finishAttempt(weak, number, isCrashing, request, callbacks, exchange);
         });
     }
 
+    void finishAttempt(const std::weak_ptr<SimulatedEndpoint>& weak, std::uint64_t number, bool isCrashing, const HttpClientRequest& request, const HttpClientCallbacks& callbacks, const std::shared_ptr<Exchange>& exchange)
+    {
+        std::shared_ptr<SimulatedEndpoint> at = weak.lock();
+        if (!at || !at->isUp)
+            return;
+        if (m_fleet.now() < at->silentUntil) {
+            m_fleet.scheduler.callAfter(at->silentUntil - m_fleet.now(), [this, weak, number, isCrashing, exchange, callbacks, request] {
+                finishAttempt(weak, number, isCrashing, request, callbacks, exchange);
+            });
+            return;
+        }
+        if (isCrashing) {
+            m_fleet.crashes.push_back(m_fleet.now());
+            m_fleet.crash(at);
+            return;
+        }
+        at->connectionBreakers.erase(number);
+        --at->runningRequests;
+        FakeHttpAnswer reply = endpointAnswer(request, 200, "fine");
+        addLimits(at->limitText, reply.headers);
+        answer(number, request.server, exchange, callbacks, reply);
+    }
+
     EntryFleet& m_fleet;
     std::size_t m_entry;
 };
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -25,6 +25,8 @@
     /// names none.
     std::string limitText;
     unsigned runningRequests { 0 };
+    /// The endpoint sends nothing until this time.
+    TimePoint silentUntil {};
     /// Times at which the endpoint rejected a request because its slots were taken.
     std::vector<TimePoint> rejections;
     /// Callbacks that end the running requests when the endpoint crashes, by request number.
@@ -71,6 +73,8 @@
     void setBrittle(unsigned slots, double rejectionsPerSecond);
     /// Ends what setBrittle() began.
     void endBrittle() { m_brittleSince.reset(); }
+    /// Makes an endpoint send nothing for \p span and then go on.
+    void silence(std::size_t endpoint, Duration span) { m_endpoints[endpoint]->silentUntil = now() + span; }
     std::size_t endpoints() const { return m_endpoints.size(); }
     /// Crashes one running endpoint of \p region; does nothing if there is none.
     void crashOne(const std::string& region);
