--- a/lib/Ingress/EndpointTableRooms.cpp
+++ b/lib/Ingress/EndpointTableRooms.cpp
@@ -40,7 +40,8 @@
 {
     const std::string& holder = roomHolderOf(endpoint);
     bool isHolder = holder.empty() || holder == m_ownName;
-    return isHolder && hasRoom(endpoint.room, { rejectionsPerSecond, slotsOf(endpoint, service) }, pendingWork(endpoint).requests, now);
+    auto running = static_cast<unsigned>(pendingWork(endpoint).requests);
+    return isHolder && hasRoom(endpoint.room, { rejectionsPerSecond, slotsOf(endpoint, service) }, running, now);
 }
 
 void EndpointTable::recordRejection(RoutedEndpoint& endpoint, TimePoint now)
