Tell apart which process the soak itself has ended

Cause, by reading: a planned stop that waits for its process starts the entry anew as soon as that ends, and thereby cleared the mark that a kill meanwhile had set, before the watcher of the old process looked at it. Expected ends are now kept for each process; the check is as strict.

--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -79,7 +79,8 @@
         self.process = None
         self.killed_at = None
         self.term_at = None
-        self.expected_exit = False
+        # Processes that the soak itself has ended or that lost a port to another soak.
+        self.expected_exits = set()
         self.faulted_until = 0.0
         self.own_ends = 0
 
@@ -90,9 +91,9 @@
         """Starts on ports that are its own; a soak beside this one may take one in between."""
         for _ in range(5):
             await self.start()
-            self.expected_exit = True
+            self.expected_exits.add(self.process)
             if not await self.lost_a_port():
-                self.expected_exit = False
+                self.expected_exits.discard(self.process)
                 return
             self.choose_ports()
 
@@ -122,7 +123,6 @@
         with open(path, "w") as file:
             json.dump(settings, file)
         log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
-        self.expected_exit = False
         self.killed_at = self.term_at = None
         self.process = await asyncio.create_subprocess_exec(self.binary, "--config", path, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         log.close()
@@ -130,7 +130,7 @@
 
     async def watch(self, process):
         code = await process.wait()
-        if not self.expected_exit:
+        if process not in self.expected_exits:
             self.own_ends += 1
             print(f"{self.name} ended by itself with {code}")
 
@@ -145,18 +145,18 @@
         self.faulted_until = max(self.faulted_until, time.monotonic() + seconds)
 
     def kill(self):
-        self.expected_exit = True
+        self.expected_exits.add(self.process)
         self.killed_at = time.monotonic()
         self.signal(signal.SIGKILL)
 
     def stop(self):
-        self.expected_exit = True
+        self.expected_exits.add(self.process)
         self.term_at = time.monotonic()
         self.signal(signal.SIGTERM)
 
     async def end(self):
         if self.alive():
-            self.expected_exit = True
+            self.expected_exits.add(self.process)
             self.signal(signal.SIGCONT)
             self.signal(signal.SIGKILL)
             await self.process.wait()
