Draw the consequences of a cut also if only time shows it

What callers and operators saw: nothing in the tests; found in reading the diff. When all connections broke within a tenth of a second of the last answer, as by a reset, the entry handed requests over, but neither logged the cut, nor dropped idle connections and the crash evidence that the cut explains.

Cause: the consequences hung on the failure that makes the entry conclude a cut, and here it is time that does. Class: an edge looked for in one of the two inputs of a condition.

EndpointReachTest has the case; the code before had no call that could answer it.

--- a/include/catkinwing/Ingress/EndpointReach.h
+++ b/include/catkinwing/Ingress/EndpointReach.h
@@ -22,6 +22,9 @@
 
     /// Returns whether the entry reaches none of the endpoints of \p service, most likely.
     bool isCutOff(absl::string_view service, TimePoint now) const;
+    /// Returns whether a cut has begun, from one service or from all, that an earlier call hasn't
+    /// returned. A cut may begin without a further failure, as time passes.
+    bool takeNewCut(TimePoint now);
     /// Returns whether an attempt at an endpoint of \p service has failed since the last bytes
     /// were received from any of them.
     bool hasFailed(absl::string_view service, std::uint32_t endpoint) const;
@@ -42,6 +45,8 @@
         /// Endpoints that failed since then, with the time of the last failure.
         absl::flat_hash_map<std::uint32_t, TimePoint> failures;
         TimePoint nextProbeAt {};
+        /// takeNewCut() has returned the current cut.
+        bool isCutTaken { false };
     };
 
     static bool showsCut(const Evidence& evidence, TimePoint now);
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -160,13 +160,11 @@
     /// Records that bytes were received from the endpoint. Returns true if this entry was
     /// cut off from the endpoints of the service until then.
     bool recordBytesReceived(RoutedEndpoint& endpoint, TimePoint now);
-    /// Records that a connection to the endpoint failed, broke or hung. Returns true if this
-    /// entry is cut off from the endpoints of the service from now on.
-    bool recordUnreached(const RoutedEndpoint& endpoint, TimePoint now);
+    /// Records that a connection to the endpoint failed, broke or hung.
+    void recordUnreached(const RoutedEndpoint& endpoint, TimePoint now);
     /// Records as failed the endpoints that leave this entry's requests unanswered while
-    /// nothing is received from any endpoint. Returns true if that shows for the first time
-    /// that this entry is cut off from them.
-    bool recordSilentEndpoints(TimePoint now);
+    /// nothing is received from any endpoint.
+    void recordSilentEndpoints(TimePoint now);
     /// Returns whether this entry reaches none of the endpoints of the service in this region,
     /// most likely.
     bool isCutOff(absl::string_view service, TimePoint now) const { return m_reach.isCutOff(service, now); }
--- a/lib/Ingress/EndpointReach.cpp
+++ b/lib/Ingress/EndpointReach.cpp
@@ -39,6 +39,7 @@
     for (Evidence* evidence : { &m_all, &m_services[service] }) {
         evidence->receivedAt = now;
         evidence->failures.clear();
+        evidence->isCutTaken = false;
     }
     return wasCutOff;
 }
@@ -59,6 +60,19 @@
     return found != m_services.end() && showsCut(found->second, now);
 }
 
+bool EndpointReach::takeNewCut(TimePoint now)
+{
+    auto take = [now](Evidence& evidence) {
+        bool isNew = !evidence.isCutTaken && showsCut(evidence, now);
+        evidence.isCutTaken |= isNew;
+        return isNew;
+    };
+    bool hasNew = take(m_all);
+    for (auto& [service, evidence] : m_services)
+        hasNew |= take(evidence);
+    return hasNew;
+}
+
 bool EndpointReach::hasFailed(absl::string_view service, std::uint32_t endpoint) const
 {
     auto found = m_services.find(service);
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -347,23 +347,19 @@
     return m_reach.recordReceived(endpoint.record.service, now);
 }
 
-bool EndpointTable::recordUnreached(const RoutedEndpoint& endpoint, TimePoint now)
+void EndpointTable::recordUnreached(const RoutedEndpoint& endpoint, TimePoint now)
 {
-    bool wasCutOff = isCutOff(endpoint.record.service, now);
     m_reach.recordFailure(endpoint.record.service, endpoint.hash, now);
-    return !wasCutOff && isCutOff(endpoint.record.service, now);
 }
 
-bool EndpointTable::recordSilentEndpoints(TimePoint now)
+void EndpointTable::recordSilentEndpoints(TimePoint now)
 {
     if (now - m_reach.lastReceivedAt() <= maxCommonSilence)
-        return false;
-    bool isNewlyCutOff = false;
+        return;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
         if (endpoint->requestsInFlight > 0 && isSilentFor(*endpoint, maxCommonSilence, now))
-            isNewlyCutOff |= recordUnreached(*endpoint, now);
+            recordUnreached(*endpoint, now);
     }
-    return isNewlyCutOff;
 }
 
 bool EndpointTable::hasUntriedEndpoint(absl::string_view service, TimePoint now) const
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -216,7 +216,8 @@
     lastHouseKeepingAt = now;
     if (wasPaused)
         parts.endpoints.resetSilence(now);
-    if (parts.endpoints.recordSilentEndpoints(now))
+    parts.endpoints.recordSilentEndpoints(now);
+    if (parts.endpoints.reach().takeNewCut(now))
         parts.handleCutOff();
     parts.endpoints.abortUnresponsive(now);
     follower.runHousekeeping();
--- a/lib/Ingress/RoutedRunHandover.cpp
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -27,7 +27,8 @@
         return;
     m_parts.metrics.count("attempts_without_endpoint");
     m_parts.endpointClient.forget(attempt.endpoint->record.address);
-    if (m_parts.endpoints.recordUnreached(*attempt.endpoint, now()))
+    m_parts.endpoints.recordUnreached(*attempt.endpoint, now());
+    if (m_parts.endpoints.reach().takeNewCut(now()))
         m_parts.handleCutOff();
 }
 
--- a/unittests/Ingress/EndpointReachTest.cpp
+++ b/unittests/Ingress/EndpointReachTest.cpp
@@ -79,3 +79,21 @@
     CHECK_FALSE(reach.tryProbe("chat", false, start + 2'100ms));
     CHECK(reach.tryProbe("chat", false, start + 2'500ms));
 }
+
+// Guards against a cut whose failures all come right after the last answer, of which the entry
+// would not draw the consequences.
+TEST_CASE("a cut that only time shows is reported, and each cut once")
+{
+    EndpointReach reach;
+    reach.recordReceived("chat", start);
+    reach.recordFailure("chat", 1, start + 1ms);
+    reach.recordFailure("chat", 2, start + 2ms);
+    CHECK_FALSE(reach.takeNewCut(start + 2ms));
+    CHECK(reach.takeNewCut(start + 100ms));
+    CHECK_FALSE(reach.takeNewCut(start + 200ms));
+    reach.recordReceived("chat", start + 300ms);
+    CHECK_FALSE(reach.takeNewCut(start + 500ms));
+    reach.recordFailure("chat", 1, start + 500ms);
+    reach.recordFailure("chat", 2, start + 500ms);
+    CHECK(reach.takeNewCut(start + 500ms));
+}
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -441,7 +441,8 @@
         deliver(from, m_entries[from]->exchange.tick(now()));
         deliver(from, m_entries[from]->loadExchange.tick(m_entries[from]->key, now()));
         m_entries[from]->limitExchange.tick();
-        if (parts.endpoints.recordSilentEndpoints(now()))
+        parts.endpoints.recordSilentEndpoints(now());
+        if (parts.endpoints.reach().takeNewCut(now()))
             parts.handleCutOff();
         parts.endpoints.abortUnresponsive(now());
     }
