Test the budget while entries hand requests over, and homes that are cut off whole

Two cases that were missing. Requests bound to a region all of whose entries are cut off are refused within half a second as not run.

--- a/unittests/Ingress/CutOffTest.cpp
+++ b/unittests/Ingress/CutOffTest.cpp
@@ -261,3 +261,24 @@
     for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
         CHECK(fleet.partsOf(entry).crashingRequests.refusedCount(fleet.now()) == 0);
 }
+
+TEST_CASE("requests bound to a region all of whose entries are cut off are refused at once as not run")
+{
+    for (PathState state : { PathState::Hanging, PathState::Resetting }) {
+        EntryFleet fleet(9, 3, 9, { "north" });
+        sendFor(fleet, 3s);
+        setPaths(fleet, { 0, 1, 2 }, state);
+        sendFor(fleet, 3s);
+        std::size_t first = fleet.sentRequests.size();
+        sendFor(fleet, 2s);
+        std::size_t last = fleet.sentRequests.size();
+        fleet.advance(maxRefusalTime + 2 * step);
+        INFO(nameOf(state));
+        std::size_t notRefused = 0;
+        for (std::size_t i = first; i < last; ++i) {
+            const FakeResponder& responder = *fleet.sentRequests[i].responder;
+            notRefused += responder.isOpen() || responder.status() != 503 || responder.outcome() != "not-run" ? 1 : 0;
+        }
+        CHECK(notRefused == 0);
+    }
+}
--- a/unittests/Ingress/RetryBudgetTest.cpp
+++ b/unittests/Ingress/RetryBudgetTest.cpp
@@ -207,3 +207,23 @@
         checkWithinBudget(fleet, seed);
     }
 }
+
+// Guards against retries that both the entry that hands a request over and the entry that
+// receives it make at the expense of the same budget.
+TEST_CASE("retries stay within the budget of all requests while some entries hand theirs over and endpoints refuse")
+{
+    for (PathState state : { PathState::Hanging, PathState::Resetting, PathState::RefusingNew }) {
+        for (unsigned seed = 1; seed <= 3; ++seed) {
+            EntryFleet fleet(seed);
+            sendFor(fleet, timeBeforeRefusals, 100, anyEntry);
+            beginRefusals(fleet);
+            for (std::size_t entry : { 0, 1, 3 })
+                fleet.setPath(entry, state);
+            sendFor(fleet, 8s, 100, anyEntry);
+            for (std::size_t entry : { 0, 1, 3 })
+                fleet.setPath(entry, PathState::Open);
+            sendFor(fleet, 6s, 100, anyEntry);
+            checkWithinBudget(fleet, seed);
+        }
+    }
+}
