Log the software versions of endpoints and the streams that attempts resume

The incident of software versions couldn't be told apart by the logs: none named a version. Registrations' versions are kept and logged when an endpoint is added or stops and for each attempt, and request_ended names the attempt that brought the first event of a resumed stream. Nothing is decided by them yet.

--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -37,6 +37,9 @@
     bool hasTokenCounts { false };
     /// Number of the event after which a stream resumes.
     std::optional<std::uint64_t> resumeAfter;
+    /// Identifier of the client's attempt that brought the first event of the stream that this
+    /// attempt resumes; empty if the request names none.
+    std::string resumedAttemptId;
     /// Header fields that are forwarded to the endpoint.
     HttpHeaders forwardedHeaders;
 };
@@ -88,6 +91,9 @@
     /// states it. Distinguishes the starts under one name.
     std::optional<std::chrono::milliseconds> startedAt;
     std::string service;
+    /// Version of the endpoint's software. Versions have no order, and a stream can't go on
+    /// at another version than the one that began it.
+    std::string softwareVersion;
     SocketAddress address;
     std::string availabilityZone;
     bool isLeaving { false };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -245,6 +245,9 @@
     /// Target of the last attempt and the reason for its choice. Written to the log only.
     std::string m_lastTarget;
     const char* m_lastWhy { "" };
+    /// Software version at which the endpoint of the last attempt is registered; empty if that
+    /// went to another entry. Written to the log only.
+    std::string m_lastSoftwareVersion;
     /// An endpoint of this region has refused the request.
     bool m_wasRefusedHere { false };
     std::vector<std::string> m_triedEndpoints;
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -66,7 +66,7 @@
 {
     logChange(LogLevel::Info, event,
         { { "endpoint", endpoint.record.incarnation }, { "service", endpoint.record.service },
-            { "address", endpoint.record.address.toString() }, { "zone", endpoint.record.availabilityZone },
+            { "software_version", endpoint.record.softwareVersion }, { "address", endpoint.record.address.toString() }, { "zone", endpoint.record.availabilityZone },
             { "in_flight", endpoint.requestsInFlight } });
 }
 
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -453,6 +453,7 @@
     attempt.startedAt = now();
     m_lastTarget = attempt.endpoint ? attempt.endpoint->record.incarnation : attempt.peer.toString();
     m_lastWhy = attempt.why;
+    m_lastSoftwareVersion = attempt.endpoint ? attempt.endpoint->record.softwareVersion : std::string();
     std::uint64_t number = attempt.number;
     auto isCurrent = [number](const RoutedRun& run) { return run.m_attempt && run.m_attempt->number == number; };
     HttpClient& client = attempt.target == AttemptTarget::Entry ? m_parts.peerClient : m_parts.endpointClient;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -262,7 +262,7 @@
         return;
     m_parts.log.write(LogLevel::Warning, "attempt_failed",
         { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "route", m_route->name },
-            { "to", m_lastTarget }, { "region", attempt.region }, { "why", attempt.why },
+            { "to", m_lastTarget }, { "software_version", m_lastSoftwareVersion }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
             { "attempt", m_attemptCount }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
 }
--- a/lib/Ingress/RoutedRunEnd.cpp
+++ b/lib/Ingress/RoutedRunEnd.cpp
@@ -129,6 +129,10 @@
         }
         if (m_cursor.events() > 0)
             fields["events"] = m_cursor.events();
+        if (!m_lastSoftwareVersion.empty())
+            fields["software_version"] = m_lastSoftwareVersion;
+        if (!m_request.facts.resumedAttemptId.empty())
+            fields["resumes"] = m_request.facts.resumedAttemptId;
         if (m_attemptCount > 0) {
             fields["to"] = m_lastTarget;
             fields["why"] = m_lastWhy;
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -17,6 +17,8 @@
             facts.attemptId = field.value;
         else if (field.name == "time-left" && absl::SimpleAtoi(field.value, &number))
             facts.timeLeft = milliseconds(number);
+        else if (field.name == "resumes")
+            facts.resumedAttemptId = field.value;
         else if (field.name == "resume-after" && absl::SimpleAtoi(field.value, &number))
             facts.resumeAfter = static_cast<std::uint64_t>(number);
         else if (field.name == "prompt")
