--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -12,6 +12,8 @@
 
 namespace catkinwing {
 
+class PeerResponder;
+
 /// Body of a request that crashes each endpoint which runs it.
 constexpr const char* crashingBody = "deadly";
 
@@ -133,7 +135,6 @@
 private:
     class Client;
     class PeerClient;
-    class PeerResponder;
     struct Entry;
 
     bool isFull(const SimulatedEndpoint& endpoint) const;
