Keep streams at the software version that began them

Nothing knew at which version a stream had begun: registrations' versions were dropped, Resumes wasn't read, a retry within an answer and a client's attempt at another entry were sent to any endpoint. The class: a constraint that spans attempts was kept nowhere beyond one attempt.

An entry now states the version of a stream to two entries of its region and one of another when the answer's head arrives, and an entry at which a client resumes the stream asks them. Within one answer and over forwards the version goes along. Nobody tells or asks where a service has had one version for longer than a stream lasts; entries that can't know a new version yet don't meet it, since it is used for resumable streams only after four seconds. A version that isn't certain (the endpoint may have started again, the knowledge is old, two entries state different ones) is stated as such, and a stream whose version isn't known is refused as not run. Crash reports of other entries tell of lost connections as well.

--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -8,11 +8,13 @@
 #include "catkinwing/Ingress/EndpointReach.h"
 #include "catkinwing/Ingress/PeerLoads.h"
 #include "catkinwing/Membership/ShareDivision.h"
+#include "catkinwing/PeerProtocol/CrashReport.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/Routing/EndpointChoice.h"
 #include "catkinwing/Routing/ResponseTimes.h"
 #include "catkinwing/Routing/SegmentHolders.h"
 #include "catkinwing/Routing/SegmentRegions.h"
+#include "catkinwing/Routing/ServiceVersions.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/container/flat_hash_map.h>
 #include <functional>
@@ -27,6 +29,9 @@
 enum class AbortReason {
     /// A later start has replaced the endpoint, so no response can arrive any more.
     Restarted,
+    /// The same, and the later start has another software version. The attempts may have been
+    /// sent to the later start already.
+    RestartedAtOtherVersion,
     /// The endpoint has sent nothing for too long, and most entries that use it report
     /// the same. It may still be running, so only attempts that may be retried are
     /// aborted.
@@ -39,6 +44,14 @@
     EndpointRecord record;
     /// Identifies the endpoint in load reports.
     std::uint32_t hash { 0 };
+    /// Identifies the software version that the registration states.
+    BuildId build { 0 };
+    /// When a connection to the endpoint last broke or failed, unless the endpoint has been heard
+    /// from on an earlier connection since.
+    TimePoint connectionLostAt {};
+    /// Until then the process that is registered was heard from, on connections that lead
+    /// back to a time at which its registration was known.
+    TimePoint verifiedUntil {};
     std::string region;
     /// The endpoint has asked this entry to send no requests until this time.
     TimePoint pausedUntil {};
@@ -92,6 +105,10 @@
     std::int64_t sharedTokens { 0 };
     /// Expected number of events in the response.
     double expectedEvents { 0 };
+    /// The software version at which the request must run; any if there is none.
+    std::optional<BuildId> build;
+    /// The request begins a stream that may be resumed elsewhere.
+    bool beginsResumableStream { false };
     /// Incarnations at which the request has been attempted.
     const std::vector<std::string>* attemptedIncarnations { nullptr };
     /// Whether an endpoint that is listed in tried may be chosen, ranked like a suspect one.
@@ -233,7 +250,33 @@
     /// request, times the number of entries that share them.
     Duration requestInterval(absl::string_view service, std::int64_t promptTokens, TimePoint now) const;
     /// Returns for each region how many endpoints accept requests for \p service.
-    std::map<std::string, std::size_t> usableByRegion(absl::string_view service, TimePoint now) const;
+    /// With \p build, only those with this software version count.
+    std::map<std::string, std::size_t> usableByRegion(absl::string_view service, TimePoint now, std::optional<BuildId> build = std::nullopt) const;
+    /// Returns whether an endpoint of the service with the software version is registered.
+    bool hasBuild(absl::string_view service, BuildId build) const;
+    /// Returns the only software version that the endpoints of the service have had for longer
+    /// than a stream lasts; nothing if there were several, or if what this entry knows is outdated.
+    std::optional<BuildId> soleVersion(absl::string_view service, TimePoint now) const;
+    /// Returns whether all entries conclude that a stream of the service began at \p build, also
+    /// if the store falls silent in the next moments.
+    bool isConcludedByAll(absl::string_view service, BuildId build, TimePoint now) const;
+    /// The same, for the service whose name has the hash.
+    std::optional<BuildId> soleVersionByHash(std::uint32_t service, TimePoint now) const;
+    /// Returns whether a later start may have replaced the endpoint without this entry knowing its
+    /// registration yet.
+    bool mayHaveRestarted(const RoutedEndpoint& endpoint, TimePoint now) const;
+    /// Records that a connection to the endpoint broke or failed.
+    static void recordConnectionLost(RoutedEndpoint& endpoint, TimePoint now) { endpoint.connectionLostAt = now; }
+    /// Records the connections that another entry reports as broken.
+    void recordReportedLosses(const CrashReport& report, TimePoint now) const;
+    /// Records that bytes were received on a connection on which the request was sent at \p sentAt.
+    /// \p isVerified tells whether the endpoint had not restarted by then.
+    static void recordConnectionAlive(RoutedEndpoint& endpoint, TimePoint sentAt, bool isVerified, TimePoint now);
+    /// Sets for how long a client may resume a stream after it has begun.
+    void setStreamLifetime(Duration lifetime) { m_streamLifetime = lifetime; }
+    Duration streamLifetime() const { return m_streamLifetime; }
+    /// Sets the age of what this entry knows of registrations.
+    void setKnowledgeAge(Duration age) { m_knowledgeAge = age; }
     /// Returns the region where \p sharedSegment was used last or, if it isn't eligible, the
     /// region of the endpoint that owns the segment. Considers the usable endpoints in
     /// \p regions, or in all regions if that is empty; returns nothing if there are none.
@@ -265,9 +308,10 @@
     static std::string startName(const EndpointRecord& record);
     bool hasAnnouncedLeaving(const EndpointRecord& record, TimePoint now) const;
     bool isOutdated(const EndpointRecord& record) const;
-    void abortReplacedStart(RoutedEndpoint& endpoint);
+    void abortReplacedStart(RoutedEndpoint& endpoint, bool hasOtherVersion);
     void addToService(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service);
-    void detach(const std::string& incarnation);
+    void detach(const std::string& incarnation, TimePoint now);
+    bool hasEstablishedVersion(const Endpoints& endpoints, const ServiceVersions& versions, TimePoint now) const;
     bool hasFreeConnection(const RoutedEndpoint& endpoint, const ServiceSettings& service) const;
     const std::string& roomHolderOf(RoutedEndpoint& endpoint) const;
     /// Returns whether this entry fills the slots of the brittle endpoint and one is free.
@@ -283,6 +327,10 @@
     absl::flat_hash_map<std::string, Endpoints> m_endpointsByService;
     /// Response times of each service, shared by its endpoints.
     absl::flat_hash_map<std::string, std::shared_ptr<ResponseTimes>> m_serviceTimes;
+    /// Software versions by service.
+    absl::flat_hash_map<std::string, ServiceVersions> m_versions;
+    Duration m_streamLifetime { std::chrono::seconds(30) };
+    Duration m_knowledgeAge { 0 };
     std::set<std::string> m_evacuatedZones;
     std::vector<RateSharer> m_sharers;
     /// Names of the sharers that are registered, and a counter of their changes.
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -8,6 +8,7 @@
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Ingress/LimitExchange.h"
 #include "catkinwing/Ingress/RegionOutlooks.h"
+#include "catkinwing/Ingress/StreamOriginExchange.h"
 #include "catkinwing/Membership/CrashingRequests.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
@@ -77,6 +78,8 @@
     CreditExchange* credit { nullptr };
     /// Obtains requests at endpoints with a limit; null if other entries aren't asked.
     LimitExchange* limitExchange { nullptr };
+    /// Knows at which software versions streams began; null if entries don't tell each other.
+    StreamOriginExchange* streamOrigins { nullptr };
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -30,6 +30,13 @@
 /// The entry fills the slots of brittle endpoints, and none is free.
 constexpr const char* notSentNoRoom = "no-room";
 
+/// The entry reaches no endpoint with the software version that began the stream.
+constexpr const char* notSentNoVersion = "no-version";
+
+/// Build ID of the software version at which a stream began, in hexadecimal. In a forwarded
+/// request, the stream must go on at it; in the answer of another entry, its events come from it.
+constexpr const char* streamBuildHeader = "Catkinwing-Stream-Build";
+
 /// A request as received from a client or from another entry.
 struct RoutedRequest {
     HttpRequest http;
@@ -43,6 +50,8 @@
     unsigned earlierAttempts { 0 };
     /// Of a forwarded request: name of its workspace; empty if it has none.
     std::string workspace;
+    /// Of a forwarded request: the software version at which the stream must go on.
+    std::optional<BuildId> streamBuild;
 };
 
 /// Sets the fields of \p request from the headers that a forwarding entry adds.
@@ -78,6 +87,8 @@
         /// The endpoint had a free slot when the attempt was sent, or has no slot limit.
         bool hadFreeSlot { false };
         bool hasAnswerBegun { false };
+        /// Events of this attempt have been delivered.
+        bool hasBroughtEvents { false };
         /// When the last event of the stream was received.
         TimePoint lastEventAt {};
         std::shared_ptr<HttpExchange> exchange;
@@ -96,6 +107,10 @@
         bool wasNotSent { false };
         /// It did so because it reaches none.
         bool isPeerCutOff { false };
+        /// The other entry reaches no endpoint with the stream's software version.
+        bool lacksPeerVersion { false };
+        /// The software version of the endpoint; nothing if it isn't certain.
+        std::optional<BuildId> build;
         /// The answer carries the attempt ID of this request.
         bool isForThisRequest { false };
         bool isEventStream { false };
@@ -134,6 +149,25 @@
     const std::string& pickService() const;
     WaitLimitInputs waitDemand() const;
 
+    bool isResumableStream() const;
+    /// Returns the fingerprint of the client attempt that brought, or may bring, the first event.
+    RequestFingerprint streamFingerprint() const;
+    /// Determines at which software version the request must run, and dispatches it.
+    void resolveStreamBuild();
+    void onStreamBuildResolved(std::optional<BuildId> build);
+    /// Refuses the request if it must run at a software version that no endpoint has in the
+    /// regions that may process it.
+    bool refuseIfVersionGone();
+    void refuseForVersion(const char* reason);
+    bool mustKeepVersion() const { return m_streamBuild.has_value(); }
+    /// Tells other entries at which version the stream begins, if the attempt may begin it.
+    void stateStreamBuild(const Attempt& attempt);
+    /// States the version once it is certain.
+    void updateStreamBuild(const Attempt& attempt);
+    /// Binds the stream to the version of its first event. Returns false if the attempt was
+    /// abandoned because its events come from another version.
+    bool bindStream(const Attempt& attempt);
+
     void dispatch();
     bool areLimitsUsedUp() const;
     /// Asks other entries for a request at an endpoint with a limit. Returns whether the
@@ -257,6 +291,15 @@
     /// Value of notSentHeader in this entry's refusal; null if the refusal has none.
     const char* m_notSentReason { nullptr };
     EventCursor m_cursor;
+    /// The software version at which the stream goes on; nothing if it may begin at any, or if
+    /// m_isStreamBound is true and the version isn't certain.
+    std::optional<BuildId> m_streamBuild;
+    /// An event of the stream has been delivered, now or to an earlier attempt of the client.
+    bool m_isStreamBound { false };
+    /// The request takes an endpoint with a long wait, since no other can serve it.
+    bool m_mayWaitLong { false };
+    /// A refusal tells the client no time to return.
+    bool m_omitsRetryAfter { false };
     /// The head of the answer has been sent to the client.
     bool m_hasSentHead { false };
     /// Reading from the endpoint is paused because the client reads slowly.
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -97,12 +97,16 @@
     if (isOutdated(record))
         return;
     std::shared_ptr<RoutedEndpoint> replaced;
+    BuildId build = buildIdOf(record.service, record.softwareVersion);
     auto known = m_endpoints.find(record.incarnation);
-    if (known != m_endpoints.end() && isBefore(known->second->record, record.startedAt)) {
+    // A process doesn't change its software version.
+    bool isReplaced = known != m_endpoints.end() && (isBefore(known->second->record, record.startedAt) || known->second->build != build);
+    if (isReplaced) {
         replaced = known->second;
         logEndpoint("endpoint_started_again", *replaced);
-        detach(record.incarnation);
+        detach(record.incarnation, now);
     }
+    m_versions[record.service].recordPresent(build, now);
     std::shared_ptr<RoutedEndpoint>& entry = m_endpoints[record.incarnation];
     bool isNew = !entry;
     if (isNew) {
@@ -128,12 +132,13 @@
     if (!record.startedAt)
         record.startedAt = entry->record.startedAt;
     entry->record = std::move(record);
+    entry->build = build;
     if (isNew)
         logEndpoint("endpoint_added", *entry);
     if (!wasLeaving && entry->isLeaving)
         logEndpoint("endpoint_leaving", *entry);
     if (replaced)
-        abortReplacedStart(*replaced);
+        abortReplacedStart(*replaced, replaced->build != build);
 }
 
 void EndpointTable::addToService(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service)
@@ -146,11 +151,11 @@
 }
 
 // Called after the new start is in the table, so that the aborted requests can choose it.
-void EndpointTable::abortReplacedStart(RoutedEndpoint& endpoint)
+void EndpointTable::abortReplacedStart(RoutedEndpoint& endpoint, bool hasOtherVersion)
 {
     if (m_replacedObserver)
         m_replacedObserver(endpoint);
-    abortAttempts(endpoint, AbortReason::Restarted);
+    abortAttempts(endpoint, hasOtherVersion ? AbortReason::RestartedAtOtherVersion : AbortReason::Restarted);
 }
 
 void EndpointTable::recordUnreadable(const std::string& incarnation)
@@ -163,7 +168,7 @@
 }
 
 // Requests in flight at the endpoint hold a reference to it until they end.
-void EndpointTable::detach(const std::string& incarnation)
+void EndpointTable::detach(const std::string& incarnation, TimePoint now)
 {
     auto found = m_endpoints.find(incarnation);
     std::shared_ptr<RoutedEndpoint> endpoint = found->second;
@@ -172,9 +177,11 @@
     Endpoints& list = m_endpointsByService[endpoint->record.service];
     list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
     m_endpoints.erase(found);
+    if (!hasBuild(endpoint->record.service, endpoint->build))
+        m_versions[endpoint->record.service].recordAbsent(endpoint->build, now);
 }
 
-void EndpointTable::remove(const std::string& incarnation, TimePoint)
+void EndpointTable::remove(const std::string& incarnation, TimePoint now)
 {
     auto found = m_endpoints.find(incarnation);
     if (found == m_endpoints.end())
@@ -185,7 +192,7 @@
             m_removedStarts.clear();
         m_removedStarts[incarnation] = *found->second->record.startedAt;
     }
-    detach(incarnation);
+    detach(incarnation, now);
 }
 
 void EndpointTable::recordMissing(const std::string& incarnation)
@@ -421,14 +428,15 @@
     logEndpoint("endpoint_suspect", endpoint);
 }
 
-std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service, TimePoint now) const
+std::map<std::string, std::size_t> EndpointTable::usableByRegion(absl::string_view service, TimePoint now, std::optional<BuildId> build) const
 {
     std::map<std::string, std::size_t> counts;
     auto found = m_endpointsByService.find(service);
     if (found == m_endpointsByService.end())
         return counts;
     for (const auto& endpoint : found->second) {
-        if (isAvailable(*endpoint, now) && !endpoint->region.empty())
+        bool isEligible = !build || endpoint->build == *build;
+        if (isEligible && isAvailable(*endpoint, now) && !endpoint->region.empty())
             ++counts[endpoint->region];
     }
     return counts;
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -126,12 +126,19 @@
     const Endpoints& endpoints = found->second;
     std::uint32_t segment = segmentHash(request.sharedSegment);
     std::optional<double> rejections = rejectionLimit(request.service->name);
+    // An entry that can't know of a new version yet concludes that streams began at another one.
+    const ServiceVersions& versions = m_versions[request.service->name];
+    bool avoidsNewVersions = request.beginsResumableStream && hasEstablishedVersion(endpoints, versions, now);
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
         RoutedEndpoint& endpoint = *endpoints[i];
         bool isEligible = endpoint.region == m_region && isAvailable(endpoint, now) && hasFreeConnection(endpoint, *request.service);
         if (!isEligible || !EndpointLimits::hasRequest(endpoint.limit, now))
             continue;
+        if (request.build && (endpoint.build != *request.build || mayHaveRestarted(endpoint, now)))
+            continue;
+        if (avoidsNewVersions && !versions.isEstablished(endpoint.build, now))
+            continue;
         if (rejections && !mayFillSlot(endpoint, *request.service, *rejections, now))
             continue;
         const std::vector<std::string>& tried = *request.attemptedIncarnations;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -140,6 +140,10 @@
         receiveLimitMessage(from, bytes);
         return;
     }
+    if (!bytes.empty() && bytes.front() == streamOriginMark) {
+        receiveStreamOriginMessage(from, bytes);
+        return;
+    }
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
     absl::StatusOr<LoadDigest> digest = decodeLoadDigest(report.ok() ? absl::string_view() : bytes);
     if (!report.ok() && !digest.ok()) {
@@ -171,13 +175,23 @@
         metrics.count("limit_messages_refused");
 }
 
+void IngressDaemon::Impl::receiveStreamOriginMessage(const SocketAddress& from, absl::string_view bytes)
+{
+    absl::StatusOr<StreamOriginMessage> message = decodeStreamOriginMessage(bytes);
+    if (message.ok())
+        streamOrigins.handleMessage(from, *message);
+    else
+        metrics.count("stream_origin_messages_refused");
+}
+
 void IngressDaemon::Impl::receiveRegionReport(const SocketAddress& from, absl::string_view bytes)
 {
     absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
     absl::StatusOr<CrashReport> crashReport = decodeCrashReport(report.ok() ? absl::string_view() : bytes);
-    if (crashReport.ok())
+    if (crashReport.ok()) {
         crashExchange.handleReport(from, *crashReport, loop.clock().now());
-    else if (!report.ok())
+        parts.endpoints.recordReportedLosses(*crashReport, loop.clock().now());
+    } else if (!report.ok())
         metrics.count("load_reports_refused");
     else if (report->region != settings.region)
         parts.outlooks.update(*report, loop.clock().now());
@@ -202,6 +216,7 @@
     send(crashExchange.tick(loop.clock().now()));
     creditExchange.tick();
     limitExchange.tick();
+    streamOrigins.tick();
     reportRegion();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
@@ -216,6 +231,7 @@
     lastHouseKeepingAt = now;
     if (wasPaused)
         parts.endpoints.resetSilence(now);
+    parts.endpoints.setKnowledgeAge(relayedStore.dataAge().value_or(Duration::zero()));
     parts.endpoints.recordSilentEndpoints(now);
     if (parts.endpoints.reach().takeNewCut(now))
         parts.handleCutOff();
@@ -271,11 +287,15 @@
     impl->parts.startedAt = loop.clock().now();
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
+    impl->parts.streamOrigins = &impl->streamOrigins;
     impl->parts.crashingRequests.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // Closes connections to an endpoint that was restarted: they belong to the earlier
     // incarnation.
-    impl->parts.endpoints.setReplacedObserver([client = impl->endpointClient.get()](RoutedEndpoint& endpoint) { client->forget(endpoint.record.address); });
+    impl->parts.endpoints.setReplacedObserver([state = impl.get()](RoutedEndpoint& endpoint) {
+        state->endpointClient->forget(endpoint.record.address);
+        state->streamOrigins.withdrawAfterRestart(endpoint);
+    });
     impl->follower.start();
     impl->houseKeep();
     impl->reportLoad();
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -11,6 +11,7 @@
 #include "catkinwing/Ingress/LoadExchange.h"
 #include "catkinwing/Ingress/RelayedStore.h"
 #include "catkinwing/Ingress/RoutedRun.h"
+#include "catkinwing/Ingress/StreamOriginExchange.h"
 #include "catkinwing/Support/Id.h"
 #include <absl/strings/str_cat.h>
 #include <cstring>
@@ -61,6 +62,7 @@
               [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , limitExchange(parts.endpoints, parts.entries, self, eventLoop, random,
               [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
+        , streamOrigins(parts.endpoints, parts.entries, self, eventLoop, [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , registration(*store, eventLoop, registrationOptions())
         , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
         , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
@@ -129,6 +131,7 @@
     void receiveLoadReport(const SocketAddress& from, absl::string_view bytes);
     void receiveCreditMessage(const SocketAddress& from, absl::string_view bytes);
     void receiveLimitMessage(const SocketAddress& from, absl::string_view bytes);
+    void receiveStreamOriginMessage(const SocketAddress& from, absl::string_view bytes);
     void receiveRegionReport(const SocketAddress& from, absl::string_view bytes);
     void send(const std::vector<OutgoingDatagram>& datagrams);
     void scheduleUrgentReport();
@@ -164,6 +167,7 @@
     CrashExchange crashExchange;
     CreditExchange creditExchange;
     LimitExchange limitExchange;
+    StreamOriginExchange streamOrigins;
     EntryRegistration registration;
     RelayedStore relayedStore;
     StoreFollower follower;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -60,6 +60,10 @@
         request.earlierAttempts = 0;
     if (const std::string* workspace = headers.find(workspaceNameHeader))
         request.workspace = *workspace;
+    std::uint64_t build = 0;
+    text = headers.find(streamBuildHeader);
+    if (text && absl::SimpleHexAtoi(*text, &build))
+        request.streamBuild = build;
 }
 
 RetryWindow& IngressContext::retryBudgetOf(const std::string& service)
@@ -181,7 +185,10 @@
 // tried before, if the last attempt may have run.
 void RoutedRun::dispatch()
 {
-    if (refuseIfCrashing() || holdIfSuspect() || handOverIfCutOff() || askLimitHolders() || routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded())
+    if (refuseIfVersionGone() || refuseIfCrashing() || holdIfSuspect() || handOverIfCutOff() || askLimitHolders())
+        return;
+    // Load and cached segments are known of all endpoints together, whatever their version.
+    if (!mustKeepVersion() && (routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded()))
         return;
     if (isAllowedHere() && (sendToEndpoint(m_service, false) || sendToRoomHolder()))
         return;
@@ -189,6 +196,10 @@
         return;
     if (m_mayLastAttemptHaveRun && isAllowedHere() && sendToEndpoint(m_service, true))
         return;
+    // Few endpoints may be left that can go on with the stream, so it waits for a busy one.
+    m_mayWaitLong = mustKeepVersion();
+    if (m_mayWaitLong && isAllowedHere() && sendToEndpoint(m_service, false))
+        return;
     if (m_failureHead) {
         sendAnswer(*m_failureHead, std::move(m_failureBody));
         return;
@@ -268,11 +279,13 @@
     endpointRequest.sharedSegment = shared ? shared->id : std::string();
     endpointRequest.sharedTokens = shared ? shared->tokens : 0;
     endpointRequest.expectedEvents = expectedEvents();
+    endpointRequest.build = m_streamBuild;
+    endpointRequest.beginsResumableStream = isResumableStream() && !m_isStreamBound;
     endpointRequest.attemptedIncarnations = &m_triedEndpoints;
     endpointRequest.allowsAttempted = mayBeTried;
     // A request that may have run or whose answer has begun has no wait limit.
     WaitLimitInputs demand = waitDemand();
-    endpointRequest.demand = m_mayHaveRun || m_hasSentHead ? nullptr : &demand;
+    endpointRequest.demand = m_mayHaveRun || m_hasSentHead || m_mayWaitLong ? nullptr : &demand;
     std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(endpointRequest, now(), m_parts.random);
     if (!endpoint)
         return false;
@@ -288,6 +301,8 @@
     attempt.region = m_parts.region;
     attempt.why = endpointChoiceReason(mayBeTried, shared != nullptr);
     attempt.endpoint = std::move(endpoint);
+    if (!m_parts.endpoints.mayHaveRestarted(*attempt.endpoint, now()))
+        attempt.build = attempt.endpoint->build;
     unsigned slots = attempt.endpoint->record.slots > 0 ? attempt.endpoint->record.slots : settings->slots;
     attempt.hadFreeSlot = slots == 0 || m_parts.endpoints.pendingWork(*attempt.endpoint).requests < slots;
     m_parts.endpoints.recordAttemptStarted(*attempt.endpoint, now());
@@ -305,7 +320,7 @@
 std::map<std::string, std::size_t> RoutedRun::untriedRegions(const std::string& service) const
 {
     std::map<std::string, std::size_t> regions;
-    for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service, now())) {
+    for (const auto& [region, usable] : m_parts.endpoints.usableByRegion(service, now(), m_streamBuild)) {
         bool wasTried = std::find(m_triedRegions.begin(), m_triedRegions.end(), region) != m_triedRegions.end();
         if (region != m_parts.region && isHome(region) && !wasTried)
             regions.emplace(region, usable);
@@ -417,6 +432,8 @@
     request.headers.set(earlierAttemptsHeader, std::to_string(m_possiblyDeliveredAttempts));
     if (!m_workspaceName.empty())
         request.headers.set(workspaceNameHeader, m_workspaceName);
+    if (m_streamBuild)
+        request.headers.set(streamBuildHeader, absl::StrCat(absl::Hex(*m_streamBuild)));
     request.connectTimeout = region == m_parts.region ? localConnectTimeout : peerConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Entry;
@@ -494,7 +511,13 @@
 // request can be retried.
 void RoutedRun::onEndpointFailure(AbortReason reason)
 {
-    if (reason == AbortReason::Restarted) {
+    // It isn't known whether the events came from the start before or from the later one.
+    if (reason == AbortReason::RestartedAtOtherVersion && m_attempt->hasBroughtEvents) {
+        m_streamBuild.reset();
+        m_attempt->build.reset();
+        stateStreamBuild(*m_attempt);
+    }
+    if (reason != AbortReason::Unresponsive) {
         abandonAttempt("endpoint_started_again");
         return;
     }
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -48,6 +48,12 @@
     const std::string* notSent = headers.find(notSentHeader);
     attempt.wasNotSent = notSent != nullptr;
     attempt.isPeerCutOff = notSent && *notSent == notSentCutOff;
+    attempt.lacksPeerVersion = notSent && *notSent == notSentNoVersion;
+    std::uint64_t build = 0;
+    const std::string* streamBuild = headers.find(streamBuildHeader);
+    if (streamBuild && absl::SimpleHexAtoi(*streamBuild, &build) && build != uncertainBuild)
+        attempt.build = build;
+    headers.remove(streamBuildHeader);
     headers.remove(notSentHeader);
     headers.remove(endpointAttemptsHeader);
     headers.remove(outcomeHeader);
@@ -58,6 +64,7 @@
 {
     if (!attempt.endpoint)
         return;
+    EndpointTable::recordConnectionAlive(*attempt.endpoint, attempt.startedAt, attempt.build.has_value(), now());
     if (m_parts.endpoints.recordBytesReceived(*attempt.endpoint, now()))
         logChange(LogLevel::Info, "endpoints_reached_again", { { "service", m_service }, { "endpoint", attempt.endpoint->record.incarnation } });
     m_parts.crashingRequests.recordEndpointAlive(attempt.endpoint->hash, now());
@@ -99,6 +106,8 @@
     bool isSuccess = head.status >= 200 && head.status < 300;
     bool isDeliverable = attempt.facts.isEndpointAnswer && attempt.isForThisRequest && isSuccess;
     attempt.isEventStream = isDeliverable && type && absl::StartsWithIgnoreCase(*type, "text/event-stream");
+    if (attempt.isEventStream)
+        stateStreamBuild(attempt);
 }
 
 // The first bytes of the answer show that the endpoint has read the prompt.
@@ -156,6 +165,8 @@
     if (m_cursor.events() > before)
         attempt.lastEventAt = now();
     if (!events.empty()) {
+        if (!bindStream(attempt))
+            return;
         deliverHead(*attempt.head);
         deliver(std::move(events));
     }
@@ -190,6 +201,9 @@
     if (verdict == AttemptVerdict::Answered && endsInsideEvent)
         verdict = AttemptVerdict::Unknown;
     m_possiblyDeliveredAttempts += mayHaveReached && !attempt.wasNotSent ? 1 : 0;
+    updateStreamBuild(attempt);
+    if (attempt.endpoint && verdict != AttemptVerdict::Answered && end != HttpEnd::Complete && end != HttpEnd::Malformed)
+        EndpointTable::recordConnectionLost(*attempt.endpoint, now());
     recordReach(attempt, end, verdict);
     recordCrashEvidence(attempt, end, verdict);
     recordAttemptResult(verdict, detail);
@@ -223,7 +237,7 @@
 void RoutedRun::recordAttemptResult(AttemptVerdict verdict, const std::string& detail)
 {
     Attempt& attempt = *m_attempt;
-    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotExecuted || attempt.reportedOutcome) && !attempt.facts.isOtherIncarnation && !attempt.isPeerCutOff;
+    bool wasRefused = verdict == AttemptVerdict::NotRun && (attempt.facts.wasNotExecuted || attempt.reportedOutcome) && !attempt.facts.isOtherIncarnation && !attempt.isPeerCutOff && !attempt.lacksPeerVersion;
     bool hadNoAnswer = verdict != AttemptVerdict::Answered && !attempt.facts.wasNotExecuted && !attempt.reportedOutcome;
     const PromptSegment* shared = sharedSegment();
     if (attempt.endpoint && shared && verdict == AttemptVerdict::NotRun)
@@ -335,6 +349,10 @@
         refuseEverywhere(*failed->reportedRetryAfter);
         return;
     }
+    if (m_hasSentHead && isResumableStream() && !m_streamBuild) {
+        abortAnswer("stream_version_unknown");
+        return;
+    }
     switch (decideNextStep(verdict)) {
     case NextStep::Retry:
         if (m_possiblyDeliveredAttempts > 0)
--- a/lib/Ingress/RoutedRunEnd.cpp
+++ b/lib/Ingress/RoutedRunEnd.cpp
@@ -24,8 +24,11 @@
 // counts them against the limit of its route.
 HttpResponseHead RoutedRun::withAttemptsHeader(HttpResponseHead head) const
 {
-    if (m_request.isForwarded)
-        head.headers.add(endpointAttemptsHeader, std::to_string(std::max(m_possiblyRunAttempts, 1u)));
+    if (!m_request.isForwarded)
+        return head;
+    head.headers.add(endpointAttemptsHeader, std::to_string(std::max(m_possiblyRunAttempts, 1u)));
+    if (m_isStreamBound && m_streamBuild)
+        head.headers.add(streamBuildHeader, absl::StrCat(absl::Hex(*m_streamBuild)));
     return head;
 }
 
@@ -54,7 +57,8 @@
     head.status = status;
     head.headers.add("content-type", "application/json");
     head.headers.add(outcomeHeader, outcomeWord(outcome));
-    if (status == statusUnavailable || status == statusTooManyRequests)
+    bool tellsRetryAfter = (status == statusUnavailable || status == statusTooManyRequests) && !m_omitsRetryAfter;
+    if (tellsRetryAfter)
         head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(retryAfter()).count()));
     if (m_retryAfter && m_request.isForwarded)
         head.headers.add(refusedEverywhereHeader, absl::StrCat(std::chrono::duration<double>(*m_retryAfter).count()));
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -124,7 +124,7 @@
     }
     if (!m_request.isForwarded)
         m_parts.retryBudgetOf(m_service).recordRequest(now());
-    dispatch();
+    resolveStreamBuild();
 }
 
 // Credit is returned only if the request certainly wasn't executed and won't be.
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -49,6 +49,20 @@
 {
 }
 
+// A client resumes a stream within its own timeout, which may cover several attempts up to
+// the timeout of the route.
+static Duration streamLifetimeOf(const RouteTable& routes)
+{
+    constexpr milliseconds minLifetime { 30'000 };
+    constexpr milliseconds maxLifetime { 300'000 };
+    milliseconds longest { 0 };
+    for (const Route& route : routes.routes()) {
+        if (route.isResumable)
+            longest = std::max(longest, route.timeout);
+    }
+    return std::clamp(longest * 2, minLifetime, maxLifetime);
+}
+
 bool StoreFollower::isStoreUnstable() const
 {
     std::optional<TimePoint> reachedAt = m_source.reachedAt();
@@ -111,6 +125,7 @@
     logChange(LogLevel::Info, "configuration_in_force",
         { { "version", table.document->version() }, { "before", currentVersion }, { "revision", change.revision }, { "routes", table.document->routes().size() } });
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
+    m_parts.endpoints.setStreamLifetime(streamLifetimeOf(*m_parts.routes));
 }
 
 void StoreFollower::applyEndpoint(const std::string& incarnation, const ConfigChange& change)
--- /dev/null
+++ b/lib/Routing/ServiceVersions.cpp
@@ -0,0 +1,61 @@
+#include "catkinwing/Routing/ServiceVersions.h"
+
+#include "catkinwing/Support/Hash.h"
+#include <algorithm>
+
+namespace catkinwing {
+
+/// An entry whose knowledge is older than three seconds doesn't conclude anything from it. The
+/// rest is for the time that a change takes to reach the entries that relay it.
+static constexpr std::chrono::milliseconds establishingTime { 4'000 };
+/// Maximum number of versions kept of a service, the present ones included.
+static constexpr std::size_t maxSightings = 64;
+
+BuildId buildIdOf(absl::string_view service, absl::string_view softwareVersion)
+{
+    return std::max<BuildId>(stableHash(softwareVersion, stableHash(service)), 1);
+}
+
+void ServiceVersions::recordPresent(BuildId build, TimePoint now)
+{
+    auto isSame = [build](const Sighting& sighting) { return sighting.build == build; };
+    auto found = std::find_if(m_sightings.begin(), m_sightings.end(), isSame);
+    if (found != m_sightings.end()) {
+        found->absentSince.reset();
+        return;
+    }
+    if (m_sightings.size() >= maxSightings) {
+        auto isEarlier = [](const Sighting& a, const Sighting& b) { return a.absentSince.value_or(TimePoint::max()) < b.absentSince.value_or(TimePoint::max()); };
+        m_sightings.erase(std::min_element(m_sightings.begin(), m_sightings.end(), isEarlier));
+    }
+    m_sightings.push_back({ build, now, std::nullopt });
+}
+
+void ServiceVersions::recordAbsent(BuildId build, TimePoint now)
+{
+    for (Sighting& sighting : m_sightings) {
+        if (sighting.build == build && !sighting.absentSince)
+            sighting.absentSince = now;
+    }
+}
+
+std::optional<BuildId> ServiceVersions::soleVersion(Duration span, TimePoint now) const
+{
+    const Sighting* sole = nullptr;
+    for (const Sighting& sighting : m_sightings) {
+        if (sighting.absentSince && now - *sighting.absentSince >= span)
+            continue;
+        if (sole)
+            return std::nullopt;
+        sole = &sighting;
+    }
+    bool isKnownLongEnough = sole && now - sole->firstSeenAt >= span;
+    return isKnownLongEnough ? std::optional<BuildId>(sole->build) : std::nullopt;
+}
+
+bool ServiceVersions::isEstablished(BuildId build, TimePoint now) const
+{
+    return std::any_of(m_sightings.begin(), m_sightings.end(), [&](const Sighting& sighting) { return sighting.build == build && now - sighting.firstSeenAt >= establishingTime; });
+}
+
+} // namespace catkinwing
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -27,8 +27,6 @@
 static constexpr milliseconds registrationLapse { 3'600 };
 /// A leaving endpoint serves its streams for this long.
 static constexpr milliseconds drainTime { 3'000 };
-/// An entry counts its knowledge as outdated if the store has been silent for this long.
-static constexpr milliseconds maxKnowledgeAge { 3'000 };
 /// Pause of a client before it takes a broken stream up, or returns after a refusal without a
 /// retry-after time.
 static constexpr milliseconds takeUpDelay { 100 };
@@ -256,7 +254,10 @@
             EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(fleet.random.bits()) }
         , crashExchange(parts.crashingRequests, parts.entries, record, fleet.random)
         , loadExchange(parts.endpoints, parts.entries, record)
+        , streamOrigins(parts.endpoints, parts.entries, record, fleet.scheduler, [&fleet, index](const OutgoingDatagram& datagram) { fleet.deliver(index, { datagram }); })
     {
+        parts.streamOrigins = &streamOrigins;
+        parts.endpoints.setReplacedObserver([this](const RoutedEndpoint& endpoint) { streamOrigins.withdrawAfterRestart(endpoint); });
     }
 
     EntryRecord record;
@@ -267,6 +268,7 @@
     IngressContext parts;
     CrashExchange crashExchange;
     LoadExchange loadExchange;
+    StreamOriginExchange streamOrigins;
     bool isUp { true };
     std::vector<std::weak_ptr<ClientResponder>> clients;
     std::vector<std::weak_ptr<PeerResponder>> forwards;
@@ -471,10 +473,11 @@
         if (!m_entries[from]->isUp)
             continue;
         IngressContext& parts = m_entries[from]->parts;
-        parts.isConfigurationStale = m_storeSilentSince && now() - *m_storeSilentSince > maxKnowledgeAge;
+        parts.endpoints.setKnowledgeAge((m_storeSilentSince ? now() - *m_storeSilentSince : Duration::zero()) + registrationDelay);
         parts.endpoints.setSharers(parts.entries.rateSharers(m_records[from].region, now()), m_records[from].peerAddress.toString(), now());
         deliver(from, m_entries[from]->crashExchange.tick(now()));
         deliver(from, m_entries[from]->loadExchange.tick(entryKey(from), now()));
+        m_entries[from]->streamOrigins.tick();
         parts.endpoints.recordSilentEndpoints(now());
         if (parts.endpoints.reach().takeNewCut(now()))
             parts.handleCutOff();
@@ -485,6 +488,7 @@
 void StreamFleet::deliver(std::size_t from, const std::vector<OutgoingDatagram>& datagrams)
 {
     for (const OutgoingDatagram& datagram : datagrams) {
+        datagramBytesSent[from] += datagram.bytes.size();
         std::size_t to = m_entryAt.at(datagram.to);
         bool crossesRegions = m_records[from].region != m_records[to].region;
         if ((crossesRegions && m_areRegionsPartitioned) || random.unit() < lostFraction)
@@ -493,12 +497,18 @@
             if (!m_entries[to]->isUp)
                 return;
             Entry& entry = *m_entries[to];
+            if (bytes.front() == streamOriginMark) {
+                entry.streamOrigins.handleMessage(m_records[from].peerAddress, *decodeStreamOriginMessage(bytes));
+                return;
+            }
             if (absl::StatusOr<LoadReport> load = decodeLoadReport(bytes); load.ok())
                 entry.loadExchange.handleReport(std::move(*load), now());
             else if (absl::StatusOr<LoadDigest> digest = decodeLoadDigest(bytes); digest.ok())
                 entry.loadExchange.handleDigest(std::move(*digest), now());
-            else if (absl::StatusOr<CrashReport> report = decodeCrashReport(bytes); report.ok())
+            else if (absl::StatusOr<CrashReport> report = decodeCrashReport(bytes); report.ok()) {
                 entry.crashExchange.handleReport(m_records[from].peerAddress, *report, now());
+                entry.parts.endpoints.recordReportedLosses(*report, now());
+            }
         });
     }
 }
