Let streams that have brought events go on at once after a crash

The cause: any request that broke with its endpoint was held like a suspect until the crash was settled, 0.4 s at most, and then refused. A request that crashes endpoints mostly does so before it brings an event, and all other streams of the endpoint end with it.

A stream that has brought events goes on at once after its first crash if no other attempt of the same request runs here. After a second separate crash it waits for its turn as before, and its crashes count as before.

--- a/include/catkinwing/Membership/CrashingRequests.h
+++ b/include/catkinwing/Membership/CrashingRequests.h
@@ -60,6 +60,9 @@
     /// that only one attempt of the same request runs at a time until it is known whether
     /// the request caused the crash.
     TimePoint nextTurn(const RequestFingerprint& request, const RecentCrash& crash, const EntryOrder& order, TimePoint now) const;
+    /// Returns whether a stream that has brought events may go on elsewhere at once after
+    /// \p crash, since it is unlikely to be the cause.
+    bool mayResume(const RequestFingerprint& request, const RecentCrash& crash) const;
     /// Records that a request is sent for which crashToAwait() returned a crash.
     void recordAttempt(const RequestFingerprint& request, TimePoint now) { m_tried[request] = now; }
 
@@ -132,7 +135,8 @@
     TrackedRequest& findOrCreate(const RequestFingerprint& request);
     void evictOldest();
     Duration refusalDelay(const RequestFingerprint& request) const;
-    bool wouldBeRefused(const RequestFingerprint& request, CrashHistory history) const;
+    /// Adds the pending connections of the request to its history, as if all were crashes.
+    CrashHistory withPending(const RequestFingerprint& request, CrashHistory history) const;
     static bool isSuspect(const TrackedRequest& known);
     static CrashNotice makeNotice(const RequestFingerprint& request, const TrackedRequest& known, TimePoint now);
 
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -63,6 +63,7 @@
     if (!crash)
         return false;
     bool isLikelyUnrelated = crash->isOnlyKnownHere && m_possiblyDeliveredAttempts > 0;
+    isLikelyUnrelated |= m_isStreamBound && crashing.mayResume(fingerprint(), *crash);
     EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_homeRegions);
     Duration wait = isLikelyUnrelated ? Duration::zero() : crashing.nextTurn(fingerprint(), *crash, order, time) - time;
     if (wait <= Duration::zero()) {
--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -175,16 +175,13 @@
     return milliseconds(stableHash(request, m_seed) % static_cast<std::uint64_t>(maxRefusalDelay.count()));
 }
 
-// Returns whether the request would be refused if all its pending connections were
-// crashes.
-bool CrashingRequests::wouldBeRefused(const RequestFingerprint& request, CrashHistory history) const
+CrashHistory CrashingRequests::withPending(const RequestFingerprint& request, CrashHistory history) const
 {
-    unsigned refusals = history.refusals;
     for (const BrokenConnection& broken : m_pending) {
         if (broken.request == request && !hasOtherCause(request, broken.endpoint))
             recordCrash(history, { broken.endpoint, broken.at, broken.ranFor });
     }
-    return history.refusals > refusals;
+    return history;
 }
 
 std::optional<Duration> CrashingRequests::remainingRefusal(const RequestFingerprint& request, TimePoint now) const
@@ -196,7 +193,20 @@
         if (left > Duration::zero())
             return left;
     }
-    return wouldBeRefused(request, std::move(history)) ? std::optional<Duration>(settleTime) : std::nullopt;
+    bool wouldBeRefused = withPending(request, history).refusals > history.refusals;
+    return wouldBeRefused ? std::optional<Duration>(settleTime) : std::nullopt;
+}
+
+// A request that crashes its endpoint mostly does so before it has brought anything, and all
+// other streams of the endpoint end with it. One that has been cut off twice may be the
+// cause all the same. Only one attempt runs at a time here.
+bool CrashingRequests::mayResume(const RequestFingerprint& request, const RecentCrash& crash) const
+{
+    auto tried = m_tried.find(request);
+    bool isUnderWay = tried != m_tried.end() && tried->second >= crash.at;
+    auto found = m_known.find(request);
+    CrashHistory history = withPending(request, found == m_known.end() ? CrashHistory() : found->second.history);
+    return !isUnderWay && history.refusals == 0 && separateCrashes(history) <= 1;
 }
 
 std::optional<CrashingRequests::RecentCrash> CrashingRequests::recentCrash(const RequestFingerprint& request, TimePoint now) const
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -32,6 +32,8 @@
 static constexpr milliseconds takeUpDelay { 100 };
 static constexpr milliseconds returnDelay { 150 };
 static constexpr std::size_t maxClientAttempts = 6;
+static constexpr milliseconds endpointDownTime { 3'000 };
+static const std::string deadlyBody = "deadly";
 static const std::string regions[] = { "north", "south" };
 
 /// The HTTP client of one entry for requests to endpoints.
@@ -70,6 +72,13 @@
         if (const std::string* after = request.headers.find("resume-after"); after && absl::SimpleAtoi(*after, &first))
             ++first;
         HttpHeaders headers { { "endpoint", "yes" }, { "request-id", *request.headers.find("request-id") }, { "content-type", "text/event-stream" } };
+        if (request.body == deadlyBody) {
+            Duration runTime = m_fleet.firstEventDelay + m_fleet.eventInterval * m_fleet.m_deadlyEvents;
+            m_fleet.scheduler.callAfter(runTime - m_fleet.eventInterval / 2, [this, endpoint, exchange] {
+                if (!exchange->isCancelled && endpoint->isUp)
+                    m_fleet.crashFor(*endpoint);
+            });
+        }
         m_fleet.scheduler.callAfter(m_fleet.firstEventDelay, [this, endpoint, exchange, callbacks, headers, first, number] {
             if (exchange->isCancelled || !endpoint->isUp)
                 return;
@@ -372,10 +381,10 @@
         parts.endpoints.put(record, now());
 }
 
-void StreamFleet::startStream(std::optional<std::uint64_t> leavesAfter)
+void StreamFleet::startStream(std::optional<std::uint64_t> leavesAfter, const std::string& body)
 {
     auto client = std::make_shared<StreamClient>();
-    client->body = absl::StrCat("body-", m_clients.size());
+    client->body = body.empty() ? absl::StrCat("body-", m_clients.size()) : body;
     client->leavesAfter = leavesAfter;
     client->deadline = now() + clientDeadline;
     client->entry = random.below(m_entries.size());
@@ -384,6 +393,20 @@
     attempt(client);
 }
 
+void StreamFleet::startDeadlyStream(std::uint64_t events)
+{
+    m_deadlyEvents = events;
+    startStream(std::nullopt, deadlyBody);
+}
+
+void StreamFleet::crashFor(const StreamEndpoint& endpoint)
+{
+    deadlyCrashes.push_back(now());
+    auto isSame = [&](const auto& other) { return other.get() == &endpoint; };
+    auto index = std::find_if(m_endpoints.begin(), m_endpoints.end(), isSame) - m_endpoints.begin();
+    crashEndpoint(static_cast<std::size_t>(index), endpointDownTime, endpoint.version);
+}
+
 void StreamFleet::run(Duration span, unsigned perSecond, double leaving)
 {
     TimePoint end = now() + span;
--- a/unittests/Ingress/StreamFleet.h
+++ b/unittests/Ingress/StreamFleet.h
@@ -69,7 +69,9 @@
 
     /// Starts a stream of a new client at a random entry. With \p leavesAfter, the client
     /// closes its connection after that event and takes the stream up at another entry.
-    void startStream(std::optional<std::uint64_t> leavesAfter = std::nullopt);
+    void startStream(std::optional<std::uint64_t> leavesAfter = std::nullopt, const std::string& body = {});
+    /// Starts a stream that crashes each endpoint which runs it, after \p events events.
+    void startDeadlyStream(std::uint64_t events);
     /// Sends \p perSecond new streams for \p span, of which the fraction \p leaving of the clients
     /// close their connections in between.
     void run(Duration span, unsigned perSecond, double leaving = 0);
@@ -112,6 +114,8 @@
     /// Refusals that clients got for an attempt to resume a stream, by the reason.
     std::map<std::string, std::size_t> refusedTakeUps;
     std::vector<std::size_t> datagramBytesSent;
+    /// Times at which deadly streams crashed endpoints.
+    std::vector<TimePoint> deadlyCrashes;
     /// Time from the sending of each attempt that resumes a stream to its first event.
     std::vector<Duration> takeUpTimes;
 
@@ -130,6 +134,7 @@
     std::shared_ptr<StreamEndpoint> endpointAt(const SocketAddress& address) const;
     std::size_t servingAt(const std::string& version) const;
     void attempt(const std::shared_ptr<StreamClient>& client);
+    void crashFor(const StreamEndpoint& endpoint);
     void scheduleAttempt(const std::shared_ptr<StreamClient>& client, Duration delay);
     void exchangeReports();
     void deliver(std::size_t from, const std::vector<OutgoingDatagram>& datagrams);
@@ -152,6 +157,7 @@
     TimePoint m_nextReportTime {};
     StreamTotals m_totals;
     std::set<std::string> m_reachedAttempts;
+    std::uint64_t m_deadlyEvents { 0 };
 };
 
 } // namespace catkinwing
--- a/unittests/Ingress/StreamVersionTest.cpp
+++ b/unittests/Ingress/StreamVersionTest.cpp
@@ -1,6 +1,7 @@
 // Tests of streams that go on after a failure while endpoints of several software versions serve.
 #include "StreamFleet.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace catkinwing;
@@ -14,6 +15,8 @@
 /// The share is judged from this number on.
 static constexpr std::size_t minTakenUp = 12;
 static constexpr unsigned streamsPerSecond = 50;
+/// Entries know within this time that a request has crashed three endpoints.
+static constexpr Duration propagationTime = 5s;
 
 static void checkStreams(const StreamFleet& fleet)
 {
@@ -165,3 +168,22 @@
         checkStreams(fleet);
     }
 }
+
+// Guards against trusting a stream that crashes endpoints because it has brought events.
+TEST_CASE("a stream that brings events and crashes its endpoint each time is refused after three crashes")
+{
+    for (std::uint64_t events : { 1, 3 }) {
+        for (unsigned seed = 1; seed <= 8; ++seed) {
+            StreamFleet fleet(seed, { "v1" });
+            for (int i = 0; i < 40; ++i) {
+                fleet.startDeadlyStream(events);
+                fleet.run(100ms + std::chrono::milliseconds(fleet.random.below(600)), streamsPerSecond);
+            }
+            fleet.finish();
+            INFO("events " << events << ", seed " << seed << ", " << fleet.deadlyCrashes.size() << " crashes");
+            REQUIRE(fleet.deadlyCrashes.size() >= 3);
+            TimePoint isKnown = fleet.deadlyCrashes[2] + propagationTime;
+            CHECK(std::none_of(fleet.deadlyCrashes.begin(), fleet.deadlyCrashes.end(), [isKnown](TimePoint at) { return at > isKnown; }));
+        }
+    }
+}
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -229,3 +229,23 @@
     requests.mergeNotice(notice, now);
     CHECK(requests.remainingRefusal(fingerprint(1), now));
 }
+
+// Guards against delaying every stream that ran on a crashed endpoint, and against letting
+// the one that crashes endpoints go on again and again.
+TEST_CASE("a stream with events goes on at once after one crash, but not after two or while another attempt runs")
+{
+    CrashingRequests requests;
+    TimePoint at = TimePoint() + 10s;
+    RequestFingerprint stream;
+    stream.bytes[0] = 1;
+    requests.recordBrokenConnection(stream, 7, {}, at, 500ms);
+    std::optional<CrashingRequests::RecentCrash> crash = requests.crashToAwait(stream, at);
+    REQUIRE(crash);
+    CHECK(requests.mayResume(stream, *crash));
+    requests.recordAttempt(stream, at + 10ms);
+    CHECK_FALSE(requests.mayResume(stream, *crash));
+    requests.recordBrokenConnection(stream, 8, {}, at + 600ms, 500ms);
+    crash = requests.crashToAwait(stream, at + 600ms);
+    REQUIRE(crash);
+    CHECK_FALSE(requests.mayResume(stream, *crash));
+}
