Test how entries keep and tell the versions of streams, rule by rule

The tests found that a stream whose endpoint had started again at another version was taken for certain again once its attempt was abandoned; such an endpoint is now marked. Two Resumes headers name no attempt. The fuzz target of peer reports reads the new messages.

--- a/fuzz/FuzzPeerReports.cpp
+++ b/fuzz/FuzzPeerReports.cpp
@@ -6,6 +6,7 @@
 #include "catkinwing/PeerProtocol/LoadReport.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/PeerProtocol/StoreChanges.h"
+#include "catkinwing/PeerProtocol/StreamOriginMessages.h"
 
 using namespace catkinwing;
 
@@ -76,6 +77,17 @@
     require(encodeLimitMessage(*decoded) == again, "a message comes back as it was");
 }
 
+static void fuzzStreamOriginMessage(absl::string_view bytes)
+{
+    absl::StatusOr<StreamOriginMessage> message = decodeStreamOriginMessage(std::string(1, streamOriginMark) + std::string(bytes));
+    if (!message.ok())
+        return;
+    std::string again = encodeStreamOriginMessage(*message);
+    absl::StatusOr<StreamOriginMessage> decoded = decodeStreamOriginMessage(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeStreamOriginMessage(*decoded) == again, "a message comes back as it was");
+}
+
 static void fuzzStoreChanges(absl::string_view bytes)
 {
     absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
@@ -96,5 +108,6 @@
     fuzzStoreChanges(textOf(data, size));
     fuzzCreditMessage(textOf(data, size));
     fuzzLimitMessage(textOf(data, size));
+    fuzzStreamOriginMessage(textOf(data, size));
     return 0;
 }
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -49,6 +49,9 @@
     /// When a connection to the endpoint last broke or failed, unless the endpoint has been heard
     /// from on an earlier connection since.
     TimePoint connectionLostAt {};
+    /// A later start with another software version has replaced the endpoint. It isn't known
+    /// when the later one began to serve.
+    bool wasReplacedByOtherVersion { false };
     /// Until then the process that is registered was heard from, on connections that lead
     /// back to a time at which its registration was known.
     TimePoint verifiedUntil {};
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -153,6 +153,7 @@
 // Called after the new start is in the table, so that the aborted requests can choose it.
 void EndpointTable::abortReplacedStart(RoutedEndpoint& endpoint, bool hasOtherVersion)
 {
+    endpoint.wasReplacedByOtherVersion = hasOtherVersion;
     if (m_replacedObserver)
         m_replacedObserver(endpoint);
     abortAttempts(endpoint, hasOtherVersion ? AbortReason::RestartedAtOtherVersion : AbortReason::Restarted);
--- a/lib/Ingress/EndpointTableVersions.cpp
+++ b/lib/Ingress/EndpointTableVersions.cpp
@@ -57,6 +57,8 @@
 // if a registration can't become known for long.
 bool EndpointTable::mayHaveRestarted(const RoutedEndpoint& endpoint, TimePoint now) const
 {
+    if (endpoint.wasReplacedByOtherVersion)
+        return true;
     if (m_knowledgeAge > agingKnowledge && now > std::max(endpoint.verifiedUntil, now - m_knowledgeAge) + minRestartTime)
         return true;
     return endpoint.connectionLostAt != TimePoint {} && now - m_knowledgeAge < endpoint.connectionLostAt + registrationTime;
--- a/lib/Ingress/StreamOriginExchange.cpp
+++ b/lib/Ingress/StreamOriginExchange.cpp
@@ -127,6 +127,8 @@
 // The streams that began before a connection to the endpoint was lost began before its end.
 void StreamOriginExchange::withdrawAfterRestart(const RoutedEndpoint& replaced)
 {
+    if (!replaced.wasReplacedByOtherVersion)
+        return;
     for (auto& [at, stream] : m_started) {
         if (stream.endpoint != replaced.hash || at < replaced.connectionLostAt || stream.build == uncertainBuild)
             continue;
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -155,11 +155,12 @@
     return route;
 }
 
-void IngressFixture::addEndpoint(const std::string& incarnation, const std::string& zone)
+void IngressFixture::addEndpoint(const std::string& incarnation, const std::string& zone, const std::string& version)
 {
     EndpointRecord record;
     record.incarnation = incarnation;
     record.service = "service";
+    record.softwareVersion = version;
     record.address = { "127.0.0.1", static_cast<std::uint16_t>(1'000 + ++m_endpointCount) };
     record.availabilityZone = zone;
     parts.endpoints.put(std::move(record), scheduler.clock().now());
--- a/unittests/Ingress/IngressFixture.h
+++ b/unittests/Ingress/IngressFixture.h
@@ -29,7 +29,7 @@
     void configure(Route route, std::vector<Workspace> workspaces = {}, std::int64_t version = 1);
     static Route unaryRoute(RequestKind kind, unsigned attempts = 2);
     static Route streamRoute(bool isResumable);
-    void addEndpoint(const std::string& incarnation, const std::string& zone = "north-a");
+    void addEndpoint(const std::string& incarnation, const std::string& zone = "north-a", const std::string& version = "v1");
     void addEntry(const std::string& name, const std::string& region, int port);
     /// Starts a request and returns the responder that receives its answer.
     std::shared_ptr<FakeResponder> start(HttpHeaders headers = {}, bool isForwarded = false);
--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -66,6 +66,7 @@
     REQUIRE(record.ok());
     CHECK(record->incarnation == "i-1");
     CHECK(record->service == "s");
+    CHECK(record->softwareVersion == "v1");
     CHECK(record->availabilityZone == "z");
     CHECK(record->address.toString() == "10.1.2.3:80");
     CHECK(record->isLeaving);
--- a/unittests/Platform/PlatformDialectTest.cpp
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -169,3 +169,15 @@
     CHECK(dialect.readRequest(request({ { "Token-Count", "10,20" } })).hasTokenCounts);
     CHECK_FALSE(dialect.readRequest(request({})).hasTokenCounts);
 }
+
+TEST_CASE("the attempt that began a resumed stream is read and forwarded, and two of them name none")
+{
+    HttpRequest resuming = request({ { "Host", "h" }, { "Attempt-Id", "a2" }, { "resumes", "a1" }, { "Last-Event-Id", "12" }, { "Catkinwing-Stream-Build", "1" } });
+    RequestFacts facts = platformDialect().readRequest(resuming);
+    CHECK(facts.resumedAttemptId == "a1");
+    CHECK(facts.resumeAfter == 12);
+    CHECK(facts.forwardedHeaders.find("resumes"));
+    CHECK_FALSE(facts.forwardedHeaders.find("catkinwing-stream-build"));
+    resuming.headers.add("Resumes", "a0");
+    CHECK(platformDialect().readRequest(resuming).resumedAttemptId.empty());
+}
