--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -15,6 +15,7 @@
     ("narrow", ["key-narrow"], [], 6),
 ]
 HOLDERS = {key: name for name, keys, _, _ in WORKSPACES for key in keys}
+LIMITED_KEYS = {key for _, keys, _, rate in WORKSPACES if rate for key in keys}
 HOMES = {name: homes for name, _, homes, _ in WORKSPACES}
 # Callers draw one of these; nobody holds the last one.
 KEYS = ["key-wide-1"] * 6 + ["key-wide-2"] * 6 + ["key-bound"] * 4 + ["key-narrow"] * 5 + ["key-unknown"]
