--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -143,6 +143,8 @@
     /// Returns the number of request limits in force, of this entry's shares in them, and the
     /// totals of the requests that entries obtained from each other.
     nlohmann::json limitTotals();
+    /// Returns the totals of the versions of streams that entries told each other.
+    nlohmann::json streamOriginTotals() const;
     /// Returns what this entry knows of the limits of workspaces and of endpoints.
     nlohmann::json limitReport();
     void houseKeep();
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -65,6 +65,9 @@
     nlohmann::json limits = limitTotals();
     for (const auto& [name, value] : limits.items())
         metrics.set("endpoint_limits_" + name, value.get<double>());
+    nlohmann::json streams = streamOriginTotals();
+    for (const auto& [name, value] : streams.items())
+        metrics.set("stream_versions_" + name, value.get<double>());
     for (const auto& [service, budget] : parts.retryBudgets) {
         metrics.set("retry_budget_requests_" + service, static_cast<double>(budget.totals().requests));
         metrics.set("retry_budget_retries_" + service, static_cast<double>(budget.totals().retries));
@@ -134,6 +137,13 @@
     return { { "in_force", inForce }, { "shares", shares }, { "asked", totals.asked }, { "obtained", totals.obtained }, { "granted", totals.granted } };
 }
 
+nlohmann::json IngressDaemon::Impl::streamOriginTotals() const
+{
+    const StreamOriginTotals& totals = streamOrigins.totals();
+    return { { "kept", streamOrigins.size() }, { "stated", totals.stated }, { "asked", totals.asked }, { "found", totals.found }, { "concluded", totals.concluded },
+        { "unknown", totals.unknown } };
+}
+
 // Logs the state and the counters of the entry for analysis from logs alone.
 void IngressDaemon::Impl::logState()
 {
@@ -146,7 +156,7 @@
             { "version", parts.routes ? parts.routes->version() : 0 }, { "watches_store", relayedStore.watchesDirectly() },
             { "store_age_ms", std::chrono::duration_cast<milliseconds>(relayedStore.dataAge().value_or(Duration::zero())).count() }, { "store_calls", storeCalls },
             { "unreached_endpoints", parts.endpoints.reach().failedEndpoints().size() },
-            { "retry_budgets", retryTotals() }, { "endpoint_limits", limitTotals() }, { "log_lines_dropped", log.dropped() } });
+            { "retry_budgets", retryTotals() }, { "endpoint_limits", limitTotals() }, { "stream_versions", streamOriginTotals() }, { "log_lines_dropped", log.dropped() } });
 }
 
 } // namespace catkinwing
