Refuse a request whose search for an endpoint takes long while its entry is cut off

Where no entry reaches any endpoint, a request was now and then answered after more than half a second: it tested an endpoint here, was handed over to an entry that tested one as well, then to another region and to a third entry, 0.1 to 0.2 s each.

Such a request is refused as not run after two attempts that reached nobody and 0.25 s.

--- a/lib/Ingress/RoutedRunHandover.cpp
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -12,6 +12,9 @@
 /// A request that couldn't reach this many endpoints is handed over, also if others are
 /// reached.
 static constexpr unsigned maxUnreachedHere = 2;
+/// A request that has looked for an endpoint this long without reaching any is refused: the
+/// next entry would most likely be cut off as well, and may take two tenths of a second to find out.
+static constexpr std::chrono::milliseconds maxCutOffSearch { 250 };
 
 // A connection that hung may have delivered the request, but says as little of the endpoint
 // as one that failed. Idle connections to endpoints that aren't reached would lose a request
@@ -56,8 +59,11 @@
         return false;
     if (isCutOff && m_unreachedAttempts == 0 && m_parts.endpoints.reach().tryProbe(m_service, mayRepeat(*m_route), now()))
         return false;
+    bool hasSearchedLong = m_unreachedAttempts >= maxUnreachedHere && now() - m_request.arrivedAt >= maxCutOffSearch;
+    if (isCutOff && (m_request.isForwarded || hasSearchedLong))
+        return refuseAsCutOff();
     if (m_request.isForwarded)
-        return isCutOff && refuseAsCutOff();
+        return false;
     std::optional<SocketAddress> peer = chooseRoomHolder();
     if (!peer)
         peer = m_parts.entries.choosePeer(m_parts.region, now(), m_parts.random, m_triedEntries);
