Don't conclude a stream's version from one service if another may have begun it

Where a route divides its requests among services, an attempt that resumes a stream picked one of them anew, and a single version of that service was taken for the stream's. The same holds after a version of the configuration has moved a route. Found by reading for other places of the same cause: what spans attempts was decided anew for each.

For such routes streams are always stated, and a stream that nobody has stated is refused. A stream whose version is known goes on at the service that has it. A route counts as moved for as long as a stream may be resumed.

RoutedStreamTest and StoreFollowerTest hold the cases; they were written with the change and not run without it.

--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -74,6 +74,8 @@
     CrashingRequests crashingRequests {};
     /// When this entry's process started.
     TimePoint startedAt {};
+    /// When a configuration last gave a route other services, by the route's name.
+    absl::flat_hash_map<std::string, TimePoint> routesMovedAt {};
     /// Limits of workspaces; null if they aren't enforced.
     CreditExchange* credit { nullptr };
     /// Obtains requests at endpoints with a limit; null if other entries aren't asked.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -152,6 +152,9 @@
     bool isResumableStream() const;
     /// Returns the fingerprint of the client attempt that brought, or may bring, the first event.
     RequestFingerprint streamFingerprint() const;
+    /// Returns the service whose only version is that of any stream of the route; empty if there
+    /// is none.
+    std::string concludableService() const;
     /// Determines at which software version the request must run, and dispatches it.
     void resolveStreamBuild();
     void onStreamBuildResolved(std::optional<BuildId> build);
--- a/include/catkinwing/Ingress/StreamOriginExchange.h
+++ b/include/catkinwing/Ingress/StreamOriginExchange.h
@@ -28,6 +28,7 @@
 /// A stream that an endpoint has begun.
 struct StartedStream {
     RequestFingerprint stream;
+    /// The only service that can have begun it; empty if there may be others.
     std::string service;
     /// Version of the endpoint, or uncertainBuild.
     BuildId build { uncertainBuild };
--- a/lib/Ingress/RoutedRunStreams.cpp
+++ b/lib/Ingress/RoutedRunStreams.cpp
@@ -22,6 +22,15 @@
     return fingerprintOf({ facts.host, facts.caller + m_workspaceName, "stream", m_request.http.path, attempt, {} });
 }
 
+// Where a route has several services, or was moved to another one while the stream may have
+// run, the only version of a service doesn't tell which service began the stream.
+std::string RoutedRun::concludableService() const
+{
+    auto moved = m_parts.routesMovedAt.find(m_route->name);
+    bool wasMoved = moved != m_parts.routesMovedAt.end() && now() - moved->second < m_parts.endpoints.streamLifetime();
+    return m_route->services.size() == 1 && !wasMoved ? m_service : std::string();
+}
+
 // An entry outside of the regions that may process the request leaves it to one of them to
 // find out. An entry that forwards the rest of a broken stream, or the attempt of a client
 // that names no earlier one, may not know that this one needs the version.
@@ -34,10 +43,10 @@
     }
     m_parts.metrics.count("streams_resumed");
     if (m_request.streamBuild || !m_parts.streamOrigins) {
-        onStreamBuildResolved(m_request.streamBuild ? m_request.streamBuild : m_parts.endpoints.soleVersion(m_service, now()));
+        onStreamBuildResolved(m_request.streamBuild ? m_request.streamBuild : m_parts.endpoints.soleVersion(concludableService(), now()));
         return;
     }
-    m_parts.streamOrigins->resolve(streamFingerprint(), m_service, m_homeRegions, [self = shared_from_this()](std::optional<BuildId> build) {
+    m_parts.streamOrigins->resolve(streamFingerprint(), concludableService(), m_homeRegions, [self = shared_from_this()](std::optional<BuildId> build) {
         if (!self->m_isDone)
             self->onStreamBuildResolved(build);
     });
@@ -94,7 +103,7 @@
 {
     if (!isResumableStream() || !m_parts.streamOrigins || !isAllowedHere())
         return;
-    StartedStream stream { streamFingerprint(), m_service, attempt.build.value_or(uncertainBuild), attempt.endpoint ? attempt.endpoint->hash : 0, m_homeRegions };
+    StartedStream stream { streamFingerprint(), concludableService(), attempt.build.value_or(uncertainBuild), attempt.endpoint ? attempt.endpoint->hash : 0, m_homeRegions };
     m_parts.streamOrigins->state(std::move(stream));
 }
 
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -106,6 +106,36 @@
     m_parts.endpoints.setEvacuated(m_evacuatedZones, m_parts.routes.get(), now());
 }
 
+static bool hasSameServices(const Route& a, const Route& b)
+{
+    auto isSame = [](const WeightedService& x, const WeightedService& y) { return x.service == y.service; };
+    return std::equal(a.services.begin(), a.services.end(), b.services.begin(), b.services.end(), isSame);
+}
+
+// A route that is added may take paths over from another one.
+std::vector<std::string> movedRoutes(const RouteTable& before, const RouteTable& next)
+{
+    absl::flat_hash_map<std::string, const Route*> known;
+    for (const Route& route : before.routes())
+        known[route.name] = &route;
+    std::vector<std::string> moved;
+    for (const Route& route : next.routes()) {
+        auto found = known.find(route.name);
+        if (route.isResumable && (found == known.end() || !hasSameServices(*found->second, route)))
+            moved.push_back(route.name);
+    }
+    return moved;
+}
+
+void StoreFollower::recordMovedRoutes(const RouteTable& next)
+{
+    if (!m_parts.routes)
+        return;
+    absl::erase_if(m_parts.routesMovedAt, [this](const auto& moved) { return now() - moved.second >= m_parts.endpoints.streamLifetime(); });
+    for (const std::string& route : movedRoutes(*m_parts.routes, next))
+        m_parts.routesMovedAt[route] = now();
+}
+
 // A version that isn't newer or can't be parsed is ignored; the current one stays in
 // force.
 void StoreFollower::applyConfiguration(const ConfigChange& change)
@@ -124,6 +154,7 @@
         return;
     logChange(LogLevel::Info, "configuration_in_force",
         { { "version", table.document->version() }, { "before", currentVersion }, { "revision", change.revision }, { "routes", table.document->routes().size() } });
+    recordMovedRoutes(*table.document);
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
     m_parts.endpoints.setStreamLifetime(streamLifetimeOf(*m_parts.routes));
 }
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -7,6 +7,10 @@
 
 namespace catkinwing {
 
+/// Returns the names of the resumable routes of \p next that have other services than before, or
+/// that weren't there.
+std::vector<std::string> movedRoutes(const RouteTable& before, const RouteTable& next);
+
 /// Follows the store's keys of operators, endpoints and entries and updates the
 /// tables of \p parts from them.
 class StoreFollower {
@@ -27,6 +31,7 @@
 
 private:
     void applyChange(const ConfigChange& change);
+    void recordMovedRoutes(const RouteTable& next);
     void applyConfiguration(const ConfigChange& change);
     void applyEvacuation(const std::string& zone, bool isEvacuated);
     void applyEndpoint(const std::string& incarnation, const ConfigChange& change);
--- a/unittests/Ingress/RoutedStreamTest.cpp
+++ b/unittests/Ingress/RoutedStreamTest.cpp
@@ -25,6 +25,7 @@
         fixture.scheduler.advance(100ms);
         REQUIRE(client->body == eventText(1) + eventText(2));
         CHECK(versionOf(0) == version);
+        lastIncarnation = fixture.sentHeader(0, "incarnation");
         fixture.endpointClient.requests.clear();
     }
 
@@ -50,6 +51,8 @@
     }
 
     std::map<std::string, std::string> versions;
+    /// Incarnation that stateOrigin() has used.
+    std::string lastIncarnation;
     IngressFixture fixture;
     EntryTable entries { { "north", "north-a", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } } };
     StreamOriginExchange origins { fixture.parts.endpoints, entries, { "north", "north-a", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } }, fixture.scheduler, [](const OutgoingDatagram&) {} };
@@ -372,3 +375,57 @@
     CHECK(streams.versionOf(0) == "v1");
     CHECK(streams.versionOf(1) == "v2");
 }
+
+// Guards against taking the only version of one service for that of a stream which another
+// service began.
+TEST_CASE("the version of a stream isn't concluded if another service may have begun it")
+{
+    StreamFixture streams;
+    streams.addEndpoint("e1", "v1");
+    streams.fixture.scheduler.advance(40s);
+    streams.fixture.answers = { restOfStream };
+    bool isRefused = true;
+    SECTION("the route has two services")
+    {
+        Route route = IngressFixture::streamRoute(true);
+        route.services.push_back({ "other", 0 });
+        streams.fixture.configure(route);
+    }
+    SECTION("the route was moved a moment ago") { streams.fixture.parts.routesMovedAt["route"] = streams.fixture.scheduler.clock().now() - 20s; }
+    SECTION("the route was moved before any stream that still runs")
+    {
+        streams.fixture.parts.routesMovedAt["route"] = streams.fixture.scheduler.clock().now() - 31s;
+        isRefused = false;
+    }
+    auto client = streams.fixture.start(StreamFixture::resumingHeaders());
+    streams.fixture.scheduler.advance(200ms);
+    CHECK((client->status() == 503) == isRefused);
+}
+
+TEST_CASE("a stream of a route with two services goes on at the service that began it")
+{
+    StreamFixture streams;
+    Route route = IngressFixture::streamRoute(true);
+    route.services = { { "other", 1 }, { "service", 1 } };
+    ServiceSettings other;
+    other.name = "other";
+    ServiceSettings service;
+    service.name = "service";
+    streams.fixture.parts.routes = std::make_shared<const RouteTable>(2, std::vector<Route> { route }, std::vector<ServiceSettings> { other, service }, ClientLimits {});
+    streams.addEndpoint("e1", "v1");
+    EndpointRecord record;
+    record.incarnation = "o1";
+    record.service = "other";
+    record.softwareVersion = "v1";
+    record.address = { "127.0.0.1", 99 };
+    record.availabilityZone = "north-a";
+    streams.fixture.parts.endpoints.put(record, streams.fixture.scheduler.clock().now());
+    streams.versions["o1"] = "v1";
+    streams.stateOrigin("v1");
+    streams.fixture.answers = { restOfStream };
+    for (std::size_t i = 0; i < 10; ++i) {
+        streams.fixture.start(StreamFixture::resumingHeaders());
+        streams.fixture.scheduler.advance(200ms);
+        CHECK(streams.fixture.sentHeader(i, "incarnation") == streams.lastIncarnation);
+    }
+}
--- a/unittests/Ingress/StoreFollowerTest.cpp
+++ b/unittests/Ingress/StoreFollowerTest.cpp
@@ -313,3 +313,22 @@
         CHECK(tables.endpointCount() == 0);
     }
 }
+
+TEST_CASE("a resumable route counts as moved if a version adds it or gives it other services")
+{
+    Route stays = IngressFixture::streamRoute(true);
+    stays.name = "stays";
+    Route moves = stays;
+    moves.name = "moves";
+    Route plain = IngressFixture::unaryRoute(RequestKind::Idempotent);
+    plain.name = "plain";
+    RouteTable before(1, { stays, moves, plain }, {}, ClientLimits {});
+    moves.services = { { "other", 1 } };
+    plain.services = { { "other", 1 } };
+    stays.services[0].weight = 2;
+    Route added = stays;
+    added.name = "added";
+    RouteTable next(2, { stays, moves, plain, added }, {}, ClientLimits {});
+    CHECK(movedRoutes(before, next) == std::vector<std::string> { "moves", "added" });
+    CHECK(movedRoutes(next, next).empty());
+}
