Don't abort requests because of a registration of the same start with another version

Since streams keep their version, a registration under a known name with another version, or another service, counted as a later start, and all requests in flight there were aborted. Another writer's change would have cut them off. A registration of the same start, or of another service, is no later start. Found by reading; the test was written with the change.

--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -81,6 +81,15 @@
     return record.startedAt && start && *record.startedAt < *start;
 }
 
+// A process doesn't change its software version. A registration of the same start that states
+// another one comes from another writer.
+static bool isLaterStart(const EndpointRecord& known, const EndpointRecord& record)
+{
+    bool hasOtherVersion = known.service == record.service && known.softwareVersion != record.softwareVersion;
+    bool isSameStart = known.startedAt && known.startedAt == record.startedAt;
+    return isBefore(known, record.startedAt) || (hasOtherVersion && !isSameStart);
+}
+
 // The store delivers changes in order, but a registration from a relay or a stale read may
 // be older than the known one.
 bool EndpointTable::isOutdated(const EndpointRecord& record) const
@@ -99,9 +108,7 @@
     std::shared_ptr<RoutedEndpoint> replaced;
     BuildId build = buildIdOf(record.service, record.softwareVersion);
     auto known = m_endpoints.find(record.incarnation);
-    // A process doesn't change its software version.
-    bool isReplaced = known != m_endpoints.end() && (isBefore(known->second->record, record.startedAt) || known->second->build != build);
-    if (isReplaced) {
+    if (known != m_endpoints.end() && isLaterStart(known->second->record, record)) {
         replaced = known->second;
         logEndpoint("endpoint_started_again", *replaced);
         detach(record.incarnation, now);
--- a/unittests/Ingress/EndpointTableTest.cpp
+++ b/unittests/Ingress/EndpointTableTest.cpp
@@ -446,3 +446,43 @@
     fixture.table.recordSentToRegion("south", "a", fixture.now);
     CHECK(fixture.table.regionOfSegment("service", "a", {}, fixture.now) == "north");
 }
+
+// Guards against aborting requests because of a registration that another writer changed.
+TEST_CASE("a registration of another version replaces a start, unless it names the same start or another service")
+{
+    TableFixture fixture;
+    EndpointRecord record;
+    record.incarnation = "e1";
+    record.service = "service";
+    record.softwareVersion = "v1";
+    record.availabilityZone = "north-a";
+    std::optional<AbortReason> reason;
+    auto replace = [&](const EndpointRecord& next) {
+        reason.reset();
+        fixture.table.put(record, fixture.now);
+        fixture.table.forEach([&](RoutedEndpoint& endpoint) { endpoint.abortCallbacks[1] = [&reason](AbortReason why) { reason = why; }; });
+        fixture.table.put(next, fixture.now);
+        fixture.table.remove("e1", fixture.now);
+    };
+    EndpointRecord next = record;
+    next.softwareVersion = "v2";
+    replace(next);
+    CHECK(reason == AbortReason::RestartedAtOtherVersion);
+    next.service = "other";
+    replace(next);
+    CHECK_FALSE(reason);
+    record.startedAt = 1'000ms;
+    next = record;
+    next.softwareVersion = "v2";
+    replace(next);
+    CHECK_FALSE(reason);
+    record.startedAt = 2'000ms;
+    next.startedAt = 3'000ms;
+    replace(next);
+    CHECK(reason == AbortReason::RestartedAtOtherVersion);
+    record.startedAt = 4'000ms;
+    next = record;
+    next.startedAt = 5'000ms;
+    replace(next);
+    CHECK(reason == AbortReason::Restarted);
+}
