--- a/lib/Replay/ReplayReport.cpp
+++ b/lib/Replay/ReplayReport.cpp
@@ -1,16 +1,19 @@
 #include "catkinwing/Replay/ReplayReport.h"
 
+#include "JsonTime.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace catkinwing {
 
-static std::optional<std::chrono::milliseconds> readMilliseconds(const nlohmann::json& json, const char* name)
+/// Sets \p time if the field is there. Returns false if its value is out of range.
+static bool readMilliseconds(const nlohmann::json& json, const char* name, std::optional<std::chrono::milliseconds>& time)
 {
     auto field = json.find(name);
     if (field == json.end())
-        return std::nullopt;
-    return std::chrono::milliseconds(field->get<std::int64_t>());
+        return true;
+    time = millisecondsOf(*field);
+    return time.has_value();
 }
 
 static std::optional<double> readRatio(const nlohmann::json& json, const char* name)
@@ -32,8 +35,10 @@
             StatedOutcome outcome;
             outcome.answered = readRatio(fields, "answered");
             outcome.unknown = readRatio(fields, "unknown");
-            outcome.medianTimeToFirstByte = readMilliseconds(fields, "median_time_to_first_byte_ms");
-            outcome.p99TimeToFirstByte = readMilliseconds(fields, "p99_time_to_first_byte_ms");
+            bool areTimesValid = readMilliseconds(fields, "median_time_to_first_byte_ms", outcome.medianTimeToFirstByte)
+                && readMilliseconds(fields, "p99_time_to_first_byte_ms", outcome.p99TimeToFirstByte);
+            if (!areTimesValid)
+                return absl::InvalidArgumentError(absl::StrCat("stated outcomes of ", name, ": a time is out of range"));
             stated[name] = outcome;
         }
     } catch (const nlohmann::json::exception& fault) {
--- a/lib/Replay/Trace.cpp
+++ b/lib/Replay/Trace.cpp
@@ -1,15 +1,19 @@
 #include "catkinwing/Replay/Trace.h"
 
+#include "JsonTime.h"
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 namespace catkinwing {
 
-static TraceRequest readRequest(const nlohmann::json& line)
+static absl::StatusOr<TraceRequest> readRequest(const nlohmann::json& line)
 {
     TraceRequest request;
-    request.at = std::chrono::milliseconds(line.at("at_ms").get<std::int64_t>());
+    std::optional<std::chrono::milliseconds> at = millisecondsOf(line.at("at_ms"));
+    if (!at)
+        return absl::InvalidArgumentError(absl::StrCat("at_ms is out of range: ", line["at_ms"].dump()));
+    request.at = *at;
     request.region = line.at("region").get<std::string>();
     request.key = line.at("key").get<std::string>();
     request.requestClass = line.at("class").get<std::string>();
@@ -30,7 +34,10 @@
         if (line.empty())
             continue;
         try {
-            trace.push_back(readRequest(nlohmann::json::parse(line.begin(), line.end())));
+            absl::StatusOr<TraceRequest> request = readRequest(nlohmann::json::parse(line.begin(), line.end()));
+            if (!request.ok())
+                return absl::InvalidArgumentError(absl::StrCat("line ", number, ": ", request.status().message()));
+            trace.push_back(std::move(*request));
         } catch (const nlohmann::json::exception& fault) {
             return absl::InvalidArgumentError(absl::StrCat("line ", number, ": ", fault.what()));
         }
--- a/unittests/Replay/ReplayTest.cpp
+++ b/unittests/Replay/ReplayTest.cpp
@@ -60,9 +60,19 @@
 TEST_CASE("traces that can't be read name the line")
 {
     CHECK(parseTrace("{}").status().message().find("line 1") == 0);
+    // Numbers beyond the range of a time have no value as one.
+    for (const char* at : { "1.6e+60", "-1e300", "1e16" })
+        CHECK(parseTrace(std::string(R"({"at_ms":)") + at + R"(,"region":"n","key":"k","class":"c","path":"/"})").status().message().find("line 1: at_ms") == 0);
     CHECK_FALSE(parseTrace(std::string(twoLines) + R"({"at_ms":1,"region":"n","key":"k","class":"c","path":"/"})").ok());
 }
 
+TEST_CASE("stated times beyond the range of a time are refused")
+{
+    CHECK(parseStatedOutcomes(R"({"c":{"p99_time_to_first_byte_ms":250}})").ok());
+    CHECK_FALSE(parseStatedOutcomes(R"({"c":{"p99_time_to_first_byte_ms":1e40}})").ok());
+    CHECK_FALSE(parseStatedOutcomes(R"({"c":{"median_time_to_first_byte_ms":-1e40}})").ok());
+}
+
 TEST_CASE("stated outcomes that are missed are named")
 {
     std::vector<ReplayResult> results(10, { "short", 200, true, "", 10ms, 20ms });
