--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -198,7 +198,7 @@
             fields.append(("Expect-Instance", "i-forged"))
         keep = await self.send(sent, reader, writer, wire.request(method, path, fields, body), random)
         if may_resume and sent["status"] in (None, 200):
-            self.note_events(sent)
+            self.record_events(sent)
         if sent.get("stream") and sent["stream"].last < endpoints.EVENTS:
             writer.close()
             await self.resume(sent, zone, random)
@@ -222,7 +222,7 @@
             self.counts[sent["how"] or sent["status"]] += 1
         return False
 
-    def note_events(self, sent):
+    def record_events(self, sent):
         events, _ = streams.read_events(sent.get("answer", b""))
         if sent["how"] != "left":
             sent["stream"] = self.streams.begin(sent, events)
