End the open stream of a test before its fixture goes

Under the sanitizers one case of RoutedStreamTest leaked: its stream was still open when the fixture went, and an open request holds itself. The case now also checks that the stream ends at its deadline.

--- a/unittests/Ingress/RoutedStreamTest.cpp
+++ b/unittests/Ingress/RoutedStreamTest.cpp
@@ -338,6 +338,9 @@
     };
     CHECK(resume()->status() == 503);
     CHECK(first->isOpen());
+    // The open stream holds its entry until its deadline.
+    streams.fixture.scheduler.advance(2s);
+    CHECK_FALSE(first->isOpen());
 }
 
 TEST_CASE("while the store is silent, only endpoints that were heard from all along go on with streams")
