Log which prompt segments requests share when their attempts fail

The incident of a prompt segment couldn't be told apart by the logs: attempt_failed named the request as a whole and none of its segments. It names them by hashes now. CrashSuspect makes these names; nothing is decided by them yet.

--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -4,6 +4,7 @@
 #include "catkinwing/Http/HttpServer.h"
 #include "catkinwing/Ingress/IngressContext.h"
 #include "catkinwing/Ingress/RunDecisions.h"
+#include "catkinwing/Membership/CrashSuspect.h"
 #include "catkinwing/Routing/SegmentRegionChoice.h"
 #include "catkinwing/Support/RequestFingerprint.h"
 
@@ -134,6 +135,10 @@
     bool isHome(const std::string& region) const;
     bool canRunBeforeStop() const;
     const RequestFingerprint& fingerprint();
+    /// Returns what of the request may crash an endpoint.
+    const RequestSuspects& suspects();
+    /// Returns the names of the prompt segments among the suspects, for the log.
+    std::vector<std::string> segmentNames();
     bool refuseIfCrashing();
     /// Delays the request if an endpoint has just crashed while running an identical
     /// request. Returns whether the request is delayed or has been refused.
@@ -257,6 +262,8 @@
     std::string m_service;
     /// Computed on first use.
     absl::optional<RequestFingerprint> m_fingerprint;
+    /// Computed on first use; empty before.
+    RequestSuspects m_suspects;
     TimePoint m_deadline {};
     TimerId m_deadlineTimer { 0 };
     absl::optional<Attempt> m_attempt;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -275,7 +275,7 @@
     if (verdict == AttemptVerdict::Answered || !m_parts.log.admitsNotable())
         return;
     m_parts.log.write(LogLevel::Warning, "attempt_failed",
-        { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "route", m_route->name },
+        { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "segments", attempt.endpoint ? segmentNames() : std::vector<std::string>() }, { "route", m_route->name },
             { "to", m_lastTarget }, { "software_version", m_lastSoftwareVersion }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
             { "attempt", m_attemptCount }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -30,6 +30,30 @@
     return *m_fingerprint;
 }
 
+// The segments of a prompt are named only on routes whose requests state them.
+const RequestSuspects& RoutedRun::suspects()
+{
+    if (!m_suspects.empty())
+        return m_suspects;
+    std::vector<absl::string_view> segments;
+    if (m_route->hasPromptAffinity) {
+        for (const PromptSegment& segment : m_request.facts.prompt)
+            segments.emplace_back(segment.id);
+    }
+    m_suspects = requestSuspects(fingerprint(), segments);
+    return m_suspects;
+}
+
+std::vector<std::string> RoutedRun::segmentNames()
+{
+    std::vector<std::string> names;
+    for (const SuspectId& suspect : suspects()) {
+        if (kindOf(suspect) == SuspectKind::PromptSegment)
+            names.push_back(suspect.toHex());
+    }
+    return names;
+}
+
 // A request that is bound to other regions is refused there, since its crashes are
 // not recorded here.
 bool RoutedRun::refuseIfCrashing()
