--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -4,6 +4,7 @@
 #include "catkinwing/Ingress/CrashExchange.h"
 #include "catkinwing/Ingress/LimitExchange.h"
 #include "catkinwing/Ingress/LoadExchange.h"
+#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <cassert>
 
@@ -98,7 +99,8 @@
 
     void handleAttempt(SimulatedEndpoint& endpoint, std::uint64_t number, const HttpClientRequest& request, const HttpClientCallbacks& callbacks, const std::shared_ptr<Exchange>& exchange)
     {
-        m_fleet.endpointAttempts.push_back({ *request.headers.find("request-id"), request.body, m_entry, m_fleet.now(), m_fleet.indexOf(endpoint) });
+        const std::string* segments = request.headers.find("segments");
+        m_fleet.endpointAttempts.push_back({ *request.headers.find("request-id"), request.body, m_entry, m_fleet.now(), m_fleet.indexOf(endpoint), segments ? *segments : std::string() });
         std::string limitText = endpoint.limitText;
         bool isFull = m_fleet.isFull(endpoint);
         if (isFull)
@@ -116,7 +118,7 @@
             path.removeBreaker(number);
             path.deliver([exchange, callbacks] { end(*exchange, callbacks, HttpEnd::NoResponse); });
         };
-        bool isCrashing = request.body == crashingBody && !m_fleet.isRepaired;
+        bool isCrashing = (request.body == crashingBody || (segments && m_fleet.crashingSegmentOf(*segments))) && !m_fleet.isRepaired;
         std::weak_ptr<SimulatedEndpoint> weak = m_fleet.endpointAt(request.server);
         m_fleet.scheduler.callAfter(isCrashing ? m_fleet.crashDelay : m_fleet.answerDelay, [this, weak, number, isCrashing, exchange, callbacks, request] {
             finishAttempt(weak, number, isCrashing, request, callbacks, exchange);
@@ -135,7 +137,9 @@
             return;
         }
         if (isCrashing) {
-            m_fleet.crashes.push_back(m_fleet.now());
+            const std::string* segments = request.headers.find("segments");
+            const std::string* cause = segments ? m_fleet.crashingSegmentOf(*segments) : nullptr;
+            (cause ? m_fleet.crashingSegments.at(*cause) : m_fleet.crashes).push_back(m_fleet.now());
             m_fleet.crash(at);
             return;
         }
@@ -221,6 +225,7 @@
 {
     m_route = IngressFixture::unaryRoute(RequestKind::Idempotent);
     m_route.timeout = routeTimeout;
+    m_route.hasPromptAffinity = true;
     m_route.homeRegions = std::move(homeRegions);
     applyRoute();
     for (const std::string& region : regions) {
@@ -288,20 +293,46 @@
 
 void EntryFleet::send(std::size_t entry, const std::string& body, const std::string& host)
 {
-    SentRequest request { "id-" + std::to_string(sentRequests.size()), body, entry, now(), std::make_shared<FakeResponder>() };
+    sendRequest({ {}, body, entry, now(), std::make_shared<FakeResponder>(), {} }, host);
+}
+
+void EntryFleet::sendPrompt(std::size_t entry, const std::string& body, const std::string& segments)
+{
+    sendRequest({ {}, body, entry, now(), std::make_shared<FakeResponder>(), segments }, "h");
+}
+
+void EntryFleet::sendRequest(SentRequest request, const std::string& host)
+{
+    request.id = "id-" + std::to_string(sentRequests.size());
     RoutedRequest routed;
     routed.http.method = "POST";
     routed.http.path = "/p/1";
-    routed.http.body = body;
+    routed.http.body = request.body;
     routed.http.headers.add("host", host);
     routed.http.headers.add("request-id", request.id);
+    if (!request.segments.empty())
+        routed.http.headers.add("segments", request.segments);
     routed.facts = m_dialect.readRequest(routed.http);
     routed.arrivedAt = now();
-    if (isUp(entry))
-        std::make_shared<RoutedRun>(m_entries[entry]->parts, std::move(routed), request.responder)->begin();
+    if (isUp(request.entry))
+        std::make_shared<RoutedRun>(m_entries[request.entry]->parts, std::move(routed), request.responder)->begin();
+    else
+        request.responder->leave();
     sentRequests.push_back(std::move(request));
 }
 
+static bool containsSegment(const std::string& segments, absl::string_view segment)
+{
+    std::vector<absl::string_view> names = absl::StrSplit(segments, ',');
+    return std::find(names.begin(), names.end(), segment) != names.end();
+}
+
+const std::string* EntryFleet::crashingSegmentOf(const std::string& segments) const
+{
+    auto found = std::find_if(crashingSegments.begin(), crashingSegments.end(), [&](const auto& item) { return containsSegment(segments, item.first); });
+    return found == crashingSegments.end() ? nullptr : &found->first;
+}
+
 void EntryFleet::handleForward(std::size_t entry, const HttpClientRequest& request, const std::shared_ptr<PeerResponder>& responder)
 {
     if (!isUp(entry)) {
@@ -472,8 +503,19 @@
     endpoint->region = region;
     endpoint->address = address;
     m_endpoints.push_back(endpoint);
-    for (const auto& entry : m_entries)
-        entry->parts.endpoints.put(recordOf(*endpoint), now());
+    changeRegistration(Duration::zero(), [this, endpoint] {
+        for (const auto& entry : m_entries)
+            entry->parts.endpoints.put(recordOf(*endpoint), now());
+    });
+}
+
+void EntryFleet::changeRegistration(Duration delay, std::function<void()> change)
+{
+    delay = std::max(delay, m_storeSilentUntil - now());
+    if (delay <= Duration::zero())
+        change();
+    else
+        scheduler.callAfter(delay, std::move(change));
 }
 
 void EntryFleet::crash(const std::shared_ptr<SimulatedEndpoint>& endpoint)
@@ -483,7 +525,7 @@
         scheduler.callAfter(step / 10, breakConnection);
     for (const auto& entry : m_entries)
         entry->client.forget(endpoint->address);
-    scheduler.callAfter(registrationRemovalDelay, [this, endpoint] {
+    changeRegistration(registrationRemovalDelay, [this, endpoint] {
         for (const auto& entry : m_entries)
             entry->parts.endpoints.remove(endpoint->incarnation, now());
     });
@@ -531,6 +573,11 @@
     return static_cast<std::size_t>(std::count_if(endpointAttempts.begin(), endpointAttempts.end(), [&](const EndpointAttempt& attempt) { return attempt.body == body && attempt.at > time; }));
 }
 
+std::size_t EntryFleet::attemptsWithSegmentAfter(const std::string& segment, TimePoint time) const
+{
+    return static_cast<std::size_t>(std::count_if(endpointAttempts.begin(), endpointAttempts.end(), [&](const EndpointAttempt& attempt) { return attempt.at > time && containsSegment(attempt.segments, segment); }));
+}
+
 double EntryFleet::servedFraction(const std::string& body, TimePoint from) const
 {
     std::size_t all = 0;
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -6,6 +6,7 @@
 #include "IngressFixture.h"
 #include "SimulatedPath.h"
 #include "catkinwing/Ingress/OutgoingDatagram.h"
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,6 +43,8 @@
     std::size_t entry { 0 };
     TimePoint at {};
     std::shared_ptr<FakeResponder> responder;
+    /// Names of the prompt's segments, separated by commas; empty if the request states none.
+    std::string segments;
 };
 
 /// One attempt of a request at an endpoint.
@@ -52,6 +55,8 @@
     TimePoint at {};
     /// Index of the endpoint, the first being that which was started first.
     std::size_t endpoint { 0 };
+    /// Names of the prompt's segments, separated by commas.
+    std::string segments;
 };
 
 class EntryFleet {
@@ -63,6 +68,8 @@
     /// Sends a client request to an entry.
     void send(std::size_t entry, const std::string& body, const std::string& host = "h");
     void sendToRandomEntry(const std::string& body) { send(random.below(m_entries.size()), body); }
+    /// Sends a request whose prompt has \p segments, separated by commas. The last one is its own.
+    void sendPrompt(std::size_t entry, const std::string& body, const std::string& segments);
     /// Sets the max number of attempts of a request.
     void setMaxAttempts(unsigned maxAttempts);
     /// Advances the simulated time by \p span in small steps.
@@ -75,6 +82,8 @@
     void setBrittle(unsigned slots, double rejectionsPerSecond);
     /// Ends what setBrittle() began.
     void endBrittle() { m_brittleSince.reset(); }
+    /// Lets no registration of an endpoint that stops or starts reach entries for \p span.
+    void silenceStore(Duration span) { m_storeSilentUntil = now() + span; }
     /// Makes an endpoint send nothing for \p span and then go on.
     void silence(std::size_t endpoint, Duration span) { m_endpoints[endpoint]->silentUntil = now() + span; }
     std::size_t endpoints() const { return m_endpoints.size(); }
@@ -110,6 +119,8 @@
     IngressContext& partsOf(std::size_t entry);
     /// Returns the number of attempts with \p body at endpoints after \p time.
     std::size_t attemptsAfter(const std::string& body, TimePoint time) const;
+    /// Returns the number of attempts whose prompt contains \p segment after \p time.
+    std::size_t attemptsWithSegmentAfter(const std::string& segment, TimePoint time) const;
     /// Returns the fraction of the requests with \p body sent at or after \p from that were
     /// answered with status 200; zero if there are none.
     double servedFraction(const std::string& body, TimePoint from = {}) const;
@@ -119,6 +130,9 @@
     Random random;
     /// Times at which endpoints crashed because of crashingBody.
     std::vector<TimePoint> crashes;
+    /// Prompt segments that crash each endpoint which runs a request with one of them, and the
+    /// times of these crashes.
+    std::map<std::string, std::vector<TimePoint>> crashingSegments;
     /// Times at which brittle endpoints crashed.
     std::vector<TimePoint> falls;
     std::vector<EndpointAttempt> endpointAttempts;
@@ -129,7 +143,7 @@
     Duration crashDelay { std::chrono::milliseconds(250) };
     /// Time from the crash of an endpoint to its restart.
     Duration restartDelay { std::chrono::milliseconds(3'000) };
-    /// Endpoints answer crashingBody like any other body.
+    /// Endpoints answer crashingBody, and prompts with crashingSegments, like any others.
     bool isRepaired { false };
 
 private:
@@ -137,6 +151,10 @@
     class PeerClient;
     struct Entry;
 
+    void sendRequest(SentRequest request, const std::string& host);
+    /// Returns the crashing segment of a prompt, or null if it contains none.
+    const std::string* crashingSegmentOf(const std::string& segments) const;
+    void changeRegistration(Duration delay, std::function<void()> change);
     bool isFull(const SimulatedEndpoint& endpoint) const;
     void reject(SimulatedEndpoint& endpoint);
     void startEndpoint(const std::string& region, const SocketAddress& address);
@@ -167,6 +185,7 @@
     unsigned m_slots { 0 };
     double m_rejectionsPerSecond { 0 };
     TimePoint m_nextReportTime {};
+    TimePoint m_storeSilentUntil {};
 };
 
 } // namespace catkinwing
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -1,11 +1,23 @@
 #include "IngressFixture.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 
 namespace catkinwing {
 
 using std::chrono::milliseconds;
 
+/// Number of tokens of each prompt segment that a request lists by name.
+static constexpr std::int64_t listedSegmentTokens = 100;
+
+static std::vector<PromptSegment> readSegments(const std::string& names)
+{
+    std::vector<PromptSegment> segments;
+    for (absl::string_view name : absl::StrSplit(names, ','))
+        segments.push_back({ std::string(name), listedSegmentTokens });
+    return segments;
+}
+
 static RequestFacts readTestRequest(const HttpRequest& request)
 {
     RequestFacts facts;
@@ -23,6 +35,8 @@
             facts.resumeAfter = static_cast<std::uint64_t>(number);
         else if (field.name == "prompt")
             facts.prompt = { { field.value, 13'000 }, { "own", 300 } };
+        else if (field.name == "segments")
+            facts.prompt = readSegments(field.value);
         else if (field.name == "workspace-key")
             facts.workspaceKey = field.value;
         else if (field.name == "tokens") {
