Refuse prompt segments that crash one endpoint after another

Callers of sound requests lost their endpoints: requests with one bad part of their prompts, no two alike, crashed one endpoint after another at the rate at which they came.

Cause: crashes were counted by request, so that each of these requests began a history of its own. Class: evidence is booked on one fixed key instead of on all that the failures have in common. CrashingRequests now tracks suspects: the request, and each shared segment of its prompt. An answer to any request with a segment clears it (a whole answer, or ten events); what ran beside a guilty segment is cleared by others within some hundred milliseconds. A refused segment has one trial at a time, whose turn the entries agree on: the first after 3 s, so that one that is refused falsely is served again soon. Entries tell each other of segments as of requests, in the same datagrams; an entry that has just registered is sent what others refuse. An answer that ends with its connection clears nothing until the endpoint has been heard from. The gateway uses the same suspects, with the messages of a prompt.

The simulated entries register each start under a key of its own, as the daemon does.

--- a/include/catkinwing/Gateway/AcceptedRequest.h
+++ b/include/catkinwing/Gateway/AcceptedRequest.h
@@ -32,6 +32,8 @@
     double outputWeight { 1 };
     /// True for a model call, false for a plain service.
     bool isModelCall { false };
+    /// Names of the segments of a model call's prompt, in their order.
+    std::vector<std::string> promptSegments;
     std::string idempotencyKey;
     /// Claim under which it runs, if it is keyed.
     std::optional<ClaimId> claim;
--- a/include/catkinwing/Gateway/CallerRequest.h
+++ b/include/catkinwing/Gateway/CallerRequest.h
@@ -56,6 +56,8 @@
     bool isStreaming { false };
     /// Text of the prompt, all messages joined.
     std::string prompt;
+    /// Names of its messages or parts in their order: hashes of their texts.
+    std::vector<std::string> segments;
     double promptTokens { 0 };
     /// Limit on output tokens that the caller set.
     std::optional<double> maximumOutputTokens;
--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -73,6 +73,8 @@
     std::chrono::milliseconds timeLeft() const;
     bool isAllowedHere() const;
     const RequestFingerprint& fingerprint();
+    /// Returns what of the request may crash an endpoint.
+    const RequestSuspects& suspects();
     bool refuseIfCrashing();
     std::uint32_t startHash(const std::string& endpoint) const;
     void learnCrash(const Attempt& attempt, const HttpResult& result, Outcome outcome);
@@ -114,6 +116,8 @@
     bool m_isStarted { false };
     /// Computed when it is first asked for.
     std::optional<RequestFingerprint> m_fingerprint;
+    /// Computed when they are first asked for; empty before.
+    RequestSuspects m_suspects;
     AttemptSet m_attempts;
     std::map<AttemptId, Attempt> m_attemptData;
     SseSplicer m_splicer;
--- a/include/catkinwing/Http/HttpMessage.h
+++ b/include/catkinwing/Http/HttpMessage.h
@@ -53,4 +53,8 @@
     HttpHeaders headers;
 };
 
+/// Returns whether the response has neither a length nor chunks, so that its body ends with the
+/// connection. Nothing tells then whether the body is whole.
+bool endsWithConnection(const HttpResponseHead& head);
+
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/CrashExchange.h
+++ b/include/catkinwing/Ingress/CrashExchange.h
@@ -9,11 +9,11 @@
 
 namespace catkinwing {
 
-/// Distributes crash notices, which name requests that crash endpoints, among the
-/// entries of all regions. A notice of each crash is sent to the few entries that count
-/// the crashes of its request. Once a request has more than one crash, the entries gossip
-/// its notice until all of them have received the notice. Sends nothing while no endpoint crashes; the cost
-/// of one entry doesn't grow with the number of entries.
+/// Distributes crash notices, which name requests and prompt segments that may crash
+/// endpoints, among the entries of all regions. A notice of each crash is sent to the few
+/// entries that count the crashes of its suspect. Once a suspect has more than one crash, the
+/// entries gossip its notice until all of them have received the notice. Sends nothing while no
+/// endpoint crashes; the cost of one entry doesn't grow with the number of entries.
 class CrashExchange {
 public:
     /// All references must outlive the exchange; \p self is the record of this entry.
@@ -36,6 +36,11 @@
         TimePoint at {};
         unsigned remainingSends { 0 };
     };
+    /// An entry that has registered a moment ago and knows nothing of earlier crashes.
+    struct Newcomer {
+        EntryTable::Neighbor entry;
+        unsigned remainingSends { 0 };
+    };
     using Outbox = std::map<SocketAddress, std::vector<CrashNotice>>;
 
     void updateEntries();
@@ -44,6 +49,7 @@
     std::vector<SocketAddress> randomEntries(const CrashNotice& notice, std::size_t count) const;
     void queueSettledNotices(Outbox& outbox, TimePoint now);
     void queueSuspectNotices(Outbox& outbox, TimePoint now);
+    void queueNewcomerNotices(Outbox& outbox, TimePoint now);
     static std::vector<OutgoingDatagram> encodeOutbox(const Outbox& outbox);
 
     CrashingRequests& m_requests;
@@ -55,6 +61,7 @@
     std::optional<std::uint64_t> m_appliedEntryChanges;
     std::uint64_t m_ticks { 0 };
     std::vector<SettledNotice> m_settledNotices;
+    std::vector<Newcomer> m_newcomers;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -34,6 +34,10 @@
 /// The entry reaches no endpoint with the software version that began the stream.
 constexpr const char* notSentNoVersion = "no-version";
 
+/// Marks the answer of an endpoint that had neither a length nor chunks. The entry that relays it
+/// can't tell whether it is whole.
+constexpr const char* unframedAnswerHeader = "Catkinwing-Unframed";
+
 /// Build ID of the software version at which a stream began, in hexadecimal. In a forwarded
 /// request, the stream must go on at it; in the answer of another entry, its events come from it.
 constexpr const char* streamBuildHeader = "Catkinwing-Stream-Build";
@@ -90,6 +94,10 @@
         bool hasAnswerBegun { false };
         /// Events of this attempt have been delivered.
         bool hasBroughtEvents { false };
+        /// Number of events of this attempt.
+        std::size_t events { 0 };
+        /// The answer ends with the connection, so that it may not be whole.
+        bool isUnframed { false };
         /// When the last event of the stream was received.
         TimePoint lastEventAt {};
         std::shared_ptr<HttpExchange> exchange;
@@ -140,12 +148,22 @@
     /// Returns the names of the prompt segments among the suspects, for the log.
     std::vector<std::string> segmentNames();
     bool refuseIfCrashing();
+    /// Returns whether a request that is refused for crashes is sent to find out whether its
+    /// suspect still crashes endpoints.
+    bool isTrial(const CrashingRequests::Refusal& refusal);
     /// Delays the request if an endpoint has just crashed while running an identical
     /// request. Returns whether the request is delayed or has been refused.
     bool holdIfSuspect();
     void beginHold(const CrashingRequests::RecentCrash& crash, const EntryOrder& order, TimePoint time);
     void refuseEverywhere(std::chrono::milliseconds retryAfter, const char* reason = "crashes_endpoints");
     void recordCrashEvidence(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
+    /// Records that the attempt shows that some suspects crash no endpoints.
+    void recordSurvival(const Attempt& attempt);
+    /// Returns the suspects that may have broken the connection of an attempt.
+    RequestSuspects suspectsOf(const Attempt& attempt);
+    std::vector<std::uint32_t> notifiableRegions() const;
+    /// Counts events of the attempt, and records it if they clear the prompt segments.
+    void countEvents(Attempt& attempt, std::size_t events);
     /// Returns the largest prompt segment that the request shares with others, or
     /// null if it is too short to affect routing.
     const PromptSegment* sharedSegment() const;
@@ -264,6 +282,9 @@
     absl::optional<RequestFingerprint> m_fingerprint;
     /// Computed on first use; empty before.
     RequestSuspects m_suspects;
+    bool m_isTrial { false };
+    /// The answer of the current attempt ends with the connection.
+    bool m_isAnswerUnframed { false };
     TimePoint m_deadline {};
     TimerId m_deadlineTimer { 0 };
     absl::optional<Attempt> m_attempt;
--- a/include/catkinwing/PeerProtocol/CrashReport.h
+++ b/include/catkinwing/PeerProtocol/CrashReport.h
@@ -11,7 +11,7 @@
 
 namespace catkinwing {
 
-/// The crash of an endpoint under a request, as it is told.
+/// The crash of an endpoint while it ran a request with a suspect, as it is told.
 struct ToldCrash {
     /// Hash of the start of the endpoint.
     std::uint32_t endpoint { 0 };
@@ -22,14 +22,15 @@
     bool isSettled { true };
 };
 
-/// What an entry knows of one request under which endpoints crashed. Times are
+/// What an entry knows of one suspect, with which endpoints crashed. Times are
 /// told as ages, since entries have no clock in common.
 struct CrashNotice {
-    RequestFingerprint request;
+    /// Name of the request, or of something that several requests have in common.
+    RequestFingerprint suspect;
     std::vector<ToldCrash> crashes;
-    /// How long ago an endpoint answered the request.
+    /// How long ago an endpoint answered a request with it.
     std::optional<std::chrono::milliseconds> survivedAgo;
-    /// How much longer it is refused.
+    /// How much longer requests with it are refused.
     std::chrono::milliseconds refusedFor { 0 };
     /// How often it has been refused.
     std::uint32_t refusals { 0 };
@@ -37,14 +38,14 @@
     std::vector<std::uint32_t> regions;
 };
 
-/// What one datagram tells: about 20 bytes for each request and 14 for each crash.
+/// What one datagram tells: about 30 bytes for each suspect and 14 for each crash.
 struct CrashReport {
     std::vector<CrashNotice> notices;
 };
 
 /// Notices that fit one datagram.
 constexpr std::size_t mostNotices = 8;
-/// Crashes told of one request, the latest ones.
+/// Crashes told of one suspect, the latest ones.
 constexpr std::size_t mostToldCrashes = 8;
 
 /// Returns the hash by which reports name a region.
--- a/lib/Gateway/CallerRequest.cpp
+++ b/lib/Gateway/CallerRequest.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Gateway/CallerRequest.h"
 
+#include "catkinwing/Config/KeyDigest.h"
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -94,7 +95,16 @@
     }
 }
 
-static std::optional<ApiError> readMessages(const nlohmann::json& body, std::string& prompt)
+// Appends the text of one message or part to the prompt, as a segment of its own.
+static void appendSegment(const nlohmann::json& content, ModelCall& call)
+{
+    std::string text;
+    appendContent(content, text);
+    call.prompt += text;
+    call.segments.push_back(digestKey(text).toHex());
+}
+
+static std::optional<ApiError> readMessages(const nlohmann::json& body, ModelCall& call)
 {
     auto messages = body.find("messages");
     if (messages == body.end() || !messages->is_array() || messages->empty())
@@ -104,23 +114,23 @@
             return fault(400, "bad_messages", "an item of 'messages' is not an object");
         auto content = message.find("content");
         if (content != message.end())
-            appendContent(*content, prompt);
+            appendSegment(*content, call);
     }
     return std::nullopt;
 }
 
-static std::optional<ApiError> readPrompt(const nlohmann::json& body, std::string& prompt)
+static std::optional<ApiError> readPrompt(const nlohmann::json& body, ModelCall& call)
 {
     auto field = body.find("prompt");
     if (field == body.end() || !(field->is_string() || field->is_array()))
         return fault(400, "bad_prompt", "field 'prompt' is not text");
     if (field->is_string()) {
-        prompt = field->get<std::string>();
+        appendSegment(*field, call);
         return std::nullopt;
     }
     for (const nlohmann::json& part : *field) {
         if (part.is_string())
-            prompt += part.get_ref<const std::string&>();
+            appendSegment(part, call);
     }
     return std::nullopt;
 }
@@ -151,7 +161,7 @@
     if (stream != json.end() && !stream->is_boolean() && !stream->is_null())
         return fault(400, "bad_stream", "field 'stream' is neither true nor false");
     call.isStreaming = stream != json.end() && stream->is_boolean() && stream->get<bool>();
-    auto problem = route == CallerRoute::ChatCompletions ? readMessages(json, call.prompt) : readPrompt(json, call.prompt);
+    auto problem = route == CallerRoute::ChatCompletions ? readMessages(json, call) : readPrompt(json, call);
     if (problem)
         return *problem;
     call.promptTokens = static_cast<double>(call.prompt.size()) / bytesPerToken;
--- a/lib/Gateway/RequestReader.cpp
+++ b/lib/Gateway/RequestReader.cpp
@@ -43,6 +43,8 @@
     routing.model = call.model;
     routing.adapter = call.adapter;
     routing.promptTokens = call.promptTokens;
+    for (const std::string& segment : call.segments)
+        accepted.promptSegments.push_back(absl::StrCat(call.model, ":", segment));
     routing.prefixHashes = scopedPrefixHashes(prefixHashes(call.prompt), call.model, call.adapter);
     double expected = static_cast<double>(accepted.requestClass.expectedOutputTokens.value_or(model.defaultExpectedOutputTokens));
     accepted.expectedOutputTokens = std::min(expected, call.maximumOutputTokens.value_or(expected));
--- a/lib/Http/HttpMessage.cpp
+++ b/lib/Http/HttpMessage.cpp
@@ -36,4 +36,9 @@
     return nullptr;
 }
 
+bool endsWithConnection(const HttpResponseHead& head)
+{
+    return !head.headers.find("transfer-encoding") && !head.headers.find("content-length");
+}
+
 } // namespace catkinwing
--- a/lib/Ingress/CrashExchange.cpp
+++ b/lib/Ingress/CrashExchange.cpp
@@ -2,13 +2,14 @@
 
 #include "catkinwing/Support/Hash.h"
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace catkinwing {
 
 using std::chrono::milliseconds;
 
-/// Number of entries that count the crashes of a request. Two are chosen among all
+/// Number of entries that count the crashes of a suspect. Two are chosen among all
 /// entries and add up the crashes in different regions. Two are chosen in this entry's
 /// region and keep counting while the region is partitioned from the others. Two of each
 /// tolerate the loss of one.
@@ -26,9 +27,13 @@
 /// covers all entries of a small deployment. In a larger deployment the same request
 /// reaches each entry less often, so the other entries can be notified at a later tick.
 static constexpr std::size_t urgentFanout = 24;
-/// Interval in ticks at which the notice of each suspected request is sent to one random
-/// entry, for entries that started later or were unreachable.
+/// Interval in ticks at which notices of suspects are sent to one random entry each, for
+/// entries that started later or were unreachable.
 static constexpr std::uint64_t suspectSendTicks = 5;
+/// Expected number of entries that send an entry which has just registered the notices of what
+/// they refuse, in each of \c sendsToNewcomer ticks.
+static constexpr double expectedSendersToNewcomer = 4;
+static constexpr unsigned sendsToNewcomer = 3;
 /// Max number of datagrams that one call of encodeOutbox() makes for one entry. The
 /// notices beyond them are left out of that call.
 static constexpr std::size_t maxDatagramsPerEntry = 4;
@@ -45,8 +50,19 @@
 {
     if (m_appliedEntryChanges == m_entries.changeCount())
         return;
+    bool isFirst = !m_appliedEntryChanges;
     m_appliedEntryChanges = m_entries.changeCount();
-    m_otherEntries = m_entries.otherEntries();
+    std::vector<EntryTable::Neighbor> before = std::exchange(m_otherEntries, m_entries.otherEntries());
+    m_newcomers.clear();
+    if (isFirst)
+        return;
+    std::set<std::string> keysBefore;
+    for (const EntryTable::Neighbor& neighbor : before)
+        keysBefore.insert(neighbor.key);
+    for (const EntryTable::Neighbor& neighbor : m_otherEntries) {
+        if (keysBefore.count(neighbor.key) == 0)
+            m_newcomers.push_back({ neighbor, sendsToNewcomer });
+    }
 }
 
 bool CrashExchange::mayReceive(const EntryTable::Neighbor& neighbor, const CrashNotice& notice) const
@@ -58,7 +74,7 @@
 // entries.
 std::vector<SocketAddress> CrashExchange::countingEntries(const CrashNotice& notice) const
 {
-    std::uint64_t seed = stableHash(notice.request);
+    std::uint64_t seed = stableHash(notice.suspect);
     std::vector<std::pair<std::uint64_t, const EntryTable::Neighbor*>> ranked;
     for (const EntryTable::Neighbor& neighbor : m_otherEntries) {
         if (mayReceive(neighbor, notice))
@@ -122,12 +138,33 @@
     }
     if (m_ticks % suspectSendTicks != 0)
         return;
-    for (const CrashNotice& notice : m_requests.suspectNotices(now)) {
+    for (const CrashNotice& notice : m_requests.nextSuspectNotices(now)) {
         for (const SocketAddress& other : randomEntries(notice, 1))
             outbox[other].push_back(notice);
     }
 }
 
+// Few of the other entries send a newcomer what they refuse, so that what it receives doesn't
+// grow with their number.
+void CrashExchange::queueNewcomerNotices(Outbox& outbox, TimePoint now)
+{
+    if (m_newcomers.empty())
+        return;
+    std::vector<CrashNotice> notices = m_requests.refusedNotices(now);
+    double share = std::min(1.0, expectedSendersToNewcomer / static_cast<double>(std::max<std::size_t>(m_otherEntries.size(), 1)));
+    for (Newcomer& newcomer : m_newcomers) {
+        --newcomer.remainingSends;
+        if (m_random.unit() >= share)
+            continue;
+        for (const CrashNotice& notice : notices) {
+            if (mayReceive(newcomer.entry, notice))
+                outbox[newcomer.entry.address].push_back(notice);
+        }
+    }
+    auto isDone = [](const Newcomer& newcomer) { return newcomer.remainingSends == 0; };
+    m_newcomers.erase(std::remove_if(m_newcomers.begin(), m_newcomers.end(), isDone), m_newcomers.end());
+}
+
 std::vector<OutgoingDatagram> CrashExchange::tick(TimePoint now)
 {
     ++m_ticks;
@@ -136,6 +173,7 @@
         return {};
     updateEntries();
     Outbox outbox;
+    queueNewcomerNotices(outbox, now);
     queueSettledNotices(outbox, now);
     queueSuspectNotices(outbox, now);
     return encodeOutbox(outbox);
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -53,6 +53,8 @@
     const std::string* streamBuild = headers.find(streamBuildHeader);
     if (streamBuild && absl::SimpleHexAtoi(*streamBuild, &build) && build != uncertainBuild)
         attempt.build = build;
+    attempt.isUnframed = headers.find(unframedAnswerHeader) != nullptr;
+    headers.remove(unframedAnswerHeader);
     headers.remove(streamBuildHeader);
     headers.remove(notSentHeader);
     headers.remove(endpointAttemptsHeader);
@@ -91,6 +93,9 @@
     attempt.facts = m_parts.dialect.readResponse(head);
     if (attempt.target == AttemptTarget::Entry)
         extractEntryHeaders(attempt);
+    else
+        attempt.isUnframed = endsWithConnection(head);
+    m_isAnswerUnframed = attempt.isUnframed;
     attempt.isForThisRequest = attempt.facts.attemptId == m_request.facts.attemptId;
     bool isForeign = !attempt.facts.attemptId.empty() && !attempt.isForThisRequest;
     if (isForeign) {
@@ -164,6 +169,7 @@
         EndpointTable::recordEvents(*attempt.endpoint, m_cursor.events() - before, now() - attempt.lastEventAt, now());
     if (m_cursor.events() > before)
         attempt.lastEventAt = now();
+    countEvents(attempt, m_cursor.events() - before);
     if (!events.empty()) {
         if (!bindStream(attempt))
             return;
@@ -197,8 +203,9 @@
     evidence.isForThisRequest = attempt.isForThisRequest;
     evidence.reportedOutcome = attempt.reportedOutcome;
     AttemptVerdict verdict = classifyAttempt(evidence);
-    bool endsInsideEvent = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken());
-    if (verdict == AttemptVerdict::Answered && endsInsideEvent)
+    bool hasNoEnd = attempt.isUnframed && attempt.events == 0;
+    bool endsEarly = attempt.isEventStream && (m_cursor.hasPartial() || m_cursor.isBroken() || hasNoEnd);
+    if (verdict == AttemptVerdict::Answered && endsEarly)
         verdict = AttemptVerdict::Unknown;
     m_possiblyDeliveredAttempts += mayHaveReached && !attempt.wasNotSent ? 1 : 0;
     updateStreamBuild(attempt);
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -12,14 +12,17 @@
 static constexpr int statusBadGateway = 502;
 static constexpr int statusUnavailable = 503;
 static constexpr int firstServerErrorStatus = 500;
-/// After an endpoint crashed while running a request, an identical request is held at
-/// most this long until it is known whether the first one caused the crash.
+/// After an endpoint crashed while running a request, a request with the same suspect is held
+/// at most this long until it is known whether the suspect caused the crash.
 static constexpr milliseconds maxHoldTime { 400 };
 /// Max interval at which a held request checks whether it may be sent.
 static constexpr milliseconds holdCheckInterval { 20 };
 /// Retry-after time for a request that is refused after being held. By then it is
-/// usually known whether an identical request caused the crash.
+/// usually known what caused the crash.
 static constexpr milliseconds retryAfterHold { 1'000 };
+/// Number of events after which a stream shows that its prompt segments don't crash the
+/// endpoint. One that does crashes it when the answer begins, with some events sent at most.
+static constexpr std::size_t eventsOfSurvivor = 10;
 
 const RequestFingerprint& RoutedRun::fingerprint()
 {
@@ -60,10 +63,21 @@
 {
     if (m_parts.crashingRequests.isEmpty() || !isAllowedHere())
         return false;
-    std::optional<Duration> left = m_parts.crashingRequests.remainingRefusal(fingerprint(), now());
-    if (left)
-        refuseEverywhere(std::chrono::duration_cast<milliseconds>(*left));
-    return left.has_value();
+    std::optional<CrashingRequests::Refusal> refusal = m_parts.crashingRequests.refusalOf(suspects(), now());
+    if (!refusal || isTrial(*refusal))
+        return false;
+    refuseEverywhere(std::chrono::duration_cast<milliseconds>(refusal->remaining));
+    return true;
+}
+
+// A trial is one attempt. The request may be dispatched several times before it is made.
+bool RoutedRun::isTrial(const CrashingRequests::Refusal& refusal)
+{
+    if (!refusal.mayBeTrial || m_attemptCount > 0)
+        return false;
+    if (!m_isTrial)
+        m_isTrial = m_parts.crashingRequests.beginTrial(refusal.suspect, m_parts.entries.orderFor(stableHash(refusal.suspect), m_homeRegions), now());
+    return m_isTrial;
 }
 
 // The maximum hold time applies to all attempts of the request together.
@@ -74,7 +88,7 @@
         return;
     m_parts.log.write(LogLevel::Warning, "request_held",
         { { "request", m_request.facts.attemptId }, { "fingerprint", fingerprint().toHex() }, { "route", m_route->name },
-            { "crash_ms_ago", std::chrono::duration_cast<milliseconds>(time - crash.at).count() }, { "rank", order.rank }, { "entries", order.entries } });
+            { "suspect", crash.suspect.toHex() }, { "crash_ms_ago", std::chrono::duration_cast<milliseconds>(time - crash.at).count() }, { "rank", order.rank }, { "entries", order.entries } });
 }
 
 bool RoutedRun::holdIfSuspect()
@@ -83,15 +97,15 @@
     if (crashing.isEmpty() || !isAllowedHere())
         return false;
     TimePoint time = now();
-    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(fingerprint(), time);
+    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(suspects(), time);
     if (!crash)
         return false;
     bool isLikelyUnrelated = crash->isOnlyKnownHere && m_possiblyDeliveredAttempts > 0;
-    isLikelyUnrelated |= m_isStreamBound && crashing.mayResume(fingerprint(), *crash);
-    EntryOrder order = m_parts.entries.orderFor(stableHash(fingerprint()), m_homeRegions);
-    Duration wait = isLikelyUnrelated ? Duration::zero() : crashing.nextTurn(fingerprint(), *crash, order, time) - time;
+    isLikelyUnrelated |= m_isStreamBound && crashing.mayResume(*crash);
+    EntryOrder order = m_parts.entries.orderFor(stableHash(crash->suspect), m_homeRegions);
+    Duration wait = isLikelyUnrelated ? Duration::zero() : crashing.nextTurn(*crash, order, time) - time;
     if (wait <= Duration::zero()) {
-        crashing.recordAttempt(fingerprint(), time);
+        crashing.recordAttempt(crash->suspect, time);
         return false;
     }
     if (!m_heldSince)
@@ -118,26 +132,62 @@
         sendOwnAnswer(statusUnavailable, Outcome::NotRun, reason);
 }
 
+std::vector<std::uint32_t> RoutedRun::notifiableRegions() const
+{
+    std::vector<std::uint32_t> regions;
+    for (const std::string& region : m_homeRegions)
+        regions.push_back(regionHash(region));
+    return regions;
+}
+
+// A stream that has brought many events may still be what crashes its endpoint, but only by
+// something that other requests with its segments don't have.
+RequestSuspects RoutedRun::suspectsOf(const Attempt& attempt)
+{
+    return attempt.events >= eventsOfSurvivor ? RequestSuspects { fingerprint() } : suspects();
+}
+
+void RoutedRun::countEvents(Attempt& attempt, std::size_t events)
+{
+    bool wasSurvivor = attempt.events >= eventsOfSurvivor;
+    attempt.events += events;
+    if (wasSurvivor || attempt.events < eventsOfSurvivor || !isAllowedHere())
+        return;
+    RequestSuspects segments(suspects().begin() + 1, suspects().end());
+    m_parts.crashingRequests.recordSurvival(segments, now());
+}
+
+// An answer that another entry relays was also made by an endpoint. That entry waits for what
+// becomes of the endpoint if the answer has ended with its connection. An error of the endpoint
+// tells nothing of the prompt, which it may not have read.
+void RoutedRun::recordSurvival(const Attempt& attempt)
+{
+    CrashingRequests& crashing = m_parts.crashingRequests;
+    bool isSuccess = attempt.head->status >= 200 && attempt.head->status < 300;
+    RequestSuspects survivors = isSuccess ? suspects() : RequestSuspects { fingerprint() };
+    if (!attempt.isUnframed)
+        crashing.recordSurvival(survivors, now());
+    else if (attempt.endpoint)
+        crashing.recordUnframedEnd(survivors, attempt.endpoint->hash, notifiableRegions(), now(), now() - attempt.startedAt);
+}
+
 // An answer of another incarnation or a failed connection shows that the endpoint has
-// stopped. A broken or missing answer shows that it may have crashed.
+// stopped. A broken or missing answer shows that it may have crashed, and so does a stream that
+// ends inside an event.
 void RoutedRun::recordCrashEvidence(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
 {
     CrashingRequests& crashing = m_parts.crashingRequests;
-    // An answer that another entry relays was also made by an endpoint.
     bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstServerErrorStatus;
     if (hasSurvived && isAllowedHere())
-        crashing.recordSurvival(fingerprint(), now());
+        recordSurvival(attempt);
     if (!attempt.endpoint)
         return;
     std::uint32_t endpoint = attempt.endpoint->hash;
-    bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated);
-    bool isBrokenByCut = isBroken && m_parts.endpoints.isCutOff(m_service, now()) && !crashing.mayHaveCrashed(fingerprint(), endpoint, m_parts.endpoints.reach().failedEndpoints());
-    if (isBroken && !isBrokenByCut) {
-        std::vector<std::uint32_t> regions;
-        for (const std::string& region : m_homeRegions)
-            regions.push_back(regionHash(region));
-        crashing.recordBrokenConnection(fingerprint(), endpoint, std::move(regions), now(), now() - attempt.startedAt);
-    }
+    bool endsEarly = attempt.isEventStream && end == HttpEnd::Complete;
+    bool isBroken = verdict == AttemptVerdict::Unknown && (end == HttpEnd::NoResponse || end == HttpEnd::Truncated || endsEarly);
+    bool isBrokenByCut = isBroken && m_parts.endpoints.isCutOff(m_service, now()) && !crashing.mayHaveCrashed(suspects(), endpoint, m_parts.endpoints.reach().failedEndpoints());
+    if (isBroken && !isBrokenByCut)
+        crashing.recordBrokenConnection(suspectsOf(attempt), endpoint, notifiableRegions(), now(), now() - attempt.startedAt);
     if (end == HttpEnd::ConnectFailed || attempt.facts.isOtherIncarnation)
         crashing.recordEndpointUnreachable(endpoint, now());
 }
--- a/lib/Ingress/RoutedRunEnd.cpp
+++ b/lib/Ingress/RoutedRunEnd.cpp
@@ -27,6 +27,8 @@
     if (!m_request.isForwarded)
         return head;
     head.headers.add(endpointAttemptsHeader, std::to_string(std::max(m_possiblyRunAttempts, 1u)));
+    if (m_isAnswerUnframed)
+        head.headers.add(unframedAnswerHeader, "1");
     if (m_isStreamBound && m_streamBuild)
         head.headers.add(streamBuildHeader, absl::StrCat(absl::Hex(*m_streamBuild)));
     return head;
--- a/lib/Membership/CrashHistory.cpp
+++ b/lib/Membership/CrashHistory.cpp
@@ -10,7 +10,7 @@
 /// Minimum run time for a separate crash. A request that ran for less may have been
 /// sent to an endpoint that had already crashed.
 static constexpr std::chrono::milliseconds minRunTime { 20 };
-/// Maximum number of crashes kept for one request.
+/// Maximum number of crashes kept for one suspect.
 static constexpr std::size_t maxCrashes = 16;
 /// Retention of a crash. Clients retry a request within seconds or a few minutes.
 static constexpr std::chrono::minutes crashRetention { 5 };
@@ -19,8 +19,15 @@
 static constexpr std::chrono::minutes firstRefusal { 2 };
 /// Each further refusal period is twice as long, up to 32 times the first.
 static constexpr unsigned maxDoublings = 5;
-/// Time after a refusal period during which a single crash starts another one.
-static constexpr std::chrono::minutes probation { 10 };
+/// Time after a refusal period during which a single crash starts another one. A prompt
+/// segment may come again for a long time.
+static constexpr std::chrono::minutes probation { 30 };
+/// Time from the first refusal of a prompt segment to its first trial. Only the requests that
+/// were already running crash endpoints in this time, and a segment that is refused falsely is
+/// served again soon.
+static constexpr std::chrono::seconds firstTrialDelay { 3 };
+/// A crash this long after the first refusal began is that of a trial.
+static constexpr std::chrono::milliseconds minTrialDelay { 2'500 };
 /// Time for which the fact that a request was answered is kept and reported to other
 /// entries.
 static constexpr std::chrono::seconds survivalRetention { 10 };
@@ -54,6 +61,25 @@
     return count;
 }
 
+static std::size_t requiredCrashes(const CrashHistory& history, TimePoint now)
+{
+    bool hasSurvived = history.survivedAt != TimePoint {} && now - history.survivedAt <= survivalEvidence;
+    return history.kind != SuspectKind::Request && hasSurvived ? crashesOfSurvivorBeforeRefusal : crashesBeforeRefusal;
+}
+
+// A request that is refused falsely is missed by few clients, so that it has no early trial.
+TimePoint trialStart(const CrashHistory& history)
+{
+    bool hasEarlyTrial = history.kind != SuspectKind::Request && history.refusals == 1;
+    return hasEarlyTrial ? history.refusedUntil - firstRefusal + firstTrialDelay : history.refusedUntil;
+}
+
+static bool isTrialCrash(const CrashHistory& history, const EndpointCrash& crash)
+{
+    bool isEarlyTrial = history.kind != SuspectKind::Request && history.refusals == 1 && crash.at >= history.refusedUntil - firstRefusal + minTrialDelay;
+    return isEarlyTrial || crash.at >= history.refusedUntil;
+}
+
 static void refuse(CrashHistory& history, TimePoint at)
 {
     ++history.refusals;
@@ -71,7 +97,7 @@
     history.crashes.insert(std::upper_bound(history.crashes.begin(), history.crashes.end(), crash, isEarlier), crash);
     if (history.crashes.size() > maxCrashes)
         history.crashes.erase(history.crashes.begin());
-    bool isProven = history.refusals == 0 ? separateCrashes(history) >= crashesBeforeRefusal : crash.at >= history.refusedUntil;
+    bool isProven = history.refusals == 0 ? separateCrashes(history) >= requiredCrashes(history, crash.at) : isTrialCrash(history, crash);
     if (isProven)
         refuse(history, crash.at);
     return true;
--- a/lib/PeerProtocol/CrashReport.cpp
+++ b/lib/PeerProtocol/CrashReport.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/// Members of a notice: fingerprint, crashes, survival (empty or one age),
+/// Members of a notice: suspect, crashes, survival (empty or one age),
 /// remaining refusal, refusals, regions.
 static constexpr std::size_t noticeMembers = 6;
 /// Longer times tell no more.
@@ -37,8 +37,8 @@
     json survived = json::array();
     if (notice.survivedAgo)
         survived.push_back(countOf(*notice.survivedAgo));
-    std::vector<std::uint8_t> fingerprint(notice.request.bytes.begin(), notice.request.bytes.end());
-    return json::array({ json::binary(std::move(fingerprint)), std::move(crashes), std::move(survived), countOf(notice.refusedFor), notice.refusals, notice.regions });
+    std::vector<std::uint8_t> suspect(notice.suspect.bytes.begin(), notice.suspect.bytes.end());
+    return json::array({ json::binary(std::move(suspect)), std::move(crashes), std::move(survived), countOf(notice.refusedFor), notice.refusals, notice.regions });
 }
 
 std::string encodeCrashReport(const CrashReport& report)
@@ -68,7 +68,7 @@
     if (!isWhole || crashes->size() > mostToldCrashes || survived->size() > 1 || regions->size() > mostRegions)
         return std::nullopt;
     CrashNotice notice;
-    std::copy(message[0].get_binary().begin(), message[0].get_binary().end(), notice.request.bytes.begin());
+    std::copy(message[0].get_binary().begin(), message[0].get_binary().end(), notice.suspect.bytes.begin());
     for (const CountRow<4>& row : *crashes)
         notice.crashes.push_back({ row[0], milliseconds(row[1]), milliseconds(row[2]), row[3] != 0 });
     if (!survived->empty())
--- a/unittests/Ingress/CrashExchangeTest.cpp
+++ b/unittests/Ingress/CrashExchangeTest.cpp
@@ -70,13 +70,13 @@
     {
         RequestFingerprint fingerprint;
         fingerprint.bytes[0] = request;
-        entries[entry]->requests.recordBrokenConnection(fingerprint, endpoint, {}, now);
+        entries[entry]->requests.recordBrokenConnection({ fingerprint }, endpoint, {}, now);
     }
     std::size_t refusingEntries() const
     {
         RequestFingerprint fingerprint;
         fingerprint.bytes[0] = 1;
-        return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry->requests.remainingRefusal(fingerprint, now).has_value(); }));
+        return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [&](const auto& entry) { return entry->requests.refusalOf(RequestSuspects { fingerprint }, now).has_value(); }));
     }
     /// Returns the max number of bytes that one entry has sent since the last call.
     std::size_t maxBytesSent()
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -235,6 +235,7 @@
         }
     }
     m_entries.resize(m_records.size());
+    m_entryStarts.resize(m_records.size());
     reportBytesSent.resize(m_records.size());
     limitBytesSent.resize(m_records.size());
     for (std::size_t i = 0; i < m_records.size(); ++i)
@@ -261,9 +262,11 @@
     applyRoute();
 }
 
-static std::string entryKey(std::size_t index)
+// Each start of an entry registers under a key of its own.
+std::string EntryFleet::entryKey(std::size_t index) const
 {
-    return "entry-" + std::to_string(index);
+    std::string name = "entry-" + std::to_string(index);
+    return m_entryStarts[index] == 0 ? name : name + "-" + std::to_string(m_entryStarts[index]);
 }
 
 void EntryFleet::makeEntry(std::size_t index)
@@ -484,6 +487,9 @@
 void EntryFleet::restartEntry(std::size_t entry)
 {
     assert(m_entries[entry]->parts.openRequestCount == 0 && "only an entry without open requests can be restarted");
+    for (const auto& other : m_entries)
+        other->parts.entries.remove(entryKey(entry), now());
+    ++m_entryStarts[entry];
     m_replacedEntries.push_back(std::move(m_entries[entry]));
     makeEntry(entry);
     for (const auto& other : m_entries) {
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -155,6 +155,7 @@
     /// Returns the crashing segment of a prompt, or null if it contains none.
     const std::string* crashingSegmentOf(const std::string& segments) const;
     void changeRegistration(Duration delay, std::function<void()> change);
+    std::string entryKey(std::size_t index) const;
     bool isFull(const SimulatedEndpoint& endpoint) const;
     void reject(SimulatedEndpoint& endpoint);
     void startEndpoint(const std::string& region, const SocketAddress& address);
@@ -169,6 +170,8 @@
 
     Dialect m_dialect { testDialect() };
     std::vector<std::unique_ptr<Entry>> m_entries;
+    /// Number of restarts of each entry.
+    std::vector<std::size_t> m_entryStarts;
     /// Entries that restartEntry() has replaced.
     std::vector<std::unique_ptr<Entry>> m_replacedEntries;
     std::vector<std::shared_ptr<SimulatedEndpoint>> m_endpoints;
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -93,7 +93,7 @@
 static HttpHeaders answerHeaders(const HttpClientRequest& request)
 {
     const std::string* id = request.headers.find("request-id");
-    return { { "endpoint", "yes" }, { "request-id", id ? *id : "" } };
+    return { { "endpoint", "yes" }, { "request-id", id ? *id : "" }, { "transfer-encoding", "chunked" } };
 }
 
 FakeHttpAnswer endpointAnswer(const HttpClientRequest& request, int status, std::string body)
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -16,7 +16,7 @@
 /// Records a crash of \p endpoint during \p request at \p at, and settles it.
 static void crash(CrashingRequests& requests, std::uint32_t request, std::uint32_t endpoint, TimePoint at)
 {
-    requests.recordBrokenConnection(fingerprint(request), endpoint, {}, at);
+    requests.recordBrokenConnection({ fingerprint(request) }, endpoint, {}, at);
     requests.settleAndExpire(at + 600ms);
 }
 
@@ -24,8 +24,8 @@
 {
     CrashingRequests requests;
     TimePoint now { 100s };
-    requests.recordBrokenConnection(fingerprint(1), 7, {}, now);
-    requests.recordBrokenConnection(fingerprint(1), 8, {}, now);
+    requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
+    requests.recordBrokenConnection({ fingerprint(1) }, 8, {}, now);
     // Bytes that were in flight when the connection broke.
     requests.recordEndpointAlive(8, now + 10ms);
     requests.recordEndpointAlive(7, now + 200ms);
@@ -41,7 +41,7 @@
 {
     CrashingRequests requests;
     TimePoint now { 100s };
-    requests.recordBrokenConnection(fingerprint(1), 7, {}, now);
+    requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
     requests.settleAndExpire(now + 50ms);
     CHECK(requests.takeSettledNotices().empty());
     requests.recordEndpointUnreachable(7, now + 60ms);
@@ -56,11 +56,11 @@
     TimePoint now { 100s };
     std::vector<std::uint32_t> failed { 1, 2, 3, 4, 5, 6 };
     for (std::uint32_t endpoint : { 1, 2, 3 })
-        requests.recordBrokenConnection(fingerprint(1), endpoint, {}, now);
+        requests.recordBrokenConnection({ fingerprint(1) }, endpoint, {}, now);
     for (std::uint32_t endpoint : { 1, 2, 3, 4, 5 })
-        requests.recordBrokenConnection(fingerprint(2), endpoint, {}, now);
-    CHECK_FALSE(requests.mayHaveCrashed(fingerprint(1), 1, failed));
-    CHECK(requests.mayHaveCrashed(fingerprint(2), 1, failed));
+        requests.recordBrokenConnection({ fingerprint(2) }, endpoint, {}, now);
+    CHECK_FALSE(requests.mayHaveCrashed({ fingerprint(1) }, 1, failed));
+    CHECK(requests.mayHaveCrashed({ fingerprint(2) }, 1, failed));
     requests.dropBrokenByCut(failed);
     for (std::uint32_t endpoint : failed)
         requests.recordEndpointUnreachable(endpoint, now + 10ms);
@@ -69,15 +69,15 @@
     std::vector<CrashNotice> settled = requests.takeSettledNotices();
     CHECK_FALSE(settled.empty());
     for (const CrashNotice& notice : settled)
-        CHECK(notice.request == fingerprint(2));
+        CHECK(notice.suspect == fingerprint(2));
 }
 
 TEST_CASE("an answer before a broken connection is settled clears the request")
 {
     CrashingRequests requests;
     TimePoint now { 100s };
-    requests.recordBrokenConnection(fingerprint(1), 7, {}, now);
-    requests.recordSurvival(fingerprint(1), now + 100ms);
+    requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
+    requests.recordSurvival({ fingerprint(1) }, now + 100ms);
     requests.settleAndExpire(now + 600ms);
     CHECK(requests.takeSettledNotices().empty());
     CHECK(requests.isEmpty());
@@ -89,20 +89,20 @@
     TimePoint now { 100s };
     crash(requests, 1, 7, now);
     crash(requests, 1, 8, now + 1s);
-    CHECK_FALSE(requests.remainingRefusal(fingerprint(1), now + 2s));
-    requests.recordBrokenConnection(fingerprint(1), 9, {}, now + 2s);
-    std::optional<Duration> refused = requests.remainingRefusal(fingerprint(1), now + 2s);
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2s));
+    requests.recordBrokenConnection({ fingerprint(1) }, 9, {}, now + 2s);
+    std::optional<CrashingRequests::Refusal> refused = requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2s);
     REQUIRE(refused);
-    CHECK(*refused < 1s);
+    CHECK(refused->remaining < 1s);
     requests.recordEndpointAlive(9, now + 2200ms);
-    CHECK_FALSE(requests.remainingRefusal(fingerprint(1), now + 2200ms));
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2200ms));
 }
 
 /// Returns the notice of another entry about a connection that has just broken.
 static CrashNotice brokenElsewhere(std::uint32_t request, std::uint32_t endpoint)
 {
     CrashNotice notice;
-    notice.request = fingerprint(request);
+    notice.suspect = fingerprint(request);
     notice.crashes.push_back({ endpoint, 0ms, 80ms, false });
     return notice;
 }
@@ -119,17 +119,17 @@
     for (TimePoint time = now; time < now + 1500ms; time += 10ms) {
         int sendingEntries = 0;
         for (std::size_t rank = 0; rank < entries; ++rank) {
-            std::optional<CrashingRequests::RecentCrash> crash = requests[rank].crashToAwait(fingerprint(1), time);
+            std::optional<CrashingRequests::RecentCrash> crash = requests[rank].crashToAwait({ fingerprint(1) }, time);
             REQUIRE(crash);
-            bool isTurn = requests[rank].nextTurn(fingerprint(1), *crash, { rank, entries }, time) <= time;
+            bool isTurn = requests[rank].nextTurn(*crash, { rank, entries }, time) <= time;
             if (isTurn)
                 requests[rank].recordAttempt(fingerprint(1), time);
             sendingEntries += isTurn ? 1 : 0;
         }
         CHECK(sendingEntries <= 1);
     }
-    CHECK_FALSE(requests[0].crashToAwait(fingerprint(2), now));
-    CHECK_FALSE(requests[0].crashToAwait(fingerprint(1), now + 5s));
+    CHECK_FALSE(requests[0].crashToAwait({ fingerprint(2) }, now));
+    CHECK_FALSE(requests[0].crashToAwait({ fingerprint(1) }, now + 5s));
 }
 
 // Guards against delaying requests that ran on an endpoint that another request crashed.
@@ -137,14 +137,14 @@
 {
     CrashingRequests requests;
     TimePoint now { 100s };
-    requests.recordBrokenConnection(fingerprint(1), 7, {}, now, 80ms);
-    REQUIRE(requests.crashToAwait(fingerprint(1), now));
-    CHECK(requests.crashToAwait(fingerprint(1), now)->isOnlyKnownHere);
+    requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now, 80ms);
+    REQUIRE(requests.crashToAwait({ fingerprint(1) }, now));
+    CHECK(requests.crashToAwait({ fingerprint(1) }, now)->isOnlyKnownHere);
     CrashingRequests reported = requests;
     reported.mergeNotice(brokenElsewhere(1, 8), now);
-    CHECK_FALSE(reported.crashToAwait(fingerprint(1), now)->isOnlyKnownHere);
-    requests.recordBrokenConnection(fingerprint(1), 8, {}, now + 100ms, 80ms);
-    CHECK_FALSE(requests.crashToAwait(fingerprint(1), now + 100ms)->isOnlyKnownHere);
+    CHECK_FALSE(reported.crashToAwait({ fingerprint(1) }, now)->isOnlyKnownHere);
+    requests.recordBrokenConnection({ fingerprint(1) }, 8, {}, now + 100ms, 80ms);
+    CHECK_FALSE(requests.crashToAwait({ fingerprint(1) }, now + 100ms)->isOnlyKnownHere);
 }
 
 TEST_CASE("a request that was answered before a crash doesn't wait, and the answering entry notifies the others")
@@ -153,9 +153,9 @@
     bool isUrgent = false;
     requests.setUrgentCallback([&] { isUrgent = true; });
     TimePoint now { 100s };
-    requests.recordSurvival(fingerprint(1), now);
+    requests.recordSurvival({ fingerprint(1) }, now);
     requests.mergeNotice(brokenElsewhere(1, 7), now + 2s);
-    CHECK_FALSE(requests.crashToAwait(fingerprint(1), now + 2s));
+    CHECK_FALSE(requests.crashToAwait({ fingerprint(1) }, now + 2s));
     REQUIRE(isUrgent);
     std::vector<CrashNotice> reported = requests.takeUrgentNotices(now + 2s);
     REQUIRE(reported.size() == 1);
@@ -163,9 +163,9 @@
 
     CrashingRequests other;
     other.mergeNotice(brokenElsewhere(1, 7), now + 2s);
-    REQUIRE(other.crashToAwait(fingerprint(1), now + 2s));
+    REQUIRE(other.crashToAwait({ fingerprint(1) }, now + 2s));
     other.mergeNotice(reported[0], now + 2s);
-    CHECK_FALSE(other.crashToAwait(fingerprint(1), now + 2s));
+    CHECK_FALSE(other.crashToAwait({ fingerprint(1) }, now + 2s));
 }
 
 TEST_CASE("the requests dispatched last to a crashed endpoint are reported first")
@@ -174,10 +174,10 @@
     requests.setUrgentCallback([] {});
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 40; ++i)
-        requests.recordBrokenConnection(fingerprint(i), 7, {}, now, i == 30 ? 80ms : 2s);
+        requests.recordBrokenConnection({ fingerprint(i) }, 7, {}, now, i == 30 ? 80ms : 2s);
     std::vector<CrashNotice> reported = requests.takeUrgentNotices(now + 2ms);
     REQUIRE(reported.size() < 40);
-    CHECK(reported[0].request == fingerprint(30));
+    CHECK(reported[0].suspect == fingerprint(30));
     CHECK(reported[0].crashes[0].ranFor == 80ms);
     CHECK_FALSE(reported[0].crashes[0].isSettled);
 }
@@ -191,11 +191,11 @@
         crash(requests, 1, 7 + i, now + i * 1s);
     }
     crash(requests, 1, 9, now + 2s);
-    REQUIRE(requests.remainingRefusal(fingerprint(1), now + 3s));
+    REQUIRE(requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 3s));
     // The first two crashes of request 2 were caused by request 1.
     crash(requests, 2, 9, now + 2s);
     crash(requests, 2, 10, now + 3s);
-    CHECK_FALSE(requests.remainingRefusal(fingerprint(2), now + 4s));
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(2) }, now + 4s));
 }
 
 TEST_CASE("the number of tracked requests is bounded for a million different ones, and a refused one is kept")
@@ -205,14 +205,14 @@
     for (std::uint32_t i = 0; i < 3; ++i)
         crash(requests, 1, 7 + i, now + i * 1s);
     for (std::uint32_t i = 0; i < 1'000'000; ++i) {
-        requests.recordBrokenConnection(fingerprint(i + 2), 1'000 + i, {}, now + 3s);
+        requests.recordBrokenConnection({ fingerprint(i + 2) }, 1'000 + i, {}, now + 3s);
         if (i % 1'000 == 0) {
             requests.settleAndExpire(now + 4s);
             requests.takeSettledNotices();
         }
     }
     CHECK(requests.size() <= 4'096);
-    CHECK(requests.remainingRefusal(fingerprint(1), now + 5s));
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 5s));
 }
 
 TEST_CASE("a reported refusal that is too long is ignored")
@@ -220,14 +220,14 @@
     CrashingRequests requests;
     TimePoint now { 100s };
     CrashNotice notice;
-    notice.request = fingerprint(1);
+    notice.suspect = fingerprint(1);
     notice.refusals = 1;
     notice.refusedFor = std::chrono::hours(500);
     requests.mergeNotice(notice, now);
-    CHECK_FALSE(requests.remainingRefusal(fingerprint(1), now));
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1) }, now));
     notice.refusedFor = 1min;
     requests.mergeNotice(notice, now);
-    CHECK(requests.remainingRefusal(fingerprint(1), now));
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1) }, now));
 }
 
 // Guards against delaying every stream that ran on a crashed endpoint, and against letting
@@ -238,14 +238,14 @@
     TimePoint at = TimePoint() + 10s;
     RequestFingerprint stream;
     stream.bytes[0] = 1;
-    requests.recordBrokenConnection(stream, 7, {}, at, 500ms);
-    std::optional<CrashingRequests::RecentCrash> crash = requests.crashToAwait(stream, at);
+    requests.recordBrokenConnection({ stream }, 7, {}, at, 500ms);
+    std::optional<CrashingRequests::RecentCrash> crash = requests.crashToAwait({ stream }, at);
     REQUIRE(crash);
-    CHECK(requests.mayResume(stream, *crash));
+    CHECK(requests.mayResume(*crash));
     requests.recordAttempt(stream, at + 10ms);
-    CHECK_FALSE(requests.mayResume(stream, *crash));
-    requests.recordBrokenConnection(stream, 8, {}, at + 600ms, 500ms);
-    crash = requests.crashToAwait(stream, at + 600ms);
+    CHECK_FALSE(requests.mayResume(*crash));
+    requests.recordBrokenConnection({ stream }, 8, {}, at + 600ms, 500ms);
+    crash = requests.crashToAwait({ stream }, at + 600ms);
     REQUIRE(crash);
-    CHECK_FALSE(requests.mayResume(stream, *crash));
+    CHECK_FALSE(requests.mayResume(*crash));
 }
--- a/unittests/PeerProtocol/CrashReportTest.cpp
+++ b/unittests/PeerProtocol/CrashReportTest.cpp
@@ -11,7 +11,7 @@
 {
     CrashNotice notice;
     for (std::size_t i = 0; i < RequestFingerprint::size; ++i)
-        notice.request.bytes[i] = static_cast<unsigned char>(200 + i);
+        notice.suspect.bytes[i] = static_cast<unsigned char>(200 + i);
     notice.crashes = { { 4'000'000'000, 1'500ms, 90ms, true }, { 7, 0ms, 0ms, false } };
     notice.survivedAgo = 20ms;
     notice.refusedFor = 2min;
@@ -27,7 +27,7 @@
     REQUIRE(report.ok());
     REQUIRE(report->notices.size() == 2);
     const CrashNotice& told = report->notices[0];
-    CHECK(told.request == notice().request);
+    CHECK(told.suspect == notice().suspect);
     REQUIRE(told.crashes.size() == 2);
     CHECK(told.crashes[0].endpoint == 4'000'000'000);
     CHECK(told.crashes[0].age == 1'500ms);
