Test segments that crash endpoints, unframed answers, and what entries know together

Cases for chance crashes, a segment that only crashing requests had, entries that all start during the crashes, a repaired endpoint, trials by one entry at a time, floods of segments, 550 entries with 40 refused segments, and answers with neither a length nor chunks.

--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashingRequests.cpp
@@ -46,9 +46,11 @@
 static constexpr std::size_t maxAnswered = 8'192;
 /// Number of times that a change is reported, each time to other entries.
 static constexpr unsigned reportsPerChange = 5;
-/// Maximum number of changed histories, and of others, that one call returns.
+/// Maximum number of histories that one call of takeChangedNotices(), nextSuspectNotices() and
+/// refusedNotices() returns.
 static constexpr std::size_t maxChangedNotices = 16;
-static constexpr std::size_t maxSuspectNotices = 16;
+static constexpr std::size_t maxSuspectNotices = 8;
+static constexpr std::size_t maxRefusedNotices = 16;
 /// Length of the turn of one entry to try a suspect that is refused. The outcome of a trial
 /// that begins in the first \c trialStartWindow is known to the others before the next turn.
 static constexpr milliseconds trialTurnLength { 5'000 };
@@ -603,7 +605,7 @@
 {
     std::vector<CrashNotice> notices;
     for (const auto& [suspect, known] : m_known) {
-        if (known.history.refusals > 0 && notices.size() < maxSuspectNotices)
+        if (known.history.refusals > 0 && notices.size() < maxRefusedNotices)
             notices.push_back(makeNotice(suspect, known, now));
     }
     return notices;
--- a/unittests/Gateway/RequestRunTest.cpp
+++ b/unittests/Gateway/RequestRunTest.cpp
@@ -1,6 +1,7 @@
 #include "BrokerFixture.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -272,3 +273,52 @@
     fixture.scheduler.advance(100ms);
     CHECK(served->status() == 200);
 }
+
+/// Returns a chat request with a system message and a question.
+static HttpRequest chatWith(const std::string& system, const std::string& question)
+{
+    HttpRequest request = BrokerFixture::chat(false);
+    request.body = nlohmann::json { { "model", "sizes" }, { "messages", { { { "role", "system" }, { "content", system } }, { { "role", "user" }, { "content", question } } } } }.dump();
+    return request;
+}
+
+// Guards against a message that crashes one endpoint after another, in requests that are never alike.
+TEST_CASE("requests with a message under which endpoints crashed one after another are refused, and others are served")
+{
+    BrokerFixture fixture;
+    auto startAgain = [&](int start) {
+        for (const char* endpoint : { "engine-1", "engine-2" }) {
+            EndpointStatus status;
+            status.incarnation = "start-" + std::to_string(start);
+            fixture.endpoints.applyStatus(endpoint, status, fixture.scheduler.clock().now());
+        }
+    };
+    for (int i = 0; i < 3; ++i) {
+        startAgain(i);
+        fixture.answers = { FakeHttpAnswer::failed(HttpEnd::NoResponse, true) };
+        auto crashed = fixture.run(chatWith("bad", std::to_string(i)));
+        fixture.scheduler.advance(700ms);
+        CHECK(crashed->status() == 502);
+        fixture.broker.tick();
+    }
+    startAgain(3);
+    fixture.answers = { FakeHttpAnswer::ok("{\"answer\":1}") };
+    std::size_t before = fixture.endpointClient.requests.size();
+    auto refused = fixture.run(chatWith("bad", "again"));
+    fixture.scheduler.advance(100ms);
+    CHECK(refused->status() == 503);
+    CHECK(refused->outcome() == "not-run");
+    CHECK(fixture.endpointClient.requests.size() == before);
+    auto served = fixture.run(chatWith("other", "again"));
+    fixture.scheduler.advance(100ms);
+    CHECK(served->status() == 200);
+    // After a while one request finds out whether the message still crashes endpoints.
+    fixture.scheduler.advance(3s);
+    fixture.answers = { FakeHttpAnswer::ok("{\"answer\":1}"), FakeHttpAnswer::ok("{\"answer\":1}") };
+    auto trial = fixture.run(chatWith("bad", "trial"));
+    fixture.scheduler.advance(100ms);
+    CHECK(trial->status() == 200);
+    auto after = fixture.run(chatWith("bad", "after"));
+    fixture.scheduler.advance(100ms);
+    CHECK(after->status() == 200);
+}
--- a/unittests/Ingress/CrashExchangeTest.cpp
+++ b/unittests/Ingress/CrashExchangeTest.cpp
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Adds an entry that knows nothing of earlier crashes.
+    SimulatedEntry& addEntry(const std::string& region)
+    {
+        SocketAddress address { "10.9.9.9", 7 };
+        entries.push_back(std::make_unique<SimulatedEntry>(EntryRecord { region, region + "-a", address, address }, random));
+        byAddress[address] = entries.back().get();
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            entries[i]->entries.put("started-later", entries.back()->record);
+            entries.back()->entries.put("entry-" + std::to_string(i), entries[i]->record);
+        }
+        return *entries.back();
+    }
     /// Delivers the datagrams of the last round and runs one tick of each entry.
     void runRound()
     {
@@ -129,3 +141,24 @@
     world.runRounds(50);
     CHECK(world.maxBytesSent() == 0);
 }
+
+// Guards against traffic that grows with the number of segments that crash endpoints.
+TEST_CASE("an entry sends little however many segments are refused, and one that starts later knows them within seconds")
+{
+    SimulatedEntries world(550, 22);
+    constexpr int refused = 40;
+    for (int segment = 0; segment < refused; ++segment) {
+        for (std::uint32_t i = 0; i < crashesBeforeRefusal; ++i) {
+            SuspectId suspect = suspectId(SuspectKind::PromptSegment, std::to_string(segment));
+            world.entries[static_cast<std::size_t>(segment)]->requests.recordBrokenConnection({ suspect }, static_cast<std::uint32_t>(segment) * 100 + i, {}, world.now - 4s + i * 1s);
+            world.entries[static_cast<std::size_t>(segment)]->requests.settleAndExpire(world.now);
+        }
+    }
+    world.runRounds(100);
+    world.maxBytesSent();
+    world.runRounds(10);
+    CHECK(world.maxBytesSent() <= maxBytesPerSecond);
+    SimulatedEntry& started = world.addEntry("north");
+    world.runRounds(150);
+    CHECK(started.requests.refusedCount(SuspectKind::PromptSegment, world.now) == refused);
+}
--- a/unittests/Ingress/CrashingPromptTest.cpp
+++ b/unittests/Ingress/CrashingPromptTest.cpp
@@ -157,6 +157,15 @@
     CHECK(served >= minServedFraction);
 }
 
+/// Returns the number of entries that refuse a segment.
+std::size_t entriesRefusingSegments(EntryFleet& fleet)
+{
+    std::size_t count = 0;
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+        count += fleet.partsOf(entry).crashingRequests.refusedCount(SuspectKind::PromptSegment, fleet.now()) > 0 ? 1 : 0;
+    return count;
+}
+
 } // namespace
 
 // Guards against a prompt segment that crashes one endpoint after another because each request with
@@ -304,3 +313,82 @@
         CHECK(fleet.partsOf(entry).crashingRequests.answeredCount() == 0);
     }
 }
+
+// Guards against a refusal of segments that were running when endpoints crashed by chance.
+TEST_CASE("no segment is refused while endpoints crash by chance")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        EntryFleet fleet(seed);
+        PromptTraffic traffic(fleet, {}, 1s);
+        traffic.run(4s, false);
+        TimePoint begin = fleet.now();
+        INFO("seed " << seed);
+        for (int i = 0; i < 30; ++i) {
+            traffic.run(500ms, false);
+            fleet.crashOne(fleet.random.below(2) == 0 ? "north" : "south");
+            CHECK(entriesRefusingSegments(fleet) == 0);
+        }
+        fleet.advance(5s);
+        CHECK(servedSound(fleet, 0, begin, fleet.now()) >= 0.9);
+        CHECK(servedSound(fleet, 1, begin, fleet.now()) >= 0.9);
+    }
+}
+
+// Guards against a sound segment that is refused for good because no request without the bad one
+// had it before.
+TEST_CASE("a segment that only crashing requests had so far is served soon after")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        PromptTraffic traffic(fleet, { "bad" }, 400ms);
+        traffic.run(4s, false);
+        for (int i = 0; i < 30; ++i) {
+            CrashingClient client = traffic.makeBad(0, "bad,beside");
+            fleet.sendPrompt(fleet.random.below(fleet.entries()), client.body, client.segments);
+            traffic.run(300ms, false);
+        }
+        INFO("seed " << seed);
+        REQUIRE(entriesRefusingSegments(fleet) == fleet.entries());
+        for (int i = 0; i < 150; ++i) {
+            fleet.sendPrompt(fleet.random.below(fleet.entries()), "beside-" + std::to_string(i), PromptTraffic::firstSegment(0) + ",beside,own");
+            traffic.run(100ms, false);
+        }
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+            fleet.sendPrompt(entry, "last", PromptTraffic::firstSegment(0) + ",beside,own");
+        fleet.advance(2s);
+        CHECK(fleet.servedFraction("last") == 1);
+        CHECK(fleet.crashingSegments.at("bad").size() <= crashesBeforeBound + maxLaterAttempts);
+    }
+}
+
+// Guards against refusing what all requests share where no entry knows that it was ever answered.
+TEST_CASE("sound requests are served soon although all entries start while a segment crashes endpoints")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        PromptTraffic traffic(fleet, { "bad" }, 83ms);
+        traffic.run(20s, true);
+        INFO("seed " << seed);
+        checkBounds(fleet, "bad", 0, fleet.now());
+    }
+}
+
+// Guards against a refusal that outlasts the fault of the endpoints.
+TEST_CASE("a refused segment is served by every entry once an endpoint has answered it")
+{
+    EntryFleet fleet(4);
+    PromptTraffic traffic(fleet, { "bad" }, 400ms);
+    traffic.run(4s, false);
+    traffic.run(10s, true);
+    REQUIRE(entriesRefusingSegments(fleet) == fleet.entries());
+    fleet.isRepaired = true;
+    for (int i = 0; i < 6 * 60; ++i) {
+        fleet.sendPrompt(fleet.random.below(fleet.entries()), "repaired", "family-0,bad,own");
+        fleet.advance(1s);
+    }
+    TimePoint repaired = fleet.now();
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+        fleet.sendPrompt(entry, "repaired", "family-0,bad,own");
+    fleet.advance(2s);
+    CHECK(fleet.servedFraction("repaired", repaired) == 1);
+}
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -748,3 +748,137 @@
     fixture.scheduler.advance(200ms);
     CHECK(fixture.runToEnd()->status() == 200);
 }
+
+/// Removes the framing of an endpoint's answer, so that the answer ends with its connection.
+static FakeHttpAnswer unframed(FakeHttpAnswer answer)
+{
+    answer.headers.remove("transfer-encoding");
+    return answer;
+}
+
+static Route promptRoute(Route route)
+{
+    route.hasPromptAffinity = true;
+    return route;
+}
+
+// Guards against an endpoint's answer that is lost because nothing but its end frames it.
+TEST_CASE("an answer with neither a length nor chunks is delivered once its connection has ended")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) { return unframed(endpointAnswer(request, 200, "whole")); } };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 200);
+    CHECK(client->body == "whole");
+}
+
+// Guards against a broken stream that looks complete because nothing but its end frames it.
+TEST_CASE("a stream with neither a length nor chunks that ends inside an event, or before the first, goes on at another endpoint")
+{
+    for (std::size_t wholeEvents : { 0u, 1u, 2u }) {
+        IngressFixture fixture;
+        fixture.configure(IngressFixture::streamRoute(true));
+        fixture.addEndpoint("e1");
+        fixture.addEndpoint("e2");
+        fixture.answers = {
+            [&](const HttpClientRequest& request) {
+                FakeHttpAnswer answer = unframed(streamAnswer(request, { 1, 2 }));
+                // The first piece is empty.
+                answer.body.resize(wholeEvents + 1);
+                if (wholeEvents > 0)
+                    answer.body.emplace_back("id: 9");
+                return answer;
+            },
+            [&](const HttpClientRequest& request) {
+                return wholeEvents < 2 ? unframed(streamAnswer(request, wholeEvents == 0 ? std::vector<int> { 1, 2, 3 } : std::vector<int> { 2, 3 })) : unframed(streamAnswer(request, { 3 }));
+            },
+        };
+        auto client = fixture.runToEnd();
+        CHECK(client->isFinished);
+        CHECK(client->body == eventText(1) + eventText(2) + eventText(3));
+    }
+}
+
+TEST_CASE("a stream with neither a length nor chunks that ends inside an event counts as a crash of an endpoint that isn't heard from again")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::streamRoute(false));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = unframed(streamAnswer(request, { 1 }));
+        answer.body.emplace_back("id: 2");
+        return answer;
+    } };
+    auto client = fixture.runToEnd();
+    CHECK(client->isAborted);
+    fixture.parts.crashingRequests.settleAndExpire(fixture.scheduler.clock().now());
+    CHECK(fixture.parts.crashingRequests.size() == 1);
+}
+
+// Guards against clearing a segment by the head of an answer that crashes its endpoint.
+TEST_CASE("ten events of a stream clear the shared segments of its prompt, its first ones don't")
+{
+    for (int events : { 0, 9, 10, 11 }) {
+        IngressFixture fixture;
+        fixture.configure(promptRoute(IngressFixture::streamRoute(false)));
+        fixture.addEndpoint("e1");
+        fixture.answers = { [&](const HttpClientRequest& request) {
+            std::vector<int> ids;
+            for (int id = 1; id <= events; ++id)
+                ids.push_back(id);
+            FakeHttpAnswer answer = streamAnswer(request, ids);
+            answer.isLeftOpen = true;
+            return answer;
+        } };
+        auto client = fixture.start({ { "segments", "first,second,own" } });
+        fixture.scheduler.advance(100ms);
+        CHECK(fixture.parts.crashingRequests.answeredCount() == (events >= 10 ? 2 : 0));
+        fixture.scheduler.advance(20s);
+    }
+}
+
+TEST_CASE("an answer clears the segments of its prompt if it is a success, and if it isn't known whether it is whole only once the endpoint is heard from")
+{
+    auto cleared = [](int status, bool isFramed, bool isForwardedAnswer) {
+        IngressFixture fixture;
+        fixture.configure(promptRoute(IngressFixture::unaryRoute(RequestKind::NonIdempotent)));
+        if (isForwardedAnswer)
+            fixture.addEntry("other", "south", 7);
+        fixture.addEndpoint("e1", isForwardedAnswer ? "south-a" : "north-a");
+        auto answerOf = [&](const HttpClientRequest& request) {
+            FakeHttpAnswer answer = endpointAnswer(request, status, "body");
+            if (!isFramed && isForwardedAnswer)
+                answer.headers.add(unframedAnswerHeader, "1");
+            return isFramed || isForwardedAnswer ? answer : unframed(answer);
+        };
+        fixture.answers = { answerOf };
+        fixture.peerClient.handler = answerOf;
+        fixture.runToEnd({ { "segments", "first,second,own" } });
+        return fixture.parts.crashingRequests.answeredCount();
+    };
+    CHECK(cleared(200, true, false) == 3);
+    CHECK(cleared(404, true, false) == 1);
+    CHECK(cleared(500, true, false) == 0);
+    CHECK(cleared(200, false, false) == 0);
+    CHECK(cleared(200, true, true) == 3);
+    CHECK(cleared(200, false, true) == 0);
+}
+
+TEST_CASE("the answer to a forwarded request states that it had neither a length nor chunks")
+{
+    for (bool isFramed : { true, false }) {
+        IngressFixture fixture;
+        fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+        fixture.addEndpoint("e1");
+        fixture.answers = { [&](const HttpClientRequest& request) {
+            FakeHttpAnswer answer = endpointAnswer(request, 200, "body");
+            return isFramed ? answer : unframed(answer);
+        } };
+        auto forwarded = fixture.runToEnd({}, true);
+        CHECK((forwarded->head->headers.find(unframedAnswerHeader) != nullptr) != isFramed);
+        auto direct = fixture.runToEnd();
+        CHECK_FALSE(direct->head->headers.find(unframedAnswerHeader));
+    }
+}
--- a/unittests/Membership/CrashHistoryTest.cpp
+++ b/unittests/Membership/CrashHistoryTest.cpp
@@ -108,3 +108,47 @@
     CHECK_FALSE(recordCrash(refused, crash(5, 5s)));
     CHECK(pruneHistory(refused, refused.refusedUntil + 3'600s));
 }
+
+static CrashHistory segmentHistory()
+{
+    CrashHistory history;
+    history.kind = SuspectKind::PromptSegment;
+    return history;
+}
+
+// Guards against refusing a segment that all requests have, since it is present at each crash.
+TEST_CASE("a segment that was answered a moment ago is refused after more crashes than others")
+{
+    CrashHistory answered = segmentHistory();
+    CrashHistory unknown = segmentHistory();
+    recordSurvival(answered, start);
+    for (std::uint32_t endpoint = 1; endpoint < crashesOfSurvivorBeforeRefusal; ++endpoint) {
+        recordCrash(answered, crash(endpoint, endpoint * 1s));
+        recordCrash(unknown, crash(endpoint, endpoint * 1s));
+        CHECK(answered.refusals == 0);
+        CHECK((unknown.refusals > 0) == (endpoint >= crashesBeforeRefusal));
+    }
+    recordCrash(answered, crash(100, 20s));
+    CHECK(answered.refusals == 1);
+}
+
+TEST_CASE("a segment has its first trial soon, and a request after its refusal")
+{
+    CrashHistory segment = segmentHistory();
+    CrashHistory request;
+    for (std::uint32_t endpoint = 1; endpoint <= 3; ++endpoint) {
+        recordCrash(segment, crash(endpoint, endpoint * 1s));
+        recordCrash(request, crash(endpoint, endpoint * 1s));
+    }
+    CHECK(trialStart(segment) == start + 6s);
+    CHECK(trialStart(request) == request.refusedUntil);
+    // A request that was running when the refusal began.
+    recordCrash(segment, crash(4, 4s));
+    CHECK(segment.refusals == 1);
+    recordCrash(segment, crash(5, 6s));
+    recordCrash(request, crash(5, 6s));
+    CHECK(segment.refusals == 2);
+    CHECK(request.refusals == 1);
+    CHECK(trialStart(segment) == segment.refusedUntil);
+    CHECK(segment.refusedUntil > start + 6s + 3min);
+}
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashingRequestsTest.cpp
@@ -1,6 +1,8 @@
 #include "catkinwing/Membership/CrashingRequests.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -249,3 +251,159 @@
     REQUIRE(crash);
     CHECK_FALSE(requests.mayResume(*crash));
 }
+
+static SuspectId segment(const std::string& name)
+{
+    return suspectId(SuspectKind::PromptSegment, name);
+}
+
+/// Records crashes of three endpoints, from \p firstEndpoint on, under different requests that have
+/// \p segments, one every second from \p at on.
+static void crashThree(CrashingRequests& requests, const RequestSuspects& segments, std::uint32_t firstEndpoint, TimePoint at)
+{
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        RequestSuspects suspects { fingerprint(firstEndpoint + i) };
+        suspects.insert(suspects.end(), segments.begin(), segments.end());
+        requests.recordBrokenConnection(suspects, firstEndpoint + i, {}, at + i * 1s);
+        requests.settleAndExpire(at + i * 1s + 600ms);
+    }
+}
+
+// Guards against a segment that crashes endpoints under requests that are never alike.
+TEST_CASE("a segment that three crashed requests have in common is refused, and what others answered isn't")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    requests.recordSurvival({ fingerprint(1), segment("first") }, now - 1s);
+    crashThree(requests, { segment("first"), segment("bad") }, 100, now);
+    std::optional<CrashingRequests::Refusal> refusal = requests.refusalOf(RequestSuspects { fingerprint(2), segment("bad") }, now + 3s);
+    REQUIRE(refusal);
+    CHECK(refusal->suspect == segment("bad"));
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(2), segment("first") }, now + 3s));
+    CHECK(requests.refusedCount(SuspectKind::PromptSegment, now + 3s) == 1);
+    CHECK(requests.refusedCount(SuspectKind::Request, now + 3s) == 0);
+}
+
+// Guards against a second segment that gets away because the crashes of the first explain its own.
+TEST_CASE("two segments that crash endpoints by turns are both refused")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    for (std::uint32_t i = 0; i < 6; ++i) {
+        requests.recordBrokenConnection({ fingerprint(i), segment(i % 2 == 0 ? "bad-0" : "bad-1") }, 100 + i, {}, now + i * 1s);
+        requests.settleAndExpire(now + i * 1s + 600ms);
+    }
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(50), segment("bad-0") }, now + 6s));
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(50), segment("bad-1") }, now + 6s));
+}
+
+// Guards against several entries that try a refused segment at once.
+TEST_CASE("one entry at a time tries a refused segment, and one request at a time")
+{
+    constexpr std::size_t entries = 3;
+    TimePoint now { 100s };
+    std::vector<CrashingRequests> requests(entries);
+    for (CrashingRequests& known : requests)
+        crashThree(known, { segment("bad") }, 100, now);
+    std::vector<TimePoint> trials;
+    for (TimePoint time = now + 2s; time < now + 60s; time += 50ms) {
+        for (std::size_t rank = 0; rank < entries; ++rank) {
+            std::optional<CrashingRequests::Refusal> refusal = requests[rank].refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, time);
+            REQUIRE(refusal);
+            if (refusal->mayBeTrial && requests[rank].beginTrial(refusal->suspect, { rank, entries }, time))
+                trials.push_back(time);
+        }
+    }
+    REQUIRE(trials.size() >= 5);
+    // The refusal began with the third crash, two seconds after the first.
+    CHECK(trials.front() >= now + 5s);
+    for (std::size_t i = 1; i < trials.size(); ++i)
+        CHECK(trials[i] - trials[i - 1] >= 5s);
+}
+
+TEST_CASE("a request with two refused segments is no trial, and one whose segment is answered is served everywhere")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    crashThree(requests, { segment("bad"), segment("beside") }, 100, now);
+    TimePoint later = now + 6s;
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad"), segment("beside") }, later)->mayBeTrial);
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("beside") }, later)->mayBeTrial);
+    requests.recordSurvival({ fingerprint(1), segment("beside") }, later);
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1), segment("beside") }, later));
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad"), segment("beside") }, later)->mayBeTrial);
+    // Another entry learns of the answer by the changed history.
+    CrashingRequests other;
+    crashThree(other, { segment("beside") }, 100, now);
+    for (const CrashNotice& notice : requests.takeChangedNotices(later))
+        other.mergeNotice(notice, later);
+    CHECK_FALSE(other.refusalOf(RequestSuspects { fingerprint(1), segment("beside") }, later));
+}
+
+// Guards against endpoints that crash in the middle of an answer whose end can't be told from a cut.
+TEST_CASE("an answer that ends with its connection clears its suspects once the endpoint is heard from, and counts as a crash if it has stopped")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    crashThree(requests, { segment("bad") }, 100, now);
+    RequestSuspects suspects { fingerprint(1), segment("bad") };
+    requests.recordUnframedEnd(suspects, 200, {}, now + 6s);
+    CHECK(requests.refusalOf(suspects, now + 6s));
+    requests.recordEndpointUnreachable(200, now + 6100ms);
+    requests.settleAndExpire(now + 6200ms);
+    CHECK(requests.refusalOf(suspects, now + 20s)->remaining > 3min);
+    requests.recordUnframedEnd(suspects, 201, {}, now + 20s);
+    requests.recordEndpointAlive(201, now + 20200ms);
+    CHECK_FALSE(requests.refusalOf(suspects, now + 21s));
+}
+
+// Guards against a caller who makes entries forget what is answered often by naming many segments.
+TEST_CASE("answers of a million segments push out neither a segment that is answered often nor a refused one")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    crashThree(requests, { segment("bad") }, 100, now);
+    now += 4s;
+    for (int i = 0; i < 1'000'000; ++i) {
+        requests.recordSurvival({ segment(std::to_string(i)) }, now);
+        if (i % 1'000 == 0)
+            requests.recordSurvival({ segment("often") }, now);
+    }
+    CHECK(requests.answeredCount() <= 2 * 8'192);
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, now));
+    requests.mergeNotice({ segment("often"), { { 7, 0ms, 80ms, false } }, {}, 0ms, 0, {} }, now);
+    CHECK_FALSE(requests.crashToAwait({ segment("often") }, now));
+}
+
+TEST_CASE("the histories that one call returns for other entries are bounded, and all are returned in turn")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    constexpr std::uint32_t refused = 100;
+    for (std::uint32_t i = 0; i < refused; ++i)
+        crashThree(requests, { segment("bad-" + std::to_string(i)) }, 1'000 + 10 * i, now);
+    std::set<SuspectId> told;
+    for (int i = 0; i < 20; ++i) {
+        std::vector<CrashNotice> notices = requests.nextSuspectNotices(now + 4s);
+        CHECK(notices.size() <= 16);
+        for (const CrashNotice& notice : notices)
+            told.insert(notice.suspect);
+    }
+    CHECK(told.size() == refused);
+    CHECK(requests.takeChangedNotices(now + 4s).size() <= 16);
+    CHECK(requests.refusedNotices(now + 4s).size() <= 16);
+}
+
+// Guards against telling the name of a segment to regions where no request with it may be processed.
+TEST_CASE("a segment may be known wherever one of its requests may be processed")
+{
+    CrashingRequests requests;
+    TimePoint now { 100s };
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        requests.recordBrokenConnection({ segment("bound") }, 10 + i, { 1, 2 }, now + i * 1s);
+        requests.recordBrokenConnection({ segment("shared") }, 20 + i, i == 0 ? std::vector<std::uint32_t> { 1 } : std::vector<std::uint32_t> {}, now + i * 1s);
+        requests.settleAndExpire(now + i * 1s + 600ms);
+    }
+    for (const CrashNotice& notice : requests.refusedNotices(now + 3s))
+        CHECK(notice.regions == (notice.suspect == segment("bound") ? std::vector<std::uint32_t> { 1, 2 } : std::vector<std::uint32_t> {}));
+}
