--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -23,7 +23,7 @@
 
 def configuration(version, timeout):
     routes = [{"name": f"r{i}", "host": "soak.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, "latency_target_ms": 500,
-               "priority": 1, "service": service, "attempts": attempts, "affinity": False, "resumable": resumable, "gap_aim_ms": 300,
+               "priority": 1, "service": service, "attempts": attempts, "affinity": prefix.startswith("/stream/"), "resumable": resumable, "gap_aim_ms": 300,
                "home_regions": []} for i, (prefix, (service, kind, resumable, attempts)) in enumerate(ROUTES.items())]
     services = [{"name": name, "health_path": "/h", "max_conns": 200, "proto": "h1", "tls": False, "warmup_s": 0.0, "cold_per_s": 0.0}
                 for name in ("plain", "model")]
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+import prompts
 import wire
 
 EVENTS = 6
@@ -33,6 +34,10 @@
         # Times at which requests arrived, and the limits that were named: since when, and how many a second.
         self.arrivals = []
         self.limits = []
+        # Answers have neither a length nor chunks, and end with their connections.
+        self.is_unframed = random.random() < 0.3
+        # Called when a request arrives whose prompt crashes the endpoint.
+        self.on_bad_prompt = None
 
     async def start(self):
         self.server, self.port = await wire.serve(self.handle)
@@ -53,7 +58,7 @@
         """Open connections break, and new ones are refused."""
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            wire.reset(writer)
 
     async def start_again(self, version, down, unregistered):
         """Crashes and starts again under its name and address, perhaps at another version."""
@@ -113,12 +118,22 @@
                          "body": body, "from": int(fields.get("last-event-id", 0)),
                          "workspace": fields.get("tenant"), "has_key": "key" in fields, "was_held": was_held})
         await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        if prompts.has_bad(fields) and self.on_bad_prompt:
+            writer.write(self.stream_head([("Attempt-Id", attempt), ("Reply-Seal", f"{attempt}.{self.incarnation}")]))
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+            self.on_bad_prompt(self)
+            return False
         if self.strikes("lose"):
-            writer.transport.abort()
+            wire.reset(writer)
             return False
         head = [("Attempt-Id", attempt), ("Reply-Seal", f"{attempt}.{self.incarnation}")] + self.limit_fields()
         if "/stream/" in target:
             return await self.stream(head, int(fields.get("last-event-id", 0)), writer)
+        if self.is_unframed:
+            lines = ["HTTP/1.1 200 X"] + [f"{name}: {value}" for name, value in head] + ["", ""]
+            writer.write("\r\n".join(lines).encode() + plain_body(attempt, self.incarnation))
+            await writer.drain()
+            return False
         whole = wire.response(200, head, plain_body(attempt, self.incarnation))
         if self.strikes("cut"):
             writer.write(whole[:-5])
@@ -127,21 +142,31 @@
         await writer.drain()
         return True
 
+    def stream_head(self, head):
+        lines = ["HTTP/1.1 200 X"] + [f"{name}: {value}" for name, value in head] + ["Content-Type: text/event-stream"]
+        lines += ["", ""] if self.is_unframed else ["Transfer-Encoding: chunked", "", ""]
+        return "\r\n".join(lines).encode()
+
+    def framed(self, piece):
+        return piece if self.is_unframed else b"%x\r\n%s\r\n" % (len(piece), piece)
+
     async def stream(self, head, after, writer):
         version = self.version
-        lines = ["HTTP/1.1 200 X"] + [f"{name}: {value}" for name, value in head]
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
-        writer.write("\r\n".join(lines).encode())
+        writer.write(self.stream_head(head))
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(self.random.uniform(0.005, 0.04))
             piece = event(number, version)
             if self.strikes("cut"):
-                writer.write(b"%x\r\n" % len(piece) + piece[:4])
+                writer.write(piece[:4] if self.is_unframed else b"%x\r\n" % len(piece) + piece[:4])
                 await writer.drain()
-                writer.transport.abort()
+                # An unframed stream that ends inside an event was broken off, however it was closed.
+                if not self.is_unframed or self.random.random() < 0.5:
+                    wire.reset(writer)
                 return False
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            writer.write(self.framed(piece))
             await writer.drain()
+        if self.is_unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/test/soak/partition.py
+++ b/test/soak/partition.py
@@ -4,6 +4,8 @@
 import os
 import time
 
+import wire
+
 # Connections hang and deliver later, or are reset. New ones are accepted first, since only the one who
 # connects tells the entry: that is harder than a partition, in which no connection stands.
 MODES = ("hang", "reset")
@@ -51,7 +53,7 @@
         if cut.mode == "hang":
             await cut.healed.wait()
             return True, True
-        writer.transport.abort()
+        wire.reset(writer)
         return False, False
 
     async def cut(self, entry, mode, seconds):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -18,6 +18,7 @@
 import endpoint as endpoints
 import fleet
 import partition
+import prompts
 import streams
 import wire
 from deployment import HOLDERS, HOMES, KEYS, LIMITED_KEYS, ROUTES, WORKSPACES, ZONES, configuration
@@ -67,6 +68,7 @@
         self.faults = []
         self.partition = partition.Partition()
         self.streams = streams.Streams()
+        self.prompts = prompts.Prompts()
 
     def breach(self, rule, what):
         self.breaches.append((rule, what))
@@ -95,6 +97,8 @@
         random = fleet.seeded(self.arguments.seed, name)
         version = random.choice(self.versions) if service == "model" else "v1"
         added = endpoints.Endpoint(self.store, random, service, zone, self.runs, name, self.partition, version)
+        if service == "model":
+            added.on_bad_prompt = lambda endpoint: asyncio.ensure_future(prompts.crash_and_replace(self, endpoint))
         await added.start()
         self.endpoints.append(added)
 
@@ -192,6 +196,8 @@
         sent["leaves_after"] = random.randint(1, endpoints.EVENTS - 1) if may_resume and random.random() < 0.3 else None
         sent["key"] = random.choice(KEYS)
         fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(DEADLINE * 1000))), ("Key", sent["key"])]
+        if "/stream/" in prefix:
+            fields.append(prompts.header(random))
         if random.random() < 0.1:
             fields.append(("Tenant", "forged"))
         if random.random() < 0.1:
@@ -204,6 +210,39 @@
             await self.resume(sent, zone, random)
         return keep
 
+    async def send_bad_prompts(self):
+        """Requests with a part that crashes endpoints come at any entry, no two alike; their callers try three times."""
+        random = fleet.seeded(self.arguments.seed, "prompts")
+        if self.kind != "prompts" and (self.kind != "harsh" or random.random() < 0.6):
+            return
+        until = time.monotonic() + self.arguments.seconds - 1
+        await asyncio.sleep(random.uniform(2, 3))
+        while time.monotonic() < until:
+            asyncio.ensure_future(self.send_bad_prompt(random))
+            await asyncio.sleep(random.expovariate(3))
+
+    async def send_bad_prompt(self, random):
+        path = f"/stream/once/{random.getrandbits(64):016x}"
+        for _ in range(3):
+            attempt = f"{random.getrandbits(64):016x}"
+            connection = await self.connect(random.choice(list(ZONES)), random)
+            if connection is None:
+                return
+            entry, reader, writer = connection
+            sent = {"attempt": attempt, "prefix": "/stream/once/", "method": "POST", "target": path, "body": b"x", "entry": entry, "at": time.monotonic(),
+                    "status": None, "how": None, "events": 0, "leaves_after": None, "key": "key-wide-1", "is_bad": True}
+            self.requests[attempt] = sent
+            self.prompts.sent.append(sent["at"])
+            fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", "2000"), ("Key", sent["key"]), prompts.header(random, True)]
+            try:
+                writer.write(wire.request("POST", path, fields, b"x"))
+                await asyncio.wait_for(self.take_answer(sent, reader), 3)
+            except (asyncio.TimeoutError, wire.Closed, ConnectionError):
+                sent["how"] = "cut"
+            writer.close()
+            self.counts[f"bad prompt: {sent['how']}"] += 1
+            await asyncio.sleep(random.uniform(0.05, 0.3))
+
     async def send(self, sent, reader, writer, request, random):
         leaves = random.random() < 0.03
         try:
@@ -324,6 +363,7 @@
             self.check_request_limits(limited)
         if self.kind == "cuts":
             self.check_cuts()
+        self.check_prompts()
         for rule, what in self.streams.breaches():
             self.breach(rule, what)
         for entry in self.entries:
@@ -389,6 +429,14 @@
         if served < CUT_SERVED_RATIO * served_by_others and failed(at_cut) > CUT_FAILURES + CUT_FAILURE_SHARE * len(at_cut):
             self.breach("cuts", f"{failed(at_cut)} of {len(at_cut)} first tries at entries that were cut off failed, {failed(others)} of {len(others)} at others")
 
+    def check_prompts(self):
+        self.prompts.arrivals = [run["at"] for run in self.runs if self.requests.get(run["attempt"], {}).get("is_bad")]
+        sound = [(sent["at"], sent["status"] == 200) for sent in self.requests.values()
+                 if "/stream/" in sent["prefix"] and not sent.get("is_bad") and not sent.get("resumes") and sent["how"] != "left"
+                 and sent["key"] not in LIMITED_KEYS and sent["key"] in HOLDERS]
+        for rule, what in self.prompts.breaches(sound, lambda at: all(self.is_calm(entry, at) for entry in self.entries)):
+            self.breach(rule, what)
+
     def check_planned_stop(self, sent, by_attempt):
         """Where only planned stops strike, what was passed on is answered."""
         entry = sent["entry"]
@@ -405,8 +453,11 @@
                            self.crash_endpoint, self.reset_store, self.compact, self.kill_many, self.cut_endpoints, self.start_endpoint_again,
                            self.strike_series]
         self.kind = self.random.choice(["planned", "planned", "harsh", "harsh", "harsh", "harsh", "cuts"])
+        # Beside the bad part nothing strikes that would excuse entries.
+        if fleet.seeded(self.arguments.seed, "kind").random() < 0.25:
+            self.kind = "prompts"
         self.planned_only = self.kind == "planned"
-        kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints]}[self.kind]
+        kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
             self.faults.append((at, self.random.choice(kinds)))
@@ -424,7 +475,7 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
-        if self.kind == "cuts":
+        if self.kind in ("cuts", "prompts"):
             return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
@@ -567,7 +618,7 @@
             await self.start()
             until = time.monotonic() + self.arguments.seconds
             callers = [self.caller(number, until) for number in range(self.arguments.callers)]
-            await asyncio.gather(self.strike(), self.name_limits(), *callers)
+            await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *callers)
             await asyncio.sleep(0.5)
             self.check_end()
         finally:
@@ -577,7 +628,8 @@
         if answered * 4 < sum(self.counts.values()):
             self.breach("service", f"only {answered} of {sum(self.counts.values())} requests were answered")
         print(f"seed {self.arguments.seed}: {self.kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
-              f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}; streams {dict(self.streams.counts)} of {self.versions}")
+              f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}; streams {dict(self.streams.counts)} of {self.versions}; "
+              f"{len(self.prompts.crashes)} crashes by prompts")
         if self.breaches or self.arguments.keep:
             print(f"logs: {self.folder}")
         else:
--- a/test/soak/wire.py
+++ b/test/soak/wire.py
@@ -1,5 +1,7 @@
 """Just enough HTTP/1.1 over asyncio streams for the soak's own sides."""
 import asyncio
+import socket
+import struct
 
 
 class Closed(Exception):
@@ -63,6 +65,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+def reset(writer):
+    """Closes the connection by a reset. An orderly end would complete an answer with neither a length nor chunks."""
+    connection = writer.get_extra_info("socket")
+    if connection and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def serve(handler, port=0):
     """Serves connections on loopback; handler(reader, writer) may raise Closed."""
 
