--- a/include/catkinwing/Gateway/RequestBroker.h
+++ b/include/catkinwing/Gateway/RequestBroker.h
@@ -8,7 +8,7 @@
 #include "catkinwing/Gateway/EndpointRegistry.h"
 #include "catkinwing/Gateway/RemoteCells.h"
 #include "catkinwing/Http/HttpClient.h"
-#include "catkinwing/Membership/CrashingRequests.h"
+#include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/PeerProtocol/PeerIdentity.h"
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Reporting/ServiceLevel.h"
@@ -98,7 +98,7 @@
     AdmissionController m_admission;
     OutputEstimator m_outputs;
     /// As far as this entry has seen itself.
-    CrashingRequests m_crashing;
+    CrashSuspectTable m_crashing;
     RetryBudget m_retryBudget;
     RetryPolicy m_retryPolicy;
     HedgePolicy m_hedgePolicy;
--- a/include/catkinwing/Ingress/CrashExchange.h
+++ b/include/catkinwing/Ingress/CrashExchange.h
@@ -2,7 +2,7 @@
 
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Ingress/OutgoingDatagram.h"
-#include "catkinwing/Membership/CrashingRequests.h"
+#include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/Support/Random.h"
 #include <map>
 #include <vector>
@@ -17,7 +17,7 @@
 class CrashExchange {
 public:
     /// All references must outlive the exchange; \p self is the record of this entry.
-    CrashExchange(CrashingRequests& requests, const EntryTable& entries, EntryRecord self, Random& random);
+    CrashExchange(CrashSuspectTable& suspects, const EntryTable& entries, EntryRecord self, Random& random);
 
     /// Returns the datagrams to send now. Must be called ten times a second.
     std::vector<OutgoingDatagram> tick(TimePoint now);
@@ -52,7 +52,7 @@
     void queueNewcomerNotices(Outbox& outbox, TimePoint now);
     static std::vector<OutgoingDatagram> encodeOutbox(const Outbox& outbox);
 
-    CrashingRequests& m_requests;
+    CrashSuspectTable& m_suspects;
     const EntryTable& m_entries;
     EntryRecord m_self;
     Random& m_random;
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -9,7 +9,7 @@
 #include "catkinwing/Ingress/LimitExchange.h"
 #include "catkinwing/Ingress/RegionOutlooks.h"
 #include "catkinwing/Ingress/StreamOriginExchange.h"
-#include "catkinwing/Membership/CrashingRequests.h"
+#include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionAcceptance.h"
@@ -71,7 +71,7 @@
     /// Number of the latest attempt of any request; attempts are numbered from 1.
     std::uint64_t lastAttemptNumber { 0 };
     /// Requests that crash endpoints or are suspected to.
-    CrashingRequests crashingRequests {};
+    CrashSuspectTable crashSuspects {};
     /// When this entry's process started.
     TimePoint startedAt {};
     /// When a configuration last gave a route other services, by the route's name.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -150,11 +150,11 @@
     bool refuseIfCrashing();
     /// Returns whether a request that is refused for crashes is sent to find out whether its
     /// suspect still crashes endpoints.
-    bool isTrial(const CrashingRequests::Refusal& refusal);
+    bool isTrial(const CrashSuspectTable::Refusal& refusal);
     /// Delays the request if an endpoint has just crashed while running an identical
     /// request. Returns whether the request is delayed or has been refused.
     bool holdIfSuspect();
-    void beginHold(const CrashingRequests::RecentCrash& crash, const EntryOrder& order, TimePoint time);
+    void beginHold(const CrashSuspectTable::RecentCrash& crash, const EntryOrder& order, TimePoint time);
     void refuseEverywhere(std::chrono::milliseconds retryAfter, const char* reason = "crashes_endpoints");
     void recordCrashEvidence(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     /// Records that the attempt shows that some suspects crash no endpoints.
--- a/include/catkinwing/Membership/CrashingRequests.h
+++ b/include/catkinwing/Membership/CrashSuspectTable.h
@@ -16,11 +16,11 @@
 /// Distinguishes a suspect that crashes endpoints from those that ran at the same time: a
 /// request with the former is never answered, whereas an answer to one with the latter shows
 /// that its crashes have another cause.
-class CrashingRequests {
+class CrashSuspectTable {
 public:
     /// \p seed must differ between entries, so that they accept a refused request again at
     /// different times.
-    explicit CrashingRequests(std::uint64_t seed = 0)
+    explicit CrashSuspectTable(std::uint64_t seed = 0)
         : m_seed(seed)
     {
     }
--- a/include/catkinwing/PlatformStandin/EndpointStandin.h
+++ b/include/catkinwing/PlatformStandin/EndpointStandin.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "catkinwing/Standin/StandinFrontend.h"
+#include <functional>
+#include <string>
 
 namespace catkinwing::platform {
 
@@ -18,6 +20,11 @@
     bool isLeaving { false };
     /// Limit in requests a second that each answer names; none if empty.
     std::string requestLimit {};
+    /// Identifier of a shared part of prompts that crashes the endpoint when it begins to answer;
+    /// none if empty.
+    std::string crashingPart {};
+    /// Ends the process as a crash does.
+    std::function<void()> crash {};
 };
 
 /// Makes a stand-in for an endpoint as the platform runs them: it refuses what
--- a/lib/Gateway/RequestRunCrashes.cpp
+++ b/lib/Gateway/RequestRunCrashes.cpp
@@ -27,7 +27,7 @@
 bool RequestRun::refuseIfCrashing()
 {
     TimePoint now = m_broker.m_parts.scheduler.clock().now();
-    std::optional<CrashingRequests::Refusal> refusal = m_broker.m_crashing.isEmpty() ? std::nullopt : m_broker.m_crashing.refusalOf(suspects(), now);
+    std::optional<CrashSuspectTable::Refusal> refusal = m_broker.m_crashing.isEmpty() ? std::nullopt : m_broker.m_crashing.refusalOf(suspects(), now);
     if (!refusal)
         return false;
     // Entries don't tell each other of crashes, so that each one tries by itself.
@@ -59,7 +59,7 @@
     if (attempt.target != AttemptTarget::Endpoint)
         return;
     TimePoint now = m_broker.m_parts.scheduler.clock().now();
-    CrashingRequests& crashing = m_broker.m_crashing;
+    CrashSuspectTable& crashing = m_broker.m_crashing;
     bool isCurrent = m_attempts.current() && &m_attemptData.at(*m_attempts.current()) == &attempt;
     bool endsEarly = attempt.isEventStream && isCurrent && result.end == HttpEnd::Complete;
     bool isBroken = outcome == Outcome::Unknown && (result.end == HttpEnd::NoResponse || result.end == HttpEnd::Truncated || endsEarly);
--- a/lib/Ingress/CrashExchange.cpp
+++ b/lib/Ingress/CrashExchange.cpp
@@ -38,8 +38,8 @@
 /// notices beyond them are left out of that call.
 static constexpr std::size_t maxDatagramsPerEntry = 4;
 
-CrashExchange::CrashExchange(CrashingRequests& requests, const EntryTable& entries, EntryRecord self, Random& random)
-    : m_requests(requests)
+CrashExchange::CrashExchange(CrashSuspectTable& suspects, const EntryTable& entries, EntryRecord self, Random& random)
+    : m_suspects(suspects)
     , m_entries(entries)
     , m_self(std::move(self))
     , m_random(random)
@@ -112,7 +112,7 @@
 
 void CrashExchange::queueSettledNotices(Outbox& outbox, TimePoint now)
 {
-    for (CrashNotice& notice : m_requests.takeSettledNotices()) {
+    for (CrashNotice& notice : m_suspects.takeSettledNotices()) {
         if (m_settledNotices.size() < maxSettledNotices)
             m_settledNotices.push_back({ std::move(notice), now, sendsPerSettledNotice });
     }
@@ -132,13 +132,13 @@
 
 void CrashExchange::queueSuspectNotices(Outbox& outbox, TimePoint now)
 {
-    for (const CrashNotice& notice : m_requests.takeChangedNotices(now)) {
+    for (const CrashNotice& notice : m_suspects.takeChangedNotices(now)) {
         for (const SocketAddress& other : randomEntries(notice, changedNoticeFanout))
             outbox[other].push_back(notice);
     }
     if (m_ticks % suspectSendTicks != 0)
         return;
-    for (const CrashNotice& notice : m_requests.nextSuspectNotices(now)) {
+    for (const CrashNotice& notice : m_suspects.nextSuspectNotices(now)) {
         for (const SocketAddress& other : randomEntries(notice, 1))
             outbox[other].push_back(notice);
     }
@@ -150,7 +150,7 @@
 {
     if (m_newcomers.empty())
         return;
-    std::vector<CrashNotice> notices = m_requests.refusedNotices(now);
+    std::vector<CrashNotice> notices = m_suspects.refusedNotices(now);
     double share = std::min(1.0, expectedSendersToNewcomer / static_cast<double>(std::max<std::size_t>(m_otherEntries.size(), 1)));
     for (Newcomer& newcomer : m_newcomers) {
         --newcomer.remainingSends;
@@ -168,8 +168,8 @@
 std::vector<OutgoingDatagram> CrashExchange::tick(TimePoint now)
 {
     ++m_ticks;
-    m_requests.settleAndExpire(now);
-    if (m_requests.isEmpty() && m_settledNotices.empty())
+    m_suspects.settleAndExpire(now);
+    if (m_suspects.isEmpty() && m_settledNotices.empty())
         return {};
     updateEntries();
     Outbox outbox;
@@ -183,7 +183,7 @@
 {
     updateEntries();
     Outbox outbox;
-    for (const CrashNotice& notice : m_requests.takeUrgentNotices(now)) {
+    for (const CrashNotice& notice : m_suspects.takeUrgentNotices(now)) {
         for (const SocketAddress& other : randomEntries(notice, urgentFanout))
             outbox[other].push_back(notice);
     }
@@ -212,7 +212,7 @@
     if (std::none_of(m_otherEntries.begin(), m_otherEntries.end(), isFromSender))
         return;
     for (const CrashNotice& notice : report.notices)
-        m_requests.mergeNotice(notice, now);
+        m_suspects.mergeNotice(notice, now);
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -288,7 +288,7 @@
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
     impl->parts.streamOrigins = &impl->streamOrigins;
-    impl->parts.crashingRequests.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
+    impl->parts.crashSuspects.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // Closes connections to an endpoint that was restarted: they belong to the earlier
     // incarnation.
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -54,9 +54,9 @@
         , store(makeStore(*storeClient, eventLoop, settings.store, [this](const char* kind) { ++storeCalls[kind]; }))
         , self { settings.region, settings.availabilityZone, settings.listen.callers, settings.listen.peers }
         , parts { eventLoop, random, *endpointClient, *peerClient, metrics, log, dialect, settings.region,
-            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(random.bits()) }
+            EndpointTable(settings.region, ingress.regionOfZone), EntryTable(self), { ingress.retryRatio, ingress.retrySlack }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashSuspectTable(random.bits()) }
         , loadExchange(parts.endpoints, parts.entries, self)
-        , crashExchange(parts.crashingRequests, parts.entries, self, random)
+        , crashExchange(parts.crashSuspects, parts.entries, self, random)
         , creditExchange(
               parts.entries, self, limitTolerance(ingress), eventLoop, random, [this]() -> const WorkspaceTable& { return workspaces(); },
               [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -55,8 +55,8 @@
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
     metrics.set("store_age_seconds", std::chrono::duration<double>(relayedStore.dataAge().value_or(Duration::zero())).count());
-    metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashingRequests.refusedCount(SuspectKind::Request, loop.clock().now())));
-    metrics.set("prompt_segments_refused_for_crashes", static_cast<double>(parts.crashingRequests.refusedCount(SuspectKind::PromptSegment, loop.clock().now())));
+    metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashSuspects.refusedCount(SuspectKind::Request, loop.clock().now())));
+    metrics.set("prompt_segments_refused_for_crashes", static_cast<double>(parts.crashSuspects.refusedCount(SuspectKind::PromptSegment, loop.clock().now())));
     for (const CreditState& state : creditExchange.states()) {
         metrics.set("limit_credit_entry_" + state.workspace, state.atEntry);
         metrics.set("limit_credit_pool_" + state.workspace, state.atPool);
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -69,7 +69,7 @@
     EndpointTable::recordConnectionAlive(*attempt.endpoint, attempt.startedAt, attempt.build.has_value(), now());
     if (m_parts.endpoints.recordBytesReceived(*attempt.endpoint, now()))
         logChange(LogLevel::Info, "endpoints_reached_again", { { "service", m_service }, { "endpoint", attempt.endpoint->record.incarnation } });
-    m_parts.crashingRequests.recordEndpointAlive(attempt.endpoint->hash, now());
+    m_parts.crashSuspects.recordEndpointAlive(attempt.endpoint->hash, now());
 }
 
 // The state that the endpoint reports itself takes precedence over its registration,
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -61,9 +61,9 @@
 // not recorded here.
 bool RoutedRun::refuseIfCrashing()
 {
-    if (m_parts.crashingRequests.isEmpty() || !isAllowedHere())
+    if (m_parts.crashSuspects.isEmpty() || !isAllowedHere())
         return false;
-    std::optional<CrashingRequests::Refusal> refusal = m_parts.crashingRequests.refusalOf(suspects(), now());
+    std::optional<CrashSuspectTable::Refusal> refusal = m_parts.crashSuspects.refusalOf(suspects(), now());
     if (!refusal || isTrial(*refusal))
         return false;
     refuseEverywhere(std::chrono::duration_cast<milliseconds>(refusal->remaining));
@@ -71,17 +71,17 @@
 }
 
 // A trial is one attempt. The request may be dispatched several times before it is made.
-bool RoutedRun::isTrial(const CrashingRequests::Refusal& refusal)
+bool RoutedRun::isTrial(const CrashSuspectTable::Refusal& refusal)
 {
     if (!refusal.mayBeTrial || m_attemptCount > 0)
         return false;
     if (!m_isTrial)
-        m_isTrial = m_parts.crashingRequests.beginTrial(refusal.suspect, m_parts.entries.orderFor(stableHash(refusal.suspect), m_homeRegions), now());
+        m_isTrial = m_parts.crashSuspects.beginTrial(refusal.suspect, m_parts.entries.orderFor(stableHash(refusal.suspect), m_homeRegions), now());
     return m_isTrial;
 }
 
 // The maximum hold time applies to all attempts of the request together.
-void RoutedRun::beginHold(const CrashingRequests::RecentCrash& crash, const EntryOrder& order, TimePoint time)
+void RoutedRun::beginHold(const CrashSuspectTable::RecentCrash& crash, const EntryOrder& order, TimePoint time)
 {
     m_heldSince = time;
     if (!m_parts.log.admitsNotable())
@@ -93,11 +93,11 @@
 
 bool RoutedRun::holdIfSuspect()
 {
-    CrashingRequests& crashing = m_parts.crashingRequests;
+    CrashSuspectTable& crashing = m_parts.crashSuspects;
     if (crashing.isEmpty() || !isAllowedHere())
         return false;
     TimePoint time = now();
-    std::optional<CrashingRequests::RecentCrash> crash = crashing.crashToAwait(suspects(), time);
+    std::optional<CrashSuspectTable::RecentCrash> crash = crashing.crashToAwait(suspects(), time);
     if (!crash)
         return false;
     bool isLikelyUnrelated = crash->isOnlyKnownHere && m_possiblyDeliveredAttempts > 0;
@@ -154,7 +154,7 @@
     if (wasSurvivor || attempt.events < eventsOfSurvivor || !isAllowedHere())
         return;
     RequestSuspects segments(suspects().begin() + 1, suspects().end());
-    m_parts.crashingRequests.recordSurvival(segments, now());
+    m_parts.crashSuspects.recordSurvival(segments, now());
 }
 
 // An answer that another entry relays was also made by an endpoint. That entry waits for what
@@ -162,7 +162,7 @@
 // tells nothing of the prompt, which it may not have read.
 void RoutedRun::recordSurvival(const Attempt& attempt)
 {
-    CrashingRequests& crashing = m_parts.crashingRequests;
+    CrashSuspectTable& crashing = m_parts.crashSuspects;
     bool isSuccess = attempt.head->status >= 200 && attempt.head->status < 300;
     RequestSuspects survivors = isSuccess ? suspects() : RequestSuspects { fingerprint() };
     if (!attempt.isUnframed)
@@ -176,7 +176,7 @@
 // ends inside an event.
 void RoutedRun::recordCrashEvidence(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict)
 {
-    CrashingRequests& crashing = m_parts.crashingRequests;
+    CrashSuspectTable& crashing = m_parts.crashSuspects;
     bool hasSurvived = verdict == AttemptVerdict::Answered && attempt.head->status < firstServerErrorStatus;
     if (hasSurvived && isAllowedHere())
         recordSurvival(attempt);
--- a/lib/Ingress/RoutedRunHandover.cpp
+++ b/lib/Ingress/RoutedRunHandover.cpp
@@ -40,7 +40,7 @@
     metrics.count("cuts_from_endpoints");
     std::vector<std::uint32_t> failed = endpoints.reach().failedEndpoints();
     logChange(LogLevel::Warning, "cut_off_from_endpoints", { { "failed_endpoints", failed.size() } });
-    crashingRequests.dropBrokenByCut(failed);
+    crashSuspects.dropBrokenByCut(failed);
     endpoints.forEach([this](const RoutedEndpoint& endpoint) {
         if (endpoint.region == region)
             endpointClient.forget(endpoint.record.address);
--- a/lib/Membership/CrashingRequests.cpp
+++ b/lib/Membership/CrashSuspectTable.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Membership/CrashingRequests.h"
+#include "catkinwing/Membership/CrashSuspectTable.h"
 
 #include "catkinwing/Support/Hash.h"
 #include "catkinwing/Support/Logging.h"
@@ -77,7 +77,7 @@
 
 // A prompt segment that was answered a moment ago ran on nearly every endpoint. Other entries
 // are told of it once it is settled and there was no answer since.
-void CrashingRequests::recordBrokenConnection(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& regions, TimePoint now, Duration ranFor)
+void CrashSuspectTable::recordBrokenConnection(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& regions, TimePoint now, Duration ranFor)
 {
     for (const SuspectId& suspect : suspects) {
         if (m_pending.size() >= maxPending)
@@ -88,13 +88,13 @@
     }
 }
 
-void CrashingRequests::recordUnframedEnd(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& regions, TimePoint now, Duration ranFor)
+void CrashSuspectTable::recordUnframedEnd(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& regions, TimePoint now, Duration ranFor)
 {
     if (m_unframedEnds.size() < maxUnframedEnds)
         m_unframedEnds.push_back({ suspects, endpoint, regions, now, ranFor });
 }
 
-void CrashingRequests::queueUrgent(UrgentNotice urgent)
+void CrashSuspectTable::queueUrgent(UrgentNotice urgent)
 {
     if (!m_onUrgent)
         return;
@@ -106,7 +106,7 @@
 // Prompt segments come first: few are told, and many requests may have the same. Then come the
 // most recently dispatched requests: of those that ran on a crashed endpoint, they are the most
 // likely cause.
-std::vector<CrashNotice> CrashingRequests::takeUrgentNotices(TimePoint now)
+std::vector<CrashNotice> CrashSuspectTable::takeUrgentNotices(TimePoint now)
 {
     std::vector<UrgentNotice> urgent = std::exchange(m_urgent, {});
     std::stable_sort(urgent.begin(), urgent.end(), [](const UrgentNotice& a, const UrgentNotice& b) {
@@ -128,7 +128,7 @@
     return notices;
 }
 
-void CrashingRequests::recordEndpointAlive(std::uint32_t endpoint, TimePoint now)
+void CrashSuspectTable::recordEndpointAlive(std::uint32_t endpoint, TimePoint now)
 {
     auto isRefuted = [&](const BrokenConnection& broken) { return broken.endpoint == endpoint && now - broken.at > bytesInFlight; };
     m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isRefuted), m_pending.end());
@@ -140,7 +140,7 @@
         recordSurvival(end.suspects, now);
 }
 
-void CrashingRequests::recordEndpointUnreachable(std::uint32_t endpoint, TimePoint)
+void CrashSuspectTable::recordEndpointUnreachable(std::uint32_t endpoint, TimePoint)
 {
     auto isOther = [endpoint](const UnframedEnd& end) { return end.endpoint != endpoint; };
     auto broken = std::stable_partition(m_unframedEnds.begin(), m_unframedEnds.end(), isOther);
@@ -154,7 +154,7 @@
 
 // A suspect that crashes endpoints runs at each endpoint that it crashes. A cut of the
 // network also breaks the connections to many endpoints where it didn't run.
-bool CrashingRequests::mayHaveCrashed(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& failed) const
+bool CrashSuspectTable::mayHaveCrashed(const RequestSuspects& suspects, std::uint32_t endpoint, const std::vector<std::uint32_t>& failed) const
 {
     auto ranAt = [&](const SuspectId& suspect, std::uint32_t other) {
         auto known = m_known.find(suspect);
@@ -168,7 +168,7 @@
     });
 }
 
-void CrashingRequests::dropBrokenByCut(const std::vector<std::uint32_t>& failed)
+void CrashSuspectTable::dropBrokenByCut(const std::vector<std::uint32_t>& failed)
 {
     std::vector<BrokenConnection> kept;
     for (const BrokenConnection& broken : m_pending) {
@@ -178,13 +178,13 @@
     m_pending = std::move(kept);
 }
 
-void CrashingRequests::dropPending(const SuspectId& suspect, TimePoint answeredAt)
+void CrashSuspectTable::dropPending(const SuspectId& suspect, TimePoint answeredAt)
 {
     auto isRefuted = [&](const BrokenConnection& broken) { return broken.suspect == suspect && broken.at <= answeredAt; };
     m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(), isRefuted), m_pending.end());
 }
 
-void CrashingRequests::rotateAnswers(TimePoint now)
+void CrashSuspectTable::rotateAnswers(TimePoint now)
 {
     if (m_answered.size() < maxAnswered && now - m_answersRotatedAt <= survivalEvidence)
         return;
@@ -192,7 +192,7 @@
     m_answeredBefore = std::exchange(m_answered, {});
 }
 
-void CrashingRequests::recordAnswer(const SuspectId& suspect, TimePoint at, bool isOwn)
+void CrashSuspectTable::recordAnswer(const SuspectId& suspect, TimePoint at, bool isOwn)
 {
     auto before = m_answeredBefore.find(suspect);
     Answered& last = m_answered[suspect];
@@ -204,7 +204,7 @@
     last.isOwn |= isOwn;
 }
 
-const CrashingRequests::Answered* CrashingRequests::recentAnswer(const SuspectId& suspect, TimePoint now) const
+const CrashSuspectTable::Answered* CrashSuspectTable::recentAnswer(const SuspectId& suspect, TimePoint now) const
 {
     for (const AnsweredTable* table : { &m_answered, &m_answeredBefore }) {
         auto found = table->find(suspect);
@@ -214,7 +214,7 @@
     return nullptr;
 }
 
-void CrashingRequests::recordSurvival(const RequestSuspects& suspects, TimePoint now)
+void CrashSuspectTable::recordSurvival(const RequestSuspects& suspects, TimePoint now)
 {
     rotateAnswers(now);
     for (const SuspectId& suspect : suspects) {
@@ -227,7 +227,8 @@
         if (isWaitedFor)
             queueUrgent({ { suspect, 0, now, {}, crash->notifiableRegions }, true });
         auto found = m_known.find(suspect);
-        if (found == m_known.end() || found->second.history.crashes.empty())
+        bool isInDoubt = found != m_known.end() && (!found->second.history.crashes.empty() || found->second.history.refusals > 0);
+        if (!isInDoubt)
             continue;
         TrackedSuspect& known = found->second;
         unsigned refusals = known.history.refusals;
@@ -238,12 +239,12 @@
 
 // The delay depends on the seed, so that entries accept the request again at different
 // times.
-Duration CrashingRequests::refusalDelay(const SuspectId& suspect) const
+Duration CrashSuspectTable::refusalDelay(const SuspectId& suspect) const
 {
     return milliseconds(stableHash(suspect, m_seed) % static_cast<std::uint64_t>(maxRefusalDelay.count()));
 }
 
-CrashHistory CrashingRequests::newHistory(const SuspectId& suspect, TimePoint now) const
+CrashHistory CrashSuspectTable::newHistory(const SuspectId& suspect, TimePoint now) const
 {
     CrashHistory history;
     history.kind = kindOf(suspect);
@@ -252,7 +253,7 @@
     return history;
 }
 
-CrashHistory CrashingRequests::withPending(const SuspectId& suspect, TimePoint now) const
+CrashHistory CrashSuspectTable::withPending(const SuspectId& suspect, TimePoint now) const
 {
     auto found = m_known.find(suspect);
     CrashHistory history = found == m_known.end() ? newHistory(suspect, now) : found->second.history;
@@ -265,7 +266,7 @@
 
 // A prompt segment stays refused until a trial is answered or its history expires, so that no
 // two entries try it at once. Identical requests are too rare to wait for the turn of an entry.
-std::optional<CrashingRequests::Refusal> CrashingRequests::refusalOf(const SuspectId& suspect, TimePoint now) const
+std::optional<CrashSuspectTable::Refusal> CrashSuspectTable::refusalOf(const SuspectId& suspect, TimePoint now) const
 {
     auto found = m_known.find(suspect);
     CrashHistory history = withPending(suspect, now);
@@ -282,7 +283,7 @@
 }
 
 // A request with several refused suspects would leave open which of them a trial is about.
-std::optional<CrashingRequests::Refusal> CrashingRequests::refusalOf(const RequestSuspects& suspects, TimePoint now) const
+std::optional<CrashSuspectTable::Refusal> CrashSuspectTable::refusalOf(const RequestSuspects& suspects, TimePoint now) const
 {
     std::optional<Refusal> longest;
     std::size_t count = 0;
@@ -299,7 +300,7 @@
     return longest;
 }
 
-bool CrashingRequests::beginTrial(const SuspectId& suspect, const EntryOrder& order, TimePoint now)
+bool CrashSuspectTable::beginTrial(const SuspectId& suspect, const EntryOrder& order, TimePoint now)
 {
     auto known = m_known.find(suspect);
     if (known == m_known.end() || known->second.history.refusals == 0)
@@ -321,7 +322,7 @@
 
 // A suspect that has been cut off twice may be the cause although its stream brought events
 // before. Only one attempt runs at a time here.
-bool CrashingRequests::mayResume(const RecentCrash& crash) const
+bool CrashSuspectTable::mayResume(const RecentCrash& crash) const
 {
     auto tried = m_tried.find(crash.suspect);
     bool isUnderWay = tried != m_tried.end() && tried->second >= crash.at;
@@ -329,7 +330,7 @@
     return !isUnderWay && history.refusals == 0 && separateCrashes(history) <= 1;
 }
 
-std::optional<CrashingRequests::RecentCrash> CrashingRequests::recentCrash(const SuspectId& suspect, TimePoint now) const
+std::optional<CrashSuspectTable::RecentCrash> CrashSuspectTable::recentCrash(const SuspectId& suspect, TimePoint now) const
 {
     std::optional<RecentCrash> last;
     auto consider = [&](TimePoint at, bool isOwn, const std::vector<std::uint32_t>& regions) {
@@ -348,7 +349,7 @@
 
 // What was answered recently is most likely not the cause of the crash. Of the others, a prompt
 // segment decides before the request itself, since requests that aren't identical share it.
-std::optional<CrashingRequests::RecentCrash> CrashingRequests::crashToAwait(const RequestSuspects& suspects, TimePoint now) const
+std::optional<CrashSuspectTable::RecentCrash> CrashSuspectTable::crashToAwait(const RequestSuspects& suspects, TimePoint now) const
 {
     std::optional<RecentCrash> awaited;
     std::pair<bool, std::size_t> awaitedRank;
@@ -369,7 +370,7 @@
 // number of the turn modulo the number of entries. A suspect is sent only in the first
 // turnStartWindow of a turn; after an attempt by this entry, not before one turnLength
 // has passed.
-TimePoint CrashingRequests::nextTurn(const RecentCrash& crash, const EntryOrder& order, TimePoint now) const
+TimePoint CrashSuspectTable::nextTurn(const RecentCrash& crash, const EntryOrder& order, TimePoint now) const
 {
     auto tried = m_tried.find(crash.suspect);
     bool isUnderWay = tried != m_tried.end() && tried->second > crash.at;
@@ -382,14 +383,14 @@
     return std::max(earliest, crash.at + (turn + turnsUntilOwn) * turnLength);
 }
 
-bool CrashingRequests::isWorthTelling(const TrackedSuspect& known)
+bool CrashSuspectTable::isWorthTelling(const TrackedSuspect& known)
 {
     return known.history.refusals > 0 || separateCrashes(known.history) > 1 || known.history.survivedAt != TimePoint {};
 }
 
 // A prompt segment that no endpoint has answered may be the common cause of the crashes that
 // single requests are refused for, or a second cause beside another segment.
-bool CrashingRequests::hasOtherCause(const SuspectId& suspect, std::uint32_t endpoint, TimePoint now) const
+bool CrashSuspectTable::hasOtherCause(const SuspectId& suspect, std::uint32_t endpoint, TimePoint now) const
 {
     auto cause = m_causes.find(endpoint);
     bool isOther = cause != m_causes.end() && cause->second != suspect;
@@ -398,7 +399,7 @@
 
 // Attributes the crashes to the refused suspect, and removes them from the histories of
 // others that ran on the same endpoints and are not refused themselves.
-void CrashingRequests::attributeCrashes(const SuspectId& suspect, const CrashHistory& history, TimePoint now)
+void CrashSuspectTable::attributeCrashes(const SuspectId& suspect, const CrashHistory& history, TimePoint now)
 {
     for (const EndpointCrash& crash : history.crashes) {
         if (!m_causes.emplace(crash.endpoint, suspect).second)
@@ -410,7 +411,7 @@
     }
 }
 
-void CrashingRequests::handleHistoryChange(const SuspectId& suspect, TrackedSuspect& known, unsigned refusalsBefore, TimePoint now)
+void CrashSuspectTable::handleHistoryChange(const SuspectId& suspect, TrackedSuspect& known, unsigned refusalsBefore, TimePoint now)
 {
     const CrashHistory& history = known.history;
     if (isWorthTelling(known))
@@ -429,7 +430,7 @@
 
 // Evicts the suspects with the earliest last crash or end of refusal, so that refused ones
 // stay longest.
-void CrashingRequests::evictOldest()
+void CrashSuspectTable::evictOldest()
 {
     std::vector<std::pair<TimePoint, SuspectId>> byTime;
     for (const auto& [suspect, known] : m_known)
@@ -439,7 +440,7 @@
         m_known.erase(byTime[i].second);
 }
 
-CrashingRequests::TrackedSuspect& CrashingRequests::findOrCreate(const SuspectId& suspect, TimePoint now)
+CrashSuspectTable::TrackedSuspect& CrashSuspectTable::findOrCreate(const SuspectId& suspect, TimePoint now)
 {
     if (m_known.size() >= maxKnown && m_known.count(suspect) == 0)
         evictOldest();
@@ -463,7 +464,7 @@
     }
 }
 
-void CrashingRequests::settle(const BrokenConnection& broken, TimePoint now)
+void CrashSuspectTable::settle(const BrokenConnection& broken, TimePoint now)
 {
     if (hasOtherCause(broken.suspect, broken.endpoint, now))
         return;
@@ -484,7 +485,7 @@
     handleHistoryChange(broken.suspect, known, refusals, now);
 }
 
-void CrashingRequests::settleAndExpire(TimePoint now)
+void CrashSuspectTable::settleAndExpire(TimePoint now)
 {
     if (now - m_attemptsPrunedAt >= attemptPruneInterval) {
         m_attemptsPrunedAt = now;
@@ -515,7 +516,7 @@
 // so the connection is not recorded. An earlier answer makes it unlikely. In both cases an
 // answer that passed through this entry is reported, so that other entries don't delay
 // requests until the crash is settled.
-void CrashingRequests::recordReportedConnection(const CrashNotice& notice, const ToldCrash& crash, TimePoint now)
+void CrashSuspectTable::recordReportedConnection(const CrashNotice& notice, const ToldCrash& crash, TimePoint now)
 {
     TimePoint at = now - crash.age;
     const Answered* answered = recentAnswer(notice.suspect, now);
@@ -526,7 +527,7 @@
         m_pending.push_back({ notice.suspect, crash.endpoint, at, crash.ranFor, notice.regions, false, true });
 }
 
-void CrashingRequests::mergeNotice(const CrashNotice& notice, TimePoint now)
+void CrashSuspectTable::mergeNotice(const CrashNotice& notice, TimePoint now)
 {
     CrashHistory reported;
     for (const ToldCrash& crash : notice.crashes) {
@@ -558,7 +559,7 @@
         handleHistoryChange(notice.suspect, known, refusals, now);
 }
 
-CrashNotice CrashingRequests::makeNotice(const SuspectId& suspect, const TrackedSuspect& known, TimePoint now)
+CrashNotice CrashSuspectTable::makeNotice(const SuspectId& suspect, const TrackedSuspect& known, TimePoint now)
 {
     const CrashHistory& history = known.history;
     CrashNotice notice;
@@ -574,7 +575,7 @@
     return notice;
 }
 
-std::vector<CrashNotice> CrashingRequests::takeChangedNotices(TimePoint now)
+std::vector<CrashNotice> CrashSuspectTable::takeChangedNotices(TimePoint now)
 {
     std::vector<CrashNotice> notices;
     for (auto& [suspect, known] : m_known) {
@@ -586,7 +587,7 @@
     return notices;
 }
 
-std::vector<CrashNotice> CrashingRequests::nextSuspectNotices(TimePoint now)
+std::vector<CrashNotice> CrashSuspectTable::nextSuspectNotices(TimePoint now)
 {
     std::vector<CrashNotice> notices;
     std::size_t index = 0;
@@ -601,7 +602,7 @@
     return notices;
 }
 
-std::vector<CrashNotice> CrashingRequests::refusedNotices(TimePoint now) const
+std::vector<CrashNotice> CrashSuspectTable::refusedNotices(TimePoint now) const
 {
     std::vector<CrashNotice> notices;
     for (const auto& [suspect, known] : m_known) {
@@ -611,7 +612,7 @@
     return notices;
 }
 
-std::size_t CrashingRequests::refusedCount(SuspectKind kind, TimePoint now) const
+std::size_t CrashSuspectTable::refusedCount(SuspectKind kind, TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(m_known.begin(), m_known.end(), [&](const auto& item) {
         const CrashHistory& history = item.second.history;
--- a/lib/PlatformStandin/EndpointStandin.cpp
+++ b/lib/PlatformStandin/EndpointStandin.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -52,6 +54,14 @@
     return value ? *value : std::string();
 }
 
+// The last part belongs to the request itself, and each has the form ID:TOKENS.
+static bool hasSharedPart(const HttpRequest& request, absl::string_view part)
+{
+    std::vector<std::string> parts = absl::StrSplit(fieldOf(request, "Prefix-Hash"), ',');
+    parts.pop_back();
+    return std::any_of(parts.begin(), parts.end(), [part](absl::string_view text) { return text.substr(0, text.find(':')) == part; });
+}
+
 void EndpointStandin::callAfter(Duration delay, std::function<void()> next)
 {
     m_scheduler.callAfter(delay, [next = std::move(next), alive = std::weak_ptr<bool>(m_alive)] {
@@ -96,6 +106,11 @@
 void EndpointStandin::answer(const StandinCall& call)
 {
     HttpResponseHead head { statusOk, signature(call.request) };
+    if (!m_settings.crashingPart.empty() && hasSharedPart(call.request, m_settings.crashingPart)) {
+        call.responder->abort();
+        m_settings.crash();
+        return;
+    }
     if (m_settings.events == 0) {
         m_log.record(call.identity, ExecutionEvent::Finished);
         head.headers.set("content-type", "application/json");
--- a/tools/catkinwing-standin/Arguments.cpp
+++ b/tools/catkinwing-standin/Arguments.cpp
@@ -5,6 +5,7 @@
 #include "catkinwing/Support/Version.h"
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iterator>
 
@@ -245,6 +246,7 @@
     add("delay", "time from the start of an execution to its answer or first event", textOption("0s"));
     add("events", "events of each answer; 0 answers in one piece", countOption("0"));
     add("pause", "time between two events", textOption("0s"));
+    add("crashing-part", "shared part of prompts (Prefix-Hash) that ends the process when it begins to answer; empty for none", textOption(""));
     add("request-limit", "requests a second that each answer names as the limit; empty for none", textOption(""));
 }
 
@@ -256,6 +258,8 @@
     endpoint.events = static_cast<unsigned>(reader.count("events", 0));
     endpoint.pause = reader.duration("pause");
     endpoint.requestLimit = reader.text("request-limit");
+    endpoint.crashingPart = reader.text("crashing-part");
+    endpoint.crash = [] { std::_Exit(EXIT_FAILURE); };
 }
 
 constexpr KindEntry kinds[] = {
--- a/unittests/Ingress/CrashExchangeTest.cpp
+++ b/unittests/Ingress/CrashExchangeTest.cpp
@@ -23,7 +23,7 @@
 
     EntryRecord record;
     EntryTable entries;
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     CrashExchange exchange;
     std::size_t bytesSent { 0 };
 };
--- a/unittests/Ingress/CrashingPromptTest.cpp
+++ b/unittests/Ingress/CrashingPromptTest.cpp
@@ -162,7 +162,7 @@
 {
     std::size_t count = 0;
     for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
-        count += fleet.partsOf(entry).crashingRequests.refusedCount(SuspectKind::PromptSegment, fleet.now()) > 0 ? 1 : 0;
+        count += fleet.partsOf(entry).crashSuspects.refusedCount(SuspectKind::PromptSegment, fleet.now()) > 0 ? 1 : 0;
     return count;
 }
 
@@ -309,8 +309,8 @@
     traffic.run(30s, true);
     checkBounds(fleet, "bad", 0, fleet.now());
     for (std::size_t entry = 3; entry < 6; ++entry) {
-        CHECK(fleet.partsOf(entry).crashingRequests.isEmpty());
-        CHECK(fleet.partsOf(entry).crashingRequests.answeredCount() == 0);
+        CHECK(fleet.partsOf(entry).crashSuspects.isEmpty());
+        CHECK(fleet.partsOf(entry).crashSuspects.answeredCount() == 0);
     }
 }
 
--- a/unittests/Ingress/CrashingRequestTest.cpp
+++ b/unittests/Ingress/CrashingRequestTest.cpp
@@ -194,9 +194,9 @@
     REQUIRE(fleet.crashes.size() >= 3);
     CHECK(fleet.attemptsAfter(crashingBody, fleet.crashes[2] + propagationTime) <= maxLaterAttempts);
     for (std::size_t entry = 0; entry < 3; ++entry)
-        CHECK(fleet.partsOf(entry).crashingRequests.size() == 1);
+        CHECK(fleet.partsOf(entry).crashSuspects.size() == 1);
     for (std::size_t entry = 3; entry < 6; ++entry)
-        CHECK(fleet.partsOf(entry).crashingRequests.isEmpty());
+        CHECK(fleet.partsOf(entry).crashSuspects.isEmpty());
 }
 
 // Guards against an entry outside a request's allowed regions that forwards the request
@@ -207,10 +207,10 @@
     fleet.send(4, "bound");
     fleet.advance(1s);
     CHECK(fleet.servedFraction("bound") == 1);
-    CHECK(fleet.partsOf(4).crashingRequests.answeredCount() == 0);
+    CHECK(fleet.partsOf(4).crashSuspects.answeredCount() == 0);
     std::size_t atNorth = 0;
     for (std::size_t entry = 0; entry < 3; ++entry)
-        atNorth += fleet.partsOf(entry).crashingRequests.answeredCount();
+        atNorth += fleet.partsOf(entry).crashSuspects.answeredCount();
     CHECK(atNorth == 1);
 }
 
--- a/unittests/Ingress/CutOffTest.cpp
+++ b/unittests/Ingress/CutOffTest.cpp
@@ -170,7 +170,7 @@
         fleet.advance(4s);
         INFO("seed " << seed);
         for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
-            CHECK(fleet.partsOf(entry).crashingRequests.refusedCount(SuspectKind::Request, fleet.now()) == 0);
+            CHECK(fleet.partsOf(entry).crashSuspects.refusedCount(SuspectKind::Request, fleet.now()) == 0);
         checkServed(serviceAt(fleet, { 2, 4, 5 }, began, fleet.now()));
     }
 }
@@ -259,7 +259,7 @@
     fleet.advance(4s);
     checkServed(serviceAt(fleet, { 0, 1, 2, 3, 4, 5 }, began, fleet.now()));
     for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
-        CHECK(fleet.partsOf(entry).crashingRequests.refusedCount(SuspectKind::Request, fleet.now()) == 0);
+        CHECK(fleet.partsOf(entry).crashSuspects.refusedCount(SuspectKind::Request, fleet.now()) == 0);
 }
 
 TEST_CASE("requests bound to a region all of whose entries are cut off are refused at once as not run")
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -660,7 +660,7 @@
     fixture.answers = { lostAnswer };
     for (int i = 0; i < 3; ++i) {
         CHECK(fixture.runToEnd()->status() == 502);
-        fixture.parts.crashingRequests.settleAndExpire(fixture.scheduler.clock().now());
+        fixture.parts.crashSuspects.settleAndExpire(fixture.scheduler.clock().now());
         fixture.parts.endpoints.remove(fixture.sentHeader(static_cast<std::size_t>(i), "incarnation"), fixture.scheduler.clock().now());
     }
     auto client = fixture.runToEnd({}, true);
@@ -813,8 +813,8 @@
     } };
     auto client = fixture.runToEnd();
     CHECK(client->isAborted);
-    fixture.parts.crashingRequests.settleAndExpire(fixture.scheduler.clock().now());
-    CHECK(fixture.parts.crashingRequests.size() == 1);
+    fixture.parts.crashSuspects.settleAndExpire(fixture.scheduler.clock().now());
+    CHECK(fixture.parts.crashSuspects.size() == 1);
 }
 
 // Guards against clearing a segment by the head of an answer that crashes its endpoint.
@@ -834,7 +834,7 @@
         } };
         auto client = fixture.start({ { "segments", "first,second,own" } });
         fixture.scheduler.advance(100ms);
-        CHECK(fixture.parts.crashingRequests.answeredCount() == (events >= 10 ? 2 : 0));
+        CHECK(fixture.parts.crashSuspects.answeredCount() == (events >= 10 ? 2 : 0));
         fixture.scheduler.advance(20s);
     }
 }
@@ -856,7 +856,7 @@
         fixture.answers = { answerOf };
         fixture.peerClient.handler = answerOf;
         fixture.runToEnd({ { "segments", "first,second,own" } });
-        return fixture.parts.crashingRequests.answeredCount();
+        return fixture.parts.crashSuspects.answeredCount();
     };
     CHECK(cleared(200, true, false) == 3);
     CHECK(cleared(404, true, false) == 1);
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -260,8 +260,8 @@
         , peers(fleet, index)
         , log(fleet.scheduler.clock())
         , parts { fleet.scheduler, fleet.random, client, peers, metrics, log, fleet.m_dialect, record.region,
-            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashingRequests(fleet.random.bits()) }
-        , crashExchange(parts.crashingRequests, parts.entries, record, fleet.random)
+            EndpointTable(record.region, { { "north-a", "north" }, { "south-a", "south" } }), EntryTable(record), { 0.2, 50 }, {}, {}, {}, {}, {}, {}, {}, 0, 0, CrashSuspectTable(fleet.random.bits()) }
+        , crashExchange(parts.crashSuspects, parts.entries, record, fleet.random)
         , loadExchange(parts.endpoints, parts.entries, record)
         , streamOrigins(parts.endpoints, parts.entries, record, fleet.scheduler, [&fleet, index](const OutgoingDatagram& datagram) { fleet.deliver(index, { datagram }); })
     {
@@ -372,7 +372,7 @@
     IngressContext& parts = m_entries[index]->parts;
     parts.routes = m_routes;
     parts.startedAt = now();
-    parts.crashingRequests.setUrgentCallback([this, index, entry = m_entries[index].get()] {
+    parts.crashSuspects.setUrgentCallback([this, index, entry = m_entries[index].get()] {
         scheduler.callAfter(latencyInsideRegion, [this, index, entry] { deliver(index, entry->crashExchange.takeUrgentDatagrams(now())); });
     });
     for (std::size_t i = 0; i < m_records.size(); ++i)
--- a/unittests/Membership/CrashingRequestsTest.cpp
+++ b/unittests/Membership/CrashSuspectTableTest.cpp
@@ -1,4 +1,4 @@
-#include "catkinwing/Membership/CrashingRequests.h"
+#include "catkinwing/Membership/CrashSuspectTable.h"
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -16,7 +16,7 @@
 }
 
 /// Records a crash of \p endpoint during \p request at \p at, and settles it.
-static void crash(CrashingRequests& requests, std::uint32_t request, std::uint32_t endpoint, TimePoint at)
+static void crash(CrashSuspectTable& requests, std::uint32_t request, std::uint32_t endpoint, TimePoint at)
 {
     requests.recordBrokenConnection({ fingerprint(request) }, endpoint, {}, at);
     requests.settleAndExpire(at + 600ms);
@@ -24,7 +24,7 @@
 
 TEST_CASE("a broken connection counts as a crash unless the endpoint sends data again")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
     requests.recordBrokenConnection({ fingerprint(1) }, 8, {}, now);
@@ -41,7 +41,7 @@
 
 TEST_CASE("an endpoint that refuses connections counts as crashed without waiting")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
     requests.settleAndExpire(now + 50ms);
@@ -54,7 +54,7 @@
 // Guards against a request that is convicted because its entry lost the links to all endpoints.
 TEST_CASE("connections that broke because the entry was cut off aren't settled as crashes")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     std::vector<std::uint32_t> failed { 1, 2, 3, 4, 5, 6 };
     for (std::uint32_t endpoint : { 1, 2, 3 })
@@ -76,7 +76,7 @@
 
 TEST_CASE("an answer before a broken connection is settled clears the request")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now);
     requests.recordSurvival({ fingerprint(1) }, now + 100ms);
@@ -87,13 +87,13 @@
 
 TEST_CASE("a request is refused while a possible third crash is not settled")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     crash(requests, 1, 7, now);
     crash(requests, 1, 8, now + 1s);
     CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2s));
     requests.recordBrokenConnection({ fingerprint(1) }, 9, {}, now + 2s);
-    std::optional<CrashingRequests::Refusal> refused = requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2s);
+    std::optional<CrashSuspectTable::Refusal> refused = requests.refusalOf(RequestSuspects { fingerprint(1) }, now + 2s);
     REQUIRE(refused);
     CHECK(refused->remaining < 1s);
     requests.recordEndpointAlive(9, now + 2200ms);
@@ -115,13 +115,13 @@
 {
     constexpr std::size_t entries = 3;
     TimePoint now { 100s };
-    std::vector<CrashingRequests> requests(entries);
-    for (CrashingRequests& known : requests)
+    std::vector<CrashSuspectTable> requests(entries);
+    for (CrashSuspectTable& known : requests)
         known.mergeNotice(brokenElsewhere(1, 7), now);
     for (TimePoint time = now; time < now + 1500ms; time += 10ms) {
         int sendingEntries = 0;
         for (std::size_t rank = 0; rank < entries; ++rank) {
-            std::optional<CrashingRequests::RecentCrash> crash = requests[rank].crashToAwait({ fingerprint(1) }, time);
+            std::optional<CrashSuspectTable::RecentCrash> crash = requests[rank].crashToAwait({ fingerprint(1) }, time);
             REQUIRE(crash);
             bool isTurn = requests[rank].nextTurn(*crash, { rank, entries }, time) <= time;
             if (isTurn)
@@ -137,12 +137,12 @@
 // Guards against delaying requests that ran on an endpoint that another request crashed.
 TEST_CASE("a single crash that only this entry has seen is marked as such")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     requests.recordBrokenConnection({ fingerprint(1) }, 7, {}, now, 80ms);
     REQUIRE(requests.crashToAwait({ fingerprint(1) }, now));
     CHECK(requests.crashToAwait({ fingerprint(1) }, now)->isOnlyKnownHere);
-    CrashingRequests reported = requests;
+    CrashSuspectTable reported = requests;
     reported.mergeNotice(brokenElsewhere(1, 8), now);
     CHECK_FALSE(reported.crashToAwait({ fingerprint(1) }, now)->isOnlyKnownHere);
     requests.recordBrokenConnection({ fingerprint(1) }, 8, {}, now + 100ms, 80ms);
@@ -151,7 +151,7 @@
 
 TEST_CASE("a request that was answered before a crash doesn't wait, and the answering entry notifies the others")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     bool isUrgent = false;
     requests.setUrgentCallback([&] { isUrgent = true; });
     TimePoint now { 100s };
@@ -163,7 +163,7 @@
     REQUIRE(reported.size() == 1);
     CHECK(reported[0].survivedAgo == 2s);
 
-    CrashingRequests other;
+    CrashSuspectTable other;
     other.mergeNotice(brokenElsewhere(1, 7), now + 2s);
     REQUIRE(other.crashToAwait({ fingerprint(1) }, now + 2s));
     other.mergeNotice(reported[0], now + 2s);
@@ -172,7 +172,7 @@
 
 TEST_CASE("the requests dispatched last to a crashed endpoint are reported first")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     requests.setUrgentCallback([] {});
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 40; ++i)
@@ -186,7 +186,7 @@
 
 TEST_CASE("crashes that a refused request caused don't count for other requests")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 2; ++i) {
         crash(requests, 2, 7 + i, now + i * 1s);
@@ -202,7 +202,7 @@
 
 TEST_CASE("the number of tracked requests is bounded for a million different ones, and a refused one is kept")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 3; ++i)
         crash(requests, 1, 7 + i, now + i * 1s);
@@ -219,7 +219,7 @@
 
 TEST_CASE("a reported refusal that is too long is ignored")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     CrashNotice notice;
     notice.suspect = fingerprint(1);
@@ -236,12 +236,12 @@
 // the one that crashes endpoints go on again and again.
 TEST_CASE("a stream with events goes on at once after one crash, but not after two or while another attempt runs")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint at = TimePoint() + 10s;
     RequestFingerprint stream;
     stream.bytes[0] = 1;
     requests.recordBrokenConnection({ stream }, 7, {}, at, 500ms);
-    std::optional<CrashingRequests::RecentCrash> crash = requests.crashToAwait({ stream }, at);
+    std::optional<CrashSuspectTable::RecentCrash> crash = requests.crashToAwait({ stream }, at);
     REQUIRE(crash);
     CHECK(requests.mayResume(*crash));
     requests.recordAttempt(stream, at + 10ms);
@@ -259,7 +259,7 @@
 
 /// Records crashes of three endpoints, from \p firstEndpoint on, under different requests that have
 /// \p segments, one every second from \p at on.
-static void crashThree(CrashingRequests& requests, const RequestSuspects& segments, std::uint32_t firstEndpoint, TimePoint at)
+static void crashThree(CrashSuspectTable& requests, const RequestSuspects& segments, std::uint32_t firstEndpoint, TimePoint at)
 {
     for (std::uint32_t i = 0; i < 3; ++i) {
         RequestSuspects suspects { fingerprint(firstEndpoint + i) };
@@ -272,11 +272,11 @@
 // Guards against a segment that crashes endpoints under requests that are never alike.
 TEST_CASE("a segment that three crashed requests have in common is refused, and what others answered isn't")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     requests.recordSurvival({ fingerprint(1), segment("first") }, now - 1s);
     crashThree(requests, { segment("first"), segment("bad") }, 100, now);
-    std::optional<CrashingRequests::Refusal> refusal = requests.refusalOf(RequestSuspects { fingerprint(2), segment("bad") }, now + 3s);
+    std::optional<CrashSuspectTable::Refusal> refusal = requests.refusalOf(RequestSuspects { fingerprint(2), segment("bad") }, now + 3s);
     REQUIRE(refusal);
     CHECK(refusal->suspect == segment("bad"));
     CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(2), segment("first") }, now + 3s));
@@ -287,7 +287,7 @@
 // Guards against a second segment that gets away because the crashes of the first explain its own.
 TEST_CASE("two segments that crash endpoints by turns are both refused")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 6; ++i) {
         requests.recordBrokenConnection({ fingerprint(i), segment(i % 2 == 0 ? "bad-0" : "bad-1") }, 100 + i, {}, now + i * 1s);
@@ -302,13 +302,13 @@
 {
     constexpr std::size_t entries = 3;
     TimePoint now { 100s };
-    std::vector<CrashingRequests> requests(entries);
-    for (CrashingRequests& known : requests)
+    std::vector<CrashSuspectTable> requests(entries);
+    for (CrashSuspectTable& known : requests)
         crashThree(known, { segment("bad") }, 100, now);
     std::vector<TimePoint> trials;
     for (TimePoint time = now + 2s; time < now + 60s; time += 50ms) {
         for (std::size_t rank = 0; rank < entries; ++rank) {
-            std::optional<CrashingRequests::Refusal> refusal = requests[rank].refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, time);
+            std::optional<CrashSuspectTable::Refusal> refusal = requests[rank].refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, time);
             REQUIRE(refusal);
             if (refusal->mayBeTrial && requests[rank].beginTrial(refusal->suspect, { rank, entries }, time))
                 trials.push_back(time);
@@ -323,7 +323,7 @@
 
 TEST_CASE("a request with two refused segments is no trial, and one whose segment is answered is served everywhere")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     crashThree(requests, { segment("bad"), segment("beside") }, 100, now);
     TimePoint later = now + 6s;
@@ -333,7 +333,7 @@
     CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1), segment("beside") }, later));
     CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad"), segment("beside") }, later)->mayBeTrial);
     // Another entry learns of the answer by the changed history.
-    CrashingRequests other;
+    CrashSuspectTable other;
     crashThree(other, { segment("beside") }, 100, now);
     for (const CrashNotice& notice : requests.takeChangedNotices(later))
         other.mergeNotice(notice, later);
@@ -343,7 +343,7 @@
 // Guards against endpoints that crash in the middle of an answer whose end can't be told from a cut.
 TEST_CASE("an answer that ends with its connection clears its suspects once the endpoint is heard from, and counts as a crash if it has stopped")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     crashThree(requests, { segment("bad") }, 100, now);
     RequestSuspects suspects { fingerprint(1), segment("bad") };
@@ -360,7 +360,7 @@
 // Guards against a caller who makes entries forget what is answered often by naming many segments.
 TEST_CASE("answers of a million segments push out neither a segment that is answered often nor a refused one")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     crashThree(requests, { segment("bad") }, 100, now);
     now += 4s;
@@ -369,7 +369,7 @@
         if (i % 1'000 == 0)
             requests.recordSurvival({ segment("often") }, now);
     }
-    CHECK(requests.answeredCount() <= 2 * 8'192);
+    CHECK(requests.answeredCount() <= std::size_t { 2 } * 8'192);
     CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, now));
     requests.mergeNotice({ segment("often"), { { 7, 0ms, 80ms, false } }, {}, 0ms, 0, {} }, now);
     CHECK_FALSE(requests.crashToAwait({ segment("often") }, now));
@@ -377,7 +377,7 @@
 
 TEST_CASE("the histories that one call returns for other entries are bounded, and all are returned in turn")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     constexpr std::uint32_t refused = 100;
     for (std::uint32_t i = 0; i < refused; ++i)
@@ -397,7 +397,7 @@
 // Guards against telling the name of a segment to regions where no request with it may be processed.
 TEST_CASE("a segment may be known wherever one of its requests may be processed")
 {
-    CrashingRequests requests;
+    CrashSuspectTable requests;
     TimePoint now { 100s };
     for (std::uint32_t i = 0; i < 3; ++i) {
         requests.recordBrokenConnection({ segment("bound") }, 10 + i, { 1, 2 }, now + i * 1s);
--- a/unittests/Membership/CrashSuspectTest.cpp
+++ b/unittests/Membership/CrashSuspectTest.cpp
@@ -36,8 +36,8 @@
 
 TEST_CASE("the number of suspects of a request is bounded for a prompt of a thousand segments")
 {
-    std::vector<std::string> names;
-    for (int i = 0; i < 1'000; ++i)
-        names.push_back(std::to_string(i));
+    std::vector<std::string> names(1'000);
+    for (std::size_t i = 0; i < names.size(); ++i)
+        names[i] = std::to_string(i);
     CHECK(requestSuspects(request(1), { names.begin(), names.end() }).size() == maxSegmentSuspects + 1);
 }
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -80,7 +80,7 @@
     }
     void addEndpoint(const std::string& service, const std::string& incarnation, unsigned events, bool isLeaving = false, const std::string& requestLimit = {})
     {
-        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms, isLeaving, requestLimit }));
+        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, events, 1ms, isLeaving, requestLimit, {}, {} }));
         platform.compareAndSwap("servers/" + incarnation, 0, registration(service, endpoints.size() - 1).dump());
     }
     nlohmann::json registration(const std::string& service, std::size_t endpoint) const
@@ -202,7 +202,7 @@
     SocketAddress reused = fixture.endpoints[0]->address();
     fixture.endpoints[0].reset();
     auto successor = standin::StandinServer::start(fixture.platform.loop, { "taker", reused, "", 1 },
-        [](Scheduler& scheduler, standin::ExecutionLog& log) { return makeEndpointStandin(scheduler, log, { "taker", 0ms, 0, 0ms }); });
+        [](Scheduler& scheduler, standin::ExecutionLog& log) { return makeEndpointStandin(scheduler, log, { "taker", 0ms, 0, 0ms, false, {}, {}, {} }); });
     REQUIRE(successor.ok());
     for (int number = 0; number < 6; ++number) {
         auto answer = fixture.sendAndWait("/once/order");
@@ -294,3 +294,19 @@
     fixture.setFaults(0, nlohmann::json::object());
     CHECK(runUntil(fixture.platform.loop, [&] { return nlohmann::json::parse(fixture.sendAndWait("/once/order")->body).at("endpoint") == "plain-1"; }));
 }
+
+// Guards against a stand-in that crashes by a request's own part, or by a part that is named only in part.
+TEST_CASE("the stand-in for an endpoint crashes when it begins to answer a prompt with the crashing shared part")
+{
+    PlatformFixture platform;
+    int crashes = 0;
+    EndpointStandinSettings settings { "i-1", 0ms, 0, 0ms, false, {}, "dd01", [&crashes] { ++crashes; } };
+    auto endpoint = platform.startEndpoint(settings);
+    auto ask = [&](const std::string& prompt) {
+        return platform.sendAndWait(endpoint->address(), "POST", "/p", "", { { "Attempt-Id", "a" }, { "Prefix-Hash", prompt } });
+    };
+    ask("aa01:100,dd0:5,dd011:7,dd01:300");
+    CHECK(crashes == 0);
+    CHECK(ask("aa01:100,dd01:300,ee01:20")->result.end == HttpEnd::NoResponse);
+    CHECK(crashes == 1);
+}
