--- a/tools/catkinwing-standin/Arguments.cpp
+++ b/tools/catkinwing-standin/Arguments.cpp
@@ -246,7 +246,7 @@
     add("delay", "time from the start of an execution to its answer or first event", textOption("0s"));
     add("events", "events of each answer; 0 answers in one piece", countOption("0"));
     add("pause", "time between two events", textOption("0s"));
-    add("crashing-part", "shared part of prompts (Prefix-Hash) that ends the process when it begins to answer; empty for none", textOption(""));
+    add("crashing-part", "shared part of prompts that ends the process when it begins to answer; empty for none", textOption(""));
     add("request-limit", "requests a second that each answer names as the limit; empty for none", textOption(""));
 }
 
