--- a/unittests/Ingress/CrashingPromptTest.cpp
+++ b/unittests/Ingress/CrashingPromptTest.cpp
@@ -367,7 +367,7 @@
     for (unsigned seed = 1; seed <= 4; ++seed) {
         EntryFleet fleet(seed);
         PromptTraffic traffic(fleet, { "bad" }, 83ms);
-        traffic.run(20s, true);
+        traffic.run(30s, true);
         INFO("seed " << seed);
         checkBounds(fleet, "bad", 0, fleet.now());
     }
