--- a/test/soak/checker_test.py
+++ b/test/soak/checker_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 import endpoint as endpoints
+import prompts
 import soak
 
 
@@ -175,6 +176,24 @@
         self.stream((2, "v1"), (0, "v1"))
         self.assertIn("resuming", self.rules())
 
+    def test_a_bad_part_that_reaches_endpoints_again_and_again(self):
+        for later, broken in [(prompts.MAX_LATER, 0), (prompts.MAX_LATER + 1, 1)]:
+            record = prompts.Prompts()
+            record.crashes = [10.0 + i for i in range(prompts.CRASHES_BEFORE_BOUND)]
+            record.sent = [9.0, 40.0]
+            bound = record.crashes[-1] + prompts.SETTLE
+            record.arrivals = record.crashes + [bound - 1, bound + 1] + [bound + 2 + i for i in range(later - 1)]
+            self.assertEqual(len(list(record.breaches([], lambda at: True))), broken)
+            self.assertEqual(len(list(record.breaches([], lambda at: False))), 0)
+
+    def test_sound_requests_must_be_begun_beside_a_bad_part(self):
+        for begun, broken in [(0.5, 0), (0.4, 1)]:
+            record = prompts.Prompts()
+            record.crashes = [10.0, 11.0, 12.0]
+            record.sent = [9.0, 60.0]
+            sound = [(i / 10, True) for i in range(50)] + [(25 + i / 10, i < begun * 100) for i in range(100)]
+            self.assertEqual(len(list(record.breaches(sound, lambda at: True))), broken)
+
     def test_a_stream_with_a_gap(self):
         sent = self.request(prefix="/stream/often/")
         body = b"".join(endpoints.event(number, "v1") for number in (1, 2, 4, 5, 6))
