Let the soak decide which endpoints answer without framing

The endpoint of a checker test has no random numbers, so that the draw in its constructor failed that test. The draw comes at the same place of each endpoint's sequence as before.

--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -35,7 +35,7 @@
         self.arrivals = []
         self.limits = []
         # Answers have neither a length nor chunks, and end with their connections.
-        self.is_unframed = random.random() < 0.3
+        self.is_unframed = False
         # Called when a request arrives whose prompt crashes the endpoint.
         self.on_bad_prompt = None
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -44,6 +44,8 @@
 CUT_FAILURES = 10
 CUT_FAILURE_SHARE = 1 / 50
 CALM = 5.0
+# Share of the endpoints whose answers end with their connections.
+UNFRAMED_SHARE = 0.3
 PROMISES = {429, 503, 408, 421}
 
 
@@ -97,6 +99,7 @@
         random = fleet.seeded(self.arguments.seed, name)
         version = random.choice(self.versions) if service == "model" else "v1"
         added = endpoints.Endpoint(self.store, random, service, zone, self.runs, name, self.partition, version)
+        added.is_unframed = random.random() < UNFRAMED_SHARE
         if service == "model":
             added.on_bad_prompt = lambda endpoint: asyncio.ensure_future(prompts.crash_and_replace(self, endpoint))
         await added.start()
