--- a/unittests/Ingress/CrashingPromptTest.cpp
+++ b/unittests/Ingress/CrashingPromptTest.cpp
@@ -267,6 +267,30 @@
     }
 }
 
+// Guards against an entry that heard nothing of the crashes and takes no part in the refusal later.
+TEST_CASE("an entry that others couldn't reach during the crashes of a segment refuses it once they reach it again")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        EntryFleet fleet(seed);
+        std::size_t cutOff = seed % fleet.entries();
+        PromptTraffic traffic(fleet, { "bad" }, 400ms);
+        traffic.run(4s, false);
+        fleet.dropDatagrams(cutOff);
+        traffic.run(10s, true);
+        fleet.restoreDatagrams(cutOff);
+        traffic.run(propagationTime, false);
+        TimePoint reached = fleet.now();
+        for (int i = 0; i < 4; ++i) {
+            CrashingClient client = traffic.makeBad(0, "bad");
+            fleet.sendPrompt(cutOff, client.body, client.segments);
+            fleet.advance(200ms);
+        }
+        INFO("seed " << seed);
+        // It may be the entry's turn to try one.
+        CHECK(fleet.attemptsWithSegmentAfter("bad", reached) <= 1);
+    }
+}
+
 // Guards against crashes that are counted at the entry that the client connected to instead of at
 // the one that ran the request.
 TEST_CASE("a segment that crashes endpoints is refused while entries forward their requests")
--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -104,6 +104,8 @@
     void setPath(std::size_t entry, PathState state);
     /// Drops all datagrams to and from the entry.
     void dropDatagrams(std::size_t entry) { m_droppingEntries.insert(entry); }
+    /// Ends what dropDatagrams() began.
+    void restoreDatagrams(std::size_t entry) { m_droppingEntries.erase(entry); }
     /// Fraction of the attempts that endpoints refuse.
     double refusedFraction { 0 };
     /// Requests that were cancelled while the path hung arrive when it opens again.
