Reproduce requests that lose their answers to a moment of silence, failing

Callers of sound endpoints that fell silent for 0.8 to 1.6 s got 502 or broken streams, though each endpoint went on where it was.

The endpoints of StreamFleet can be silent, and both fleets put configurations into force anew.

--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -70,6 +70,8 @@
     void sendToRandomEntry(const std::string& body) { send(random.below(m_entries.size()), body); }
     /// Sends a request whose prompt has \p segments, separated by commas. The last one is its own.
     void sendPrompt(std::size_t entry, const std::string& body, const std::string& segments);
+    /// Puts a new configuration with the same route into force at all entries.
+    void applyConfiguration() { applyRoute(); }
     /// Sets the max number of attempts of a request.
     void setMaxAttempts(unsigned maxAttempts);
     /// Advances the simulated time by \p span in small steps.
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -82,8 +82,12 @@
         m_fleet.scheduler.callAfter(m_fleet.firstEventDelay, [this, endpoint, exchange, callbacks, headers, first, number] {
             if (exchange->isCancelled || !endpoint->isUp)
                 return;
-            callbacks.onHead({ 200, headers });
-            sendEvents(endpoint, exchange, callbacks, first, number);
+            afterSilence(endpoint, [this, endpoint, exchange, callbacks, headers, first, number] {
+                if (exchange->isCancelled || !endpoint->isUp)
+                    return;
+                callbacks.onHead({ 200, headers });
+                sendEvents(endpoint, exchange, callbacks, first, number);
+            });
         });
         return exchange;
     }
@@ -99,10 +103,22 @@
         });
     }
 
+    void afterSilence(const std::shared_ptr<StreamEndpoint>& endpoint, std::function<void()> callback) const
+    {
+        if (m_fleet.now() < endpoint->silentUntil)
+            m_fleet.scheduler.callAfter(endpoint->silentUntil - m_fleet.now(), std::move(callback));
+        else
+            callback();
+    }
+
     void sendEvents(const std::shared_ptr<StreamEndpoint>& endpoint, const std::shared_ptr<Exchange>& exchange, const HttpClientCallbacks& callbacks, std::uint64_t next, std::uint64_t number)
     {
         if (exchange->isCancelled || !endpoint->isUp)
             return;
+        if (m_fleet.now() < endpoint->silentUntil) {
+            afterSilence(endpoint, [this, endpoint, exchange, callbacks, next, number] { sendEvents(endpoint, exchange, callbacks, next, number); });
+            return;
+        }
         callbacks.onBody(absl::StrCat("id: ", next, "\ndata: ", endpoint->version, "\n\n"));
         if (next < m_fleet.eventsPerStream) {
             m_fleet.scheduler.callAfter(m_fleet.eventInterval, [this, endpoint, exchange, callbacks, next, number] { sendEvents(endpoint, exchange, callbacks, next + 1, number); });
@@ -141,11 +157,16 @@
         m_client->hasEnded = true;
         m_fleet.m_totals.completed += m_client->lastEvent == m_fleet.eventsPerStream ? 1 : 0;
     }
-    void abort() override { lose(); }
+    void abort() override
+    {
+        ++m_fleet.m_totals.brokenOff;
+        lose();
+    }
     void send(const HttpResponseHead& head, std::string body) override
     {
         m_closed = nullptr;
         m_isOpen = false;
+        m_fleet.m_totals.failed += head.status == 502 ? 1 : 0;
         Duration delay = returnDelay;
         double seconds = 0;
         const std::string* retryAfter = head.headers.find("retry-after");
@@ -318,15 +339,14 @@
     return responder->exchange();
 }
 
-StreamFleet::StreamFleet(unsigned seed, const std::vector<std::string>& versions, unsigned maxAttempts)
+StreamFleet::StreamFleet(unsigned seed, const std::vector<std::string>& versions, unsigned maxAttempts, std::vector<std::string> homeRegions)
     : random(seed)
 {
-    Route route = IngressFixture::streamRoute(true);
-    route.timeout = routeTimeout;
-    route.attempts = maxAttempts;
-    ServiceSettings service;
-    service.name = "service";
-    m_routes = std::make_shared<const RouteTable>(1, std::vector<Route> { route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    m_route = IngressFixture::streamRoute(true);
+    m_route.timeout = routeTimeout;
+    m_route.attempts = maxAttempts;
+    m_route.homeRegions = std::move(homeRegions);
+    applyConfiguration();
     for (const std::string& region : regions) {
         for (std::size_t i = 0; i < entriesPerRegion; ++i) {
             auto port = static_cast<std::uint16_t>(m_records.size() + 1);
@@ -355,6 +375,18 @@
     scheduler.advance(routeTimeout * 2);
 }
 
+void StreamFleet::applyConfiguration()
+{
+    ServiceSettings service;
+    service.name = "service";
+    std::int64_t version = m_routes ? m_routes->version() + 1 : 1;
+    m_routes = std::make_shared<const RouteTable>(version, std::vector<Route> { m_route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+    for (const auto& entry : m_entries) {
+        if (entry)
+            entry->parts.routes = m_routes;
+    }
+}
+
 IngressContext& StreamFleet::partsOf(std::size_t entry)
 {
     return m_entries[entry]->parts;
--- a/unittests/Ingress/StreamFleet.h
+++ b/unittests/Ingress/StreamFleet.h
@@ -18,6 +18,8 @@
     std::string region;
     SocketAddress address;
     bool isUp { true };
+    /// The endpoint sends nothing until this time.
+    TimePoint silentUntil {};
     /// Callbacks that break the running streams when the endpoint crashes, by stream number.
     std::map<std::uint64_t, std::function<void()>> connectionBreakers;
 };
@@ -54,6 +56,10 @@
     /// those of them that went on.
     std::size_t takenUp { 0 };
     std::size_t wentOn { 0 };
+    /// Answers that an entry has broken off before their end.
+    std::size_t brokenOff { 0 };
+    /// Answers 502 of an entry.
+    std::size_t failed { 0 };
     /// Answers "not run" to attempts that had reached an endpoint.
     std::size_t untrueRefusals { 0 };
 };
@@ -62,7 +68,8 @@
 public:
     /// Endpoints have \p versions in turn. \p maxAttempts is the number of endpoints that one client
     /// attempt may be sent to.
-    explicit StreamFleet(unsigned seed, const std::vector<std::string>& versions = { "v1", "v2" }, unsigned maxAttempts = 2);
+    /// \p homeRegions are the regions that the route allows. An empty list allows all.
+    explicit StreamFleet(unsigned seed, const std::vector<std::string>& versions = { "v1", "v2" }, unsigned maxAttempts = 2, std::vector<std::string> homeRegions = {});
     ~StreamFleet();
     StreamFleet(const StreamFleet&) = delete;
     StreamFleet& operator=(const StreamFleet&) = delete;
@@ -85,12 +92,16 @@
     /// Replaces an endpoint by one of \p version at another address, after it has announced that it
     /// leaves.
     void replaceEndpoint(std::size_t index, const std::string& version);
+    /// Makes an endpoint send nothing for \p span and then go on.
+    void silence(std::size_t endpoint, Duration span) { m_endpoints[endpoint]->silentUntil = now() + span; }
     std::size_t endpoints() const { return m_endpoints.size(); }
     const StreamEndpoint& endpoint(std::size_t index) const { return *m_endpoints[index]; }
     /// Kills an entry. A process without its state starts at its address a second later.
     void killEntry(std::size_t entry);
     std::size_t entries() const { return m_entries.size(); }
     IngressContext& partsOf(std::size_t entry);
+    /// Puts a new configuration with the same route into force at all entries.
+    void applyConfiguration();
     void setRegionsPartitioned(bool isPartitioned) { m_areRegionsPartitioned = isPartitioned; }
     /// Between these calls no registration reaches any entry.
     void silenceStore();
@@ -148,6 +159,7 @@
     std::map<std::string, EndpointRecord> m_registrations;
     std::vector<EntryRecord> m_records;
     std::map<SocketAddress, std::size_t> m_entryAt;
+    Route m_route;
     std::shared_ptr<const RouteTable> m_routes;
     std::vector<std::function<void()>> m_heldChanges;
     std::optional<TimePoint> m_storeSilentSince;
