Let the store stand-in come back from a copy

Cause: in a drill the users' platform store may come back from a copy some seconds old, and the stand-in could only be away. Change: it takes copies of its keys, leases and counters and comes back from any of them, by takeCopy() and restore() or over HTTP (POST /standin/copy and /standin/restore). Every answer names its era in Store-Era, from 1 on. Revisions and lease numbers are given out again, waiting watches are cut, and a watch after a revision that it doesn't have gets 410. That includes one beyond the current revision, which used to wait. A lease of the copy has the time left that it had in the copy.

The stand-in for an endpoint falls silent for a stated time and loses nothing (fallSilent(), or POST /standin/silence).

--- a/include/catkinwing/PlatformStandin/EndpointStandin.h
+++ b/include/catkinwing/PlatformStandin/EndpointStandin.h
@@ -27,9 +27,16 @@
     std::function<void()> crash {};
 };
 
-/// Makes a stand-in for an endpoint as the platform runs them: it refuses what
-/// is meant for another incarnation, signs its answers, and begins a stream
-/// after the event that the request names.
-std::unique_ptr<standin::StandinService> makeEndpointStandin(Scheduler& scheduler, standin::ExecutionLog& log, EndpointStandinSettings settings);
+/// A stand-in for an endpoint as the platform runs them: it refuses what is
+/// meant for another incarnation, signs its answers, and begins a stream after
+/// the event that the request names.
+class EndpointStandin : public standin::StandinService {
+public:
+    /// Does nothing for \p span and loses nothing, like a process that is
+    /// stopped and continued. Over HTTP, POST /standin/silence with "span_ms".
+    virtual void fallSilent(Duration span) = 0;
+};
+
+std::unique_ptr<EndpointStandin> makeEndpointStandin(Scheduler& scheduler, standin::ExecutionLog& log, EndpointStandinSettings settings);
 
 } // namespace catkinwing::platform
--- a/include/catkinwing/Standin/StandinFrontend.h
+++ b/include/catkinwing/Standin/StandinFrontend.h
@@ -35,6 +35,9 @@
     virtual bool isLogged(const HttpRequest& request) const = 0;
     /// Called when the fault switches were set.
     virtual void faultsChanged(const FaultSettings&) { }
+    /// Handles a control request that the frontend doesn't know; returns false
+    /// if the service doesn't know it either.
+    virtual bool handleControl(const HttpRequest&, HttpResponder&) { return false; }
     /// Adds fields of its own to the counters.
     virtual void addCounters(nlohmann::json&) const { }
 };
--- a/include/catkinwing/Standin/StoreState.h
+++ b/include/catkinwing/Standin/StoreState.h
@@ -147,7 +147,25 @@
 /// Keys, leases and watches as the published etcd v3 interface has them.
 /// Errors carry the status codes that etcd gives.
 class StoreState {
+private:
+    struct Lease {
+        std::chrono::seconds granted {};
+        TimePoint expiry;
+        std::set<std::string> keys;
+    };
+
 public:
+    /// Keys, leases and counters at one moment.
+    class Copy {
+    private:
+        friend class StoreState;
+        std::map<std::string, KeyValue> m_values;
+        std::map<std::int64_t, Lease> m_leases;
+        std::int64_t m_revision { 0 };
+        std::int64_t m_lastLease { 0 };
+        TimePoint m_takenAt;
+    };
+
     explicit StoreState(StoreLimits limits = {})
         : m_limits(limits)
     {
@@ -180,12 +198,13 @@
     void cancelWatch(WatchId watch);
     std::size_t watchCount() const { return m_watches.size(); }
 
+    Copy takeCopy(TimePoint now) const;
+    /// Takes over the keys, leases and counters of \p copy, without history.
+    /// A lease has the time left that it had in the copy. Watches remain and
+    /// are not told.
+    void restore(const Copy& copy, TimePoint now);
+
 private:
-    struct Lease {
-        std::chrono::seconds granted {};
-        TimePoint expiry;
-        std::set<std::string> keys;
-    };
     struct Watch {
         KeyRange range;
         std::int64_t firstRevision { 0 };
--- a/lib/PlatformStandin/StoreStandin.cpp
+++ b/lib/PlatformStandin/StoreStandin.cpp
@@ -25,6 +25,7 @@
 static constexpr int statusUnavailable = 503;
 /// Items of one page of a listing: few, so that callers meet several pages.
 static constexpr std::int64_t pageItems = 50;
+static constexpr const char* eraField = "Store-Era";
 static constexpr absl::string_view renewalPath = "/kv-keep/";
 static constexpr absl::string_view leaseEndPath = "/kv-lease-end/";
 
@@ -39,9 +40,9 @@
         bool isAnswered { false };
     };
 
-    class StoreStandin final : public StandinService {
+    class StoreStandinImpl final : public StoreStandin {
     public:
-        StoreStandin(Scheduler& scheduler, ExecutionLog& log, StoreLimits limits)
+        StoreStandinImpl(Scheduler& scheduler, ExecutionLog& log, StoreLimits limits)
             : m_scheduler(scheduler)
             , m_log(log)
             , m_state(limits)
@@ -52,8 +53,13 @@
         void refuse(const HttpRequest& request, HttpResponder& responder) const override;
         std::string kindOf(const HttpRequest& request) const override;
         bool isLogged(const HttpRequest& request) const override { return request.method != "GET"; }
+        bool handleControl(const HttpRequest& request, HttpResponder& responder) override;
         void addCounters(nlohmann::json& counters) const override;
 
+        Copy takeCopy() override;
+        void restore(const Copy& copy) override;
+        std::int64_t era() const override { return m_era; }
+
     private:
         struct Answer {
             int status { statusOk };
@@ -71,11 +77,20 @@
         RangeResult range(RangeRequest request);
         void watch(const std::shared_ptr<HttpResponder>& responder, const Query& query);
         void finish(const std::shared_ptr<WaitingWatch>& waiting);
+        /// Marks \p waiting as answered; returns false if it was before.
+        bool conclude(WaitingWatch& waiting);
+        /// Sends \p body with the era.
+        void respond(HttpResponder& responder, int status, const nlohmann::json& body) const;
+        void restoreNumbered(const HttpRequest& request, HttpResponder& responder);
 
         Scheduler& m_scheduler;
         ExecutionLog& m_log;
         StoreState m_state;
         LeaseExpiry m_expiry { m_scheduler, m_state };
+        std::int64_t m_era { 1 };
+        std::vector<std::weak_ptr<WaitingWatch>> m_waiting;
+        /// Copies taken over HTTP.
+        std::vector<Copy> m_copies;
         std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
     };
 
@@ -118,7 +133,7 @@
     return absl::SimpleAtoi(text, &number) ? number : 0;
 }
 
-void StoreStandin::handle(StandinCall call)
+void StoreStandinImpl::handle(StandinCall call)
 {
     m_expiry.run();
     const HttpRequest& request = call.request;
@@ -127,17 +142,67 @@
         return;
     }
     Answer answer = request.method == "GET" ? read(request.path, readQuery(request.query)) : write(call);
-    sendJson(*call.responder, answer.status, answer.body);
+    respond(*call.responder, answer.status, answer.body);
     m_expiry.run();
 }
 
 // Of this answer the store's clients know that nothing was done.
-void StoreStandin::refuse(const HttpRequest&, HttpResponder& responder) const
+void StoreStandinImpl::refuse(const HttpRequest&, HttpResponder& responder) const
+{
+    respond(responder, statusUnavailable, nlohmann::json::object());
+}
+
+void StoreStandinImpl::respond(HttpResponder& responder, int status, const nlohmann::json& body) const
 {
-    sendJson(responder, statusUnavailable, nlohmann::json::object());
+    sendJson(responder, status, body, { { eraField, absl::StrCat(m_era) } });
+}
+
+StoreStandin::Copy StoreStandinImpl::takeCopy()
+{
+    m_expiry.run();
+    return m_state.takeCopy(m_scheduler.clock().now());
 }
 
-std::string StoreStandin::kindOf(const HttpRequest& request) const
+void StoreStandinImpl::restore(const Copy& copy)
+{
+    for (const auto& weak : std::exchange(m_waiting, {})) {
+        auto waiting = weak.lock();
+        if (waiting && conclude(*waiting))
+            waiting->responder->abort();
+    }
+    m_state.restore(copy, m_scheduler.clock().now());
+    ++m_era;
+    m_expiry.run();
+}
+
+bool StoreStandinImpl::handleControl(const HttpRequest& request, HttpResponder& responder)
+{
+    if (request.method != "POST")
+        return false;
+    if (request.path == "/standin/copy") {
+        m_copies.push_back(takeCopy());
+        sendJson(responder, statusOk, { { "copy", m_copies.size() } });
+        return true;
+    }
+    if (request.path != "/standin/restore")
+        return false;
+    restoreNumbered(request, responder);
+    return true;
+}
+
+void StoreStandinImpl::restoreNumbered(const HttpRequest& request, HttpResponder& responder)
+{
+    auto document = parseJsonObject(request.body);
+    std::int64_t number = document.ok() ? JsonReader(*document).integer("copy") : 0;
+    if (number < 1 || static_cast<std::size_t>(number) > m_copies.size()) {
+        sendJson(responder, statusBadRequest, { { "error", "no such copy" } });
+        return;
+    }
+    restore(m_copies[static_cast<std::size_t>(number) - 1]);
+    sendJson(responder, statusOk, { { "era", m_era } });
+}
+
+std::string StoreStandinImpl::kindOf(const HttpRequest& request) const
 {
     for (absl::string_view path : { renewalPath, leaseEndPath }) {
         if (absl::StartsWith(request.path, path))
@@ -146,13 +211,14 @@
     return request.path.substr(std::min<std::size_t>(1, request.path.size()));
 }
 
-void StoreStandin::addCounters(nlohmann::json& counters) const
+void StoreStandinImpl::addCounters(nlohmann::json& counters) const
 {
     counters["open_watches"] = m_state.watchCount();
     counters["revision"] = m_state.revision();
+    counters["era"] = m_era;
 }
 
-StoreStandin::Answer StoreStandin::read(const std::string& path, const Query& query)
+StoreStandinImpl::Answer StoreStandinImpl::read(const std::string& path, const Query& query)
 {
     if (path == "/kv-key")
         return item(textOf(query, "key"));
@@ -161,7 +227,7 @@
     return { statusNotFound };
 }
 
-StoreStandin::Answer StoreStandin::write(const StandinCall& call)
+StoreStandinImpl::Answer StoreStandinImpl::write(const StandinCall& call)
 {
     const HttpRequest& request = call.request;
     m_log.record(call.identity, ExecutionEvent::Started);
@@ -181,7 +247,7 @@
     return answer;
 }
 
-RangeResult StoreStandin::range(RangeRequest request)
+RangeResult StoreStandinImpl::range(RangeRequest request)
 {
     TransactionRequest transaction;
     transaction.success.emplace_back(std::move(request));
@@ -189,7 +255,7 @@
     return result.ok() ? std::get<RangeResult>(result->results.front()) : RangeResult();
 }
 
-StoreStandin::Answer StoreStandin::item(const std::string& key)
+StoreStandinImpl::Answer StoreStandinImpl::item(const std::string& key)
 {
     RangeResult found = range({ { key, "" } });
     if (found.values.empty())
@@ -199,7 +265,7 @@
     return { statusOk, std::move(body) };
 }
 
-StoreStandin::Answer StoreStandin::page(const std::string& prefix, const std::string& after)
+StoreStandinImpl::Answer StoreStandinImpl::page(const std::string& prefix, const std::string& after)
 {
     KeyRange keys = keysBelow(prefix);
     if (!after.empty())
@@ -248,7 +314,7 @@
     return request;
 }
 
-StoreStandin::Answer StoreStandin::transaction(const nlohmann::json& document)
+StoreStandinImpl::Answer StoreStandinImpl::transaction(const nlohmann::json& document)
 {
     absl::StatusOr<TransactionRequest> request = readTransaction(document);
     if (!request.ok())
@@ -268,7 +334,7 @@
     return { statusConditionFailed, { { "items", std::move(items) } } };
 }
 
-StoreStandin::Answer StoreStandin::grant(const nlohmann::json& document)
+StoreStandinImpl::Answer StoreStandinImpl::grant(const nlohmann::json& document)
 {
     JsonReader reader(document);
     milliseconds asked(reader.integer("ttl_ms"));
@@ -280,7 +346,7 @@
     return { statusOk, { { "lease", *lease }, { "ttl_ms", milliseconds(granted).count() } } };
 }
 
-StoreStandin::Answer StoreStandin::renew(std::int64_t lease)
+StoreStandinImpl::Answer StoreStandinImpl::renew(std::int64_t lease)
 {
     auto timeToLive = m_state.keepAlive(lease, m_scheduler.clock().now());
     if (!timeToLive.ok())
@@ -288,13 +354,18 @@
     return { statusOk, { { "ttl_ms", milliseconds(*timeToLive).count() } } };
 }
 
-StoreStandin::Answer StoreStandin::endLease(std::int64_t lease)
+StoreStandinImpl::Answer StoreStandinImpl::endLease(std::int64_t lease)
 {
     return { m_state.revokeLease(lease).ok() ? statusOk : statusNotFound };
 }
 
-void StoreStandin::watch(const std::shared_ptr<HttpResponder>& responder, const Query& query)
+void StoreStandinImpl::watch(const std::shared_ptr<HttpResponder>& responder, const Query& query)
 {
+    std::int64_t after = numberIn(textOf(query, "after"));
+    if (after > m_state.revision()) {
+        respond(*responder, statusGone, nlohmann::json::object());
+        return;
+    }
     auto waiting = std::make_shared<WaitingWatch>();
     waiting->responder = responder;
     auto sink = [this, weak = std::weak_ptr<WaitingWatch>(waiting)](std::int64_t, const std::vector<KeyEvent>& events) {
@@ -306,9 +377,9 @@
         if (watch->watch != 0)
             finish(watch);
     };
-    auto id = m_state.watch(keysBelow(textOf(query, "prefix")), numberIn(textOf(query, "after")) + 1, std::move(sink));
+    auto id = m_state.watch(keysBelow(textOf(query, "prefix")), after + 1, std::move(sink));
     if (!id.ok()) {
-        sendJson(*responder, statusGone, nlohmann::json::object());
+        respond(*responder, statusGone, nlohmann::json::object());
         return;
     }
     waiting->watch = *id;
@@ -316,6 +387,8 @@
         finish(waiting);
         return;
     }
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(), [](const auto& weak) { return weak.expired(); }), m_waiting.end());
+    m_waiting.push_back(waiting);
     // The timer keeps the watch; the answer, which the watch holds, must not.
     waiting->timer = m_scheduler.callAfter(milliseconds(numberIn(textOf(query, "wait_ms"))), [this, waiting, alive = std::weak_ptr<bool>(m_alive)] {
         if (alive.lock())
@@ -328,18 +401,24 @@
     });
 }
 
-void StoreStandin::finish(const std::shared_ptr<WaitingWatch>& waiting)
+bool StoreStandinImpl::conclude(WaitingWatch& waiting)
 {
-    if (std::exchange(waiting->isAnswered, true))
-        return;
-    m_scheduler.cancel(waiting->timer);
-    m_state.cancelWatch(waiting->watch);
-    sendJson(*waiting->responder, statusOk, { { "events", waiting->events }, { "current_rev", m_state.revision() } });
+    if (std::exchange(waiting.isAnswered, true))
+        return false;
+    m_scheduler.cancel(waiting.timer);
+    m_state.cancelWatch(waiting.watch);
+    return true;
+}
+
+void StoreStandinImpl::finish(const std::shared_ptr<WaitingWatch>& waiting)
+{
+    if (conclude(*waiting))
+        respond(*waiting->responder, statusOk, { { "events", waiting->events }, { "current_rev", m_state.revision() } });
 }
 
-std::unique_ptr<StandinService> makeStoreStandin(Scheduler& scheduler, ExecutionLog& log, StoreLimits limits)
+std::unique_ptr<StoreStandin> makeStoreStandin(Scheduler& scheduler, ExecutionLog& log, StoreLimits limits)
 {
-    return std::make_unique<StoreStandin>(scheduler, log, limits);
+    return std::make_unique<StoreStandinImpl>(scheduler, log, limits);
 }
 
 } // namespace catkinwing::platform
--- a/lib/Standin/StandinFrontend.cpp
+++ b/lib/Standin/StandinFrontend.cpp
@@ -145,7 +145,8 @@
         sendJson(responder, 200, counters);
         return;
     }
-    sendJson(responder, 404, { { "error", "no such control" } });
+    if (!m_service.handleControl(request, responder))
+        sendJson(responder, 404, { { "error", "no such control" } });
 }
 
 void StandinFrontend::replaceFaults(const HttpRequest& request, HttpResponder& responder)
--- a/lib/Standin/StoreState.cpp
+++ b/lib/Standin/StoreState.cpp
@@ -358,4 +358,27 @@
     m_watches.erase(watch);
 }
 
+StoreState::Copy StoreState::takeCopy(TimePoint now) const
+{
+    Copy copy;
+    copy.m_values = m_values;
+    copy.m_leases = m_leases;
+    copy.m_revision = m_revision;
+    copy.m_lastLease = m_lastLease;
+    copy.m_takenAt = now;
+    return copy;
+}
+
+void StoreState::restore(const Copy& copy, TimePoint now)
+{
+    m_values = copy.m_values;
+    m_leases = copy.m_leases;
+    for (auto& lease : m_leases)
+        lease.second.expiry += now - copy.m_takenAt;
+    m_revision = copy.m_revision;
+    m_lastLease = copy.m_lastLease;
+    m_history.clear();
+    m_compacted = m_revision + 1;
+}
+
 } // namespace catkinwing::standin
--- a/unittests/Platform/PlatformFixture.h
+++ b/unittests/Platform/PlatformFixture.h
@@ -14,7 +14,11 @@
 class PlatformFixture {
 public:
     explicit PlatformFixture(standin::StoreLimits limits = {})
-        : storeServer(startStandin([limits](Scheduler& scheduler, standin::ExecutionLog& log) { return makeStoreStandin(scheduler, log, limits); }))
+        : storeServer(startStandin([this, limits](Scheduler& scheduler, standin::ExecutionLog& log) {
+            auto made = makeStoreStandin(scheduler, log, limits);
+            storeStandin = made.get();
+            return made;
+        }))
         , store(std::make_unique<PlatformStore>(*client, loop, std::vector<SocketAddress> { storeServer->address() }, [](const char*) {}))
     {
     }
@@ -63,6 +67,8 @@
     SystemClock clock;
     EventLoop loop { clock };
     std::unique_ptr<HttpClient> client { makeHttpClient(loop, {}) };
+    /// The service of \ref storeServer.
+    StoreStandin* storeStandin { nullptr };
     std::unique_ptr<standin::StandinServer> storeServer;
     std::unique_ptr<PlatformStore> store;
 };
--- a/unittests/Platform/StoreStandinTest.cpp
+++ b/unittests/Platform/StoreStandinTest.cpp
@@ -2,11 +2,36 @@
 #include "catkinwing/PlatformStandin/StoreStandin.h"
 
 #include "PlatformFixture.h"
+#include <absl/strings/match.h>
 
 using namespace catkinwing;
 using namespace catkinwing::platform;
 using namespace std::chrono_literals;
 
+static std::string eraOf(const Recorded& answer)
+{
+    const std::string* era = answer.head.headers.find("Store-Era");
+    return era ? *era : "none";
+}
+
+static StoreLease grantLease(PlatformFixture& platform, std::chrono::milliseconds timeToLive)
+{
+    std::optional<StoreLease> lease;
+    platform.store->grantLease(timeToLive, [&](absl::StatusOr<StoreLease> granted) { lease = *granted; });
+    REQUIRE(runUntil(platform.loop, [&] { return lease.has_value(); }));
+    return *lease;
+}
+
+static bool isAbsent(PlatformFixture& platform, const std::string& key)
+{
+    return platform.get(key).revision == 0;
+}
+
+static std::shared_ptr<Recorded> watchAfter(PlatformFixture& platform, StoreRevision revision)
+{
+    return platform.sendAndWait(platform.storeServer->address(), "GET", "/kv-watch?prefix=&wait_ms=1&after=" + std::to_string(revision));
+}
+
 TEST_CASE("only the first of two swaps from the same revision is committed")
 {
     PlatformFixture platform;
@@ -77,3 +102,200 @@
     CHECK(platform.sendAndWait(address, "GET", "/other")->head.status == 404);
     CHECK(platform.compareAndSwap("a", 0, "x").outcome == SwapOutcome::Committed);
 }
+
+// Guards against an answer that a client can't assign to an era.
+TEST_CASE("every answer of the store stand-in names its era, whatever its status")
+{
+    PlatformFixture platform;
+    SocketAddress address = platform.storeServer->address();
+    auto checkAnswers = [&](const std::string& era) {
+        StoreRevision revision = platform.compareAndSwap("a", platform.get("a").revision, "x").revision;
+        struct Call {
+            const char* method;
+            std::string target;
+            std::string body;
+            int status;
+        };
+        const std::vector<Call> calls {
+            { "GET", "/kv-key?key=a", "", 200 },
+            { "GET", "/kv-key?key=absent", "", 404 },
+            { "GET", "/kv-range?prefix=", "", 200 },
+            { "GET", "/kv-watch?prefix=&wait_ms=1&after=" + std::to_string(revision), "", 200 },
+            { "GET", "/kv-watch?prefix=&wait_ms=1&after=" + std::to_string(revision + 1), "", 410 },
+            { "POST", "/kv-txn", R"({"expect":[{"key":"a","revision":99}],"puts":[],"deletes":[]})", 412 },
+            { "POST", "/kv-txn", "not json", 400 },
+            { "POST", "/kv-lease", R"({"ttl_ms":1000})", 200 },
+            { "POST", "/kv-keep/7", "", 404 },
+            { "DELETE", "/kv-lease-end/7", "", 404 },
+            { "GET", "/other", "", 404 },
+        };
+        for (const Call& call : calls) {
+            CAPTURE(call.method, call.target);
+            auto answer = platform.sendAndWait(address, call.method, call.target, call.body);
+            CHECK(answer->head.status == call.status);
+            CHECK(eraOf(*answer) == era);
+        }
+        platform.setFaults(*platform.storeServer, { { "refuse", { { "times", 1 } } } });
+        auto refused = platform.sendAndWait(address, "GET", "/kv-key?key=a");
+        CHECK(refused->head.status == 503);
+        CHECK(eraOf(*refused) == era);
+    };
+    checkAnswers("1");
+    platform.storeStandin->restore(platform.storeStandin->takeCopy());
+    checkAnswers("2");
+}
+
+// Guards against a stand-in that keeps some of what it should have lost, or loses what is in the copy.
+TEST_CASE("a store stand-in that comes back from a copy has the keys of the copy, and its revisions go on from there")
+{
+    PlatformFixture platform;
+    StoreRevision kept = platform.compareAndSwap("kept", 0, "first").revision;
+    platform.compareAndSwap("deleted later", 0, "x");
+    StoreStandin::Copy copy = platform.storeStandin->takeCopy();
+    StoreRevision lost = platform.compareAndSwap("kept", kept, "second").revision;
+    platform.compareAndSwap("made later", 0, "x");
+    std::optional<SwapResult> deletion;
+    platform.store->compareAndDelete("deleted later", platform.get("deleted later").revision, [&](SwapResult result) { deletion = result; });
+    REQUIRE(runUntil(platform.loop, [&] { return deletion.has_value(); }));
+
+    platform.storeStandin->restore(copy);
+    CHECK(platform.get("kept").value == "first");
+    CHECK(platform.get("kept").revision == kept);
+    CHECK(isAbsent(platform, "made later"));
+    CHECK(platform.get("deleted later").value == "x");
+    // The revision is given out again, for another value.
+    SwapResult again = platform.compareAndSwap("kept", kept, "third");
+    CHECK(again.outcome == SwapOutcome::Committed);
+    CHECK(again.revision == lost);
+}
+
+// Guards against a stand-in that answers a watch of the old era as if nothing had happened.
+TEST_CASE("a store stand-in that came back answers a watch from a revision that it doesn't have with 410")
+{
+    PlatformFixture platform;
+    platform.compareAndSwap("a", 0, "x");
+    StoreRevision copied = platform.compareAndSwap("b", 0, "x").revision;
+    StoreStandin::Copy copy = platform.storeStandin->takeCopy();
+    StoreRevision lost = platform.compareAndSwap("c", 0, "x").revision;
+    CHECK(watchAfter(platform, copied - 1)->head.status == 200);
+
+    platform.storeStandin->restore(copy);
+    CHECK(watchAfter(platform, lost)->head.status == 410);
+    CHECK(watchAfter(platform, copied - 1)->head.status == 410);
+    CHECK(watchAfter(platform, copied)->head.status == 200);
+}
+
+// The case in which a client of the old era can't see from the status that it missed something.
+TEST_CASE("a store stand-in whose revisions have passed the old ones answers a watch from an old revision with what came later only")
+{
+    PlatformFixture platform;
+    StoreStandin::Copy copy = platform.storeStandin->takeCopy();
+    StoreRevision lost = platform.compareAndSwap("a", 0, "x").revision;
+    platform.storeStandin->restore(copy);
+    for (const char* key : { "b", "c" })
+        platform.compareAndSwap(key, 0, "x");
+    auto answer = watchAfter(platform, lost);
+    REQUIRE(answer->head.status == 200);
+    CHECK(eraOf(*answer) == "2");
+    auto events = nlohmann::json::parse(answer->body).at("events");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].at("key") == "c");
+}
+
+// Guards against a watch that waits on over the restore and reports changes of another era.
+TEST_CASE("a watch that waits is cut when the store stand-in comes back from a copy")
+{
+    PlatformFixture platform;
+    auto request = requestFor(platform.storeServer->address(), "/kv-watch?prefix=&wait_ms=20000&after=1");
+    auto waiting = sendRecorded(*platform.client, std::move(request));
+    REQUIRE(runUntil(platform.loop, [&] { return nlohmann::json::parse(platform.sendAndWait(platform.storeServer->address(), "GET", "/standin/counters")->body).at("open_watches") == 1; }));
+    platform.storeStandin->restore(platform.storeStandin->takeCopy());
+    REQUIRE(runUntil(
+        platform.loop, [&] { return waiting->hasEnded(); }, 2s));
+    CHECK(waiting->result.end != HttpEnd::Complete);
+    CHECK(platform.compareAndSwap("a", 0, "x").outcome == SwapOutcome::Committed);
+}
+
+// Guards against lease numbers that stay unique over a restore, as the platform's don't.
+TEST_CASE("a store stand-in that comes back gives out lease numbers again")
+{
+    PlatformFixture platform;
+    StoreStandin::Copy copy = platform.storeStandin->takeCopy();
+    StoreLease lost = grantLease(platform, 10s);
+    REQUIRE(platform.compareAndSwap("mine", 0, "x", lost).outcome == SwapOutcome::Committed);
+    platform.storeStandin->restore(copy);
+    CHECK(isAbsent(platform, "mine"));
+    CHECK(platform.compareAndSwap("mine", 0, "x", lost).outcome == SwapOutcome::NotSent);
+    CHECK(grantLease(platform, 10s) == lost);
+}
+
+// Guards against a lease of the copy that never lapses, or that has lapsed at the return.
+TEST_CASE("a lease in the copy has at the return the time left that it had in the copy, and its keys end with it")
+{
+    PlatformFixture platform;
+    StoreLease lease = grantLease(platform, 1s);
+    REQUIRE(platform.compareAndSwap("mine", 0, "x", lease).outcome == SwapOutcome::Committed);
+    StoreStandin::Copy copy = platform.storeStandin->takeCopy();
+    REQUIRE(runUntil(platform.loop, [&] { return isAbsent(platform, "mine"); }));
+    platform.storeStandin->restore(copy);
+    TimePoint returned = platform.clock.now();
+    CHECK_FALSE(isAbsent(platform, "mine"));
+    REQUIRE(runUntil(platform.loop, [&] { return isAbsent(platform, "mine"); }));
+    CHECK(platform.clock.now() - returned > 700ms);
+}
+
+// Guards against a copy that can be used once only, and against an era that goes back.
+TEST_CASE("a store stand-in comes back from an older copy again, each time in a new era")
+{
+    PlatformFixture platform;
+    SocketAddress address = platform.storeServer->address();
+    auto control = [&](const char* path, const nlohmann::json& body) {
+        return platform.sendAndWait(address, "POST", path, body.dump());
+    };
+    CHECK(nlohmann::json::parse(control("/standin/copy", {})->body).at("copy") == 1);
+    platform.compareAndSwap("a", 0, "x");
+    CHECK(nlohmann::json::parse(control("/standin/copy", {})->body).at("copy") == 2);
+    platform.compareAndSwap("b", 0, "x");
+
+    CHECK(nlohmann::json::parse(control("/standin/restore", { { "copy", 2 } })->body).at("era") == 2);
+    CHECK_FALSE(isAbsent(platform, "a"));
+    CHECK(isAbsent(platform, "b"));
+    CHECK(nlohmann::json::parse(control("/standin/restore", { { "copy", 1 } })->body).at("era") == 3);
+    CHECK(isAbsent(platform, "a"));
+    CHECK(nlohmann::json::parse(control("/standin/restore", { { "copy", 2 } })->body).at("era") == 4);
+    CHECK_FALSE(isAbsent(platform, "a"));
+    CHECK(control("/standin/restore", { { "copy", 3 } })->head.status == 400);
+    CHECK(control("/standin/restore", nlohmann::json::object())->head.status == 400);
+    CHECK(platform.storeStandin->era() == 4);
+}
+
+// Guards against a silence that drops, repeats or reorders what came in it.
+TEST_CASE("the stand-in for an endpoint loses nothing in a silence and goes on where it was")
+{
+    PlatformFixture platform;
+    auto endpoint = platform.startEndpoint({ "i-1", 0ms, 20, 20ms, false, {}, {}, {} });
+    auto ask = [&] {
+        HttpClientRequest request = requestFor(endpoint->address(), "/stream");
+        request.method = "POST";
+        request.headers = { { "Attempt-Id", "a" } };
+        return sendRecorded(*platform.client, std::move(request));
+    };
+    auto running = ask();
+    REQUIRE(runUntil(platform.loop, [&] { return absl::StrContains(running->body, "id: 3\n"); }));
+    CHECK(platform.sendAndWait(endpoint->address(), "POST", "/standin/silence", R"({"span_ms":600})")->head.status == 200);
+    TimePoint began = platform.clock.now();
+    std::size_t received = running->body.size();
+    auto arriving = ask();
+    runFor(platform.loop, 400ms);
+    CHECK(running->body.size() == received);
+    CHECK(arriving->heads == 0);
+    REQUIRE(runUntil(platform.loop, [&] { return running->hasEnded() && arriving->hasEnded(); }));
+    CHECK(platform.clock.now() - began >= 600ms);
+    CHECK(running->result.end == HttpEnd::Complete);
+    CHECK(arriving->result.end == HttpEnd::Complete);
+    std::string whole;
+    for (int number = 1; number <= 20; ++number)
+        whole += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+    CHECK(running->body == whole);
+    CHECK(arriving->body == whole);
+}
