--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -427,7 +427,9 @@
             impl->bootstrapFromPeer(listing.status(), done);
             return;
         }
-        logChange(LogLevel::Info, "store_listed", { { "revision", listing->revision }, { "before", impl->mirror.revision() }, { "keys", listing->values.size() } });
+        bool isStale = listing->revision < impl->mirror.revision();
+        logChange(isStale ? LogLevel::Warning : LogLevel::Info, isStale ? "store_listing_stale" : "store_listed",
+            { { "revision", listing->revision }, { "before", impl->mirror.revision() }, { "keys", listing->values.size() } });
         impl->recordCurrentAsOf(askedAt);
         impl->mirror.applyListing(*listing);
         done(listing);
