--- a/test/soak/checker_test.py
+++ b/test/soak/checker_test.py
@@ -1,11 +1,15 @@
 """Each check of the soak finds its breach in made-up records."""
 import argparse
+import asyncio
+import random
 import time
 import unittest
 
 import endpoint as endpoints
+import partition
 import prompts
 import soak
+import wire
 
 
 class Place:
@@ -16,6 +20,7 @@
         self.zone = "north-a"
         self.name = "place"
         self.left_at = None
+        self.silences = []
         self.faulted_until = 0.0
         self.killed_at = None
         self.own_ends = 0
@@ -27,7 +32,7 @@
 
 class CheckerTest(unittest.TestCase):
     def setUp(self):
-        self.soak = soak.Soak(argparse.Namespace(seed=1, seconds=1, callers=1, keep=False, verbose=False, binary=""))
+        self.soak = soak.Soak(argparse.Namespace(seed=1, seconds=1, callers=1, keep=False, verbose=False, binary="", only=None))
         self.soak.store = argparse.Namespace(trouble_until=0.0)
         self.entry = Place()
         self.soak.entries = [self.entry]
@@ -194,6 +199,51 @@
             sound = [(i / 10, True) for i in range(50)] + [(25 + i / 10, i < begun * 100) for i in range(100)]
             self.assertEqual(len(list(record.breaches(sound, lambda at: True))), broken)
 
+    def ended_early(self, runs=1, silences=(), **changes):
+        """Returns the broken rules of a request that was read whole and ended after half of its time."""
+        self.soak.kind, self.soak.planned_only = "silence", False
+        self.soak.runs.clear()
+        self.soak.breaches.clear()
+        sent = self.request(prefix="/plain/often/", status=None, how="closed")
+        sent.update({"seal": None, "limit": 4.0, "whole_at": self.now + 0.1, "ended": self.now + 2.0, **changes})
+        for _ in range(runs):
+            place = Place()
+            place.silences = list(silences)
+            self.run_it(sent, endpoint=place)
+        return self.rules()
+
+    def test_an_answer_that_ends_early_beside_silent_endpoints(self):
+        cut_stream = {"status": 200, "how": "cut", "seal": "a.i-1"}
+        for broken in [{}, {"runs": 0}, cut_stream, {"status": 502, "how": "502"}, {"status": 404, "how": "404", "runs": 0},
+                       {"silences": [(self.now + 1.9, self.now + 3.5)]}]:
+            self.assertEqual(self.ended_early(**broken), {"silence"}, broken)
+        for sound in [{"status": 200, "how": "200", "seal": "a.i-1"}, {"status": 503, "how": "503", "runs": 0}, {"ended": self.now + 3.0},
+                      {"whole_at": None, "runs": 0}, {"how": "left"}, {**cut_stream, "how": "cut by the caller"},
+                      {"silences": [(self.now + 1.9, self.now + 4.1)]}]:
+            self.assertEqual(self.ended_early(**sound), set(), sound)
+
+    def test_an_endpoint_that_falls_silent_goes_on_where_it_was(self):
+        """Nothing comes in the middle of a stream until it speaks again, and then all of it."""
+        async def ask():
+            record = endpoints.Endpoint(None, random.Random(1), "model", "north-a", [], "i-1", partition.Partition())
+            server, port = await wire.serve(record.handle)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(wire.request("GET", "/stream/often/a", [("Attempt-Id", "a"), ("Expect-Instance", "i-1")]))
+            _, fields = await wire.read_head(reader)
+            times, body = [], b""
+            async for piece in wire.chunks(reader, fields):
+                times.append(time.monotonic())
+                body += piece
+                if len(times) == 2:
+                    record.fall_silent(0.3)
+            writer.close()
+            server.close()
+            return times, body
+
+        times, body = asyncio.run(ask())
+        self.assertGreater(times[2] - times[1], 0.25)
+        self.assertEqual(body, b"".join(endpoints.event(number, "v1") for number in range(1, endpoints.EVENTS + 1)))
+
     def test_a_stream_with_a_gap(self):
         sent = self.request(prefix="/stream/often/")
         body = b"".join(endpoints.event(number, "v1") for number in (1, 2, 4, 5, 6))
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -21,12 +21,18 @@
 KEYS = ["key-wide-1"] * 6 + ["key-wide-2"] * 6 + ["key-bound"] * 4 + ["key-narrow"] * 5 + ["key-unknown"]
 
 
-def configuration(version, timeout):
+def configuration(version, timeout, random=None):
+    """With random, bounds of connections and the order of the routes are drawn anew."""
     routes = [{"name": f"r{i}", "host": "soak.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, "latency_target_ms": 500,
                "priority": 1, "service": service, "attempts": attempts, "affinity": prefix.startswith("/stream/"), "resumable": resumable, "gap_aim_ms": 300,
                "home_regions": []} for i, (prefix, (service, kind, resumable, attempts)) in enumerate(ROUTES.items())]
     services = [{"name": name, "health_path": "/h", "max_conns": 200, "proto": "h1", "tls": False, "warmup_s": 0.0, "cold_per_s": 0.0}
                 for name in ("plain", "model")]
     limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    if random:
+        random.shuffle(routes)
+        for service in services:
+            service["max_conns"] = random.choice([50, 100, 200])
+        limits.update(header_timeout_ms=random.randint(2000, 6000), idle_timeout_ms=random.randint(2000, 15000))
     workspaces = [{"name": name, "api_keys": keys, "home_regions": homes, "rate_per_s": rate, "burst": rate} for name, keys, homes, rate in WORKSPACES]
     return json.dumps({"version": version, "routes": routes, "services": services, "limits": limits, "tenants": workspaces})
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -36,6 +36,10 @@
         self.limits = []
         # Answers have neither a length nor chunks, and end with their connections.
         self.is_unframed = False
+        # How many times longer it works than others.
+        self.pace = 1.0
+        # Since when and until when it was silent.
+        self.silences = []
         # Called when a request arrives whose prompt crashes the endpoint.
         self.on_bad_prompt = None
 
@@ -87,6 +91,17 @@
         per_second = self.limits[-1][1] if self.limits else None
         return [] if per_second is None else [("Server-Limit", str(per_second))]
 
+    def fall_silent(self, seconds):
+        """Sends nothing for some time and goes on where it was; the system still takes connections and bytes for it."""
+        self.silences.append((time.monotonic(), time.monotonic() + seconds))
+
+    def is_silent(self):
+        return bool(self.silences) and time.monotonic() < self.silences[-1][1]
+
+    async def speaks(self):
+        while self.is_silent():
+            await asyncio.sleep(self.silences[-1][1] - time.monotonic())
+
     def strikes(self, kind):
         return self.fault == kind and self.random.random() < self.fault_share
 
@@ -97,6 +112,7 @@
             while lives:
                 line, fields = await wire.read_head(reader)
                 body = await wire.read_body(reader, fields)
+                await self.speaks()
                 lives, was_held = await self.partition.passes(writer)
                 lives = lives and await self.answer(line, fields, body, writer, was_held)
         finally:
@@ -117,7 +133,8 @@
         self.log.append({"attempt": attempt, "at": time.monotonic(), "endpoint": self, "method": method, "target": target,
                          "body": body, "from": int(fields.get("last-event-id", 0)),
                          "workspace": fields.get("tenant"), "has_key": "key" in fields, "was_held": was_held})
-        await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        await asyncio.sleep(self.pace * self.random.uniform(0.005, 0.05))
+        await self.speaks()
         if prompts.has_bad(fields) and self.on_bad_prompt:
             writer.write(self.stream_head([("Attempt-Id", attempt), ("Reply-Seal", f"{attempt}.{self.incarnation}")]))
             await asyncio.sleep(self.random.uniform(0, 0.05))
@@ -154,7 +171,8 @@
         version = self.version
         writer.write(self.stream_head(head))
         for number in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(self.random.uniform(0.005, 0.04))
+            await asyncio.sleep(self.pace * self.random.uniform(0.005, 0.04))
+            await self.speaks()
             piece = event(number, version)
             if self.strikes("cut"):
                 writer.write(piece[:4] if self.is_unframed else b"%x\r\n" % len(piece) + piece[:4])
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -71,11 +71,13 @@
 class Entry:
     """One catkinwingd with its own way to the store."""
 
-    def __init__(self, number, zone, zones, binary, folder, store_port):
+    def __init__(self, number, zone, zones, binary, folder, store_port, settings=None):
         self.name = f"entry-{zone}-{number}"
         self.zone, self.zones, self.binary, self.folder = zone, zones, binary, folder
         self.choose_ports()
         self.store_proxy = Proxy(store_port)
+        # Settings of the routed path that differ from those of other runs.
+        self.settings = settings or {}
         self.process = None
         self.killed_at = None
         self.term_at = None
@@ -117,7 +119,7 @@
             "listen": {name: address[name] for name in ("callers", "peers", "operators")},
             "store": [f"127.0.0.1:{self.store_proxy.port}"],
             "ingress": {"readiness": address["readiness"], "directory": address["directory"], "regionOfZone": self.zones, "quotaSlack": 10,
-                        "drainTimeout": "8s"},
+                        "drainTimeout": "8s", **self.settings},
         }
         path = os.path.join(self.folder, f"{self.name}.json")
         with open(path, "w") as file:
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs real entries beside stand-ins, strikes them with seeded faults, and checks
 the promises from what callers and endpoints see. Exits 1 if one was broken.
 
-    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--keep]
+    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--only silence] [--keep]
 """
 import argparse
 import asyncio
@@ -19,6 +19,7 @@
 import fleet
 import partition
 import prompts
+import silence
 import streams
 import wire
 from deployment import HOLDERS, HOMES, KEYS, LIMITED_KEYS, ROUTES, WORKSPACES, ZONES, configuration
@@ -67,6 +68,9 @@
         self.versions = fleet.seeded(arguments.seed, "versions").choice([["v1"], ["v1", "v2"], ["v1", "v2"], ["v1", "v2", "v3"]])
         self.kind = "planned"
         self.planned_only = True
+        self.deadline = DEADLINE
+        self.pace = 1.0
+        self.settings = {}
         self.faults = []
         self.partition = partition.Partition()
         self.streams = streams.Streams()
@@ -81,14 +85,14 @@
     async def start(self):
         self.store = Store(fleet.seeded(self.arguments.seed, "store"))
         await self.store.start()
-        self.store.put("op/config", configuration(self.version, 3000))
+        self.store.put("op/config", configuration(self.version, max(3000, int(self.deadline * 1000))))
         for zone in ZONES:
             for service in ("plain", "model") * self.arguments.endpoints:
                 await self.add_endpoint(service, zone)
         for zone in ZONES:
             for number in range(1, self.arguments.entries + 1):
                 binary = self.arguments.second_binary if number % 2 == 0 and self.arguments.second_binary else self.arguments.binary
-                entry = fleet.Entry(number, zone, ZONES, binary, self.folder, self.store.port)
+                entry = fleet.Entry(number, zone, ZONES, binary, self.folder, self.store.port, self.settings)
                 self.entries.append(entry)
                 await entry.start_first()
         await self.wait_ready()
@@ -99,6 +103,7 @@
         random = fleet.seeded(self.arguments.seed, name)
         version = random.choice(self.versions) if service == "model" else "v1"
         added = endpoints.Endpoint(self.store, random, service, zone, self.runs, name, self.partition, version)
+        added.pace = self.pace
         added.is_unframed = random.random() < UNFRAMED_SHARE
         if service == "model":
             added.on_bad_prompt = lambda endpoint: asyncio.ensure_future(prompts.crash_and_replace(self, endpoint))
@@ -193,12 +198,12 @@
         body = os.urandom(random.choice([0, 10, 5000])) if random.random() < 0.5 else b""
         method = "POST" if body or "once" in prefix else "GET"
         sent = {"attempt": attempt, "prefix": prefix, "method": method, "target": path, "body": body, "entry": entry,
-                "at": time.monotonic(), "status": None, "how": None, "events": 0}
+                "at": time.monotonic(), "status": None, "how": None, "seal": None, "events": 0, "limit": self.deadline, "whole_at": None}
         self.requests[attempt] = sent
         may_resume = prefix == RESUMABLE
         sent["leaves_after"] = random.randint(1, endpoints.EVENTS - 1) if may_resume and random.random() < 0.3 else None
         sent["key"] = random.choice(KEYS)
-        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(DEADLINE * 1000))), ("Key", sent["key"])]
+        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(self.deadline * 1000))), ("Key", sent["key"])]
         if "/stream/" in prefix:
             fields.append(prompts.header(random))
         if random.random() < 0.1:
@@ -249,7 +254,13 @@
     async def send(self, sent, reader, writer, request, random):
         leaves = random.random() < 0.03
         try:
+            if self.kind == "silence" and not leaves and sent["body"] and random.random() < silence.HALVES_SHARE:
+                half = len(request) - len(sent["body"]) // 2
+                writer.write(request[:half])
+                await asyncio.sleep(random.uniform(0.05, 1.0))
+                request = request[half:]
             writer.write(request)
+            sent["whole_at"] = time.monotonic()
             if leaves:
                 await asyncio.sleep(random.uniform(0, 0.05))
                 sent["how"] = "left"
@@ -273,14 +284,14 @@
         """Takes a broken stream up at an entry that the directory names, with what is left of the deadline."""
         stream = first["stream"]
         for _ in range(2):
-            left = first["at"] + DEADLINE - time.monotonic()
+            left = first["at"] + self.deadline - time.monotonic()
             connection = await self.connect(zone, random) if left > 0.1 else None
             if connection is None or stream.last >= endpoints.EVENTS:
                 return
             entry, reader, writer = connection
             attempt = f"{random.getrandbits(64):016x}"
             sent = dict(first, attempt=attempt, entry=entry, at=time.monotonic(), status=None, how=None, resumes=stream.first, after=stream.last,
-                        answer=b"", leaves_after=None)
+                        answer=b"", leaves_after=None, seal=None, limit=left, whole_at=time.monotonic())
             self.requests[attempt] = sent
             fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(left * 1000))), ("Key", sent["key"]),
                       ("Resumes", stream.first), ("Last-Event-Id", str(stream.last))]
@@ -291,6 +302,7 @@
             except (asyncio.TimeoutError, wire.Closed, ConnectionError):
                 sent["how"] = sent["how"] or "cut"
             writer.close()
+            sent["ended"] = time.monotonic()
             counts = counts and not any(cut.entry is entry and cut.ended is None for cut in self.partition.cuts)
             events, _ = streams.read_events(sent["answer"])
             refusal = re.search(rb'"code":"(\w+)"', sent["answer"])
@@ -366,6 +378,9 @@
             self.check_request_limits(limited)
         if self.kind == "cuts":
             self.check_cuts()
+        if self.kind == "silence":
+            for rule, what in silence.breaches(self.requests.values(), by_attempt):
+                self.breach(rule, what)
         self.check_prompts()
         for rule, what in self.streams.breaches():
             self.breach(rule, what)
@@ -459,7 +474,18 @@
         # Beside the bad part nothing strikes that would excuse entries.
         if fleet.seeded(self.arguments.seed, "kind").random() < 0.25:
             self.kind = "prompts"
+        if fleet.seeded(self.arguments.seed, "terms").random() < 0.15:
+            self.kind = "silence"
+        self.kind = self.arguments.only or self.kind
         self.planned_only = self.kind == "planned"
+        if self.kind == "silence":
+            self.deadline = silence.DEADLINE
+            self.arguments.endpoints = max(self.arguments.endpoints, silence.ENDPOINTS)
+            self.arguments.callers = max(self.arguments.callers, silence.CALLERS)
+            random = fleet.seeded(self.arguments.seed, "load")
+            self.pace = random.choice(silence.PACES)
+            self.settings = {"retryRatio": random.choice([0.05, 0.1, 0.2]), "retrySlack": random.choice([10, 50])}
+            return
         kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
@@ -478,7 +504,7 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
-        if self.kind in ("cuts", "prompts"):
+        if self.kind in ("cuts", "prompts", "silence"):
             return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
@@ -621,7 +647,11 @@
             await self.start()
             until = time.monotonic() + self.arguments.seconds
             callers = [self.caller(number, until) for number in range(self.arguments.callers)]
-            await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *callers)
+            terms = []
+            if self.kind == "silence":
+                random = fleet.seeded(self.arguments.seed, "silence")
+                terms = [silence.strike(self, random), silence.change(self, fleet.seeded(self.arguments.seed, "configurations"))]
+            await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *terms, *callers)
             await asyncio.sleep(0.5)
             self.check_end()
         finally:
@@ -649,6 +679,7 @@
     parser.add_argument("--entries", type=int, default=2, help="entries of each zone")
     parser.add_argument("--endpoints", type=int, default=2, help="endpoints of each service in each zone")
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--only", choices=["silence"], help="strike with this kind of trouble instead of one drawn by the seed")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     return asyncio.run(Soak(parser.parse_args()).run())
