--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -11,10 +11,13 @@
 struct ConfigChange {
     /// Path below the prefix, such as "teams/T".
     std::string path;
-    /// Never lower than an earlier one for the same path.
-    StoreRevision revision { 0 };
+    /// Never earlier than another one for the same path.
+    StoreRevision revision {};
     /// Empty if the document was deleted.
     std::optional<std::string> text;
+    /// The text was replaced or deleted before, and is there again only because the store has
+    /// come back from a copy of itself.
+    bool isRestored { false };
 };
 
 /// Settings of a source.
@@ -42,8 +45,8 @@
     std::uint64_t tombstonesFromLists { 0 };
 };
 
-/// Follows the configuration in the store by list and watch, through outages
-/// and compactions. Each document only ever moves to higher revisions.
+/// Follows the configuration in the store by list and watch, through outages,
+/// compactions and new eras of the store. Each document only ever moves to later revisions.
 class ConfigSource {
 public:
     using ChangesCallback = std::function<void(const std::vector<ConfigChange>&)>;
@@ -61,7 +64,8 @@
     /// no longer has it, the next list gives a tombstone, and older revisions of it are not emitted.
     void noteKnown(const std::string& path, StoreRevision revision, bool isTombstone);
 
-    /// Returns the store revision up to which all changes were emitted; zero before the first list.
+    /// Returns the store revision up to which all changes were emitted, or are emitted by the
+    /// current call; zero before the first list.
     StoreRevision revision() const;
     /// Returns since when the store has answered this source, whatever it said,
     /// without a failure since; nothing while it doesn't.
--- a/include/catkinwing/Coordination/LeaseKeeper.h
+++ b/include/catkinwing/Coordination/LeaseKeeper.h
@@ -35,7 +35,7 @@
 /// A lease as its holder may rely on it.
 struct HeldLease {
     /// Grows from holder to holder: the revision at which the key was made.
-    StoreRevision fencing { 0 };
+    std::int64_t fencing { 0 };
     /// When the holder knew that it had it.
     TimePoint acquiredAt {};
     /// The holder must not act from here on, unless renewed.
--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "catkinwing/Support/StoreRevision.h"
 #include <absl/status/statusor.h>
 #include <chrono>
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -10,18 +10,14 @@
 
 namespace catkinwing {
 
-/// Revision of the store at which a key was last written; zero if it is absent.
-using StoreRevision = std::int64_t;
-
-/// Names a lease of the store; zero names none.
-using StoreLease = std::int64_t;
-
 /// One key of the store with its value.
 struct StoredValue {
     std::string key;
     std::string value;
-    /// Zero if the key is absent.
-    StoreRevision revision { 0 };
+    /// Position at which the key was last written; number zero if the key is absent.
+    StoreRevision revision {};
+    /// Lease that the key is deleted with; a store that doesn't state it gives none.
+    StoreLease lease {};
 };
 
 /// What became of a compare-and-swap.
@@ -68,7 +64,8 @@
 struct StoreWatchCallbacks {
     std::function<void(const std::vector<StoreEvent>&)> onEvents;
     /// The watch ended, for instance because the connection was lost; called
-    /// once. OutOfRange if its first revision was compacted away.
+    /// once. OutOfRange if its first revision was compacted away, or belongs to an
+    /// earlier era of the store.
     std::function<void(const absl::Status&)> onEnd;
     /// The store has answered: all that had changed by now has been told. A
     /// store that only pushes changes doesn't tell.
@@ -99,8 +96,10 @@
     /// Watches every key that begins with \p prefix from \p firstRevision on.
     virtual std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) = 0;
     virtual void grantLease(std::chrono::milliseconds timeToLive, LeaseCallback done) = 0;
-    /// Renews a lease; NotFound if it has lapsed.
+    /// Renews a lease; NotFound if it has lapsed, or belongs to an earlier era, in which
+    /// case its number may name another lease.
     virtual void keepAlive(StoreLease lease, KeepAliveCallback done) = 0;
+    /// Ends a lease. Does nothing for one of an earlier era.
     virtual void revokeLease(StoreLease lease, DoneCallback done) = 0;
 };
 
--- a/include/catkinwing/Gateway/ConfigKeeper.h
+++ b/include/catkinwing/Gateway/ConfigKeeper.h
@@ -47,7 +47,7 @@
     void listOnce();
 
     /// Takes in a document that this entry has just written.
-    void offerOwnWrite(const DocumentPath& path, StoreRevision revision, std::optional<std::string> text);
+    void offerOwnWrite(const DocumentPath& path, std::int64_t revision, std::optional<std::string> text);
     /// Takes in documents from a peer; returns the number that came into force.
     std::size_t offerFromPeer(const std::vector<ConfigEntry>& entries);
     /// Returns what a peer with the revisions \p known lacks.
@@ -59,7 +59,7 @@
 
 private:
     void applyFromStore(const std::vector<ConfigChange>& changes);
-    bool offer(const std::string& path, StoreRevision revision, const std::optional<std::string>& text);
+    bool offer(const std::string& path, std::int64_t revision, const std::optional<std::string>& text);
     void announceChange();
 
     ConfigKeeperEvents m_events;
--- a/include/catkinwing/Gateway/ConfigWriter.h
+++ b/include/catkinwing/Gateway/ConfigWriter.h
@@ -9,7 +9,7 @@
 struct ConfigWrite {
     DocumentPath path;
     /// Revision at which the operator read it; zero if it was absent.
-    StoreRevision expected { 0 };
+    std::int64_t expected { 0 };
     /// Names the write, so that sending it again is safe.
     std::string writeId;
     /// Empty to delete the document.
@@ -32,7 +32,7 @@
 /// Result of a write.
 struct WriteResult {
     WriteOutcome outcome { WriteOutcome::Unknown };
-    StoreRevision revision { 0 };
+    std::int64_t revision { 0 };
     std::vector<ConfigFault> faults;
     /// The document as it is now, if it has changed; empty if it is absent.
     std::optional<std::string> current;
@@ -62,7 +62,7 @@
     void remove(const std::shared_ptr<Task>& task);
     void conclude(const std::shared_ptr<Task>& task, SwapResult result);
     void settleWrite(const std::shared_ptr<Task>& task);
-    void accept(const std::shared_ptr<Task>& task, StoreRevision revision);
+    void accept(const std::shared_ptr<Task>& task, std::int64_t revision);
     void reread(const std::shared_ptr<Task>& task);
 
     Store& m_store;
--- a/include/catkinwing/PeerProtocol/StoreChanges.h
+++ b/include/catkinwing/PeerProtocol/StoreChanges.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include "catkinwing/Support/StoreRevision.h"
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace catkinwing {
 
 /// Header by which an entry asks another for what has changed in the store
-/// after a revision; zero asks for everything.
+/// after a revision, of which it has the number; zero asks for everything.
 constexpr const char* changesAfterHeader = "Catkinwing-Changes-After";
+/// Header that has the era of that revision. Earlier releases don't send it and don't
+/// read answers that state eras.
+constexpr const char* changesEraHeader = "Catkinwing-Changes-Era";
 /// Header by which it asks for an answer at once, also if nothing has changed.
 constexpr const char* changesAtOnceHeader = "Catkinwing-Changes-At-Once";
 
@@ -22,15 +25,16 @@
 struct StoreChange {
     std::string key;
     std::string value;
-    std::int64_t revision { 0 };
+    StoreRevision revision {};
     bool isDeletion { false };
 };
 
 /// What an entry tells another of the store. About 40 bytes a change and its
 /// key and value.
 struct StoreChanges {
-    /// All changes up to here are told.
-    std::int64_t revision { 0 };
+    /// All changes up to here are told. Of a later era than the asker's if the store has come
+    /// back from a copy; the changes then include the differences of that copy.
+    StoreRevision revision {};
     std::vector<StoreChange> changes;
     /// The sender has missed a part of the history and concludes some of the
     /// changes from a listing: keys that are gone may only have lapsed while the
--- a/include/catkinwing/Placement/OrderPermission.h
+++ b/include/catkinwing/Placement/OrderPermission.h
@@ -18,7 +18,7 @@
 struct OrderPermission {
     OrderVerdict verdict { OrderVerdict::NoLease };
     /// The number that the order must carry, if allowed.
-    StoreRevision fencing { 0 };
+    std::int64_t fencing { 0 };
     /// When to ask again, if too early.
     TimePoint allowedFrom {};
 };
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Coordination/ConfigSource.h"
 
+#include "catkinwing/Support/Hash.h"
 #include <algorithm>
 #include <map>
 #include <set>
@@ -7,11 +8,24 @@
 
 namespace catkinwing {
 
+/// Number of earlier texts that are remembered of each document, to recognize them in a copy of
+/// the store that is some seconds old.
+static constexpr std::size_t maxEarlierTexts = 8;
+
 struct ConfigSource::Impl : std::enable_shared_from_this<Impl> {
+    /// One text of a document as the store had it, by number and hash.
+    struct Version {
+        std::int64_t number { 0 };
+        std::uint64_t textHash { 0 };
+    };
+
     /// What was last emitted or told of a document.
     struct Known {
-        StoreRevision revision { 0 };
+        StoreRevision revision {};
         bool isTombstone { false };
+        std::uint64_t textHash { 0 };
+        /// Earlier texts, the latest last.
+        std::vector<Version> earlier;
     };
 
     Impl(Store& givenStore, Scheduler& givenScheduler, Random& givenRandom, ConfigSourceOptions givenOptions, ChangesCallback givenOnChanges)
@@ -53,7 +67,9 @@
     void onWatchEnd(const absl::Status& status);
     void listAfterCompaction();
     void renewWatchFromTimeToTime();
-    bool isNews(const std::string& path, StoreRevision changedAt, bool isTombstone);
+    static bool hasSameText(const Known& last, const Version& version);
+    static bool isEarlierText(const Known& last, const Version& version);
+    static void record(Known& last, StoreRevision changedAt, const std::optional<std::string>& text);
     void emit(const std::vector<ConfigChange>& changes);
     void addIfNews(std::string path, StoreRevision changedAt, std::optional<std::string> text, std::vector<ConfigChange>& changes);
 
@@ -72,7 +88,7 @@
     bool isFollowing { false };
     bool isListing { false };
     std::chrono::milliseconds retryDelay;
-    StoreRevision revision { 0 };
+    StoreRevision revision {};
     std::optional<TimePoint> reachedAt;
     /// When the last list or watch began.
     TimePoint attemptBeganAt {};
@@ -170,7 +186,7 @@
     }
     for (const auto& change : changes) {
         if (!change.text)
-            known[change.path] = { change.revision, true };
+            record(known[change.path], change.revision, std::nullopt);
     }
 }
 
@@ -196,7 +212,7 @@
         if (self && number == self->watchNumber)
             self->noteReached();
     };
-    currentWatch = store.watch(options.prefix, revision + 1, std::move(callbacks));
+    currentWatch = store.watch(options.prefix, revision.next(), std::move(callbacks));
 }
 
 void ConfigSource::Impl::onEvents(const std::vector<StoreEvent>& events)
@@ -248,22 +264,47 @@
         list();
 }
 
-bool ConfigSource::Impl::isNews(const std::string& path, StoreRevision changedAt, bool isTombstone)
+bool ConfigSource::Impl::hasSameText(const Known& last, const Version& version)
 {
-    Known& last = known[path];
-    if (changedAt <= last.revision) {
-        if (changedAt < last.revision)
-            ++counters.staleDropped;
-        return false;
-    }
-    last = { changedAt, isTombstone };
-    return true;
+    return !last.isTombstone && last.revision.number == version.number && last.textHash == version.textHash;
 }
 
+bool ConfigSource::Impl::isEarlierText(const Known& last, const Version& version)
+{
+    return std::any_of(last.earlier.begin(), last.earlier.end(),
+        [&version](const Version& other) { return other.number == version.number && other.textHash == version.textHash; });
+}
+
+void ConfigSource::Impl::record(Known& last, StoreRevision changedAt, const std::optional<std::string>& text)
+{
+    if (last.revision.number != 0 && !last.isTombstone)
+        last.earlier.push_back({ last.revision.number, last.textHash });
+    if (last.earlier.size() > maxEarlierTexts)
+        last.earlier.erase(last.earlier.begin());
+    last.revision = changedAt;
+    last.isTombstone = !text;
+    last.textHash = text ? stableHash(*text) : 0;
+}
+
+// All documents of a copy are at positions of the new era, though most were written before. A
+// document of which the number and the text are known was not written since. A number alone
+// doesn't tell, since it may have been given out again.
 void ConfigSource::Impl::addIfNews(std::string path, StoreRevision changedAt, std::optional<std::string> text, std::vector<ConfigChange>& changes)
 {
-    if (isNews(path, changedAt, !text))
-        changes.push_back({ std::move(path), changedAt, std::move(text) });
+    Known& last = known[path];
+    if (changedAt <= last.revision) {
+        counters.staleDropped += changedAt < last.revision ? 1 : 0;
+        return;
+    }
+    Version version { changedAt.number, text ? stableHash(*text) : 0 };
+    bool mayBeCopied = text && last.revision.number != 0 && last.revision.era < changedAt.era;
+    if (mayBeCopied && hasSameText(last, version)) {
+        last.revision = changedAt;
+        return;
+    }
+    bool isRestored = mayBeCopied && isEarlierText(last, version);
+    record(last, changedAt, text);
+    changes.push_back({ std::move(path), changedAt, std::move(text), isRestored });
 }
 
 void ConfigSource::Impl::emit(const std::vector<ConfigChange>& changes)
@@ -304,8 +345,11 @@
 void ConfigSource::noteKnown(const std::string& path, StoreRevision revision, bool isTombstone)
 {
     Impl::Known& last = m_impl->known[path];
-    if (revision > last.revision)
-        last = { revision, isTombstone };
+    if (revision <= last.revision)
+        return;
+    last.revision = revision;
+    last.isTombstone = isTombstone;
+    last.textHash = 0;
 }
 
 StoreRevision ConfigSource::revision() const
--- a/lib/Coordination/EtcdMessages.cpp
+++ b/lib/Coordination/EtcdMessages.cpp
@@ -36,7 +36,7 @@
         { "key", encode(key) },
         { "target", "MOD" },
         { "result", "EQUAL" },
-        { "mod_revision", std::to_string(expected) },
+        { "mod_revision", std::to_string(expected.number) },
     };
 }
 
@@ -62,8 +62,8 @@
 std::string swapBody(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease)
 {
     Json put = { { "key", encode(key) }, { "value", encode(value) } };
-    if (lease != 0)
-        put["lease"] = std::to_string(lease);
+    if (lease.number != 0)
+        put["lease"] = std::to_string(lease.number);
     return txnBody(compareRevision(key, expected), { { "request_put", put } });
 }
 
@@ -77,7 +77,7 @@
     Json create = {
         { "key", encode(prefix) },
         { "range_end", encode(endOfPrefix(prefix)) },
-        { "start_revision", std::to_string(firstRevision) },
+        { "start_revision", std::to_string(firstRevision.number) },
     };
     return Json { { "create_request", create } }.dump();
 }
@@ -89,7 +89,7 @@
 
 std::string leaseBody(StoreLease lease)
 {
-    return Json { { "ID", std::to_string(lease) } }.dump();
+    return Json { { "ID", std::to_string(lease.number) } }.dump();
 }
 
 static absl::Status malformed(const char* what)
@@ -146,7 +146,7 @@
     auto header = answer.find("header");
     if (header == answer.end() || !header->is_object())
         return false;
-    return readNumber(*header, "revision", revision) && revision > 0;
+    return readNumber(*header, "revision", revision.number) && revision.number > 0;
 }
 
 static bool readKeyValue(const Json& keyValue, StoredValue& value)
@@ -154,8 +154,8 @@
     if (!keyValue.is_object())
         return false;
     bool isRead = readBytes(keyValue, "key", value.key) && readBytes(keyValue, "value", value.value)
-        && readNumber(keyValue, "mod_revision", value.revision);
-    return isRead && !value.key.empty() && value.revision > 0;
+        && readNumber(keyValue, "mod_revision", value.revision.number);
+    return isRead && !value.key.empty() && value.revision.number > 0;
 }
 
 absl::StatusOr<StoreListing> readRange(absl::string_view body)
@@ -192,7 +192,7 @@
 {
     LeaseAnswer read;
     std::int64_t seconds = 0;
-    bool isRead = answer.is_object() && readNumber(answer, "ID", read.lease) && readNumber(answer, "TTL", seconds);
+    bool isRead = answer.is_object() && readNumber(answer, "ID", read.lease.number) && readNumber(answer, "TTL", seconds);
     if (!isRead || read.lease == 0 || seconds > longestTimeToLive.count())
         return malformed("lease");
     read.timeToLive = std::chrono::seconds(seconds);
@@ -249,7 +249,7 @@
     if (result == message.end() || !result->is_object())
         return malformed("watch result");
     WatchMessage read;
-    if (!readBool(*result, "canceled", read.isCancelled) || !readNumber(*result, "compact_revision", read.compactRevision))
+    if (!readBool(*result, "canceled", read.isCancelled) || !readNumber(*result, "compact_revision", read.compactRevision.number))
         return malformed("watch result");
     auto events = result->find("events");
     if (events == result->end())
--- a/lib/Coordination/LeaseKeeper.cpp
+++ b/lib/Coordination/LeaseKeeper.cpp
@@ -58,7 +58,7 @@
     std::uint64_t epoch { 0 };
     /// Value of the key in this attempt; unique, so that a lost write can be recognised.
     std::string token;
-    StoreLease lease { 0 };
+    StoreLease lease {};
     HeldLease heldLease;
 };
 
@@ -87,9 +87,9 @@
 void LeaseKeeper::Impl::endAttempt()
 {
     ++epoch;
-    if (lease != 0)
+    if (lease.number != 0)
         store.revokeLease(lease, [](const absl::Status&) {});
-    lease = 0;
+    lease = {};
     heldLease = {};
 }
 
@@ -182,7 +182,7 @@
         tryAgainLater();
         return;
     }
-    heldLease.fencing = revision;
+    heldLease.fencing = revision.number;
     heldLease.acquiredAt = now();
     ++counters.acquired;
     callLater(options.renewEvery, &Impl::renew);
@@ -229,7 +229,7 @@
 
 void LeaseKeeper::Impl::onKeyConfirmed(TimePoint until, const absl::StatusOr<StoredValue>& current)
 {
-    bool isAnothers = current.ok() && current->revision != heldLease.fencing;
+    bool isAnothers = current.ok() && current->revision.number != heldLease.fencing;
     if (now() >= heldLease.validUntil || isAnothers) {
         drop();
         return;
--- a/lib/Gateway/ConfigKeeper.cpp
+++ b/lib/Gateway/ConfigKeeper.cpp
@@ -61,12 +61,12 @@
             return;
         std::vector<ConfigChange> changes;
         for (const StoredValue& value : listing->values)
-            changes.push_back({ std::string(absl::StripPrefix(value.key, configKeyPrefix)), value.revision, value.value });
+            changes.push_back({ std::string(absl::StripPrefix(value.key, configKeyPrefix)), value.revision.number, value.value });
         applyFromStore(changes);
     });
 }
 
-bool ConfigKeeper::offer(const std::string& path, StoreRevision revision, const std::optional<std::string>& text)
+bool ConfigKeeper::offer(const std::string& path, std::int64_t revision, const std::optional<std::string>& text)
 {
     absl::StatusOr<DocumentPath> parsed = parseDocumentPath(path);
     if (!parsed.ok())
@@ -93,8 +93,8 @@
         std::optional<std::string> text;
         if (change.text)
             text = decodeStoredDocument(*change.text).text;
-        if (offer(change.path, change.revision, text))
-            news.push_back({ change.path, change.revision, std::move(text) });
+        if (offer(change.path, change.revision.number, text))
+            news.push_back({ change.path, change.revision.number, std::move(text) });
     }
     if (news.empty())
         return;
@@ -103,7 +103,7 @@
         m_events.onNews(news);
 }
 
-void ConfigKeeper::offerOwnWrite(const DocumentPath& path, StoreRevision revision, std::optional<std::string> text)
+void ConfigKeeper::offerOwnWrite(const DocumentPath& path, std::int64_t revision, std::optional<std::string> text)
 {
     m_source.noteKnown(path.toString(), revision, !text);
     if (!offer(path.toString(), revision, text))
--- a/lib/Gateway/ConfigWriter.cpp
+++ b/lib/Gateway/ConfigWriter.cpp
@@ -44,11 +44,11 @@
     bool isOurs = task->write.text && isPresent && document.writeId == task->write.writeId;
     bool isGone = !task->write.text && !isPresent;
     if (isOurs || isGone) {
-        accept(task, stored->revision);
+        accept(task, stored->revision.number);
         return;
     }
-    if (stored->revision != task->write.expected) {
-        WriteResult result { WriteOutcome::Changed, stored->revision, {}, std::nullopt };
+    if (stored->revision.number != task->write.expected) {
+        WriteResult result { WriteOutcome::Changed, stored->revision.number, {}, std::nullopt };
         if (isPresent)
             result.current = document.text;
         task->done(std::move(result));
@@ -79,7 +79,7 @@
 {
     switch (result.outcome) {
     case SwapOutcome::Committed:
-        accept(task, result.revision);
+        accept(task, result.revision.number);
         return;
     case SwapOutcome::Conflict:
         reread(task);
@@ -108,7 +108,7 @@
     settleSwap(m_store, m_scheduler, std::move(lost), {}, [this, task](SettleResult result) {
         switch (result.outcome) {
         case SettledOutcome::Committed:
-            accept(task, result.revision);
+            accept(task, result.revision.number);
             return;
         case SettledOutcome::NotCommitted:
             reread(task);
@@ -120,7 +120,7 @@
     });
 }
 
-void ConfigWriter::accept(const std::shared_ptr<Task>& task, StoreRevision revision)
+void ConfigWriter::accept(const std::shared_ptr<Task>& task, std::int64_t revision)
 {
     // A deletion that was found done has no revision of its own here; the watch
     // brings its tombstone.
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -54,6 +54,8 @@
     for (const auto& [kind, calls] : storeCalls)
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
+    metrics.set("store_era", static_cast<double>(follower.revision().era));
+    metrics.set("store_revision", static_cast<double>(follower.revision().number));
     metrics.set("store_age_seconds", std::chrono::duration<double>(relayedStore.dataAge().value_or(Duration::zero())).count());
     metrics.set("requests_refused_for_crashes", static_cast<double>(parts.crashSuspects.refusedCount(SuspectKind::Request, loop.clock().now())));
     metrics.set("prompt_segments_refused_for_crashes", static_cast<double>(parts.crashSuspects.refusedCount(SuspectKind::PromptSegment, loop.clock().now())));
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Support/Logging.h"
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 
 namespace catkinwing {
 
@@ -34,9 +35,24 @@
 
 namespace {
 
+    void addChangesAfter(HttpHeaders& headers, const StoreRevision& revision)
+    {
+        headers.add(changesAfterHeader, std::to_string(revision.number));
+        headers.add(changesEraHeader, std::to_string(revision.era));
+    }
+
+    void removeEras(StoreChanges& changes)
+    {
+        changes.revision = changes.revision.number;
+        for (StoreChange& change : changes.changes)
+            change.revision = change.revision.number;
+    }
+
     /// A request for changes that waits for the store's next answer.
     struct Waiter {
-        StoreRevision afterRevision { 0 };
+        StoreRevision afterRevision {};
+        /// Whether the asking entry knows eras.
+        bool knowsEras { false };
         std::shared_ptr<HttpResponder> responder;
     };
 
@@ -55,7 +71,7 @@
 
     TimePoint now() const { return scheduler.clock().now(); }
     void answerWaiters();
-    void answer(HttpResponder& responder, StoreRevision after) const;
+    void answer(HttpResponder& responder, StoreRevision after, bool knowsEras) const;
     void refuseWaiters();
     /// Records that the store answered this entry's own watch.
     void recordStoreAnswer();
@@ -133,7 +149,7 @@
 
     void watchDirectly()
     {
-        logChange(LogLevel::Info, "store_watched_directly", { { "after", m_lastRevision } });
+        logChange(LogLevel::Info, "store_watched_directly", { { "era", m_lastRevision.era }, { "after", m_lastRevision.number } });
         ++m_store.directWatchCount;
         std::weak_ptr<Subscription> weak = weak_from_this();
         StoreWatchCallbacks callbacks;
@@ -151,7 +167,7 @@
             if (auto self = weak.lock())
                 self->handleStoreConfirmation();
         };
-        m_directWatch = m_store.directStore.watch(m_prefix, m_lastRevision + 1, std::move(callbacks));
+        m_directWatch = m_store.directStore.watch(m_prefix, m_lastRevision.next(), std::move(callbacks));
     }
 
     // Switches to a relay right after an answer of the store, when the data is new and
@@ -180,7 +196,7 @@
         m_askedAt = m_store.now();
         HttpClientRequest request;
         request.server = relay;
-        request.headers.add(changesAfterHeader, std::to_string(m_lastRevision));
+        addChangesAfter(request.headers, m_lastRevision);
         request.connectTimeout = relayConnectTimeout;
         // An entry whose data is too old, such as after a network partition, needs an
         // immediate answer. Any other entry waits until its data reaches the max age.
@@ -204,6 +220,8 @@
         absl::StatusOr<StoreChanges> changes = isAnswer ? decodeStoreChanges(body) : absl::UnavailableError("relay did not return store changes");
         if (changes.ok() && changes->age > maxAge)
             changes = absl::UnavailableError("store changes from the relay exceed the maximum age");
+        if (changes.ok() && changes->revision.era < m_lastRevision.era)
+            changes = absl::UnavailableError(absl::StrCat("store changes from the relay are of era ", changes->revision.era, " of the store"));
         if (!changes.ok()) {
             handleRelayFailure(relay, head.status, isAnswer ? std::string(changes.status().message()) : result.detail);
             return;
@@ -211,13 +229,17 @@
         m_store.recordCurrentAsOf(m_store.now() - changes->age);
         std::vector<StoreEvent> events;
         for (StoreChange& change : changes->changes)
-            events.push_back({ change.isDeletion, { std::move(change.key), std::move(change.value), change.revision } });
+            events.push_back({ change.isDeletion, { std::move(change.key), std::move(change.value), change.revision, {} } });
         m_consecutiveFailures = 0;
         auto self = shared_from_this();
         if (changes->spansListing && m_store.relayCallbacks.recordHistoryGap)
             m_store.relayCallbacks.recordHistoryGap();
+        StoreRevision before = m_store.mirror.revision();
+        bool isNewEra = changes->revision.era > m_lastRevision.era;
         if (!events.empty())
             applyEvents(events);
+        if (isNewEra)
+            m_store.mirror.recordGap(before, changes->revision);
         // The answer's own revision may be later than that of its last change, since later
         // changes may have cancelled each other.
         m_lastRevision = std::max(m_lastRevision, changes->revision);
@@ -229,7 +251,7 @@
     // A relay that no longer has the changes this entry needs (status 410) hasn't failed.
     void handleRelayFailure(const SocketAddress& relay, int status, const std::string& detail)
     {
-        logChange(LogLevel::Warning, "relay_lost", { { "relay", relay.toString() }, { "status", status }, { "detail", detail }, { "seen", m_lastRevision } });
+        logChange(LogLevel::Warning, "relay_lost", { { "relay", relay.toString() }, { "status", status }, { "detail", detail }, { "era", m_lastRevision.era }, { "seen", m_lastRevision.number } });
         if (status != statusGone)
             m_store.relayCallbacks.recordRelayFailure(relay);
         bool isFirst = std::exchange(m_consecutiveFailures, m_consecutiveFailures + 1) == 0;
@@ -276,7 +298,7 @@
 
     void endWithError(const absl::Status& status)
     {
-        logChange(LogLevel::Warning, "store_watch_ended", { { "after", m_lastRevision }, { "detail", std::string(status.message()) } });
+        logChange(LogLevel::Warning, "store_watch_ended", { { "era", m_lastRevision.era }, { "after", m_lastRevision.number }, { "detail", std::string(status.message()) } });
         auto onEnd = std::move(m_callbacks.onEnd);
         close();
         if (onEnd)
@@ -296,10 +318,17 @@
     bool m_isClosed { false };
 };
 
-void RelayedStore::Impl::answer(HttpResponder& responder, StoreRevision after) const
+// An entry of an earlier release takes revisions for numbers that only rise. It is answered as
+// long as they do; after that it has to watch the store itself. An entry of a later era than
+// this one knows what this one still has to learn.
+void RelayedStore::Impl::answer(HttpResponder& responder, StoreRevision after, bool knowsEras) const
 {
     HttpResponseHead head;
-    std::optional<StoreChanges> changes = mirror.changesAfter(after);
+    StoreRevision position = knowsEras || after == StoreRevision {} ? after : StoreRevision { mirror.revision().era, after.number };
+    bool canAnswer = position.era <= mirror.revision().era && (knowsEras || !mirror.hasSeenEras());
+    std::optional<StoreChanges> changes = canAnswer ? mirror.changesAfter(position) : std::nullopt;
+    if (changes && !knowsEras)
+        removeEras(*changes);
     if (changes)
         changes->age = std::chrono::ceil<milliseconds>(age().value_or(longestStoreAge));
     head.status = changes ? statusOk : statusGone;
@@ -310,7 +339,7 @@
 {
     auto waiting = std::exchange(waiters, {});
     for (Waiter& waiter : waiting)
-        answer(*waiter.responder, waiter.afterRevision);
+        answer(*waiter.responder, waiter.afterRevision, waiter.knowsEras);
 }
 
 void RelayedStore::Impl::refuseWaiters()
@@ -371,13 +400,13 @@
 void RelayedStore::Impl::bootstrapFromPeer(const absl::Status& failure, ListCallback done)
 {
     std::optional<SocketAddress> peer = relayCallbacks.findBootstrapPeer ? relayCallbacks.findBootstrapPeer() : std::nullopt;
-    if (mirror.revision() > 0 || !peer) {
+    if (mirror.revision() > StoreRevision {} || !peer) {
         done(failure);
         return;
     }
     HttpClientRequest request;
     request.server = *peer;
-    request.headers.add(changesAfterHeader, "0");
+    addChangesAfter(request.headers, {});
     request.connectTimeout = relayConnectTimeout;
     request.headTimeout = bootstrapTimeout;
     request.idleTimeout = bootstrapTimeout;
@@ -396,8 +425,8 @@
             listing.revision = known->revision;
             listing.isSecondHand = true;
             for (StoreChange& change : known->changes)
-                listing.values.push_back({ std::move(change.key), std::move(change.value), change.revision });
-            logChange(LogLevel::Warning, "store_learned_from_entry", { { "from", peer.toString() }, { "revision", listing.revision }, { "keys", listing.values.size() } });
+                listing.values.push_back({ std::move(change.key), std::move(change.value), change.revision, {} });
+            logChange(LogLevel::Warning, "store_learned_from_entry", { { "from", peer.toString() }, { "era", listing.revision.era }, { "revision", listing.revision.number }, { "keys", listing.values.size() } });
             self->recordCurrentAsOf(self->now() - known->age);
             self->mirror.applyListing(listing);
             done(std::move(listing));
@@ -429,7 +458,7 @@
         }
         bool isStale = listing->revision < impl->mirror.revision();
         logChange(isStale ? LogLevel::Warning : LogLevel::Info, isStale ? "store_listing_stale" : "store_listed",
-            { { "revision", listing->revision }, { "before", impl->mirror.revision() }, { "keys", listing->values.size() } });
+            { { "era", listing->revision.era }, { "revision", listing->revision.number }, { "before_era", impl->mirror.revision().era }, { "before", impl->mirror.revision().number }, { "keys", listing->values.size() } });
         impl->recordCurrentAsOf(askedAt);
         impl->mirror.applyListing(*listing);
         done(listing);
@@ -483,7 +512,7 @@
 
 std::unique_ptr<StoreWatch> RelayedStore::watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks)
 {
-    auto subscription = std::make_shared<Impl::Subscription>(*m_impl, prefix, firstRevision - 1, std::move(callbacks));
+    auto subscription = std::make_shared<Impl::Subscription>(*m_impl, prefix, firstRevision.previous(), std::move(callbacks));
     subscription->selectSource();
     return std::make_unique<RelayedWatch<Impl::Subscription>>(std::move(subscription));
 }
@@ -492,21 +521,24 @@
 {
     Impl& impl = *m_impl;
     const std::string* text = request.headers.find(changesAfterHeader);
-    StoreRevision after = 0;
-    bool isValid = text && absl::SimpleAtoi(*text, &after);
-    bool requestsAllKeys = isValid && after == 0 && impl.mirror.revision() > 0;
+    StoreRevision after;
+    bool isValid = text && absl::SimpleAtoi(*text, &after.number);
+    const std::string* era = request.headers.find(changesEraHeader);
+    bool knowsEras = era && absl::SimpleAtoi(*era, &after.era);
+    bool requestsAllKeys = isValid && after.number == 0 && impl.mirror.revision() > StoreRevision {};
     if (!requestsAllKeys && (!isValid || !impl.mayRelay())) {
         HttpResponseHead head;
         head.status = statusUnavailable;
         responder->send(head, "");
         return;
     }
-    bool hasChanges = after < impl.mirror.revision();
+    const StoreRevision known = impl.mirror.revision();
+    bool hasChanges = knowsEras ? after < known || after.era > known.era : after.number < known.number;
     bool wantsImmediateAnswer = request.headers.find(changesAtOnceHeader) != nullptr;
-    if (after == 0 || (impl.storeAnsweredAt && (hasChanges || wantsImmediateAnswer)))
-        impl.answer(*responder, after);
+    if (after.number == 0 || (impl.storeAnsweredAt && (hasChanges || wantsImmediateAnswer)))
+        impl.answer(*responder, after, knowsEras);
     else
-        impl.waiters.push_back({ after, std::move(responder) });
+        impl.waiters.push_back({ after, knowsEras, std::move(responder) });
 }
 
 void RelayedStore::stopRelaying()
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -3,6 +3,7 @@
 #include "catkinwing/Support/Logging.h"
 #include <absl/strings/strip.h>
 #include <algorithm>
+#include <utility>
 
 namespace catkinwing {
 
@@ -42,10 +43,7 @@
     , m_parts(parts)
     , m_entryPrefix(std::move(entryPrefix))
     , m_onEntryRemoved(std::move(onEntryRemoved))
-    , m_source(store, scheduler, random, sourceOptions(), [this](const std::vector<ConfigChange>& changes) {
-        for (const ConfigChange& change : changes)
-            applyChange(change);
-    })
+    , m_source(store, scheduler, random, sourceOptions(), [this](const std::vector<ConfigChange>& changes) { applyChanges(changes); })
 {
 }
 
@@ -73,16 +71,48 @@
 {
     bool isReached = m_source.reachedAt().has_value();
     if (isReached != m_wasReached)
-        logChange(isReached ? LogLevel::Info : LogLevel::Warning, isReached ? "store_reached" : "store_lost", { { "revision", m_source.revision() } });
+        logChange(isReached ? LogLevel::Info : LogLevel::Warning, isReached ? "store_reached" : "store_lost", { { "era", m_source.revision().era }, { "revision", m_source.revision().number } });
     m_wasReached = isReached;
+    recordNewEra();
     if (isStoreUnstable())
         return;
+    applyDeferredEvacuations();
     // The grace period starts when the store recovers, however late a listing shows
     // which registrations are missing: the recovery time of an entry must be bounded.
     m_parts.endpoints.removeMissing(now());
     m_parts.entries.removeMissing(now());
 }
 
+// A copy lacks what was acknowledged after it was taken. Its writers write that again, so that
+// for the grace period what is known counts more than what the copy lacks.
+void StoreFollower::recordNewEra()
+{
+    std::int64_t era = m_source.revision().era;
+    if (!hasListedStore() || (m_era && era <= *m_era))
+        return;
+    bool isFirst = !std::exchange(m_era, era);
+    if (isFirst)
+        return;
+    m_eraBeganAt = now();
+    recordHistoryGap();
+    m_parts.metrics.count("store_eras");
+    logChange(LogLevel::Warning, "store_returned_from_copy", { { "era", era }, { "revision", m_source.revision().number } });
+}
+
+void StoreFollower::applyChanges(const std::vector<ConfigChange>& changes)
+{
+    recordNewEra();
+    for (const ConfigChange& change : changes)
+        applyChange(change);
+}
+
+void StoreFollower::logKept(const ConfigChange& change)
+{
+    m_parts.metrics.count("kept_against_copy");
+    logChange(LogLevel::Warning, "kept_against_copy",
+        { { "key", change.path }, { "era", change.revision.era }, { "revision", change.revision.number }, { "copy", change.text ? "restored" : "missing" } });
+}
+
 void StoreFollower::applyChange(const ConfigChange& change)
 {
     const StoreLayout& layout = m_dialect.layout;
@@ -90,14 +120,35 @@
     if (key == layout.configurationKey)
         applyConfiguration(change);
     else if (absl::ConsumePrefix(&key, layout.evacuationPrefix))
-        applyEvacuation(std::string(key), change.text.has_value());
+        applyEvacuation(std::string(key), change);
     else if (absl::ConsumePrefix(&key, layout.endpointPrefix))
         applyEndpoint(std::string(key), change);
     else if (absl::ConsumePrefix(&key, m_entryPrefix))
         applyEntry(std::string(key), change);
 }
 
-void StoreFollower::applyEvacuation(const std::string& zone, bool isEvacuated)
+// A zone that was evacuated or taken back in the lost part of the history stays so until that is
+// written again. If it isn't, the operator has decided otherwise since.
+void StoreFollower::applyEvacuation(const std::string& zone, const ConfigChange& change)
+{
+    bool isEvacuated = change.text.has_value();
+    bool isEraNew = m_eraBeganAt != TimePoint {} && now() - m_eraBeganAt < missingGracePeriod;
+    if (change.isRestored || (!isEvacuated && isEraNew)) {
+        m_deferredEvacuations[zone] = isEvacuated;
+        logKept(change);
+        return;
+    }
+    m_deferredEvacuations.erase(zone);
+    setEvacuated(zone, isEvacuated);
+}
+
+void StoreFollower::applyDeferredEvacuations()
+{
+    for (const auto& [zone, isEvacuated] : std::exchange(m_deferredEvacuations, {}))
+        setEvacuated(zone, isEvacuated);
+}
+
+void StoreFollower::setEvacuated(const std::string& zone, bool isEvacuated)
 {
     if (isEvacuated)
         m_evacuatedZones.insert(zone);
@@ -141,26 +192,32 @@
 void StoreFollower::applyConfiguration(const ConfigChange& change)
 {
     if (!change.text) {
-        logChange(LogLevel::Warning, "configuration_deleted", { { "revision", change.revision } });
+        logChange(LogLevel::Warning, "configuration_deleted", { { "revision", change.revision.number } });
         return;
     }
     ConfigResult<RouteTable> table = m_dialect.readRouteTable(*change.text);
     for (const ConfigFault& fault : table.faults)
-        logChange(LogLevel::Error, "configuration_refused", { { "revision", change.revision }, { "at", fault.pointer }, { "fault", fault.message } });
+        logChange(LogLevel::Error, "configuration_refused", { { "revision", change.revision.number }, { "at", fault.pointer }, { "fault", fault.message } });
     if (!table.ok())
         return;
     std::int64_t currentVersion = m_parts.routes ? m_parts.routes->version() : 0;
     if (m_parts.routes && table.document->version() <= currentVersion)
         return;
     logChange(LogLevel::Info, "configuration_in_force",
-        { { "version", table.document->version() }, { "before", currentVersion }, { "revision", change.revision }, { "routes", table.document->routes().size() } });
+        { { "version", table.document->version() }, { "before", currentVersion }, { "era", change.revision.era }, { "revision", change.revision.number }, { "routes", table.document->routes().size() } });
     recordMovedRoutes(*table.document);
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
     m_parts.endpoints.setStreamLifetime(streamLifetimeOf(*m_parts.routes));
 }
 
+// An endpoint that has left or ended in the lost part of the history doesn't write its restored
+// registration again, which lapses later. One that lives writes its own again.
 void StoreFollower::applyEndpoint(const std::string& incarnation, const ConfigChange& change)
 {
+    if (change.isRestored) {
+        logKept(change);
+        return;
+    }
     if (!change.text) {
         if (isStoreUnstable())
             m_parts.endpoints.recordMissing(incarnation);
@@ -189,6 +246,10 @@
 
 void StoreFollower::applyEntry(const std::string& name, const ConfigChange& change)
 {
+    if (change.isRestored) {
+        logKept(change);
+        return;
+    }
     if (!change.text) {
         m_onEntryRemoved(change.path);
         if (isStoreUnstable())
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -3,6 +3,8 @@
 
 #include "catkinwing/Coordination/ConfigSource.h"
 #include "catkinwing/Ingress/IngressContext.h"
+#include <map>
+#include <optional>
 #include <set>
 
 namespace catkinwing {
@@ -21,7 +23,9 @@
 
     void start() { m_source.start(); }
     /// Returns whether the store has been listed at least once.
-    bool hasListedStore() const { return m_source.revision() > 0; }
+    bool hasListedStore() const { return m_source.revision() > StoreRevision {}; }
+    /// Returns the position in the store up to which the tables are updated.
+    StoreRevision revision() const { return m_source.revision(); }
     /// Records a gap in the change history that was found outside of this entry's own
     /// watch. Deleted registrations are then kept for the grace period.
     void recordHistoryGap() { m_lastHistoryGapAt = now(); }
@@ -30,10 +34,17 @@
     void runHousekeeping();
 
 private:
+    void applyChanges(const std::vector<ConfigChange>& changes);
     void applyChange(const ConfigChange& change);
+    /// Keeps what is known against a copy that the store has come back from, until it has been
+    /// written again or the grace period is over.
+    void recordNewEra();
+    void logKept(const ConfigChange& change);
     void recordMovedRoutes(const RouteTable& next);
     void applyConfiguration(const ConfigChange& change);
-    void applyEvacuation(const std::string& zone, bool isEvacuated);
+    void applyEvacuation(const std::string& zone, const ConfigChange& change);
+    void setEvacuated(const std::string& zone, bool isEvacuated);
+    void applyDeferredEvacuations();
     void applyEndpoint(const std::string& incarnation, const ConfigChange& change);
     void rejectEndpoint(const std::string& incarnation, const absl::Status& fault);
     void applyEntry(const std::string& name, const ConfigChange& change);
@@ -49,6 +60,10 @@
     std::function<void(const std::string& key)> m_onEntryRemoved;
     ConfigSource m_source;
     std::set<std::string> m_evacuatedZones;
+    /// Zones whose state in the store's copy is another one than before, with that state.
+    std::map<std::string, bool> m_deferredEvacuations;
+    std::optional<std::int64_t> m_era;
+    TimePoint m_eraBeganAt {};
     bool m_wasReached { false };
     TimePoint m_lastHistoryGapAt {};
     TimePoint m_nextRefusalLog {};
--- a/lib/Ingress/StoreMirror.cpp
+++ b/lib/Ingress/StoreMirror.cpp
@@ -11,17 +11,26 @@
 {
 }
 
-// After a compaction the events since the last received one are lost, and every entry
-// that waits at this one would have to list the store. Their net effect follows from
-// the listing: the keys written since, and the keys that no longer exist.
+bool StoreMirror::isUnchanged(const StoredValue& before, const StoredValue& value)
+{
+    return before.revision.number == value.revision.number && before.value == value.value;
+}
+
+// After a compaction or in a new era the events since the last received one are lost, and
+// every entry that waits at this one would have to list the store. Their net effect follows
+// from the listing: the keys written since, and the keys that no longer exist. In a new era
+// all revisions are later than the known ones, but most keys are as they were.
 void StoreMirror::recordDifferences(const StoreListing& listing)
 {
     std::vector<StoreChange> changes;
     std::map<std::string, StoredValue> removed = std::exchange(m_values, {});
     for (const StoredValue& value : listing.values) {
-        if (value.revision > m_revision)
+        auto before = removed.find(value.key);
+        bool wasCopied = before != removed.end() && before->second.revision.era < value.revision.era && isUnchanged(before->second, value);
+        if (value.revision > m_revision && !wasCopied)
             changes.push_back({ value.key, value.value, value.revision, false });
-        removed.erase(value.key);
+        if (before != removed.end())
+            removed.erase(before);
         m_values[value.key] = value;
     }
     for (const auto& [key, value] : removed)
@@ -34,7 +43,7 @@
 {
     if (listing.revision < m_revision)
         return;
-    bool isFirst = m_revision == 0;
+    bool isFirst = m_revision == StoreRevision {};
     recordDifferences(listing);
     // The differences cover only the last gap. An entry whose revision is before an
     // earlier gap would miss changes.
@@ -46,6 +55,7 @@
     if (isFirst) {
         m_changes.clear();
         m_completeAfter = listing.revision;
+        m_firstEra = listing.revision.era;
     }
     trim();
 }
@@ -67,6 +77,15 @@
     trim();
 }
 
+void StoreMirror::recordGap(StoreRevision before, StoreRevision listed)
+{
+    if (m_revisionBeforeListing < m_listedRevision)
+        m_completeAfter = std::max(m_completeAfter, m_listedRevision);
+    m_revisionBeforeListing = before;
+    m_listedRevision = listed;
+    m_revision = std::max(m_revision, listed);
+}
+
 void StoreMirror::trim()
 {
     while (m_changes.size() > m_maxChanges) {
@@ -86,9 +105,9 @@
 
 std::optional<StoreChanges> StoreMirror::changesAfter(StoreRevision revision) const
 {
-    if (m_revision == 0)
+    if (m_revision == StoreRevision {})
         return std::nullopt;
-    if (revision == 0)
+    if (revision == StoreRevision {})
         return allValues();
     if (revision < m_completeAfter)
         return std::nullopt;
--- a/lib/Placement/OrderSender.cpp
+++ b/lib/Placement/OrderSender.cpp
@@ -14,10 +14,10 @@
         OrderedEndpoint endpoint;
         std::optional<DesiredState> desired;
         /// Number of the lease under which the desired state was set.
-        StoreRevision desiredUnder { 0 };
+        std::int64_t desiredUnder { 0 };
         std::optional<ReportedState> lastState;
         /// Number of the lease under which that was read.
-        StoreRevision readUnder { 0 };
+        std::int64_t readUnder { 0 };
         OrderProgress progress { OrderProgress::None };
         /// Last order that was accepted, and when it was sent.
         std::optional<Order> acceptedOrder;
@@ -64,8 +64,8 @@
     void visit(Target& target);
     void finishVisit(Target& target, Duration pause);
     void onState(Target& target, const absl::StatusOr<ReportedState>& state);
-    bool isInSync(const Target& target, StoreRevision fencing) const;
-    bool mayStillTakeEffect(const Target& target, StoreRevision fencing) const;
+    bool isInSync(const Target& target, std::int64_t fencing) const;
+    bool mayStillTakeEffect(const Target& target, std::int64_t fencing) const;
     void order(Target& target);
     void onOrdered(Target& target, const Order& sent, TimePoint sentAt, OrderOutcome outcome);
     void loseLease(Target& target);
@@ -171,13 +171,13 @@
     order(target);
 }
 
-bool OrderSender::Impl::isInSync(const Target& target, StoreRevision fencing) const
+bool OrderSender::Impl::isInSync(const Target& target, std::int64_t fencing) const
 {
     bool knowsNumber = !target.endpoint.honoursFencing || target.lastState->fencing == fencing;
     return knowsNumber && fulfils(*target.lastState, *target.desired);
 }
 
-bool OrderSender::Impl::mayStillTakeEffect(const Target& target, StoreRevision fencing) const
+bool OrderSender::Impl::mayStillTakeEffect(const Target& target, std::int64_t fencing) const
 {
     return target.acceptedOrder && target.acceptedOrder->fencing == fencing && target.acceptedOrder->desired == *target.desired
         && target.orderedIncarnation == target.lastState->incarnation && now() < target.orderedAt + options.resendAfter;
--- a/unittests/Coordination/FakeStore.cpp
+++ b/unittests/Coordination/FakeStore.cpp
@@ -4,9 +4,16 @@
 
 namespace catkinwing {
 
+struct FakeStore::Copy {
+    StoreRevision revision;
+    std::int64_t lastLease { 0 };
+    std::map<std::string, Entry> entries;
+    std::map<std::int64_t, Lease> leases;
+};
+
 struct FakeStore::Watch {
     std::string prefix;
-    StoreRevision next { 0 };
+    StoreRevision next {};
     StoreWatchCallbacks callbacks;
 
     void end(const absl::Status& status)
@@ -102,7 +109,7 @@
         listing.revision = m_revision;
         for (const auto& [key, entry] : m_entries) {
             if (startsWith(key, prefix))
-                listing.values.push_back({ key, entry.value, entry.revision });
+                listing.values.push_back({ key, entry.value, entry.revision, entry.lease });
         }
         return listing;
     };
@@ -136,8 +143,9 @@
     using Answer = absl::StatusOr<StoreLease>;
     auto apply = [this, timeToLive]() -> Answer {
         m_leases[++m_lastLease].timeToLive = timeToLive;
-        armLease(m_lastLease);
-        return m_lastLease;
+        StoreLease lease { m_revision.era, m_lastLease };
+        armLease(lease);
+        return lease;
     };
     serve<Answer>(StoreCallGroup::Lease, apply, { noAnswer(), noAnswer() }, std::move(done));
 }
@@ -146,8 +154,8 @@
 {
     using Answer = absl::StatusOr<std::chrono::milliseconds>;
     auto apply = [this, lease]() -> Answer {
-        auto found = m_leases.find(lease);
-        if (found == m_leases.end())
+        auto found = m_leases.find(lease.number);
+        if (found == m_leases.end() || lease.era != m_revision.era)
             return absl::NotFoundError("lease has lapsed");
         armLease(lease);
         return found->second.timeToLive;
@@ -158,7 +166,8 @@
 void FakeStore::revokeLease(StoreLease lease, DoneCallback done)
 {
     auto apply = [this, lease] {
-        expireLease(lease);
+        if (lease.era == m_revision.era)
+            expireLease(lease);
         return absl::OkStatus();
     };
     serve<absl::Status>(StoreCallGroup::Lease, apply, { noAnswer(), noAnswer() }, std::move(done));
@@ -191,8 +200,8 @@
 {
     auto found = m_entries.find(key);
     if (found == m_entries.end())
-        return { key, "", 0 };
-    return { key, found->second.value, found->second.revision };
+        return { key, "", {}, {} };
+    return { key, found->second.value, found->second.revision, found->second.lease };
 }
 
 void FakeStore::erase(const std::string& key)
@@ -200,25 +209,54 @@
     applyDelete(key, peek(key).revision);
 }
 
+std::shared_ptr<const FakeStore::Copy> FakeStore::takeCopy() const
+{
+    return std::make_shared<const Copy>(Copy { m_revision, m_lastLease, m_entries, m_leases });
+}
+
+void FakeStore::restore(const Copy& copy)
+{
+    for (const auto& [number, lease] : m_leases)
+        m_scheduler.cancel(lease.timer);
+    std::int64_t era = m_revision.era + 1;
+    m_revision = { era, copy.revision.number };
+    m_lastLease = copy.lastLease;
+    m_entries = copy.entries;
+    for (auto& [key, entry] : m_entries) {
+        entry.revision.era = era;
+        entry.lease.era = era;
+    }
+    m_leases.clear();
+    for (const auto& [number, lease] : copy.leases) {
+        m_leases[number].timeToLive = lease.timeToLive;
+        armLease({ era, number });
+    }
+    m_history.clear();
+    m_compactedRevision = m_revision;
+    scheduleFlush();
+}
+
 SwapResult FakeStore::applySwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease)
 {
-    bool isLeaseGone = lease != 0 && m_leases.count(lease) == 0;
+    bool isLeaseGone = lease.number != 0 && (m_leases.count(lease.number) == 0 || lease.era != m_revision.era);
     // As the real store does, a write under a lapsed lease is refused whole.
     if (isLeaseGone)
         return { SwapOutcome::NotSent, 0 };
     if (peek(key).revision != expected)
         return { SwapOutcome::Conflict, 0 };
-    m_entries[key] = { value, ++m_revision, lease };
-    record(false, { key, value, m_revision });
+    m_revision = m_revision.next();
+    m_entries[key] = { value, m_revision, lease };
+    record(false, { key, value, m_revision, lease });
     return { SwapOutcome::Committed, m_revision };
 }
 
 SwapResult FakeStore::applyDelete(const std::string& key, StoreRevision expected)
 {
-    if (expected == 0 || peek(key).revision != expected)
+    if (expected.number == 0 || peek(key).revision != expected)
         return { SwapOutcome::Conflict, 0 };
     m_entries.erase(key);
-    record(true, { key, "", ++m_revision });
+    m_revision = m_revision.next();
+    record(true, { key, "", m_revision, {} });
     return { SwapOutcome::Committed, m_revision };
 }
 
@@ -230,21 +268,21 @@
 
 void FakeStore::armLease(StoreLease lease)
 {
-    Lease& state = m_leases[lease];
+    Lease& state = m_leases[lease.number];
     m_scheduler.cancel(state.timer);
     state.timer = m_scheduler.callAfter(state.timeToLive, [this, lease] { expireLease(lease); });
 }
 
 void FakeStore::expireLease(StoreLease lease)
 {
-    auto found = m_leases.find(lease);
+    auto found = m_leases.find(lease.number);
     if (found == m_leases.end())
         return;
     m_scheduler.cancel(found->second.timer);
     m_leases.erase(found);
     std::vector<std::string> bound;
     for (const auto& [key, entry] : m_entries) {
-        if (entry.lease == lease)
+        if (entry.lease.number == lease.number)
             bound.push_back(key);
     }
     for (const auto& key : bound)
@@ -280,7 +318,8 @@
             watch->end(noAnswer());
             continue;
         }
-        if (watch->next <= m_compactedRevision) {
+        bool isOfEarlierEra = watch->next.era < m_revision.era;
+        if (isOfEarlierEra || watch->next <= m_compactedRevision) {
             watch->end(absl::OutOfRangeError("first revision of the watch was compacted"));
             continue;
         }
@@ -289,7 +328,7 @@
             if (event.current.revision >= watch->next && startsWith(event.current.key, watch->prefix))
                 events.push_back(event);
         }
-        watch->next = std::max(watch->next, m_revision + 1);
+        watch->next = std::max(watch->next, m_revision.next());
         // The callback may drop the watch, and with it the function it runs in.
         auto onEvents = watch->callbacks.onEvents;
         auto onCurrent = watch->callbacks.onCurrent;
--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -71,6 +71,12 @@
     StoredValue peek(const std::string& key) const;
     void erase(const std::string& key);
     StoreRevision revision() const { return m_revision; }
+    /// What the store would come back with.
+    struct Copy;
+    std::shared_ptr<const Copy> takeCopy() const;
+    /// Comes back from a copy in a new era: what was written since is gone, and numbers of
+    /// revisions and leases are given out again. Leases of the copy run anew.
+    void restore(const Copy& copy);
     /// Returns how many calls of a group were made.
     std::size_t calls(StoreCallGroup group) const { return m_calls[static_cast<std::size_t>(group)]; }
 
@@ -79,8 +85,8 @@
     class WatchHandle;
     struct Entry {
         std::string value;
-        StoreRevision revision { 0 };
-        StoreLease lease { 0 };
+        StoreRevision revision {};
+        StoreLease lease {};
     };
     struct Lease {
         std::chrono::milliseconds timeToLive {};
@@ -113,10 +119,10 @@
     bool m_isDown { false };
     bool m_isSilent { false };
     StoreRevision m_revision { 1 };
-    StoreRevision m_compactedRevision { 0 };
-    StoreLease m_lastLease { 0 };
+    StoreRevision m_compactedRevision {};
+    std::int64_t m_lastLease { 0 };
     std::map<std::string, Entry> m_entries;
-    std::map<StoreLease, Lease> m_leases;
+    std::map<std::int64_t, Lease> m_leases;
     std::vector<StoreEvent> m_history;
     std::vector<std::weak_ptr<Watch>> m_watches;
     std::array<std::deque<StoreFault>, 3> m_faults;
--- a/unittests/Dispatch/LedgerViewTest.cpp
+++ b/unittests/Dispatch/LedgerViewTest.cpp
@@ -89,7 +89,7 @@
         auto swap = view.plan({ claimOf(minute) }, now, {});
         REQUIRE(swap);
         REQUIRE(swap->addsClaims);
-        view.commit(*std::move(swap), static_cast<StoreRevision>(minute) + 1, now);
+        view.commit(*std::move(swap), StoreRevision(minute + 1), now);
         while (!view.find(claimOf(oldest).key))
             ++oldest;
         std::uint64_t kept = minute - oldest;
@@ -129,7 +129,8 @@
         while (auto swap = view.plan({ claimOf(number) }, now, {})) {
             number += swap->addsClaims ? 1 : 0;
             REQUIRE(encodeGeneration(swap->generation, layout.slots).size() <= layout.maxDocumentBytes);
-            view.commit(*std::move(swap), ++revision, now);
+            revision = revision.next();
+            view.commit(*std::move(swap), revision, now);
         }
     };
     fill();
--- a/unittests/Dispatch/LedgerWorld.cpp
+++ b/unittests/Dispatch/LedgerWorld.cpp
@@ -251,7 +251,8 @@
     StoredValue& stored = m_content[operation.key];
     if (stored.revision != operation.expected)
         return { SwapOutcome::Conflict, 0 };
-    stored = { operation.key, operation.value, ++m_revision };
+    m_revision = m_revision.next();
+    stored = { operation.key, operation.value, m_revision, {} };
     return { SwapOutcome::Committed, m_revision };
 }
 
--- a/unittests/Gateway/ConfigWriterTest.cpp
+++ b/unittests/Gateway/ConfigWriterTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 struct WriterFixture {
-    WriteResult apply(StoreRevision expected, const std::string& writeId, const std::string& text)
+    WriteResult apply(std::int64_t expected, const std::string& writeId, const std::string& text)
     {
         std::optional<WriteResult> result;
         writer.apply({ { DocumentKind::Global, "" }, expected, writeId, text }, [&](WriteResult done) { result = std::move(done); });
--- a/unittests/Ingress/RelayedStoreTest.cpp
+++ b/unittests/Ingress/RelayedStoreTest.cpp
@@ -25,7 +25,7 @@
     {
         store.list("", [this](const absl::StatusOr<StoreListing>& listing) {
             if (listing.ok())
-                follow(listing->revision + 1);
+                follow(listing->revision.next());
         });
     }
 
@@ -254,7 +254,7 @@
 {
     RelayFixture fixture;
     for (int i = 0; i < 5; ++i) {
-        fixture.relay.follow(fixture.shared.revision() + 1);
+        fixture.relay.follow(fixture.shared.revision().next());
         fixture.scheduler.advance(2s);
     }
     CHECK(fixture.relay.store.watchesDirectly());
@@ -332,7 +332,7 @@
     REQUIRE(mirror.changesAfter(10));
     CHECK(mirror.changesAfter(10)->changes.empty());
     CHECK(mirror.changesAfter(25)->revision == 25);
-    for (StoreRevision revision = 11; revision <= 16; ++revision)
+    for (StoreRevision revision = 11; revision <= 16; revision = revision.next())
         mirror.applyEvents({ { false, { "b", "2", revision } } });
     CHECK_FALSE(mirror.changesAfter(11));
     CHECK(mirror.changesAfter(12)->changes.size() == 4);
--- a/unittests/Ingress/StoreFollowerTest.cpp
+++ b/unittests/Ingress/StoreFollowerTest.cpp
@@ -159,7 +159,7 @@
                 if (appliesValues)
                     apply(value);
             }
-            follow(listing->revision + 1);
+            follow(listing->revision.next());
         });
     }
     void apply(const StoredValue& value)
@@ -183,7 +183,7 @@
         };
         callbacks.onEnd = [this](const absl::Status& status) {
             bool isOutOfRange = absl::IsOutOfRange(status);
-            m_tables.fixture.scheduler.callAfter(200ms, [this, isOutOfRange] { isOutOfRange ? list(false) : follow(m_lastRevision + 1); });
+            m_tables.fixture.scheduler.callAfter(200ms, [this, isOutOfRange] { isOutOfRange ? list(false) : follow(m_lastRevision.next()); });
         };
         m_watch = m_tables.client->watch("", first, std::move(callbacks));
     }
--- a/unittests/Ingress/StoreZone.cpp
+++ b/unittests/Ingress/StoreZone.cpp
@@ -1,5 +1,6 @@
 #include "StoreZone.h"
 
+#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <utility>
 
@@ -218,6 +219,7 @@
     {
         fixture.random = Random(entry + 1);
         fixture.dialect.readEndpoint = readEndpoint;
+        fixture.dialect.readRouteTable = readVersion;
         for (std::size_t i = 0; i < zone.m_entries.size(); ++i)
             fixture.addEntry(entryName(i), "north", firstPort + static_cast<int>(i));
         follower.start();
@@ -235,6 +237,17 @@
         return record;
     }
 
+    static ConfigResult<RouteTable> readVersion(absl::string_view text)
+    {
+        ConfigResult<RouteTable> result;
+        std::int64_t version = 0;
+        if (absl::SimpleAtoi(text, &version))
+            result.document = RouteTable(version, {}, {}, {});
+        else
+            result.faults.push_back({ "", "expected an integer version" });
+        return result;
+    }
+
     RelayCallbacks relayCallbacks(std::size_t entry)
     {
         RelayCallbacks callbacks;
@@ -372,6 +385,35 @@
     return isUsed;
 }
 
+void StoreZone::writeConfiguration(std::int64_t version)
+{
+    m_store.put("configuration", std::to_string(version));
+}
+
+std::int64_t StoreZone::version(std::size_t entry) const
+{
+    if (!m_entries[entry].process)
+        return 0;
+    const auto& routes = m_entries[entry].process->fixture.parts.routes;
+    return routes ? routes->version() : 0;
+}
+
+void StoreZone::setEvacuated(bool isEvacuated)
+{
+    if (isEvacuated)
+        m_store.put("evacuated/north-a", "");
+    else
+        m_store.erase("evacuated/north-a");
+}
+
+bool StoreZone::isZoneOpen(std::size_t entry) const
+{
+    if (!m_entries[entry].process)
+        return false;
+    auto& fixture = m_entries[entry].process->fixture;
+    return fixture.parts.endpoints.usableByRegion("service", fixture.scheduler.clock().now()).count("north") > 0;
+}
+
 bool StoreZone::hasBeenHealthy(std::size_t entry, Duration span) const
 {
     return m_entries[entry].fault == EntryFault::None && now() - m_entries[entry].healthySince >= span;
--- a/unittests/Ingress/StoreZone.h
+++ b/unittests/Ingress/StoreZone.h
@@ -41,6 +41,14 @@
     void registerEndpoint(const std::string& name, bool isLeaving = false);
     /// Returns whether an entry may still send requests to an endpoint.
     bool mayUse(std::size_t entry, const std::string& endpoint) const;
+    void writeConfiguration(std::int64_t version);
+    /// Returns the version that an entry has in force; zero if it has none.
+    std::int64_t version(std::size_t entry) const;
+    /// Evacuates the zone of the endpoints, or takes it back.
+    void setEvacuated(bool isEvacuated);
+    /// Returns whether an entry may send requests to the zone of the endpoints, of which it must
+    /// know one.
+    bool isZoneOpen(std::size_t entry) const;
     /// Returns whether an entry has had no fault for \p span.
     bool hasBeenHealthy(std::size_t entry, Duration span) const;
     bool isDirect(std::size_t entry) const;
--- a/unittests/PeerProtocol/StoreChangesTest.cpp
+++ b/unittests/PeerProtocol/StoreChangesTest.cpp
@@ -59,3 +59,30 @@
     CHECK_FALSE(decodeStoreChanges("\x84\x01\x80\xf4\x20").ok());
     CHECK_FALSE(decodeStoreChanges("\x84\x01\x80\xf4\x1a\xff\xff\xff\xff").ok());
 }
+
+// An entry of an earlier release reads an answer without eras and must not take eras for revisions.
+TEST_CASE("revisions keep their eras, and those without an era are written as earlier releases do")
+{
+    StoreChanges changes;
+    changes.revision = { 2, 50 };
+    changes.changes = { { "a", "1", { 1, 70 }, false }, { "b", "", { 2, 50 }, true } };
+    absl::StatusOr<StoreChanges> read = decodeStoreChanges(encodeStoreChanges(changes));
+    REQUIRE(read.ok());
+    CHECK((read->revision == StoreRevision { 2, 50 }));
+    CHECK((read->changes[0].revision == StoreRevision { 1, 70 }));
+    CHECK((read->changes[1].revision == StoreRevision { 2, 50 }));
+    StoreChanges without;
+    without.revision = 1;
+    CHECK(encodeStoreChanges(without) == std::string("\x84\x01\x80\xf4\x00", 5));
+    CHECK_FALSE(decodeStoreChanges(absl::string_view("\x84\x81\x01\x80\xf4\x00", 6)).ok());
+    CHECK_FALSE(decodeStoreChanges(absl::string_view("\x84\x82\x01\xf4\x80\xf4\x00", 7)).ok());
+}
+
+TEST_CASE("a position of a later era is later, whatever its number")
+{
+    CHECK((StoreRevision { 1, 900 } < StoreRevision { 2, 3 }));
+    CHECK((StoreRevision { 2, 3 } < StoreRevision { 2, 4 }));
+    CHECK_FALSE((StoreRevision { 2, 3 } == StoreRevision { 1, 3 }));
+    CHECK((StoreRevision { 2, 3 }.next() == StoreRevision { 2, 4 }));
+    CHECK((StoreLease { 1, 7 } != StoreLease { 2, 7 }));
+}
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -153,3 +153,166 @@
     CHECK(absl::IsNotFound(first));
     CHECK(absl::IsUnavailable(second));
 }
+
+namespace {
+
+FakeHttpAnswer inEra(FakeHttpAnswer answer, int era)
+{
+    answer.headers.set("Store-Era", std::to_string(era));
+    return answer;
+}
+
+/// A store client, and the era that the store states.
+struct EraFixture {
+    FakeHttpAnswer answer(const HttpClientRequest& request) const
+    {
+        if (absl::StrContains(request.target, "/kv-lease-end/"))
+            return inEra(withStatus(200, "{}"), era);
+        if (absl::StrContains(request.target, "/kv-lease") || absl::StrContains(request.target, "/kv-keep/"))
+            return inEra(withStatus(200, R"({"lease":7,"ttl_ms":4000})"), era);
+        if (absl::StrContains(request.target, "/kv-range"))
+            return inEra(withStatus(200, R"({"items":[{"key":"k","value":"","revision":8,"lease":7}],"truncated":false,"current_rev":10})"), era);
+        if (absl::StrContains(request.target, "/kv-watch"))
+            return inEra(withStatus(200, R"({"events":[{"key":"k","value":"","revision":12}],"current_rev":12})"), era);
+        return inEra(withStatus(200, R"({"revision":11})"), era);
+    }
+    StoreLease grant()
+    {
+        std::optional<StoreLease> lease;
+        client.store.grantLease(4s, [&](absl::StatusOr<StoreLease> granted) { lease = *granted; });
+        client.scheduler.advance(1s);
+        return lease.value_or(0);
+    }
+    SwapResult swap()
+    {
+        SwapResult result;
+        client.store.compareAndSwap("k", 0, "v", 0, [&](SwapResult swapped) { result = swapped; });
+        client.scheduler.advance(5s);
+        return result;
+    }
+    std::size_t countCalls(const std::string& kind) const { return static_cast<std::size_t>(std::count(client.calls.begin(), client.calls.end(), kind)); }
+
+    int era { 1 };
+    StoreClientFixture client { [this](const HttpClientRequest& request) { return answer(request); } };
+};
+
+} // namespace
+
+TEST_CASE("values, revisions and leases are of the era that the store states")
+{
+    EraFixture fixture;
+    fixture.era = 3;
+    CHECK((fixture.grant() == StoreLease { 3, 7 }));
+    std::optional<StoreListing> listing;
+    fixture.client.store.list("", [&](absl::StatusOr<StoreListing> listed) { listing = *listed; });
+    fixture.client.scheduler.advance(1s);
+    REQUIRE(listing);
+    CHECK((listing->revision == StoreRevision { 3, 10 }));
+    CHECK((listing->values[0].revision == StoreRevision { 3, 8 }));
+    CHECK((listing->values[0].lease == StoreLease { 3, 7 }));
+    CHECK((fixture.swap().revision == StoreRevision { 3, 11 }));
+}
+
+// The revision that the watch asked from may exist in the new era too, with other changes behind it.
+TEST_CASE("a watch ends as out of range, and delivers nothing, when the store answers from a later era")
+{
+    EraFixture fixture;
+    std::vector<StoreEvent> events;
+    std::optional<absl::Status> end;
+    std::unique_ptr<StoreWatch> watch = fixture.client.store.watch("", { 1, 11 }, { [&](const std::vector<StoreEvent>& given) { events = given; }, [&](const absl::Status& status) { end = status; } });
+    fixture.client.scheduler.advance(5ms);
+    CHECK(events.size() == 1);
+    events.clear();
+    fixture.era = 2;
+    fixture.client.scheduler.advance(2s);
+    REQUIRE(end);
+    CHECK(absl::IsOutOfRange(*end));
+    CHECK(events.empty());
+}
+
+TEST_CASE("a lease of an earlier era is neither renewed nor revoked, since its number may name another one")
+{
+    EraFixture fixture;
+    StoreLease lease = fixture.grant();
+    fixture.era = 2;
+    absl::Status renewed;
+    fixture.client.store.keepAlive(lease, [&](const absl::StatusOr<std::chrono::milliseconds>& left) { renewed = left.status(); });
+    fixture.client.scheduler.advance(1s);
+    CHECK(absl::IsNotFound(renewed));
+    CHECK(fixture.countCalls("renew") == 1);
+    renewed = absl::OkStatus();
+    fixture.client.store.keepAlive(lease, [&](const absl::StatusOr<std::chrono::milliseconds>& left) { renewed = left.status(); });
+    absl::Status revoked = absl::UnknownError("");
+    fixture.client.store.revokeLease(lease, [&](const absl::Status& status) { revoked = status; });
+    std::optional<SwapOutcome> written;
+    fixture.client.store.compareAndSwap("k", 0, "", lease, [&](SwapResult result) { written = result.outcome; });
+    fixture.client.scheduler.advance(1s);
+    CHECK(absl::IsNotFound(renewed));
+    CHECK(revoked.ok());
+    CHECK(written == SwapOutcome::NotSent);
+    CHECK(fixture.countCalls("renew") == 1);
+    CHECK(fixture.countCalls("revoke") == 0);
+    CHECK(fixture.countCalls("write") == 0);
+}
+
+// An entry that hears of the era from another one may revoke its lease before it has called the store.
+TEST_CASE("a lease isn't revoked if the store turns out to be in a later era")
+{
+    EraFixture fixture;
+    StoreLease lease = fixture.grant();
+    fixture.era = 2;
+    absl::Status revoked = absl::UnknownError("");
+    fixture.client.store.revokeLease(lease, [&](const absl::Status& status) { revoked = status; });
+    fixture.client.scheduler.advance(1s);
+    CHECK(revoked.ok());
+    CHECK(fixture.countCalls("revoke") == 0);
+    lease = fixture.grant();
+    fixture.client.store.revokeLease(lease, [&](const absl::Status& status) { revoked = status; });
+    fixture.client.scheduler.advance(1s);
+    CHECK(revoked.ok());
+    CHECK(fixture.countCalls("revoke") == 1);
+}
+
+TEST_CASE("a conditional write on a revision of an earlier era is a conflict")
+{
+    EraFixture fixture;
+    fixture.era = 2;
+    fixture.grant();
+    std::optional<SwapOutcome> swapped;
+    std::optional<SwapOutcome> deleted;
+    fixture.client.store.compareAndSwap("k", { 1, 8 }, "", 0, [&](SwapResult result) { swapped = result.outcome; });
+    fixture.client.store.compareAndDelete("k", { 1, 8 }, [&](SwapResult result) { deleted = result.outcome; });
+    fixture.client.scheduler.advance(1s);
+    CHECK(swapped == SwapOutcome::Conflict);
+    CHECK(deleted == SwapOutcome::Conflict);
+    CHECK(fixture.countCalls("write") == 0);
+}
+
+TEST_CASE("a response of an earlier era that arrives late counts as none")
+{
+    EraFixture fixture;
+    fixture.era = 2;
+    fixture.grant();
+    fixture.era = 1;
+    std::optional<absl::Status> listed;
+    fixture.client.store.list("", [&](const absl::StatusOr<StoreListing>& listing) { listed = listing.status(); });
+    fixture.client.scheduler.advance(5s);
+    REQUIRE(listed);
+    CHECK(absl::IsUnavailable(*listed));
+    CHECK(fixture.swap().outcome == SwapOutcome::Unknown);
+}
+
+TEST_CASE("a listing whose pages are of two eras fails")
+{
+    int era = 1;
+    StoreClientFixture fixture([&era](const HttpClientRequest& request) {
+        bool isFirst = !absl::StrContains(request.target, "after");
+        return inEra(withStatus(200, isFirst ? R"({"items":[{"key":"p/1","value":"","revision":8}],"truncated":true,"current_rev":10})" : R"({"items":[],"truncated":false,"current_rev":14})"),
+            era++);
+    });
+    std::optional<absl::Status> listed;
+    fixture.store.list("p/", [&](const absl::StatusOr<StoreListing>& listing) { listed = listing.status(); });
+    fixture.scheduler.advance(1s);
+    REQUIRE(listed);
+    CHECK(absl::IsUnavailable(*listed));
+}
--- a/unittests/Platform/RestoredStoreTest.cpp
+++ b/unittests/Platform/RestoredStoreTest.cpp
@@ -109,7 +109,7 @@
     }
 
     /// Writes \p value, whatever is there.
-    void put(const std::string& key, const std::string& value, StoreLease lease = 0)
+    void put(const std::string& key, const std::string& value, std::int64_t lease = 0)
     {
         nlohmann::json item = { { "key", key }, { "value", absl::Base64Escape(value) }, { "lease", lease } };
         transact({ { "expect", nlohmann::json::array() }, { "puts", { item } }, { "deletes", nlohmann::json::array() } });
@@ -209,14 +209,14 @@
     }
     bool isThere(const std::string& key) { return !items(key).empty(); }
     /// Keys under which entries are registered, with their leases.
-    std::map<std::string, StoreLease> entryKeys()
+    std::map<std::string, std::int64_t> entryKeys()
     {
-        std::map<std::string, StoreLease> keys;
+        std::map<std::string, std::int64_t> keys;
         for (const nlohmann::json& item : items(entryPrefix))
             keys[item.at("key")] = item.at("lease");
         return keys;
     }
-    StoreLease ownLease()
+    std::int64_t ownLease()
     {
         auto keys = entryKeys();
         return keys.empty() ? 0 : keys.begin()->second;
@@ -240,7 +240,7 @@
         CHECK(absences == 0);
         CHECK(entryKeys().size() == 1);
     }
-    StoreLease grantLease(std::chrono::milliseconds timeToLive)
+    std::int64_t grantLease(std::chrono::milliseconds timeToLive)
     {
         auto answer = platform.sendAndWait(platform.storeServer->address(), "POST", "/kv-lease", nlohmann::json({ { "ttl_ms", timeToLive.count() } }).dump());
         REQUIRE(answer->head.status == 200);
@@ -522,7 +522,7 @@
     RestoreFixture fixture;
     fixture.startAndSettle();
     std::string key = fixture.entryKeys().begin()->first;
-    StoreLease old = fixture.ownLease();
+    std::int64_t old = fixture.ownLease();
     StoreStandin::Copy copy = fixture.takeCopy();
     fixture.remove(key);
     REQUIRE(runUntil(fixture.platform.loop, [&] { return fixture.ownLease() != 0 && fixture.ownLease() != old; }));
@@ -538,10 +538,10 @@
 
 /// The store comes back with the number of the entry's lease given out to somebody else, who has
 /// written a key under it.
-static StoreLease returnWithLeaseGivenOut(RestoreFixture& fixture)
+static std::int64_t returnWithLeaseGivenOut(RestoreFixture& fixture)
 {
     StoreStandin::Copy before = fixture.takeCopy();
-    StoreLease lease = fixture.grantLease(otherLease);
+    std::int64_t lease = fixture.grantLease(otherLease);
     fixture.put(otherKey, "x", lease);
     StoreStandin::Copy after = fixture.takeCopy();
     fixture.platform.storeStandin->restore(before);
@@ -567,7 +567,7 @@
 TEST_CASE("an entry whose lease number was given out again to somebody else has another lease and doesn't keep that one alive")
 {
     RestoreFixture fixture;
-    StoreLease lease = returnWithLeaseGivenOut(fixture);
+    std::int64_t lease = returnWithLeaseGivenOut(fixture);
     fixture.checkRegistered();
     CHECK(fixture.ownLease() != 0);
     CHECK(fixture.ownLease() != lease);
