Register anew in a new era, and leave leases alone that may be another's

An entry's registration was missing for seconds, or ended with a lease of nobody, after the store had come back from a copy; other writers lost keys whose lease numbers the entry had had.

Cause: the entry renewed and revoked its lease by number, which the store gives out again, and could not write its key if the copy had it. It took a key for its own write whatever its lease.

A key of this process under another lease is replaced on its revision. A write without an answer counts only if the key has its lease.

--- a/lib/Ingress/EntryRegistration.cpp
+++ b/lib/Ingress/EntryRegistration.cpp
@@ -26,13 +26,18 @@
 
     void requestLease();
     void onGranted(const absl::StatusOr<StoreLease>& granted);
+    void write(const StoredValue& current);
     void onWritten(SwapResult result);
+    void readOwnKey();
     void onRead(const absl::StatusOr<StoredValue>& current);
     void startRenewing();
     void renew();
     void onRenewed(const absl::StatusOr<std::chrono::milliseconds>& left);
     void restart(const char* reason);
-    void dropLease();
+    void loseRegistration(const char* reason);
+    void forgetLease();
+    void revokeLease();
+    void scheduleRequest();
     std::chrono::milliseconds nextRetryDelay()
     {
         std::chrono::milliseconds delay = retryDelay;
@@ -45,7 +50,9 @@
     EntryRegistrationOptions options;
     /// Number of the current registration attempt. Callbacks of earlier attempts do nothing.
     std::uint64_t epoch { 0 };
-    StoreLease lease { 0 };
+    StoreLease lease {};
+    /// Whether the key was read since the lease was granted.
+    bool hasReadKey { false };
     std::chrono::milliseconds retryDelay { options.firstRetryDelay };
     bool isRunning { false };
     bool isRegistered { false };
@@ -64,12 +71,25 @@
         return;
     }
     lease = *granted;
-    store.compareAndSwap(options.key, 0, options.value, lease, ifCurrent([](Impl& self, SwapResult result) { self.onWritten(result); }));
+    hasReadKey = false;
+    write({});
+}
+
+void EntryRegistration::Impl::write(const StoredValue& current)
+{
+    store.compareAndSwap(options.key, current.revision, options.value, lease, ifCurrent([](Impl& self, SwapResult result) { self.onWritten(result); }));
+}
+
+void EntryRegistration::Impl::readOwnKey()
+{
+    hasReadKey = true;
+    store.get(options.key, ifCurrent([](Impl& self, const absl::StatusOr<StoredValue>& current) { self.onRead(current); }));
 }
 
 // A write whose response was lost may have been applied, or may be applied later. If the key
 // isn't found, the registration starts over and revokes the lease. The store refuses a late
-// write under a revoked lease.
+// write under a revoked lease. A conflict shows a key of this process under an earlier lease,
+// such as after the store has come back from a copy.
 void EntryRegistration::Impl::onWritten(SwapResult result)
 {
     switch (result.outcome) {
@@ -77,9 +97,14 @@
         startRenewing();
         return;
     case SwapOutcome::Unknown:
-        store.get(options.key, ifCurrent([](Impl& self, const absl::StatusOr<StoredValue>& current) { self.onRead(current); }));
+        readOwnKey();
         return;
     case SwapOutcome::Conflict:
+        if (hasReadKey)
+            restart("key not written");
+        else
+            readOwnKey();
+        return;
     case SwapOutcome::NotSent:
         restart("key not written");
         return;
@@ -88,8 +113,11 @@
 
 void EntryRegistration::Impl::onRead(const absl::StatusOr<StoredValue>& current)
 {
-    if (current.ok() && current->revision != 0)
+    bool isPresent = current.ok() && current->revision.number != 0;
+    if (isPresent && current->lease == lease)
         startRenewing();
+    else if (isPresent && current->value == options.value)
+        write(*current);
     else
         restart("key not found");
 }
@@ -112,7 +140,7 @@
     if (absl::IsNotFound(left.status())) {
         // The store responded, so the registration needs no longer delay.
         retryDelay = options.firstRetryDelay;
-        restart("lease expired");
+        loseRegistration("lease expired");
         return;
     }
     if (left.ok())
@@ -120,21 +148,41 @@
     scheduler.callAfter(left.ok() ? options.renewInterval : nextRetryDelay(), ifCurrent([](Impl& self) { self.renew(); }));
 }
 
-void EntryRegistration::Impl::dropLease()
+void EntryRegistration::Impl::forgetLease()
 {
     ++epoch;
-    if (lease != 0)
-        store.revokeLease(lease, [](const absl::Status&) {});
-    lease = 0;
+    lease = {};
     isRegistered = false;
 }
 
+void EntryRegistration::Impl::revokeLease()
+{
+    if (lease.number != 0)
+        store.revokeLease(lease, [](const absl::Status&) {});
+    forgetLease();
+}
+
+void EntryRegistration::Impl::scheduleRequest()
+{
+    scheduler.callAfter(nextRetryDelay(), ifCurrent([](Impl& self) { self.requestLease(); }));
+}
+
+// Revokes the lease, so that a write whose response was lost isn't applied later.
 void EntryRegistration::Impl::restart(const char* reason)
 {
     if (isRegistered)
         logChange(LogLevel::Warning, "entry_registration_lost", { { "key", options.key }, { "reason", reason } });
-    dropLease();
-    scheduler.callAfter(nextRetryDelay(), ifCurrent([](Impl& self) { self.requestLease(); }));
+    revokeLease();
+    scheduleRequest();
+}
+
+// The lease has ended, or lapses with no key. It isn't revoked, since its number may have been
+// given out again.
+void EntryRegistration::Impl::loseRegistration(const char* reason)
+{
+    logChange(LogLevel::Warning, "entry_registration_lost", { { "key", options.key }, { "reason", reason } });
+    forgetLease();
+    scheduleRequest();
 }
 
 EntryRegistration::EntryRegistration(Store& store, Scheduler& scheduler, EntryRegistrationOptions options)
@@ -155,13 +203,13 @@
 void EntryRegistration::stop()
 {
     m_impl->isRunning = false;
-    m_impl->dropLease();
+    m_impl->revokeLease();
 }
 
 void EntryRegistration::recordKeyDeleted()
 {
     if (m_impl->isRegistered)
-        m_impl->restart("key deleted");
+        m_impl->loseRegistration("key deleted");
 }
 
 bool EntryRegistration::isRegistered() const
--- a/unittests/Ingress/EntryRegistrationTest.cpp
+++ b/unittests/Ingress/EntryRegistrationTest.cpp
@@ -79,3 +79,43 @@
         }
     }
 }
+
+// Guards against an entry that renews or revokes a lease whose number the store has given out again after it
+// came back from a copy, and that can't register because its key is in the copy under a lease of nobody.
+TEST_CASE("after the store returned from a copy an entry registers under a lease of its own and leaves other leases alone")
+{
+    for (bool isKeyInCopy : { false, true }) {
+        RegistrationFixture fixture;
+        std::shared_ptr<const FakeStore::Copy> copy = fixture.store.takeCopy();
+        fixture.registration.start();
+        fixture.scheduler.advance(2s);
+        if (isKeyInCopy)
+            copy = fixture.store.takeCopy();
+        StoreLease before = fixture.store.peek("entries/a").lease;
+        fixture.store.restore(*copy);
+        // Another writer gets the lease numbers that were given out before.
+        std::vector<StoreLease> others;
+        for (int i = 0; i < 3; ++i)
+            fixture.store.grantLease(60s, [&others](const absl::StatusOr<StoreLease>& lease) { others.push_back(*lease); });
+        fixture.scheduler.advance(10ms);
+        REQUIRE(others.size() == 3);
+        CAPTURE(isKeyInCopy);
+        if (!isKeyInCopy)
+            REQUIRE(others[0].number == before.number);
+        for (std::size_t i = 0; i < others.size(); ++i)
+            fixture.store.compareAndSwap("others/" + std::to_string(i), 0, "", others[i], [](SwapResult) {});
+        fixture.scheduler.advance(3s);
+        CHECK(fixture.registration.isRegistered());
+        CHECK(fixture.keyExists());
+        StoreLease now = fixture.store.peek("entries/a").lease;
+        for (const StoreLease& other : others)
+            CHECK(other != now);
+        fixture.scheduler.advance(30s);
+        CHECK(fixture.keyExists());
+        for (std::size_t i = 0; i < others.size(); ++i)
+            CHECK(fixture.store.peek("others/" + std::to_string(i)).revision != 0);
+        fixture.registration.stop();
+        fixture.scheduler.advance(100ms);
+        CHECK_FALSE(fixture.keyExists());
+    }
+}
