--- a/test/soak/checker_test.py
+++ b/test/soak/checker_test.py
@@ -1,6 +1,7 @@
 """Each check of the soak finds its breach in made-up records."""
 import argparse
 import asyncio
+import json
 import random
 import time
 import unittest
@@ -8,8 +9,10 @@
 import endpoint as endpoints
 import partition
 import prompts
+import restore
 import soak
 import wire
+from store import Store
 
 
 class Place:
@@ -18,10 +21,11 @@
     def __init__(self, service="plain"):
         self.service = service
         self.zone = "north-a"
-        self.name = "place"
+        self.name = self.incarnation = "place"
+        self.is_registered, self.is_in_copy, self.state = True, False, "draining"
         self.left_at = None
         self.silences = []
-        self.faulted_until = 0.0
+        self.troubles = []
         self.killed_at = None
         self.own_ends = 0
         self.ports = {"callers": 7}
@@ -33,7 +37,7 @@
 class CheckerTest(unittest.TestCase):
     def setUp(self):
         self.soak = soak.Soak(argparse.Namespace(seed=1, seconds=1, callers=1, keep=False, verbose=False, binary="", only=None))
-        self.soak.store = argparse.Namespace(trouble_until=0.0)
+        self.soak.store = Store(random.Random(1))
         self.entry = Place()
         self.soak.entries = [self.entry]
         self.now = time.monotonic()
@@ -244,6 +248,160 @@
         self.assertGreater(times[2] - times[1], 0.25)
         self.assertEqual(body, b"".join(endpoints.event(number, "v1") for number in range(1, endpoints.EVENTS + 1)))
 
+    def restored(self, back=-10.0, others=()):
+        """Prepares a record in which the store came back at this time from now on, and at others."""
+        self.soak.kind, self.soak.planned_only = "restore", False
+        self.soak.runs.clear()
+        self.soak.requests.clear()
+        self.soak.breaches.clear()
+        self.soak.restores = restore.Restores(self.soak, 1)
+        self.soak.restores.until = self.now
+        self.soak.restores.counts.update({"runs judged": 1, "probes of what is in force": 1})
+        self.soak.store.outages = [(self.now + at - 1, self.now + at) for at in (back, *others)]
+        return self.soak.restores
+
+    def run_restored(self, place, back, others=()):
+        self.restored(back, others)
+        self.run_it(self.request(), endpoint=place)
+        return self.rules()
+
+    def test_a_request_at_an_endpoint_that_left_before_the_store_came_back(self):
+        place = Place()
+        place.left_at = self.now - 8
+        # The store's troubles excuse for some time after its return, not for ever.
+        self.soak.store.troubles = [(self.now - 5, self.now - 4), (self.now + 2, self.now + 3)]
+        self.assertEqual(self.run_restored(place, -4.0), {"drain"})
+        self.assertEqual(self.run_restored(place, -4.0, [2.0]), {"drain"})
+        self.assertEqual(self.run_restored(place, -2.0), set())
+        self.assertEqual(self.run_restored(place, -9.0, [-1]), set())
+        place.left_at = self.now - 2
+        self.assertEqual(self.run_restored(place, -9.0), set())
+
+    def test_troubles_excuse_only_what_is_near_them(self):
+        left = Place()
+        left.left_at = self.now - 6
+        for troubles, broken in [([], {"drain"}), ([(self.now - 5.5, self.now - 5.2)], {"drain"}), ([(self.now + 1, self.now + 9)], {"drain"}),
+                                 ([(self.now - 5, self.now - 4)], set()), ([(self.now - 9, self.now - 8)], set())]:
+            for struck in (self.soak.store, self.entry):
+                self.soak.runs.clear()
+                self.soak.breaches.clear()
+                struck.troubles = troubles
+                self.run_it(self.request(), endpoint=left)
+                self.assertEqual(self.rules(), broken, troubles)
+                struck.troubles = []
+
+    def test_a_request_in_a_zone_that_is_evacuated(self):
+        for since, until, back, broken in [(-4, None, -9, {"evacuation"}), (-7, None, -4, {"evacuation"}), (-4, -1, -9, set()), (-2, None, -9, set()),
+                                           (-7, None, -2, set())]:
+            record = self.restored(back)
+            record.evacuations = [["north-a", self.now + since, until and self.now + until], ["north-b", self.now - 9, None]]
+            self.run_it(self.request())
+            self.assertEqual(self.rules(), broken)
+
+    def probe(self, status, acknowledged, back):
+        record = self.restored(back)
+        record.acknowledged[4] = self.now + acknowledged
+        record.judge_probe(self.entry, 77, 4, {"status": status, "at": self.now})
+        return {rule for rule, _ in self.soak.breaches}
+
+    def test_a_configuration_that_is_not_in_force(self):
+        self.assertEqual(self.probe(404, -4, -9), {"configuration"})
+        self.assertEqual(self.probe(404, -9, -4), {"configuration"})
+        self.assertEqual(self.probe(404, -9, -2), set())
+        self.assertEqual(self.probe(404, -2, -9), set())
+        self.assertEqual(self.probe(503, -9, -9), set())
+        self.assertEqual(self.probe(200, -9, -9), set())
+
+    def test_a_configuration_that_goes_back_within_a_process(self):
+        record = self.restored(-1.0)
+        record.acknowledged[4] = self.now - 9
+        for process, status in [(77, 200), (78, 404)]:
+            record.judge_probe(self.entry, process, 4, {"status": status, "at": self.now})
+        self.assertEqual(self.soak.breaches, [])
+        record.judge_probe(self.entry, 77, 4, {"status": 404, "at": self.now})
+        self.assertEqual({rule for rule, _ in self.soak.breaches}, {"went back"})
+
+    def test_an_endpoint_that_gets_no_requests(self):
+        def idle(back, arrivals, left_at=None, evacuated=None):
+            record = self.restored(back)
+            found = endpoints.Endpoint(None, None, "plain", "north-a", [], "i-1")
+            found.registered_at, found.left_at, found.arrivals = self.now - 12, left_at, [self.now + at for at in arrivals]
+            record.evacuations = [["north-a", self.now + evacuated, None]] if evacuated else []
+            record.all_endpoints = [found]
+            return self.rules()
+
+        self.assertEqual(idle(-13, []), {"new endpoints"})
+        self.assertEqual(idle(-8.5, [-9]), {"new endpoints"})
+        self.assertEqual(idle(-13, [-8, -4]), set())
+        self.assertEqual(idle(-7, []), set())
+        self.assertEqual(idle(-13, [], left_at=self.now - 5), set())
+        self.assertEqual(idle(-13, [], evacuated=-5), set())
+
+    def test_an_entry_that_is_not_registered(self):
+        def watch(is_leased, back):
+            self.restored(back)
+            self.entry.alive, self.entry.term_at, self.entry.started_at = lambda: True, None, 0.0
+            self.soak.store.put(f"{restore.ENTRY_PREFIX}place.1", "", 7)
+            self.soak.store.leases = {7: (0, 0)} if is_leased else {}
+            asyncio.run(self.soak.restores.watch_registrations(time.monotonic() + 0.9))
+            return {rule for rule, _ in self.soak.breaches}
+
+        self.assertEqual(watch(False, -9), {"registration"})
+        self.assertEqual(watch(True, -9), set())
+        self.assertEqual(watch(False, 0), set())
+
+    def test_a_run_in_which_nothing_was_judged(self):
+        self.restored().counts.clear()
+        self.assertEqual(self.rules(), {"harness"})
+
+    def test_a_store_that_comes_back_from_a_copy(self):
+        async def ask(store, after):
+            reader, writer = await asyncio.open_connection("127.0.0.1", store.port)
+            writer.write(wire.request("GET", f"/kv-watch?prefix=&after={after}&wait_ms=10", []))
+            line, fields = await wire.read_head(reader)
+            body = json.loads(await wire.read_body(reader, fields))
+            writer.close()
+            return int(line.split(" ")[1]), fields["store-era"], body
+
+        async def play():
+            store = Store(random.Random(1))
+            await store.start()
+            store.leases[101], store.next_lease = (time.monotonic() + 5, 5000), 101
+            store.put("kept", "old", 101)
+            await asyncio.sleep(0.3)
+            store.leases[102], store.next_lease = (time.monotonic() + 5, 5000), 102
+            store.put("kept", "new", 101)
+            store.put("lost", "", 102)
+            before = store.revision
+            store.go_away("reset")
+            with self.assertRaises(wire.Closed):
+                await ask(store, before)
+            store.come_back(0.15, True, True)
+            self.assertEqual((store.value("kept"), store.value("lost"), store.revision, sorted(store.leases)), ("old", None, before - 2, [101]))
+            self.assertEqual((await ask(store, before))[:2], (410, "2"))
+            self.assertEqual((await ask(store, store.revision))[:2], (200, "2"))
+            _, granted = await store.call("POST", "/kv-lease", b'{"ttl_ms": 1000}')
+            self.assertEqual((granted["lease"], store.put("other", "")), (102, before - 1))
+            # What has been written again hides what was lost from a watch of the era before.
+            store.put("other", "")
+            store.put("other", "")
+            status, era, _ = await ask(store, before)
+            self.assertEqual((status, era), (200, "2"))
+            store.go_away("busy")
+            self.assertEqual((await self.raw(store.port))[:2], (503, "2"))
+            store.come_back(0.15, False, False)
+            self.assertEqual((await ask(store, 1))[:2], (410, "3"))
+            store.server.close()
+
+        asyncio.run(play())
+
+    async def raw(self, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(wire.request("GET", "/kv-range?prefix=", []))
+        line, fields = await wire.read_head(reader)
+        writer.close()
+        return int(line.split(" ")[1]), fields["store-era"]
+
     def test_a_stream_with_a_gap(self):
         sent = self.request(prefix="/stream/often/")
         body = b"".join(endpoints.event(number, "v1") for number in (1, 2, 4, 5, 6))
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -21,11 +21,12 @@
 KEYS = ["key-wide-1"] * 6 + ["key-wide-2"] * 6 + ["key-bound"] * 4 + ["key-narrow"] * 5 + ["key-unknown"]
 
 
-def configuration(version, timeout, random=None):
-    """With random, bounds of connections and the order of the routes are drawn anew."""
+def configuration(version, timeout, random=None, probe=None):
+    """With random, bounds of connections and the order of the routes are drawn anew. With probe, a plain route is added."""
+    rows = {**ROUTES, **({probe: ROUTES["/plain/often/"]} if probe else {})}
     routes = [{"name": f"r{i}", "host": "soak.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, "latency_target_ms": 500,
                "priority": 1, "service": service, "attempts": attempts, "affinity": prefix.startswith("/stream/"), "resumable": resumable, "gap_aim_ms": 300,
-               "home_regions": []} for i, (prefix, (service, kind, resumable, attempts)) in enumerate(ROUTES.items())]
+               "home_regions": []} for i, (prefix, (service, kind, resumable, attempts)) in enumerate(rows.items())]
     services = [{"name": name, "health_path": "/h", "max_conns": 200, "proto": "h1", "tls": False, "warmup_s": 0.0, "cold_per_s": 0.0}
                 for name in ("plain", "model")]
     limits = {"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -29,6 +29,10 @@
         self.fault = None
         self.fault_share = 0.0
         self.left_at = None
+        self.registered_at = None
+        self.is_registered = False
+        # The last copy from which the store came back lists it although it was gone.
+        self.is_in_copy = False
         self.is_down = False
         self.writers = set()
         # Times at which requests arrived, and the limits that were named: since when, and how many a second.
@@ -48,16 +52,34 @@
         self.born = int(time.time() * 1000)
         self.register()
 
+    def key(self):
+        return f"servers/{self.incarnation}"
+
+    def record(self):
+        return json.dumps({"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.version, "born": self.born,
+                           "slots": 8, "state": self.state, "warmup_ms": 0, "seq": 1})
+
     def register(self):
-        self.store.put(f"servers/{self.incarnation}", json.dumps({
-            "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.version, "born": self.born,
-            "slots": 8, "state": self.state, "warmup_ms": 0, "seq": 1}))
+        self.is_registered = True
+        self.registered_at = self.registered_at or time.monotonic()
+        self.store.put(self.key(), self.record())
+
+    def register_again(self):
+        """Writes what the store has lost."""
+        if self.is_registered and self.store.value(self.key()) != self.record():
+            self.register()
 
     def leave(self):
         self.state = "draining"
         self.left_at = time.monotonic()
         self.register()
 
+    def vanish(self):
+        """Is gone from the store without having said that it leaves, and serves on."""
+        self.left_at = time.monotonic()
+        self.is_registered = False
+        self.store.delete(self.key())
+
     def crash(self):
         """Open connections break, and new ones are refused."""
         self.server.close()
@@ -80,8 +102,9 @@
     async def end(self):
         """Is gone at once; open connections break."""
         self.state = "gone"
+        self.is_registered = False
         self.crash()
-        self.store.delete(f"servers/{self.incarnation}")
+        self.store.delete(self.key())
 
     def name_limit(self, per_second):
         """Names a limit in each answer from now on; None ends it."""
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -83,7 +83,8 @@
         self.term_at = None
         # Processes that the soak itself has ended or that lost a port to another soak.
         self.expected_exits = set()
-        self.faulted_until = 0.0
+        # Since when and until when it was struck.
+        self.troubles = []
         self.own_ends = 0
 
     def choose_ports(self):
@@ -126,6 +127,7 @@
             json.dump(settings, file)
         log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
         self.killed_at = self.term_at = None
+        self.started_at = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(self.binary, "--config", path, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         log.close()
         asyncio.ensure_future(self.watch(self.process))
@@ -144,7 +146,7 @@
             self.process.send_signal(number)
 
     def disturb(self, seconds):
-        self.faulted_until = max(self.faulted_until, time.monotonic() + seconds)
+        self.troubles.append((time.monotonic(), time.monotonic() + seconds))
 
     def kill(self):
         self.expected_exits.add(self.process)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -19,6 +19,7 @@
 import fleet
 import partition
 import prompts
+import restore
 import silence
 import streams
 import wire
@@ -75,6 +76,8 @@
         self.partition = partition.Partition()
         self.streams = streams.Streams()
         self.prompts = prompts.Prompts()
+        self.restores = None
+        self.spawned = set()
 
     def breach(self, rule, what):
         self.breaches.append((rule, what))
@@ -85,7 +88,10 @@
     async def start(self):
         self.store = Store(fleet.seeded(self.arguments.seed, "store"))
         await self.store.start()
-        self.store.put("op/config", configuration(self.version, max(3000, int(self.deadline * 1000))))
+        if self.restores:
+            self.restores.put_configuration()
+        else:
+            self.store.put("op/config", configuration(self.version, max(3000, int(self.deadline * 1000))))
         for zone in ZONES:
             for service in ("plain", "model") * self.arguments.endpoints:
                 await self.add_endpoint(service, zone)
@@ -109,6 +115,19 @@
             added.on_bad_prompt = lambda endpoint: asyncio.ensure_future(prompts.crash_and_replace(self, endpoint))
         await added.start()
         self.endpoints.append(added)
+        if self.restores:
+            self.restores.all_endpoints.append(added)
+
+    def spawn(self, work):
+        """Runs beside everything else, at most until the run ends."""
+        def finish(task):
+            self.spawned.discard(task)
+            if not task.cancelled() and task.exception():
+                self.breach("harness", repr(task.exception()))
+
+        task = asyncio.ensure_future(work)
+        self.spawned.add(task)
+        task.add_done_callback(finish)
 
     async def wait_ready(self):
         until = time.monotonic() + 20
@@ -178,7 +197,7 @@
         return None
 
     def is_calm(self, entry, at):
-        return at > entry.faulted_until + CALM and at > self.store.trouble_until + CALM
+        return not any(began <= at <= until + CALM for began, until in entry.troubles + self.store.troubles)
 
     def check_directory(self, entry, addresses, at):
         if not self.is_calm(entry, at):
@@ -381,6 +400,8 @@
         if self.kind == "silence":
             for rule, what in silence.breaches(self.requests.values(), by_attempt):
                 self.breach(rule, what)
+        if self.restores:
+            self.restores.check_end()
         self.check_prompts()
         for rule, what in self.streams.breaches():
             self.breach(rule, what)
@@ -394,6 +415,9 @@
         if run["endpoint"].service != ROUTES[sent["prefix"]][0]:
             self.breach("routes", f"{sent['attempt']} ran at {run['endpoint'].service}")
         self.check_workspace(sent, run)
+        if self.restores:
+            self.restores.check_run(sent, run, DRAIN_BOUND)
+            return
         left_at = run["endpoint"].left_at
         is_late = left_at is not None and run["at"] > left_at + DRAIN_BOUND and not run.get("was_held")
         everyone_calm = all(self.is_calm(entry, left_at) and self.is_calm(entry, run["at"]) for entry in self.entries) if is_late else False
@@ -474,8 +498,9 @@
         # Beside the bad part nothing strikes that would excuse entries.
         if fleet.seeded(self.arguments.seed, "kind").random() < 0.25:
             self.kind = "prompts"
-        if fleet.seeded(self.arguments.seed, "terms").random() < 0.15:
-            self.kind = "silence"
+        term = fleet.seeded(self.arguments.seed, "terms").random()
+        if term < 0.15 or 0.25 <= term < 0.4:
+            self.kind = "silence" if term < 0.15 else "restore"
         self.kind = self.arguments.only or self.kind
         self.planned_only = self.kind == "planned"
         if self.kind == "silence":
@@ -486,6 +511,10 @@
             self.pace = random.choice(silence.PACES)
             self.settings = {"retryRatio": random.choice([0.05, 0.1, 0.2]), "retrySlack": random.choice([10, 50])}
             return
+        if self.kind == "restore":
+            self.restores = restore.Restores(self, self.arguments.seed)
+            self.arguments.seconds = max(self.arguments.seconds, restore.SECONDS)
+            return
         kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
@@ -504,7 +533,7 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
-        if self.kind in ("cuts", "prompts", "silence"):
+        if self.kind in ("cuts", "prompts", "silence", "restore"):
             return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
@@ -651,10 +680,14 @@
             if self.kind == "silence":
                 random = fleet.seeded(self.arguments.seed, "silence")
                 terms = [silence.strike(self, random), silence.change(self, fleet.seeded(self.arguments.seed, "configurations"))]
+            if self.restores:
+                terms = self.restores.tasks(until)
             await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *terms, *callers)
             await asyncio.sleep(0.5)
             self.check_end()
         finally:
+            for task in list(self.spawned):
+                task.cancel()
             for entry in self.entries:
                 await entry.end()
         answered = sum(count for how, count in self.counts.items() if str(how).startswith("2"))
@@ -662,7 +695,7 @@
             self.breach("service", f"only {answered} of {sum(self.counts.values())} requests were answered")
         print(f"seed {self.arguments.seed}: {self.kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
               f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}; streams {dict(self.streams.counts)} of {self.versions}; "
-              f"{len(self.prompts.crashes)} crashes by prompts")
+              f"{len(self.prompts.crashes)} crashes by prompts" + (f"; {dict(self.restores.counts)}" if self.restores else ""))
         if self.breaches or self.arguments.keep:
             print(f"logs: {self.folder}")
         else:
@@ -679,7 +712,7 @@
     parser.add_argument("--entries", type=int, default=2, help="entries of each zone")
     parser.add_argument("--endpoints", type=int, default=2, help="endpoints of each service in each zone")
     parser.add_argument("--callers", type=int, default=16)
-    parser.add_argument("--only", choices=["silence"], help="strike with this kind of trouble instead of one drawn by the seed")
+    parser.add_argument("--only", choices=["silence", "restore"], help="strike with this kind of trouble instead of one drawn by the seed")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     return asyncio.run(Soak(parser.parse_args()).run())
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store, with the faults that it may have."""
 import asyncio
 import base64
+import collections
 import json
 import time
 import urllib.parse
@@ -8,6 +9,8 @@
 import wire
 
 PAGE = 50
+# Copies are kept for as long as a return may go back, over several outages.
+COPIES = 400
 
 
 class Store:
@@ -24,14 +27,69 @@
         self.delay = 0.002
         self.lost = 0.0
         self.calls = 0
-        self.trouble_until = 0.0
+        # Since when and until when something was wrong with it.
+        self.troubles = []
+        # Rises with each return from a copy.
+        self.era = 1
+        self.copies = collections.deque(maxlen=COPIES)
+        self.away_since = None
+        self.outages = []
+        self.back = asyncio.Event()
+        self.back.set()
+        self.writers = set()
 
     async def start(self):
         self.server, self.port = await wire.serve(self.handle)
         self.expiry = asyncio.ensure_future(self.expire())
 
     def trouble(self, seconds):
-        self.trouble_until = max(self.trouble_until, time.monotonic() + seconds)
+        self.troubles.append((time.monotonic(), time.monotonic() + seconds))
+
+    # Return from a copy.
+
+    def keep_copy(self):
+        self.copies.append((time.monotonic(), self.revision, dict(self.items), list(self.history), self.first, dict(self.leases), self.next_lease))
+
+    def go_away(self, how):
+        self.away_since = time.monotonic()
+        self.back.clear()
+        self.down = how
+        self.break_connections()
+
+    def come_back(self, age, keeps_history, extends_leases):
+        """Goes on from what was there at the given time before the outage; its revisions and leases are given out again."""
+        at = self.away_since - age
+        copy = next((copy for copy in reversed(self.copies) if copy[0] <= at), self.copies[0])
+        _, self.revision, items, history, self.first, leases, self.next_lease = copy
+        self.items, self.history = dict(items), list(history)
+        self.leases = {lease: (time.monotonic() + ttl / 1000 if extends_leases else until, ttl) for lease, (until, ttl) in leases.items()}
+        if not keeps_history:
+            self.compact()
+        self.era += 1
+        self.outages.append((self.away_since, time.monotonic()))
+        self.away_since, self.down = None, None
+        self.back.set()
+        self.break_connections()
+
+    def break_connections(self):
+        for writer in list(self.writers):
+            wire.reset(writer)
+
+    def is_away(self):
+        return self.away_since is not None
+
+    async def reachable(self):
+        await self.back.wait()
+
+    def is_settled(self, at, settle):
+        """Tells whether the store was there, and had been for some time."""
+        return not any(began <= at <= back + settle for began, back in self.outages) and not (self.is_away() and at >= self.away_since)
+
+    def value(self, key):
+        return base64.b64decode(self.items[key]["value"]).decode() if key in self.items else None
+
+    def has_leased(self, prefix):
+        return any(key.startswith(prefix) and item["lease"] in self.leases for key, item in self.items.items())
 
     # What other clients of the store do.
 
@@ -61,6 +119,8 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.05)
+            if not self.is_away():
+                self.keep_copy()
             if self.down == "lapse" or self.down is None:
                 for lease in [lease for lease, (until, _) in self.leases.items() if until < time.monotonic()]:
                     self.end_lease(lease)
@@ -73,6 +133,16 @@
     # The calls.
 
     async def handle(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def respond(self, writer, status, body=b""):
+        writer.write(wire.response(status, [("Content-Type", "application/json"), ("Store-Era", str(self.era))], body))
+
+    async def serve(self, reader, writer):
         while True:
             line, fields = await wire.read_head(reader)
             body = await wire.read_body(reader, fields)
@@ -82,16 +152,21 @@
             if self.down == "reset":
                 return
             if self.down == "busy":
-                writer.write(wire.response(503))
+                self.respond(writer, 503)
                 await writer.drain()
                 continue
             method, target, _ = line.split(" ")
+            era = self.era
             await asyncio.sleep(self.delay)
+            if self.is_away() or self.era != era:
+                return
             status, answer = await self.call(method, target, body)
             is_write = method != "GET"
             if is_write and self.random.random() < self.lost:
                 await asyncio.sleep(3600)
-            writer.write(wire.response(status, [("Content-Type", "application/json")], json.dumps(answer).encode()))
+            if self.is_away() or self.era != era:
+                return
+            self.respond(writer, status, json.dumps(answer).encode())
             await writer.drain()
 
     async def call(self, method, target, body):
@@ -123,7 +198,7 @@
         return 200, {}
 
     async def watch(self, prefix, after, wait):
-        if after + 1 < self.first:
+        if after + 1 < self.first or after > self.revision:
             return 410, {}
         until = time.monotonic() + wait
         while True:
