List the store at once when any call shows its new era

Cause: what one call knows of the era isn't told to the source, which waits. Change: the store client reports a new era that any answer shows, and a source that has lost the store lists it at once. A source that follows, directly or through another entry, isn't touched, so that a return doesn't make all entries list. Tests: the client reports an era once; a source that has lost the store for 30 s lists it within 10 ms (it waited up to 10 s before).

--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -101,6 +101,9 @@
     virtual void keepAlive(StoreLease lease, KeepAliveCallback done) = 0;
     /// Ends a lease. Does nothing for one of an earlier era.
     virtual void revokeLease(StoreLease lease, DoneCallback done) = 0;
+    /// Sets the function that is called, later, when an answer to any call shows a new era. A
+    /// store without eras never calls it.
+    virtual void setEraCallback(std::function<void()>) { }
 };
 
 } // namespace catkinwing
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -66,6 +66,7 @@
     void onEvents(const std::vector<StoreEvent>& events);
     void onWatchEnd(const absl::Status& status);
     void listAfterCompaction();
+    void listIfNotFollowing();
     void renewWatchFromTimeToTime();
     static bool hasSameText(const Known& last, const Version& version);
     static bool isEarlierText(const Known& last, const Version& version);
@@ -239,6 +240,16 @@
     callLater(spread(options.retryDelay), &Impl::list);
 }
 
+// Called when another call has found the store in a new era. A watch that is open finds that
+// itself; one that has failed would wait for its next attempt.
+void ConfigSource::Impl::listIfNotFollowing()
+{
+    if (isFollowing)
+        return;
+    retryDelay = options.retryDelay;
+    list();
+}
+
 void ConfigSource::Impl::onWatchEnd(const absl::Status& status)
 {
     if (absl::IsOutOfRange(status)) {
@@ -329,6 +340,7 @@
         return;
     m_impl->isRunning = true;
     ++m_impl->run;
+    m_impl->store.setEraCallback(m_impl->whileRunning([](Impl& self) { self.listIfNotFollowing(); }));
     m_impl->list();
     m_impl->callLater(m_impl->spread(m_impl->options.renewWatchEvery), &Impl::renewWatchFromTimeToTime);
     m_impl->callLater(m_impl->spread(m_impl->options.relistEvery), &Impl::relistFromTimeToTime);
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -490,6 +490,11 @@
     m_impl->directStore.revokeLease(lease, std::move(done));
 }
 
+void RelayedStore::setEraCallback(std::function<void()> onNewEra)
+{
+    m_impl->directStore.setEraCallback(std::move(onNewEra));
+}
+
 namespace {
 
     /// Closes its watch on destruction.
--- a/unittests/Coordination/ConfigSourceTest.cpp
+++ b/unittests/Coordination/ConfigSourceTest.cpp
@@ -224,3 +224,61 @@
     CHECK(bench.source.counters().lists - lists >= 5);
     CHECK(bench.source.counters().lists - lists <= 8);
 }
+
+namespace {
+
+/// Reports a new era when the test says so, as a store does whose answer to another call shows it.
+class ReportingStore final : public Store {
+public:
+    explicit ReportingStore(Store& store)
+        : m_store(store)
+    {
+    }
+    void get(const std::string& key, GetCallback done) override { m_store.get(key, std::move(done)); }
+    void list(const std::string& prefix, ListCallback done) override { m_store.list(prefix, std::move(done)); }
+    void compareAndSwap(const std::string& key, StoreRevision expected, const std::string& value, StoreLease lease, SwapCallback done) override
+    {
+        m_store.compareAndSwap(key, expected, value, lease, std::move(done));
+    }
+    void compareAndDelete(const std::string& key, StoreRevision expected, SwapCallback done) override { m_store.compareAndDelete(key, expected, std::move(done)); }
+    std::unique_ptr<StoreWatch> watch(const std::string& prefix, StoreRevision firstRevision, StoreWatchCallbacks callbacks) override
+    {
+        return m_store.watch(prefix, firstRevision, std::move(callbacks));
+    }
+    void grantLease(std::chrono::milliseconds timeToLive, LeaseCallback done) override { m_store.grantLease(timeToLive, std::move(done)); }
+    void keepAlive(StoreLease lease, KeepAliveCallback done) override { m_store.keepAlive(lease, std::move(done)); }
+    void revokeLease(StoreLease lease, DoneCallback done) override { m_store.revokeLease(lease, std::move(done)); }
+    void setEraCallback(std::function<void()> given) override { onNewEra = std::move(given); }
+
+    std::function<void()> onNewEra;
+
+private:
+    Store& m_store;
+};
+
+} // namespace
+
+// Guards against an entry that has lost the store and hears of its return by another call, but takes up to 10 s more until its source asks.
+TEST_CASE("a source that has lost the store lists it as soon as another call shows a new era")
+{
+    Bench bench;
+    ReportingStore reporting(bench.store);
+    std::vector<std::string> texts;
+    ConfigSource source(reporting, bench.scheduler, bench.random, Bench::options(), [&](const std::vector<ConfigChange>& changes) {
+        for (const ConfigChange& change : changes)
+            texts.push_back(change.text.value_or(""));
+    });
+    std::shared_ptr<const FakeStore::Copy> copy = bench.store.takeCopy();
+    source.start();
+    bench.scheduler.advance(1s);
+    bench.store.setDown(true);
+    bench.scheduler.advance(30s);
+    REQUIRE_FALSE(source.isFollowing());
+    bench.store.restore(*copy);
+    bench.store.setDown(false);
+    bench.store.put("c/a", "1");
+    reporting.onNewEra();
+    bench.scheduler.advance(10ms);
+    CHECK(texts == std::vector<std::string> { "1" });
+    CHECK(source.isFollowing());
+}
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -316,3 +316,18 @@
     REQUIRE(listed);
     CHECK(absl::IsUnavailable(*listed));
 }
+
+// Guards against an entry that hears of a new era by its renewals and yet waits for its next attempt to watch.
+TEST_CASE("a new era in the answer to any call is reported once, and the first era isn't")
+{
+    EraFixture fixture;
+    int reports = 0;
+    fixture.client.store.setEraCallback([&] { ++reports; });
+    StoreLease lease = fixture.grant();
+    CHECK(reports == 0);
+    fixture.era = 2;
+    fixture.client.store.keepAlive(lease, [](const absl::StatusOr<std::chrono::milliseconds>&) {});
+    fixture.client.scheduler.advance(1s);
+    fixture.grant();
+    CHECK(reports == 1);
+}
