--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -71,17 +71,20 @@
 class Entry:
     """One catkinwingd with its own way to the store."""
 
-    def __init__(self, number, zone, zones, binary, folder, store_port):
+    def __init__(self, number, zone, zones, binary, folder, store_port, settings=None):
         self.name = f"entry-{zone}-{number}"
         self.zone, self.zones, self.binary, self.folder = zone, zones, binary, folder
         self.choose_ports()
         self.store_proxy = Proxy(store_port)
+        # Settings of the routed path that differ from those of other runs.
+        self.settings = settings or {}
         self.process = None
         self.killed_at = None
         self.term_at = None
         # Processes that the soak itself has ended or that lost a port to another soak.
         self.expected_exits = set()
-        self.faulted_until = 0.0
+        # Since when and until when it was struck.
+        self.troubles = []
         self.own_ends = 0
 
     def choose_ports(self):
@@ -117,13 +120,14 @@
             "listen": {name: address[name] for name in ("callers", "peers", "operators")},
             "store": [f"127.0.0.1:{self.store_proxy.port}"],
             "ingress": {"readiness": address["readiness"], "directory": address["directory"], "regionOfZone": self.zones, "quotaSlack": 10,
-                        "drainTimeout": "8s"},
+                        "drainTimeout": "8s", **self.settings},
         }
         path = os.path.join(self.folder, f"{self.name}.json")
         with open(path, "w") as file:
             json.dump(settings, file)
         log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")
         self.killed_at = self.term_at = None
+        self.started_at = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(self.binary, "--config", path, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         log.close()
         asyncio.ensure_future(self.watch(self.process))
@@ -142,7 +146,7 @@
             self.process.send_signal(number)
 
     def disturb(self, seconds):
-        self.faulted_until = max(self.faulted_until, time.monotonic() + seconds)
+        self.troubles.append((time.monotonic(), time.monotonic() + seconds))
 
     def kill(self):
         self.expected_exits.add(self.process)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs real entries beside stand-ins, strikes them with seeded faults, and checks
 the promises from what callers and endpoints see. Exits 1 if one was broken.
 
-    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--keep]
+    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--only silence] [--keep]
 """
 import argparse
 import asyncio
@@ -19,6 +19,8 @@
 import fleet
 import partition
 import prompts
+import restore
+import silence
 import streams
 import wire
 from deployment import HOLDERS, HOMES, KEYS, LIMITED_KEYS, ROUTES, WORKSPACES, ZONES, configuration
@@ -67,10 +69,15 @@
         self.versions = fleet.seeded(arguments.seed, "versions").choice([["v1"], ["v1", "v2"], ["v1", "v2"], ["v1", "v2", "v3"]])
         self.kind = "planned"
         self.planned_only = True
+        self.deadline = DEADLINE
+        self.pace = 1.0
+        self.settings = {}
         self.faults = []
         self.partition = partition.Partition()
         self.streams = streams.Streams()
         self.prompts = prompts.Prompts()
+        self.restores = None
+        self.spawned = set()
 
     def breach(self, rule, what):
         self.breaches.append((rule, what))
@@ -81,14 +88,17 @@
     async def start(self):
         self.store = Store(fleet.seeded(self.arguments.seed, "store"))
         await self.store.start()
-        self.store.put("op/config", configuration(self.version, 3000))
+        if self.restores:
+            self.restores.put_configuration()
+        else:
+            self.store.put("op/config", configuration(self.version, max(3000, int(self.deadline * 1000))))
         for zone in ZONES:
             for service in ("plain", "model") * self.arguments.endpoints:
                 await self.add_endpoint(service, zone)
         for zone in ZONES:
             for number in range(1, self.arguments.entries + 1):
                 binary = self.arguments.second_binary if number % 2 == 0 and self.arguments.second_binary else self.arguments.binary
-                entry = fleet.Entry(number, zone, ZONES, binary, self.folder, self.store.port)
+                entry = fleet.Entry(number, zone, ZONES, binary, self.folder, self.store.port, self.settings)
                 self.entries.append(entry)
                 await entry.start_first()
         await self.wait_ready()
@@ -99,11 +109,25 @@
         random = fleet.seeded(self.arguments.seed, name)
         version = random.choice(self.versions) if service == "model" else "v1"
         added = endpoints.Endpoint(self.store, random, service, zone, self.runs, name, self.partition, version)
+        added.pace = self.pace
         added.is_unframed = random.random() < UNFRAMED_SHARE
         if service == "model":
             added.on_bad_prompt = lambda endpoint: asyncio.ensure_future(prompts.crash_and_replace(self, endpoint))
         await added.start()
         self.endpoints.append(added)
+        if self.restores:
+            self.restores.all_endpoints.append(added)
+
+    def spawn(self, work):
+        """Runs beside everything else, at most until the run ends."""
+        def finish(task):
+            self.spawned.discard(task)
+            if not task.cancelled() and task.exception():
+                self.breach("harness", repr(task.exception()))
+
+        task = asyncio.ensure_future(work)
+        self.spawned.add(task)
+        task.add_done_callback(finish)
 
     async def wait_ready(self):
         until = time.monotonic() + 20
@@ -173,7 +197,7 @@
         return None
 
     def is_calm(self, entry, at):
-        return at > entry.faulted_until + CALM and at > self.store.trouble_until + CALM
+        return not any(began <= at <= until + CALM for began, until in entry.troubles + self.store.troubles)
 
     def check_directory(self, entry, addresses, at):
         if not self.is_calm(entry, at):
@@ -193,12 +217,12 @@
         body = os.urandom(random.choice([0, 10, 5000])) if random.random() < 0.5 else b""
         method = "POST" if body or "once" in prefix else "GET"
         sent = {"attempt": attempt, "prefix": prefix, "method": method, "target": path, "body": body, "entry": entry,
-                "at": time.monotonic(), "status": None, "how": None, "events": 0}
+                "at": time.monotonic(), "status": None, "how": None, "seal": None, "events": 0, "limit": self.deadline, "whole_at": None}
         self.requests[attempt] = sent
         may_resume = prefix == RESUMABLE
         sent["leaves_after"] = random.randint(1, endpoints.EVENTS - 1) if may_resume and random.random() < 0.3 else None
         sent["key"] = random.choice(KEYS)
-        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(DEADLINE * 1000))), ("Key", sent["key"])]
+        fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(self.deadline * 1000))), ("Key", sent["key"])]
         if "/stream/" in prefix:
             fields.append(prompts.header(random))
         if random.random() < 0.1:
@@ -249,7 +273,13 @@
     async def send(self, sent, reader, writer, request, random):
         leaves = random.random() < 0.03
         try:
+            if self.kind == "silence" and not leaves and sent["body"] and random.random() < silence.HALVES_SHARE:
+                half = len(request) - len(sent["body"]) // 2
+                writer.write(request[:half])
+                await asyncio.sleep(random.uniform(0.05, 1.0))
+                request = request[half:]
             writer.write(request)
+            sent["whole_at"] = time.monotonic()
             if leaves:
                 await asyncio.sleep(random.uniform(0, 0.05))
                 sent["how"] = "left"
@@ -273,14 +303,14 @@
         """Takes a broken stream up at an entry that the directory names, with what is left of the deadline."""
         stream = first["stream"]
         for _ in range(2):
-            left = first["at"] + DEADLINE - time.monotonic()
+            left = first["at"] + self.deadline - time.monotonic()
             connection = await self.connect(zone, random) if left > 0.1 else None
             if connection is None or stream.last >= endpoints.EVENTS:
                 return
             entry, reader, writer = connection
             attempt = f"{random.getrandbits(64):016x}"
             sent = dict(first, attempt=attempt, entry=entry, at=time.monotonic(), status=None, how=None, resumes=stream.first, after=stream.last,
-                        answer=b"", leaves_after=None)
+                        answer=b"", leaves_after=None, seal=None, limit=left, whole_at=time.monotonic())
             self.requests[attempt] = sent
             fields = [("Host", "soak.example"), ("Attempt-Id", attempt), ("Deadline-Ms", str(int(left * 1000))), ("Key", sent["key"]),
                       ("Resumes", stream.first), ("Last-Event-Id", str(stream.last))]
@@ -291,6 +321,7 @@
             except (asyncio.TimeoutError, wire.Closed, ConnectionError):
                 sent["how"] = sent["how"] or "cut"
             writer.close()
+            sent["ended"] = time.monotonic()
             counts = counts and not any(cut.entry is entry and cut.ended is None for cut in self.partition.cuts)
             events, _ = streams.read_events(sent["answer"])
             refusal = re.search(rb'"code":"(\w+)"', sent["answer"])
@@ -366,6 +397,11 @@
             self.check_request_limits(limited)
         if self.kind == "cuts":
             self.check_cuts()
+        if self.kind == "silence":
+            for rule, what in silence.breaches(self.requests.values(), by_attempt):
+                self.breach(rule, what)
+        if self.restores:
+            self.restores.check_end()
         self.check_prompts()
         for rule, what in self.streams.breaches():
             self.breach(rule, what)
@@ -379,6 +415,9 @@
         if run["endpoint"].service != ROUTES[sent["prefix"]][0]:
             self.breach("routes", f"{sent['attempt']} ran at {run['endpoint'].service}")
         self.check_workspace(sent, run)
+        if self.restores:
+            self.restores.check_run(sent, run, DRAIN_BOUND)
+            return
         left_at = run["endpoint"].left_at
         is_late = left_at is not None and run["at"] > left_at + DRAIN_BOUND and not run.get("was_held")
         everyone_calm = all(self.is_calm(entry, left_at) and self.is_calm(entry, run["at"]) for entry in self.entries) if is_late else False
@@ -459,7 +498,23 @@
         # Beside the bad part nothing strikes that would excuse entries.
         if fleet.seeded(self.arguments.seed, "kind").random() < 0.25:
             self.kind = "prompts"
+        term = fleet.seeded(self.arguments.seed, "terms").random()
+        if term < 0.15 or 0.25 <= term < 0.4:
+            self.kind = "silence" if term < 0.15 else "restore"
+        self.kind = self.arguments.only or self.kind
         self.planned_only = self.kind == "planned"
+        if self.kind == "silence":
+            self.deadline = silence.DEADLINE
+            self.arguments.endpoints = max(self.arguments.endpoints, silence.ENDPOINTS)
+            self.arguments.callers = max(self.arguments.callers, silence.CALLERS)
+            random = fleet.seeded(self.arguments.seed, "load")
+            self.pace = random.choice(silence.PACES)
+            self.settings = {"retryRatio": random.choice([0.05, 0.1, 0.2]), "retrySlack": random.choice([10, 50])}
+            return
+        if self.kind == "restore":
+            self.restores = restore.Restores(self, self.arguments.seed)
+            self.arguments.seconds = max(self.arguments.seconds, restore.SECONDS)
+            return
         kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
@@ -478,7 +533,7 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
-        if self.kind in ("cuts", "prompts"):
+        if self.kind in ("cuts", "prompts", "silence", "restore"):
             return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
@@ -621,10 +676,18 @@
             await self.start()
             until = time.monotonic() + self.arguments.seconds
             callers = [self.caller(number, until) for number in range(self.arguments.callers)]
-            await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *callers)
+            terms = []
+            if self.kind == "silence":
+                random = fleet.seeded(self.arguments.seed, "silence")
+                terms = [silence.strike(self, random), silence.change(self, fleet.seeded(self.arguments.seed, "configurations"))]
+            if self.restores:
+                terms = self.restores.tasks(until)
+            await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *terms, *callers)
             await asyncio.sleep(0.5)
             self.check_end()
         finally:
+            for task in list(self.spawned):
+                task.cancel()
             for entry in self.entries:
                 await entry.end()
         answered = sum(count for how, count in self.counts.items() if str(how).startswith("2"))
@@ -632,7 +695,7 @@
             self.breach("service", f"only {answered} of {sum(self.counts.values())} requests were answered")
         print(f"seed {self.arguments.seed}: {self.kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
               f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}; streams {dict(self.streams.counts)} of {self.versions}; "
-              f"{len(self.prompts.crashes)} crashes by prompts")
+              f"{len(self.prompts.crashes)} crashes by prompts" + (f"; {dict(self.restores.counts)}" if self.restores else ""))
         if self.breaches or self.arguments.keep:
             print(f"logs: {self.folder}")
         else:
@@ -649,6 +712,7 @@
     parser.add_argument("--entries", type=int, default=2, help="entries of each zone")
     parser.add_argument("--endpoints", type=int, default=2, help="endpoints of each service in each zone")
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--only", choices=["silence", "restore"], help="strike with this kind of trouble instead of one drawn by the seed")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     return asyncio.run(Soak(parser.parse_args()).run())
