Let no simulated silence outlast 1.6 seconds

The test could silence an endpoint again while it was silent, so that it said nothing for many seconds and requests reached their deadlines there, which proves nothing. It now leaves such an endpoint alone; what is checked is the same.

--- a/unittests/Ingress/EntryFleet.h
+++ b/unittests/Ingress/EntryFleet.h
@@ -88,6 +88,7 @@
     void silenceStore(Duration span) { m_storeSilentUntil = now() + span; }
     /// Makes an endpoint send nothing for \p span and then go on.
     void silence(std::size_t endpoint, Duration span) { m_endpoints[endpoint]->silentUntil = now() + span; }
+    bool isSilent(std::size_t endpoint) const { return now() < m_endpoints[endpoint]->silentUntil; }
     std::size_t endpoints() const { return m_endpoints.size(); }
     /// Crashes one running endpoint of \p region; does nothing if there is none.
     void crashOne(const std::string& region);
--- a/unittests/Ingress/SilentEndpointTest.cpp
+++ b/unittests/Ingress/SilentEndpointTest.cpp
@@ -24,7 +24,9 @@
     {
         if (fleet.now() < m_next)
             return;
-        fleet.silence(fleet.random.below(fleet.endpoints()), 800ms + step * fleet.random.below(81));
+        std::size_t endpoint = fleet.random.below(fleet.endpoints());
+        if (!fleet.isSilent(endpoint))
+            fleet.silence(endpoint, 800ms + step * fleet.random.below(81));
         m_next = fleet.now() + 50ms + step * fleet.random.below(26);
     }
 
--- a/unittests/Ingress/StreamFleet.h
+++ b/unittests/Ingress/StreamFleet.h
@@ -94,6 +94,7 @@
     void replaceEndpoint(std::size_t index, const std::string& version);
     /// Makes an endpoint send nothing for \p span and then go on.
     void silence(std::size_t endpoint, Duration span) { m_endpoints[endpoint]->silentUntil = now() + span; }
+    bool isSilent(std::size_t endpoint) const { return now() < m_endpoints[endpoint]->silentUntil; }
     std::size_t endpoints() const { return m_endpoints.size(); }
     const StreamEndpoint& endpoint(std::size_t index) const { return *m_endpoints[index]; }
     /// Kills an entry. A process without its state starts at its address a second later.
