Give a silent attempt up only for a replacement that is certain

Callers got 502 or broken streams for requests at sound endpoints that fell silent for a second and went on.

Cause: the entry gave up an attempt at a silent endpoint if a retry seemed possible, counted the attempt, and then asked again, on the new state. The retry budget was not asked the first time, and denied the second time; or no target was left. Class: a decision is taken on one state and carried out on another, and what lives is given up before its replacement is certain.

The entry now decides once, on the state after the attempt: attempts, time, software version of the stream, crashes, and budget for the move and for one refusal. Then it takes the target, which must be an endpoint that isn't suspect and has room, or an entry that has relayed an answer in the last half second (one that is cut off as well refuses). Then it takes the budget, cancels the attempt and starts the replacement as decided. Otherwise it waits: `silent_attempt_kept` names the reason, and the attempt is looked at again. A replacement that is refused has the retries that the request had before, and may return. Connections that aren't open yet are left to their own timeout; they were given up as requests that may have run.

--- a/include/catkinwing/Admission/RetryWindow.h
+++ b/include/catkinwing/Admission/RetryWindow.h
@@ -48,7 +48,8 @@
     void recordRequest(TimePoint now);
     /// Takes one retry; false if none is left.
     bool tryRetry(TimePoint now, RetryOrder order = RetryOrder::First);
-    bool hasRetry(TimePoint now, RetryOrder order = RetryOrder::First) const;
+    /// Returns whether at least \p count retries are left.
+    bool hasRetry(TimePoint now, RetryOrder order = RetryOrder::First, unsigned count = 1) const;
     /// Counts a retry that was not made because the allowance is used up.
     void recordDenied() { ++m_totals.denied; }
     const RetryTotals& totals() const { return m_totals; }
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -33,7 +33,7 @@
     /// sent to the later start already.
     RestartedAtOtherVersion,
     /// The endpoint has sent nothing for too long, and most entries that use it report
-    /// the same. It may still be running, so only attempts that may be retried are
+    /// the same. It may still be running, so only attempts that can be replaced are
     /// aborted.
     Unresponsive,
 };
@@ -116,6 +116,8 @@
     const std::vector<std::string>* attemptedIncarnations { nullptr };
     /// Whether an endpoint that is listed in tried may be chosen, ranked like a suspect one.
     bool allowsAttempted { false };
+    /// Whether suspect endpoints are left out, instead of being chosen if there are no others.
+    bool excludesSuspects { false };
     /// Limit of the wait, above which an endpoint counts as too busy; null for no limit.
     const WaitLimitInputs* demand { nullptr };
 };
@@ -157,8 +159,8 @@
     std::shared_ptr<RoutedEndpoint> choose(const EndpointRequest& request, TimePoint now, Random& random);
     /// Records the start of an attempt at the endpoint.
     void recordAttemptStarted(RoutedEndpoint& endpoint, TimePoint now) const;
-    /// Calls the abort callbacks of the attempts at unresponsive endpoints. Attempts that must
-    /// not be retried stay in flight.
+    /// Calls the abort callbacks of the attempts at unresponsive endpoints. Attempts without a
+    /// certain replacement stay in flight.
     void abortUnresponsive(TimePoint now);
     /// Restarts the silence intervals of all endpoints after a pause of this process, during
     /// which it could receive nothing.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -100,6 +100,8 @@
         bool isUnframed { false };
         /// When the last event of the stream was received.
         TimePoint lastEventAt {};
+        /// Why the attempt was kept when its endpoint was silent; null if it wasn't.
+        const char* keptBecause { nullptr };
         std::shared_ptr<HttpExchange> exchange;
         TimePoint startedAt {};
         absl::optional<HttpResponseHead> head;
@@ -126,6 +128,14 @@
         std::string body;
     };
 
+    /// The target that a request moves to from a silent endpoint.
+    struct Replacement {
+        /// Null if the target is another entry.
+        std::shared_ptr<RoutedEndpoint> endpoint;
+        SocketAddress peer;
+        std::string region;
+    };
+
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
     /// Determines the workspace of the request. Returns false if the request was refused.
@@ -154,6 +164,12 @@
     /// Delays the request if an endpoint has just crashed while running an identical
     /// request. Returns whether the request is delayed or has been refused.
     bool holdIfSuspect();
+    /// Returns how long the request must wait for its turn after \p crash.
+    Duration waitAfterCrash(const CrashSuspectTable::RecentCrash& crash, const EntryOrder& order, bool wasDelivered) const;
+    /// Returns whether crashes allow that the request is sent once more at once.
+    bool mayMoveDespiteCrashes();
+    /// Records an attempt that is sent after a crash, if there was one.
+    void recordTurnAfterCrash();
     void beginHold(const CrashSuspectTable::RecentCrash& crash, const EntryOrder& order, TimePoint time);
     void refuseEverywhere(std::chrono::milliseconds retryAfter, const char* reason = "crashes_endpoints");
     void recordCrashEvidence(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
@@ -199,7 +215,9 @@
     /// Asks other entries for a request at an endpoint with a limit. Returns whether the
     /// request waits for their answers; it is dispatched again then.
     bool askLimitHolders();
-    bool sendToEndpoint(const std::string& service, bool mayBeTried);
+    EndpointRequest endpointRequest() const;
+    bool sendToEndpoint(bool mayBeTried);
+    void startAtEndpoint(std::shared_ptr<RoutedEndpoint> endpoint, const char* why);
     bool sendToRegion(const std::string& service, const char* why);
     /// Sends the request to another entry if this one reaches no endpoints, and refuses it if
     /// there is no such entry. Returns whether it did either.
@@ -213,6 +231,8 @@
     void recordReach(const Attempt& attempt, HttpEnd end, AttemptVerdict verdict);
     bool sendToSegmentRegion();
     bool sendToEntryIn(const std::string& region, const char* why);
+    /// Sends the request to an entry of another region.
+    void sendToRegionEntry(const SocketAddress& peer, const std::string& region, const char* why);
     void sendToEntry(const SocketAddress& peer, const std::string& region, const char* why);
     std::map<std::string, std::size_t> untriedRegions(const std::string& service) const;
     std::map<std::string, std::size_t> regionsWithCapacity(const std::string& service) const;
@@ -231,8 +251,19 @@
     void startAttempt(Attempt attempt, HttpClientRequest request);
     void registerFailureCallback();
     void onEndpointFailure(AbortReason reason);
-    RunProgress progress();
-    RetryOrder retryOrder() const;
+    /// Returns the progress as it will be once \p givenUp of the attempts in flight count.
+    RunProgress progress(unsigned givenUp = 0);
+    RetryOrder retryOrder(unsigned givenUp = 0) const;
+    /// Moves the request from an endpoint that is silent to a replacement, or keeps the attempt if
+    /// there is no certain one.
+    void replaceSilentAttempt();
+    /// Returns why the request may not be sent once more; null if it may.
+    const char* obstacleToReplacement();
+    std::optional<Replacement> chooseReplacement();
+    std::optional<Replacement> chooseReplacementEndpoint();
+    std::optional<Replacement> chooseReplacementEntry();
+    void recordKept(const char* reason);
+    void startReplacement(Replacement replacement);
     HttpClientRequest makeRequest(const SocketAddress& server, AttemptFacts facts) const;
 
     void extractEntryHeaders(Attempt& attempt);
@@ -245,6 +276,8 @@
     void onEnd(const HttpResult& result);
     void abandonAttempt(const char* reason);
     void concludeAttempt(HttpEnd end, bool mayHaveReached, const std::string& detail);
+    /// Records the end of the attempt and what it shows.
+    AttemptVerdict recordAttemptEnd(HttpEnd end, bool mayHaveReached, const std::string& detail);
     void recordAttemptResult(AttemptVerdict verdict, const std::string& detail);
     void handleAnswer();
     void handleFailure(AttemptVerdict verdict);
@@ -299,6 +332,8 @@
     /// Number of attempts that may have reached an endpoint. Once there is one, each
     /// further attempt uses the retry budget.
     unsigned m_possiblyDeliveredAttempts { 0 };
+    /// Number of attempts that were given up because their endpoints were silent.
+    unsigned m_replacedAttempts { 0 };
     /// The last attempt may have been executed.
     bool m_mayLastAttemptHaveRun { false };
     /// When the request was first delayed because an endpoint crashed while running an
--- a/lib/Admission/RetryWindow.cpp
+++ b/lib/Admission/RetryWindow.cpp
@@ -74,9 +74,9 @@
     ++m_totals.requests;
 }
 
-bool RetryWindow::hasRetry(TimePoint now, RetryOrder order) const
+bool RetryWindow::hasRetry(TimePoint now, RetryOrder order, unsigned count) const
 {
-    double remainingAfter = remaining(now) - 1;
+    double remainingAfter = remaining(now) - count;
     double reserved = order == RetryOrder::First ? 0 : allowedFrom(stepNumber(now, stepLength)) / 2;
     return remainingAfter >= reserved;
 }
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -149,7 +149,8 @@
         candidate.cachesSegment = !request.sharedSegment.empty() && m_segmentHolders.holds(endpoint.hash, segment);
         candidate.index = i;
         candidate.isSuspect |= wasTried;
-        candidates.push_back(candidate);
+        if (!candidate.isSuspect || !request.excludesSuspects)
+            candidates.push_back(candidate);
     }
     EndpointDemand demand = demandOf(request);
     while (std::optional<std::size_t> index = chooseEndpoint(candidates, demand, random)) {
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -22,6 +22,8 @@
 static constexpr std::chrono::milliseconds peerSuspectTime { 1'000 };
 /// Time for which an entry that refused a request because it reaches no endpoints is skipped.
 static constexpr std::chrono::milliseconds peerCutOffTime { 500 };
+/// Time for which an entry that relayed an answer most likely still reaches endpoints.
+static constexpr std::chrono::milliseconds peerServingTime { 500 };
 
 std::string writeEntryRecord(const EntryRecord& record)
 {
@@ -188,6 +190,16 @@
     return candidates[random.below(candidates.size())];
 }
 
+std::optional<SocketAddress> EntryTable::chooseServingPeer(const std::string& region, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const
+{
+    std::vector<SocketAddress> skipped = excluded;
+    for (const SocketAddress& peer : peerAddresses(region)) {
+        if (!isMarked(m_servingUntil, peer, now))
+            skipped.push_back(peer);
+    }
+    return choosePeer(region, now, random, skipped);
+}
+
 std::optional<SocketAddress> EntryTable::chooseDepartedPeer(const std::string& region, TimePoint now, Random& random) const
 {
     std::vector<SocketAddress> peers;
@@ -222,11 +234,18 @@
 void EntryTable::recordPeerCutOff(const SocketAddress& peer, TimePoint now)
 {
     m_cutOffUntil[peer] = now + peerCutOffTime;
+    m_servingUntil.erase(peer);
+}
+
+void EntryTable::recordPeerServed(const SocketAddress& peer, TimePoint now)
+{
+    m_servingUntil[peer] = now + peerServingTime;
 }
 
 void EntryTable::recordPeerFailure(const SocketAddress& peer, TimePoint now)
 {
     m_suspectUntil[peer] = now + peerSuspectTime;
+    m_servingUntil.erase(peer);
     auto isPeer = [&peer](const Departed& departed) { return departed.record.peerAddress == peer; };
     m_departed.erase(std::remove_if(m_departed.begin(), m_departed.end(), isPeer), m_departed.end());
     logChange(LogLevel::Warning, "entry_suspect", { { "entry", peer.toString() } });
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -190,15 +190,15 @@
     // Load and cached segments are known of all endpoints together, whatever their version.
     if (!mustKeepVersion() && (routeFirstAttempt() || sendToSegmentRegion() || forwardIfOverloaded()))
         return;
-    if (isAllowedHere() && (sendToEndpoint(m_service, false) || sendToRoomHolder()))
+    if (isAllowedHere() && (sendToEndpoint(false) || sendToRoomHolder()))
         return;
     if (!m_request.isForwarded && sendToRegion(m_service, isAllowedHere() ? "no_endpoint_here" : "homes"))
         return;
-    if (m_mayLastAttemptHaveRun && isAllowedHere() && sendToEndpoint(m_service, true))
+    if (m_mayLastAttemptHaveRun && isAllowedHere() && sendToEndpoint(true))
         return;
     // Few endpoints may be left that can go on with the stream, so it waits for a busy one.
     m_mayWaitLong = mustKeepVersion();
-    if (m_mayWaitLong && isAllowedHere() && sendToEndpoint(m_service, false))
+    if (m_mayWaitLong && isAllowedHere() && sendToEndpoint(false))
         return;
     if (m_failureHead) {
         sendAnswer(*m_failureHead, std::move(m_failureBody));
@@ -268,51 +268,63 @@
     return hasSharedSegment ? "shared_part" : "least_work_of_two";
 }
 
-bool RoutedRun::sendToEndpoint(const std::string& service, bool mayBeTried)
+EndpointRequest RoutedRun::endpointRequest() const
 {
-    const ServiceSettings* settings = m_routes->findService(service);
-    if (!settings)
-        return false;
-    EndpointRequest endpointRequest;
-    endpointRequest.service = settings;
+    EndpointRequest request;
+    request.service = m_routes->findService(m_service);
     const PromptSegment* shared = sharedSegment();
-    endpointRequest.sharedSegment = shared ? shared->id : std::string();
-    endpointRequest.sharedTokens = shared ? shared->tokens : 0;
-    endpointRequest.expectedEvents = expectedEvents();
-    endpointRequest.build = m_streamBuild;
-    endpointRequest.beginsResumableStream = isResumableStream() && !m_isStreamBound;
-    endpointRequest.attemptedIncarnations = &m_triedEndpoints;
-    endpointRequest.allowsAttempted = mayBeTried;
+    request.sharedSegment = shared ? shared->id : std::string();
+    request.sharedTokens = shared ? shared->tokens : 0;
+    request.expectedEvents = expectedEvents();
+    request.build = m_streamBuild;
+    request.beginsResumableStream = isResumableStream() && !m_isStreamBound;
+    request.attemptedIncarnations = &m_triedEndpoints;
+    return request;
+}
+
+bool RoutedRun::sendToEndpoint(bool mayBeTried)
+{
+    EndpointRequest request = endpointRequest();
+    if (!request.service)
+        return false;
+    request.allowsAttempted = mayBeTried;
     // A request that may have run or whose answer has begun has no wait limit.
     WaitLimitInputs demand = waitDemand();
-    endpointRequest.demand = m_mayHaveRun || m_hasSentHead || m_mayWaitLong ? nullptr : &demand;
-    std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(endpointRequest, now(), m_parts.random);
+    request.demand = m_mayHaveRun || m_hasSentHead || m_mayWaitLong ? nullptr : &demand;
+    std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(request, now(), m_parts.random);
     if (!endpoint)
         return false;
+    startAtEndpoint(std::move(endpoint), endpointChoiceReason(mayBeTried, !request.sharedSegment.empty()));
+    return true;
+}
+
+void RoutedRun::startAtEndpoint(std::shared_ptr<RoutedEndpoint> endpoint, const char* why)
+{
     m_triedEndpoints.push_back(endpoint->record.incarnation);
     AttemptFacts facts;
     facts.incarnation = endpoint->record.incarnation;
     facts.priority = requestPriority();
     facts.workspace = m_workspaceName;
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
-    request.connectTimeout = m_parts.endpoints.isCutOff(service, now()) ? probeConnectTimeout : localConnectTimeout;
+    request.connectTimeout = m_parts.endpoints.isCutOff(m_service, now()) ? probeConnectTimeout : localConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
-    attempt.why = endpointChoiceReason(mayBeTried, shared != nullptr);
+    attempt.why = why;
     attempt.endpoint = std::move(endpoint);
     if (!m_parts.endpoints.mayHaveRestarted(*attempt.endpoint, now()))
         attempt.build = attempt.endpoint->build;
+    const ServiceSettings* settings = m_routes->findService(m_service);
     unsigned slots = attempt.endpoint->record.slots > 0 ? attempt.endpoint->record.slots : settings->slots;
     attempt.hadFreeSlot = slots == 0 || m_parts.endpoints.pendingWork(*attempt.endpoint).requests < slots;
     m_parts.endpoints.recordAttemptStarted(*attempt.endpoint, now());
     if (attempt.endpoint->limit.named.perSecond)
         m_parts.metrics.count("requests_to_limited_endpoints");
-    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, endpointRequest.sharedSegment, now());
+    const PromptSegment* shared = sharedSegment();
+    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, shared ? shared->id : std::string(), now());
     attempt.endpoint->unprefilledTokens += attempt.unreadTokens;
     attempt.unreadKilotokensAtStart = m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens;
     startAttempt(std::move(attempt), std::move(request));
-    return true;
 }
 
 // Returns the other regions that may process the request and haven't been tried, with
@@ -410,9 +422,17 @@
     // region. Its registration may have been removed while it still runs.
     if (!peer && !isAllowedHere())
         peer = m_parts.entries.chooseDepartedPeer(region, now(), m_parts.random);
-    m_triedRegions.push_back(region);
-    if (!peer)
+    if (!peer) {
+        m_triedRegions.push_back(region);
         return false;
+    }
+    sendToRegionEntry(*peer, region, why);
+    return true;
+}
+
+void RoutedRun::sendToRegionEntry(const SocketAddress& peer, const std::string& region, const char* why)
+{
+    m_triedRegions.push_back(region);
     m_parts.metrics.count("forwards_to_regions");
     m_parts.outlooks.recordSent(region, m_service, m_request.facts.promptTokens, now());
     // Prompt data of a request that is bound to other regions isn't kept here, not even
@@ -420,8 +440,7 @@
     const PromptSegment* shared = isAllowedHere() ? sharedSegment() : nullptr;
     if (shared)
         m_parts.endpoints.recordSentToRegion(region, shared->id, now());
-    sendToEntry(*peer, region, why);
-    return true;
+    sendToEntry(peer, region, why);
 }
 
 void RoutedRun::sendToEntry(const SocketAddress& peer, const std::string& region, const char* why)
@@ -507,25 +526,19 @@
     };
 }
 
-// An unresponsive endpoint may still answer, so the attempt is abandoned only if the
-// request can be retried.
 void RoutedRun::onEndpointFailure(AbortReason reason)
 {
+    if (reason == AbortReason::Unresponsive) {
+        replaceSilentAttempt();
+        return;
+    }
     // It isn't known whether the events came from the start before or from the later one.
     if (reason == AbortReason::RestartedAtOtherVersion && m_attempt->hasBroughtEvents) {
         m_streamBuild.reset();
         m_attempt->build.reset();
         stateStreamBuild(*m_attempt);
     }
-    if (reason != AbortReason::Unresponsive) {
-        abandonAttempt("endpoint_started_again");
-        return;
-    }
-    RunProgress after = progress();
-    after.possiblyRunAttempts += 1;
-    after.mayHaveRun = true;
-    if (decideNext(AttemptVerdict::Unknown, after) == NextStep::Retry)
-        abandonAttempt("endpoint_silent");
+    abandonAttempt("endpoint_started_again");
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -162,6 +162,8 @@
     clearUnreadTokens(attempt);
     recordAnswerStart(attempt);
     recordEndpointActivity(attempt);
+    if (!attempt.endpoint)
+        m_parts.entries.recordPeerServed(attempt.peer, now());
     std::size_t before = m_cursor.events();
     std::string events = m_cursor.feed(bytes);
     bool hasContinued = attempt.lastEventAt != TimePoint {} && !m_isReadingPaused;
@@ -192,6 +194,15 @@
 }
 
 void RoutedRun::concludeAttempt(HttpEnd end, bool mayHaveReached, const std::string& detail)
+{
+    AttemptVerdict verdict = recordAttemptEnd(end, mayHaveReached, detail);
+    if (verdict == AttemptVerdict::Answered)
+        handleAnswer();
+    else
+        handleFailure(verdict);
+}
+
+AttemptVerdict RoutedRun::recordAttemptEnd(HttpEnd end, bool mayHaveReached, const std::string& detail)
 {
     const Attempt& attempt = *m_attempt;
     AttemptEvidence evidence;
@@ -214,10 +225,7 @@
     recordReach(attempt, end, verdict);
     recordCrashEvidence(attempt, end, verdict);
     recordAttemptResult(verdict, detail);
-    if (verdict == AttemptVerdict::Answered)
-        handleAnswer();
-    else
-        handleFailure(verdict);
+    return verdict;
 }
 
 static const char* verdictName(AttemptVerdict verdict)
@@ -272,6 +280,8 @@
     } else {
         m_parts.entries.recordPeerResponse(attempt.peer);
     }
+    if (!attempt.endpoint && hasSucceeded)
+        m_parts.entries.recordPeerServed(attempt.peer, now());
     bool mayHaveRun = verdict != AttemptVerdict::NotRun;
     m_possiblyRunAttempts += mayHaveRun ? possiblyRunAttemptsOf(attempt) : 0;
     bool hasReachedNone = verdict == AttemptVerdict::NotRun && (!attempt.head || attempt.isPeerCutOff);
@@ -312,23 +322,27 @@
     handleFailure(AttemptVerdict::Unknown);
 }
 
-RetryOrder RoutedRun::retryOrder() const
+// A request that was moved from a silent endpoint keeps the retries that it had before.
+RetryOrder RoutedRun::retryOrder(unsigned givenUp) const
 {
-    return m_possiblyDeliveredAttempts + m_request.earlierAttempts > 1 ? RetryOrder::Further : RetryOrder::First;
+    unsigned delivered = m_possiblyDeliveredAttempts + givenUp + m_request.earlierAttempts;
+    return delivered > 1 + m_replacedAttempts ? RetryOrder::Further : RetryOrder::First;
 }
 
-RunProgress RoutedRun::progress()
+RunProgress RoutedRun::progress(unsigned givenUp)
 {
     RunProgress progress;
     progress.mayRepeat = mayRepeat(*m_route);
     progress.isResumable = m_route->isResumable;
-    progress.mayHaveRun = m_mayHaveRun;
-    progress.possiblyRunAttempts = m_possiblyRunAttempts;
+    progress.mayHaveRun = m_mayHaveRun || givenUp > 0;
+    progress.possiblyRunAttempts = m_possiblyRunAttempts + givenUp;
     progress.notRunAttempts = m_notRunAttempts;
     progress.unreachedAttempts = m_unreachedAttempts;
     progress.maxAttempts = std::min(m_route->attempts, m_request.attemptsLeft.value_or(m_route->attempts));
     progress.hasSentHead = m_hasSentHead;
-    progress.hasRetryBudget = m_possiblyDeliveredAttempts == 0 || m_parts.retryBudgetOf(m_service).hasRetry(now(), retryOrder());
+    bool needsBudget = m_possiblyDeliveredAttempts + givenUp > 0;
+    // The replacement of an attempt that is given up may be refused, and is then retried.
+    progress.hasRetryBudget = !needsBudget || m_parts.retryBudgetOf(m_service).hasRetry(now(), retryOrder(givenUp), 1 + givenUp);
     progress.timeLeft = m_deadline - now();
     return progress;
 }
--- a/lib/Ingress/RoutedRunCrashes.cpp
+++ b/lib/Ingress/RoutedRunCrashes.cpp
@@ -91,6 +91,33 @@
             { "suspect", crash.suspect.toHex() }, { "crash_ms_ago", std::chrono::duration_cast<milliseconds>(time - crash.at).count() }, { "rank", order.rank }, { "entries", order.entries } });
 }
 
+Duration RoutedRun::waitAfterCrash(const CrashSuspectTable::RecentCrash& crash, const EntryOrder& order, bool wasDelivered) const
+{
+    bool isLikelyUnrelated = crash.isOnlyKnownHere && wasDelivered;
+    isLikelyUnrelated |= m_isStreamBound && m_parts.crashSuspects.mayResume(crash);
+    return isLikelyUnrelated ? Duration::zero() : m_parts.crashSuspects.nextTurn(crash, order, now()) - now();
+}
+
+bool RoutedRun::mayMoveDespiteCrashes()
+{
+    const CrashSuspectTable& crashing = m_parts.crashSuspects;
+    if (crashing.isEmpty())
+        return true;
+    if (crashing.refusalOf(suspects(), now()))
+        return false;
+    std::optional<CrashSuspectTable::RecentCrash> crash = crashing.crashToAwait(suspects(), now());
+    if (!crash)
+        return true;
+    EntryOrder order = m_parts.entries.orderFor(stableHash(crash->suspect), m_homeRegions);
+    return waitAfterCrash(*crash, order, true) <= Duration::zero();
+}
+
+void RoutedRun::recordTurnAfterCrash()
+{
+    if (std::optional<CrashSuspectTable::RecentCrash> crash = m_parts.crashSuspects.crashToAwait(suspects(), now()))
+        m_parts.crashSuspects.recordAttempt(crash->suspect, now());
+}
+
 bool RoutedRun::holdIfSuspect()
 {
     CrashSuspectTable& crashing = m_parts.crashSuspects;
@@ -100,10 +127,8 @@
     std::optional<CrashSuspectTable::RecentCrash> crash = crashing.crashToAwait(suspects(), time);
     if (!crash)
         return false;
-    bool isLikelyUnrelated = crash->isOnlyKnownHere && m_possiblyDeliveredAttempts > 0;
-    isLikelyUnrelated |= m_isStreamBound && crashing.mayResume(*crash);
     EntryOrder order = m_parts.entries.orderFor(stableHash(crash->suspect), m_homeRegions);
-    Duration wait = isLikelyUnrelated ? Duration::zero() : crashing.nextTurn(*crash, order, time) - time;
+    Duration wait = waitAfterCrash(*crash, order, m_possiblyDeliveredAttempts > 0);
     if (wait <= Duration::zero()) {
         crashing.recordAttempt(crash->suspect, time);
         return false;
