Reproduce limits of workspaces at starts, failing

Six simulated entries in two regions, a limit of 40 requests a second, a slack of 10.

The fleet of the credit tests keeps the registrations that an entry reads at its start, those of killed processes too until their lease ends, and can tell the others late. restart() of an entry that is up ends its process first, as before.

--- a/unittests/Ingress/CreditFleet.cpp
+++ b/unittests/Ingress/CreditFleet.cpp
@@ -53,10 +53,8 @@
     Entry& started = m_entries[entry];
     started.key = "entry-" + std::to_string(entry) + "." + std::to_string(++m_starts);
     started.table = std::make_unique<EntryTable>(started.record);
-    for (const Entry& other : m_entries) {
-        if (other.exchange)
-            started.table->put(other.key, other.record);
-    }
+    for (const auto& [key, record] : m_registrations)
+        started.table->put(key, record);
     started.exchange = std::make_unique<CreditExchange>(
         *started.table, started.record, tolerance, scheduler, random, [this]() -> const WorkspaceTable& { return m_workspaces; },
         [this, entry](const OutgoingDatagram& datagram) { deliver(entry, datagram); });
@@ -66,37 +64,63 @@
 
 void CreditFleet::registerEntry(std::size_t entry)
 {
-    for (Entry& other : m_entries) {
-        if (other.table)
-            other.table->put(m_entries[entry].key, m_entries[entry].record);
-    }
+    const std::string& key = m_entries[entry].key;
+    m_registrations[key] = m_entries[entry].record;
+    m_entries[entry].table->put(key, m_entries[entry].record);
+    auto tellOthers = [this, key, record = m_entries[entry].record] {
+        for (Entry& other : m_entries) {
+            if (other.table && m_registrations.count(key) > 0)
+                other.table->put(key, record);
+        }
+    };
+    if (listingDelay > Duration::zero())
+        scheduler.callAfter(listingDelay, tellOthers);
+    else
+        tellOthers();
 }
 
 void CreditFleet::removeRegistration(std::size_t entry)
 {
+    expireRegistration(m_entries[entry].key);
+}
+
+void CreditFleet::expireRegistration(const std::string& key)
+{
+    m_registrations.erase(key);
     for (Entry& other : m_entries) {
         if (other.table)
-            other.table->remove(m_entries[entry].key, now());
+            other.table->remove(key, now());
     }
 }
 
 void CreditFleet::kill(std::size_t entry)
 {
     m_entries[entry].exchange.reset();
-    scheduler.callAfter(entryLeaseDuration, [this, key = m_entries[entry].key] {
-        for (Entry& other : m_entries) {
-            if (other.table)
-                other.table->remove(key, now());
-        }
-    });
+    scheduler.callAfter(entryLeaseDuration, [this, key = m_entries[entry].key] { expireRegistration(key); });
 }
 
 void CreditFleet::restart(std::size_t entry)
 {
-    m_entries[entry].exchange.reset();
+    if (isUp(entry))
+        kill(entry);
     start(entry);
 }
 
+void CreditFleet::killAll()
+{
+    for (std::size_t entry = 0; entry < entries(); ++entry) {
+        if (isUp(entry))
+            kill(entry);
+    }
+}
+
+void CreditFleet::restartAll()
+{
+    killAll();
+    for (std::size_t entry = 0; entry < entries(); ++entry)
+        start(entry);
+}
+
 void CreditFleet::setCutOff(const std::string& region, bool isCutOff)
 {
     if (isCutOff)
--- a/unittests/Ingress/CreditFleet.h
+++ b/unittests/Ingress/CreditFleet.h
@@ -33,6 +33,9 @@
     /// Ends the process of an entry. Its registration is removed after the lease.
     void kill(std::size_t entry);
     void restart(std::size_t entry);
+    void killAll();
+    /// Starts a new process of each entry at once.
+    void restartAll();
     std::size_t addEntry(const std::string& region);
     void setLimit(const WorkspaceLimit& limit);
     /// Removes the registration of an entry at all others, although it is up.
@@ -66,6 +69,8 @@
     /// Fraction of the datagrams that are lost, and that are delivered twice.
     double lostFraction { 0 };
     double repeatedFraction { 0 };
+    /// Time until other entries hear of a registration.
+    Duration listingDelay { 0 };
     std::uint64_t datagrams { 0 };
     std::uint64_t bytes { 0 };
     std::uint64_t bytesBetweenRegions { 0 };
@@ -80,12 +85,16 @@
 
     void start(std::size_t entry);
     void registerEntry(std::size_t entry);
+    /// Removes a registration at the end of its lease.
+    void expireRegistration(const std::string& key);
     void deliver(std::size_t from, const OutgoingDatagram& datagram);
 
     std::vector<std::string> m_regions;
     WorkspaceTable m_workspaces;
     std::vector<Entry> m_entries;
     std::map<SocketAddress, std::size_t> m_entryAt;
+    /// The registrations in the store, which an entry that starts reads.
+    std::map<std::string, EntryRecord> m_registrations;
     std::set<std::string> m_cutOffRegions;
     std::set<std::size_t> m_cutOffEntries;
     std::uint64_t m_starts { 0 };
--- /dev/null
+++ b/unittests/Ingress/CreditStartTest.cpp
@@ -0,0 +1,169 @@
+// Tests that workspaces below their limits are served while entries start, and that starts
+// never let a workspace exceed its limit.
+#include "CreditFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace catkinwing;
+using namespace std::chrono_literals;
+
+static constexpr Duration step = 10ms;
+
+namespace {
+
+WorkspaceLimit requestLimit()
+{
+    return { LimitUnit::Requests, 40, 40, 1 };
+}
+
+LimitTolerance requestTolerance()
+{
+    return { 8s, 0.1, 10 };
+}
+
+/// Sends requests of one unit each to random entries that are up.
+void loadAnywhere(CreditFleet& fleet, double perSecond, Duration span)
+{
+    double perStep = perSecond * std::chrono::duration<double>(step).count();
+    for (Duration passed { 0 }; passed < span; passed += step) {
+        for (double expected = perStep; expected > 0; expected -= 1) {
+            if (fleet.random.unit() >= expected)
+                continue;
+            std::size_t entry = fleet.random.below(fleet.entries());
+            while (!fleet.isUp(entry))
+                entry = fleet.random.below(fleet.entries());
+            fleet.request(entry, 1);
+        }
+        fleet.advance(step);
+    }
+}
+
+std::vector<std::size_t> killHalf(CreditFleet& fleet, std::size_t parity)
+{
+    std::vector<std::size_t> killed;
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+        if ((entry / 2) % 2 == parity)
+            killed.push_back(entry);
+    }
+    for (std::size_t entry : killed)
+        fleet.kill(entry);
+    return killed;
+}
+
+} // namespace
+
+// With registrations of the processes before, and after these have lapsed.
+TEST_CASE("a workspace below its limit is served from the moment at which all entries have started")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        for (Duration downTime : { 0ms, 6'000ms }) {
+            for (Duration listingDelay : { 0ms, 200ms }) {
+                CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+                fleet.listingDelay = listingDelay;
+                fleet.advance(10s);
+                fleet.killAll();
+                fleet.advance(downTime);
+                fleet.restartAll();
+                loadAnywhere(fleet, 12, 1s);
+                loadAnywhere(fleet, 12, 4s);
+                fleet.advance(1s);
+                CAPTURE(seed, downTime.count(), listingDelay.count(), fleet.asked);
+                CHECK(fleet.refused == 0);
+                CHECK(fleet.undecided() == 0);
+            }
+        }
+    }
+}
+
+TEST_CASE("a workspace below its limit is served after kills of half of the entries")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+        for (Duration downTime : { 300ms, 1'000ms, 4'000ms }) {
+            CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+            fleet.advance(4s);
+            loadAnywhere(fleet, 18, 6s);
+            for (std::size_t parity : { 0, 1 }) {
+                std::vector<std::size_t> killed = killHalf(fleet, parity);
+                loadAnywhere(fleet, 18, downTime);
+                for (std::size_t entry : killed)
+                    fleet.restart(entry);
+                loadAnywhere(fleet, 18, 4s);
+            }
+            fleet.advance(1s);
+            CAPTURE(seed, downTime.count(), fleet.refused, fleet.asked);
+            CHECK(static_cast<double>(fleet.refused) <= static_cast<double>(fleet.asked) / 100);
+            CHECK(fleet.undecided() == 0);
+        }
+    }
+}
+
+namespace {
+
+constexpr double overload = 160;
+
+void checkWindows(const CreditFleet& fleet)
+{
+    CHECK(fleet.maxGrantedInWindow() <= fleet.allowedInWindow());
+}
+
+} // namespace
+
+TEST_CASE("restarts of all entries, however often, leave a workspace within its limit")
+{
+    for (Duration interval : { 300ms, 1'000ms, 2'500ms, 4'500ms, 7'900ms }) {
+        for (Duration downTime : { 0ms, 4'100ms }) {
+            for (Duration listingDelay : { 0ms, 300ms }) {
+                CreditFleet fleet(1, { "north", "south" }, 3, requestLimit(), requestTolerance());
+                fleet.listingDelay = listingDelay;
+                fleet.advance(4s);
+                loadAnywhere(fleet, overload, 9s);
+                for (Duration passed { 0 }; passed < 17s; passed += interval + downTime) {
+                    fleet.killAll();
+                    fleet.advance(downTime);
+                    fleet.restartAll();
+                    loadAnywhere(fleet, overload, interval);
+                }
+                CAPTURE(interval.count(), downTime.count(), listingDelay.count());
+                checkWindows(fleet);
+            }
+        }
+    }
+}
+
+// The store has dropped the registrations of a region that it doesn't reach.
+TEST_CASE("restarts beside a region that is cut off leave a workspace within its limit")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, overload, 9s);
+        fleet.setCutOff("south", true);
+        loadAnywhere(fleet, overload, 4s);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+            if (fleet.regionOf(entry) == "south")
+                fleet.removeRegistration(entry);
+        }
+        loadAnywhere(fleet, overload, 1s);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry) {
+            if (fleet.regionOf(entry) == "north")
+                fleet.restart(entry);
+        }
+        loadAnywhere(fleet, overload, 12s);
+        checkWindows(fleet);
+    }
+}
+
+TEST_CASE("an entry that starts beside others that it doesn't know leaves a workspace within its limit")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, overload, 9s);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+            fleet.removeRegistration(entry);
+        fleet.setEntryCutOff(0, true);
+        fleet.restart(0);
+        loadAnywhere(fleet, overload, 12s);
+        checkWindows(fleet);
+    }
+}
