Keep the number of entries in the store, for entries that start

More than a limit allows could run (QUOTA): a region is cut off for longer than the lease, its entries run on, and the others restart. Cause: an entry divides the limits by the largest number of entries that it has known of in ten minutes, which a new process has not; it reads the registrations that are left. Class: knowledge that a bound rests on is lost with the process.

An entry that reads the key counts it as if it had seen as many entries.

--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinwing/Config/RouteTable.h"
+#include "catkinwing/Coordination/Store.h"
 #include "catkinwing/Membership/EntryGroups.h"
 #include "catkinwing/Membership/ShareDivision.h"
 #include "catkinwing/Support/Clock.h"
@@ -30,6 +31,13 @@
 std::string writeEntryRecord(const EntryRecord& record);
 absl::StatusOr<EntryRecord> readEntryRecord(absl::string_view text);
 
+/// The number of entry addresses as an entry wrote it into the store.
+struct StoredEntryCount {
+    std::size_t count { 0 };
+    /// Zero if the store has none.
+    StoreRevision revision { 0 };
+};
+
 /// The registered entries, including this one.
 class EntryTable {
 public:
@@ -105,6 +113,10 @@
     /// ten minutes. During a network partition, or while registrations expire, some entries
     /// still serve requests although they are no longer listed.
     std::size_t recentMaxAddresses(TimePoint now);
+    /// Records the number that the store holds. It counts like a number of registered entries,
+    /// since an entry that has just started doesn't know which registrations have lapsed.
+    void recordStoredCount(const StoredEntryCount& stored, TimePoint now);
+    const StoredEntryCount& storedCount() const { return m_storedCount; }
     /// Returns a counter that increases whenever an entry is registered or removed.
     std::uint64_t changeCount() const { return m_changeCount; }
 
@@ -122,6 +134,7 @@
 
     std::map<std::string, Entry> m_entries;
     RecentMaximum m_recentSize { std::chrono::minutes(10) };
+    StoredEntryCount m_storedCount;
     /// Number of distinct entry addresses.
     std::size_t m_addressCount { 0 };
     /// Value of m_changeCount at which m_addressCount was computed.
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -77,6 +77,14 @@
     return m_recentSize.take(m_addressCount, now);
 }
 
+void EntryTable::recordStoredCount(const StoredEntryCount& stored, TimePoint now)
+{
+    // A number that is read again must not count for longer.
+    if (stored.revision != m_storedCount.revision)
+        m_recentSize.take(stored.count, now);
+    m_storedCount = stored;
+}
+
 EntryOrder EntryTable::orderFor(std::uint64_t subject, const std::vector<std::string>& regions) const
 {
     std::uint64_t own = stableHash(m_self.peerAddress.toString(), subject);
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -245,6 +245,8 @@
         creditExchange.start();
     }
     wasReady = isReadyNow;
+    if (isReadyNow)
+        entryCountWriter.tick();
     parts.isConfigurationStale = relayedStore.dataAge().value_or(Duration::zero()) > maxConfigurationAge;
     loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
 }
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -5,6 +5,7 @@
 #include "catkinwing/Http/HttpServer.h"
 #include "catkinwing/Ingress/CrashExchange.h"
 #include "catkinwing/Ingress/CreditExchange.h"
+#include "catkinwing/Ingress/EntryCountWriter.h"
 #include "catkinwing/Ingress/EntryRegistration.h"
 #include "catkinwing/Ingress/IngressDaemon.h"
 #include "catkinwing/Ingress/LimitExchange.h"
@@ -64,6 +65,7 @@
               [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , streamOrigins(parts.endpoints, parts.entries, self, eventLoop, [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , registration(*store, eventLoop, registrationOptions())
+        , entryCountWriter(*store, eventLoop, parts.entries)
         , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
         , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
             if (key == registration.key())
@@ -171,6 +173,7 @@
     LimitExchange limitExchange;
     StreamOriginExchange streamOrigins;
     EntryRegistration registration;
+    EntryCountWriter entryCountWriter;
     RelayedStore relayedStore;
     StoreFollower follower;
     std::unique_ptr<HttpServer> clientServer;
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "StoreFollower.h"
 
+#include "catkinwing/Ingress/EntryCountWriter.h"
 #include "catkinwing/Support/Logging.h"
 #include <absl/strings/strip.h>
 #include <algorithm>
@@ -93,6 +94,8 @@
         applyEvacuation(std::string(key), change.text.has_value());
     else if (absl::ConsumePrefix(&key, layout.endpointPrefix))
         applyEndpoint(std::string(key), change);
+    else if (key == entryCountKey)
+        applyEntryCount(change);
     else if (absl::ConsumePrefix(&key, m_entryPrefix))
         applyEntry(std::string(key), change);
 }
@@ -187,6 +190,13 @@
     logChange(LogLevel::Error, "endpoint_refused", { { "endpoint", incarnation }, { "fault", std::string(fault.message()) } });
 }
 
+// A value that can't be read is written anew.
+void StoreFollower::applyEntryCount(const ConfigChange& change)
+{
+    std::optional<std::size_t> count = readEntryCount(change.text.value_or(""));
+    m_parts.entries.recordStoredCount({ count.value_or(0), change.text ? change.revision : 0 }, now());
+}
+
 void StoreFollower::applyEntry(const std::string& name, const ConfigChange& change)
 {
     if (!change.text) {
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -36,6 +36,7 @@
     void applyEvacuation(const std::string& zone, bool isEvacuated);
     void applyEndpoint(const std::string& incarnation, const ConfigChange& change);
     void rejectEndpoint(const std::string& incarnation, const absl::Status& fault);
+    void applyEntryCount(const ConfigChange& change);
     void applyEntry(const std::string& name, const ConfigChange& change);
     /// Returns whether a key that is deleted now may have expired only because the
     /// store was unreachable.
--- a/unittests/Ingress/CreditFleet.cpp
+++ b/unittests/Ingress/CreditFleet.cpp
@@ -10,6 +10,8 @@
 static constexpr milliseconds step { 10 };
 static constexpr milliseconds tickInterval { 100 };
 static constexpr milliseconds entryLeaseDuration { 4'000 };
+/// Time until a change of the number of entries is in the store.
+static constexpr milliseconds countWriteDelay { 2'000 };
 static constexpr milliseconds latencyInsideRegion { 1 };
 static constexpr milliseconds latencyBetweenRegions { 55 };
 static constexpr milliseconds maxRetryAfter { 2'000 };
@@ -55,9 +57,12 @@
     started.table = std::make_unique<EntryTable>(started.record);
     for (const auto& [key, record] : m_registrations)
         started.table->put(key, record);
+    if (m_storedCount > 0)
+        started.table->recordStoredCount({ m_storedCount, 1 }, now());
     started.exchange = std::make_unique<CreditExchange>(
         *started.table, started.record, tolerance, scheduler, random, [this]() -> const WorkspaceTable& { return m_workspaces; },
         [this, entry](const OutgoingDatagram& datagram) { deliver(entry, datagram); });
+    started.startedAt = now();
     registerEntry(entry);
     started.exchange->start();
 }
@@ -207,6 +212,10 @@
         if (now() < m_nextTick)
             continue;
         m_nextTick = now() + tickInterval;
+        for (Entry& entry : m_entries) {
+            if (entry.exchange && now() - entry.startedAt >= countWriteDelay)
+                m_storedCount = std::max(m_storedCount, entry.table->recentMaxAddresses(now()));
+        }
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
             if (isUp(entry))
                 m_entries[entry].exchange->tick();
--- a/unittests/Ingress/CreditFleet.h
+++ b/unittests/Ingress/CreditFleet.h
@@ -79,6 +79,7 @@
     struct Entry {
         std::string key;
         EntryRecord record;
+        TimePoint startedAt {};
         std::unique_ptr<EntryTable> table;
         std::unique_ptr<CreditExchange> exchange;
     };
@@ -95,6 +96,8 @@
     std::map<SocketAddress, std::size_t> m_entryAt;
     /// The registrations in the store, which an entry that starts reads.
     std::map<std::string, EntryRecord> m_registrations;
+    /// The number of entries that the store holds.
+    std::size_t m_storedCount { 0 };
     std::set<std::string> m_cutOffRegions;
     std::set<std::size_t> m_cutOffEntries;
     std::uint64_t m_starts { 0 };
