Let restarted entries use their whole share of a limit from the start

Callers well below their limit got 429 just after all entries had started. Cause: for its first second an entry divided the limits by 32 at least, whatever the size of the fleet, so that six entries accrued 7.5 of 40 requests a second together. That divisor is for entries that are added together and don't know of each other. An entry that was restarted is contained in the number of entries that the store holds, so it now divides by that; the minimum is for entries with which more are registered than that number says.

Windows at four times the limit hold in all cases: restarts of all entries every 0.3 to 7.9 s, of entries that reach no other every 0.1 to 4.5 s, 6 to 78 entries added to six at once.

--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -117,6 +117,9 @@
     /// since an entry that has just started doesn't know which registrations have lapsed.
     void recordStoredCount(const StoredEntryCount& stored, TimePoint now);
     const StoredEntryCount& storedCount() const { return m_storedCount; }
+    /// Returns whether more entries are registered, this one included, than the store's number
+    /// says: entries are being added.
+    bool exceedsStoredCount() const;
     /// Returns a counter that increases whenever an entry is registered or removed.
     std::uint64_t changeCount() const { return m_changeCount; }
 
--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -9,8 +9,9 @@
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
 
-/// For this time after its start an entry divides the limits by the minimum number of
-/// entries at least, since others that started at the same time may not be listed yet.
+/// For this time after its start an entry that was added divides the limits by the minimum
+/// number of entries at least, since others that were added at the same time may not be
+/// listed yet. An entry that was restarted is contained in the store's number of entries.
 static constexpr milliseconds startTime { 1'000 };
 static constexpr std::size_t minEntriesAtStart = 32;
 /// Accrual of a longer time, in which the process was stalled, is dropped.
@@ -147,7 +148,8 @@
         return;
     Duration elapsed = std::min<Duration>(now() - m_depositedUntil, maxAccrual);
     m_depositedUntil = now();
-    std::size_t minEntries = now() - *m_startedAt < startTime ? minEntriesAtStart : 1;
+    bool mayBeOneOfMany = now() - *m_startedAt < startTime && m_entries.exceedsStoredCount();
+    std::size_t minEntries = mayBeOneOfMany ? minEntriesAtStart : 1;
     CreditDeposit deposit { elapsed, static_cast<std::uint32_t>(std::max(m_entries.recentMaxAddresses(now()), minEntries)) };
     SocketAddress pool = poolOf(m_self.region);
     // Another pool could have credited the lost time already.
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -85,6 +85,14 @@
     m_storedCount = stored;
 }
 
+bool EntryTable::exceedsStoredCount() const
+{
+    std::set<SocketAddress> addresses { m_self.peerAddress };
+    for (const auto& [key, entry] : m_entries)
+        addresses.insert(entry.record.peerAddress);
+    return addresses.size() > m_storedCount.count;
+}
+
 EntryOrder EntryTable::orderFor(std::uint64_t subject, const std::vector<std::string>& regions) const
 {
     std::uint64_t own = stableHash(m_self.peerAddress.toString(), subject);
--- a/unittests/Ingress/CreditFleet.cpp
+++ b/unittests/Ingress/CreditFleet.cpp
@@ -63,25 +63,32 @@
         *started.table, started.record, tolerance, scheduler, random, [this]() -> const WorkspaceTable& { return m_workspaces; },
         [this, entry](const OutgoingDatagram& datagram) { deliver(entry, datagram); });
     started.startedAt = now();
-    registerEntry(entry);
     started.exchange->start();
+    registerEntry(entry);
 }
 
 void CreditFleet::registerEntry(std::size_t entry)
 {
     const std::string& key = m_entries[entry].key;
-    m_registrations[key] = m_entries[entry].record;
     m_entries[entry].table->put(key, m_entries[entry].record);
-    auto tellOthers = [this, key, record = m_entries[entry].record] {
-        for (Entry& other : m_entries) {
-            if (other.table && m_registrations.count(key) > 0)
-                other.table->put(key, record);
-        }
-    };
-    if (listingDelay > Duration::zero())
-        scheduler.callAfter(listingDelay, tellOthers);
-    else
-        tellOthers();
+    if (listingDelay == Duration::zero()) {
+        listRegistration(entry);
+        return;
+    }
+    scheduler.callAfter(listingDelay, [this, entry, key] {
+        if (m_entries[entry].key == key && isUp(entry))
+            listRegistration(entry);
+    });
+}
+
+void CreditFleet::listRegistration(std::size_t entry)
+{
+    const Entry& listed = m_entries[entry];
+    m_registrations[listed.key] = listed.record;
+    for (Entry& other : m_entries) {
+        if (other.table)
+            other.table->put(listed.key, listed.record);
+    }
 }
 
 void CreditFleet::removeRegistration(std::size_t entry)
@@ -89,6 +96,12 @@
     expireRegistration(m_entries[entry].key);
 }
 
+void CreditFleet::removeAllRegistrations()
+{
+    for (std::size_t entry = 0; entry < entries(); ++entry)
+        removeRegistration(entry);
+}
+
 void CreditFleet::expireRegistration(const std::string& key)
 {
     m_registrations.erase(key);
--- a/unittests/Ingress/CreditFleet.h
+++ b/unittests/Ingress/CreditFleet.h
@@ -40,6 +40,7 @@
     void setLimit(const WorkspaceLimit& limit);
     /// Removes the registration of an entry at all others, although it is up.
     void removeRegistration(std::size_t entry);
+    void removeAllRegistrations();
     /// Datagrams between the regions are lost.
     void setCutOff(const std::string& region, bool isCutOff);
     void setEntryCutOff(std::size_t entry, bool isCutOff);
@@ -69,7 +70,7 @@
     /// Fraction of the datagrams that are lost, and that are delivered twice.
     double lostFraction { 0 };
     double repeatedFraction { 0 };
-    /// Time until other entries hear of a registration.
+    /// Time until a registration is known to others.
     Duration listingDelay { 0 };
     std::uint64_t datagrams { 0 };
     std::uint64_t bytes { 0 };
@@ -86,6 +87,8 @@
 
     void start(std::size_t entry);
     void registerEntry(std::size_t entry);
+    /// Makes a registration known to the others and to entries that start.
+    void listRegistration(std::size_t entry);
     /// Removes a registration at the end of its lease.
     void expireRegistration(const std::string& key);
     void deliver(std::size_t from, const OutgoingDatagram& datagram);
--- a/unittests/Ingress/CreditStartTest.cpp
+++ b/unittests/Ingress/CreditStartTest.cpp
@@ -159,11 +159,49 @@
         CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
         fleet.advance(4s);
         loadAnywhere(fleet, overload, 9s);
-        for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
-            fleet.removeRegistration(entry);
+        fleet.removeAllRegistrations();
         fleet.setEntryCutOff(0, true);
         fleet.restart(0);
         loadAnywhere(fleet, overload, 12s);
         checkWindows(fleet);
     }
 }
+
+// Entries that reach no other, and use at once what they may.
+TEST_CASE("restarts of entries that are alone leave a workspace within its limit")
+{
+    for (Duration interval : { 100ms, 300ms, 1'000ms, 4'500ms }) {
+        CreditFleet fleet(1, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, overload, 9s);
+        for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+            fleet.setEntryCutOff(entry, true);
+        fleet.removeAllRegistrations();
+        fleet.listingDelay = 10s;
+        for (Duration passed { 0 }; passed < 17s; passed += interval) {
+            fleet.restartAll();
+            for (Duration slice { 0 }; slice < interval; slice += 20ms) {
+                fleet.advance(20ms);
+                for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+                    fleet.requestUntilRefused(entry, 1);
+            }
+        }
+        CAPTURE(interval.count());
+        checkWindows(fleet);
+    }
+}
+
+TEST_CASE("many entries that are added at once leave a workspace within its limit")
+{
+    for (std::size_t added : { 6u, 30u, 78u }) {
+        CreditFleet fleet(1, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, overload, 9s);
+        fleet.listingDelay = 300ms;
+        for (std::size_t i = 0; i < added; ++i)
+            fleet.addEntry(i % 2 == 0 ? "north" : "south");
+        loadAnywhere(fleet, overload, 10s);
+        CAPTURE(added);
+        checkWindows(fleet);
+    }
+}
