Serve a request with the credit that was granted for it

Callers below their limit got 429 with a Retry-After of 200 ms around kills. Cause: the requests of an entry use its credit in their order. A request whose ask went to a pool that had been killed waits first in line, takes what another pool grants for the request behind it, and that one, whose ask has been answered, is refused as if its credit had been lost on the way. The credit of the first one comes a moment later and expires unused. Now the answer to an ask serves its own request.

--- a/include/catkinwing/Ingress/CreditExchange.h
+++ b/include/catkinwing/Ingress/CreditExchange.h
@@ -165,6 +165,9 @@
     void onAskTimeout(std::uint64_t id);
     void decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, std::chrono::milliseconds retryAfter);
     void settleWaiting(std::uint64_t workspace);
+    /// Decides a request that the credit of this entry covers.
+    void serve(Waiting& waiting);
+    void refuse(Waiting& waiting, std::chrono::milliseconds retryAfter);
     CreditAsk askFor(const Waiting& waiting);
     void answerEntry(const SocketAddress& from, const CreditMessage& message);
     void answerPool(const SocketAddress& from, const CreditMessage& message);
--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -274,29 +274,43 @@
         if (!first->isDecided && !isCovered && !first->isAnswered)
             return;
         wallet.waiting.pop_front();
-        if (first->isDecided)
-            continue;
-        first->isDecided = true;
-        ++(isCovered ? wallet.granted : wallet.refused);
-        if (isCovered)
-            wallet.used.add(first->amount, now());
-        CreditPortion used = isCovered ? wallet.credit.take(first->amount, now()) : CreditPortion();
-        first->done({ isCovered, used, retryAfterLoss, wallet.credit.available(now()), first->pool });
+        if (!first->isDecided && isCovered)
+            serve(*first);
+        else if (!first->isDecided)
+            refuse(*first, retryAfterLoss);
     }
 }
 
+void CreditExchange::serve(Waiting& waiting)
+{
+    Wallet& wallet = walletOf(waiting.hash);
+    waiting.isDecided = true;
+    ++wallet.granted;
+    wallet.used.add(waiting.amount, now());
+    CreditPortion used = wallet.credit.take(waiting.amount, now());
+    waiting.done({ true, used, {}, wallet.credit.available(now()), waiting.pool });
+}
+
+void CreditExchange::refuse(Waiting& waiting, milliseconds retryAfter)
+{
+    Wallet& wallet = walletOf(waiting.hash);
+    waiting.isDecided = true;
+    ++wallet.refused;
+    waiting.done({ false, {}, retryAfter, wallet.credit.available(now()), waiting.pool });
+}
+
+// A request is served with the credit that was granted for it. The requests before it may
+// have asked an entry that doesn't answer, and would take that credit while theirs comes later.
 void CreditExchange::decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, milliseconds retryAfter)
 {
     Wallet& wallet = walletOf(waiting->hash);
     wallet.credit.add(portion);
     waiting->isAnswered = true;
-    if (portion.amount > 0 || waiting->isDecided) {
-        settleWaiting(waiting->hash);
-        return;
-    }
-    waiting->isDecided = true;
-    ++wallet.refused;
-    waiting->done({ false, {}, retryAfter, wallet.credit.available(now()), waiting->pool });
+    bool isCovered = portion.amount + roundingError >= waiting->amount && wallet.credit.available(now()) + roundingError >= waiting->amount;
+    if (!waiting->isDecided && isCovered)
+        serve(*waiting);
+    else if (!waiting->isDecided && portion.amount <= 0)
+        refuse(*waiting, retryAfter);
     settleWaiting(waiting->hash);
 }
 
