--- a/unittests/Ingress/CreditFleet.cpp
+++ b/unittests/Ingress/CreditFleet.cpp
@@ -155,6 +155,14 @@
         m_cutOffEntries.erase(entry);
 }
 
+void CreditFleet::setSuspended(std::size_t entry, bool isSuspended)
+{
+    if (isSuspended)
+        m_suspendedEntries.insert(entry);
+    else
+        m_suspendedEntries.erase(entry);
+}
+
 void CreditFleet::deliver(std::size_t from, const OutgoingDatagram& datagram)
 {
     std::size_t to = m_entryAt.at(datagram.to);
@@ -171,7 +179,7 @@
     for (int copy = 0; copy < copies; ++copy) {
         Duration delay = (crossesRegions ? latencyBetweenRegions : latencyInsideRegion) * (1 + copy);
         scheduler.callAfter(delay, [this, from, to, text = datagram.bytes] {
-            if (!isUp(to))
+            if (!isUp(to) || m_suspendedEntries.count(to) > 0)
                 return;
             absl::StatusOr<CreditMessage> message = decodeCreditMessage(text);
             assert(message.ok() && "an encoded credit message can be decoded");
@@ -182,7 +190,7 @@
 
 void CreditFleet::request(std::size_t entry, double amount)
 {
-    if (!isUp(entry))
+    if (!isUp(entry) || m_suspendedEntries.count(entry) > 0)
         return;
     ++asked;
     askedAmount += amount;
@@ -230,7 +238,7 @@
                 m_storedCount = std::max(m_storedCount, entry.table->recentMaxAddresses(now()));
         }
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-            if (isUp(entry))
+            if (isUp(entry) && m_suspendedEntries.count(entry) == 0)
                 m_entries[entry].exchange->tick();
         }
     }
--- a/unittests/Ingress/CreditFleet.h
+++ b/unittests/Ingress/CreditFleet.h
@@ -45,6 +45,9 @@
     void setCutOff(const std::string& region, bool isCutOff);
     void setEntryCutOff(std::size_t entry, bool isCutOff);
 
+    /// The process of an entry doesn't run. Datagrams to it are lost.
+    void setSuspended(std::size_t entry, bool isSuspended);
+
     bool isUp(std::size_t entry) const { return m_entries[entry].exchange != nullptr; }
     std::size_t entries() const { return m_entries.size(); }
     const std::string& regionOf(std::size_t entry) const { return m_entries[entry].record.region; }
@@ -103,6 +106,7 @@
     std::size_t m_storedCount { 0 };
     std::set<std::string> m_cutOffRegions;
     std::set<std::size_t> m_cutOffEntries;
+    std::set<std::size_t> m_suspendedEntries;
     std::uint64_t m_starts { 0 };
     TimePoint m_nextTick {};
 };
--- a/unittests/Ingress/CreditStartTest.cpp
+++ b/unittests/Ingress/CreditStartTest.cpp
@@ -52,51 +52,72 @@
 
 } // namespace
 
-// With registrations of the processes before, and after these have lapsed.
-TEST_CASE("a workspace below its limit is served from the moment at which all entries have started")
+namespace {
+
+/// Ends all entries, starts them after \p downTime, and checks that no request is refused.
+void checkStartOfAll(Duration downTime, Duration listingDelay)
 {
     for (unsigned seed = 1; seed <= 8; ++seed) {
-        for (Duration downTime : { 0ms, 6'000ms }) {
-            for (Duration listingDelay : { 0ms, 200ms }) {
-                CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
-                fleet.listingDelay = listingDelay;
-                fleet.advance(10s);
-                fleet.killAll();
-                fleet.advance(downTime);
-                fleet.restartAll();
-                loadAnywhere(fleet, 12, 1s);
-                loadAnywhere(fleet, 12, 4s);
-                fleet.advance(1s);
-                CAPTURE(seed, downTime.count(), listingDelay.count(), fleet.asked);
-                CHECK(fleet.refused == 0);
-                CHECK(fleet.undecided() == 0);
-            }
-        }
+        CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.listingDelay = listingDelay;
+        fleet.advance(10s);
+        fleet.killAll();
+        fleet.advance(downTime);
+        fleet.restartAll();
+        loadAnywhere(fleet, 12, 5s);
+        fleet.advance(1s);
+        CAPTURE(seed, downTime.count(), listingDelay.count(), fleet.asked);
+        CHECK(fleet.refused == 0);
+        CHECK(fleet.undecided() == 0);
     }
 }
 
-TEST_CASE("a workspace below its limit is served after kills of half of the entries")
+/// Kills half of the entries twice, and checks that few requests are refused.
+void checkKillsOfHalf(Duration downTime)
 {
     for (unsigned seed = 1; seed <= 8; ++seed) {
-        for (Duration downTime : { 300ms, 1'000ms, 4'000ms }) {
-            CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
-            fleet.advance(4s);
-            loadAnywhere(fleet, 18, 6s);
-            for (std::size_t parity : { 0, 1 }) {
-                std::vector<std::size_t> killed = killHalf(fleet, parity);
-                loadAnywhere(fleet, 18, downTime);
-                for (std::size_t entry : killed)
-                    fleet.restart(entry);
-                loadAnywhere(fleet, 18, 4s);
-            }
-            fleet.advance(1s);
-            CAPTURE(seed, downTime.count(), fleet.refused, fleet.asked);
-            CHECK(static_cast<double>(fleet.refused) <= static_cast<double>(fleet.asked) / 100);
-            CHECK(fleet.undecided() == 0);
+        CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, 18, 6s);
+        for (std::size_t parity : { 0, 1 }) {
+            std::vector<std::size_t> killed = killHalf(fleet, parity);
+            loadAnywhere(fleet, 18, downTime);
+            for (std::size_t entry : killed)
+                fleet.restart(entry);
+            loadAnywhere(fleet, 18, 4s);
         }
+        fleet.advance(1s);
+        CAPTURE(seed, downTime.count(), fleet.refused, fleet.asked);
+        CHECK(static_cast<double>(fleet.refused) <= static_cast<double>(fleet.asked) / 100);
+        CHECK(fleet.undecided() == 0);
     }
 }
 
+} // namespace
+
+TEST_CASE("a workspace below its limit is served from the moment at which all entries have started")
+{
+    checkStartOfAll(0ms, 0ms);
+    checkStartOfAll(0ms, 200ms);
+    checkStartOfAll(6'000ms, 0ms);
+}
+
+TEST_CASE("a workspace below its limit is served while entries that start hear of each other late")
+{
+    checkStartOfAll(6'000ms, 200ms);
+}
+
+TEST_CASE("a workspace below its limit is served after kills of half of the entries")
+{
+    checkKillsOfHalf(300ms);
+    checkKillsOfHalf(1'000ms);
+}
+
+TEST_CASE("a workspace below its limit is served while half of the entries are down for seconds")
+{
+    checkKillsOfHalf(4'000ms);
+}
+
 namespace {
 
 constexpr double overload = 160;
@@ -205,3 +226,52 @@
         checkWindows(fleet);
     }
 }
+
+TEST_CASE("restarts of all of 84 entries leave a workspace within its limit")
+{
+    const LimitTolerance tolerance { 8s, 0.1, 190'000 };
+    for (double perSecond : { 47'000.0, 780'000.0 }) {
+        for (Duration listingDelay : { 0ms, 300ms }) {
+            const WorkspaceLimit limit { LimitUnit::Tokens, perSecond, perSecond, 200 };
+            CreditFleet fleet(1, { "north", "south", "west" }, 28, limit, tolerance);
+            fleet.listingDelay = listingDelay;
+            fleet.advance(10s);
+            auto use = [&](Duration span) {
+                for (Duration passed { 0 }; passed < span; passed += 20ms) {
+                    for (int i = 0; i < 8; ++i)
+                        fleet.request(fleet.random.below(fleet.entries()), perSecond / 100);
+                    fleet.advance(20ms);
+                }
+            };
+            use(6s);
+            for (int round = 0; round < 4; ++round) {
+                fleet.restartAll();
+                use(1s);
+            }
+            use(8s);
+            CAPTURE(perSecond, listingDelay.count());
+            checkWindows(fleet);
+        }
+    }
+}
+
+// Processes that don't run for seconds and go on.
+TEST_CASE("entries that are suspended and go on leave a workspace within its limit")
+{
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        CreditFleet fleet(seed, { "north", "south" }, 3, requestLimit(), requestTolerance());
+        fleet.advance(4s);
+        loadAnywhere(fleet, overload, 9s);
+        for (Duration span : { 300ms, 1'000ms, 3'000ms }) {
+            for (std::size_t entry : { 0, 1, 2 })
+                fleet.setSuspended(entry, true);
+            loadAnywhere(fleet, overload, span);
+            for (std::size_t entry : { 0, 1, 2 })
+                fleet.setSuspended(entry, false);
+            fleet.restart(3);
+            loadAnywhere(fleet, overload, 2s);
+        }
+        CAPTURE(seed);
+        checkWindows(fleet);
+    }
+}
