--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -9,8 +9,9 @@
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
 
-/// For this time after its start an entry divides the limits by the minimum number of
-/// entries at least, since others that started at the same time may not be listed yet.
+/// For this time after its start an entry that was added divides the limits by the minimum
+/// number of entries at least, since others that were added at the same time may not be
+/// listed yet. An entry that was restarted is contained in the store's number of entries.
 static constexpr milliseconds startTime { 1'000 };
 static constexpr std::size_t minEntriesAtStart = 32;
 /// Accrual of a longer time, in which the process was stalled, is dropped.
@@ -147,7 +148,8 @@
         return;
     Duration elapsed = std::min<Duration>(now() - m_depositedUntil, maxAccrual);
     m_depositedUntil = now();
-    std::size_t minEntries = now() - *m_startedAt < startTime ? minEntriesAtStart : 1;
+    bool mayBeOneOfMany = now() - *m_startedAt < startTime && m_entries.exceedsStoredCount();
+    std::size_t minEntries = mayBeOneOfMany ? minEntriesAtStart : 1;
     CreditDeposit deposit { elapsed, static_cast<std::uint32_t>(std::max(m_entries.recentMaxAddresses(now()), minEntries)) };
     SocketAddress pool = poolOf(m_self.region);
     // Another pool could have credited the lost time already.
@@ -272,29 +274,43 @@
         if (!first->isDecided && !isCovered && !first->isAnswered)
             return;
         wallet.waiting.pop_front();
-        if (first->isDecided)
-            continue;
-        first->isDecided = true;
-        ++(isCovered ? wallet.granted : wallet.refused);
-        if (isCovered)
-            wallet.used.add(first->amount, now());
-        CreditPortion used = isCovered ? wallet.credit.take(first->amount, now()) : CreditPortion();
-        first->done({ isCovered, used, retryAfterLoss, wallet.credit.available(now()), first->pool });
+        if (!first->isDecided && isCovered)
+            serve(*first);
+        else if (!first->isDecided)
+            refuse(*first, retryAfterLoss);
     }
 }
 
+void CreditExchange::serve(Waiting& waiting)
+{
+    Wallet& wallet = walletOf(waiting.hash);
+    waiting.isDecided = true;
+    ++wallet.granted;
+    wallet.used.add(waiting.amount, now());
+    CreditPortion used = wallet.credit.take(waiting.amount, now());
+    waiting.done({ true, used, {}, wallet.credit.available(now()), waiting.pool });
+}
+
+void CreditExchange::refuse(Waiting& waiting, milliseconds retryAfter)
+{
+    Wallet& wallet = walletOf(waiting.hash);
+    waiting.isDecided = true;
+    ++wallet.refused;
+    waiting.done({ false, {}, retryAfter, wallet.credit.available(now()), waiting.pool });
+}
+
+// A request is served with the credit that was granted for it. The requests before it may
+// have asked an entry that doesn't answer, and would take that credit while theirs comes later.
 void CreditExchange::decide(const std::shared_ptr<Waiting>& waiting, const CreditPortion& portion, milliseconds retryAfter)
 {
     Wallet& wallet = walletOf(waiting->hash);
     wallet.credit.add(portion);
     waiting->isAnswered = true;
-    if (portion.amount > 0 || waiting->isDecided) {
-        settleWaiting(waiting->hash);
-        return;
-    }
-    waiting->isDecided = true;
-    ++wallet.refused;
-    waiting->done({ false, {}, retryAfter, wallet.credit.available(now()), waiting->pool });
+    bool isCovered = portion.amount + roundingError >= waiting->amount && wallet.credit.available(now()) + roundingError >= waiting->amount;
+    if (!waiting->isDecided && isCovered)
+        serve(*waiting);
+    else if (!waiting->isDecided && portion.amount <= 0)
+        refuse(*waiting, retryAfter);
     settleWaiting(waiting->hash);
 }
 
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -79,6 +79,22 @@
     return m_recentSize.take(m_addressCount, now);
 }
 
+void EntryTable::recordStoredCount(const StoredEntryCount& stored, TimePoint now)
+{
+    // A number that is read again must not count for longer.
+    if (stored.revision != m_storedCount.revision)
+        m_recentSize.take(stored.count, now);
+    m_storedCount = stored;
+}
+
+bool EntryTable::exceedsStoredCount() const
+{
+    std::set<SocketAddress> addresses { m_self.peerAddress };
+    for (const auto& [key, entry] : m_entries)
+        addresses.insert(entry.record.peerAddress);
+    return addresses.size() > m_storedCount.count;
+}
+
 EntryOrder EntryTable::orderFor(std::uint64_t subject, const std::vector<std::string>& regions) const
 {
     std::uint64_t own = stableHash(m_self.peerAddress.toString(), subject);
--- a/unittests/Ingress/CreditFleet.cpp
+++ b/unittests/Ingress/CreditFleet.cpp
@@ -10,6 +10,8 @@
 static constexpr milliseconds step { 10 };
 static constexpr milliseconds tickInterval { 100 };
 static constexpr milliseconds entryLeaseDuration { 4'000 };
+/// Time until a change of the number of entries is in the store.
+static constexpr milliseconds countWriteDelay { 2'000 };
 static constexpr milliseconds latencyInsideRegion { 1 };
 static constexpr milliseconds latencyBetweenRegions { 55 };
 static constexpr milliseconds maxRetryAfter { 2'000 };
@@ -53,50 +55,90 @@
     Entry& started = m_entries[entry];
     started.key = "entry-" + std::to_string(entry) + "." + std::to_string(++m_starts);
     started.table = std::make_unique<EntryTable>(started.record);
-    for (const Entry& other : m_entries) {
-        if (other.exchange)
-            started.table->put(other.key, other.record);
-    }
+    for (const auto& [key, record] : m_registrations)
+        started.table->put(key, record);
+    if (m_storedCount > 0)
+        started.table->recordStoredCount({ m_storedCount, 1 }, now());
     started.exchange = std::make_unique<CreditExchange>(
         *started.table, started.record, tolerance, scheduler, random, [this]() -> const WorkspaceTable& { return m_workspaces; },
         [this, entry](const OutgoingDatagram& datagram) { deliver(entry, datagram); });
-    registerEntry(entry);
+    started.startedAt = now();
     started.exchange->start();
+    registerEntry(entry);
 }
 
 void CreditFleet::registerEntry(std::size_t entry)
 {
+    const std::string& key = m_entries[entry].key;
+    m_entries[entry].table->put(key, m_entries[entry].record);
+    if (listingDelay == Duration::zero()) {
+        listRegistration(entry);
+        return;
+    }
+    scheduler.callAfter(listingDelay, [this, entry, key] {
+        if (m_entries[entry].key == key && isUp(entry))
+            listRegistration(entry);
+    });
+}
+
+void CreditFleet::listRegistration(std::size_t entry)
+{
+    const Entry& listed = m_entries[entry];
+    m_registrations[listed.key] = listed.record;
     for (Entry& other : m_entries) {
         if (other.table)
-            other.table->put(m_entries[entry].key, m_entries[entry].record);
+            other.table->put(listed.key, listed.record);
     }
 }
 
 void CreditFleet::removeRegistration(std::size_t entry)
 {
+    expireRegistration(m_entries[entry].key);
+}
+
+void CreditFleet::removeAllRegistrations()
+{
+    for (std::size_t entry = 0; entry < entries(); ++entry)
+        removeRegistration(entry);
+}
+
+void CreditFleet::expireRegistration(const std::string& key)
+{
+    m_registrations.erase(key);
     for (Entry& other : m_entries) {
         if (other.table)
-            other.table->remove(m_entries[entry].key, now());
+            other.table->remove(key, now());
     }
 }
 
 void CreditFleet::kill(std::size_t entry)
 {
     m_entries[entry].exchange.reset();
-    scheduler.callAfter(entryLeaseDuration, [this, key = m_entries[entry].key] {
-        for (Entry& other : m_entries) {
-            if (other.table)
-                other.table->remove(key, now());
-        }
-    });
+    scheduler.callAfter(entryLeaseDuration, [this, key = m_entries[entry].key] { expireRegistration(key); });
 }
 
 void CreditFleet::restart(std::size_t entry)
 {
-    m_entries[entry].exchange.reset();
+    if (isUp(entry))
+        kill(entry);
     start(entry);
 }
 
+void CreditFleet::killAll()
+{
+    for (std::size_t entry = 0; entry < entries(); ++entry) {
+        if (isUp(entry))
+            kill(entry);
+    }
+}
+
+void CreditFleet::restartAll()
+{
+    killAll();
+    for (std::size_t entry = 0; entry < entries(); ++entry)
+        start(entry);
+}
+
 void CreditFleet::setCutOff(const std::string& region, bool isCutOff)
 {
     if (isCutOff)
@@ -113,6 +155,14 @@
         m_cutOffEntries.erase(entry);
 }
 
+void CreditFleet::setSuspended(std::size_t entry, bool isSuspended)
+{
+    if (isSuspended)
+        m_suspendedEntries.insert(entry);
+    else
+        m_suspendedEntries.erase(entry);
+}
+
 void CreditFleet::deliver(std::size_t from, const OutgoingDatagram& datagram)
 {
     std::size_t to = m_entryAt.at(datagram.to);
@@ -129,7 +179,7 @@
     for (int copy = 0; copy < copies; ++copy) {
         Duration delay = (crossesRegions ? latencyBetweenRegions : latencyInsideRegion) * (1 + copy);
         scheduler.callAfter(delay, [this, from, to, text = datagram.bytes] {
-            if (!isUp(to))
+            if (!isUp(to) || m_suspendedEntries.count(to) > 0)
                 return;
             absl::StatusOr<CreditMessage> message = decodeCreditMessage(text);
             assert(message.ok() && "an encoded credit message can be decoded");
@@ -140,7 +190,7 @@
 
 void CreditFleet::request(std::size_t entry, double amount)
 {
-    if (!isUp(entry))
+    if (!isUp(entry) || m_suspendedEntries.count(entry) > 0)
         return;
     ++asked;
     askedAmount += amount;
@@ -183,8 +233,12 @@
         if (now() < m_nextTick)
             continue;
         m_nextTick = now() + tickInterval;
+        for (Entry& entry : m_entries) {
+            if (entry.exchange && now() - entry.startedAt >= countWriteDelay)
+                m_storedCount = std::max(m_storedCount, entry.table->recentMaxAddresses(now()));
+        }
         for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
-            if (isUp(entry))
+            if (isUp(entry) && m_suspendedEntries.count(entry) == 0)
                 m_entries[entry].exchange->tick();
         }
     }
