Write an earlier number of entries only once

After entries were removed, the number in the store could rise again: entries forget an earlier number at different times, and one that still remembered it wrote it after another had lowered it, which the others then counted for ten minutes more. An entry now raises the number only if more entries are registered than it says.

--- a/lib/Ingress/EntryCountWriter.cpp
+++ b/lib/Ingress/EntryCountWriter.cpp
@@ -41,7 +41,11 @@
 {
     TimePoint now = m_scheduler.clock().now();
     std::size_t count = m_entries.recentMaxAddresses(now);
-    if (count == 0 || count == m_entries.storedCount().count) {
+    // Entries forget an earlier number at different times. Those that remember it don't write
+    // it again after another one has lowered it.
+    std::size_t stored = m_entries.storedCount().count;
+    bool differs = count < stored || (count > stored && m_entries.exceedsStoredCount());
+    if (count == 0 || !differs) {
         m_differsSince.reset();
         return;
     }
--- a/unittests/Ingress/EntryCountWriterTest.cpp
+++ b/unittests/Ingress/EntryCountWriterTest.cpp
@@ -80,6 +80,25 @@
     CHECK(fixture.stored() == "2");
 }
 
+// Guards against entries that write an earlier number again by turns.
+TEST_CASE("the number of entries falls although the entries started at different times")
+{
+    CountFixture fixture(3);
+    fixture.scheduler.advance(1h);
+    fixture.advance(5s);
+    for (auto& table : fixture.tables)
+        table->remove("entry-3", fixture.scheduler.clock().now());
+    fixture.advance(6min);
+    // The first entry restarts.
+    fixture.tables[0] = std::make_unique<EntryTable>(entryRecord(1));
+    fixture.writers[0] = std::make_unique<EntryCountWriter>(fixture.store, fixture.scheduler, *fixture.tables[0]);
+    for (std::uint16_t number : { 1, 2 })
+        fixture.tables[0]->put("entry-" + std::to_string(number), entryRecord(number));
+    fixture.advance(30min);
+    CHECK(fixture.stored() == "2");
+    CHECK(fixture.store.calls(StoreCallGroup::Write) == 2);
+}
+
 TEST_CASE("an entry that starts counts the entries whose registrations have lapsed")
 {
     EntryTable table(entryRecord(1));
