Count the bytes of plain answers as signs of life

Callers of a long answer that isn't a stream lost it while it arrived: the entry took the endpoint for silent a second after the head, and sent the request elsewhere.

Cause: only heads and the bytes of streams were recorded as received. A test with an answer in four pieces over 1.6 s: before, the request is sent twice and no answer delivered by 2.5 s; after, once and whole.

--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -152,6 +152,7 @@
 void RoutedRun::onBody(absl::string_view bytes)
 {
     Attempt& attempt = *m_attempt;
+    recordEndpointActivity(attempt);
     if (!attempt.isEventStream) {
         attempt.body.append(bytes.data(), bytes.size());
         bool isTooLong = attempt.body.size() > static_cast<std::size_t>(m_routes->limits().maxBodyBytes) + extraAnswerBytes;
@@ -161,7 +162,6 @@
     }
     clearUnreadTokens(attempt);
     recordAnswerStart(attempt);
-    recordEndpointActivity(attempt);
     if (!attempt.endpoint)
         m_parts.entries.recordPeerServed(attempt.peer, now());
     std::size_t before = m_cursor.events();
--- a/unittests/Coordination/FakeHttpClient.h
+++ b/unittests/Coordination/FakeHttpClient.h
@@ -18,6 +18,8 @@
     /// Leaves the exchange open after the body.
     bool isLeftOpen { false };
     Duration delay { std::chrono::milliseconds(1) };
+    /// Time between the pieces of the body, and from the last one to the end.
+    Duration pieceInterval { 0 };
 
     static FakeHttpAnswer ok(std::string text)
     {
@@ -52,7 +54,12 @@
         auto exchange = std::make_shared<Exchange>();
         exchange->mayHaveReached = answer.mayHaveReachedServer;
         exchanges.push_back(exchange);
-        m_scheduler.callAfter(answer.delay, [exchange, answer, callbacks] { play(*exchange, answer, callbacks); });
+        m_scheduler.callAfter(answer.delay, [this, exchange, answer, callbacks] {
+            if (answer.pieceInterval > Duration::zero())
+                playSlowly(exchange, answer, callbacks);
+            else
+                play(*exchange, answer, callbacks);
+        });
         return exchange;
     }
     void forget(const SocketAddress&) override { }
@@ -73,6 +80,20 @@
     std::vector<std::shared_ptr<Exchange>> exchanges;
 
 private:
+    void playSlowly(const std::shared_ptr<Exchange>& exchange, FakeHttpAnswer answer, const HttpClientCallbacks& callbacks)
+    {
+        FakeHttpAnswer first = answer;
+        first.body.clear();
+        first.isLeftOpen = true;
+        play(*exchange, first, callbacks);
+        answer.status = 0;
+        for (std::size_t i = 0; i <= answer.body.size(); ++i) {
+            FakeHttpAnswer next = answer;
+            next.isLeftOpen = i < answer.body.size() || answer.isLeftOpen;
+            next.body = i < answer.body.size() ? std::vector<std::string> { answer.body[i] } : std::vector<std::string>();
+            m_scheduler.callAfter(answer.pieceInterval * (i + 1), [exchange, next, callbacks] { play(*exchange, next, callbacks); });
+        }
+    }
     static void play(const Exchange& exchange, const FakeHttpAnswer& answer, const HttpClientCallbacks& callbacks)
     {
         if (answer.status != 0 && !exchange.isCancelled)
--- a/unittests/Ingress/SilentEndpointTest.cpp
+++ b/unittests/Ingress/SilentEndpointTest.cpp
@@ -1,5 +1,6 @@
 // Tests of requests at sound endpoints that fall silent for a while and go on where they were.
 #include "EntryFleet.h"
+#include "IngressFixture.h"
 #include "StreamFleet.h"
 
 #include <algorithm>
@@ -117,6 +118,15 @@
     CHECK(static_cast<double>(totals.completed) >= 0.98 * static_cast<double>(totals.streams));
 }
 
+/// Looks for silent endpoints every 0.1 s for 2.5 s.
+void watchSilence(IngressFixture& fixture)
+{
+    for (Duration passed { 0 }; passed < 2500ms; passed += 100ms) {
+        fixture.scheduler.advance(100ms);
+        fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
+    }
+}
+
 } // namespace
 
 // Guards against an attempt that is given up, though its endpoint goes on, for a retry that the
@@ -157,3 +167,48 @@
         }
     }
 }
+
+// Guards against an answer that is taken for silence because it isn't a stream.
+TEST_CASE("an endpoint that sends a plain answer piece by piece for two seconds isn't silent")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::unaryRoute(RequestKind::Idempotent);
+    route.timeout = 5s;
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = endpointAnswer(request, 200, "a");
+        answer.body = { "a", "b", "c", "d" };
+        answer.pieceInterval = 400ms;
+        return answer;
+    } };
+    auto client = fixture.start();
+    watchSilence(fixture);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    CHECK(client->body == "abcd");
+}
+
+// Guards against a silence of the entry's own making.
+TEST_CASE("an endpoint from which the entry doesn't read, since its client is slow, keeps the stream")
+{
+    IngressFixture fixture;
+    Route route = IngressFixture::streamRoute(true);
+    route.timeout = 5s;
+    fixture.configure(route);
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = streamAnswer(request, { 1 });
+        answer.isLeftOpen = true;
+        return answer;
+    } };
+    auto client = fixture.start();
+    client->pending = 1u << 20;
+    watchSilence(fixture);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    CHECK(client->isOpen());
+    client->writable();
+    fixture.scheduler.advance(10s);
+    CHECK(fixture.parts.openRequestCount == 0);
+}
