--- a/unittests/Ingress/SilentReplacementTest.cpp
+++ b/unittests/Ingress/SilentReplacementTest.cpp
@@ -141,6 +141,39 @@
     CHECK(client->status() == 200);
 }
 
+// An endpoint resets the connections beyond its limit, and the request may have run then.
+TEST_CASE("review: a request isn't moved to an endpoint that has no connection left by the configuration in force")
+{
+    for (bool changesBefore : { true, false }) {
+        SilentFixture fixture;
+        auto limitConnections = [&fixture] {
+            Route route = IngressFixture::unaryRoute(RequestKind::Idempotent);
+            route.timeout = 5s;
+            ServiceSettings service;
+            service.name = "service";
+            service.maxConnections = 1;
+            fixture.parts.routes = std::make_shared<const RouteTable>(2, std::vector<Route> { route }, std::vector<ServiceSettings> { service }, ClientLimits {});
+        };
+        if (changesBefore)
+            limitConnections();
+        fixture.answers = { answeringAfter(1'700ms), answeringAfter(900ms), answeringAfter(10ms) };
+        auto first = fixture.start();
+        fixture.addEndpoint("full");
+        fixture.scheduler.advance(900ms);
+        auto second = fixture.start();
+        REQUIRE(fixture.endpointClient.requests.size() == 2);
+        REQUIRE(fixture.endpointClient.requests[1].server != fixture.endpointClient.requests[0].server);
+        limitConnections();
+        fixture.scheduler.advance(700ms);
+        fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
+        INFO("in force before the request: " << changesBefore);
+        CHECK(fixture.endpointClient.requests.size() == 2);
+        fixture.scheduler.advance(3s);
+        CHECK(first->status() == 200);
+        CHECK(second->status() == 200);
+    }
+}
+
 // The connection between the entries hangs, or the other entry ends.
 TEST_CASE("review: a request that leaves a silent endpoint for an entry whose connection breaks is answered")
 {
