--- a/unittests/Ingress/SilentReplacementTest.cpp
+++ b/unittests/Ingress/SilentReplacementTest.cpp
@@ -141,6 +141,31 @@
     CHECK(client->status() == 200);
 }
 
+TEST_CASE("review: a request that leaves a silent endpoint over a connection that hangs is answered")
+{
+    auto hanging = [](const HttpClientRequest&) {
+        FakeHttpAnswer answer = FakeHttpAnswer::failed(HttpEnd::NoResponse, true);
+        answer.isLeftOpen = true;
+        return answer;
+    };
+    for (bool movesToEntry : { false, true }) {
+        SilentFixture fixture;
+        fixture.answers = { answeringAfter(1'700ms), hanging };
+        fixture.peerClient.handler = hanging;
+        auto client = fixture.start();
+        fixture.addEndpoint("other", movesToEntry ? "south-a" : "north-a");
+        fixture.addEntry("peer", "south", peerAddress.port);
+        fixture.scheduler.advance(1'600ms);
+        fixture.parts.entries.recordPeerServed(peerAddress, fixture.scheduler.clock().now());
+        for (int i = 0; i < 16; ++i) {
+            fixture.checkSilence();
+            fixture.scheduler.advance(250ms);
+        }
+        INFO("moves to an entry: " << movesToEntry);
+        CHECK(client->status() == 200);
+    }
+}
+
 // An endpoint resets the connections beyond its limit, and the request may have run then.
 TEST_CASE("review: a request isn't moved to an endpoint that has no connection left by the configuration in force")
 {
