--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -69,8 +69,9 @@
     /// failed to answer since. Such an entry may still serve requests after the store has
     /// dropped its registration.
     std::optional<SocketAddress> chooseDepartedPeer(const std::string& region, TimePoint now, Random& random) const;
-    /// The same, among the entries that have just relayed an endpoint's answer to this one.
-    std::optional<SocketAddress> chooseServingPeer(const std::string& region, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const;
+    /// The same, among the entries that have just relayed an answer of an endpoint of \p service
+    /// to this one.
+    std::optional<SocketAddress> chooseServingPeer(const std::string& region, const std::string& service, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const;
     /// Returns the addresses of the other entries of \p region.
     std::vector<SocketAddress> peerAddresses(const std::string& region) const;
     /// Returns the regions that have entries, except for this entry's region.
@@ -81,8 +82,8 @@
     /// Records that \p peer refused a request because it reaches no endpoints; choosePeer()
     /// skips it for a moment.
     void recordPeerCutOff(const SocketAddress& peer, TimePoint now);
-    /// Records that \p peer relayed the answer of an endpoint.
-    void recordPeerServed(const SocketAddress& peer, TimePoint now);
+    /// Records that \p peer relayed the answer of an endpoint of \p service.
+    void recordPeerServed(const SocketAddress& peer, const std::string& service, TimePoint now);
 
     /// Returns the keys of the entries of \p region, one for each address.
     std::vector<std::string> keysOfRegion(const std::string& region) const;
@@ -154,7 +155,8 @@
     std::map<SocketAddress, Departed> m_removedAddresses;
     std::map<SocketAddress, TimePoint> m_suspectUntil;
     std::map<SocketAddress, TimePoint> m_cutOffUntil;
-    std::map<SocketAddress, TimePoint> m_servingUntil;
+    /// Until when an entry counts as one that reaches the endpoints of a service.
+    std::map<SocketAddress, std::map<std::string, TimePoint>> m_servingUntil;
 };
 
 } // namespace catkinwing
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -206,11 +206,13 @@
     return candidates[random.below(candidates.size())];
 }
 
-std::optional<SocketAddress> EntryTable::chooseServingPeer(const std::string& region, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const
+std::optional<SocketAddress> EntryTable::chooseServingPeer(const std::string& region, const std::string& service, TimePoint now, Random& random, const std::vector<SocketAddress>& excluded) const
 {
     std::vector<SocketAddress> skipped = excluded;
     for (const SocketAddress& peer : peerAddresses(region)) {
-        if (!isMarked(m_servingUntil, peer, now))
+        auto served = m_servingUntil.find(peer);
+        bool isServing = served != m_servingUntil.end() && served->second.count(service) > 0 && now < served->second.at(service);
+        if (!isServing)
             skipped.push_back(peer);
     }
     return choosePeer(region, now, random, skipped);
@@ -253,9 +255,9 @@
     m_servingUntil.erase(peer);
 }
 
-void EntryTable::recordPeerServed(const SocketAddress& peer, TimePoint now)
+void EntryTable::recordPeerServed(const SocketAddress& peer, const std::string& service, TimePoint now)
 {
-    m_servingUntil[peer] = now + peerServingTime;
+    m_servingUntil[peer][service] = now + peerServingTime;
 }
 
 void EntryTable::recordPeerFailure(const SocketAddress& peer, TimePoint now)
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -163,7 +163,7 @@
     clearUnreadTokens(attempt);
     recordAnswerStart(attempt);
     if (!attempt.endpoint)
-        m_parts.entries.recordPeerServed(attempt.peer, now());
+        m_parts.entries.recordPeerServed(attempt.peer, m_service, now());
     std::size_t before = m_cursor.events();
     std::string events = m_cursor.feed(bytes);
     bool hasContinued = attempt.lastEventAt != TimePoint {} && !m_isReadingPaused;
@@ -281,7 +281,7 @@
         m_parts.entries.recordPeerResponse(attempt.peer);
     }
     if (!attempt.endpoint && hasSucceeded)
-        m_parts.entries.recordPeerServed(attempt.peer, now());
+        m_parts.entries.recordPeerServed(attempt.peer, m_service, now());
     bool mayHaveRun = verdict != AttemptVerdict::NotRun;
     m_possiblyRunAttempts += mayHaveRun ? possiblyRunAttemptsOf(attempt) : 0;
     bool hasReachedNone = verdict == AttemptVerdict::NotRun && (!attempt.head || attempt.isPeerCutOff);
--- a/lib/Ingress/RoutedRunSilence.cpp
+++ b/lib/Ingress/RoutedRunSilence.cpp
@@ -96,7 +96,7 @@
             regions.push_back(region);
     }
     for (const std::string& region : regions) {
-        if (std::optional<SocketAddress> peer = m_parts.entries.chooseServingPeer(region, now(), m_parts.random, m_triedEntries))
+        if (std::optional<SocketAddress> peer = m_parts.entries.chooseServingPeer(region, m_service, now(), m_parts.random, m_triedEntries))
             return Replacement { nullptr, *peer, region };
     }
     return std::nullopt;
--- a/unittests/Ingress/SilentReplacementTest.cpp
+++ b/unittests/Ingress/SilentReplacementTest.cpp
@@ -64,7 +64,7 @@
 } // namespace
 
 // Guards against a retry that several replacements count on, each for itself.
-TEST_CASE("review: two requests that leave a silent endpoint for one that refuses them are both answered")
+TEST_CASE("two requests that leave a silent endpoint for one that refuses them are both answered")
 {
     SilentFixture fixture;
     fixture.answers = { answeringAfter(1'700ms), answeringAfter(1'700ms), refusing, refusing, answeringAfter(10ms) };
@@ -79,7 +79,7 @@
     CHECK(second->status() == 200);
 }
 
-TEST_CASE("review: a request isn't moved from a silent endpoint when too little time is left for another run")
+TEST_CASE("a request isn't moved from a silent endpoint when too little time is left for another run")
 {
     SilentFixture fixture(2s);
     fixture.answers = { answeringAfter(1'800ms), answeringAfter(300ms) };
@@ -91,7 +91,7 @@
     CHECK(client->status() == 200);
 }
 
-TEST_CASE("review: a request that leaves a silent endpoint and is refused by all others is answered")
+TEST_CASE("a request that leaves a silent endpoint and is refused by all others is answered")
 {
     SilentFixture fixture;
     fixture.answers = { answeringAfter(1'700ms), refusing, refusing, refusing, answeringAfter(10ms) };
@@ -104,7 +104,7 @@
     CHECK(client->status() == 200);
 }
 
-TEST_CASE("review: a request that leaves a silent endpoint and reaches no other is answered")
+TEST_CASE("a request that leaves a silent endpoint and reaches no other is answered")
 {
     SilentFixture fixture;
     fixture.answers = { answeringAfter(1'700ms), unreached, unreached, unreached, unreached, answeringAfter(10ms) };
@@ -117,7 +117,7 @@
     CHECK(client->status() == 200);
 }
 
-TEST_CASE("review: a request that leaves a silent endpoint for one whose connection breaks is answered")
+TEST_CASE("a request that leaves a silent endpoint for one whose connection breaks is answered")
 {
     SilentFixture fixture;
     fixture.answers = { answeringAfter(1'700ms), [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::NoResponse, true); }, answeringAfter(10ms) };
@@ -129,7 +129,7 @@
     CHECK(client->status() == 200);
 }
 
-TEST_CASE("review: a request that leaves a silent endpoint for one that answers with a failure is answered")
+TEST_CASE("a request that leaves a silent endpoint for one that answers with a failure is answered")
 {
     SilentFixture fixture;
     fixture.answers = { answeringAfter(1'700ms), [](const HttpClientRequest& request) { return endpointAnswer(request, 500, "failure"); }, answeringAfter(10ms) };
@@ -141,7 +141,7 @@
     CHECK(client->status() == 200);
 }
 
-TEST_CASE("review: a request that leaves a silent endpoint over a connection that hangs is answered")
+TEST_CASE("a request that leaves a silent endpoint over a connection that hangs is answered")
 {
     auto hanging = [](const HttpClientRequest&) {
         FakeHttpAnswer answer = FakeHttpAnswer::failed(HttpEnd::NoResponse, true);
@@ -156,7 +156,7 @@
         fixture.addEndpoint("other", movesToEntry ? "south-a" : "north-a");
         fixture.addEntry("peer", "south", peerAddress.port);
         fixture.scheduler.advance(1'600ms);
-        fixture.parts.entries.recordPeerServed(peerAddress, fixture.scheduler.clock().now());
+        fixture.parts.entries.recordPeerServed(peerAddress, "service", fixture.scheduler.clock().now());
         for (int i = 0; i < 16; ++i) {
             fixture.checkSilence();
             fixture.scheduler.advance(250ms);
@@ -167,7 +167,7 @@
 }
 
 // An endpoint resets the connections beyond its limit, and the request may have run then.
-TEST_CASE("review: a request isn't moved to an endpoint that has no connection left by the configuration in force")
+TEST_CASE("a request isn't moved to an endpoint that has no connection left by the configuration in force")
 {
     for (bool changesBefore : { true, false }) {
         SilentFixture fixture;
@@ -200,7 +200,7 @@
 }
 
 // The connection between the entries hangs, or the other entry ends.
-TEST_CASE("review: a request that leaves a silent endpoint for an entry whose connection breaks is answered")
+TEST_CASE("a request that leaves a silent endpoint for an entry whose connection breaks is answered")
 {
     SilentFixture fixture;
     fixture.addEndpoint("south", "south-a");
@@ -209,14 +209,14 @@
     fixture.peerClient.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::NoResponse, true); };
     auto client = fixture.start();
     fixture.scheduler.advance(1'600ms);
-    fixture.parts.entries.recordPeerServed(peerAddress, fixture.scheduler.clock().now());
+    fixture.parts.entries.recordPeerServed(peerAddress, "service", fixture.scheduler.clock().now());
     fixture.checkSilence();
     fixture.scheduler.advance(3s);
     CHECK(client->status() == 200);
 }
 
 // The other entry has just relayed an answer of another service.
-TEST_CASE("review: a request that leaves a silent endpoint for an entry that is cut off as well is answered")
+TEST_CASE("a request that leaves a silent endpoint for an entry that is cut off as well is answered")
 {
     SilentFixture fixture;
     fixture.addEndpoint("silent too");
@@ -231,7 +231,7 @@
     auto first = fixture.start();
     auto second = fixture.start();
     fixture.scheduler.advance(1'600ms);
-    fixture.parts.entries.recordPeerServed(peerAddress, fixture.scheduler.clock().now());
+    fixture.parts.entries.recordPeerServed(peerAddress, "other", fixture.scheduler.clock().now());
     fixture.checkSilence();
     fixture.scheduler.advance(3s);
     CHECK(first->status() == 200);
@@ -239,7 +239,7 @@
 }
 
 // Crashes that are known in the other region only.
-TEST_CASE("review: a request that leaves a silent endpoint for a region that refuses it for crashes is answered")
+TEST_CASE("a request that leaves a silent endpoint for a region that refuses it for crashes is answered")
 {
     SilentFixture fixture;
     fixture.addEndpoint("south", "south-a");
@@ -253,7 +253,7 @@
     };
     auto client = fixture.start();
     fixture.scheduler.advance(1'600ms);
-    fixture.parts.entries.recordPeerServed(peerAddress, fixture.scheduler.clock().now());
+    fixture.parts.entries.recordPeerServed(peerAddress, "service", fixture.scheduler.clock().now());
     fixture.checkSilence();
     fixture.scheduler.advance(3s);
     CHECK(client->status() == 200);
@@ -343,7 +343,7 @@
 
 } // namespace
 
-TEST_CASE("review: an endpoint that sends an answer piece by piece isn't silent")
+TEST_CASE("an endpoint that sends an answer piece by piece isn't silent")
 {
     SteadyFixture fixture;
     auto client = fixture.begin();
@@ -355,7 +355,7 @@
     CHECK(fixture.client.requests == 1);
 }
 
-TEST_CASE("review: an entry whose endpoints send answers piece by piece isn't cut off")
+TEST_CASE("an entry whose endpoints send answers piece by piece isn't cut off")
 {
     SteadyFixture fixture;
     auto first = fixture.begin();
@@ -397,7 +397,7 @@
     return failures;
 }
 
-TEST_CASE("review: requests at few endpoints, some of which refuse, get their answers while these fall silent")
+TEST_CASE("requests at few endpoints, some of which refuse, get their answers while these fall silent")
 {
     for (double refused : { 0.0, 0.3 }) {
         for (std::size_t endpoints : { 2, 3, 4 }) {
