Keep an attempt for two seconds of silence before it is moved

Cause: an attempt was moved after one second of silence. A sound endpoint may be silent for a second or so and go on, and a moved request has one attempt less, whatever becomes of the replacement. Now an attempt is moved after two seconds; new requests avoid the endpoint after one second, as before.

Two tests had the old limit in them: they now require that the request isn't moved at 1.6 s and is at 2.6 s.

--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -28,6 +28,9 @@
 /// adds 0.25 s; an engine that processes a long prompt still sends events of its other
 /// requests.
 static constexpr milliseconds maxSilence { 1'000 };
+/// An attempt is moved away from an endpoint that sends nothing for this long. A sound endpoint may
+/// be silent for a second or so and go on, and a request that was moved has one attempt less.
+static constexpr milliseconds maxAttemptSilence { 2'000 };
 /// An entry that receives nothing from any endpoint for this long, though it waits for
 /// several of them, may be cut off. Endpoints that work at all send events every few tens of
 /// milliseconds.
@@ -348,7 +351,7 @@
 {
     std::vector<std::shared_ptr<RoutedEndpoint>> silent;
     for (const auto& [incarnation, endpoint] : m_endpoints) {
-        bool isSilent = !endpoint->abortCallbacks.empty() && isSilentFor(*endpoint, maxSilence, now);
+        bool isSilent = !endpoint->abortCallbacks.empty() && isSilentFor(*endpoint, maxAttemptSilence, now);
         if (isSilent && (isSuspect(*endpoint, now) || isCutOff(endpoint->record.service, now)))
             silent.push_back(endpoint);
     }
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -554,8 +554,9 @@
 }
 
 // Guards against requests that wait for an unresponsive endpoint until their deadline:
-// the endpoint sends nothing and keeps the connections open. Answers of this service
-// take up to 0.5 s, so 1.5 s without a byte show that the endpoint is unresponsive.
+// the endpoint sends nothing and keeps the connections open. A sound one may be silent
+// for 1.6 s. Answers of this service take up to 0.5 s, so 2.5 s without a byte show that
+// the endpoint is unresponsive.
 TEST_CASE("an unresponsive endpoint loses idempotent requests to another endpoint and keeps non-idempotent ones")
 {
     for (RequestKind kind : { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
@@ -567,11 +568,13 @@
         fixture.addEndpoint("e2");
         fixture.answers = { unresponsive, succeeding };
         auto client = fixture.start();
-        fixture.scheduler.advance(800ms);
-        fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
+        for (Duration passed { 0 }; passed < 1'600ms; passed += 100ms) {
+            fixture.scheduler.advance(100ms);
+            fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
+        }
         fixture.scheduler.advance(10ms);
         CHECK(fixture.endpointClient.requests.size() == 1);
-        fixture.scheduler.advance(800ms);
+        fixture.scheduler.advance(1s);
         fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
         fixture.scheduler.advance(10ms);
         bool isRetried = kind == RequestKind::Idempotent;
@@ -603,6 +606,10 @@
     fixture.scheduler.advance(1'600ms);
     fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
     fixture.scheduler.advance(100ms);
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    fixture.scheduler.advance(1s);
+    fixture.parts.endpoints.abortUnresponsive(fixture.scheduler.clock().now());
+    fixture.scheduler.advance(100ms);
     CHECK(client->body == eventText(1) + eventText(2) + eventText(3));
     CHECK(fixture.endpointClient.exchanges[0]->isCancelled);
     CHECK(fixture.sentHeader(1, "resume-after") == "2");
