--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -103,7 +103,7 @@
     virtual void revokeLease(StoreLease lease, DoneCallback done) = 0;
     /// Sets the function that is called, later, when an answer to any call shows a new era. A
     /// store without eras never calls it.
-    virtual void setEraCallback(std::function<void()>) { }
+    virtual void setEraCallback(const std::function<void()>&) { }
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/RelayedStore.h
+++ b/include/catkinwing/Ingress/RelayedStore.h
@@ -45,7 +45,7 @@
     void grantLease(std::chrono::milliseconds timeToLive, LeaseCallback done) override;
     void keepAlive(StoreLease lease, KeepAliveCallback done) override;
     void revokeLease(StoreLease lease, DoneCallback done) override;
-    void setEraCallback(std::function<void()> onNewEra) override;
+    void setEraCallback(const std::function<void()>& onNewEra) override;
 
     /// Answers another entry's request for changes, which waits for the store's
     /// next answer if there are no changes yet. Refuses the request with status
--- a/lib/Ingress/RelayedStore.cpp
+++ b/lib/Ingress/RelayedStore.cpp
@@ -490,9 +490,9 @@
     m_impl->directStore.revokeLease(lease, std::move(done));
 }
 
-void RelayedStore::setEraCallback(std::function<void()> onNewEra)
+void RelayedStore::setEraCallback(const std::function<void()>& onNewEra)
 {
-    m_impl->directStore.setEraCallback(std::move(onNewEra));
+    m_impl->directStore.setEraCallback(onNewEra);
 }
 
 namespace {
--- a/unittests/Coordination/ConfigSourceTest.cpp
+++ b/unittests/Coordination/ConfigSourceTest.cpp
@@ -248,7 +248,7 @@
     void grantLease(std::chrono::milliseconds timeToLive, LeaseCallback done) override { m_store.grantLease(timeToLive, std::move(done)); }
     void keepAlive(StoreLease lease, KeepAliveCallback done) override { m_store.keepAlive(lease, std::move(done)); }
     void revokeLease(StoreLease lease, DoneCallback done) override { m_store.revokeLease(lease, std::move(done)); }
-    void setEraCallback(std::function<void()> given) override { onNewEra = std::move(given); }
+    void setEraCallback(const std::function<void()>& given) override { onNewEra = given; }
 
     std::function<void()> onNewEra;
 
