--- a/unittests/Dispatch/LedgerViewTest.cpp
+++ b/unittests/Dispatch/LedgerViewTest.cpp
@@ -89,7 +89,7 @@
         auto swap = view.plan({ claimOf(minute) }, now, {});
         REQUIRE(swap);
         REQUIRE(swap->addsClaims);
-        view.commit(*std::move(swap), StoreRevision(minute + 1), now);
+        view.commit(*std::move(swap), StoreRevision(static_cast<std::int64_t>(minute) + 1), now);
         while (!view.find(claimOf(oldest).key))
             ++oldest;
         std::uint64_t kept = minute - oldest;
--- a/unittests/Ingress/SilentReplacementTest.cpp
+++ b/unittests/Ingress/SilentReplacementTest.cpp
@@ -406,7 +406,9 @@
                     EntryFleet fleet(seed, 3, endpoints, hasHome ? std::vector<std::string> { "south" } : std::vector<std::string> {});
                     fleet.refusedFraction = refused;
                     INFO("refused " << refused << ", endpoints per region " << endpoints << ", seed " << seed << ", home " << hasHome);
-                    CHECK(failuresOf(fleet, 250ms) == std::vector<std::string>());
+                    std::vector<std::string> failures = failuresOf(fleet, 250ms);
+                    CAPTURE(failures);
+                    CHECK(failures.empty());
                 }
             }
         }
