--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -3,6 +3,7 @@
 #include "catkinwing/Config/Workspace.h"
 #include "catkinwing/Support/Clock.h"
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/string_view.h>
 #include <chrono>
 #include <cstdint>
@@ -69,6 +70,9 @@
     std::vector<std::string> regions;
     /// Every route of the host is bound.
     bool bindsAll { false };
+    /// Requests of the host go to services that serve mixed prompts, so that few entries can't
+    /// stand in for many: the host's urgent callers have little time.
+    bool hasTightTargets { false };
 };
 
 HostHomes homesOf(const RouteTable& table, absl::string_view host);
@@ -89,6 +93,10 @@
     /// Tokens of prompts and answers that fit in an endpoint's memory; zero if
     /// it is no model engine.
     std::int64_t memoryTokens { 0 };
+    /// Bytes of one cached token, and the bandwidth of an endpoint's link to others in bits a
+    /// second; zero if endpoints don't transfer cached segments.
+    std::int64_t tokenBytes { 0 };
+    double transferBitsPerSecond { 0 };
 };
 
 /// What the routes of a service ask that are as urgent as one priority or more.
@@ -121,6 +129,10 @@
     const ServiceSettings* findService(absl::string_view name) const;
     /// Returns the priorities of the routes to a service, the most urgent first.
     const std::vector<UrgencyLevel>& urgenciesOf(absl::string_view service) const;
+    /// Returns whether streams with prompts of several priorities use the service, and the most
+    /// urgent ones have the shortest latency target. Long prompts of the others then delay
+    /// callers who have less time.
+    bool servesMixedPrompts(absl::string_view service) const;
 
 private:
     std::int64_t m_version { 0 };
@@ -132,6 +144,7 @@
     absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, std::size_t>> m_routesOfHost;
     absl::flat_hash_map<std::string, std::size_t> m_serviceIndex;
     absl::flat_hash_map<std::string, std::vector<UrgencyLevel>> m_urgencies;
+    absl::flat_hash_set<std::string> m_mixedServices;
 };
 
 } // namespace catkinwing
--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -56,6 +56,9 @@
     std::optional<int> priority;
     /// Name of the caller's workspace; empty if callers have none.
     std::string workspace;
+    /// Another endpoint, from which the endpoint fetches what it lacks of the prompt's cached
+    /// segments.
+    std::optional<SocketAddress> fetchFrom;
 };
 
 /// The fields of a response head that the gateway uses.
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -11,7 +11,9 @@
 #include "catkinwing/PeerProtocol/CrashReport.h"
 #include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/Routing/EndpointChoice.h"
+#include "catkinwing/Routing/PromptPlacement.h"
 #include "catkinwing/Routing/ResponseTimes.h"
+#include "catkinwing/Routing/SegmentFetch.h"
 #include "catkinwing/Routing/SegmentHolders.h"
 #include "catkinwing/Routing/SegmentRegions.h"
 #include "catkinwing/Routing/ServiceVersions.h"
@@ -89,6 +91,9 @@
     unsigned requestsInFlight { 0 };
     /// Estimated prompt tokens of these requests that still need prefill.
     std::int64_t unprefilledTokens { 0 };
+    /// Requests of this entry whose endpoint fetches a segment from this one and whose response
+    /// hasn't begun.
+    unsigned segmentTransfers { 0 };
     /// Response times of all endpoints of the service, as measured by this entry; shared
     /// by these endpoints.
     std::shared_ptr<ResponseTimes> serviceResponseTimes { std::make_shared<ResponseTimes>() };
@@ -106,6 +111,9 @@
     const ServiceSettings* service { nullptr };
     std::string sharedSegment;
     std::int64_t sharedTokens { 0 };
+    std::int64_t promptTokens { 0 };
+    /// The service serves mixed prompts.
+    bool isMixed { false };
     /// Expected number of events in the response.
     double expectedEvents { 0 };
     /// The software version at which the request must run; any if there is none.
@@ -194,9 +202,13 @@
     /// since bytes were last received from any of them.
     bool hasUntriedEndpoint(absl::string_view service, TimePoint now) const;
     EndpointReach& reach() { return m_reach; }
+    /// Returns the endpoint from which \p target should fetch the shared segment of \p request;
+    /// null if the segment is cached at \p target, or if none is suitable.
+    std::shared_ptr<RoutedEndpoint> chooseFetchSource(const RoutedEndpoint& target, const EndpointRequest& request, TimePoint now) const;
     /// Returns how many tokens of a prompt need prefill at the endpoint, and records that
-    /// the endpoint caches the shared segment from now on.
-    std::int64_t recordSegmentAndGetPrefillTokens(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedSegment, TimePoint now);
+    /// the endpoint caches the shared segment from now on. With \p isFetched, the endpoint
+    /// fetches the segment from another one.
+    std::int64_t recordSegmentAndGetPrefillTokens(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedSegment, TimePoint now, bool isFetched = false);
     /// Records that a request with the shared segment was sent to \p region.
     void recordSentToRegion(const std::string& region, absl::string_view sharedSegment, TimePoint now);
     /// Records that the endpoint has not executed a request and therefore doesn't cache its
@@ -306,6 +318,13 @@
     bool isSilentFor(const RoutedEndpoint& endpoint, Duration limit, TimePoint now) const;
     Endpoints endpointsWithRoom(const ServiceSettings& service, TimePoint now) const;
     EndpointCandidate candidateOf(const RoutedEndpoint& endpoint, const EndpointRequest& request, TimePoint now) const;
+    /// Returns the endpoints from which \p target may fetch the shared segment.
+    std::vector<SegmentSource> fetchSources(const Endpoints& endpoints, const EndpointRequest& request, const RoutedEndpoint* target, TimePoint now) const;
+    /// Returns the time for which \p endpoint prefills the prompt of the request. \p fetchTime is
+    /// the time to fetch the shared segment; nothing if it can't be fetched.
+    static Duration prefillTimeAt(const EndpointRequest& request, const ResponseEstimate& estimate, bool isCached, std::optional<Duration> fetchTime);
+    /// Chooses an endpoint for a request of a service that serves mixed prompts.
+    std::optional<std::size_t> chooseMixed(const Endpoints& endpoints, const std::vector<EndpointCandidate>& candidates, const EndpointRequest& request, TimePoint now, Random& random) const;
     static EndpointDemand demandOf(const EndpointRequest& request);
     bool isUsable(const RoutedEndpoint& endpoint) const;
     /// Returns whether the endpoint is usable and not paused.
--- a/include/catkinwing/Ingress/EntryTable.h
+++ b/include/catkinwing/Ingress/EntryTable.h
@@ -53,7 +53,8 @@
 
     /// Returns the addresses of entries for the clients of a zone: the first group that
     /// isn't empty of
-    /// - the entries of the zone,
+    /// - the entries of the zone, unless homes.hasTightTargets and more than half of them were
+    ///   removed in the last ten minutes: the rest would be overloaded by the zone's clients,
     /// - the entries of the region,
     /// - the entries of \p homes, the regions that may serve the clients' requests,
     /// - if there are homes: the entries of the region or the homes that were removed a
@@ -129,6 +130,9 @@
     std::uint64_t changeCount() const { return m_changeCount; }
 
 private:
+    std::size_t zoneSize(const std::string& availabilityZone) const;
+    bool hasLostMostOf(const std::string& availabilityZone, std::size_t left, TimePoint now) const;
+
     struct Entry {
         EntryRecord record;
         bool isMissing { false };
@@ -143,6 +147,8 @@
     std::map<std::string, Entry> m_entries;
     RecentMaximum m_recentSize { std::chrono::minutes(10) };
     StoredEntryCount m_storedCount;
+    /// The number of entries that each zone had in the last ten minutes.
+    std::map<std::string, RecentMaximum> m_recentZoneSizes;
     /// Number of distinct entry addresses.
     std::size_t m_addressCount { 0 };
     /// Value of m_changeCount at which m_addressCount was computed.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -84,6 +84,9 @@
         std::string region;
         /// Reason for the choice of the target. Written to the log only.
         const char* why { "" };
+        /// The endpoint that sends the shared segment to the attempt's endpoint; null if none
+        /// does.
+        std::shared_ptr<RoutedEndpoint> fetchSource;
         /// Prompt tokens counted as unread at the endpoint until the first bytes of the answer.
         std::int64_t unreadTokens { 0 };
         /// Unread prompt tokens of the endpoint when the attempt was sent, those of
--- a/lib/Config/RouteTable.cpp
+++ b/lib/Config/RouteTable.cpp
@@ -40,6 +40,16 @@
     return levels;
 }
 
+// An unset target counts as longer than any other.
+static bool hasTightestAtMostUrgent(const std::map<int, std::chrono::milliseconds>& targets)
+{
+    constexpr std::chrono::milliseconds notStated { 0 };
+    if (targets.size() < 2 || targets.begin()->second == notStated)
+        return false;
+    std::chrono::milliseconds mostUrgent = targets.begin()->second;
+    return std::all_of(std::next(targets.begin()), targets.end(), [&](const auto& level) { return level.second == notStated || mostUrgent < level.second; });
+}
+
 RouteTable::RouteTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSettings> services, ClientLimits limits, WorkspaceTable workspaces)
     : m_version(version)
     , m_routes(std::move(routes))
@@ -60,6 +70,19 @@
     }
     for (const auto& [service, ofService] : targets)
         m_urgencies[service] = levelsOf(ofService);
+    std::map<std::string, std::map<int, std::chrono::milliseconds>> promptTargets;
+    for (const Route& route : m_routes) {
+        if (route.kind != RequestKind::Streaming || !route.hasPromptAffinity)
+            continue;
+        for (const WeightedService& service : route.services) {
+            std::chrono::milliseconds& target = promptTargets[service.service][route.priority];
+            target = tighterOf(target, route.latencyTarget);
+        }
+    }
+    for (const auto& [service, ofService] : promptTargets) {
+        if (hasTightestAtMostUrgent(ofService))
+            m_mixedServices.insert(service);
+    }
 }
 
 const std::vector<UrgencyLevel>& RouteTable::urgenciesOf(absl::string_view service) const
@@ -69,19 +92,26 @@
     return found == m_urgencies.end() ? none : found->second;
 }
 
+bool RouteTable::servesMixedPrompts(absl::string_view service) const
+{
+    return m_mixedServices.contains(service);
+}
+
 HostHomes homesOf(const RouteTable& table, absl::string_view host)
 {
     std::map<std::string, std::size_t> allowedBy;
     std::size_t most = 0;
     bool hasUnbound = false;
+    HostHomes homes;
     for (const Route& route : table.routes()) {
         if (hostKey(route.host) != hostKey(host))
             continue;
         hasUnbound |= route.homeRegions.empty();
+        for (const WeightedService& service : route.services)
+            homes.hasTightTargets |= table.servesMixedPrompts(service.service);
         for (const std::string& region : route.homeRegions)
             most = std::max(most, ++allowedBy[region]);
     }
-    HostHomes homes;
     homes.bindsAll = !allowedBy.empty() && !hasUnbound;
     for (const auto& [region, routes] : allowedBy) {
         if (routes == most)
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -153,7 +153,8 @@
             candidates.push_back(candidate);
     }
     EndpointDemand demand = demandOf(request);
-    while (std::optional<std::size_t> index = chooseEndpoint(candidates, demand, random)) {
+    auto chooseNext = [&] { return request.isMixed ? chooseMixed(endpoints, candidates, request, now, random) : chooseEndpoint(candidates, demand, random); };
+    while (std::optional<std::size_t> index = chooseNext()) {
         if (tryTakeColdToken(*endpoints[*index], *request.service, now) && EndpointLimits::tryTake(endpoints[*index]->limit, now)) {
             if (rejections)
                 recordRoomAttempt(endpoints[*index]->room, now);
--- a/lib/Ingress/EndpointTableSegments.cpp
+++ b/lib/Ingress/EndpointTableSegments.cpp
@@ -14,7 +14,7 @@
     return endpointHash(region);
 }
 
-std::int64_t EndpointTable::recordSegmentAndGetPrefillTokens(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedSegment, TimePoint now)
+std::int64_t EndpointTable::recordSegmentAndGetPrefillTokens(const RoutedEndpoint& endpoint, std::int64_t promptTokens, std::int64_t sharedTokens, absl::string_view sharedSegment, TimePoint now, bool isFetched)
 {
     if (sharedSegment.empty())
         return promptTokens;
@@ -25,7 +25,82 @@
     m_segmentHolders.recordSent(endpoint.hash, segment, kilotokens);
     m_segmentRegions.recordSent(segment, reportedRegionHash(m_region), now);
     addSentSegment({ endpoint.hash, segment, kilotokens });
-    return tokens;
+    return isFetched ? std::max<std::int64_t>(promptTokens - sharedTokens, 0) : tokens;
+}
+
+static SegmentTransfer transferOf(const ServiceSettings& service)
+{
+    return { service.tokenBytes, service.transferBitsPerSecond };
+}
+
+std::vector<SegmentSource> EndpointTable::fetchSources(const Endpoints& endpoints, const EndpointRequest& request, const RoutedEndpoint* target, TimePoint now) const
+{
+    std::vector<SegmentSource> sources;
+    bool isPossible = request.isMixed && !request.sharedSegment.empty() && request.service->tokenBytes > 0;
+    if (!isPossible)
+        return sources;
+    std::uint32_t segment = segmentHash(request.sharedSegment);
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+        const RoutedEndpoint& endpoint = *endpoints[i];
+        bool isSuitable = &endpoint != target && endpoint.region == m_region && m_segmentHolders.holds(endpoint.hash, segment)
+            && isUsable(endpoint) && now >= endpoint.coldUntil && !isSuspect(endpoint, now);
+        if (!isSuitable || (target && target->build != endpoint.build))
+            continue;
+        Duration wait = predictedWait(endpoint, responseEstimateOf(endpoint, now), pendingWork(endpoint), *request.service);
+        sources.push_back({ i, wait, endpoint.segmentTransfers });
+    }
+    return sources;
+}
+
+std::shared_ptr<RoutedEndpoint> EndpointTable::chooseFetchSource(const RoutedEndpoint& target, const EndpointRequest& request, TimePoint now) const
+{
+    auto found = m_endpointsByService.find(request.service->name);
+    bool isCached = m_segmentHolders.holds(target.hash, segmentHash(request.sharedSegment));
+    if (found == m_endpointsByService.end() || isCached)
+        return nullptr;
+    std::vector<SegmentSource> sources = fetchSources(found->second, request, &target, now);
+    Duration prefill = std::chrono::duration_cast<Duration>(timePerKilotoken(responseEstimateOf(target, now)) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
+    std::optional<std::size_t> source = catkinwing::chooseFetchSource(sources, transferOf(*request.service), request.sharedTokens, prefill);
+    return source ? found->second[*source] : nullptr;
+}
+
+Duration EndpointTable::prefillTimeAt(const EndpointRequest& request, const ResponseEstimate& estimate, bool isCached, std::optional<Duration> fetchTime)
+{
+    auto timeFor = [&estimate](std::int64_t tokens) { return std::chrono::duration_cast<Duration>(timePerKilotoken(estimate) * (static_cast<double>(std::max<std::int64_t>(tokens, 0)) / tokensPerKilotoken)); };
+    Duration own = timeFor(request.promptTokens - request.sharedTokens);
+    if (isCached)
+        return own;
+    Duration shared = timeFor(request.sharedTokens);
+    return own + (fetchTime ? std::min(*fetchTime, shared) : shared);
+}
+
+std::optional<std::size_t> EndpointTable::chooseMixed(const Endpoints& endpoints, const std::vector<EndpointCandidate>& candidates, const EndpointRequest& request, TimePoint now, Random& random) const
+{
+    std::optional<Duration> fetchTime;
+    for (const SegmentSource& source : fetchSources(endpoints, request, nullptr, now)) {
+        std::optional<Duration> time = transferTime(transferOf(*request.service), request.sharedTokens, source.transfers);
+        if (time && (!fetchTime || *time < *fetchTime))
+            fetchTime = time;
+    }
+    std::vector<PlacementCandidate> placements;
+    placements.reserve(candidates.size());
+    for (const EndpointCandidate& candidate : candidates) {
+        const RoutedEndpoint& endpoint = *endpoints[candidate.index];
+        ResponseEstimate estimate = responseEstimateOf(endpoint, now);
+        PlacementCandidate placement;
+        placement.index = candidate.index;
+        placement.incarnation = candidate.incarnation;
+        placement.wait = candidate.wait;
+        placement.prefill = prefillTimeAt(request, estimate, candidate.cachesSegment, fetchTime);
+        placement.decode = std::chrono::duration_cast<Duration>(timePerEvent(estimate) * request.expectedEvents);
+        placement.requests = pendingWork(endpoint).requests;
+        placement.isSuspect = candidate.isSuspect;
+        placement.isTooBusy = candidate.isTooBusy;
+        placement.isLimited = candidate.isLimited;
+        placement.cachesSegment = candidate.cachesSegment;
+        placements.push_back(placement);
+    }
+    return choosePlacement(placements, request.sharedSegment, random);
 }
 
 void EndpointTable::addSentSegment(const PartSent& sent)
--- a/lib/Ingress/EntryTable.cpp
+++ b/lib/Ingress/EntryTable.cpp
@@ -66,6 +66,27 @@
     ++m_changeCount;
 }
 
+std::size_t EntryTable::zoneSize(const std::string& availabilityZone) const
+{
+    std::set<SocketAddress> addresses;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.record.availabilityZone == availabilityZone)
+            addresses.insert(entry.record.peerAddress);
+    }
+    return addresses.size();
+}
+
+// Entries are provisioned for the peak of their zone with some room to spare, but not for twice
+// their part of it.
+bool EntryTable::hasLostMostOf(const std::string& availabilityZone, std::size_t left, TimePoint now) const
+{
+    auto recent = m_recentZoneSizes.find(availabilityZone);
+    if (recent == m_recentZoneSizes.end())
+        return false;
+    RecentMaximum size = recent->second;
+    return 2 * left < size.take(left, now);
+}
+
 // Counts addresses because a restarted entry has two registrations until its old lease expires.
 std::size_t EntryTable::recentMaxAddresses(TimePoint now)
 {
@@ -115,6 +136,8 @@
     m_departed.erase(std::remove_if(m_departed.begin(), m_departed.end(), isExpired), m_departed.end());
     auto found = m_entries.find(key);
     if (found != m_entries.end()) {
+        const std::string& zone = found->second.record.availabilityZone;
+        m_recentZoneSizes.try_emplace(zone, std::chrono::minutes(10)).first->second.take(zoneSize(zone), now);
         m_departed.push_back({ found->second.record, now });
         m_removedAddresses[found->second.record.peerAddress] = { found->second.record, now };
     }
@@ -176,6 +199,8 @@
         if (isAllowed && !homes.regions.empty() && now - departed.removedAt <= shutdownTime)
             addOnce(leaving, departed.record.clientAddress);
     }
+    if (homes.hasTightTargets && hasLostMostOf(availabilityZone, ofZone.size(), now))
+        ofZone.clear();
     for (std::vector<SocketAddress>* group : { &ofZone, &ofRegion, &ofHomes, &leaving }) {
         if (!group->empty())
             return std::move(*group);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -275,6 +275,8 @@
     const PromptSegment* shared = sharedSegment();
     request.sharedSegment = shared ? shared->id : std::string();
     request.sharedTokens = shared ? shared->tokens : 0;
+    request.promptTokens = m_request.facts.promptTokens;
+    request.isMixed = m_routes->servesMixedPrompts(m_service);
     request.expectedEvents = expectedEvents();
     request.build = m_streamBuild;
     request.beginsResumableStream = isResumableStream() && !m_isStreamBound;
@@ -305,13 +307,19 @@
     facts.incarnation = endpoint->record.incarnation;
     facts.priority = requestPriority();
     facts.workspace = m_workspaceName;
+    EndpointRequest choice = endpointRequest();
+    std::shared_ptr<RoutedEndpoint> fetchSource = choice.isMixed && choice.service && !choice.sharedSegment.empty() ? m_parts.endpoints.chooseFetchSource(*endpoint, choice, now()) : nullptr;
+    if (fetchSource)
+        facts.fetchFrom = fetchSource->record.address;
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
     request.connectTimeout = m_parts.endpoints.isCutOff(m_service, now()) ? probeConnectTimeout : localConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
-    attempt.why = why;
+    attempt.why = fetchSource ? "fetched_part" : why;
     attempt.endpoint = std::move(endpoint);
+    if (choice.isMixed && m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens >= 1 && !choice.sharedSegment.empty())
+        m_parts.metrics.count("long_prompts_gathered");
     if (!m_parts.endpoints.mayHaveRestarted(*attempt.endpoint, now()))
         attempt.build = attempt.endpoint->build;
     const ServiceSettings* settings = m_routes->findService(m_service);
@@ -321,7 +329,13 @@
     if (attempt.endpoint->limit.named.perSecond)
         m_parts.metrics.count("requests_to_limited_endpoints");
     const PromptSegment* shared = sharedSegment();
-    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, shared ? shared->id : std::string(), now());
+    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, shared ? shared->id : std::string(), now(), fetchSource != nullptr);
+    if (fetchSource) {
+        ++fetchSource->segmentTransfers;
+        m_parts.metrics.count("segment_fetches");
+        m_parts.metrics.count("segment_fetch_tokens", choice.sharedTokens);
+        attempt.fetchSource = std::move(fetchSource);
+    }
     attempt.endpoint->unprefilledTokens += attempt.unreadTokens;
     attempt.unreadKilotokensAtStart = m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens;
     startAttempt(std::move(attempt), std::move(request));
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -121,6 +121,9 @@
     if (attempt.endpoint)
         attempt.endpoint->unprefilledTokens -= attempt.unreadTokens;
     attempt.unreadTokens = 0;
+    if (attempt.fetchSource)
+        --attempt.fetchSource->segmentTransfers;
+    attempt.fetchSource.reset();
 }
 
 // The time to the first bytes measures the speed of the endpoint only if it had a free
