--- a/unittests/Config/RouteTableTest.cpp
+++ b/unittests/Config/RouteTableTest.cpp
@@ -66,3 +66,32 @@
     any.isResumable = false;
     CHECK_FALSE(mayRepeat(any));
 }
+
+static Route promptRoute(std::string name, int priority, std::chrono::milliseconds target)
+{
+    Route prompts = route(std::move(name), "h", "/" + std::to_string(priority) + "/");
+    prompts.kind = RequestKind::Streaming;
+    prompts.hasPromptAffinity = true;
+    prompts.priority = priority;
+    prompts.latencyTarget = target;
+    return prompts;
+}
+
+// What is built for mixed prompts must not change how other deployments are served.
+TEST_CASE("a service serves mixed prompts if its most urgent streams have the shortest target")
+{
+    using namespace std::chrono_literals;
+    auto isMixed = [](std::vector<Route> routes) {
+        RouteTable table(1, std::move(routes), {}, {});
+        CHECK(homesOf(table, "h").hasTightTargets == table.servesMixedPrompts("service"));
+        CHECK_FALSE(homesOf(table, "g").hasTightTargets);
+        return table.servesMixedPrompts("service");
+    };
+    CHECK(isMixed({ promptRoute("short", 0, 500ms), promptRoute("long", 2, 1'500ms) }));
+    CHECK(isMixed({ promptRoute("short", 0, 500ms), promptRoute("long", 2, 0ms) }));
+    CHECK_FALSE(isMixed({ promptRoute("short", 0, 1'200ms), promptRoute("long", 1, 1'000ms) }));
+    CHECK_FALSE(isMixed({ promptRoute("short", 0, 500ms), promptRoute("long", 1, 500ms) }));
+    CHECK_FALSE(isMixed({ promptRoute("short", 0, 0ms), promptRoute("long", 1, 500ms) }));
+    CHECK_FALSE(isMixed({ promptRoute("short", 0, 500ms) }));
+    CHECK_FALSE(isMixed({ promptRoute("short", 0, 500ms), route("plain", "h", "/p/") }));
+}
--- a/unittests/Ingress/EntryTableTest.cpp
+++ b/unittests/Ingress/EntryTableTest.cpp
@@ -138,3 +138,31 @@
     table.recordPeerFailure(loopback(1'003), now + 10s);
     CHECK_FALSE(table.chooseDepartedPeer("south", now + 11s, random));
 }
+
+// Two entries of a zone that had nine got all of its clients, and their links were full.
+TEST_CASE("a zone that has lost most of its entries leaves clients with tight targets to its region")
+{
+    EntryTable table(makeRecord("north", "north-a", 1));
+    TimePoint now { 10s };
+    for (int i = 1; i <= 5; ++i)
+        table.put("a" + std::to_string(i), makeRecord("north", "north-a", i));
+    for (int i = 11; i <= 14; ++i)
+        table.put("b" + std::to_string(i), makeRecord("north", "north-b", i));
+    table.put("s1", makeRecord("south", "south-a", 21));
+    HostHomes tight;
+    tight.hasTightTargets = true;
+    CHECK(table.entriesFor("north", "north-a", tight, now).size() == 5);
+    table.remove("a1", now);
+    table.remove("a2", now);
+    CHECK(table.entriesFor("north", "north-a", tight, now).size() == 3);
+    table.remove("a3", now);
+    CHECK(table.entriesFor("north", "north-a", tight, now).size() == 6);
+    CHECK(table.entriesFor("north", "north-a", {}, now).size() == 2);
+    CHECK(table.entriesFor("north", "north-b", tight, now).size() == 4);
+    // They come back, or are gone for good.
+    table.put("a1-again", makeRecord("north", "north-a", 1));
+    CHECK(table.entriesFor("north", "north-a", tight, now + 1min).size() == 3);
+    table.remove("a1-again", now + 1min);
+    CHECK(table.entriesFor("north", "north-a", tight, now + 1min).size() == 6);
+    CHECK(table.entriesFor("north", "north-a", tight, now + 30min).size() == 2);
+}
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -58,6 +58,8 @@
         headers.set("workspace", facts.workspace);
     if (facts.resumeAfter)
         headers.set("resume-after", std::to_string(*facts.resumeAfter));
+    if (facts.fetchFrom)
+        headers.set("fetch-from", facts.fetchFrom->toString());
 }
 
 static ResponseFacts readTestAnswer(const HttpResponseHead& head)
