--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Admission/ForecastError.h"
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/CreditExchange.h"
@@ -14,6 +15,7 @@
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionAcceptance.h"
 #include "catkinwing/Routing/StreamLength.h"
+#include "catkinwing/Support/RecentMaximum.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -85,6 +87,10 @@
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
+    /// Errors of the predicted first events, by service.
+    absl::flat_hash_map<std::string, ForecastError> forecastErrors {};
+    /// The longest time in milliseconds that clients had left when a request arrived, by route.
+    absl::flat_hash_map<std::string, RecentMaximum> longestTimesLeft {};
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -89,6 +89,8 @@
         std::shared_ptr<RoutedEndpoint> fetchSource;
         /// Prompt tokens counted as unread at the endpoint until the first bytes of the answer.
         std::int64_t unreadTokens { 0 };
+        /// Predicted time until the first byte of the answer; zero if there is no prediction.
+        Duration predictedFirstByte { 0 };
         /// Unread prompt tokens of the endpoint when the attempt was sent, those of
         /// this request included, in thousands.
         double unreadKilotokensAtStart { 0 };
@@ -141,6 +143,9 @@
 
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
+    /// Returns the time since the client's first attempt, as far as its deadline tells it.
+    Duration elapsedForClient() const;
+    void recordTimeLeftAtArrival();
     /// Determines the workspace of the request. Returns false if the request was refused.
     bool identifyWorkspace();
     /// Determines the regions that may process the request. Returns false if the request
@@ -249,6 +254,8 @@
     static void clearUnreadTokens(Attempt& attempt);
     static void releaseEndpoint(Attempt& attempt);
     void recordAnswerStart(Attempt& attempt) const;
+    /// Records how far the predicted first byte was off.
+    void recordForecast(const Attempt& attempt) const;
     double expectedEvents() const;
     std::chrono::milliseconds retryAfter() const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
@@ -322,6 +329,8 @@
     /// The answer of the current attempt ends with the connection.
     bool m_isAnswerUnframed { false };
     TimePoint m_deadline {};
+    /// Time that clients of the route have in total; zero if unknown.
+    std::chrono::milliseconds m_clientTime { 0 };
     TimerId m_deadlineTimer { 0 };
     absl::optional<Attempt> m_attempt;
     std::uint64_t m_attemptCount { 0 };
--- a/include/catkinwing/Routing/PromptPlacement.h
+++ b/include/catkinwing/Routing/PromptPlacement.h
@@ -19,6 +19,9 @@
     Duration wait { 0 };
     /// Predicted time in which the endpoint prefills the prompt, or fetches and prefills it.
     Duration prefill { 0 };
+    /// Predicted time to prefill the segment that the endpoint evicts from its cache for that of
+    /// the request; zero if it caches the segment.
+    Duration evicted { 0 };
     /// Predicted time from the first event of the response to its end.
     Duration decode { 0 };
     /// Requests that run at the endpoint or wait there.
@@ -33,10 +36,10 @@
 };
 
 /// Returns the cost of a request at an endpoint, as a time: that until its response ends, plus the
-/// delay that its prefill causes to each request that runs there. An engine that prefills a
-/// prompt in chunks makes one decode step for each chunk. Long prompts therefore gather at
-/// endpoints that run few other requests, and short ones, which wait for the prompts ahead,
-/// keep away from these.
+/// delay that its prefill causes to requests that wait there for their first event, plus part of
+/// the prefill that evicting another segment causes. An engine that prefills a prompt in chunks
+/// makes one decode step for each chunk. Long prompts therefore gather at endpoints that run few
+/// other requests, and short ones, which wait for the prompts ahead, keep away from these.
 Duration placementCost(const PlacementCandidate& candidate);
 
 /// Chooses among \p candidates. Returns nothing if there are none or all are too busy. A request
--- a/lib/Ingress/EndpointTableSegments.cpp
+++ b/lib/Ingress/EndpointTableSegments.cpp
@@ -92,6 +92,8 @@
         placement.incarnation = candidate.incarnation;
         placement.wait = candidate.wait;
         placement.prefill = prefillTimeAt(request, estimate, candidate.cachesSegment, fetchTime);
+        if (!candidate.cachesSegment)
+            placement.evicted = std::chrono::duration_cast<Duration>(timePerKilotoken(estimate) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
         placement.decode = std::chrono::duration_cast<Duration>(timePerEvent(estimate) * request.expectedEvents);
         placement.requests = pendingWork(endpoint).requests;
         placement.isSuspect = candidate.isSuspect;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -48,6 +48,8 @@
 /// Afterwards the entry accepts only requests whose deadline is no later than the end
 /// of its planned stop.
 static constexpr milliseconds acceptAllWhileStopping { 3'000 };
+/// A new configuration or new clients may change the time that clients have.
+static constexpr std::chrono::seconds longestTimeLeftPeriod { 10 };
 
 void readForwardHeaders(const HttpHeaders& headers, RoutedRequest& request)
 {
@@ -110,6 +112,7 @@
     if (m_request.facts.timeLeft)
         allowed = std::min(allowed, *m_request.facts.timeLeft);
     m_deadline = m_request.arrivedAt + allowed;
+    recordTimeLeftAtArrival();
     if (!identifyWorkspace() || !determineHomes())
         return;
     if (!canRunBeforeStop()) {
@@ -131,6 +134,24 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now());
 }
 
+// The route's timeout may be longer than the time that clients have, so the time that they state at
+// most is the time of a first attempt.
+void RoutedRun::recordTimeLeftAtArrival()
+{
+    if (!m_request.facts.timeLeft)
+        return;
+    RecentMaximum& longest = m_parts.longestTimesLeft.try_emplace(m_route->name, longestTimeLeftPeriod).first->second;
+    m_clientTime = milliseconds(longest.take(static_cast<std::size_t>(std::max(*m_request.facts.timeLeft, milliseconds(0)).count()), now()));
+}
+
+Duration RoutedRun::elapsedForClient() const
+{
+    Duration elapsed = now() - m_request.arrivedAt;
+    if (m_request.facts.timeLeft)
+        elapsed += std::max<Duration>(m_clientTime - *m_request.facts.timeLeft, Duration::zero());
+    return elapsed;
+}
+
 bool RoutedRun::canRunBeforeStop() const
 {
     const std::optional<PlannedStop>& stop = m_parts.plannedStop;
@@ -177,6 +198,11 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
+    if (m_routes->servesMixedPrompts(m_service)) {
+        demand.elapsed = elapsedForClient() + (m_request.isForwarded ? regionRoundTrip / 2 : milliseconds(0));
+        auto error = m_parts.forecastErrors.find(m_service);
+        demand.forecastMargin = error == m_parts.forecastErrors.end() ? Duration::zero() : error->second.margin;
+    }
     return demand;
 }
 
@@ -240,8 +266,14 @@
         demand.mayAcceptLocally = m_parts.endpoints.usableByRegion(m_service, now()).count(m_parts.region) > 0;
     }
     std::vector<RegionOption> others;
-    for (const auto& [region, endpoints] : untriedRegions(m_service))
-        others.push_back({ region, expectedWaitIn(region), regionRoundTrip, durationAt(m_parts.outlooks.timePerEventIn(region, m_service)) });
+    bool isMixed = m_routes->servesMixedPrompts(m_service);
+    for (const auto& [region, endpoints] : untriedRegions(m_service)) {
+        std::optional<Duration> wait = expectedWaitIn(region);
+        // Callers with a tight target have no time for the round trip beside the longest wait.
+        if (isMixed && wait)
+            *wait += regionRoundTrip;
+        others.push_back({ region, wait, isMixed ? milliseconds(0) : regionRoundTrip, durationAt(m_parts.outlooks.timePerEventIn(region, m_service)) });
+    }
     RegionChoice choice = chooseRegion(demand, others, m_parts.random);
     if (choice.verdict == RegionVerdict::Forward)
         return !sharedSegment() && sendToEntryIn(choice.region, "shorter_wait");
@@ -337,6 +369,12 @@
         attempt.fetchSource = std::move(fetchSource);
     }
     attempt.endpoint->unprefilledTokens += attempt.unreadTokens;
+    if (choice.isMixed) {
+        ResponseEstimate estimate = EndpointTable::responseEstimateOf(*attempt.endpoint, now());
+        EndpointWork ahead = m_parts.endpoints.pendingWork(*attempt.endpoint);
+        ahead.requests -= 1;
+        attempt.predictedFirstByte = EndpointTable::predictedWait(*attempt.endpoint, estimate, ahead, *choice.service) + idleFirstByte(estimate);
+    }
     attempt.unreadKilotokensAtStart = m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens;
     startAttempt(std::move(attempt), std::move(request));
 }
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -135,6 +135,18 @@
     attempt.hasAnswerBegun = true;
     if (attempt.endpoint && attempt.hadFreeSlot)
         EndpointTable::recordFirstByte(*attempt.endpoint, attempt.unreadKilotokensAtStart, now() - attempt.startedAt, now());
+    if (attempt.predictedFirstByte > Duration::zero())
+        recordForecast(attempt);
+}
+
+void RoutedRun::recordForecast(const Attempt& attempt) const
+{
+    const std::vector<UrgencyLevel>& levels = m_routes->urgenciesOf(m_service);
+    Duration actual = now() - attempt.startedAt;
+    m_parts.metrics.observeStage(actual > attempt.predictedFirstByte ? "forecast_error_late" : "forecast_error_early", m_service,
+        actual > attempt.predictedFirstByte ? actual - attempt.predictedFirstByte : attempt.predictedFirstByte - actual);
+    // Half of the tightest target remains for waiting, whatever the error.
+    addForecastSample(m_parts.forecastErrors[m_service], attempt.predictedFirstByte, actual, levels.front().tightestTarget / 2);
 }
 
 double RoutedRun::expectedEvents() const
--- a/unittests/Routing/PromptPlacementTest.cpp
+++ b/unittests/Routing/PromptPlacementTest.cpp
@@ -31,7 +31,14 @@
             std::vector<PlacementCandidate> candidates;
             for (std::size_t i = 0; i < names.size(); ++i) {
                 std::int64_t tokens = promptTokens - (caches[i] ? sharedTokens : 0);
-                PlacementCandidate candidate { i, names[i], backlog[i], std::chrono::milliseconds(tokens / 50), 200ms, requests[i] };
+                PlacementCandidate candidate;
+                candidate.index = i;
+                candidate.incarnation = names[i];
+                candidate.wait = backlog[i];
+                candidate.prefill = std::chrono::milliseconds(tokens / 50);
+                candidate.evicted = caches[i] ? 0ms : std::chrono::milliseconds(sharedTokens / 50);
+                candidate.decode = 200ms;
+                candidate.requests = requests[i];
                 candidate.isTooBusy = backlog[i] > maxWait;
                 candidate.cachesSegment = caches[i];
                 candidates.push_back(candidate);
@@ -103,8 +110,8 @@
     std::array<int, 2> chosen {};
     for (int i = 0; i < 200; ++i) {
         std::vector<PlacementCandidate> candidates;
-        PlacementCandidate slow { 0, "slow", 0ms, 340ms, 800ms, 2 };
-        PlacementCandidate fast { 1, "fast", 0ms, 140ms, 330ms, 2 };
+        PlacementCandidate slow { 0, "slow", 0ms, 340ms, 260ms, 800ms, 2 };
+        PlacementCandidate fast { 1, "fast", 0ms, 140ms, 110ms, 330ms, 2 };
         candidates = { slow, fast };
         ++chosen[*choosePlacement(candidates, "segment", random)];
     }
@@ -114,8 +121,8 @@
 TEST_CASE("a request finds an endpoint among suspects only if there are no others")
 {
     Random random(6);
-    PlacementCandidate suspect { 0, "a", 0ms, 10ms, 10ms, 0, true };
-    PlacementCandidate sound { 1, "b", 90ms, 10ms, 10ms, 4 };
+    PlacementCandidate suspect { 0, "a", 0ms, 10ms, 0ms, 10ms, 0, true };
+    PlacementCandidate sound { 1, "b", 90ms, 10ms, 0ms, 10ms, 4 };
     for (int i = 0; i < 20; ++i)
         CHECK(*choosePlacement(std::vector<PlacementCandidate> { suspect, sound }, "", random) == 1);
     CHECK(*choosePlacement(std::vector<PlacementCandidate> { suspect }, "", random) == 0);
