--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -251,6 +251,8 @@
     bool routeFirstAttempt();
     std::optional<Duration> expectedWaitIn(const std::string& region) const;
     Duration maxWait() const;
+    /// Returns the longest wait of the request by the latency target of its own route.
+    Duration maxGatheringWait() const;
     static void clearUnreadTokens(Attempt& attempt);
     static void releaseEndpoint(Attempt& attempt);
     void recordAnswerStart(Attempt& attempt) const;
--- a/include/catkinwing/Routing/PromptPlacement.h
+++ b/include/catkinwing/Routing/PromptPlacement.h
@@ -7,6 +7,7 @@
 #include <absl/types/span.h>
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace catkinwing {
 
@@ -22,7 +23,8 @@
     /// Predicted time to prefill the segment that the endpoint evicts from its cache for that of
     /// the request; zero if it caches the segment.
     Duration evicted { 0 };
-    /// Predicted time from the first event of the response to its end.
+    /// Predicted time from the first event of the response to its end, with the mutual slowdown
+    /// of the requests that run there.
     Duration decode { 0 };
     /// Requests that run at the endpoint or wait there.
     double requests { 0 };
@@ -42,6 +44,11 @@
 /// other requests, and short ones, which wait for the prompts ahead, keep away from these.
 Duration placementCost(const PlacementCandidate& candidate);
 
+/// Lets a long prompt wait longer than urgent requests may, for at most \p maxWait, at the
+/// candidates that are too busy for it otherwise, unless half of all are too busy.
+/// Urgent requests keep the other half.
+void admitGathering(std::vector<PlacementCandidate>& candidates, Duration maxWait);
+
 /// Chooses among \p candidates. Returns nothing if there are none or all are too busy. A request
 /// with a long shared segment is compared at the endpoints that cache it, at the two that own
 /// it (see ownershipScore) and at two random ones; another one at two random ones.
--- a/lib/Ingress/EndpointTableSegments.cpp
+++ b/lib/Ingress/EndpointTableSegments.cpp
@@ -94,7 +94,7 @@
         placement.prefill = prefillTimeAt(request, estimate, candidate.cachesSegment, fetchTime);
         if (!candidate.cachesSegment)
             placement.evicted = std::chrono::duration_cast<Duration>(timePerKilotoken(estimate) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
-        placement.decode = std::chrono::duration_cast<Duration>(timePerEvent(estimate) * request.expectedEvents);
+        placement.decode = candidate.load - candidate.wait;
         placement.requests = pendingWork(endpoint).requests;
         placement.isSuspect = candidate.isSuspect;
         placement.isTooBusy = candidate.isTooBusy;
@@ -102,6 +102,8 @@
         placement.cachesSegment = candidate.cachesSegment;
         placements.push_back(placement);
     }
+    if (request.maxGatheringWait > Duration::zero())
+        admitGathering(placements, request.maxGatheringWait);
     return choosePlacement(placements, request.sharedSegment, random);
 }
 
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -244,6 +244,13 @@
     return maxQueueWait(waitDemand(), idleFirstByte(defaultResponseEstimate()));
 }
 
+Duration RoutedRun::maxGatheringWait() const
+{
+    WaitLimitInputs demand = waitDemand();
+    demand.latencyTarget = m_route->latencyTarget;
+    return maxQueueWait(demand, idleFirstByte(defaultResponseEstimate()));
+}
+
 std::optional<Duration> RoutedRun::expectedWaitIn(const std::string& region) const
 {
     return m_parts.outlooks.estimatedWait(region, m_service, now());
@@ -325,6 +332,8 @@
     // A request that may have run or whose answer has begun has no wait limit.
     WaitLimitInputs demand = waitDemand();
     request.demand = m_mayHaveRun || m_hasSentHead || m_mayWaitLong ? nullptr : &demand;
+    if (request.isMixed && !request.sharedSegment.empty())
+        request.maxGatheringWait = maxGatheringWait();
     std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(request, now(), m_parts.random);
     if (!endpoint)
         return false;
