--- a/include/catkinwing/Routing/PromptPlacement.h
+++ b/include/catkinwing/Routing/PromptPlacement.h
@@ -38,7 +38,7 @@
 };
 
 /// Returns the cost of a request at an endpoint, as a time: that until its response ends, plus the
-/// delay that its prefill causes to requests that wait there for their first event, plus part of
+/// delay that its prefill causes to each request that runs there, plus part of
 /// the prefill that evicting another segment causes. An engine that prefills a prompt in chunks
 /// makes one decode step for each chunk. Long prompts therefore gather at endpoints that run few
 /// other requests, and short ones, which wait for the prompts ahead, keep away from these.
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -198,11 +198,6 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
-    if (m_routes->servesMixedPrompts(m_service)) {
-        demand.elapsed = elapsedForClient() + (m_request.isForwarded ? regionRoundTrip / 2 : milliseconds(0));
-        auto error = m_parts.forecastErrors.find(m_service);
-        demand.forecastMargin = error == m_parts.forecastErrors.end() ? Duration::zero() : error->second.margin;
-    }
     return demand;
 }
 
@@ -273,14 +268,8 @@
         demand.mayAcceptLocally = m_parts.endpoints.usableByRegion(m_service, now()).count(m_parts.region) > 0;
     }
     std::vector<RegionOption> others;
-    bool isMixed = m_routes->servesMixedPrompts(m_service);
-    for (const auto& [region, endpoints] : untriedRegions(m_service)) {
-        std::optional<Duration> wait = expectedWaitIn(region);
-        // Callers with a tight target have no time for the round trip beside the longest wait.
-        if (isMixed && wait)
-            *wait += regionRoundTrip;
-        others.push_back({ region, wait, isMixed ? milliseconds(0) : regionRoundTrip, durationAt(m_parts.outlooks.timePerEventIn(region, m_service)) });
-    }
+    for (const auto& [region, endpoints] : untriedRegions(m_service))
+        others.push_back({ region, expectedWaitIn(region), regionRoundTrip, durationAt(m_parts.outlooks.timePerEventIn(region, m_service)) });
     RegionChoice choice = chooseRegion(demand, others, m_parts.random);
     if (choice.verdict == RegionVerdict::Forward)
         return !sharedSegment() && sendToEntryIn(choice.region, "shorter_wait");
--- a/lib/Routing/PromptPlacement.cpp
+++ b/lib/Routing/PromptPlacement.cpp
@@ -11,9 +11,6 @@
 /// that have the same load reports to the same endpoint.
 static constexpr std::size_t randomCandidates = 2;
 
-/// Fraction of the requests at an endpoint that wait for their first event, which a prefill
-/// delays. Those that decode are delayed too, but remain in time.
-static constexpr double waitingFraction = 0.25;
 /// Probability that an evicted segment is requested again before it would have been evicted
 /// anyway. Caches hold about as many segments as are in use.
 static constexpr double reuseProbability = 0.5;
@@ -27,7 +24,7 @@
 Duration placementCost(const PlacementCandidate& candidate)
 {
     auto scaled = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
-    Duration delayOfOthers = scaled(candidate.prefill, waitingFraction * std::max(candidate.requests, 0.0));
+    Duration delayOfOthers = scaled(candidate.prefill, std::max(candidate.requests, 0.0));
     return candidate.wait + candidate.prefill + candidate.decode + delayOfOthers + scaled(candidate.evicted, reuseProbability);
 }
 
