--- a/include/catkinwing/Admission/WaitLimit.h
+++ b/include/catkinwing/Admission/WaitLimit.h
@@ -2,7 +2,6 @@
 
 #include "catkinwing/Support/Clock.h"
 #include "catkinwing/Support/Random.h"
-#include <optional>
 
 namespace catkinwing {
 
@@ -16,18 +15,13 @@
     /// Max time that the client waits, counted from its first attempt.
     std::chrono::milliseconds timeout { 0 };
     std::chrono::milliseconds timeLeft { 0 };
-    /// Time that has passed since the client's first attempt, and that the response takes to the
-    /// client, if the limit takes account of it. Otherwise every attempt is given about the
-    /// time of the first one.
-    std::optional<Duration> elapsed;
     /// Time by which first events come later than predicted (see ForecastError).
     Duration forecastMargin { 0 };
 };
 
 /// Returns the max time that a request may wait until an endpoint starts it. A
 /// request that waits longer misses its latency target and delays all requests
-/// queued behind it. The limit doesn't depend on the size of the request. A request that
-/// can't meet its target any more gets only what in-time requests leave.
+/// queued behind it. The limit doesn't depend on the size of the request.
 /// \p idleFirstByte is the time to first byte of an idle endpoint.
 Duration maxQueueWait(const WaitLimitInputs& demand, Duration idleFirstByte);
 
--- a/include/catkinwing/Dispatch/EventCursor.h
+++ b/include/catkinwing/Dispatch/EventCursor.h
@@ -24,6 +24,8 @@
     std::string feed(absl::string_view bytes);
     /// Tells whether an event has begun and not ended.
     bool hasPartial() const { return !m_partial.empty(); }
+    /// Returns the number of bytes that are held of it.
+    std::size_t partialBytes() const { return m_partial.size(); }
     /// Tells whether an event had an id that doesn't follow; the stream can't
     /// be handed on any further.
     bool isBroken() const { return m_isBroken; }
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -126,8 +126,6 @@
     bool allowsAttempted { false };
     /// Whether suspect endpoints are left out, instead of being chosen if there are no others.
     bool excludesSuspects { false };
-    /// Limit of the wait of a long prompt by its own latency target; zero if it isn't one.
-    Duration maxGatheringWait { 0 };
     /// Limit of the wait, above which an endpoint counts as too busy; null for no limit.
     const WaitLimitInputs* demand { nullptr };
 };
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Admission/ForecastError.h"
 #include "catkinwing/Admission/RetryWindow.h"
+#include "catkinwing/Dispatch/AnswerBuffers.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/CreditExchange.h"
 #include "catkinwing/Ingress/Dialect.h"
@@ -15,7 +16,6 @@
 #include "catkinwing/Reporting/Metrics.h"
 #include "catkinwing/Routing/RegionAcceptance.h"
 #include "catkinwing/Routing/StreamLength.h"
-#include "catkinwing/Support/RecentMaximum.h"
 #include "catkinwing/Support/Scheduler.h"
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -87,10 +87,11 @@
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
+    /// Bytes of answers that are held until they are whole, or for slow clients. An entry of the
+    /// smallest size has some 100 MB for everything.
+    AnswerBuffers answerBuffers { 24u << 20 };
     /// Errors of the predicted first events, by service.
     absl::flat_hash_map<std::string, ForecastError> forecastErrors {};
-    /// The longest time in milliseconds that clients had left when a request arrived, by route.
-    absl::flat_hash_map<std::string, RecentMaximum> longestTimesLeft {};
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -131,6 +131,8 @@
         bool isForThisRequest { false };
         bool isEventStream { false };
         std::string body;
+        /// Counts body.
+        std::unique_ptr<BufferedBytes> bufferedBody;
     };
 
     /// The target that a request moves to from a silent endpoint.
@@ -143,9 +145,6 @@
 
     TimePoint now() const { return m_parts.scheduler.clock().now(); }
     std::chrono::milliseconds timeLeft() const;
-    /// Returns the time since the client's first attempt, as far as its deadline tells it.
-    Duration elapsedForClient() const;
-    void recordTimeLeftAtArrival();
     /// Determines the workspace of the request. Returns false if the request was refused.
     bool identifyWorkspace();
     /// Determines the regions that may process the request. Returns false if the request
@@ -251,8 +250,6 @@
     bool routeFirstAttempt();
     std::optional<Duration> expectedWaitIn(const std::string& region) const;
     Duration maxWait() const;
-    /// Returns the longest wait of the request by the latency target of its own route.
-    Duration maxGatheringWait() const;
     static void clearUnreadTokens(Attempt& attempt);
     static void releaseEndpoint(Attempt& attempt);
     void recordAnswerStart(Attempt& attempt) const;
@@ -331,8 +328,6 @@
     /// The answer of the current attempt ends with the connection.
     bool m_isAnswerUnframed { false };
     TimePoint m_deadline {};
-    /// Time that clients of the route have in total; zero if unknown.
-    std::chrono::milliseconds m_clientTime { 0 };
     TimerId m_deadlineTimer { 0 };
     absl::optional<Attempt> m_attempt;
     std::uint64_t m_attemptCount { 0 };
@@ -382,6 +377,8 @@
     bool m_omitsRetryAfter { false };
     /// The head of the answer has been sent to the client.
     bool m_hasSentHead { false };
+    /// Counts the bytes that wait for a slow client.
+    BufferedBytes m_pendingBytes;
     /// Reading from the endpoint is paused because the client reads slowly.
     bool m_isReadingPaused { false };
     bool m_isDone { false };
--- a/include/catkinwing/Routing/PromptPlacement.h
+++ b/include/catkinwing/Routing/PromptPlacement.h
@@ -7,7 +7,6 @@
 #include <absl/types/span.h>
 #include <cstddef>
 #include <optional>
-#include <vector>
 
 namespace catkinwing {
 
@@ -44,11 +43,6 @@
 /// other requests, and short ones, which wait for the prompts ahead, keep away from these.
 Duration placementCost(const PlacementCandidate& candidate);
 
-/// Lets a long prompt wait longer than urgent requests may, for at most \p maxWait, at the
-/// candidates that are too busy for it otherwise, unless half of all are too busy.
-/// Urgent requests keep the other half.
-void admitGathering(std::vector<PlacementCandidate>& candidates, Duration maxWait);
-
 /// Chooses among \p candidates. Returns nothing if there are none or all are too busy. A request
 /// with a long shared segment is compared at the endpoints that cache it, at the two that own
 /// it (see ownershipScore) and at two random ones; another one at two random ones.
--- a/lib/Admission/WaitLimit.cpp
+++ b/lib/Admission/WaitLimit.cpp
@@ -35,25 +35,10 @@
     return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
-/// Fraction of the latency target for which a request may wait that has missed its target. It is
-/// below what in-time requests may wait, so that they are served first.
-static constexpr double lateWaitFraction = 0.3;
-
-// What is left of the target until an endpoint must start the request.
-static Duration maxWaitAfter(Duration elapsed, const WaitLimitInputs& demand, Duration target, Duration idleFirstByte)
-{
-    Duration left = target - elapsed - idleFirstByte - demand.forecastMargin;
-    Duration least = scaled(target, elapsed + idleFirstByte >= target ? lateWaitFraction : minWaitFraction);
-    Duration wait = std::max(left, least);
-    return demand.hasMoreUrgent ? scaled(wait, lessUrgentFraction) : wait;
-}
-
 Duration maxQueueWait(const WaitLimitInputs& demand, Duration idleFirstByte)
 {
     Duration target = demand.latencyTarget > milliseconds::zero() ? demand.latencyTarget : defaultLatencyTarget;
-    if (demand.elapsed)
-        return maxWaitAfter(std::max(*demand.elapsed, Duration::zero()), demand, target, idleFirstByte);
-    Duration wait = std::max(scaled(target - idleFirstByte, maxWaitFraction), scaled(target, minWaitFraction));
+    Duration wait = std::max(scaled(target - idleFirstByte - demand.forecastMargin, maxWaitFraction), scaled(target, minWaitFraction));
     bool isRetry = demand.timeLeft < scaled(demand.timeout, firstAttemptFraction);
     if (isRetry)
         wait = scaled(wait, retryWaitFraction);
--- a/lib/Dispatch/EventCursor.cpp
+++ b/lib/Dispatch/EventCursor.cpp
@@ -28,9 +28,11 @@
 std::string EventCursor::feed(absl::string_view bytes)
 {
     std::string out;
+    // The end of an event may begin with the last byte that was searched.
+    std::size_t searched = m_partial.empty() ? 0 : m_partial.size() - 1;
     m_partial.append(bytes.data(), bytes.size());
     std::size_t begin = 0;
-    std::size_t end = m_partial.find(eventEnd);
+    std::size_t end = m_partial.find(eventEnd, searched);
     while (end != std::string::npos && !m_isBroken) {
         end += eventEndLength;
         takeEvent(absl::string_view(m_partial).substr(begin, end - begin), out);
--- a/lib/Ingress/EndpointTableSegments.cpp
+++ b/lib/Ingress/EndpointTableSegments.cpp
@@ -102,8 +102,6 @@
         placement.cachesSegment = candidate.cachesSegment;
         placements.push_back(placement);
     }
-    if (request.maxGatheringWait > Duration::zero())
-        admitGathering(placements, request.maxGatheringWait);
     return choosePlacement(placements, request.sharedSegment, random);
 }
 
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -48,8 +48,6 @@
 /// Afterwards the entry accepts only requests whose deadline is no later than the end
 /// of its planned stop.
 static constexpr milliseconds acceptAllWhileStopping { 3'000 };
-/// A new configuration or new clients may change the time that clients have.
-static constexpr std::chrono::seconds longestTimeLeftPeriod { 10 };
 
 void readForwardHeaders(const HttpHeaders& headers, RoutedRequest& request)
 {
@@ -86,6 +84,7 @@
     , m_request(std::move(request))
     , m_responder(std::move(responder))
     , m_cursor(m_request.facts.resumeAfter ? absl::make_optional(*m_request.facts.resumeAfter) : absl::nullopt)
+    , m_pendingBytes(parts.answerBuffers)
 {
     ++m_parts.openRequestCount;
 }
@@ -112,7 +111,6 @@
     if (m_request.facts.timeLeft)
         allowed = std::min(allowed, *m_request.facts.timeLeft);
     m_deadline = m_request.arrivedAt + allowed;
-    recordTimeLeftAtArrival();
     if (!identifyWorkspace() || !determineHomes())
         return;
     if (!canRunBeforeStop()) {
@@ -134,24 +132,6 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now());
 }
 
-// The route's timeout may be longer than the time that clients have, so the time that they state at
-// most is the time of a first attempt.
-void RoutedRun::recordTimeLeftAtArrival()
-{
-    if (!m_request.facts.timeLeft)
-        return;
-    RecentMaximum& longest = m_parts.longestTimesLeft.try_emplace(m_route->name, longestTimeLeftPeriod).first->second;
-    m_clientTime = milliseconds(longest.take(static_cast<std::size_t>(std::max(*m_request.facts.timeLeft, milliseconds(0)).count()), now()));
-}
-
-Duration RoutedRun::elapsedForClient() const
-{
-    Duration elapsed = now() - m_request.arrivedAt;
-    if (m_request.facts.timeLeft)
-        elapsed += std::max<Duration>(m_clientTime - *m_request.facts.timeLeft, Duration::zero());
-    return elapsed;
-}
-
 bool RoutedRun::canRunBeforeStop() const
 {
     const std::optional<PlannedStop>& stop = m_parts.plannedStop;
@@ -198,6 +178,9 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
+    auto error = m_parts.forecastErrors.find(m_service);
+    if (error != m_parts.forecastErrors.end())
+        demand.forecastMargin = error->second.margin;
     return demand;
 }
 
@@ -239,13 +222,6 @@
     return maxQueueWait(waitDemand(), idleFirstByte(defaultResponseEstimate()));
 }
 
-Duration RoutedRun::maxGatheringWait() const
-{
-    WaitLimitInputs demand = waitDemand();
-    demand.latencyTarget = m_route->latencyTarget;
-    return maxQueueWait(demand, idleFirstByte(defaultResponseEstimate()));
-}
-
 std::optional<Duration> RoutedRun::expectedWaitIn(const std::string& region) const
 {
     return m_parts.outlooks.estimatedWait(region, m_service, now());
@@ -321,8 +297,6 @@
     // A request that may have run or whose answer has begun has no wait limit.
     WaitLimitInputs demand = waitDemand();
     request.demand = m_mayHaveRun || m_hasSentHead || m_mayWaitLong ? nullptr : &demand;
-    if (request.isMixed && !request.sharedSegment.empty())
-        request.maxGatheringWait = maxGatheringWait();
     std::shared_ptr<RoutedEndpoint> endpoint = m_parts.endpoints.choose(request, now(), m_parts.random);
     if (!endpoint)
         return false;
@@ -543,6 +517,7 @@
     std::uint64_t number = attempt.number;
     auto isCurrent = [number](const RoutedRun& run) { return run.m_attempt && run.m_attempt->number == number; };
     HttpClient& client = attempt.target == AttemptTarget::Entry ? m_parts.peerClient : m_parts.endpointClient;
+    attempt.bufferedBody = std::make_unique<BufferedBytes>(m_parts.answerBuffers);
     m_attempt = std::move(attempt);
     m_cursor.beginAttempt();
     HttpClientCallbacks callbacks;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -171,8 +171,11 @@
     if (!attempt.isEventStream) {
         attempt.body.append(bytes.data(), bytes.size());
         bool isTooLong = attempt.body.size() > static_cast<std::size_t>(m_routes->limits().maxBodyBytes) + extraAnswerBytes;
+        attempt.bufferedBody->set(attempt.body.size());
         if (isTooLong)
             abandonAttempt("answer_too_long");
+        else if (!m_parts.answerBuffers.mayHold(attempt.body.size()))
+            abandonAttempt("answer_buffers_full");
         return;
     }
     clearUnreadTokens(attempt);
@@ -193,8 +196,13 @@
         deliverHead(*attempt.head);
         deliver(std::move(events));
     }
-    if (m_cursor.isBroken() && m_attempt)
+    if (!m_attempt)
+        return;
+    m_attempt->bufferedBody->set(m_cursor.partialBytes());
+    if (m_cursor.isBroken())
         abandonAttempt("event_out_of_order");
+    else if (!m_parts.answerBuffers.mayHold(m_cursor.partialBytes()))
+        abandonAttempt("answer_buffers_full");
 }
 
 void RoutedRun::onEnd(const HttpResult& result)
@@ -423,7 +431,8 @@
 void RoutedRun::deliver(std::string bytes)
 {
     m_responder->write(std::move(bytes));
-    if (m_isReadingPaused || m_responder->pendingBytes() < maxPendingBytes)
+    m_pendingBytes.set(m_responder->pendingBytes());
+    if (m_isReadingPaused || m_responder->pendingBytes() < m_parts.answerBuffers.pendingLimit(maxPendingBytes))
         return;
     m_isReadingPaused = true;
     m_attempt->exchange->pause();
@@ -435,6 +444,7 @@
     if (!m_isReadingPaused || m_isDone)
         return;
     m_isReadingPaused = false;
+    m_pendingBytes.set(m_responder->pendingBytes());
     if (m_attempt)
         m_attempt->exchange->resume();
 }
--- a/lib/Routing/PromptPlacement.cpp
+++ b/lib/Routing/PromptPlacement.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Routing/PromptPlacement.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace catkinwing {
 
@@ -28,15 +29,6 @@
     return candidate.wait + candidate.prefill + candidate.decode + delayOfOthers + scaled(candidate.evicted, reuseProbability);
 }
 
-void admitGathering(std::vector<PlacementCandidate>& candidates, Duration maxWait)
-{
-    auto busy = std::count_if(candidates.begin(), candidates.end(), [](const PlacementCandidate& candidate) { return candidate.isTooBusy; });
-    if (2 * static_cast<std::size_t>(busy) >= candidates.size())
-        return;
-    for (PlacementCandidate& candidate : candidates)
-        candidate.isTooBusy = candidate.isTooBusy && candidate.wait > maxWait;
-}
-
 static Candidates eligible(absl::Span<const PlacementCandidate> candidates)
 {
     Candidates preferred;
