--- a/include/catkinwing/Admission/WaitLimit.h
+++ b/include/catkinwing/Admission/WaitLimit.h
@@ -15,8 +15,6 @@
     /// Max time that the client waits, counted from its first attempt.
     std::chrono::milliseconds timeout { 0 };
     std::chrono::milliseconds timeLeft { 0 };
-    /// Time by which first events come later than predicted (see ForecastError).
-    Duration forecastMargin { 0 };
 };
 
 /// Returns the max time that a request may wait until an endpoint starts it. A
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "catkinwing/Admission/ForecastError.h"
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Dispatch/AnswerBuffers.h"
 #include "catkinwing/Http/HttpClient.h"
@@ -90,8 +89,6 @@
     /// Bytes of answers that are held until they are whole, or for slow clients. An entry of the
     /// smallest size has some 100 MB for everything.
     AnswerBuffers answerBuffers { 24u << 20 };
-    /// Errors of the predicted first events, by service.
-    absl::flat_hash_map<std::string, ForecastError> forecastErrors {};
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/lib/Admission/WaitLimit.cpp
+++ b/lib/Admission/WaitLimit.cpp
@@ -38,7 +38,7 @@
 Duration maxQueueWait(const WaitLimitInputs& demand, Duration idleFirstByte)
 {
     Duration target = demand.latencyTarget > milliseconds::zero() ? demand.latencyTarget : defaultLatencyTarget;
-    Duration wait = std::max(scaled(target - idleFirstByte - demand.forecastMargin, maxWaitFraction), scaled(target, minWaitFraction));
+    Duration wait = std::max(scaled(target - idleFirstByte, maxWaitFraction), scaled(target, minWaitFraction));
     bool isRetry = demand.timeLeft < scaled(demand.timeout, firstAttemptFraction);
     if (isRetry)
         wait = scaled(wait, retryWaitFraction);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -178,9 +178,6 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
-    auto error = m_parts.forecastErrors.find(m_service);
-    if (error != m_parts.forecastErrors.end())
-        demand.forecastMargin = error->second.margin;
     return demand;
 }
 
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -141,12 +141,9 @@
 
 void RoutedRun::recordForecast(const Attempt& attempt) const
 {
-    const std::vector<UrgencyLevel>& levels = m_routes->urgenciesOf(m_service);
-    Duration actual = now() - attempt.startedAt;
-    m_parts.metrics.observeStage(actual > attempt.predictedFirstByte ? "forecast_error_late" : "forecast_error_early", m_service,
-        actual > attempt.predictedFirstByte ? actual - attempt.predictedFirstByte : attempt.predictedFirstByte - actual);
-    // Half of the tightest target remains for waiting, whatever the error.
-    addForecastSample(m_parts.forecastErrors[m_service], attempt.predictedFirstByte, actual, levels.front().tightestTarget / 2);
+    Duration error = now() - attempt.startedAt - attempt.predictedFirstByte;
+    bool isLate = error > Duration::zero();
+    m_parts.metrics.observeStage(isLate ? "forecast_error_late" : "forecast_error_early", m_service, isLate ? error : -error);
 }
 
 double RoutedRun::expectedEvents() const
