--- a/unittests/Ingress/MixedPromptTest.cpp
+++ b/unittests/Ingress/MixedPromptTest.cpp
@@ -101,6 +101,7 @@
     }
 }
 
+// Earlier deployments, which have no mixed prompts, must be served as before.
 TEST_CASE("a service without mixed prompts fetches no segments")
 {
     IngressFixture fixture;
@@ -108,7 +109,8 @@
     fixture.addEndpoint("e1");
     fixture.addEndpoint("e2");
     std::string holder = sendLongPrompt(fixture);
-    endpointNamed(fixture, holder)->unprefilledTokens = 80'000;
+    // A pause doesn't keep an endpoint from being a source.
+    endpointNamed(fixture, holder)->pausedUntil = fixture.scheduler.clock().now() + 1min;
     CHECK(sendLongPrompt(fixture) != holder);
     CHECK(fetchSourceOfLast(fixture).empty());
 }
--- a/unittests/Routing/PromptPlacementTest.cpp
+++ b/unittests/Routing/PromptPlacementTest.cpp
@@ -10,42 +10,42 @@
 
 namespace {
 
-    /// Endpoints that prefill 50 tokens a millisecond and decode for 200 ms.
-    struct Fleet {
-        std::vector<std::string> names;
-        std::vector<Duration> backlog;
-        std::vector<double> requests;
-        std::vector<bool> caches;
+/// Endpoints that prefill 50 tokens a millisecond and decode for 200 ms.
+struct Fleet {
+    std::vector<std::string> names;
+    std::vector<Duration> backlog;
+    std::vector<double> requests;
+    std::vector<bool> caches;
 
-        explicit Fleet(std::size_t size)
-            : backlog(size, 0ms)
-            , requests(size, 0)
-            , caches(size, false)
-        {
-            for (std::size_t i = 0; i < size; ++i)
-                names.push_back("endpoint-" + std::to_string(i));
-        }
+    explicit Fleet(std::size_t size)
+        : backlog(size, 0ms)
+        , requests(size, 0)
+        , caches(size, false)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+            names.push_back("endpoint-" + std::to_string(i));
+    }
 
-        std::vector<PlacementCandidate> candidatesFor(std::int64_t promptTokens, std::int64_t sharedTokens, Duration maxWait) const
-        {
-            std::vector<PlacementCandidate> candidates;
-            for (std::size_t i = 0; i < names.size(); ++i) {
-                std::int64_t tokens = promptTokens - (caches[i] ? sharedTokens : 0);
-                PlacementCandidate candidate;
-                candidate.index = i;
-                candidate.incarnation = names[i];
-                candidate.wait = backlog[i];
-                candidate.prefill = std::chrono::milliseconds(tokens / 50);
-                candidate.evicted = caches[i] ? 0ms : std::chrono::milliseconds(sharedTokens / 50);
-                candidate.decode = 200ms;
-                candidate.requests = requests[i];
-                candidate.isTooBusy = backlog[i] > maxWait;
-                candidate.cachesSegment = caches[i];
-                candidates.push_back(candidate);
-            }
-            return candidates;
+    std::vector<PlacementCandidate> candidatesFor(std::int64_t promptTokens, std::int64_t sharedTokens, Duration maxWait) const
+    {
+        std::vector<PlacementCandidate> candidates;
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            std::int64_t tokens = promptTokens - (caches[i] ? sharedTokens : 0);
+            PlacementCandidate candidate;
+            candidate.index = i;
+            candidate.incarnation = names[i];
+            candidate.wait = backlog[i];
+            candidate.prefill = std::chrono::milliseconds(tokens / 50);
+            candidate.evicted = caches[i] ? 0ms : std::chrono::milliseconds(sharedTokens / 50);
+            candidate.decode = 200ms;
+            candidate.requests = requests[i];
+            candidate.isTooBusy = backlog[i] > maxWait;
+            candidate.cachesSegment = caches[i];
+            candidates.push_back(candidate);
         }
-    };
+        return candidates;
+    }
+};
 
 } // namespace
 
