--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinwing/Admission/RetryWindow.h"
+#include "catkinwing/Dispatch/AnswerBuffers.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/CreditExchange.h"
 #include "catkinwing/Ingress/Dialect.h"
@@ -85,6 +86,9 @@
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
+    /// Bytes of answers that are held until they are whole, or for slow clients. An entry of the
+    /// smallest size has some 100 MB for everything.
+    AnswerBuffers answerBuffers { 24u << 20 };
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -84,8 +84,13 @@
         std::string region;
         /// Reason for the choice of the target. Written to the log only.
         const char* why { "" };
+        /// The endpoint that sends the shared segment to the attempt's endpoint; null if none
+        /// does.
+        std::shared_ptr<RoutedEndpoint> fetchSource;
         /// Prompt tokens counted as unread at the endpoint until the first bytes of the answer.
         std::int64_t unreadTokens { 0 };
+        /// Predicted time until the first byte of the answer; zero if there is no prediction.
+        Duration predictedFirstByte { 0 };
         /// Unread prompt tokens of the endpoint when the attempt was sent, those of
         /// this request included, in thousands.
         double unreadKilotokensAtStart { 0 };
@@ -126,6 +131,8 @@
         bool isForThisRequest { false };
         bool isEventStream { false };
         std::string body;
+        /// Counts body.
+        std::unique_ptr<BufferedBytes> bufferedBody;
     };
 
     /// The target that a request moves to from a silent endpoint.
@@ -246,6 +253,8 @@
     static void clearUnreadTokens(Attempt& attempt);
     static void releaseEndpoint(Attempt& attempt);
     void recordAnswerStart(Attempt& attempt) const;
+    /// Records how far the predicted first byte was off.
+    void recordForecast(const Attempt& attempt) const;
     double expectedEvents() const;
     std::chrono::milliseconds retryAfter() const;
     void startAttempt(Attempt attempt, HttpClientRequest request);
@@ -368,6 +377,8 @@
     bool m_omitsRetryAfter { false };
     /// The head of the answer has been sent to the client.
     bool m_hasSentHead { false };
+    /// Counts the bytes that wait for a slow client.
+    BufferedBytes m_pendingBytes;
     /// Reading from the endpoint is paused because the client reads slowly.
     bool m_isReadingPaused { false };
     bool m_isDone { false };
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -84,6 +84,7 @@
     , m_request(std::move(request))
     , m_responder(std::move(responder))
     , m_cursor(m_request.facts.resumeAfter ? absl::make_optional(*m_request.facts.resumeAfter) : absl::nullopt)
+    , m_pendingBytes(parts.answerBuffers)
 {
     ++m_parts.openRequestCount;
 }
@@ -275,6 +276,8 @@
     const PromptSegment* shared = sharedSegment();
     request.sharedSegment = shared ? shared->id : std::string();
     request.sharedTokens = shared ? shared->tokens : 0;
+    request.promptTokens = m_request.facts.promptTokens;
+    request.isMixed = m_routes->servesMixedPrompts(m_service);
     request.expectedEvents = expectedEvents();
     request.build = m_streamBuild;
     request.beginsResumableStream = isResumableStream() && !m_isStreamBound;
@@ -305,13 +308,19 @@
     facts.incarnation = endpoint->record.incarnation;
     facts.priority = requestPriority();
     facts.workspace = m_workspaceName;
+    EndpointRequest choice = endpointRequest();
+    std::shared_ptr<RoutedEndpoint> fetchSource = choice.isMixed && choice.service && !choice.sharedSegment.empty() ? m_parts.endpoints.chooseFetchSource(*endpoint, choice, now()) : nullptr;
+    if (fetchSource)
+        facts.fetchFrom = fetchSource->record.address;
     HttpClientRequest request = makeRequest(endpoint->record.address, std::move(facts));
     request.connectTimeout = m_parts.endpoints.isCutOff(m_service, now()) ? probeConnectTimeout : localConnectTimeout;
     Attempt attempt;
     attempt.target = AttemptTarget::Endpoint;
     attempt.region = m_parts.region;
-    attempt.why = why;
+    attempt.why = fetchSource ? "fetched_part" : why;
     attempt.endpoint = std::move(endpoint);
+    if (choice.isMixed && m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens >= 1 && !choice.sharedSegment.empty())
+        m_parts.metrics.count("long_prompts_gathered");
     if (!m_parts.endpoints.mayHaveRestarted(*attempt.endpoint, now()))
         attempt.build = attempt.endpoint->build;
     const ServiceSettings* settings = m_routes->findService(m_service);
@@ -321,8 +330,20 @@
     if (attempt.endpoint->limit.named.perSecond)
         m_parts.metrics.count("requests_to_limited_endpoints");
     const PromptSegment* shared = sharedSegment();
-    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, shared ? shared->id : std::string(), now());
+    attempt.unreadTokens = m_parts.endpoints.recordSegmentAndGetPrefillTokens(*attempt.endpoint, m_request.facts.promptTokens, shared ? shared->tokens : 0, shared ? shared->id : std::string(), now(), fetchSource != nullptr);
+    if (fetchSource) {
+        ++fetchSource->segmentTransfers;
+        m_parts.metrics.count("segment_fetches");
+        m_parts.metrics.count("segment_fetch_tokens", choice.sharedTokens);
+        attempt.fetchSource = std::move(fetchSource);
+    }
     attempt.endpoint->unprefilledTokens += attempt.unreadTokens;
+    if (choice.isMixed) {
+        ResponseEstimate estimate = EndpointTable::responseEstimateOf(*attempt.endpoint, now());
+        EndpointWork ahead = m_parts.endpoints.pendingWork(*attempt.endpoint);
+        ahead.requests -= 1;
+        attempt.predictedFirstByte = EndpointTable::predictedWait(*attempt.endpoint, estimate, ahead, *choice.service) + idleFirstByte(estimate);
+    }
     attempt.unreadKilotokensAtStart = m_parts.endpoints.pendingWork(*attempt.endpoint).unprefilledKilotokens;
     startAttempt(std::move(attempt), std::move(request));
 }
@@ -493,6 +514,7 @@
     std::uint64_t number = attempt.number;
     auto isCurrent = [number](const RoutedRun& run) { return run.m_attempt && run.m_attempt->number == number; };
     HttpClient& client = attempt.target == AttemptTarget::Entry ? m_parts.peerClient : m_parts.endpointClient;
+    attempt.bufferedBody = std::make_unique<BufferedBytes>(m_parts.answerBuffers);
     m_attempt = std::move(attempt);
     m_cursor.beginAttempt();
     HttpClientCallbacks callbacks;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -121,6 +121,9 @@
     if (attempt.endpoint)
         attempt.endpoint->unprefilledTokens -= attempt.unreadTokens;
     attempt.unreadTokens = 0;
+    if (attempt.fetchSource)
+        --attempt.fetchSource->segmentTransfers;
+    attempt.fetchSource.reset();
 }
 
 // The time to the first bytes measures the speed of the endpoint only if it had a free
@@ -132,6 +135,15 @@
     attempt.hasAnswerBegun = true;
     if (attempt.endpoint && attempt.hadFreeSlot)
         EndpointTable::recordFirstByte(*attempt.endpoint, attempt.unreadKilotokensAtStart, now() - attempt.startedAt, now());
+    if (attempt.predictedFirstByte > Duration::zero())
+        recordForecast(attempt);
+}
+
+void RoutedRun::recordForecast(const Attempt& attempt) const
+{
+    Duration error = now() - attempt.startedAt - attempt.predictedFirstByte;
+    bool isLate = error > Duration::zero();
+    m_parts.metrics.observeStage(isLate ? "forecast_error_late" : "forecast_error_early", m_service, isLate ? error : -error);
 }
 
 double RoutedRun::expectedEvents() const
@@ -156,8 +168,11 @@
     if (!attempt.isEventStream) {
         attempt.body.append(bytes.data(), bytes.size());
         bool isTooLong = attempt.body.size() > static_cast<std::size_t>(m_routes->limits().maxBodyBytes) + extraAnswerBytes;
+        attempt.bufferedBody->set(attempt.body.size());
         if (isTooLong)
             abandonAttempt("answer_too_long");
+        else if (!m_parts.answerBuffers.mayHold(attempt.body.size()))
+            abandonAttempt("answer_buffers_full");
         return;
     }
     clearUnreadTokens(attempt);
@@ -178,8 +193,13 @@
         deliverHead(*attempt.head);
         deliver(std::move(events));
     }
-    if (m_cursor.isBroken() && m_attempt)
+    if (!m_attempt)
+        return;
+    m_attempt->bufferedBody->set(m_cursor.partialBytes());
+    if (m_cursor.isBroken())
         abandonAttempt("event_out_of_order");
+    else if (!m_parts.answerBuffers.mayHold(m_cursor.partialBytes()))
+        abandonAttempt("answer_buffers_full");
 }
 
 void RoutedRun::onEnd(const HttpResult& result)
@@ -408,7 +428,8 @@
 void RoutedRun::deliver(std::string bytes)
 {
     m_responder->write(std::move(bytes));
-    if (m_isReadingPaused || m_responder->pendingBytes() < maxPendingBytes)
+    m_pendingBytes.set(m_responder->pendingBytes());
+    if (m_isReadingPaused || m_responder->pendingBytes() < m_parts.answerBuffers.pendingLimit(maxPendingBytes))
         return;
     m_isReadingPaused = true;
     m_attempt->exchange->pause();
@@ -420,6 +441,7 @@
     if (!m_isReadingPaused || m_isDone)
         return;
     m_isReadingPaused = false;
+    m_pendingBytes.set(m_responder->pendingBytes());
     if (m_attempt)
         m_attempt->exchange->resume();
 }
