--- a/include/catkinwing/Routing/PromptPlacement.h
+++ b/include/catkinwing/Routing/PromptPlacement.h
@@ -27,6 +27,8 @@
     Duration decode { 0 };
     /// Requests that run at the endpoint or wait there.
     double requests { 0 };
+    /// Requests that the endpoint runs at once; zero if unknown.
+    unsigned slots { 0 };
     bool isSuspect { false };
     /// Whether the wait exceeds the request's limit.
     bool isTooBusy { false };
@@ -37,7 +39,7 @@
 };
 
 /// Returns the cost of a request at an endpoint, as a time: that until its response ends, plus the
-/// delay that its prefill causes to each request that runs there, plus part of
+/// engine time that its prefill takes from the requests that run there, plus part of
 /// the prefill that evicting another segment causes. An engine that prefills a prompt in chunks
 /// makes one decode step for each chunk. Long prompts therefore gather at endpoints that run few
 /// other requests, and short ones, which wait for the prompts ahead, keep away from these.
--- a/lib/Ingress/EndpointTableSegments.cpp
+++ b/lib/Ingress/EndpointTableSegments.cpp
@@ -96,6 +96,7 @@
             placement.evicted = std::chrono::duration_cast<Duration>(timePerKilotoken(estimate) * (static_cast<double>(request.sharedTokens) / tokensPerKilotoken));
         placement.decode = candidate.load - candidate.wait;
         placement.requests = pendingWork(endpoint).requests;
+        placement.slots = slotsOf(endpoint, *request.service);
         placement.isSuspect = candidate.isSuspect;
         placement.isTooBusy = candidate.isTooBusy;
         placement.isLimited = candidate.isLimited;
--- a/lib/Routing/PromptPlacement.cpp
+++ b/lib/Routing/PromptPlacement.cpp
@@ -12,6 +12,10 @@
 /// that have the same load reports to the same endpoint.
 static constexpr std::size_t randomCandidates = 2;
 
+/// Weight of the time that a prefill takes from an endpoint whose slots are all in use, against the
+/// caller's own time. Measured in requests, it would grow with the size of the batch, although
+/// the engine loses the same time: engines with 48 and more slots then cached no segment for long.
+static constexpr double fullEndpointWeight = 12;
 /// Probability that an evicted segment is requested again before it would have been evicted
 /// anyway. Caches hold about as many segments as are in use.
 static constexpr double reuseProbability = 0.5;
@@ -25,7 +29,9 @@
 Duration placementCost(const PlacementCandidate& candidate)
 {
     auto scaled = [](Duration duration, double factor) { return std::chrono::duration_cast<Duration>(duration * factor); };
-    Duration delayOfOthers = scaled(candidate.prefill, std::max(candidate.requests, 0.0));
+    double requests = std::max(candidate.requests, 0.0);
+    double delayed = candidate.slots > 0 ? requests / candidate.slots * fullEndpointWeight : requests;
+    Duration delayOfOthers = scaled(candidate.prefill, delayed);
     return candidate.wait + candidate.prefill + candidate.decode + delayOfOthers + scaled(candidate.evicted, reuseProbability);
 }
 
--- a/unittests/Routing/PromptPlacementTest.cpp
+++ b/unittests/Routing/PromptPlacementTest.cpp
@@ -104,14 +104,26 @@
         CHECK(*choosePlacement(fleet.candidatesFor(17'000, 13'000, 500ms), "segment", random) == 7);
 }
 
+TEST_CASE("a prefill weighs as much at a full endpoint with many slots as at one with few")
+{
+    PlacementCandidate few;
+    few.prefill = 100ms;
+    few.requests = few.slots = 12;
+    PlacementCandidate many = few;
+    many.requests = many.slots = 128;
+    CHECK(placementCost(few) == placementCost(many));
+    many.requests = 64;
+    CHECK(placementCost(many) < placementCost(few));
+}
+
 TEST_CASE("the largest prompts go to the fastest endpoints")
 {
     Random random(5);
     std::array<int, 2> chosen {};
     for (int i = 0; i < 200; ++i) {
         std::vector<PlacementCandidate> candidates;
-        PlacementCandidate slow { 0, "slow", 0ms, 340ms, 260ms, 800ms, 2 };
-        PlacementCandidate fast { 1, "fast", 0ms, 140ms, 110ms, 330ms, 2 };
+        PlacementCandidate slow { 0, "slow", 0ms, 340ms, 260ms, 800ms, 2, 0 };
+        PlacementCandidate fast { 1, "fast", 0ms, 140ms, 110ms, 330ms, 2, 0 };
         candidates = { slow, fast };
         ++chosen[*choosePlacement(candidates, "segment", random)];
     }
@@ -121,8 +133,8 @@
 TEST_CASE("a request finds an endpoint among suspects only if there are no others")
 {
     Random random(6);
-    PlacementCandidate suspect { 0, "a", 0ms, 10ms, 0ms, 10ms, 0, true };
-    PlacementCandidate sound { 1, "b", 90ms, 10ms, 0ms, 10ms, 4 };
+    PlacementCandidate suspect { 0, "a", 0ms, 10ms, 0ms, 10ms, 0, 0, true };
+    PlacementCandidate sound { 1, "b", 90ms, 10ms, 0ms, 10ms, 4, 0 };
     for (int i = 0; i < 20; ++i)
         CHECK(*choosePlacement(std::vector<PlacementCandidate> { suspect, sound }, "", random) == 1);
     CHECK(*choosePlacement(std::vector<PlacementCandidate> { suspect }, "", random) == 0);
