Mend two lint findings

Cause: a count of tokens was narrowed to a double without a cast, and a test grew a vector in a loop. Change: a cast and a reservation.

--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -334,7 +334,7 @@
     if (fetchSource) {
         ++fetchSource->segmentTransfers;
         m_parts.metrics.count("segment_fetches");
-        m_parts.metrics.count("segment_fetch_tokens", choice.sharedTokens);
+        m_parts.metrics.count("segment_fetch_tokens", static_cast<double>(choice.sharedTokens));
         attempt.fetchSource = std::move(fetchSource);
     }
     attempt.endpoint->unprefilledTokens += attempt.unreadTokens;
--- a/unittests/Ingress/EndlessAnswerTest.cpp
+++ b/unittests/Ingress/EndlessAnswerTest.cpp
@@ -76,6 +76,7 @@
         return answer;
     } };
     std::vector<std::shared_ptr<FakeResponder>> endless;
+    endless.reserve(60);
     for (int i = 0; i < 60; ++i)
         endless.push_back(fixture.start({ { "endless", "1" } }));
     fixture.scheduler.advance(50ms);
