Initialize the new field of attempts in a fuzz target

Cause: Clang refuses the aggregate initializer that lacks fetchFrom, so the fuzz targets did not build; GCC accepts it. Change: the target passes an address, so that it covers the header Kv-Fetch too.

--- a/fuzz/FuzzPlatformRequest.cpp
+++ b/fuzz/FuzzPlatformRequest.cpp
@@ -33,7 +33,7 @@
     HttpResponseHead head { 200, request.headers };
     ResponseFacts answer = dialect.readResponse(head);
     require(!answer.isOtherIncarnation, "the status tells another incarnation");
-    AttemptFacts attempt { "i-1", std::chrono::milliseconds(5), 3, 1, "workspace" };
+    AttemptFacts attempt { "i-1", std::chrono::milliseconds(5), 3, 1, "workspace", SocketAddress { "127.0.0.1", 1 } };
     dialect.writeAttempt(attempt, facts.forwardedHeaders);
     const std::string* incarnation = facts.forwardedHeaders.find("expect-instance");
     require(incarnation && *incarnation == "i-1", "the attempt's own fields stand alone");
