Divide scarce capacity between workspaces by max-min fair shares

Cause: while endpoints can't serve all requests, they are admitted first come, first served, so one workspace that sends several times its usual has the callers of all others refused.

Change: entries count requested and admitted tokens by service and workspace, tell a few others of their region once a second during a shortage, and divide what is being admitted by weighted max-min fairness. Requests beyond the share of their workspace have a quarter of the max wait. Turned on by ingress.sharesShortage, which the platform's adapter sets under the contract that calls for it.

--- a/fuzz/FuzzPeerReports.cpp
+++ b/fuzz/FuzzPeerReports.cpp
@@ -7,6 +7,7 @@
 #include "catkinwing/PeerProtocol/RegionReport.h"
 #include "catkinwing/PeerProtocol/StoreChanges.h"
 #include "catkinwing/PeerProtocol/StreamOriginMessages.h"
+#include "catkinwing/PeerProtocol/WorkspaceReport.h"
 
 using namespace catkinwing;
 
@@ -88,6 +89,17 @@
     require(encodeStreamOriginMessage(*decoded) == again, "a message comes back as it was");
 }
 
+static void fuzzWorkspaceReport(absl::string_view bytes)
+{
+    absl::StatusOr<WorkspaceReport> report = decodeWorkspaceReport(std::string(1, workspaceReportMark) + std::string(bytes));
+    if (!report.ok())
+        return;
+    std::string again = encodeWorkspaceReport(*report);
+    absl::StatusOr<WorkspaceReport> decoded = decodeWorkspaceReport(again);
+    require(decoded.ok(), "what is encoded can be decoded");
+    require(encodeWorkspaceReport(*decoded) == again, "a report comes back as it was");
+}
+
 static void fuzzStoreChanges(absl::string_view bytes)
 {
     absl::StatusOr<StoreChanges> changes = decodeStoreChanges(bytes);
@@ -109,5 +121,6 @@
     fuzzCreditMessage(textOf(data, size));
     fuzzLimitMessage(textOf(data, size));
     fuzzStreamOriginMessage(textOf(data, size));
+    fuzzWorkspaceReport(textOf(data, size));
     return 0;
 }
--- a/include/catkinwing/Admission/WaitLimit.h
+++ b/include/catkinwing/Admission/WaitLimit.h
@@ -15,6 +15,9 @@
     /// Max time that the client waits, counted from its first attempt.
     std::chrono::milliseconds timeout { 0 };
     std::chrono::milliseconds timeLeft { 0 };
+    /// Fraction of the max wait that the request may be given; below one if it is beyond the
+    /// share of its workspace.
+    double waitFraction { 1 };
 };
 
 /// Returns the max time that a request may wait until an endpoint starts it. A
--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -70,6 +70,11 @@
     Duration limitWindow { std::chrono::seconds(8) };
     double limitOverage { 0.1 };
     double limitSlack { 190'000 };
+    /// Whether scarce capacity is divided between workspaces.
+    bool sharesShortage { false };
+    /// Names of the parts of the platform's contract that are in force. The platform's adapter
+    /// knows what they call for.
+    std::vector<std::string> contracts;
 };
 
 /// The settings file of one daemon.
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -9,6 +9,7 @@
 #include "catkinwing/Ingress/EntryTable.h"
 #include "catkinwing/Ingress/LimitExchange.h"
 #include "catkinwing/Ingress/RegionOutlooks.h"
+#include "catkinwing/Ingress/ShortageTable.h"
 #include "catkinwing/Ingress/StreamOriginExchange.h"
 #include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/Reporting/DecisionLog.h"
@@ -83,6 +84,8 @@
     LimitExchange* limitExchange { nullptr };
     /// Knows at which software versions streams began; null if entries don't tell each other.
     StreamOriginExchange* streamOrigins { nullptr };
+    /// Divides scarce capacity between workspaces; null if the settings don't ask for that.
+    ShortageTable* shortages { nullptr };
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -154,6 +154,16 @@
     void chargeWorkspace();
     void onCreditDecision(const CreditDecision& decision);
     void returnCredit(bool wasNotRun);
+    bool countsShares() const;
+    /// Returns the hash of the workspace's name; zero if there is none.
+    std::uint64_t workspaceOfShares() const;
+    double tokensOfShares() const;
+    /// Decides whether the request is within the share of its workspace.
+    void drawShare();
+    /// Counts the request as sent to an endpoint in this region.
+    void recordAdmission();
+    /// Counts the request as refused in this region for lack of capacity.
+    void recordShortage();
     std::int64_t limitedAmount() const;
     int requestPriority() const;
     bool isAllowedHere() const;
@@ -317,6 +327,10 @@
     std::vector<std::string> m_homeRegions;
     /// Credit that the request has used of the workspace's limit.
     CreditPortion m_usedCredit;
+    /// Whether the request is within the share of its workspace; true without a shortage.
+    bool m_isWithinShare { true };
+    /// The request has been counted in the demand of its workspace.
+    bool m_isCountedInShares { false };
     /// The decision by which the request was refused for the limit of its workspace.
     absl::optional<CreditDecision> m_limitRefusal;
     std::string m_service;
--- a/lib/Admission/WaitLimit.cpp
+++ b/lib/Admission/WaitLimit.cpp
@@ -42,7 +42,9 @@
     bool isRetry = demand.timeLeft < scaled(demand.timeout, firstAttemptFraction);
     if (isRetry)
         wait = scaled(wait, retryWaitFraction);
-    return demand.hasMoreUrgent ? scaled(wait, lessUrgentFraction) : wait;
+    if (demand.hasMoreUrgent)
+        wait = scaled(wait, lessUrgentFraction);
+    return scaled(wait, demand.waitFraction);
 }
 
 milliseconds RetryAfterSchedule::bookRetry(Duration work, milliseconds maxDelay, TimePoint now, Random& random)
--- /dev/null
+++ b/lib/Admission/WorkspaceShares.cpp
@@ -0,0 +1,79 @@
+#include "catkinwing/Admission/WorkspaceShares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace catkinwing {
+
+/// A shortage begins when this fraction of the requested tokens is refused. Single refusals, such
+/// as those at an endpoint's crash, don't reach it.
+static constexpr double beginFraction = 0.05;
+/// A shortage ends below this fraction.
+static constexpr double endFraction = 0.02;
+/// Fraction of the max wait for requests beyond the share of their workspace. They get what the
+/// others leave unused: endpoints at which callers within their shares hardly wait.
+static constexpr double beyondShareWaitFraction = 0.25;
+
+static bool isPositive(double number)
+{
+    return std::isfinite(number) && number > 0;
+}
+
+static double orZero(double number)
+{
+    return isPositive(number) ? number : 0;
+}
+
+ServiceDemand sumOf(const std::vector<WorkspaceDemand>& demands)
+{
+    ServiceDemand sum;
+    for (const WorkspaceDemand& demand : demands) {
+        sum.requested += orZero(demand.requested);
+        sum.admitted += std::min(orZero(demand.admitted), orZero(demand.requested));
+    }
+    return sum;
+}
+
+bool isShortage(const ServiceDemand& demand, bool wasShortage)
+{
+    double refused = demand.requested - demand.admitted;
+    return refused > demand.requested * (wasShortage ? endFraction : beginFraction);
+}
+
+// Fills the shares in ascending order of the demand per weight: a workspace whose demand is below
+// the level that remains for all is satisfied and leaves the rest to those after it.
+std::vector<double> divideShortage(const std::vector<WorkspaceDemand>& demands, double capacity)
+{
+    std::vector<std::size_t> order;
+    double weights = 0;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        if (!isPositive(demands[i].weight) || !isPositive(demands[i].requested))
+            continue;
+        order.push_back(i);
+        weights += demands[i].weight;
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return demands[a].requested / demands[a].weight < demands[b].requested / demands[b].weight;
+    });
+    std::vector<double> shares(demands.size(), 0);
+    double remaining = orZero(capacity);
+    for (std::size_t i : order) {
+        shares[i] = std::min(demands[i].requested, remaining * demands[i].weight / weights);
+        remaining -= shares[i];
+        weights -= demands[i].weight;
+    }
+    return shares;
+}
+
+double fractionWithinShare(double requested, double share)
+{
+    return isPositive(requested) ? std::clamp(share / requested, 0.0, 1.0) : 1;
+}
+
+double waitFractionFor(bool isWithinShare)
+{
+    return isWithinShare ? 1 : beyondShareWaitFraction;
+}
+
+} // namespace catkinwing
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -71,6 +71,8 @@
     reader.read("quotaWindow", ingress.limitWindow, DurationRange::AboveZero);
     reader.read("quotaOverage", ingress.limitOverage);
     reader.read("quotaSlack", ingress.limitSlack);
+    reader.read("sharesShortage", ingress.sharesShortage);
+    reader.read("contracts", ingress.contracts);
 }
 
 static bool isWildcard(const SocketAddress& address)
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -144,6 +144,10 @@
         receiveStreamOriginMessage(from, bytes);
         return;
     }
+    if (!bytes.empty() && bytes.front() == workspaceReportMark) {
+        receiveWorkspaceReport(bytes);
+        return;
+    }
     absl::StatusOr<LoadReport> report = decodeLoadReport(bytes);
     absl::StatusOr<LoadDigest> digest = decodeLoadDigest(report.ok() ? absl::string_view() : bytes);
     if (!report.ok() && !digest.ok()) {
@@ -184,6 +188,15 @@
         metrics.count("stream_origin_messages_refused");
 }
 
+void IngressDaemon::Impl::receiveWorkspaceReport(absl::string_view bytes)
+{
+    absl::StatusOr<WorkspaceReport> report = decodeWorkspaceReport(bytes);
+    if (report.ok())
+        shortages.handleReport(*std::move(report), loop.clock().now());
+    else
+        metrics.count("workspace_reports_refused");
+}
+
 void IngressDaemon::Impl::receiveRegionReport(const SocketAddress& from, absl::string_view bytes)
 {
     absl::StatusOr<RegionReport> report = decodeRegionReport(bytes);
@@ -218,6 +231,7 @@
     limitExchange.tick();
     streamOrigins.tick();
     reportRegion();
+    reportShortages();
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
 
@@ -290,6 +304,7 @@
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
     impl->parts.streamOrigins = &impl->streamOrigins;
+    impl->parts.shortages = settings.ingress->sharesShortage ? &impl->shortages : nullptr;
     impl->parts.crashSuspects.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // Closes connections to an endpoint that was restarted: they belong to the earlier
@@ -327,6 +342,7 @@
     m_impl->ingress.directoryLifetime = settings.ingress->directoryLifetime;
     m_impl->parts.retryLimits = { settings.ingress->retryRatio, settings.ingress->retrySlack };
     m_impl->creditExchange.setTolerance(Impl::limitTolerance(*settings.ingress));
+    m_impl->parts.shortages = settings.ingress->sharesShortage ? &m_impl->shortages : nullptr;
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -134,11 +134,14 @@
     void receiveCreditMessage(const SocketAddress& from, absl::string_view bytes);
     void receiveLimitMessage(const SocketAddress& from, absl::string_view bytes);
     void receiveStreamOriginMessage(const SocketAddress& from, absl::string_view bytes);
+    void receiveWorkspaceReport(absl::string_view bytes);
     void receiveRegionReport(const SocketAddress& from, absl::string_view bytes);
     void send(const std::vector<OutgoingDatagram>& datagrams);
     void scheduleUrgentReport();
     void reportLoad();
     void reportRegion();
+    /// Logs the shortages that began or ended, and reports those that last to other entries.
+    void reportShortages();
     void logState();
     /// Returns the retry budget counters of each service.
     nlohmann::json retryTotals() const;
@@ -172,6 +175,8 @@
     CreditExchange creditExchange;
     LimitExchange limitExchange;
     StreamOriginExchange streamOrigins;
+    ShortageTable shortages;
+    std::uint64_t shortageReports { 0 };
     EntryRegistration registration;
     EntryCountWriter entryCountWriter;
     RelayedStore relayedStore;
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -18,6 +18,11 @@
 /// chosen at random. With five rounds a second, an entry in a region of 100 entries
 /// receives several reports a second about another region.
 static constexpr double expectedRegionReporters = 32;
+/// Number of load report intervals between two workspace reports: one second.
+static constexpr std::uint64_t loadReportsPerShortageReport = 10;
+/// Each workspace report goes to this many random entries of the region. As reports apply for three
+/// seconds, an entry knows the counts of about nine others; 16 rows cost it some 1.5 KB/s.
+static constexpr std::size_t entriesPerShortageReport = 3;
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
 
@@ -29,6 +34,12 @@
     for (const CreditState& state : creditExchange.states())
         workspaceRows.push_back({ { "workspace", state.workspace }, { "limit_per_second", state.perSecond }, { "share_per_second", state.sharePerSecond },
             { "asked_per_second", state.askedPerSecond }, { "credit", state.atEntry }, { "pool_credit", state.atPool }, { "granted", state.granted }, { "refused", state.refused } });
+    nlohmann::json shareRows = nlohmann::json::array();
+    for (const WorkspaceStanding& standing : shortages.standings(workspaces(), now)) {
+        const Workspace* workspace = workspaces().findByHash(standing.workspace);
+        shareRows.push_back({ { "service", standing.service }, { "workspace", workspace ? workspace->name : "" }, { "requested_per_second", standing.requested },
+            { "admitted_per_second", standing.admitted }, { "share_per_second", standing.share } });
+    }
     nlohmann::json endpointRows = nlohmann::json::array();
     for (const auto& endpoint : parts.endpoints.limits().known(now)) {
         const EndpointLimit& limit = endpoint->limit;
@@ -37,7 +48,7 @@
                 { "share_per_second", limit.share ? limit.share->rate().perSecond : 0 }, { "other_holders", limit.otherHolders }, { "confirmed_ms_ago", toMilliseconds(now - limit.named.confirmedAt) } });
     }
     return { { "entry", ownKey() }, { "version", parts.routes ? parts.routes->version() : 0 }, { "store_age_ms", toMilliseconds(relayedStore.dataAge().value_or(Duration::zero())) },
-        { "workspaces", workspaceRows }, { "endpoints", endpointRows } };
+        { "workspaces", workspaceRows }, { "shares", shareRows }, { "endpoints", endpointRows } };
 }
 
 void IngressDaemon::Impl::answerOperator(const HttpRequest& request, HttpResponder& responder)
@@ -118,6 +129,27 @@
     }
 }
 
+// Shares are proportions, so the counts of a few random entries estimate those of the region. The
+// cost to an entry doesn't depend on the size of its region.
+void IngressDaemon::Impl::reportShortages()
+{
+    if (!parts.shortages || !parts.routes || loadExchange.sequence() % loadReportsPerShortageReport != 0)
+        return;
+    TimePoint now = loop.clock().now();
+    for (const ShortageChange& change : shortages.takeChanges(workspaces(), now))
+        logChange(LogLevel::Info, change.hasBegun ? "shortage_began" : "shortage_ended", { { "service", change.service } });
+    WorkspaceReport report = shortages.makeReport(ownKey(), ++shortageReports, workspaces(), now);
+    if (report.rows.empty())
+        return;
+    std::string bytes = encodeWorkspaceReport(report);
+    std::vector<SocketAddress> entries = parts.entries.peerAddresses(settings.region);
+    for (std::size_t sent = 0; sent < std::min(entries.size(), entriesPerShortageReport); ++sent) {
+        std::size_t chosen = sent + random.below(entries.size() - sent);
+        std::swap(entries[sent], entries[chosen]);
+        loadReportSocket->send(entries[sent], bytes);
+    }
+}
+
 nlohmann::json IngressDaemon::Impl::retryTotals() const
 {
     nlohmann::json totals = nlohmann::json::object();
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -178,6 +178,7 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
+    demand.waitFraction = waitFractionFor(m_isWithinShare);
     return demand;
 }
 
@@ -211,7 +212,9 @@
     }
     if (m_possiblyDeliveredAttempts == 0 && m_parts.endpoints.rejectionLimit(m_service))
         m_notSentReason = notSentNoRoom;
-    sendOwnAnswer(statusUnavailable, Outcome::NotRun, areLimitsUsedUp() ? "endpoint_limits" : "no_endpoint");
+    recordShortage();
+    const char* reason = m_isWithinShare ? "no_endpoint" : "beyond_share";
+    sendOwnAnswer(statusUnavailable, Outcome::NotRun, areLimitsUsedUp() ? "endpoint_limits" : reason);
 }
 
 Duration RoutedRun::maxWait() const
@@ -246,8 +249,10 @@
     RegionChoice choice = chooseRegion(demand, others, m_parts.random);
     if (choice.verdict == RegionVerdict::Forward)
         return !sharedSegment() && sendToEntryIn(choice.region, "shorter_wait");
-    if (choice.verdict == RegionVerdict::Refuse)
-        sendOwnAnswer(statusUnavailable, Outcome::NotRun, "waits_too_long_everywhere");
+    if (choice.verdict == RegionVerdict::Refuse) {
+        recordShortage();
+        sendOwnAnswer(statusUnavailable, Outcome::NotRun, m_isWithinShare ? "waits_too_long_everywhere" : "beyond_share");
+    }
     return choice.verdict == RegionVerdict::Refuse;
 }
 
@@ -304,6 +309,7 @@
 void RoutedRun::startAtEndpoint(std::shared_ptr<RoutedEndpoint> endpoint, const char* why)
 {
     m_triedEndpoints.push_back(endpoint->record.incarnation);
+    recordAdmission();
     AttemptFacts facts;
     facts.incarnation = endpoint->record.incarnation;
     facts.priority = requestPriority();
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -124,9 +124,60 @@
     }
     if (!m_request.isForwarded)
         m_parts.retryBudgetOf(m_service).recordRequest(now());
+    drawShare();
     resolveStreamBuild();
 }
 
+bool RoutedRun::countsShares() const
+{
+    return m_parts.shortages && !m_routes->workspaces().empty();
+}
+
+std::uint64_t RoutedRun::workspaceOfShares() const
+{
+    return m_workspaceName.empty() ? 0 : workspaceHash(m_workspaceName);
+}
+
+// Weighs requests by their tokens, as the limits of workspaces do, since capacity is divided in
+// tokens.
+double RoutedRun::tokensOfShares() const
+{
+    const RequestFacts& facts = m_request.facts;
+    double stated = static_cast<double>(std::max<std::int64_t>(facts.promptTokens, 0)) + static_cast<double>(std::max<std::int64_t>(facts.maxOutputTokens, 0));
+    double unstated = m_workspace ? static_cast<double>(m_workspace->limit.plainTokens) : 1;
+    constexpr double maxTokens = 1e9;
+    return std::clamp(facts.hasTokenCounts ? stated : unstated, 1.0, maxTokens);
+}
+
+// A workspace beyond its share has as many requests within it as the share covers, chosen at
+// random, so that it is never refused altogether. A stream that is resumed has used capacity
+// already, which a refusal would waste.
+void RoutedRun::drawShare()
+{
+    if (!countsShares() || m_request.facts.resumeAfter)
+        return;
+    double fraction = m_parts.shortages->fractionWithinShare(m_service, workspaceOfShares(), m_routes->workspaces(), now());
+    m_isWithinShare = fraction >= 1 || m_parts.random.unit() < fraction;
+}
+
+void RoutedRun::recordAdmission()
+{
+    if (!countsShares() || m_isCountedInShares)
+        return;
+    m_isCountedInShares = true;
+    m_parts.shortages->recordAdmitted(m_service, workspaceOfShares(), tokensOfShares(), now());
+}
+
+void RoutedRun::recordShortage()
+{
+    if (!m_isWithinShare)
+        m_parts.metrics.count("workspace_share_refusals");
+    if (!countsShares() || m_isCountedInShares || !isAllowedHere())
+        return;
+    m_isCountedInShares = true;
+    m_parts.shortages->recordRefused(m_service, workspaceOfShares(), tokensOfShares(), now());
+}
+
 // Credit is returned only if the request certainly wasn't executed and won't be.
 void RoutedRun::returnCredit(bool wasNotRun)
 {
--- a/tools/catkinwingd/Main.cpp
+++ b/tools/catkinwingd/Main.cpp
@@ -27,6 +27,8 @@
     ConfigResult<DaemonSettings> parsed = parseDaemonSettings(*text);
     for (const ConfigFault& fault : parsed.faults)
         std::cerr << name << ": " << (fault.pointer.empty() ? "/" : fault.pointer) << ": " << fault.message << "\n";
+    if (parsed.document && parsed.document->ingress)
+        platform::applyContracts(*parsed.document->ingress);
     return std::move(parsed.document);
 }
 
--- a/unittests/Admission/WaitLimitTest.cpp
+++ b/unittests/Admission/WaitLimitTest.cpp
@@ -28,6 +28,13 @@
     CHECK(maxQueueWait(withoutTarget, 100ms) > 300ms);
 }
 
+TEST_CASE("a request beyond the share of its workspace has a fraction of the max wait")
+{
+    WaitLimitInputs beyond = firstAttempt();
+    beyond.waitFraction = 0.25;
+    CHECK(maxQueueWait(beyond, 100ms) == maxQueueWait(firstAttempt(), 100ms) / 4);
+}
+
 TEST_CASE("less urgent requests and retries of refused clients have a shorter max wait")
 {
     WaitLimitInputs lessUrgent = firstAttempt();
