--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -39,6 +39,8 @@
             facts.prompt = readSegments(field.value);
         else if (field.name == "workspace-key")
             facts.workspaceKey = field.value;
+        else if (field.name == "max-tokens" && absl::SimpleAtoi(field.value, &number))
+            facts.maxOutputTokens = number;
         else if (field.name == "tokens") {
             facts.hasTokenCounts = absl::SimpleAtoi(field.value, &facts.promptTokens);
         }
