Check a configuration of routes before it is sent

Cause: an operator learnt of routes that can never match, of limits that contradict each other and of versions that entries ignore only from what happened afterwards.

Change: catkinwingctl check FILE [--against FILE] lists errors, entries that can never match, contradictions and differences, as text or JSON, with exit codes 0, 1 and 2. Keys are shown as digits of their digests.

--- a/test/command_line_test.py
+++ b/test/command_line_test.py
@@ -47,6 +47,34 @@
                 for pointer in ("/colour", "/store/0", "/limits/maximumConnections"):
                     self.assertIn(f"{pointer}: ", result.stderr)
 
+    def test_a_configuration_of_routes_is_checked_before_it_is_sent(self):
+        route = {"name": "r1", "host": "a.example", "prefix": "/p/", "kind": "idempotent", "timeout_ms": 3000, "service": "app", "attempts": 2}
+        workspace = {"name": "fitters", "api_keys": ["secret-1"], "unit": "tokens", "rate_per_s": 100, "burst": 100, "plain_tokens": 10}
+        current = {"version": 7, "routes": [route], "services": [{"name": "app", "max_conns": 10}], "tenants": [workspace]}
+        changed = {**current, "version": 8, "tenants": [{**workspace, "api_keys": ["secret-2"]}]}
+        broken = {**changed, "version": 7, "routes": [route, {**route, "name": "r2", "latency_target_ms": 9000}]}
+        with tempfile.TemporaryDirectory() as folder:
+            files = {name: pathlib.Path(folder, name + ".json") for name in ("current", "changed", "broken", "garbage")}
+            for name, document in (("current", current), ("changed", changed), ("broken", broken)):
+                files[name].write_text(json.dumps(document))
+            files["garbage"].write_text("{")
+            sound = run("catkinwingctl", "check", files["changed"], "--against", files["current"])
+            self.assertEqual(sound.returncode, 0, sound)
+            self.assertIn("+ /tenants/0/api_keys/0", sound.stdout)
+            self.assertIn("0 findings, 2 changes", sound.stdout)
+            self.assertNotIn("secret", sound.stdout)
+            result = run("catkinwingctl", "check", files["broken"], "--against", files["current"], "--format", "json")
+            self.assertEqual(result.returncode, 1)
+            report = json.loads(result.stdout)
+            self.assertEqual([(finding["kind"], finding["subject"]) for finding in report["findings"]],
+                             [("never_matches", "route r2"), ("contradiction", "route r2"), ("error", "version")])
+            self.assertTrue(report["changes"])
+            self.assertIn("error: /:", run("catkinwingctl", "check", files["garbage"]).stdout)
+            self.assertEqual(run("catkinwingctl", "check", files["garbage"]).returncode, 1)
+            self.assertEqual(run("catkinwingctl", "check", files["current"], "--against", files["garbage"]).returncode, 1)
+        self.assertEqual(run("catkinwingctl", "check").returncode, 2)
+        self.assertEqual(run("catkinwingctl", "check", "/nonexistent").returncode, 1)
+
     def test_the_story_of_a_request_is_joined_from_several_logs(self):
         first = [{"event": "request_ended", "request": "a1", "time_ms": 1120, "route": "r", "version": 7, "outcome": "completed", "reason": "",
                   "status": 200, "took_ms": 120, "forwarded": False, "attempts": 2, "to": "10.0.0.2:7", "why": "refused_here"},
--- a/tools/catkinwingctl/Commands.h
+++ b/tools/catkinwingctl/Commands.h
@@ -21,10 +21,15 @@
     /// Deletes documents that the folder lacks.
     bool prune { false };
     std::string writeId;
+    /// Of check: the file with the configuration in force; empty for none.
+    std::string against;
 };
 
 /// Checks a folder, a document or a settings file.
 int validateCommand(const std::string& target);
+/// Checks the configuration of entries that route by host and path, and shows what differs from the
+/// one in force. Returns exitFailure if there are findings or a file can't be read.
+int checkCommand(const CommandOptions& options, const std::string& name);
 /// Shows what apply would change.
 int diffCommand(OperatorClient& client, const CommandOptions& options, const std::string& folder);
 /// Sends a folder's documents that differ.
--- a/tools/catkinwingctl/Main.cpp
+++ b/tools/catkinwingctl/Main.cpp
@@ -15,6 +15,7 @@
     cxxopts::Options options("catkinwingctl", "Operator's command of the catkinwing inference gateway.\n\n"
                                               "Commands:\n"
                                               "  validate FOLDER|FILE   check a configuration folder, document or settings file\n"
+                                              "  check FILE             check a configuration of routes before it is sent; exits with 1 if it finds anything\n"
                                               "  diff FOLDER            show what apply would change\n"
                                               "  apply FOLDER           send the documents that differ\n"
                                               "  get [PATH]             print a document, or all revisions\n"
@@ -34,6 +35,7 @@
     options.add_options()("path", "only this document, such as teams/NAME", cxxopts::value<std::string>()->default_value(""), "PATH");
     options.add_options()("prune", "apply: delete documents that the folder lacks");
     options.add_options()("write-id", "apply: name of the write, to send it again safely", cxxopts::value<std::string>()->default_value(""), "ID");
+    options.add_options()("against", "check: file with the configuration in force", cxxopts::value<std::string>()->default_value(""), "FILE");
     options.add_options()("version", "print the version")("help", "print this help");
     options.add_options("positional")("command", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional("command");
@@ -63,6 +65,7 @@
     options.path = arguments["path"].as<std::string>();
     options.prune = arguments.count("prune") > 0;
     options.writeId = arguments["write-id"].as<std::string>();
+    options.against = arguments["against"].as<std::string>();
     return options;
 }
 
@@ -108,6 +111,8 @@
         return usageFault(std::string(options.status().message()));
     if (words.front() == "validate")
         return words.size() == 2 ? validateCommand(words[1]) : usageFault("validate takes one folder or file");
+    if (words.front() == "check")
+        return words.size() == 2 ? checkCommand(*options, words[1]) : usageFault("check takes one file");
     if (words.front() == "explain-request")
         return words.size() > 2 ? explainRequestCommand(words) : usageFault("explain-request takes a request's id and log files");
     if (options->entries.empty())
