Serve callers that can be in time before those that return late in a shortage

Change: in a shortage, a request that has missed its latency target may use free slots only. It counts in the demand apart from requests that can be in time, whose shares are divided from all that is admitted.

--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -160,12 +160,14 @@
     /// Returns the hash of the workspace's name; zero if there is none.
     std::uint64_t workspaceOfShares() const;
     double tokensOfShares() const;
-    /// Decides whether the request is within the share of its workspace.
-    void drawShare();
-    /// Counts the request as sent to an endpoint in this region.
-    void recordAdmission();
-    /// Counts the request as refused in this region for lack of capacity.
-    void recordShortage();
+    bool hasMissedTarget() const;
+    /// Decides which part of the capacity the request may use.
+    void classifyByShare();
+    /// Counts the request in the demand of its workspace in this region.
+    void countInShares(bool isAdmitted);
+    /// Counts a refusal for lack of capacity. Returns its reason: \p reason unless the request is
+    /// refused before others.
+    const char* recordLackOfCapacity(const char* reason);
     std::int64_t limitedAmount() const;
     int requestPriority() const;
     bool isAllowedHere() const;
@@ -333,8 +335,9 @@
     std::vector<std::string> m_homeRegions;
     /// Credit that the request has used of the workspace's limit.
     CreditPortion m_usedCredit;
-    /// Whether the request is within the share of its workspace; true without a shortage.
-    bool m_isWithinShare { true };
+    ShareClass m_shareClass { ShareClass::Within };
+    /// The request has missed its latency target.
+    bool m_isLate { false };
     /// The request has been counted in the demand of its workspace.
     bool m_isCountedInShares { false };
     /// The decision by which the request was refused for the limit of its workspace.
--- a/include/catkinwing/Ingress/ShortageTable.h
+++ b/include/catkinwing/Ingress/ShortageTable.h
@@ -24,6 +24,7 @@
     std::uint64_t workspace { 0 };
     double requested { 0 };
     double admitted { 0 };
+    double late { 0 };
     /// Equal to requested if the service has no shortage.
     double share { 0 };
 };
@@ -34,14 +35,14 @@
 /// reports divides by its own counts.
 class ShortageTable {
 public:
-    /// Counts a request that is sent to an endpoint.
-    void recordAdmitted(const std::string& service, std::uint64_t workspace, double tokens, TimePoint now);
-    /// Counts a request that is refused for lack of capacity.
-    void recordRefused(const std::string& service, std::uint64_t workspace, double tokens, TimePoint now);
+    /// Counts a request that is sent to an endpoint or refused for lack of capacity; \p isLate
+    /// if it has missed its latency target.
+    void record(const std::string& service, std::uint64_t workspace, double tokens, bool isAdmitted, bool isLate, TimePoint now);
     void handleReport(WorkspaceReport report, TimePoint now);
     /// Returns which fraction of the requests of a workspace is within its share: 1 unless the
     /// service has a shortage.
     double fractionWithinShare(const std::string& service, std::uint64_t workspace, const WorkspaceTable& workspaces, TimePoint now);
+    bool hasShortage(const std::string& service, const WorkspaceTable& workspaces, TimePoint now);
     /// Returns the rows of services with a shortage, the largest first; no rows if there are none.
     WorkspaceReport makeReport(const std::string& entry, std::uint64_t sequence, const WorkspaceTable& workspaces, TimePoint now);
     /// Returns all workspaces with requests, for operators.
@@ -53,6 +54,7 @@
     struct Usage {
         DecayingRate requested;
         DecayingRate admitted;
+        DecayingRate late;
 
         Usage();
     };
--- a/lib/Admission/WorkspaceShares.cpp
+++ b/lib/Admission/WorkspaceShares.cpp
@@ -14,6 +14,9 @@
 /// Fraction of the max wait for requests beyond the share of their workspace. They get what the
 /// others leave unused: endpoints at which callers within their shares hardly wait.
 static constexpr double beyondShareWaitFraction = 0.25;
+/// The same for requests that have missed their latency target. Each of them that waits makes
+/// another caller late, so they get free slots only.
+static constexpr double lateWaitFraction = 0.1;
 
 static bool isPositive(double number)
 {
@@ -30,15 +33,16 @@
     ServiceDemand sum;
     for (const WorkspaceDemand& demand : demands) {
         sum.requested += orZero(demand.requested);
-        sum.admitted += std::min(orZero(demand.admitted), orZero(demand.requested));
+        sum.late += orZero(demand.late);
+        sum.admitted += std::min(orZero(demand.admitted), orZero(demand.requested) + orZero(demand.late));
     }
     return sum;
 }
 
 bool isShortage(const ServiceDemand& demand, bool wasShortage)
 {
-    double refused = demand.requested - demand.admitted;
-    return refused > demand.requested * (wasShortage ? endFraction : beginFraction);
+    double asked = demand.requested + demand.late;
+    return asked - demand.admitted > asked * (wasShortage ? endFraction : beginFraction);
 }
 
 // Fills the shares in ascending order of the demand per weight: a workspace whose demand is below
@@ -71,9 +75,17 @@
     return isPositive(requested) ? std::clamp(share / requested, 0.0, 1.0) : 1;
 }
 
-double waitFractionFor(bool isWithinShare)
+double waitFractionFor(ShareClass shareClass)
 {
-    return isWithinShare ? 1 : beyondShareWaitFraction;
+    switch (shareClass) {
+    case ShareClass::Within:
+        return 1;
+    case ShareClass::Beyond:
+        return beyondShareWaitFraction;
+    case ShareClass::Late:
+        return lateWaitFraction;
+    }
+    return 1;
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -21,7 +21,7 @@
 /// Number of load report intervals between two workspace reports: one second.
 static constexpr std::uint64_t loadReportsPerShortageReport = 10;
 /// Each workspace report goes to this many random entries of the region. As reports apply for three
-/// seconds, an entry knows the counts of about nine others; 16 rows cost it some 1.5 KB/s.
+/// seconds, an entry knows the counts of about nine others; 16 rows cost it some 1.8 KB/s.
 static constexpr std::size_t entriesPerShortageReport = 3;
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
@@ -38,7 +38,7 @@
     for (const WorkspaceStanding& standing : shortages.standings(workspaces(), now)) {
         const Workspace* workspace = workspaces().findByHash(standing.workspace);
         shareRows.push_back({ { "service", standing.service }, { "workspace", workspace ? workspace->name : "" }, { "requested_per_second", standing.requested },
-            { "admitted_per_second", standing.admitted }, { "share_per_second", standing.share } });
+            { "admitted_per_second", standing.admitted }, { "late_per_second", standing.late }, { "share_per_second", standing.share } });
     }
     nlohmann::json endpointRows = nlohmann::json::array();
     for (const auto& endpoint : parts.endpoints.limits().known(now)) {
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -179,7 +179,7 @@
             demand.latencyTarget = level.tightestTarget;
     }
     demand.hasMoreUrgent = !levels.empty() && levels.front().priority < m_route->priority;
-    demand.waitFraction = waitFractionFor(m_isWithinShare);
+    demand.waitFraction = waitFractionFor(m_shareClass);
     return demand;
 }
 
@@ -213,8 +213,7 @@
     }
     if (m_possiblyDeliveredAttempts == 0 && m_parts.endpoints.rejectionLimit(m_service))
         m_notSentReason = notSentNoRoom;
-    recordShortage();
-    const char* reason = m_isWithinShare ? "no_endpoint" : "beyond_share";
+    const char* reason = recordLackOfCapacity("no_endpoint");
     sendOwnAnswer(statusUnavailable, Outcome::NotRun, areLimitsUsedUp() ? "endpoint_limits" : reason);
 }
 
@@ -250,10 +249,8 @@
     RegionChoice choice = chooseRegion(demand, others, m_parts.random);
     if (choice.verdict == RegionVerdict::Forward)
         return !sharedSegment() && sendToEntryIn(choice.region, "shorter_wait");
-    if (choice.verdict == RegionVerdict::Refuse) {
-        recordShortage();
-        sendOwnAnswer(statusUnavailable, Outcome::NotRun, m_isWithinShare ? "waits_too_long_everywhere" : "beyond_share");
-    }
+    if (choice.verdict == RegionVerdict::Refuse)
+        sendOwnAnswer(statusUnavailable, Outcome::NotRun, recordLackOfCapacity("waits_too_long_everywhere"));
     return choice.verdict == RegionVerdict::Refuse;
 }
 
@@ -331,7 +328,7 @@
 void RoutedRun::startAtEndpoint(std::shared_ptr<RoutedEndpoint> endpoint, const char* why)
 {
     m_triedEndpoints.push_back(endpoint->record.incarnation);
-    recordAdmission();
+    countInShares(true);
     AttemptFacts facts;
     facts.incarnation = endpoint->record.incarnation;
     facts.priority = requestPriority();
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -124,7 +124,7 @@
     }
     if (!m_request.isForwarded)
         m_parts.retryBudgetOf(m_service).recordRequest(now());
-    drawShare();
+    classifyByShare();
     resolveStreamBuild();
 }
 
@@ -149,33 +149,53 @@
     return std::clamp(facts.hasTokenCounts ? stated : unstated, 1.0, maxTokens);
 }
 
+// The client was refused before and returned too late for its target.
+bool RoutedRun::hasMissedTarget() const
+{
+    if (m_route->latencyTarget <= milliseconds::zero())
+        return false;
+    Duration elapsed = m_route->timeout - timeLeft();
+    return elapsed + idleFirstByte(defaultResponseEstimate()) >= m_route->latencyTarget && timeLeft() < m_route->timeout;
+}
+
 // A workspace beyond its share has as many requests within it as the share covers, chosen at
 // random, so that it is never refused altogether. A stream that is resumed has used capacity
 // already, which a refusal would waste.
-void RoutedRun::drawShare()
+void RoutedRun::classifyByShare()
 {
     if (!countsShares() || m_request.facts.resumeAfter)
         return;
-    double fraction = m_parts.shortages->fractionWithinShare(m_service, workspaceOfShares(), m_routes->workspaces(), now());
-    m_isWithinShare = fraction >= 1 || m_parts.random.unit() < fraction;
+    ShortageTable& shortages = *m_parts.shortages;
+    const WorkspaceTable& workspaces = m_routes->workspaces();
+    m_isLate = hasMissedTarget();
+    if (!shortages.hasShortage(m_service, workspaces, now()))
+        return;
+    if (m_isLate) {
+        m_shareClass = ShareClass::Late;
+        return;
+    }
+    double fraction = shortages.fractionWithinShare(m_service, workspaceOfShares(), workspaces, now());
+    if (fraction < 1 && m_parts.random.unit() >= fraction)
+        m_shareClass = ShareClass::Beyond;
 }
 
-void RoutedRun::recordAdmission()
+void RoutedRun::countInShares(bool isAdmitted)
 {
     if (!countsShares() || m_isCountedInShares)
         return;
     m_isCountedInShares = true;
-    m_parts.shortages->recordAdmitted(m_service, workspaceOfShares(), tokensOfShares(), now());
+    m_parts.shortages->record(m_service, workspaceOfShares(), tokensOfShares(), isAdmitted, m_isLate, now());
 }
 
-void RoutedRun::recordShortage()
+// Returns the reason of a refusal for lack of capacity and counts it.
+const char* RoutedRun::recordLackOfCapacity(const char* reason)
 {
-    if (!m_isWithinShare)
-        m_parts.metrics.count("workspace_share_refusals");
-    if (!countsShares() || m_isCountedInShares || !isAllowedHere())
-        return;
-    m_isCountedInShares = true;
-    m_parts.shortages->recordRefused(m_service, workspaceOfShares(), tokensOfShares(), now());
+    if (isAllowedHere())
+        countInShares(false);
+    if (m_shareClass == ShareClass::Within)
+        return reason;
+    m_parts.metrics.count(m_shareClass == ShareClass::Late ? "late_share_refusals" : "workspace_share_refusals");
+    return m_shareClass == ShareClass::Late ? "late_in_shortage" : "beyond_share";
 }
 
 // Credit is returned only if the request certainly wasn't executed and won't be.
--- a/lib/Ingress/ShortageTable.cpp
+++ b/lib/Ingress/ShortageTable.cpp
@@ -23,6 +23,7 @@
 ShortageTable::Usage::Usage()
     : requested(countSmoothing)
     , admitted(countSmoothing)
+    , late(countSmoothing)
 {
 }
 
@@ -39,16 +40,12 @@
     return serviceNamed(service).usages[workspace];
 }
 
-void ShortageTable::recordAdmitted(const std::string& service, std::uint64_t workspace, double tokens, TimePoint now)
+void ShortageTable::record(const std::string& service, std::uint64_t workspace, double tokens, bool isAdmitted, bool isLate, TimePoint now)
 {
     Usage& usage = usageOf(service, workspace);
-    usage.requested.add(tokens, now);
-    usage.admitted.add(tokens, now);
-}
-
-void ShortageTable::recordRefused(const std::string& service, std::uint64_t workspace, double tokens, TimePoint now)
-{
-    usageOf(service, workspace).requested.add(tokens, now);
+    (isLate ? usage.late : usage.requested).add(tokens, now);
+    if (isAdmitted)
+        usage.admitted.add(tokens, now);
 }
 
 void ShortageTable::expire(TimePoint now)
@@ -103,11 +100,12 @@
     std::map<std::uint64_t, WorkspaceDemand> sums;
     for (auto usage = service.usages.begin(); usage != service.usages.end();) {
         double requested = usage->second.requested.rate(now);
-        if (requested < minRate) {
+        double late = usage->second.late.rate(now);
+        if (requested + late < minRate) {
             service.usages.erase(usage++);
             continue;
         }
-        sums[usage->first] = { 1, requested, usage->second.admitted.rate(now) };
+        sums[usage->first] = { 1, requested, usage->second.admitted.rate(now), late };
         ++usage;
     }
     for (const auto& [entry, received] : m_reports) {
@@ -116,6 +114,7 @@
                 continue;
             sums[row.workspace].requested += row.requested;
             sums[row.workspace].admitted += row.admitted;
+            sums[row.workspace].late += row.late;
         }
     }
     std::vector<std::uint64_t> names;
@@ -130,7 +129,7 @@
     std::vector<double> shares = divideShortage(demands, service.hasShortage ? sum.admitted : sum.requested);
     service.standings.clear();
     for (std::size_t i = 0; i < names.size(); ++i)
-        service.standings[names[i]] = { service.name, names[i], demands[i].requested, demands[i].admitted, shares[i] };
+        service.standings[names[i]] = { service.name, names[i], demands[i].requested, demands[i].admitted, demands[i].late, shares[i] };
 }
 
 double ShortageTable::fractionWithinShare(const std::string& service, std::uint64_t workspace, const WorkspaceTable& workspaces, TimePoint now)
@@ -146,6 +145,16 @@
     return catkinwing::fractionWithinShare(standing->second.requested, standing->second.share);
 }
 
+bool ShortageTable::hasShortage(const std::string& service, const WorkspaceTable& workspaces, TimePoint now)
+{
+    std::uint32_t hash = serviceHash(service);
+    auto found = m_services.find(hash);
+    if (found == m_services.end())
+        return false;
+    divide(hash, found->second, workspaces, now);
+    return found->second.hasShortage;
+}
+
 static std::uint32_t toCount(double rate)
 {
     constexpr double maxRate = 1e9;
@@ -162,10 +171,11 @@
             continue;
         for (const auto& [workspace, usage] : service.usages) {
             std::uint32_t requested = toCount(usage.requested.rate(now));
-            report.rows.push_back({ hash, workspace, requested, std::min(toCount(usage.admitted.rate(now)), requested) });
+            std::uint32_t late = toCount(usage.late.rate(now));
+            report.rows.push_back({ hash, workspace, requested, std::min(toCount(usage.admitted.rate(now)), requested + late), late });
         }
     }
-    std::sort(report.rows.begin(), report.rows.end(), [](const WorkspaceRow& a, const WorkspaceRow& b) { return a.requested > b.requested; });
+    std::sort(report.rows.begin(), report.rows.end(), [](const WorkspaceRow& a, const WorkspaceRow& b) { return a.requested + a.late > b.requested + b.late; });
     report.rows.resize(std::min(report.rows.size(), maxWorkspaceRows));
     return report;
 }
--- a/lib/PeerProtocol/WorkspaceReport.cpp
+++ b/lib/PeerProtocol/WorkspaceReport.cpp
@@ -22,7 +22,7 @@
 {
     json rows = json::array();
     for (const WorkspaceRow& row : report.rows)
-        appendCounts(rows, { row.service, static_cast<std::uint32_t>(row.workspace >> halfBits), static_cast<std::uint32_t>(row.workspace), row.requested, row.admitted });
+        appendCounts(rows, { row.service, static_cast<std::uint32_t>(row.workspace >> halfBits), static_cast<std::uint32_t>(row.workspace), row.requested, row.admitted, row.late });
     std::string bytes(1, workspaceReportMark);
     json::to_cbor(json::array({ report.entry, report.sequence, std::move(rows) }), bytes);
     return bytes;
@@ -34,14 +34,14 @@
         return absl::InvalidArgumentError("not a workspace report: its first byte is another one");
     json fields = parseCbor(bytes.substr(1));
     bool isReport = fields.is_array() && fields.size() == messageMembers && fields[0].is_string() && fields[1].is_number_unsigned();
-    std::optional<std::vector<CountRow<5>>> rows = isReport ? readCounts<5>(fields[2]) : std::nullopt;
+    std::optional<std::vector<CountRow<6>>> rows = isReport ? readCounts<6>(fields[2]) : std::nullopt;
     bool isValid = rows && rows->size() <= maxWorkspaceRows && fields[0].get_ref<const std::string&>().size() <= maxEntryBytes
-        && std::all_of(rows->begin(), rows->end(), [](const CountRow<5>& row) { return row[3] <= maxRate && row[4] <= row[3]; });
+        && std::all_of(rows->begin(), rows->end(), [](const CountRow<6>& row) { return row[3] <= maxRate && row[5] <= maxRate && row[4] <= row[3] + row[5]; });
     if (!isValid)
         return absl::InvalidArgumentError("a workspace report can't be read");
     WorkspaceReport report { fields[0].get<std::string>(), fields[1].get<std::uint64_t>(), {} };
-    for (const CountRow<5>& row : *rows)
-        report.rows.push_back({ row[0], (std::uint64_t { row[1] } << halfBits) | row[2], row[3], row[4] });
+    for (const CountRow<6>& row : *rows)
+        report.rows.push_back({ row[0], (std::uint64_t { row[1] } << halfBits) | row[2], row[3], row[4], row[5] });
     return report;
 }
 
--- a/unittests/Ingress/ShortageTableTest.cpp
+++ b/unittests/Ingress/ShortageTableTest.cpp
@@ -3,6 +3,7 @@
 #include "IngressFixture.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -40,8 +41,8 @@
     for (int step = 0; step < steps; ++step) {
         for (std::size_t i = 0; i < tokens.size(); ++i) {
             TimePoint now = start + step * 1s / steps;
-            table.recordAdmitted(service, hashOf(static_cast<int>(i)), tokens[i] * (1 - refused) / steps, now);
-            table.recordRefused(service, hashOf(static_cast<int>(i)), tokens[i] * refused / steps, now);
+            table.record(service, hashOf(static_cast<int>(i)), tokens[i] * (1 - refused) / steps, true, false, now);
+            table.record(service, hashOf(static_cast<int>(i)), tokens[i] * refused / steps, false, false, now);
         }
     }
 }
@@ -103,12 +104,9 @@
                 continue;
             bool isWithin = random.unit() < table.fractionWithinShare(service, hashOf(i), workspaces, now);
             // The max wait is half a second of work.
-            bool isAdmitted = backlog < capacity / 2 * waitFractionFor(isWithin);
+            bool isAdmitted = backlog < capacity / 2 * waitFractionFor(isWithin ? ShareClass::Within : ShareClass::Beyond);
             backlog += isAdmitted ? 1 : 0;
-            if (isAdmitted)
-                table.recordAdmitted(service, hashOf(i), 100, now);
-            else
-                table.recordRefused(service, hashOf(i), 100, now);
+            table.record(service, hashOf(i), 100, isAdmitted, false, now);
             if (passed < 4s)
                 continue;
             asked[i] += 1;
@@ -124,6 +122,50 @@
     CHECK(served[0] >= (capacity - 4 * usual) * 16 * 0.9);
 }
 
+// Pattern: all clients send half as much again as the endpoints serve, and each refused one returns
+// once, too late for its target. Guards against endpoints that work for callers who are late already
+// while others, who could be served in time, are refused.
+TEST_CASE("in a shortage callers that can be in time go before those that return late")
+{
+    WorkspaceTable workspaces = equalWorkspaces(1);
+    ShortageTable table;
+    Random random(5);
+    constexpr double capacity = 100;
+    double backlog = 0;
+    int inTime = 0;
+    int late = 0;
+    std::deque<TimePoint> returns;
+    auto offer = [&](bool isLate, TimePoint now) {
+        ShareClass shareClass = ShareClass::Within;
+        if (table.hasShortage(service, workspaces, now)) {
+            bool isWithin = random.unit() < table.fractionWithinShare(service, hashOf(0), workspaces, now);
+            shareClass = isLate ? ShareClass::Late : (isWithin ? ShareClass::Within : ShareClass::Beyond);
+        }
+        bool isAdmitted = backlog < capacity / 2 * waitFractionFor(shareClass);
+        table.record(service, hashOf(0), 100, isAdmitted, isLate, now);
+        backlog += isAdmitted ? 1 : 0;
+        return isAdmitted;
+    };
+    for (Duration passed { 0 }; passed < 20s; passed += 2ms) {
+        TimePoint now = start + passed;
+        backlog = std::max(backlog - capacity / 500, 0.0);
+        bool isCounted = passed >= 5s;
+        while (!returns.empty() && returns.front() <= now) {
+            returns.pop_front();
+            late += offer(true, now) && isCounted ? 1 : 0;
+        }
+        if (random.unit() >= 1.5 * capacity / 500)
+            continue;
+        if (offer(false, now))
+            inTime += isCounted ? 1 : 0;
+        else
+            returns.push_back(now + 1s);
+    }
+    CAPTURE(inTime, late);
+    CHECK(inTime + late >= capacity * 15 * 0.95);
+    CHECK(inTime >= capacity * 15 * 0.9);
+}
+
 TEST_CASE("reports of other entries count for three seconds, the latest of each entry only")
 {
     WorkspaceTable workspaces = equalWorkspaces(2);
@@ -245,6 +287,28 @@
     CHECK(entry.request(0)->status() == 200);
 }
 
+// Guards against endpoints that work for callers who are late already.
+TEST_CASE("a client that returns late in a shortage gets a free endpoint only")
+{
+    SharingEntry entry;
+    Route route = IngressFixture::unaryRoute(RequestKind::NonIdempotent);
+    route.latencyTarget = 500ms;
+    route.timeout = 3s;
+    entry.fixture.configure(route, equalWorkspaces(2).all());
+    auto requestWith = [&](const std::string& timeLeft) {
+        entry.fillEndpoint(5'000);
+        entry.reportHotWorkspace();
+        return entry.fixture.runToEnd({ { "workspace-key", "key-1" }, { "tokens", "500" }, { "time-left", timeLeft } });
+    };
+    CHECK(requestWith("3000")->status() == 200);
+    auto late = requestWith("2000");
+    CHECK(late->status() == 503);
+    CHECK(late->body.find("late_in_shortage") != std::string::npos);
+    entry.reportHotWorkspace();
+    entry.fillEndpoint(0);
+    CHECK(entry.fixture.runToEnd({ { "workspace-key", "key-1" }, { "tokens", "500" }, { "time-left", "2000" } })->status() == 200);
+}
+
 TEST_CASE("a workspace beyond its share is served by endpoints that have room")
 {
     SharingEntry entry;
