Order callers in a shortage on services that serve mixed prompts, also without workspaces

Cause: endpoints may work for callers who are late already on any deployment with hard load, not only where workspaces share them.

Change: requests are counted, and late ones go last in a shortage, where a configuration has mixed prompts. Capacity is divided between workspaces only where settings ask for it, and not if one alone uses a service.

--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -84,8 +84,10 @@
     LimitExchange* limitExchange { nullptr };
     /// Knows at which software versions streams began; null if entries don't tell each other.
     StreamOriginExchange* streamOrigins { nullptr };
-    /// Divides scarce capacity between workspaces; null if the settings don't ask for that.
+    /// What is requested of services and admitted; null if nothing is counted.
     ShortageTable* shortages { nullptr };
+    /// The settings ask for scarce capacity to be divided between workspaces.
+    bool sharesShortage { false };
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
--- a/lib/Ingress/ShortageTable.cpp
+++ b/lib/Ingress/ShortageTable.cpp
@@ -126,7 +126,9 @@
     setWeights(demands, names, workspaces);
     ServiceDemand sum = sumOf(demands);
     service.hasShortage = isShortage(sum, service.hasShortage);
-    std::vector<double> shares = divideShortage(demands, service.hasShortage ? sum.admitted : sum.requested);
+    // A single workspace has nobody to share with.
+    bool isDivided = service.hasShortage && demands.size() > 1;
+    std::vector<double> shares = divideShortage(demands, isDivided ? sum.admitted : sum.requested);
     service.standings.clear();
     for (std::size_t i = 0; i < names.size(); ++i)
         service.standings[names[i]] = { service.name, names[i], demands[i].requested, demands[i].admitted, demands[i].late, shares[i] };
--- a/unittests/Ingress/ShortageTableTest.cpp
+++ b/unittests/Ingress/ShortageTableTest.cpp
@@ -166,6 +166,15 @@
     CHECK(inTime >= capacity * 15 * 0.9);
 }
 
+TEST_CASE("a workspace that is alone at a service has nobody to share it with")
+{
+    WorkspaceTable workspaces = equalWorkspaces(1);
+    ShortageTable table;
+    countSecond(table, { 6'000 }, 0.5, start);
+    CHECK(table.hasShortage(service, workspaces, start + 1s));
+    CHECK(table.fractionWithinShare(service, hashOf(0), workspaces, start + 1s) == 1);
+}
+
 TEST_CASE("reports of other entries count for three seconds, the latest of each entry only")
 {
     WorkspaceTable workspaces = equalWorkspaces(2);
@@ -224,6 +233,7 @@
         fixture.addEndpoint("e1");
         fixture.answers = { [](const HttpClientRequest& request) { return endpointAnswer(request, 200, "ok"); } };
         fixture.parts.shortages = &shortages;
+        fixture.parts.sharesShortage = true;
     }
     std::string serviceName() const { return fixture.parts.routes->services().front().name; }
     std::shared_ptr<FakeResponder> request(int workspace) { return fixture.runToEnd({ { "workspace-key", "key-" + std::to_string(workspace) }, { "tokens", "500" } }); }
@@ -282,7 +292,8 @@
     CHECK(refused->body.find("beyond_share") != std::string::npos);
     CHECK(entry.fixture.endpointClient.requests.size() == sent);
     // Without the setting nothing is divided.
-    entry.fixture.parts.shortages = nullptr;
+    entry.fixture.parts.sharesShortage = false;
+    entry.reportHotWorkspace();
     entry.fillEndpoint(load);
     CHECK(entry.request(0)->status() == 200);
 }
