--- a/include/catkinwing/Config/RouteTable.h
+++ b/include/catkinwing/Config/RouteTable.h
@@ -133,8 +133,6 @@
     /// urgent ones have the shortest latency target. Long prompts of the others then delay
     /// callers who have less time.
     bool servesMixedPrompts(absl::string_view service) const;
-    /// Returns whether any service serves mixed prompts.
-    bool hasMixedPrompts() const { return !m_mixedServices.empty(); }
 
 private:
     std::int64_t m_version { 0 };
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -84,10 +84,8 @@
     LimitExchange* limitExchange { nullptr };
     /// Knows at which software versions streams began; null if entries don't tell each other.
     StreamOriginExchange* streamOrigins { nullptr };
-    /// What is requested of services and admitted; null if nothing is counted.
+    /// Divides scarce capacity between workspaces; null if the settings don't ask for that.
     ShortageTable* shortages { nullptr };
-    /// The settings ask for scarce capacity to be divided between workspaces.
-    bool sharesShortage { false };
     /// What the entry knows of the configuration may be outdated, since neither the store nor
     /// a relay has answered for a while.
     bool isConfigurationStale { false };
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -158,7 +158,6 @@
     void returnCredit(bool wasNotRun);
     /// Returns whether a shortage decides whose requests go first.
     bool countsShares() const;
-    bool sharesBetweenWorkspaces() const;
     /// Returns the hash of the workspace's name; zero if there is none.
     std::uint64_t workspaceOfShares() const;
     double tokensOfShares() const;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -304,8 +304,7 @@
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
     impl->parts.streamOrigins = &impl->streamOrigins;
-    impl->parts.shortages = &impl->shortages;
-    impl->parts.sharesShortage = settings.ingress->sharesShortage;
+    impl->parts.shortages = settings.ingress->sharesShortage ? &impl->shortages : nullptr;
     impl->parts.crashSuspects.setUrgentCallback([state = impl.get()] { state->scheduleUrgentReport(); });
     impl->parts.endpoints.setColdTolerance(settings.ingress->coldRatio, settings.ingress->coldSlack);
     // Closes connections to an endpoint that was restarted: they belong to the earlier
@@ -343,7 +342,7 @@
     m_impl->ingress.directoryLifetime = settings.ingress->directoryLifetime;
     m_impl->parts.retryLimits = { settings.ingress->retryRatio, settings.ingress->retrySlack };
     m_impl->creditExchange.setTolerance(Impl::limitTolerance(*settings.ingress));
-    m_impl->parts.sharesShortage = settings.ingress->sharesShortage;
+    m_impl->parts.shortages = settings.ingress->sharesShortage ? &m_impl->shortages : nullptr;
 }
 
 } // namespace catkinwing
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -135,7 +135,7 @@
 // cost to an entry doesn't depend on the size of its region.
 void IngressDaemon::Impl::reportShortages()
 {
-    if (!parts.routes || loadExchange.sequence() % loadReportsPerShortageReport != 0)
+    if (!parts.shortages || !parts.routes || loadExchange.sequence() % loadReportsPerShortageReport != 0)
         return;
     TimePoint now = loop.clock().now();
     for (const ShortageChange& change : shortages.takeChanges(workspaces(), now))
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -130,18 +130,12 @@
 
 bool RoutedRun::countsShares() const
 {
-    return m_parts.shortages && (sharesBetweenWorkspaces() || m_routes->hasMixedPrompts());
+    return m_parts.shortages && !m_routes->workspaces().empty();
 }
 
-bool RoutedRun::sharesBetweenWorkspaces() const
-{
-    return m_parts.sharesShortage && !m_routes->workspaces().empty();
-}
-
-// All requests count for one workspace where capacity isn't divided.
 std::uint64_t RoutedRun::workspaceOfShares() const
 {
-    return m_workspaceName.empty() || !sharesBetweenWorkspaces() ? 0 : workspaceHash(m_workspaceName);
+    return m_workspaceName.empty() ? 0 : workspaceHash(m_workspaceName);
 }
 
 // Weighs requests by their tokens, as the limits of workspaces do, since capacity is divided in
--- a/unittests/Ingress/ShortageTableTest.cpp
+++ b/unittests/Ingress/ShortageTableTest.cpp
@@ -233,7 +233,6 @@
         fixture.addEndpoint("e1");
         fixture.answers = { [](const HttpClientRequest& request) { return endpointAnswer(request, 200, "ok"); } };
         fixture.parts.shortages = &shortages;
-        fixture.parts.sharesShortage = true;
     }
     std::string serviceName() const { return fixture.parts.routes->services().front().name; }
     std::shared_ptr<FakeResponder> request(int workspace) { return fixture.runToEnd({ { "workspace-key", "key-" + std::to_string(workspace) }, { "tokens", "500" } }); }
@@ -292,8 +291,7 @@
     CHECK(refused->body.find("beyond_share") != std::string::npos);
     CHECK(entry.fixture.endpointClient.requests.size() == sent);
     // Without the setting nothing is divided.
-    entry.fixture.parts.sharesShortage = false;
-    entry.reportHotWorkspace();
+    entry.fixture.parts.shortages = nullptr;
     entry.fillEndpoint(load);
     CHECK(entry.request(0)->status() == 200);
 }
