--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -89,6 +89,8 @@
         std::shared_ptr<RoutedEndpoint> fetchSource;
         /// Prompt tokens counted as unread at the endpoint until the first bytes of the answer.
         std::int64_t unreadTokens { 0 };
+        /// Tokens counted as held in the endpoint's cache memory until the attempt ends.
+        std::int64_t heldTokens { 0 };
         /// Predicted time until the first byte of the answer; zero if there is no prediction.
         Duration predictedFirstByte { 0 };
         /// Unread prompt tokens of the endpoint when the attempt was sent, those of
@@ -154,11 +156,28 @@
     void chargeWorkspace();
     void onCreditDecision(const CreditDecision& decision);
     void returnCredit(bool wasNotRun);
+    /// Returns whether a shortage decides whose requests go first.
+    bool countsShares() const;
+    /// Returns the hash of the workspace's name; zero if there is none.
+    std::uint64_t workspaceOfShares() const;
+    double tokensOfShares() const;
+    bool hasMissedTarget() const;
+    /// Decides which part of the capacity the request may use.
+    void classifyByShare();
+    /// Counts the request in the demand of its workspace in this region.
+    void countInShares(bool isAdmitted);
+    /// Counts a refusal for lack of capacity. Returns its reason: \p reason unless the request is
+    /// refused before others.
+    const char* recordLackOfCapacity(const char* reason);
     std::int64_t limitedAmount() const;
     int requestPriority() const;
     bool isAllowedHere() const;
     bool isHome(const std::string& region) const;
     bool canRunBeforeStop() const;
+    /// Returns the tokens of cache memory that the request may take.
+    std::int64_t memoryTokens() const;
+    /// Refuses a request that no endpoint can hold. Returns whether it was refused.
+    bool refuseIfTooLarge();
     const RequestFingerprint& fingerprint();
     /// Returns what of the request may crash an endpoint.
     const RequestSuspects& suspects();
@@ -317,6 +336,11 @@
     std::vector<std::string> m_homeRegions;
     /// Credit that the request has used of the workspace's limit.
     CreditPortion m_usedCredit;
+    ShareClass m_shareClass { ShareClass::Within };
+    /// The request has missed its latency target.
+    bool m_isLate { false };
+    /// The request has been counted in the demand of its workspace.
+    bool m_isCountedInShares { false };
     /// The decision by which the request was refused for the limit of its workspace.
     absl::optional<CreditDecision> m_limitRefusal;
     std::string m_service;
--- a/lib/Ingress/RoutedRunWorkspaces.cpp
+++ b/lib/Ingress/RoutedRunWorkspaces.cpp
@@ -124,9 +124,80 @@
     }
     if (!m_request.isForwarded)
         m_parts.retryBudgetOf(m_service).recordRequest(now());
+    classifyByShare();
     resolveStreamBuild();
 }
 
+bool RoutedRun::countsShares() const
+{
+    return m_parts.shortages && !m_routes->workspaces().empty();
+}
+
+std::uint64_t RoutedRun::workspaceOfShares() const
+{
+    return m_workspaceName.empty() ? 0 : workspaceHash(m_workspaceName);
+}
+
+// Weighs requests by their tokens, as the limits of workspaces do, since capacity is divided in
+// tokens.
+double RoutedRun::tokensOfShares() const
+{
+    const RequestFacts& facts = m_request.facts;
+    double stated = static_cast<double>(std::max<std::int64_t>(facts.promptTokens, 0)) + static_cast<double>(std::max<std::int64_t>(facts.maxOutputTokens, 0));
+    double unstated = m_workspace ? static_cast<double>(m_workspace->limit.plainTokens) : 1;
+    constexpr double maxTokens = 1e9;
+    return std::clamp(facts.hasTokenCounts ? stated : unstated, 1.0, maxTokens);
+}
+
+// The client was refused before and returned too late for its target.
+bool RoutedRun::hasMissedTarget() const
+{
+    if (m_route->latencyTarget <= milliseconds::zero())
+        return false;
+    Duration elapsed = m_route->timeout - timeLeft();
+    return elapsed + idleFirstByte(defaultResponseEstimate()) >= m_route->latencyTarget && timeLeft() < m_route->timeout;
+}
+
+// A workspace beyond its share has as many requests within it as the share covers, chosen at
+// random, so that it is never refused altogether. A stream that is resumed has used capacity
+// already, which a refusal would waste.
+void RoutedRun::classifyByShare()
+{
+    if (!countsShares() || m_request.facts.resumeAfter)
+        return;
+    ShortageTable& shortages = *m_parts.shortages;
+    const WorkspaceTable& workspaces = m_routes->workspaces();
+    m_isLate = hasMissedTarget();
+    if (!shortages.hasShortage(m_service, workspaces, now()))
+        return;
+    if (m_isLate) {
+        m_shareClass = ShareClass::Late;
+        return;
+    }
+    double fraction = shortages.fractionWithinShare(m_service, workspaceOfShares(), workspaces, now());
+    if (fraction < 1 && m_parts.random.unit() >= fraction)
+        m_shareClass = ShareClass::Beyond;
+}
+
+void RoutedRun::countInShares(bool isAdmitted)
+{
+    if (!countsShares() || m_isCountedInShares)
+        return;
+    m_isCountedInShares = true;
+    m_parts.shortages->record(m_service, workspaceOfShares(), tokensOfShares(), isAdmitted, m_isLate, now());
+}
+
+// Returns the reason of a refusal for lack of capacity and counts it.
+const char* RoutedRun::recordLackOfCapacity(const char* reason)
+{
+    if (isAllowedHere())
+        countInShares(false);
+    if (m_shareClass == ShareClass::Within)
+        return reason;
+    m_parts.metrics.count(m_shareClass == ShareClass::Late ? "late_share_refusals" : "workspace_share_refusals");
+    return m_shareClass == ShareClass::Late ? "late_in_shortage" : "beyond_share";
+}
+
 // Credit is returned only if the request certainly wasn't executed and won't be.
 void RoutedRun::returnCredit(bool wasNotRun)
 {
