--- a/lib/Ingress/ShortageTable.cpp
+++ b/lib/Ingress/ShortageTable.cpp
@@ -17,6 +17,9 @@
 static constexpr milliseconds divisionInterval { 100 };
 /// Reports of more entries add little to the estimate of a region's demand.
 static constexpr std::size_t maxReports = 64;
+/// Fraction of the capacity that is divided. Requests within the shares would otherwise fill the endpoints by
+/// themselves, and their waits would reach the limit by chance; the rest goes to the other classes.
+static constexpr double sharedFraction = 0.9;
 /// Rates below this, in tokens per second, are those of workspaces that send nothing any more.
 static constexpr double minRate = 0.5;
 
@@ -128,7 +131,7 @@
     service.hasShortage = isShortage(sum, service.hasShortage);
     // A single workspace has nobody to share with.
     bool isDivided = service.hasShortage && demands.size() > 1;
-    std::vector<double> shares = divideShortage(demands, isDivided ? sum.admitted : sum.requested);
+    std::vector<double> shares = divideShortage(demands, isDivided ? sum.admitted * sharedFraction : sum.requested);
     service.standings.clear();
     for (std::size_t i = 0; i < names.size(); ++i)
         service.standings[names[i]] = { service.name, names[i], demands[i].requested, demands[i].admitted, demands[i].late, shares[i] };
