--- a/lib/PeerProtocol/LoadReport.cpp
+++ b/lib/PeerProtocol/LoadReport.cpp
@@ -1,3 +1,5 @@
+#include "catkinwing/PeerProtocol/LoadReport.h"
+
 #include "HeldMemory.h"
 #include "catkinwing/Support/Cbor.h"
 #include "catkinwing/Support/CountRows.h"
