--- a/lib/Admission/WorkspaceShares.cpp
+++ b/lib/Admission/WorkspaceShares.cpp
@@ -13,7 +13,7 @@
 static constexpr double endFraction = 0.02;
 /// Fraction of the max wait for requests beyond the share of their workspace. They get what the
 /// others leave unused: endpoints at which callers within their shares wait for a short time only.
-/// With a quarter, load reports being up to 0.2 s old, endpoints stood idle while requests were refused.
+/// With a quarter, fewer requests were answered in time in a long shortage.
 static constexpr double beyondShareWaitFraction = 0.5;
 /// The same for requests that have missed their latency target. Each of them that waits makes
 /// another caller late, so they go last.
