--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -245,7 +245,13 @@
             return (200, {**item, "current_rev": self.revision}) if item else (404, {})
         if path == "/kv-range":
             keys = sorted(key for key in self.items if key.startswith(query.get("prefix", "")) and key > query.get("after", ""))
-            return 200, {"items": [self.items[key] for key in keys[:500]], "truncated": len(keys) > 500, "current_rev": self.revision}
+            page, size = [], 0
+            for key in keys[:500]:
+                page.append(self.items[key])
+                size += len(self.items[key]["value"])
+                if size >= 1 << 20:
+                    break
+            return 200, {"items": page, "truncated": len(keys) > len(page), "current_rev": self.revision}
         if path == "/kv-watch":
             return await self.watch(query)
         if path == "/kv-txn":
