--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -532,6 +532,13 @@
 
     async def run():
         rig = Rig(case)
+
+        def stop():
+            rig.close()
+            os._exit(COULD_NOT_RUN)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             await rig.store.start()
             broken = await asyncio.wait_for(play(rig), 110)
