Refuse requests whose end is in doubt

Cause: h2o 2.2 reads the framing of requests with tolerance, and nothing else read it. It takes the first of several lengths, keeps the connection where chunks stand beside a length, passes over what follows a chunk's size, accepts bare line feeds, and keeps the connection after a 417 without having read the body. All listeners of an entry and of the gateway use this server.

Change: RequestFraming reads the requests of each HTTP/1 connection strictly by RFC 9112 as their bytes come in, and RequestGuard stands between the socket and h2o. In place of a request whose end is in doubt h2o gets bytes that it answers 400 and a close, after the answers that are due before, and nothing of what follows. Each request that h2o takes is compared with what was read, so that bytes that pass the guard by are refused as well. The server ends the TLS handshake itself, so that what comes in with it is seen. An upgrade to h2c is passed over. Refusals are logged and counted by reason. Two equal lengths count as one; extensions and trailers are read and dropped.

Evidence: RequestFramingTest, 48 forms, whole and in pieces, first on a connection and behind another request.

--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -60,11 +60,15 @@
     std::chrono::milliseconds sendTimeout { 60'000 };
     std::size_t maxConnections { 4096 };
     std::size_t maxConnectionsPerCaller { 1024 };
+    /// Called for each HTTP/1 request that is answered 400 since its end is in doubt, with the
+    /// reason as a name for a metric. Its connection is closed, and what follows it isn't read.
+    std::function<void(const SocketAddress& caller, const std::string& reason)> onRefused {};
     /// Plain text if null.
     std::shared_ptr<TlsContext> tls;
 };
 
-/// Serves HTTP/1.1 and HTTP/2 on one address.
+/// Serves HTTP/1.1 and, by prior knowledge or ALPN, HTTP/2 on one address. The framing of HTTP/1
+/// requests is read strictly by RFC 9112.
 class HttpServer {
 public:
     /// Starts to listen; port 0 takes a free one.
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -129,6 +129,7 @@
 struct Daemon::Impl {
     Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seed, TlsContexts contexts, const IssuedKeys::Secret& secret);
 
+    HttpServerOptions serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> context);
     absl::Status listen();
     void startServices();
     MembershipEvents membershipEvents();
@@ -388,11 +389,15 @@
     return std::make_unique<InstanceList>(platformHttp, loop, random, listOptions(settings, service), std::move(onChange));
 }
 
-static HttpServerOptions serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> tls)
+HttpServerOptions Daemon::Impl::serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> context)
 {
     HttpServerOptions options;
     options.listen = listen;
-    options.tls = std::move(tls);
+    options.tls = std::move(context);
+    options.onRefused = [this, listener = listen.toString()](const SocketAddress& caller, const std::string& reason) {
+        metrics.count("requests_refused_" + reason);
+        logChange(LogLevel::Warning, "request_refused", { { "listener", listener }, { "caller", caller.toString() }, { "reason", reason } });
+    };
     return options;
 }
 
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 
 #if defined(__has_feature)
 #if __has_feature(address_sanitizer)
@@ -74,7 +75,6 @@
     h2o_context_init(&m_context, loop.impl().evloop, &m_configuration);
     m_acceptContext.ctx = &m_context;
     m_acceptContext.hosts = m_configuration.hosts;
-    m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
     scheduleStallCheck();
 }
 
@@ -100,7 +100,7 @@
     }
     ++connectionsOfCaller;
     setSocketOptions(descriptor, m_options.sendTimeout);
-    auto connection = std::make_unique<ServerConnection>();
+    auto connection = std::make_shared<ServerConnection>();
     connection->core = this;
     connection->descriptor = descriptor;
     connection->caller = std::move(caller);
@@ -110,19 +110,136 @@
     m_connections.push_front(std::move(connection));
     ServerConnection& added = *m_connections.front();
     added.position = m_connections.begin();
-    h2o_accept(&m_acceptContext, added.socket);
-    if (m_acceptContext.ssl_ctx) {
-        added.handshakeReader = added.socket->_cb.read;
-        added.socket->_cb.read = onHandshakeInput;
-    }
+    if (m_options.tls)
+        startHandshake(added);
+    else
+        startHttp1(added);
+}
+
+static ServerConnection& connectionOf(h2o_socket_t* socket)
+{
+    return *static_cast<ServerConnection*>(socket->on_close.data);
+}
+
+// h2o_accept would hand what has come in with the end of the handshake to HTTP/1 before the guard
+// could see it.
+void ServerCore::startHandshake(ServerConnection& connection)
+{
+    h2o_socket_ssl_handshake(connection.socket, m_options.tls->native(), nullptr, onHandshakeEnd);
+    connection.handshakeReader = connection.socket->_cb.read;
+    connection.socket->_cb.read = onHandshakeInput;
+    connection.handshakeTimer = m_loop.callAfter(m_options.requestTimeout, [weak = connection.weak_from_this()] {
+        if (auto held = weak.lock())
+            shutdown(held->descriptor, SHUT_RDWR);
+    });
 }
 
 // h2o opens the TLS session when the first bytes have come in.
 void ServerCore::onHandshakeInput(h2o_socket_t* socket, const char* error)
 {
-    auto* connection = static_cast<ServerConnection*>(socket->on_close.data);
-    TlsPeerScope scope(connection->peer);
-    connection->handshakeReader(socket, error);
+    ServerConnection& connection = connectionOf(socket);
+    TlsPeerScope scope(connection.peer);
+    connection.handshakeReader(socket, error);
+}
+
+static bool isHttp2Protocol(h2o_iovec_t protocol)
+{
+    for (const h2o_iovec_t* known = h2o_http2_alpn_protocols; known->len > 0; ++known) {
+        if (h2o_memis(protocol.base, protocol.len, known->base, known->len))
+            return true;
+    }
+    return false;
+}
+
+void ServerCore::onHandshakeEnd(h2o_socket_t* socket, const char* error)
+{
+    ServerConnection& connection = connectionOf(socket);
+    connection.core->m_loop.cancel(connection.handshakeTimer);
+    if (error)
+        h2o_socket_close(socket);
+    else if (isHttp2Protocol(h2o_socket_ssl_get_selected_protocol(socket)))
+        connection.core->startHttp2(connection);
+    else
+        connection.core->startHttp1(connection);
+}
+
+static timeval wallTime()
+{
+    timeval now {};
+    gettimeofday(&now, nullptr);
+    return now;
+}
+
+void ServerCore::startHttp1(ServerConnection& connection)
+{
+    auto kept = connection.shared_from_this();
+    filterInput(connection);
+    h2o_http1_accept(&m_acceptContext, connection.socket, wallTime());
+    guardInput(connection);
+}
+
+void ServerCore::startHttp2(ServerConnection& connection)
+{
+    connection.guard.passHttp2();
+    h2o_http2_accept(&m_acceptContext, connection.socket, wallTime());
+}
+
+// h2o sets its callbacks anew whenever it begins to read or to write.
+void ServerCore::guardInput(ServerConnection& connection) const
+{
+    if (connection.isClosed || connection.guard.isHttp2())
+        return;
+    auto& callbacks = connection.socket->_cb;
+    connection.checkedInput = connection.socket->input->size;
+    if (callbacks.read && callbacks.read != onInput) {
+        connection.reader = callbacks.read;
+        callbacks.read = onInput;
+    }
+    // An interim response is h2o's own; it reads on when that is out.
+    bool isInterim = !callbacks.read && callbacks.write && callbacks.write != onOutput && connection.openRequests == 0;
+    if (isInterim) {
+        connection.writer = callbacks.write;
+        callbacks.write = onOutput;
+    }
+}
+
+void ServerCore::guardInputLater(ServerConnection& connection)
+{
+    loop().defer([weak = connection.weak_from_this()] {
+        if (auto held = weak.lock())
+            held->core->guardInput(*held);
+    });
+}
+
+void ServerCore::filterInput(ServerConnection& connection)
+{
+    FramingFault before = connection.guard.fault();
+    connection.guard.filter(*connection.socket, connection.socket->input->size - connection.checkedInput);
+    if (connection.guard.fault() != before)
+        reportRefusal(connection, connection.guard.fault());
+}
+
+void ServerCore::onInput(h2o_socket_t* socket, const char* error)
+{
+    auto connection = connectionOf(socket).shared_from_this();
+    socket->_cb.read = connection->reader;
+    if (!error)
+        connection->core->filterInput(*connection);
+    connection->reader(socket, error);
+    connection->core->guardInput(*connection);
+}
+
+void ServerCore::onOutput(h2o_socket_t* socket, const char* error)
+{
+    auto connection = connectionOf(socket).shared_from_this();
+    connection->writer(socket, error);
+    connection->core->guardInput(*connection);
+}
+
+void ServerCore::reportRefusal(const ServerConnection& connection, FramingFault fault) const
+{
+    if (m_options.onRefused && !m_isShutDown)
+        m_options.onRefused(connection.caller, framingFaultName(fault));
 }
 
 void ServerCore::onConnectionClosed(void* data)
@@ -133,6 +250,8 @@
 
 void ServerCore::forget(ServerConnection& connection)
 {
+    connection.isClosed = true;
+    m_loop.cancel(connection.handshakeTimer);
     auto count = m_connectionsOfCaller.find(connection.caller.host);
     if (--count->second == 0)
         m_connectionsOfCaller.erase(count);
@@ -146,7 +265,7 @@
 
 static ServerConnection* connectionOf(h2o_conn_t& connection)
 {
-    return static_cast<ServerConnection*>(connection.callbacks->get_socket(&connection)->on_close.data);
+    return &connectionOf(connection.callbacks->get_socket(&connection));
 }
 
 namespace {
@@ -216,6 +335,13 @@
     ServerConnection* connection = connectionOf(*request->conn);
     connection->hadRequest = true;
     connection->isHttp2 = request->version >= http2Version;
+    FramingFault fault = connection->guard.check(*request);
+    if (fault != FramingFault::None) {
+        if (fault != connection->guard.fault())
+            reportRefusal(*connection, fault);
+        h2o_send_error_400(request, "Bad Request", "The end of the request is in doubt.", H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+        return;
+    }
     auto response = ServerResponse::create(*request, connection);
     auto handle = response->makeHandle();
     // The handler may destroy the server, and with it itself.
@@ -228,7 +354,6 @@
 void ServerCore::replaceTls(std::shared_ptr<TlsContext> tls)
 {
     m_options.tls = std::move(tls);
-    m_acceptContext.ssl_ctx = m_options.tls ? m_options.tls->native() : nullptr;
 }
 
 void ServerCore::drain()
@@ -286,7 +411,7 @@
 void ServerCore::closeIdleConnections()
 {
     for (auto& connection : m_connections) {
-        bool isIdle = connection->openRequests == 0 && connection->socket->input->size == 0;
+        bool isIdle = connection->openRequests == 0 && connection->socket->input->size == 0 && !connection->guard.holdsInput();
         if (!isIdle || !isHttp1(*connection) || hasUnreadInput(connection->descriptor))
             continue;
         connection->isReadShut = true;
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -356,6 +356,7 @@
     unwatchCaller();
     --m_connection->openRequests;
     m_connection->endedAnswers -= m_isEnded ? 1 : 0;
+    m_connection->core->guardInputLater(*m_connection);
     bool isServerGone = m_connection->core->isShutDown();
     m_request = nullptr;
     m_connection = nullptr;
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -40,7 +40,7 @@
 static constexpr int statusNotFound = 404;
 static constexpr int statusUnavailable = 503;
 
-absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, HttpHandler handler) const
+absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, HttpHandler handler)
 {
     HttpServerOptions options;
     options.listen = address;
@@ -50,6 +50,10 @@
     options.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
     // Many clients may connect from one address.
     options.maxConnectionsPerCaller = options.maxConnections;
+    options.onRefused = [this, listener = address.toString()](const SocketAddress& caller, const std::string& reason) {
+        metrics.count("requests_refused_" + reason);
+        logChange(LogLevel::Warning, "request_refused", { { "listener", listener }, { "caller", caller.toString() }, { "reason", reason } });
+    };
     return HttpServer::listen(loop, std::move(options), std::move(handler));
 }
 
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -124,7 +124,7 @@
     std::string ownKey() const { return registration.key().substr(std::strlen(entryPrefix)); }
 
     absl::Status listen();
-    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler) const;
+    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler);
     void handleRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
     void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
