Test that no stream is joined after the loss of all entries

It isn't seen here: entries that have lost their state refuse a stream whose version nobody has stated, and conclude a single version only after the lifetime of a stream. No test guarded that.

--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -22,7 +22,6 @@
 static constexpr milliseconds connectFailureDelay { 2 };
 static constexpr milliseconds routeTimeout { 8'000 };
 static constexpr milliseconds clientDeadline { 8'000 };
-static constexpr milliseconds entryDownTime { 1'000 };
 /// A registration expires after three missed heartbeats.
 static constexpr milliseconds registrationLapse { 3'600 };
 /// A leaving endpoint serves its streams for this long.
--- a/unittests/Ingress/StreamFleet.h
+++ b/unittests/Ingress/StreamFleet.h
@@ -97,7 +97,7 @@
     bool isSilent(std::size_t endpoint) const { return now() < m_endpoints[endpoint]->silentUntil; }
     std::size_t endpoints() const { return m_endpoints.size(); }
     const StreamEndpoint& endpoint(std::size_t index) const { return *m_endpoints[index]; }
-    /// Kills an entry. A process without its state starts at its address a second later.
+    /// Kills an entry. A process without its state starts at its address after entryDownTime.
     void killEntry(std::size_t entry);
     std::size_t entries() const { return m_entries.size(); }
     IngressContext& partsOf(std::size_t entry);
@@ -121,6 +121,8 @@
     Duration firstEventDelay { std::chrono::milliseconds(60) };
     Duration eventInterval { std::chrono::milliseconds(70) };
     std::uint64_t eventsPerStream { 14 };
+    /// Time from the end of a killed entry until it starts again.
+    Duration entryDownTime { std::chrono::seconds(1) };
     /// Client attempts whose first event came from each software version.
     std::map<std::string, std::size_t> begunAtVersion;
     /// Refusals that clients got for an attempt to resume a stream, by the reason.
--- a/unittests/Ingress/StreamVersionTest.cpp
+++ b/unittests/Ingress/StreamVersionTest.cpp
@@ -117,6 +117,49 @@
     }
 }
 
+static void killAllEntries(StreamFleet& fleet)
+{
+    for (std::size_t entry = 0; entry < fleet.entries(); ++entry)
+        fleet.killEntry(entry);
+}
+
+static void replaceVersion(StreamFleet& fleet, const std::string& before, const std::string& next)
+{
+    std::size_t count = fleet.endpoints();
+    for (std::size_t index = 0; index < count; ++index) {
+        if (fleet.endpoint(index).version == before)
+            fleet.replaceEndpoint(index, next);
+    }
+}
+
+// Guards against a version that entries which have all lost their state conclude from the endpoints
+// registered now, though streams of another version can still be resumed.
+TEST_CASE("no stream is joined from two versions after all entries are killed at once")
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        bool replacesVersion = GENERATE(false, true);
+        StreamFleet fleet(seed, replacesVersion ? std::vector<std::string> { "v0" } : std::vector<std::string> { "v0", "v1" });
+        // Streams outlast the time that leaving endpoints are registered for.
+        fleet.eventsPerStream = 60;
+        fleet.entryDownTime = 400ms;
+        for (int round = 1; round <= 6; ++round) {
+            if (replacesVersion)
+                replaceVersion(fleet, "v" + std::to_string(round - 1), "v" + std::to_string(round));
+            fleet.run(2800ms, streamsPerSecond);
+            killAllEntries(fleet);
+            fleet.run(6s, streamsPerSecond);
+        }
+        fleet.finish();
+        StreamTotals totals = fleet.totals();
+        std::size_t refused = fleet.refusedTakeUps.size() > 0 ? fleet.refusedTakeUps.begin()->second : 0;
+        INFO("seed " << seed << ", versions replaced " << replacesVersion << ", taken up " << totals.takenUp << ", went on " << totals.wentOn << ", refused " << refused);
+        CHECK((replacesVersion || totals.takenUp >= minTakenUp));
+        CHECK(totals.joined <= maxJoinedStreams);
+        CHECK(totals.disordered == 0);
+        CHECK(totals.untrueRefusals == 0);
+    }
+}
+
 // Guards against the version of an endpoint's earlier start, which entries hold until the new
 // start's registration reaches them.
 TEST_CASE("streams don't go on at an endpoint that has started again under its name at another version")
