Let a stopping entry wait for answers that slow clients read

Cause: a draining entry ended when no request was open. A request ends when its answer is whole at the entry; the server still held what slow clients hadn't read, and its end shut their connections down.

Change: HttpServer::unsentAnswers counts answers that have ended and aren't out. Entries and the gateway wait for them, at most until the drain timeout.

--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -486,7 +486,7 @@
 void Daemon::Impl::drainStep()
 {
     bool isLate = loop.clock().now() >= drainDeadline;
-    bool isBusy = broker.running() > 0 || callers.openRequests() > 0;
+    bool isBusy = broker.running() > 0 || callers.openRequests() > 0 || callerServer->unsentAnswers() > 0 || peerServer->unsentAnswers() > 0;
     if (isBusy && !isLate) {
         loop.callAfter(drainTick, [this] { drainStep(); });
         return;
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -351,6 +351,14 @@
     response->watchCaller();
 }
 
+std::size_t ServerCore::unsentAnswers() const
+{
+    std::size_t answers = 0;
+    for (const auto& connection : m_connections)
+        answers += connection->endedAnswers;
+    return answers;
+}
+
 void ServerCore::replaceTls(std::shared_ptr<TlsContext> tls)
 {
     m_options.tls = std::move(tls);
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -66,6 +66,7 @@
     void guardInputLater(ServerConnection& connection);
 
     std::size_t openConnections() const { return m_connections.size(); }
+    std::size_t unsentAnswers() const;
     bool isDraining() const { return m_isDraining; }
     bool isShutDown() const { return m_isShutDown; }
     EventLoop::Impl& loop() { return m_loop.impl(); }
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -279,8 +279,10 @@
     bool isQuiet = loop.clock().now() - lastRequestAt >= drainQuietDuration || hasStoppedListening;
     bool mayEnd = isQuiet && passed >= std::min<Duration>(minDrainDuration, ingress.drainTimeout / 2);
     bool mustEnd = loop.clock().now() >= parts.plannedStop->abortAt;
-    if (mustEnd || (mayEnd && parts.openRequestCount == 0)) {
-        logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequestCount }, { "retry_budgets", retryTotals() } });
+    // A request has ended when its answer is whole here, which slow clients haven't read by then.
+    std::size_t unsentAnswers = clientServer->unsentAnswers() + peerServer->unsentAnswers();
+    if (mustEnd || (mayEnd && parts.openRequestCount == 0 && unsentAnswers == 0)) {
+        logChange(LogLevel::Info, "stopped", { { "open_requests", parts.openRequestCount }, { "unsent_answers", unsentAnswers }, { "retry_budgets", retryTotals() } });
         onDrained();
         return;
     }
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -1,5 +1,6 @@
 // Tests an entry that serves clients over real HTTP, with stand-ins (test servers) in place
 // of the platform's store and endpoints.
+#include "Http/RawSocket.h"
 #include "PlatformFixture.h"
 
 #include "catkinwing/Ingress/IngressDaemon.h"
@@ -310,3 +311,46 @@
     CHECK(ask("aa01:100,dd01:300,ee01:20")->result.end == HttpEnd::NoResponse);
     CHECK(crashes == 1);
 }
+
+// Guards against a planned stop that cuts answers which endpoints have finished and slow clients
+// still read.
+TEST_CASE("an entry that drains ends when its clients have read their answers, and not before")
+{
+    EntryFixture fixture;
+    EventLoop& loop = fixture.platform.loop;
+    const std::string body(24 << 20, 'x');
+    nlohmann::json document = nlohmann::json::parse(configuration());
+    document["version"] = 8;
+    document["limits"] = { { "max_body_bytes", 2 * body.size() } };
+    fixture.platform.compareAndSwap("op/config", fixture.platform.get("op/config").revision, document.dump());
+    auto endpoint = startServer(loop, [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+        HttpResponseHead head = headOf(200);
+        head.headers.add("Attempt-Id", *request.headers.find("attempt-id"));
+        head.headers.add("Reply-Seal", "seal");
+        responder->send(head, body);
+    });
+    nlohmann::json registration = fixture.registration("plain", 0);
+    registration["addr"] = endpoint->address().toString();
+    for (std::size_t other : { 0, 1 }) {
+        nlohmann::json leaving = fixture.registration("plain", other);
+        leaving["state"] = "draining";
+        fixture.rewriteRegistration("plain-" + std::to_string(other + 1), leaving.dump());
+    }
+    fixture.platform.compareAndSwap("servers/large", 0, registration.dump());
+    fixture.waitForStoreChanges();
+    auto client = RawConnection::connect(fixture.settings.listen.callers);
+    client->send("POST /once/1 HTTP/1.1\r\nHost: path.example\r\nAttempt-Id: a-1\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+    runFor(loop, 500ms);
+    bool hasDrained = false;
+    fixture.entry->drain([&] { hasDrained = true; });
+    runFor(loop, 4s);
+    CHECK_FALSE(hasDrained);
+    REQUIRE(runUntil(loop, [&] {
+        client->receive();
+        return client->received().size() >= body.size() || client->isEnded();
+    }));
+    INFO(client->received().size() << " " << client->received().substr(0, 400));
+    CHECK(absl::EndsWith(client->received(), "\r\n\r\n" + body));
+    CHECK(runUntil(
+        loop, [&] { return hasDrained; }, 1s));
+}
