--- a/lib/Http/RequestFraming.cpp
+++ b/lib/Http/RequestFraming.cpp
@@ -249,8 +249,7 @@
 {
     switch (m_state) {
     case State::Start:
-        return readStart({ bytes, size }) > 0 ? size : m_state == State::Head ? readHead(bytes, size)
-                                                                              : 0;
+        return readStart(bytes, size);
     case State::Head:
         return readHead(bytes, size);
     case State::Body:
@@ -266,14 +265,18 @@
     return 0;
 }
 
-// Tells HTTP/2 with prior knowledge from a request.
-std::size_t RequestFraming::readStart(absl::string_view bytes)
+// A connection on which HTTP/2 begins by prior knowledge sends the preface first.
+std::size_t RequestFraming::readStart(char* bytes, std::size_t size)
 {
-    if (bytes.size() < http2Preface.size() && absl::StartsWith(http2Preface, bytes))
+    absl::string_view text(bytes, size);
+    if (absl::StartsWith(text, http2Preface)) {
+        m_state = State::Http2;
+        return size;
+    }
+    if (absl::StartsWith(http2Preface, text))
         return 0;
-    bool isHttp2 = absl::StartsWith(bytes, http2Preface);
-    m_state = isHttp2 ? State::Http2 : State::Head;
-    return isHttp2 ? bytes.size() : 0;
+    m_state = State::Head;
+    return readHead(bytes, size);
 }
 
 // The end of each line is looked at when it arrives, as h2o ends a head by other line ends, too.
--- a/lib/Http/RequestFraming.h
+++ b/lib/Http/RequestFraming.h
@@ -47,8 +47,9 @@
     /// have been read. The rest begins a head or a line of a chunked body that isn't whole, or
     /// holds the fault.
     ///
-    /// A length that repeats itself is replaced in place by one number, and an upgrade to HTTP/2
-    /// is blanked: RFC 9113 has no such upgrade, and the protocol behind it couldn't be followed.
+    /// Rewrites two kinds of fields in place. A length that repeats itself becomes one number. The
+    /// value of an Upgrade is blanked, since h2o would switch to HTTP/2, in a way that RFC 9113 no
+    /// longer has and that intermediaries don't follow.
     std::size_t read(char* bytes, std::size_t size);
 
     FramingFault fault() const { return m_fault; }
@@ -70,7 +71,7 @@
         Http2 };
 
     std::size_t readUnit(char* bytes, std::size_t size);
-    std::size_t readStart(absl::string_view bytes);
+    std::size_t readStart(char* bytes, std::size_t size);
     std::size_t readHead(char* bytes, std::size_t size);
     std::size_t readData(std::size_t size);
     std::size_t readChunkLine(absl::string_view bytes);
--- a/lib/Http/RequestGuard.cpp
+++ b/lib/Http/RequestGuard.cpp
@@ -6,8 +6,6 @@
 
 namespace catkinwing {
 
-static constexpr int http2Version = 0x200;
-
 static void append(h2o_socket_t& socket, absl::string_view bytes)
 {
     h2o_iovec_t room = h2o_buffer_reserve(&socket.input, bytes.size());
--- a/lib/Http/RequestGuard.h
+++ b/lib/Http/RequestGuard.h
@@ -7,6 +7,9 @@
 
 namespace catkinwing {
 
+/// HTTP/2 as h2o numbers versions.
+constexpr int http2Version = 0x200;
+
 /// Keeps requests whose end is in doubt from h2o 2.2, which reads fields and chunks with tolerance
 /// and would take what follows such a request for another one.
 class RequestGuard {
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -13,9 +13,6 @@
 
 class ServerCore;
 
-/// HTTP/2 as h2o numbers versions.
-constexpr int http2Version = 0x200;
-
 /// One accepted connection.
 struct ServerConnection : std::enable_shared_from_this<ServerConnection> {
     ServerCore* core;
