Apply removals while the store cuts waiting watches

Cause: removals wait until the store has been reached for 2.3 s, since registrations lapse in an outage. Each end of a watch counted as an outage, so that the time never passed.

Change: a watch that ends within 1.3 s of an answer is a cut. The store counts as unreached until the next watch is answered, and then as reached since before; if that one fails, it was an outage. What was silent for longer, or never answered, is a failure as before.

--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -68,7 +68,8 @@
     /// current call; zero before the first list.
     StoreRevision revision() const;
     /// Returns since when the store has answered this source, whatever it said,
-    /// without a failure since; nothing while it doesn't.
+    /// without a failure since; nothing while it doesn't. A watch that ends soon after an answer is
+    /// no failure if the next one is answered.
     std::optional<TimePoint> reachedAt() const;
     /// Tells whether a watch is open and no failure has been seen since.
     bool isFollowing() const;
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -8,6 +8,9 @@
 
 namespace catkinwing {
 
+/// A store that has answered nothing for longer may have been away when it ended a watch. Watches
+/// that nothing happens on are answered more often.
+static constexpr std::chrono::milliseconds maxCutWatchSilence { 1'300 };
 /// Number of earlier texts that are remembered of each document, to recognize them in a copy of
 /// the store that is some seconds old.
 static constexpr std::size_t maxEarlierTexts = 8;
@@ -65,6 +68,7 @@
     void openWatch();
     void onEvents(const std::vector<StoreEvent>& events);
     void onWatchEnd(const absl::Status& status);
+    void reopenCutWatch();
     void listAfterCompaction();
     void listIfNotFollowing();
     void renewWatchFromTimeToTime();
@@ -87,10 +91,13 @@
     std::uint64_t watchNumber { 0 };
     std::unique_ptr<StoreWatch> currentWatch;
     bool isFollowing { false };
+    /// The store has ended a watch that it had answered, and hasn't answered since.
+    bool isWatchCut { false };
     bool isListing { false };
     std::chrono::milliseconds retryDelay;
     StoreRevision revision {};
     std::optional<TimePoint> reachedAt;
+    TimePoint answeredAt {};
     /// When the last list or watch began.
     TimePoint attemptBeganAt {};
     std::map<std::string, Known> known;
@@ -111,14 +118,17 @@
 {
     ++counters.failures;
     isFollowing = false;
+    isWatchCut = false;
     reachedAt.reset();
     retryDelay = std::min(retryDelay * 2, options.longestRetryDelay);
 }
 
 void ConfigSource::Impl::noteReached()
 {
+    answeredAt = scheduler.clock().now();
+    isWatchCut = false;
     if (!reachedAt)
-        reachedAt = scheduler.clock().now();
+        reachedAt = answeredAt;
 }
 
 // An attempt that ran into its timeout has used up its pause, so that the store's
@@ -256,11 +266,25 @@
         listAfterCompaction();
         return;
     }
+    bool isCut = reachedAt && !isWatchCut && scheduler.clock().now() - answeredAt <= maxCutWatchSilence;
+    if (isCut) {
+        reopenCutWatch();
+        return;
+    }
     Duration pause = retryPause();
     noteFailure();
     callLater(pause, &Impl::openWatch);
 }
 
+// A store that works may cut a watch that waits. The next watch shows whether it works.
+void ConfigSource::Impl::reopenCutWatch()
+{
+    ++counters.failures;
+    isWatchCut = true;
+    isFollowing = false;
+    callLater(spread(options.retryDelay), &Impl::openWatch);
+}
+
 void ConfigSource::Impl::renewWatchFromTimeToTime()
 {
     callLater(spread(options.renewWatchEvery), &Impl::renewWatchFromTimeToTime);
@@ -371,7 +395,7 @@
 
 std::optional<TimePoint> ConfigSource::reachedAt() const
 {
-    return m_impl->reachedAt;
+    return m_impl->isWatchCut ? std::nullopt : m_impl->reachedAt;
 }
 
 bool ConfigSource::isFollowing() const
--- a/unittests/Coordination/FakeStore.cpp
+++ b/unittests/Coordination/FakeStore.cpp
@@ -185,6 +185,14 @@
     scheduleFlush();
 }
 
+void FakeStore::cutWatches()
+{
+    for (const auto& weak : std::exchange(m_watches, {})) {
+        if (auto watch = weak.lock())
+            watch->end(noAnswer());
+    }
+}
+
 void FakeStore::setSilent(bool isSilent)
 {
     m_isSilent = isSilent;
--- a/unittests/Coordination/FakeStore.h
+++ b/unittests/Coordination/FakeStore.h
@@ -56,6 +56,8 @@
     std::size_t faultsLeft(StoreCallGroup group) const { return m_faults[static_cast<std::size_t>(group)].size(); }
     /// Refuses connections and ends the watches.
     void setDown(bool isDown);
+    /// Ends all watches and goes on serving.
+    void cutWatches();
     /// Neither answers nor refuses; watches stay open and see nothing.
     void setSilent(bool isSilent);
     /// Time from call to answer; requests take effect at half of it. From the
--- a/unittests/Ingress/StoreFollowerTest.cpp
+++ b/unittests/Ingress/StoreFollowerTest.cpp
@@ -314,6 +314,23 @@
     }
 }
 
+// Guards against a removal that never takes effect while the store works and cuts waiting watches.
+TEST_CASE("an endpoint whose registration is removed is not used any more while the store cuts waiting watches")
+{
+    FollowedTables tables;
+    Follower follower(tables);
+    tables.reference.apply(Step::AddEndpoint);
+    CHECK(advanceAndCheck(tables, follower, 5s).empty());
+    REQUIRE(tables.endpointCount() == 2);
+    for (int i = 0; i < 6; ++i) {
+        if (i == 2)
+            tables.reference.apply(Step::RemoveEndpoint);
+        CHECK(advanceAndCheck(tables, follower, 900ms).empty());
+        tables.reference.store.cutWatches();
+    }
+    CHECK(tables.endpointCount() == 1);
+}
+
 TEST_CASE("a resumable route counts as moved if a version adds it or gives it other services")
 {
     Route stays = IngressFixture::streamRoute(true);
