--- a/unittests/Http/RequestFramingTest.cpp
+++ b/unittests/Http/RequestFramingTest.cpp
@@ -170,7 +170,7 @@
     for (const std::string& message : soundRequests()) {
         AnsweringServer answering;
         INFO(pieceBytes << " " << message);
-        auto caller = answering.send(message + message + getRequest, pieceBytes);
+        auto caller = answering.send(absl::StrCat(message, message, getRequest), pieceBytes);
         REQUIRE(runUntil(answering.loop, [&] {
             caller->receive();
             return countOf(caller->received(), "served") == 3 || caller->isEnded();
--- a/unittests/Ingress/StreamVersionTest.cpp
+++ b/unittests/Ingress/StreamVersionTest.cpp
@@ -151,7 +151,7 @@
         }
         fleet.finish();
         StreamTotals totals = fleet.totals();
-        std::size_t refused = fleet.refusedTakeUps.size() > 0 ? fleet.refusedTakeUps.begin()->second : 0;
+        std::size_t refused = fleet.refusedTakeUps.empty() ? 0 : fleet.refusedTakeUps.begin()->second;
         INFO("seed " << seed << ", versions replaced " << replacesVersion << ", taken up " << totals.takenUp << ", went on " << totals.wentOn << ", refused " << refused);
         CHECK((replacesVersion || totals.takenUp >= minTakenUp));
         CHECK(totals.joined <= maxJoinedStreams);
