Test the framing of requests at every listener and over TLS

Cause: RequestFramingTest tries one server in clear text. An entry has five listeners, and over TLS a request may come in with the end of the handshake, before the server's callbacks stand.

Change: ServedPathTest sends eight forms of doubtful framing to the listeners for callers, entries, operators, readiness and the directory, asks for a 400 and a close each time and for the counters, and for an answer to a sound request. HttpTlsTest does the same with two lengths by TLS 1.2 and 1.3.

--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -381,3 +381,40 @@
     runFor(world.loop, 20ms);
     CHECK(second->ends == (serverGoesFirst ? second->ends : 0));
 }
+
+// Guards against a request that comes in with the end of the handshake and passes the check of
+// framing by.
+TEST_CASE("a request whose end is in doubt is refused over TLS, and a sound one is served")
+{
+    TlsWorld world;
+    std::vector<std::string> reasons;
+    HttpServerOptions serverOptions;
+    serverOptions.onRefused = [&](const SocketAddress&, const std::string& reason) { reasons.push_back(reason); };
+    world.listen(world.authority.issueServer(), serverOptions);
+    std::shared_ptr<TlsContext> context = clientContext(world.authority.issueCaller("Fitting Desk"));
+    int version = GENERATE(TLS1_2_VERSION, TLS1_3_VERSION);
+    bool isDoubtful = GENERATE(true, false);
+    SSL_CTX_set_min_proto_version(context->native(), version);
+    SSL_CTX_set_max_proto_version(context->native(), version);
+    auto caller = RawConnection::connect(world.server->address());
+    REQUIRE(caller);
+    std::unique_ptr<SSL, decltype(&SSL_free)> tls(SSL_new(context->native()), SSL_free);
+    SSL_set_fd(tls.get(), caller->descriptor());
+    REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
+    std::string message = "POST /outer HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n";
+    message += isDoubtful ? "content-length: 40\r\n\r\n{}" : "\r\n{}";
+    message += "GET /next HTTP/1.1\r\nhost: a\r\n\r\n";
+    REQUIRE(SSL_write(tls.get(), message.data(), static_cast<int>(message.size())) == static_cast<int>(message.size()));
+    std::string received;
+    auto receive = [&] {
+        char bytes[1024];
+        int count = SSL_read(tls.get(), bytes, sizeof(bytes));
+        if (count > 0)
+            received.append(bytes, static_cast<std::size_t>(count));
+        return SSL_get_error(tls.get(), count) == SSL_ERROR_ZERO_RETURN || SSL_get_error(tls.get(), count) == SSL_ERROR_SYSCALL;
+    };
+    REQUIRE(runUntil(world.loop, [&] { return receive() || (!isDoubtful && world.seen.size() == 2); }));
+    CHECK(world.seen.size() == (isDoubtful ? 0 : 2));
+    CHECK((received.rfind("HTTP/1.1 400 ", 0) == 0) == isDoubtful);
+    CHECK(reasons.size() == (isDoubtful ? 1 : 0));
+}
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -354,3 +354,43 @@
     CHECK(runUntil(
         loop, [&] { return hasDrained; }, 1s));
 }
+
+// Guards against a listener that takes what follows a request whose end is in doubt for another
+// request.
+TEST_CASE("every listener of an entry refuses requests whose end is in doubt and serves sound ones")
+{
+    const std::string hidden = "GET /readyz HTTP/1.1\r\nHost: path.example\r\n\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::string doubtful[] = {
+        "Content-Length: 2\r\nContent-Length: 60\r\n\r\n{}",
+        "Content-Length: 2, 60\r\n\r\n{}",
+        "Content-Length : 2\r\n\r\n{}",
+        "Content-Length: 2\r\n 300\r\n\r\n{}",
+        chunked + "Content-Length: 2\r\n\r\n0\r\n\r\n",
+        chunked + chunked + "\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        chunked + "\r\n0x2\r\n{}\r\n0\r\n\r\n",
+    };
+    EntryFixture fixture;
+    EventLoop& loop = fixture.platform.loop;
+    const ListenerAddresses& listen = fixture.settings.listen;
+    for (const SocketAddress& listener : { listen.callers, listen.peers, listen.operators, fixture.settings.ingress->readiness, fixture.settings.ingress->directory }) {
+        for (const std::string& form : doubtful) {
+            auto client = RawConnection::connect(listener);
+            REQUIRE(client);
+            client->send("POST /once/1 HTTP/1.1\r\nHost: path.example\r\n" + form + hidden);
+            INFO(listener.toString() << " " << form);
+            REQUIRE(client->receiveToEnd(loop));
+            CHECK(absl::StartsWith(client->received(), "HTTP/1.1 400 "));
+            CHECK(client->received().rfind("HTTP/1.1 ") == 0);
+        }
+        auto client = RawConnection::connect(listener);
+        client->send(hidden);
+        REQUIRE(client->receiveUntil(loop, "\r\n\r\n"));
+        CHECK_FALSE(absl::StartsWith(client->received(), "HTTP/1.1 400 "));
+        CHECK_FALSE(client->isEnded());
+    }
+    auto metrics = fixture.platform.sendAndWait(listen.operators, "GET", "/metrics");
+    CHECK(absl::StrContains(metrics->body, "{event=\"requests_refused_content_lengths_differ\"} 10"));
+    CHECK(absl::StrContains(metrics->body, "{event=\"requests_refused_chunk_line\"} 5"));
+}
