--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -6,6 +6,7 @@
 #include "catkinwing/Ingress/IngressDaemon.h"
 #include "platform/PlatformDialect.h"
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 using namespace catkinwing;
 using namespace catkinwing::platform;
@@ -378,7 +379,7 @@
         for (const std::string& form : doubtful) {
             auto client = RawConnection::connect(listener);
             REQUIRE(client);
-            client->send("POST /once/1 HTTP/1.1\r\nHost: path.example\r\n" + form + hidden);
+            client->send(absl::StrCat("POST /once/1 HTTP/1.1\r\nHost: path.example\r\n", form, hidden));
             INFO(listener.toString() << " " << form);
             REQUIRE(client->receiveToEnd(loop));
             CHECK(absl::StartsWith(client->received(), "HTTP/1.1 400 "));
