List the store when a watch has more changes than one response may hold

Cause: a watch is answered with every change since the last one, here more than the 8 MiB that the store client takes. That counted as a store that can't be reached, and the same watch was opened again from the same revision until the store answered 410.

Change: HttpResult says that a body was too long, and the watch then ends as out of range, for which ConfigSource lists. The etcd client's watch does the same with a message that is too long.

--- a/include/catkinwing/Coordination/Store.h
+++ b/include/catkinwing/Coordination/Store.h
@@ -64,8 +64,9 @@
 struct StoreWatchCallbacks {
     std::function<void(const std::vector<StoreEvent>&)> onEvents;
     /// The watch ended, for instance because the connection was lost; called
-    /// once. OutOfRange if its first revision was compacted away, or belongs to an
-    /// earlier era of the store.
+    /// once. OutOfRange if its first revision was compacted away or belongs to an
+    /// earlier era of the store, or if the changes since are too many to be told: a listing
+    /// has to tell then.
     std::function<void(const absl::Status&)> onEnd;
     /// The store has answered: all that had changed by now has been told. A
     /// store that only pushes changes doesn't tell.
--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -36,6 +36,8 @@
     bool mayHaveReachedServer { false };
     /// Says what failed, for logs; empty when complete.
     std::string detail;
+    /// The body was longer than sendForWhole() was told to take.
+    bool isBodyTooLong { false };
 };
 
 /// A request to send. Fields that frame the message or manage the connection
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -69,7 +69,7 @@
     void onEvents(const std::vector<StoreEvent>& events);
     void onWatchEnd(const absl::Status& status);
     void reopenCutWatch();
-    void listAfterCompaction();
+    void listAfterGap();
     void listIfNotFollowing();
     void renewWatchFromTimeToTime();
     static bool hasSameText(const Known& last, const Version& version);
@@ -241,9 +241,9 @@
     emit(changes);
 }
 
-// Deletions in the part that was compacted show only in a list. The store has
+// Deletions in the part that the watch can't tell show only in a list. The store has
 // answered, so the pause need only spread the callers.
-void ConfigSource::Impl::listAfterCompaction()
+void ConfigSource::Impl::listAfterGap()
 {
     noteReached();
     isFollowing = false;
@@ -263,7 +263,7 @@
 void ConfigSource::Impl::onWatchEnd(const absl::Status& status)
 {
     if (absl::IsOutOfRange(status)) {
-        listAfterCompaction();
+        listAfterGap();
         return;
     }
     bool isCut = reachedAt && !isWatchCut && scheduler.clock().now() - answeredAt <= maxCutWatchSilence;
--- a/lib/Coordination/EtcdWatch.cpp
+++ b/lib/Coordination/EtcdWatch.cpp
@@ -67,7 +67,7 @@
             }
             m_buffer.erase(0, begin);
             if (m_buffer.size() > m_options.maxAnswerBytes)
-                fail(absl::UnavailableError("a message of the watch is too long"));
+                fail(absl::OutOfRangeError("a message of the watch is too long"));
         }
 
         // Returns false once the watch is over.
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -58,7 +58,7 @@
     }
     if (auto exchange = response.exchange.lock())
         exchange->cancel();
-    response.done({ HttpEnd::Malformed, true, "body longer than allowed" }, response.head, {});
+    response.done({ HttpEnd::Malformed, true, "body longer than allowed", true }, response.head, {});
 }
 
 std::shared_ptr<HttpExchange> sendForWhole(HttpClient& client, HttpClientRequest request, std::size_t maxBodyBytes,
--- a/unittests/Coordination/EtcdStoreTest.cpp
+++ b/unittests/Coordination/EtcdStoreTest.cpp
@@ -308,6 +308,17 @@
     }
 }
 
+TEST_CASE("a watch whose next message is too long to read ends as out of range")
+{
+    Bench bench(FakeHttpAnswer::ok(std::string(2'000, 'x')));
+    bench.options.maxAnswerBytes = 1'000;
+    bench.store = std::make_unique<EtcdStore>(bench.http, bench.scheduler, bench.options);
+    absl::Status end;
+    auto watch = bench.store->watch("c/", 10, { {}, [&](const absl::Status& status) { end = status; } });
+    bench.scheduler.advance(1s);
+    CHECK(absl::IsOutOfRange(end));
+}
+
 TEST_CASE("a store that is gone calls nobody back")
 {
     Bench bench(FakeHttpAnswer::ok("{}"));
--- a/unittests/Platform/PlatformStoreTest.cpp
+++ b/unittests/Platform/PlatformStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformStore.h"
 
 #include "Coordination/FakeHttpClient.h"
+#include "catkinwing/Coordination/ConfigSource.h"
 #include "catkinwing/Support/ManualScheduler.h"
 #include <absl/strings/match.h>
 #include <catch2/catch.hpp>
@@ -98,6 +99,60 @@
     CHECK(absl::StrContains(fixture.http.requests[1].target, "after=8&"));
 }
 
+static FakeHttpAnswer longerThanAllowed()
+{
+    FakeHttpAnswer answer;
+    answer.body.assign(9, std::string(1u << 20, ' '));
+    return answer;
+}
+
+TEST_CASE("a watch with more changes than one response may hold ends as out of range, and a failure of that length doesn't")
+{
+    for (int status : { 200, 503 }) {
+        StoreClientFixture fixture([status](const HttpClientRequest&) {
+            FakeHttpAnswer answer = longerThanAllowed();
+            answer.status = status;
+            return answer;
+        });
+        std::vector<absl::Status> ends;
+        auto watch = fixture.store.watch("", 5, { {}, [&](const absl::Status& end) { ends.push_back(end); } });
+        fixture.scheduler.advance(5s);
+        REQUIRE(ends.size() == 1);
+        CHECK(ends[0].code() == (status == 200 ? absl::StatusCode::kOutOfRange : absl::StatusCode::kUnavailable));
+    }
+}
+
+// Guards against a configuration that stays old while the store works, as the same watch fails again and again.
+TEST_CASE("a source whose watch has more changes than one response may hold lists the store instead")
+{
+    bool isChanged = false;
+    StoreClientFixture fixture([&](const HttpClientRequest& request) {
+        bool isListing = absl::StrContains(request.target, "kv-range");
+        if (isListing && isChanged)
+            return FakeHttpAnswer::ok(R"({"items":[{"key":"op/config","value":"bmV3","revision":60}],"truncated":false,"current_rev":60})");
+        if (isListing)
+            return FakeHttpAnswer::ok(R"({"items":[{"key":"op/config","value":"b2xk","revision":8}],"truncated":false,"current_rev":10})");
+        if (isChanged && absl::StrContains(request.target, "after=10&"))
+            return longerThanAllowed();
+        FakeHttpAnswer answer = FakeHttpAnswer::ok(R"({"events":[],"current_rev":)" + std::string(isChanged ? "60" : "10") + "}");
+        answer.delay = 1200ms;
+        return answer;
+    });
+    Random random(7);
+    std::string text;
+    ConfigSourceOptions options;
+    options.prefix = "op/";
+    ConfigSource source(fixture.store, fixture.scheduler, random, options, [&](const std::vector<ConfigChange>& changes) { text = changes.back().text.value_or(""); });
+    source.start();
+    fixture.scheduler.advance(5s);
+    REQUIRE(text == "old");
+    isChanged = true;
+    fixture.scheduler.advance(3s);
+    CHECK(text == "new");
+    CHECK(source.counters().lists == 2);
+    CHECK(source.reachedAt());
+}
+
 TEST_CASE("the first request of a watch does not wait, and later ones are as frequent with changes as without")
 {
     int answers = 0;
