Refuse large requests that would exceed the entry's memory

Cause: nothing bounded the bytes of requests that an entry holds, each body three times, and no setting told it its memory.

Change: RequestBuffers counts the bodies of open requests. One that would take them beyond half of limits.maximumMemoryMegabytes is answered 503 before any attempt; bodies of up to 16 KiB are always taken. Refusals and the bytes held are in the metrics.

--- a/include/catkinwing/Config/DaemonSettings.h
+++ b/include/catkinwing/Config/DaemonSettings.h
@@ -50,6 +50,8 @@
     /// Descriptors that the process may open; zero if not stated.
     std::int64_t maximumDescriptors { 0 };
     std::int64_t maximumBodyBytes { 8000000 };
+    /// Memory that the process may use, in megabytes of 1,000,000 bytes; zero if not stated.
+    double maximumMemoryMegabytes { 0 };
 };
 
 /// Returns the connections that callers may hold open.
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Dispatch/AnswerBuffers.h"
+#include "catkinwing/Dispatch/RequestBuffers.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/CreditExchange.h"
 #include "catkinwing/Ingress/Dialect.h"
@@ -92,6 +93,9 @@
     /// Bytes of answers that are held until they are whole, or for slow clients. An entry of the
     /// smallest size has some 100 MB for everything.
     AnswerBuffers answerBuffers { 24u << 20 };
+    /// Bytes of the bodies of open requests. They are held until the request has ended, since
+    /// another attempt may need them.
+    RequestBuffers requestBuffers {};
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -325,6 +325,7 @@
     IngressContext& m_parts;
     RoutedRequest m_request;
     std::shared_ptr<HttpResponder> m_responder;
+    BufferedRequest m_bufferedRequest;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route { nullptr };
     /// The workspace in m_routes; null if callers have none, or if this entry's version doesn't
--- a/lib/Config/DaemonSettings.cpp
+++ b/lib/Config/DaemonSettings.cpp
@@ -47,6 +47,7 @@
     reader.read("maximumConnections", limits.maximumConnections);
     reader.read("maximumDescriptors", limits.maximumDescriptors);
     reader.read("maximumBodyBytes", limits.maximumBodyBytes);
+    reader.read("maximumMemoryMegabytes", limits.maximumMemoryMegabytes);
 }
 
 // A request that is forwarded needs a second descriptor. The reserve is for the
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -307,6 +307,8 @@
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
     impl->parts.startedAt = loop.clock().now();
+    if (double megabytes = settings.limits.maximumMemoryMegabytes; megabytes > 0)
+        impl->parts.requestBuffers = RequestBuffers(RequestBuffers::capacityWithin(static_cast<std::size_t>(megabytes * 1e6)));
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
     impl->parts.streamOrigins = &impl->streamOrigins;
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -62,6 +62,7 @@
         return;
     }
     metrics.set("open_requests", static_cast<double>(parts.openRequestCount));
+    metrics.set("request_buffer_bytes", static_cast<double>(parts.requestBuffers.used()));
     for (const auto& [kind, calls] : storeCalls)
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -84,6 +84,7 @@
     : m_parts(parts)
     , m_request(std::move(request))
     , m_responder(std::move(responder))
+    , m_bufferedRequest(parts.requestBuffers)
     , m_cursor(m_request.facts.resumeAfter ? absl::make_optional(*m_request.facts.resumeAfter) : absl::nullopt)
     , m_pendingBytes(parts.answerBuffers)
 {
@@ -118,6 +119,11 @@
         sendOwnAnswer(statusUnavailable, Outcome::NotRun, "stopping");
         return;
     }
+    if (!m_bufferedRequest.reserve(m_request.http.body.size())) {
+        m_parts.metrics.count("refused_request_buffers");
+        sendOwnAnswer(statusUnavailable, Outcome::NotRun, "request_buffers_full");
+        return;
+    }
     m_deadlineTimer = m_parts.scheduler.callAfter(m_deadline - now(), [self] { self->onDeadline(); });
     m_responder->onClosed([self] { self->onClientClosed(); });
     if (!m_responder->isOpen()) {
--- a/unittests/Config/DocumentTest.cpp
+++ b/unittests/Config/DocumentTest.cpp
@@ -59,6 +59,16 @@
     CHECK_FALSE(parseDaemonSettings(settings.dump()).ok());
 }
 
+TEST_CASE("a daemon may state the memory that it may use")
+{
+    json settings = daemonJson();
+    CHECK(parseDaemonSettings(settings.dump()).document->limits.maximumMemoryMegabytes == 0);
+    settings["limits"] = { { "maximumMemoryMegabytes", 260 } };
+    CHECK(parseDaemonSettings(settings.dump()).document->limits.maximumMemoryMegabytes == 260);
+    settings["limits"] = { { "maximumMemoryMegabytes", 0 } };
+    CHECK_FALSE(parseDaemonSettings(settings.dump()).ok());
+}
+
 /// Returns the object that a schema's defaults make up.
 static json defaultsOf(const json& schema)
 {
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -190,7 +190,7 @@
     parts.entries.put(name, { region, region + "-a", address, address });
 }
 
-std::shared_ptr<FakeResponder> IngressFixture::start(HttpHeaders headers, bool isForwarded)
+std::shared_ptr<FakeResponder> IngressFixture::start(HttpHeaders headers, bool isForwarded, std::string body)
 {
     auto responder = std::make_shared<FakeResponder>();
     RoutedRequest request;
@@ -199,6 +199,7 @@
     request.http.headers = std::move(headers);
     request.http.headers.add("host", "h");
     request.http.headers.add("request-id", "id-1");
+    request.http.body = std::move(body);
     request.facts = dialect.readRequest(request.http);
     request.isForwarded = isForwarded;
     if (isForwarded)
--- a/unittests/Ingress/IngressFixture.h
+++ b/unittests/Ingress/IngressFixture.h
@@ -32,7 +32,7 @@
     void addEndpoint(const std::string& incarnation, const std::string& zone = "north-a", const std::string& version = "v1");
     void addEntry(const std::string& name, const std::string& region, int port);
     /// Starts a request and returns the responder that receives its answer.
-    std::shared_ptr<FakeResponder> start(HttpHeaders headers = {}, bool isForwarded = false);
+    std::shared_ptr<FakeResponder> start(HttpHeaders headers = {}, bool isForwarded = false, std::string body = {});
     /// Starts a request and advances the time by 20 s.
     std::shared_ptr<FakeResponder> runToEnd(HttpHeaders headers = {}, bool isForwarded = false);
     /// Returns the value of a header in the request at \p index of those sent to
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -889,3 +889,33 @@
         CHECK_FALSE(direct->head->headers.find(unframedAnswerHeader));
     }
 }
+
+// Guards against an entry that is ended for exceeding its memory, with all of its requests.
+TEST_CASE("a large request that the entry has no room for is refused without an attempt, and a small one is served")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+    fixture.addEndpoint("a");
+    fixture.parts.requestBuffers = RequestBuffers(RequestBuffers::capacityWithin(60'000'000));
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = endpointAnswer(request, 200, "done");
+        answer.delay = 500ms;
+        return answer;
+    } };
+    const std::string large(4'000'000, 'x');
+    auto first = fixture.start({}, false, large);
+    auto second = fixture.start({}, false, large);
+    auto third = fixture.start({}, false, large);
+    auto small = fixture.start({}, false, "{}");
+    CHECK(third->status() == 503);
+    CHECK(third->outcome() == "not-run");
+    REQUIRE(third->head);
+    CHECK(third->head->headers.find("retry-after"));
+    CHECK(fixture.endpointClient.requests.size() == 3);
+    fixture.scheduler.advance(2s);
+    CHECK(first->status() == 200);
+    CHECK(second->status() == 200);
+    CHECK(small->status() == 200);
+    CHECK(fixture.parts.requestBuffers.used() == 0);
+    CHECK(fixture.runToEnd()->status() == 200);
+}
