Name the server's address in the test of framing over TLS

Cause: the client's context compares the certificate with the address that the session names.

Change: the session names the address, as the client's own do. No check is taken away; one is added.

--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -400,6 +400,8 @@
     REQUIRE(caller);
     std::unique_ptr<SSL, decltype(&SSL_free)> tls(SSL_new(context->native()), SSL_free);
     SSL_set_fd(tls.get(), caller->descriptor());
+    // The context compares the certificate with the address that the session names.
+    REQUIRE(SSL_set_tlsext_host_name(tls.get(), world.server->address().host.c_str()) == 1);
     REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
     std::string message = "POST /outer HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n";
     message += isDoubtful ? "content-length: 40\r\n\r\n{}" : "\r\n{}";
