Record in the store which services have had a single version

No stream was joined.

Cause: entries conclude a single version from what they have observed for the lifetime of a stream, or from the word of another entry. An entry that has just started has observed nothing, and after a loss of all there is no other.

Change: the version record in the store names, by service, the version at which every stream that can still be resumed began. One entry writes it from complete observations. Any entry withdraws it when it sees another version, which takes no streams before. It states nothing in another era of the store or under another configuration: a restored copy may have lost a version, and a route may have been moved. Entries that find no key of an entry in the store know that no stream has begun before. With several versions, streams from before the loss are refused as before.

--- a/include/catkinwing/Coordination/ConfigSource.h
+++ b/include/catkinwing/Coordination/ConfigSource.h
@@ -38,6 +38,8 @@
 /// Counts since the start of the process.
 struct ConfigSourceCounters {
     std::uint64_t lists { 0 };
+    /// Lists whose answers were taken over. Changes before them may have passed unseen.
+    std::uint64_t listsApplied { 0 };
     std::uint64_t watches { 0 };
     std::uint64_t failures { 0 };
     /// Answers older than what was already known; dropped.
--- a/include/catkinwing/Ingress/EndpointTable.h
+++ b/include/catkinwing/Ingress/EndpointTable.h
@@ -289,6 +289,17 @@
     /// Returns the only software version that the endpoints of the service have had for longer
     /// than a stream lasts; nothing if there were several, or if what this entry knows is outdated.
     std::optional<BuildId> soleVersion(absl::string_view service, TimePoint now) const;
+    /// The same, but nothing if other versions may have come and gone without this entry seeing
+    /// them, or if what it knows may be outdated soon.
+    std::optional<BuildId> observedSoleVersion(absl::string_view service, TimePoint now) const;
+    /// Returns whether an endpoint of the service has another version, or had one a short time ago.
+    bool hasOtherVersion(absl::string_view service, BuildId build, TimePoint now) const;
+    /// Sets the only versions of services as the version record in force states them.
+    void setRecordedVersions(std::map<std::string, BuildId> builds, TimePoint now);
+    /// Records that no stream can have begun before now. Called before the first endpoint is put.
+    void recordFirstStart() { m_registrationsCompleteSince = TimePoint::min(); }
+    /// Records that registrations may have come and gone without this entry seeing them.
+    void recordHistoryGap(TimePoint now);
     /// Returns whether all entries conclude that a stream of the service began at \p build, also
     /// if the store falls silent in the next moments.
     bool isConcludedByAll(absl::string_view service, BuildId build, TimePoint now) const;
@@ -350,6 +361,9 @@
     void abortReplacedStart(RoutedEndpoint& endpoint, bool hasOtherVersion);
     void addToService(const std::shared_ptr<RoutedEndpoint>& endpoint, const std::string& service);
     void detach(const std::string& incarnation, TimePoint now);
+    /// Returns the versions of the service, which may be none.
+    ServiceVersions& versionsOf(const std::string& service);
+    void recordVersion(const std::string& service, BuildId build, TimePoint now);
     bool hasEstablishedVersion(const Endpoints& endpoints, const ServiceVersions& versions, TimePoint now) const;
     /// Returns whether the endpoint has cache memory for the request.
     bool hasMemory(const RoutedEndpoint& endpoint, const EndpointRequest& request) const;
@@ -370,6 +384,10 @@
     absl::flat_hash_map<std::string, std::shared_ptr<ResponseTimes>> m_serviceTimes;
     /// Software versions by service.
     absl::flat_hash_map<std::string, ServiceVersions> m_versions;
+    std::map<std::string, BuildId> m_recordedVersions;
+    /// The time since which this entry has seen every registration; the minimum if it has seen all
+    /// since before the first stream.
+    TimePoint m_registrationsCompleteSince { TimePoint::max() };
     Duration m_streamLifetime { std::chrono::seconds(30) };
     Duration m_knowledgeAge { 0 };
     std::set<std::string> m_evacuatedZones;
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -12,6 +12,7 @@
 #include "catkinwing/Ingress/RegionOutlooks.h"
 #include "catkinwing/Ingress/ShortageTable.h"
 #include "catkinwing/Ingress/StreamOriginExchange.h"
+#include "catkinwing/Ingress/VersionRecord.h"
 #include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/Reporting/DecisionLog.h"
 #include "catkinwing/Reporting/Metrics.h"
@@ -79,6 +80,8 @@
     TimePoint startedAt {};
     /// When a configuration last gave a route other services, by the route's name.
     absl::flat_hash_map<std::string, TimePoint> routesMovedAt {};
+    /// The software versions that entries have recorded in the store.
+    StoredVersionRecord versionRecord {};
     /// Limits of workspaces; null if they aren't enforced.
     CreditExchange* credit { nullptr };
     /// Obtains requests at endpoints with a limit; null if other entries aren't asked.
--- a/lib/Coordination/ConfigSource.cpp
+++ b/lib/Coordination/ConfigSource.cpp
@@ -172,6 +172,7 @@
 
 void ConfigSource::Impl::takeOver(const StoreListing& listing)
 {
+    ++counters.listsApplied;
     std::vector<ConfigChange> changes;
     std::set<std::string> listed;
     for (const auto& value : listing.values) {
--- a/lib/Ingress/EndpointTable.cpp
+++ b/lib/Ingress/EndpointTable.cpp
@@ -116,7 +116,7 @@
         logEndpoint("endpoint_started_again", *replaced);
         detach(record.incarnation, now);
     }
-    m_versions[record.service].recordPresent(build, now);
+    recordVersion(record.service, build, now);
     std::shared_ptr<RoutedEndpoint>& entry = m_endpoints[record.incarnation];
     bool isNew = !entry;
     if (isNew) {
@@ -189,7 +189,7 @@
     list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
     m_endpoints.erase(found);
     if (!hasBuild(endpoint->record.service, endpoint->build))
-        m_versions[endpoint->record.service].recordAbsent(endpoint->build, now);
+        versionsOf(endpoint->record.service).recordAbsent(endpoint->build, now);
 }
 
 void EndpointTable::remove(const std::string& incarnation, TimePoint now)
--- a/lib/Ingress/EndpointTableChoice.cpp
+++ b/lib/Ingress/EndpointTableChoice.cpp
@@ -134,7 +134,7 @@
     std::uint32_t segment = segmentHash(request.sharedSegment);
     std::optional<double> rejections = rejectionLimit(request.service->name);
     // An entry that can't know of a new version yet concludes that streams began at another one.
-    const ServiceVersions& versions = m_versions[request.service->name];
+    const ServiceVersions& versions = versionsOf(request.service->name);
     bool avoidsNewVersions = request.beginsResumableStream && hasEstablishedVersion(endpoints, versions, now);
     std::vector<EndpointCandidate> candidates;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
--- a/lib/Ingress/EndpointTableVersions.cpp
+++ b/lib/Ingress/EndpointTableVersions.cpp
@@ -41,6 +41,54 @@
     return m_knowledgeAge <= agingKnowledge && soleVersion(service, now) == build;
 }
 
+std::optional<BuildId> EndpointTable::observedSoleVersion(absl::string_view service, TimePoint now) const
+{
+    auto found = m_versions.find(service);
+    if (found == m_versions.end() || m_knowledgeAge > agingKnowledge)
+        return std::nullopt;
+    return found->second.observedSoleVersion(m_streamLifetime, now);
+}
+
+// Entries forget a version that is gone at different times. Those that still remember it don't
+// contradict one that has forgotten it.
+bool EndpointTable::hasOtherVersion(absl::string_view service, BuildId build, TimePoint now) const
+{
+    auto found = m_versions.find(service);
+    return found != m_versions.end() && found->second.hasOtherVersion(build, m_streamLifetime / 2, now);
+}
+
+ServiceVersions& EndpointTable::versionsOf(const std::string& service)
+{
+    return m_versions.try_emplace(service, m_registrationsCompleteSince).first->second;
+}
+
+void EndpointTable::recordVersion(const std::string& service, BuildId build, TimePoint now)
+{
+    ServiceVersions& versions = versionsOf(service);
+    if (!versions.recordPresent(build, now))
+        return;
+    auto recorded = m_recordedVersions.find(service);
+    if (recorded != m_recordedVersions.end())
+        versions.setRecorded(recorded->second, m_streamLifetime, now);
+}
+
+void EndpointTable::setRecordedVersions(std::map<std::string, BuildId> builds, TimePoint now)
+{
+    m_recordedVersions = std::move(builds);
+    for (auto& [service, versions] : m_versions) {
+        auto recorded = m_recordedVersions.find(service);
+        bool isRecorded = recorded != m_recordedVersions.end();
+        versions.setRecorded(isRecorded ? std::optional<BuildId>(recorded->second) : std::nullopt, m_streamLifetime, now);
+    }
+}
+
+void EndpointTable::recordHistoryGap(TimePoint now)
+{
+    m_registrationsCompleteSince = now;
+    for (auto& [service, versions] : m_versions)
+        versions.recordGap(now);
+}
+
 std::optional<BuildId> EndpointTable::soleVersionByHash(std::uint32_t service, TimePoint now) const
 {
     for (const auto& [name, versions] : m_versions) {
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -263,8 +263,10 @@
         creditExchange.start();
     }
     wasReady = isReadyNow;
-    if (isReadyNow)
+    if (isReadyNow) {
         entryCountWriter.tick();
+        versionRecordWriter.tick();
+    }
     parts.isConfigurationStale = relayedStore.dataAge().value_or(Duration::zero()) > maxConfigurationAge;
     loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
 }
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -66,6 +66,7 @@
         , streamOrigins(parts.endpoints, parts.entries, self, eventLoop, [this](const OutgoingDatagram& datagram) { loadReportSocket->send(datagram.to, datagram.bytes); })
         , registration(*store, eventLoop, registrationOptions())
         , entryCountWriter(*store, eventLoop, parts.entries)
+        , versionRecordWriter(*store, parts)
         , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
         , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
             if (key == registration.key())
@@ -179,6 +180,7 @@
     std::uint64_t shortageReports { 0 };
     EntryRegistration registration;
     EntryCountWriter entryCountWriter;
+    VersionRecordWriter versionRecordWriter;
     RelayedStore relayedStore;
     StoreFollower follower;
     std::unique_ptr<HttpServer> clientServer;
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Ingress/EntryCountWriter.h"
 #include "catkinwing/Support/Logging.h"
+#include <absl/strings/match.h>
 #include <absl/strings/strip.h>
 #include <algorithm>
 #include <utility>
@@ -74,7 +75,7 @@
     if (isReached != m_wasReached)
         logChange(isReached ? LogLevel::Info : LogLevel::Warning, isReached ? "store_reached" : "store_lost", { { "era", m_source.revision().era }, { "revision", m_source.revision().number } });
     m_wasReached = isReached;
-    recordNewEra();
+    applyChanges({});
     if (isStoreUnstable())
         return;
     applyDeferredEvacuations();
@@ -92,10 +93,13 @@
     if (!hasListedStore() || (m_era && era <= *m_era))
         return;
     bool isFirst = !std::exchange(m_era, era);
-    if (isFirst)
+    if (isFirst) {
+        m_parts.versionRecord.storeEra = era;
         return;
+    }
     m_eraBeganAt = now();
     recordHistoryGap();
+    m_parts.versionRecord.storeEra = era;
     m_parts.metrics.count("store_eras");
     logChange(LogLevel::Warning, "store_returned_from_copy", { { "era", era }, { "revision", m_source.revision().number } });
 }
@@ -103,8 +107,40 @@
 void StoreFollower::applyChanges(const std::vector<ConfigChange>& changes)
 {
     recordNewEra();
+    if (m_appliedLists != m_source.counters().listsApplied)
+        recordListing(changes);
     for (const ConfigChange& change : changes)
         applyChange(change);
+    // The keys of a listing come in the order in which they were written.
+    if (std::exchange(m_mayVersionRecordDiffer, false))
+        applyVersionRecord(m_parts);
+}
+
+// Entries leave keys in the store. Without any in the first listing, none has run before, and no
+// stream has begun. Any other listing follows a time of which not every change is known.
+void StoreFollower::recordListing(const std::vector<ConfigChange>& changes)
+{
+    bool isFirst = m_appliedLists == 0;
+    m_appliedLists = m_source.counters().listsApplied;
+    auto isWrittenByEntry = [this](const ConfigChange& change) {
+        return change.path == entryCountKey || change.path == versionRecordKey || absl::StartsWith(change.path, m_entryPrefix);
+    };
+    if (isFirst && std::none_of(changes.begin(), changes.end(), isWrittenByEntry))
+        m_parts.endpoints.recordFirstStart();
+    else
+        recordUnseenRegistrations();
+}
+
+void StoreFollower::recordUnseenRegistrations()
+{
+    m_parts.endpoints.recordHistoryGap(now());
+    m_mayVersionRecordDiffer = true;
+}
+
+void StoreFollower::recordHistoryGap()
+{
+    m_lastHistoryGapAt = now();
+    recordUnseenRegistrations();
 }
 
 void StoreFollower::logKept(const ConfigChange& change)
@@ -126,6 +162,8 @@
         applyEndpoint(std::string(key), change);
     else if (key == entryCountKey)
         applyEntryCount(change);
+    else if (key == versionRecordKey)
+        applyVersionRecordChange(change);
     else if (absl::ConsumePrefix(&key, m_entryPrefix))
         applyEntry(std::string(key), change);
 }
@@ -211,6 +249,7 @@
     recordMovedRoutes(*table.document);
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
     m_parts.endpoints.setStreamLifetime(streamLifetimeOf(*m_parts.routes));
+    m_mayVersionRecordDiffer = true;
 }
 
 // An endpoint that has left or ended in the lost part of the history doesn't write its restored
@@ -254,6 +293,14 @@
     m_parts.entries.recordStoredCount({ count.value_or(0), change.text ? change.revision : StoreRevision {} }, now());
 }
 
+// A value that can't be read states nothing, and is written anew.
+void StoreFollower::applyVersionRecordChange(const ConfigChange& change)
+{
+    m_parts.versionRecord.record = readVersionRecord(change.text.value_or("")).value_or(VersionRecord {});
+    m_parts.versionRecord.revision = change.text ? change.revision : StoreRevision {};
+    m_mayVersionRecordDiffer = true;
+}
+
 void StoreFollower::applyEntry(const std::string& name, const ConfigChange& change)
 {
     if (change.isRestored) {
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -28,7 +28,7 @@
     StoreRevision revision() const { return m_source.revision(); }
     /// Records a gap in the change history that was found outside of this entry's own
     /// watch. Deleted registrations are then kept for the grace period.
-    void recordHistoryGap() { m_lastHistoryGapAt = now(); }
+    void recordHistoryGap();
     /// Logs changes of the store's reachability, and removes registrations that are
     /// still missing after the grace period.
     void runHousekeeping();
@@ -48,6 +48,10 @@
     void applyEndpoint(const std::string& incarnation, const ConfigChange& change);
     void rejectEndpoint(const std::string& incarnation, const absl::Status& fault);
     void applyEntryCount(const ConfigChange& change);
+    void applyVersionRecordChange(const ConfigChange& change);
+    /// Records what a listing tells of the time before it.
+    void recordListing(const std::vector<ConfigChange>& changes);
+    void recordUnseenRegistrations();
     void applyEntry(const std::string& name, const ConfigChange& change);
     /// Returns whether a key that is deleted now may have expired only because the
     /// store was unreachable.
@@ -66,6 +70,9 @@
     std::optional<std::int64_t> m_era;
     TimePoint m_eraBeganAt {};
     bool m_wasReached { false };
+    std::uint64_t m_appliedLists { 0 };
+    /// The version record may have come into force or out of it.
+    bool m_mayVersionRecordDiffer { false };
     TimePoint m_lastHistoryGapAt {};
     TimePoint m_nextRefusalLog {};
 };
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -284,6 +284,7 @@
         , crashExchange(parts.crashSuspects, parts.entries, record, fleet.random)
         , loadExchange(parts.endpoints, parts.entries, record)
         , streamOrigins(parts.endpoints, parts.entries, record, fleet.scheduler, [&fleet, index](const OutgoingDatagram& datagram) { fleet.deliver(index, { datagram }); })
+        , versionRecordWriter(fleet.m_recordStore, parts)
     {
         parts.streamOrigins = &streamOrigins;
         parts.endpoints.setReplacedObserver([this](const RoutedEndpoint& endpoint) { streamOrigins.withdrawAfterRestart(endpoint); });
@@ -298,6 +299,7 @@
     CrashExchange crashExchange;
     LoadExchange loadExchange;
     StreamOriginExchange streamOrigins;
+    VersionRecordWriter versionRecordWriter;
     bool isUp { true };
     std::vector<std::weak_ptr<ClientResponder>> clients;
     std::vector<std::weak_ptr<PeerResponder>> forwards;
@@ -381,8 +383,10 @@
     std::int64_t version = m_routes ? m_routes->version() + 1 : 1;
     m_routes = std::make_shared<const RouteTable>(version, std::vector<Route> { m_route }, std::vector<ServiceSettings> { service }, ClientLimits {});
     for (const auto& entry : m_entries) {
-        if (entry)
-            entry->parts.routes = m_routes;
+        if (!entry)
+            continue;
+        entry->parts.routes = m_routes;
+        applyVersionRecord(entry->parts);
     }
 }
 
@@ -408,8 +412,32 @@
     });
     for (std::size_t i = 0; i < m_records.size(); ++i)
         parts.entries.put(entryKey(i), m_records[i]);
+    if (m_registrations.empty())
+        parts.endpoints.recordFirstStart();
+    else
+        parts.endpoints.recordHistoryGap(now());
     for (const auto& [incarnation, record] : m_registrations)
         parts.endpoints.put(record, now());
+    setVersionRecord(parts);
+}
+
+void StreamFleet::setVersionRecord(IngressContext& parts) const
+{
+    parts.versionRecord = { readVersionRecord(m_knownRecord.value).value_or(VersionRecord {}), m_knownRecord.revision, 0 };
+    applyVersionRecord(parts);
+}
+
+void StreamFleet::followVersionRecord()
+{
+    StoredValue record = m_recordStore.peek(versionRecordKey);
+    if (record.revision == m_publishedRecord)
+        return;
+    m_publishedRecord = record.revision;
+    changeStore([this, record] {
+        m_knownRecord = record;
+        for (const auto& entry : m_entries)
+            setVersionRecord(entry->parts);
+    });
 }
 
 void StreamFleet::startStream(std::optional<std::uint64_t> leavesAfter, const std::string& body)
@@ -514,6 +542,7 @@
 {
     for (Duration passed { 0 }; passed < span; passed += step) {
         scheduler.advance(step);
+        followVersionRecord();
         if (now() >= m_nextReportTime) {
             exchangeReports();
             m_nextReportTime = now() + reportInterval;
@@ -532,6 +561,7 @@
         deliver(from, m_entries[from]->crashExchange.tick(now()));
         deliver(from, m_entries[from]->loadExchange.tick(entryKey(from), now()));
         m_entries[from]->streamOrigins.tick();
+        m_entries[from]->versionRecordWriter.tick();
         parts.endpoints.recordSilentEndpoints(now());
         if (parts.endpoints.reach().takeNewCut(now()))
             parts.handleCutOff();
@@ -619,11 +649,13 @@
 void StreamFleet::silenceStore()
 {
     m_storeSilentSince = now();
+    m_recordStore.setSilent(true);
 }
 
 void StreamFleet::restoreStore()
 {
     m_storeSilentSince.reset();
+    m_recordStore.setSilent(false);
     for (const std::function<void()>& change : std::exchange(m_heldChanges, {}))
         change();
 }
--- a/unittests/Ingress/StreamFleet.h
+++ b/unittests/Ingress/StreamFleet.h
@@ -2,6 +2,7 @@
 // are streams that clients resume at other entries when they break.
 #pragma once
 
+#include "Coordination/FakeStore.h"
 #include "IngressFixture.h"
 #include "catkinwing/Ingress/OutgoingDatagram.h"
 #include <map>
@@ -145,6 +146,8 @@
     void publish(const EndpointRecord& record);
     void retract(const std::string& incarnation);
     void changeStore(std::function<void()> change);
+    void followVersionRecord();
+    void setVersionRecord(IngressContext& parts) const;
     std::shared_ptr<StreamEndpoint> endpointAt(const SocketAddress& address) const;
     std::size_t servingAt(const std::string& version) const;
     void attempt(const std::shared_ptr<StreamClient>& client);
@@ -160,6 +163,10 @@
     std::vector<std::shared_ptr<StreamEndpoint>> m_endpoints;
     std::vector<std::shared_ptr<StreamClient>> m_clients;
     std::map<std::string, EndpointRecord> m_registrations;
+    /// Holds the version record only, which reaches entries as late as registrations.
+    FakeStore m_recordStore { scheduler };
+    StoreRevision m_publishedRecord {};
+    StoredValue m_knownRecord;
     std::vector<EntryRecord> m_records;
     std::map<SocketAddress, std::size_t> m_entryAt;
     Route m_route;
--- a/unittests/Ingress/StreamVersionTest.cpp
+++ b/unittests/Ingress/StreamVersionTest.cpp
@@ -160,6 +160,26 @@
     }
 }
 
+// Guards against entries that can't conclude the only version there has ever been after a loss of
+// all of them, and refuse every stream that was under way for as long as clients come back.
+TEST_CASE("streams of a single version go on after all entries are killed at once")
+{
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+        StreamFleet fleet(seed, { "v1" });
+        fleet.eventsPerStream = 60;
+        for (int round = 0; round < 6; ++round) {
+            fleet.run(std::chrono::milliseconds(3000 + fleet.random.below(4000)), streamsPerSecond);
+            fleet.entryDownTime = std::chrono::milliseconds(200 + fleet.random.below(300));
+            killAllEntries(fleet);
+        }
+        fleet.run(6s, streamsPerSecond);
+        fleet.finish();
+        INFO("seed " << seed);
+        checkStreams(fleet);
+        CHECK(fleet.totals().takenUp >= minTakenUp);
+    }
+}
+
 // Guards against the version of an endpoint's earlier start, which entries hold until the new
 // start's registration reaches them.
 TEST_CASE("streams don't go on at an endpoint that has started again under its name at another version")
