Hold requests with a limit while an entry that has started accrues credit

Cause: an entry that starts has no credit before its first deposits count after 0.3 s. A pool holds what it can't grant for a moment, but only if it knows other regions, and such an entry knows none. Once others are listed, another entry holds the pool and gets the deposits.

Change: in its first second an entry holds its own requests for up to 350 ms also without other regions, and then asks the pool of its region once if that is another entry by then.

--- a/include/catkinwing/Ingress/CreditExchange.h
+++ b/include/catkinwing/Ingress/CreditExchange.h
@@ -76,6 +76,9 @@
     std::vector<CreditState> states();
 
 private:
+    /// A request asks this often before this entry decides alone.
+    static constexpr unsigned maxAsks = 2;
+
     /// A request that waits for credit.
     struct Waiting {
         std::uint64_t hash { 0 };
@@ -153,6 +156,8 @@
     SocketAddress poolOf(const std::string& region);
     std::vector<SocketAddress> poolCandidates(const std::string& region);
     bool isSuspect(const SocketAddress& entry) const;
+    /// Returns whether other entries that started at the same time may not be listed yet.
+    bool hasJustStarted() const;
     void deposit();
     void probeSuspects();
     void askOtherRegions(std::vector<CreditAsk> asks);
--- a/lib/Ingress/CreditExchange.cpp
+++ b/lib/Ingress/CreditExchange.cpp
@@ -28,8 +28,6 @@
 /// An entry is suspect after this many messages in succession without a reply: a single
 /// datagram may be lost.
 static constexpr unsigned maxUnanswered = 2;
-/// A request asks this often before this entry decides alone.
-static constexpr unsigned maxAsks = 2;
 /// By then an entry has the answer to an ask that the pool holds.
 static constexpr milliseconds delayedReplyTimeout { 400 };
 /// Retry-after time of a request whose credit was lost on the way.
@@ -142,13 +140,18 @@
         settleHeld(workspace);
 }
 
+bool CreditExchange::hasJustStarted() const
+{
+    return m_startedAt && now() - *m_startedAt < startTime;
+}
+
 void CreditExchange::deposit()
 {
     if (!m_startedAt)
         return;
     Duration elapsed = std::min<Duration>(now() - m_depositedUntil, maxAccrual);
     m_depositedUntil = now();
-    bool mayBeOneOfMany = now() - *m_startedAt < startTime && m_entries.exceedsStoredCount();
+    bool mayBeOneOfMany = hasJustStarted() && m_entries.exceedsStoredCount();
     std::size_t minEntries = mayBeOneOfMany ? minEntriesAtStart : 1;
     CreditDeposit deposit { elapsed, static_cast<std::uint32_t>(std::max(m_entries.recentMaxAddresses(now()), minEntries)) };
     SocketAddress pool = poolOf(m_self.region);
--- a/lib/Ingress/CreditExchangePool.cpp
+++ b/lib/Ingress/CreditExchangePool.cpp
@@ -11,6 +11,9 @@
 /// A pool holds the ask of an entry for this time while it asks other regions for credit,
 /// which takes 110 ms and more.
 static constexpr milliseconds maxHoldTime { 250 };
+/// The same for requests of an entry that has just started, which has no credit before its first
+/// deposits count.
+static constexpr milliseconds maxHoldTimeAtStart { 350 };
 /// A pool holds no asks for this time after other regions gave too little credit.
 static constexpr milliseconds scarcityTime { 500 };
 /// A pool holds this many asks of a workspace; further ones are refused at once.
@@ -116,7 +119,8 @@
 
 // A region whose demand has just risen has too little credit for a moment, while other
 // regions have more than they need. A short wait then serves the request, unless the
-// workspace has used its limit everywhere.
+// workspace has used its limit everywhere. An entry that has just started has accrued little, and
+// doesn't know yet whom to ask.
 void CreditExchange::grantOrHold(const HeldAsk& held, const WorkspaceLimit& limit)
 {
     CreditPortion portion = m_pool.grant(held.ask, limit, CreditAsker::Entry, now());
@@ -126,13 +130,15 @@
     }
     Wallet& wallet = walletOf(held.ask.workspace);
     wallet.regionRound.lacked += held.ask.needed;
-    bool mayHold = now() >= wallet.scarceUntil && !m_entries.otherRegions().empty() && wallet.held.size() < maxHeldAsks;
+    bool accruesSoon = held.waiting && hasJustStarted();
+    bool mayGetMore = !m_entries.otherRegions().empty() || accruesSoon;
+    bool mayHold = now() >= wallet.scarceUntil && mayGetMore && wallet.held.size() < maxHeldAsks;
     if (!mayHold) {
         sendAnswer(held, {}, m_pool.bookRetry(held.ask, limit, now(), m_random));
         return;
     }
     wallet.held.push_back(held);
-    wallet.held.back().until = now() + maxHoldTime;
+    wallet.held.back().until = now() + (accruesSoon ? maxHoldTimeAtStart : maxHoldTime);
     if (!held.waiting)
         m_send({ held.from, encodeCreditMessage({ CreditMessageKind::Delay, held.id, {}, 0, {} }) });
     askForHeld(held.ask.workspace, limit);
@@ -159,8 +165,12 @@
         }
         CreditPortion portion = m_pool.grant(ask.ask, known->limit, CreditAsker::Entry, now());
         bool isScarce = now() < wallet.scarceUntil;
+        // Another entry holds the pool since this one knows of it, and gets the deposits.
+        bool hasMoved = ask.waiting && ask.waiting->asks < maxAsks && poolOf(m_self.region) != m_self.peerAddress;
         if (portion.amount > 0)
             sendAnswer(ask, portion, {});
+        else if (hasMoved && now() >= ask.until)
+            this->ask(ask.waiting);
         else if (isScarce || now() >= ask.until)
             sendAnswer(ask, {}, m_pool.bookRetry(ask.ask, known->limit, now(), m_random));
         else
