Don't try a refused segment with another that was at as many crashes

Cause, from the log of a failed run: all entries refused the sound segment and none the bad one, though both had been at the same four crashes. The entry whose turn it was tried the sound one with a request that had both, which crashed an endpoint, so that the sound one was refused for four minutes more. A request with two refused segments is no trial; a segment that isn't refused yet didn't count.

Change: a request is no trial if another of its segments was at as many crashes as the refused one.

Evidence: the new case of CrashSuspectTableTest fails without the change (trial).

--- a/include/catkinwing/Membership/CrashSuspectTable.h
+++ b/include/catkinwing/Membership/CrashSuspectTable.h
@@ -176,6 +176,7 @@
     CrashHistory withPending(const SuspectId& suspect, TimePoint now) const;
     CrashHistory newHistory(const SuspectId& suspect, TimePoint now) const;
     std::optional<Refusal> refusalOf(const SuspectId& suspect, TimePoint now) const;
+    bool hasEqualSuspect(const RequestSuspects& suspects, const SuspectId& refused, TimePoint now) const;
     static bool isWorthTelling(const TrackedSuspect& known);
     static CrashNotice makeNotice(const SuspectId& suspect, const TrackedSuspect& known, TimePoint now);
 
--- a/lib/Membership/CrashSuspectTable.cpp
+++ b/lib/Membership/CrashSuspectTable.cpp
@@ -282,7 +282,19 @@
     return Refusal { std::max<Duration>(history.refusedUntil - now, trialTurnLength), suspect, isSettled && now >= trialStart(history) };
 }
 
-// A request with several refused suspects would leave open which of them a trial is about.
+// Tells whether another segment of the request was at as many crashes as the refused one. It may be
+// the cause though it isn't refused: which crashes count as separate depends on times that entries
+// round when they tell them.
+bool CrashSuspectTable::hasEqualSuspect(const RequestSuspects& suspects, const SuspectId& refused, TimePoint now) const
+{
+    std::size_t crashes = withPending(refused, now).crashes.size();
+    return std::any_of(suspects.begin(), suspects.end(), [&](const SuspectId& other) {
+        return other != refused && kindOf(other) == SuspectKind::PromptSegment && crashes > 0 && withPending(other, now).crashes.size() >= crashes;
+    });
+}
+
+// A request with several suspects that may be the cause would leave open which of them a trial is
+// about.
 std::optional<CrashSuspectTable::Refusal> CrashSuspectTable::refusalOf(const RequestSuspects& suspects, TimePoint now) const
 {
     std::optional<Refusal> longest;
@@ -295,7 +307,7 @@
         if (!longest || refusal->remaining > longest->remaining)
             longest = refusal;
     }
-    if (count > 1)
+    if (count > 1 || (longest && longest->mayBeTrial && hasEqualSuspect(suspects, longest->suspect, now)))
         longest->mayBeTrial = false;
     return longest;
 }
--- a/unittests/Membership/CrashSuspectTableTest.cpp
+++ b/unittests/Membership/CrashSuspectTableTest.cpp
@@ -321,6 +321,25 @@
         CHECK(trials[i] - trials[i - 1] >= 5s);
 }
 
+// Guards against a trial that crashes an endpoint by another segment, after which the refused one
+// stays refused for minutes.
+TEST_CASE("a request is no trial of a refused segment if another of its segments was at as many crashes")
+{
+    CrashSuspectTable requests;
+    TimePoint now { 100s };
+    crashThree(requests, { segment("beside") }, 100, now);
+    // These began before the crash before them, so that two of them count as one.
+    requests.recordBrokenConnection({ segment("bad") }, 201, {}, now);
+    requests.recordBrokenConnection({ segment("bad") }, 202, {}, now + 100ms, 500ms);
+    requests.recordBrokenConnection({ segment("bad") }, 203, {}, now + 2s);
+    requests.recordBrokenConnection({ segment("other") }, 204, {}, now + 2s);
+    requests.settleAndExpire(now + 3s);
+    TimePoint later = now + 6s;
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad") }, later));
+    CHECK_FALSE(requests.refusalOf(RequestSuspects { fingerprint(1), segment("bad"), segment("beside") }, later)->mayBeTrial);
+    CHECK(requests.refusalOf(RequestSuspects { fingerprint(1), segment("other"), segment("beside") }, later)->mayBeTrial);
+}
+
 TEST_CASE("a request with two refused segments is no trial, and one whose segment is answered is served everywhere")
 {
     CrashSuspectTable requests;
