--- a/lib/Ingress/VersionRecord.cpp
+++ b/lib/Ingress/VersionRecord.cpp
@@ -23,7 +23,7 @@
 static constexpr std::size_t maxDelayedRank = 20;
 static constexpr milliseconds retryDelay { 1'000 };
 /// Bound on the length of a record, which every entry reads. Services beyond it aren't recorded.
-static constexpr std::size_t maxRecordBytes = 64 * 1024;
+static constexpr std::size_t maxRecordBytes = 65'536;
 /// Bytes of a service's row besides its name.
 static constexpr std::size_t bytesPerRow = 24;
 
