--- a/unittests/Ingress/VersionRecordTest.cpp
+++ b/unittests/Ingress/VersionRecordTest.cpp
@@ -332,7 +332,7 @@
             change();
             Duration span = std::chrono::milliseconds(m_random.below(m_random.below(4) == 0 ? 9000 : 1200));
             for (Duration passed { 0 }; passed < span; passed += step) {
-                fixture.advance(step);
+                m_fixture.advance(step);
                 observe();
             }
         }
@@ -348,49 +348,49 @@
         switch (m_random.below(9)) {
         case 0:
         case 1:
-            fixture.store.put(absl::StrCat("endpoints/", service, ++m_number), absl::StrCat(service, " v", 1 + m_random.below(2)));
+            m_fixture.store.put(absl::StrCat("endpoints/", service, ++m_number), absl::StrCat(service, " v", 1 + m_random.below(2)));
             m_endpoints.insert(absl::StrCat("endpoints/", service, m_number));
             break;
         case 2:
         case 3:
             if (!m_endpoints.empty()) {
                 auto removed = std::next(m_endpoints.begin(), static_cast<std::ptrdiff_t>(m_random.below(m_endpoints.size())));
-                fixture.store.erase(*removed);
+                m_fixture.store.erase(*removed);
                 m_endpoints.erase(removed);
             }
             break;
         case 4:
-            fixture.store.put("configuration", absl::StrCat(++m_configuration, m_random.below(3) == 0 ? " b" : " a"));
+            m_fixture.store.put("configuration", absl::StrCat(++m_configuration, m_random.below(3) == 0 ? " b" : " a"));
             break;
         case 5:
-            fixture.store.failNext(StoreCallGroup::Write, m_random.below(2) == 0 ? StoreFault::LostRequest : StoreFault::LostAnswer, 3);
+            m_fixture.store.failNext(StoreCallGroup::Write, m_random.below(2) == 0 ? StoreFault::LostRequest : StoreFault::LostAnswer, 3);
             break;
         case 6:
-            fixture.store.compact();
-            fixture.store.cutWatches();
+            m_fixture.store.compact();
+            m_fixture.store.cutWatches();
             break;
         default:
             m_beforeLoss.insert(m_beforeLoss.end(), m_begun.begin(), m_begun.end());
             m_begun.clear();
-            fixture.restartAll(std::chrono::milliseconds(100 + m_random.below(1500)));
+            m_fixture.restartAll(std::chrono::milliseconds(100 + m_random.below(1500)));
         }
     }
 
     void observe()
     {
-        for (auto& process : fixture.processes) {
+        for (auto& process : m_fixture.processes) {
             if (std::optional<BuildId> build = process->chosen())
-                m_begun.push_back({ *build, fixture.now() });
+                m_begun.push_back({ *build, m_fixture.now() });
             std::optional<BuildId> concluded = process->concluded();
             conclusions += concluded ? 1 : 0;
             for (const BegunStream& stream : m_beforeLoss)
-                wrongConclusions += concluded && fixture.now() - stream.at < lifetime && stream.build != *concluded ? 1 : 0;
+                wrongConclusions += concluded && m_fixture.now() - stream.at < lifetime && stream.build != *concluded ? 1 : 0;
         }
-        auto isOver = [this](const BegunStream& stream) { return fixture.now() - stream.at >= lifetime; };
+        auto isOver = [this](const BegunStream& stream) { return m_fixture.now() - stream.at >= lifetime; };
         m_beforeLoss.erase(std::remove_if(m_beforeLoss.begin(), m_beforeLoss.end(), isOver), m_beforeLoss.end());
     }
 
-    RecordFixture fixture;
+    RecordFixture m_fixture;
     Random m_random;
     std::set<std::string> m_endpoints { "endpoints/a1", "endpoints/a2" };
     int m_number { 10 };
