Let tests of crashing segments run until their bounds can be judged

Its bounds hold from the fifth crash, or from the last of fewer. That crash was a trial 4.3 to 9.9 s before the end, so no sound request was sent after the recovery time of 10 s. The product kept its bounds.

Change: after the 30 s the traffic, with crashing requests, goes on until sound requests have been sent for 3 s after the recovery. All bounds are the same and none is left out, so the check is as strict as before; where nothing could be judged, something is now.

--- a/unittests/Ingress/CrashingPromptTest.cpp
+++ b/unittests/Ingress/CrashingPromptTest.cpp
@@ -17,6 +17,8 @@
 /// before the first one.
 static constexpr Duration recoveryTime = 10s;
 static constexpr double minServedFraction = 0.5;
+/// Minimum time after the recovery in which sound requests are judged.
+static constexpr Duration judgedTime = 3s;
 
 static constexpr Duration soundInterval = 18ms;
 /// Number of times that a client sends a request which crashes endpoints.
@@ -143,13 +145,23 @@
     return static_cast<double>(served) / static_cast<double>(sent);
 }
 
-/// Checks the bounds for one crashing segment that requests of \p family contained until \p end.
-void checkBounds(const EntryFleet& fleet, const std::string& segment, std::size_t family, TimePoint end)
+/// Returns the crash from which the bounds hold: the fifth one, or the last of fewer.
+TimePoint countedCrash(const std::vector<TimePoint>& crashes)
+{
+    return crashes.size() >= crashesBeforeBound ? crashes[crashesBeforeBound - 1] : crashes.back();
+}
+
+/// Checks the bounds for one crashing segment of \p family. That crash may be a trial long after the others,
+/// so the traffic goes on until sound requests have been sent for long enough after the recovery.
+void checkBounds(EntryFleet& fleet, PromptTraffic& traffic, const std::string& segment, std::size_t family)
 {
     const std::vector<TimePoint>& crashes = fleet.crashingSegments.at(segment);
     REQUIRE(crashes.size() >= 3);
+    while (fleet.now() < countedCrash(crashes) + recoveryTime + judgedTime)
+        traffic.run(1s, true);
+    TimePoint end = fleet.now();
     bool hasFive = crashes.size() >= crashesBeforeBound;
-    TimePoint counted = hasFive ? crashes[crashesBeforeBound - 1] : crashes.back();
+    TimePoint counted = countedCrash(crashes);
     std::size_t later = hasFive ? fleet.attemptsWithSegmentAfter(segment, counted + propagationTime) : 0;
     double served = servedSound(fleet, family, counted + recoveryTime, end);
     INFO(segment << ": " << crashes.size() << " crashes, " << later << " later attempts, " << served << " of the sound requests served");
@@ -178,7 +190,7 @@
         traffic.run(4s, false);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
@@ -191,8 +203,8 @@
         traffic.run(4s, false);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad-0", 0, fleet.now());
-        checkBounds(fleet, "bad-1", 1, fleet.now());
+        checkBounds(fleet, traffic, "bad-0", 0);
+        checkBounds(fleet, traffic, "bad-1", 1);
     }
 }
 
@@ -206,7 +218,7 @@
         traffic.run(4s, false);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
@@ -220,7 +232,7 @@
         fleet.silenceStore(4s);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
@@ -241,7 +253,7 @@
         }
         traffic.run(14s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
@@ -303,7 +315,7 @@
         traffic.run(4s, false);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
@@ -331,7 +343,7 @@
     PromptTraffic traffic(fleet, { "bad" }, 400ms);
     traffic.run(4s, false);
     traffic.run(30s, true);
-    checkBounds(fleet, "bad", 0, fleet.now());
+    checkBounds(fleet, traffic, "bad", 0);
     for (std::size_t entry = 3; entry < 6; ++entry) {
         CHECK(fleet.partsOf(entry).crashSuspects.isEmpty());
         CHECK(fleet.partsOf(entry).crashSuspects.answeredCount() == 0);
@@ -393,7 +405,7 @@
         PromptTraffic traffic(fleet, { "bad" }, 83ms);
         traffic.run(30s, true);
         INFO("seed " << seed);
-        checkBounds(fleet, "bad", 0, fleet.now());
+        checkBounds(fleet, traffic, "bad", 0);
     }
 }
 
