--- a/scripts/platform_path.py
+++ b/scripts/platform_path.py
@@ -18,8 +18,10 @@
 class PlatformPath:
     """A store, two endpoints and an entry, each a process on loopback."""
 
-    def __init__(self, folder, entry_output=None, order_delay="0s", request_limit=""):
+    def __init__(self, folder, entry_output=None, order_delay="0s", request_limit="", limits=None, configuration=None):
         self.entry_output = entry_output
+        self.limits = limits
+        self.configuration = configuration
         self.order_delay = order_delay
         self.request_limit = request_limit
         self.fleet = Fleet(folder)
@@ -27,7 +29,7 @@
 
     def start(self):
         self.store = self.fleet.start_standin("platform-store", "platform-store")
-        self.write("op/config", configuration())
+        self.write("op/config", self.configuration or configuration())
         for service, events in (("orders", 0), ("stories", 4)):
             address = self.fleet.start_standin("platform-endpoint", f"{service}-1", arguments=["--events", events, "--pause", "20ms", "--delay", self.order_delay, "--request-limit", self.request_limit])
             self.write(f"servers/{service}-1", {"service": service, "addr": address, "zone": "manizales-a",
@@ -38,6 +40,8 @@
         listen = {name: self.addresses[name] for name in ("callers", "peers", "operators")}
         ingress = {"readiness": self.addresses["readiness"], "directory": self.addresses["directory"], "regionOfZone": {"manizales-a": "caldas"}}
         settings = {"name": "platform-entry", "region": "caldas", "availabilityZone": "manizales-a", "listen": listen, "store": [self.store], "ingress": ingress}
+        if self.limits:
+            settings["limits"] = self.limits
         file = self.fleet.folder / "platform-entry.json"
         file.write_text(json.dumps(settings, indent=2))
         process = Process("platform-entry", [str(BUILD / "bin/catkinwingd"), "--config", str(file)], self.fleet.folder / "platform-entry.log", self.entry_output)
