--- a/include/catkinwing/Dispatch/RequestBuffers.h
+++ b/include/catkinwing/Dispatch/RequestBuffers.h
@@ -14,9 +14,6 @@
     {
     }
 
-    /// Returns the capacity that leaves a process of \p memoryBytes the room that it needs besides.
-    static std::size_t capacityWithin(std::size_t memoryBytes);
-
     std::size_t used() const { return m_used; }
 
 private:
--- a/include/catkinwing/Gateway/ApiError.h
+++ b/include/catkinwing/Gateway/ApiError.h
@@ -30,6 +30,8 @@
 
 /// Returns the error as a JSON body of the OpenAI form, with the outcome word.
 std::string errorBody(const ApiError& error);
+/// Returns the head of an answer with errorBody().
+HttpResponseHead errorHead(const ApiError& error);
 /// Answers the request with \p error at once.
 void sendError(HttpResponder& responder, const std::string& requestId, const ApiError& error);
 /// Answers with a JSON document.
--- a/include/catkinwing/Gateway/OperatorApi.h
+++ b/include/catkinwing/Gateway/OperatorApi.h
@@ -25,6 +25,7 @@
     std::function<void()> drain;
     /// Returns figures of the store's client and the like, for status.
     std::function<nlohmann::json()> extraStatus;
+    const ClientMemory& clientMemory;
 };
 
 /// The interface for operators: configuration, state, reports, metrics.
--- a/include/catkinwing/Http/HttpMessage.h
+++ b/include/catkinwing/Http/HttpMessage.h
@@ -2,6 +2,7 @@
 
 #include "catkinwing/Support/SocketAddress.h"
 #include <absl/strings/string_view.h>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     SocketAddress caller;
     /// Common name of the verified client certificate; empty without one.
     std::string certificateName;
+    /// Keeps the body counted as held for the client.
+    std::vector<std::shared_ptr<const void>> held;
 };
 
 /// Status line and header fields of a response.
--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinwing/Http/ClientMemory.h"
 #include "catkinwing/Http/EventLoop.h"
 #include "catkinwing/Http/HttpMessage.h"
 #include "catkinwing/Http/TlsContext.h"
@@ -47,13 +48,25 @@
 /// Called on the loop for each request; the responder may be kept.
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
+/// The answer to a request whose body isn't taken.
+struct HttpRefusal {
+    HttpResponseHead head;
+    std::string body;
+};
+
 /// What a server listens on and the limits it keeps.
 struct HttpServerOptions {
     SocketAddress listen;
     /// Larger bodies are answered 413; over HTTP/2 their stream is reset.
     std::size_t maxBodyBytes { 8u << 20 };
-    /// Longest wait for a whole request to arrive on a connection, and so also
-    /// the time that an idle connection is kept.
+    /// Counts what is held for the clients of all servers that share it; without bound if null.
+    /// Where there is no room for a body, it is answered 503.
+    std::shared_ptr<ClientMemory> memory {};
+    /// Makes the answer with status 408, 413 or 503 to a request whose body isn't taken; plain text
+    /// if null. Such a request hasn't reached the handler.
+    std::function<HttpRefusal(int status)> makeRefusal {};
+    /// Longest wait for a whole head, and then for a whole body, to arrive on a connection, and so
+    /// also the time that an idle connection is kept. A body that is later is answered 408.
     std::chrono::milliseconds requestTimeout { 10'000 };
     /// Longest time that a caller may take nothing of an answer that has ended;
     /// its connection is closed then.
--- a/include/catkinwing/Ingress/IngressContext.h
+++ b/include/catkinwing/Ingress/IngressContext.h
@@ -3,6 +3,7 @@
 #include "catkinwing/Admission/RetryWindow.h"
 #include "catkinwing/Dispatch/AnswerBuffers.h"
 #include "catkinwing/Dispatch/RequestBuffers.h"
+#include "catkinwing/Http/ClientMemory.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Ingress/CreditExchange.h"
 #include "catkinwing/Ingress/Dialect.h"
@@ -99,6 +100,8 @@
     /// Bytes of the bodies of open requests. They are held until the request has ended, since
     /// another attempt may need them.
     RequestBuffers requestBuffers {};
+    /// Counts all that the entry holds for its clients.
+    std::shared_ptr<ClientMemory> clientMemory {};
 
     /// Drops what this entry has concluded from broken connections, and its idle connections,
     /// after it was cut off from the endpoints of its region.
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -135,6 +135,7 @@
         std::string body;
         /// Counts body.
         std::unique_ptr<BufferedBytes> bufferedBody;
+        std::unique_ptr<HeldBytes> heldBody;
     };
 
     /// The target that a request moves to from a silent endpoint.
--- a/lib/Gateway/ApiError.cpp
+++ b/lib/Gateway/ApiError.cpp
@@ -38,15 +38,21 @@
     return absl::StrCat(std::max<std::int64_t>(seconds, 1));
 }
 
-void sendError(HttpResponder& responder, const std::string& requestId, const ApiError& error)
+HttpResponseHead errorHead(const ApiError& error)
 {
     HttpResponseHead head { error.status, error.headers };
     head.headers.set("Content-Type", "application/json");
     head.headers.set(outcomeHeader, outcomeWord(error.outcome));
-    if (!requestId.empty())
-        head.headers.set(requestIdHeader, requestId);
     if (error.retryAfter)
         head.headers.set("Retry-After", retryAfterSeconds(*error.retryAfter));
+    return head;
+}
+
+void sendError(HttpResponder& responder, const std::string& requestId, const ApiError& error)
+{
+    HttpResponseHead head = errorHead(error);
+    if (!requestId.empty())
+        head.headers.set(requestIdHeader, requestId);
     responder.send(head, errorBody(error));
 }
 
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -171,6 +171,7 @@
     RemoteCells remoteCells;
     EndpointPoller poller;
     Metrics metrics;
+    std::shared_ptr<ClientMemory> clientMemory { std::make_shared<ClientMemory>(ClientMemory::capacityWithin(settings.limits.maximumMemoryMegabytes)) };
     ServiceLevelRecorder serviceLevels;
     RequestBroker broker;
     EntryDirectory entries;
@@ -233,7 +234,7 @@
     , callers({ broker, keyed, config, entries, random, metrics, loop.clock(), settings.region, settings.availabilityZone, tls.callers ? "https" : "http" })
     , peers(membership, config, keyed, callers, link, loop, faults, metrics, tls.peers ? PeerProof::CertificateName : PeerProof::None)
     , writer(store, loop, config)
-    , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); } })
+    , operators({ settings, config, writer, broker, membership, entries, faults, loop.clock(), [this] { return isDraining; }, [this] { return isReady(); }, [this] { drain({}); }, [this] { return platformStatus(); }, *clientMemory })
     , entryList(makeList(entryService, [this](const auto& instances) { learnEntries(instances); }))
     , endpointList(makeList(endpointService, [this](const auto& instances) { endpoints.applyInstances(instances, loop.clock().now()); }))
     , placement(store, loop, random, endpointHttp, settings, holderName(membership.self().ref), endpoints)
@@ -389,11 +390,33 @@
     return std::make_unique<InstanceList>(platformHttp, loop, random, listOptions(settings, service), std::move(onChange));
 }
 
+static HttpRefusal refusalOfBody(int status)
+{
+    constexpr int tooLarge = 413;
+    constexpr int unavailable = 503;
+    ApiError error;
+    error.status = status;
+    if (status == tooLarge) {
+        error.code = "body_too_large";
+        error.message = "the body is longer than this entry takes";
+    } else if (status == unavailable) {
+        error.code = "request_buffers_full";
+        error.message = "this entry has no room for the body now";
+        error.retryAfter = std::chrono::seconds(1);
+    } else {
+        error.code = "body_not_in_time";
+        error.message = "the body didn't arrive in time";
+    }
+    return { errorHead(error), errorBody(error) };
+}
+
 HttpServerOptions Daemon::Impl::serverOptions(const SocketAddress& listen, std::shared_ptr<TlsContext> context)
 {
     HttpServerOptions options;
     options.listen = listen;
     options.tls = std::move(context);
+    options.memory = clientMemory;
+    options.makeRefusal = refusalOfBody;
     options.onRefused = [this, listener = listen.toString()](const SocketAddress& caller, const std::string& reason) {
         metrics.count("requests_refused_" + reason);
         logChange(LogLevel::Warning, "request_refused", { { "listener", listener }, { "caller", caller.toString() }, { "reason", reason } });
--- a/lib/Gateway/OperatorApi.cpp
+++ b/lib/Gateway/OperatorApi.cpp
@@ -56,6 +56,8 @@
     }
     if (request.path == "/metrics") {
         updateGauges(m_parts.broker, m_parts.membership, m_parts.config);
+        for (const auto& [name, value] : m_parts.clientMemory.gauges())
+            m_parts.broker.parts().metrics.set(name, value);
         responder.send({ 200, { { "Content-Type", "text/plain; version=0.0.4" } } }, m_parts.broker.parts().metrics.render());
         return true;
     }
--- a/lib/Http/EventLoop.cpp
+++ b/lib/Http/EventLoop.cpp
@@ -129,6 +129,17 @@
     }
 }
 
+void EventLoop::Impl::renewInputBudgetLater()
+{
+    if (std::exchange(isBudgetRenewalDue, true))
+        return;
+    defer([this] {
+        isBudgetRenewalDue = false;
+        if (inputBudget.renew())
+            renewInputBudgetLater();
+    });
+}
+
 void EventLoop::Impl::runReapers()
 {
     if (reapers.empty())
--- a/lib/Http/EventLoopImpl.h
+++ b/lib/Http/EventLoopImpl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "H2o.h"
+#include "InputBudget.h"
 #include "catkinwing/Http/EventLoop.h"
 #include <map>
 #include <unordered_map>
@@ -36,6 +37,9 @@
     /// Closes the descriptor; must not be called by its own callback.
     void unwatch(Watch* watch);
 
+    /// Begins the next turn of the input budget at the end of this turn.
+    void renewInputBudgetLater();
+
     void runTurn(std::chrono::milliseconds maxWait);
 
     const Clock& clock;
@@ -45,6 +49,8 @@
     TimerId lastTimer { 0 };
     bool isStopped { false };
     std::vector<Callback> deferred;
+    InputBudget inputBudget;
+    bool isBudgetRenewalDue { false };
     std::vector<Reaper> reapers;
     std::vector<std::unique_ptr<Watch>> watches;
     std::vector<Watch*> signalWatches;
--- a/lib/Http/RequestFraming.cpp
+++ b/lib/Http/RequestFraming.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/strip.h>
 #include <algorithm>
 #include <cstring>
+#include <optional>
 
 namespace catkinwing {
 
@@ -132,12 +133,14 @@
         char* head { nullptr };
         bool isHttp10 { false };
         bool isChunked { false };
+        bool expectsContinue { false };
         std::optional<std::uint64_t> length;
 
         FramingFault readRequestLine(absl::string_view line);
         FramingFault takeField(const Field& field);
         FramingFault takeTransferEncoding(const Field& field);
         void replaceValue(const Field& field, absl::string_view value) const;
+        void replaceField(const Field& field) const;
     };
 
 } // namespace
@@ -151,6 +154,17 @@
     std::fill(room, newValue, ' ');
 }
 
+// Another length of zero changes nothing, and fits in the place of longer names.
+void HeadReader::replaceField(const Field& field) const
+{
+    static constexpr absl::string_view noBody = "content-length:";
+    char* line = head + (field.name.data() - head);
+    char* end = head + (field.room.data() + field.room.size() - head);
+    std::memcpy(line, noBody.data(), noBody.size());
+    std::fill(line + noBody.size(), end, ' ');
+    end[-1] = '0';
+}
+
 FramingFault HeadReader::readRequestLine(absl::string_view line)
 {
     static constexpr absl::string_view protocol = "HTTP/1.";
@@ -172,7 +186,7 @@
     if (!absl::EqualsIgnoreCase(field.value, "chunked"))
         return FramingFault::TransferEncoding;
     isChunked = true;
-    replaceValue(field, field.value);
+    replaceField(field);
     return FramingFault::None;
 }
 
@@ -183,12 +197,15 @@
     if (absl::EqualsIgnoreCase(field.name, "content-length")) {
         FramingFault fault = readLengths(field.value, length);
         if (fault == FramingFault::None)
-            replaceValue(field, trimSpace(field.value.substr(0, field.value.find(','))));
+            replaceValue(field, "0");
         return fault;
     }
-    // h2o would answer 417 and take the body for the next request.
-    if (absl::EqualsIgnoreCase(field.name, "expect") && !absl::EqualsIgnoreCase(field.value, "100-continue"))
-        return FramingFault::Expectation;
+    if (absl::EqualsIgnoreCase(field.name, "expect")) {
+        if (!absl::EqualsIgnoreCase(field.value, "100-continue"))
+            return FramingFault::Expectation;
+        expectsContinue = true;
+        replaceField(field);
+    }
     if (absl::EqualsIgnoreCase(field.name, "upgrade"))
         replaceValue(field, "");
     return FramingFault::None;
@@ -224,6 +241,7 @@
         framing.fault = FramingFault::TransferEncodingInHttp10;
     framing.isChunked = reader.isChunked;
     framing.length = reader.length.value_or(0);
+    framing.expectsContinue = reader.expectsContinue && framing.hasBody();
     return framing;
 }
 
@@ -233,41 +251,13 @@
     return 0;
 }
 
-std::size_t RequestFraming::read(char* bytes, std::size_t size)
-{
-    std::size_t taken = 0;
-    while (taken < size && m_fault == FramingFault::None) {
-        std::size_t count = readUnit(bytes + taken, size - taken);
-        if (count == 0)
-            break;
-        taken += count;
-    }
-    return taken;
-}
-
-std::size_t RequestFraming::readUnit(char* bytes, std::size_t size)
-{
-    switch (m_state) {
-    case State::Start:
-        return readStart(bytes, size);
-    case State::Head:
-        return readHead(bytes, size);
-    case State::Body:
-    case State::ChunkData:
-        return readData(size);
-    case State::ChunkSize:
-    case State::ChunkEnd:
-    case State::Trailer:
-        return readChunkLine({ bytes, size });
-    case State::Http2:
-        return size;
-    }
-    return 0;
-}
-
 // A connection on which HTTP/2 begins by prior knowledge sends the preface first.
-std::size_t RequestFraming::readStart(char* bytes, std::size_t size)
+std::size_t RequestFraming::readHead(char* bytes, std::size_t size)
 {
+    if (m_state == State::Http2)
+        return size;
+    if (m_state == State::Head)
+        return readHeadLines(bytes, size);
     absl::string_view text(bytes, size);
     if (absl::StartsWith(text, http2Preface)) {
         m_state = State::Http2;
@@ -276,11 +266,11 @@
     if (absl::StartsWith(http2Preface, text))
         return 0;
     m_state = State::Head;
-    return readHead(bytes, size);
+    return readHeadLines(bytes, size);
 }
 
 // The end of each line is looked at when it arrives, as h2o ends a head by other line ends, too.
-std::size_t RequestFraming::readHead(char* bytes, std::size_t size)
+std::size_t RequestFraming::readHeadLines(char* bytes, std::size_t size)
 {
     absl::string_view text(bytes, size);
     std::size_t from = m_searched;
@@ -306,40 +296,20 @@
 
 void RequestFraming::beginBody(const RequestBodyFraming& framing)
 {
-    m_bodyBytes = framing.length;
+    m_body = framing;
     m_trailerBytes = 0;
     m_dataLeft = framing.length;
-    m_state = framing.isChunked ? State::ChunkSize : State::Body;
-    if (!framing.isChunked && framing.length == 0)
-        endRequest();
-}
-
-void RequestFraming::endRequest()
-{
-    m_requests.push_back(m_bodyBytes);
-    m_state = State::Head;
-}
-
-std::optional<std::uint64_t> RequestFraming::takeRequest()
-{
-    if (m_requests.empty())
-        return std::nullopt;
-    std::uint64_t bodyBytes = m_requests.front();
-    m_requests.pop_front();
-    return bodyBytes;
+    if (framing.isChunked)
+        m_state = State::ChunkSize;
+    else
+        m_state = framing.length > 0 ? State::Body : State::Head;
 }
 
-std::size_t RequestFraming::readData(std::size_t size)
+void RequestFraming::takeData(std::size_t size)
 {
-    std::size_t count = static_cast<std::size_t>(std::min<std::uint64_t>(size, m_dataLeft));
-    m_dataLeft -= count;
-    if (m_dataLeft > 0)
-        return count;
-    if (m_state == State::ChunkData)
-        m_state = State::ChunkEnd;
-    else
-        endRequest();
-    return count;
+    m_dataLeft -= size;
+    if (m_dataLeft == 0)
+        m_state = m_state == State::ChunkData ? State::ChunkEnd : State::Head;
 }
 
 std::size_t RequestFraming::readChunkLine(absl::string_view bytes)
@@ -384,7 +354,6 @@
 {
     if (m_state == State::ChunkSize) {
         m_fault = readChunkSize(line, m_dataLeft);
-        m_bodyBytes += m_dataLeft;
         m_state = m_dataLeft > 0 ? State::ChunkData : State::Trailer;
         return;
     }
@@ -392,8 +361,10 @@
         m_state = State::ChunkSize;
         return;
     }
-    if (line.empty())
-        return endRequest();
+    if (line.empty()) {
+        m_state = State::Head;
+        return;
+    }
     Field field;
     m_trailerBytes += line.size();
     m_fault = readField(line, field);
--- a/lib/Http/RequestGuard.cpp
+++ b/lib/Http/RequestGuard.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/string_view.h>
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 namespace catkinwing {
 
@@ -23,11 +24,11 @@
     std::rotate(end - m_held.size() - newBytes, end - m_held.size(), end);
 }
 
-// A line that h2o has seen the beginning of can't be made unacceptable, so it gets whole lines of
-// chunked bodies only. It parses a head again from the start whenever bytes arrive.
+// h2o parses a head again from the start whenever bytes arrive, so that it may have the beginning of
+// one, but nothing behind its end.
 void RequestGuard::filter(h2o_socket_t& socket, std::size_t newBytes)
 {
-    if (isHttp2() || newBytes == 0)
+    if (isHttp2())
         return;
     if (m_framing.fault() != FramingFault::None) {
         socket.input->size -= newBytes;
@@ -35,13 +36,16 @@
     }
     giveBack(socket, newBytes);
     std::size_t unread = m_headBytes + m_held.size() + newBytes;
-    char* bytes = socket.input->bytes + (socket.input->size - unread);
-    unread -= m_framing.read(bytes, unread);
     m_headBytes = 0;
     m_held.clear();
+    if (unread == 0)
+        return;
+    std::size_t headBytes = m_framing.readHead(socket.input->bytes + (socket.input->size - unread), unread);
+    unread -= headBytes;
     if (m_framing.fault() != FramingFault::None)
         return spoil(socket, unread);
-    if (m_framing.isHeadBegun()) {
+    m_isHeadRead = headBytes > 0;
+    if (!m_isHeadRead && m_framing.isHeadBegun()) {
         m_headBytes = unread;
         return;
     }
@@ -49,27 +53,27 @@
     socket.input->size -= unread;
 }
 
-// h2o refuses a method of null bytes and a chunk of the size "z". Trailers it takes whatever they
-// are, and check() refuses the request then.
+// h2o refuses a method of null bytes.
 void RequestGuard::spoil(h2o_socket_t& socket, std::size_t unreadBytes) const
 {
-    if (m_framing.isHeadBegun()) {
-        std::memset(socket.input->bytes + (socket.input->size - unreadBytes), 0, unreadBytes);
-        append(socket, "\r\n\r\n");
-        return;
-    }
-    socket.input->size -= unreadBytes;
-    append(socket, "z\r\n\r\n");
+    std::memset(socket.input->bytes + (socket.input->size - unreadBytes), 0, unreadBytes);
+    append(socket, "\r\n\r\n");
 }
 
 FramingFault RequestGuard::check(const h2o_req_t& request)
 {
     if (request.version >= http2Version)
         return isHttp2() ? FramingFault::None : FramingFault::Mismatch;
-    std::optional<std::uint64_t> bodyBytes = m_framing.takeRequest();
-    if (!bodyBytes && fault() != FramingFault::None)
+    bool isHeadRead = std::exchange(m_isHeadRead, false);
+    if (!isHeadRead && fault() != FramingFault::None)
         return fault();
-    return bodyBytes && *bodyBytes == request.entity.len ? FramingFault::None : FramingFault::Mismatch;
+    return isHeadRead && request.entity.len == 0 ? FramingFault::None : FramingFault::Mismatch;
+}
+
+void RequestGuard::dropInput()
+{
+    m_held.clear();
+    m_held.shrink_to_fit();
 }
 
 } // namespace catkinwing
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -1,9 +1,14 @@
 #include "ServerCore.h"
 
+#include "BodyReception.h"
+#include "HeaderSyntax.h"
 #include "KeepAlive.h"
 #include "ServerResponse.h"
 #include <absl/strings/string_view.h>
+#include <algorithm>
 #include <cassert>
+#include <cerrno>
+#include <cstring>
 #include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -35,6 +40,15 @@
 static constexpr milliseconds announceInterval { 50 };
 // A stall is looked for this often within the send timeout.
 static constexpr int stallChecks = 4;
+// What h2o and this server keep of each connection besides its input.
+static constexpr std::size_t connectionBytes = 4u << 10;
+// The fields of a head are there again as the handler's, and in what it forwards.
+static constexpr std::size_t copiesOfHead = 3;
+// Smaller heads are part of what a connection is taken to need.
+static constexpr std::size_t minCountedHead = 1u << 10;
+static constexpr int statusUnavailable = 503;
+// Pause between two searches for connections that yield, each of which looks at all of them.
+static constexpr milliseconds searchPause { 50 };
 
 static void setOption(int descriptor, int level, int name, int value)
 {
@@ -53,9 +67,22 @@
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(sendTimeout.count()));
 }
 
+ServerConnection::ServerConnection(ServerCore& server, const HttpServerOptions& options)
+    : core(&server)
+    , heldInput(options.memory, HeldFor::Input)
+{
+}
+
+static HttpServerOptions withMemory(HttpServerOptions options)
+{
+    if (!options.memory)
+        options.memory = std::make_shared<ClientMemory>();
+    return options;
+}
+
 ServerCore::ServerCore(EventLoop& loop, HttpServerOptions options, HttpHandler handler)
     : m_loop(loop)
-    , m_options(std::move(options))
+    , m_options(withMemory(std::move(options)))
     , m_handler(std::make_shared<HttpHandler>(std::move(handler)))
     , m_peerCloseWatcher(loop.impl())
 {
@@ -75,12 +102,14 @@
     h2o_context_init(&m_context, loop.impl().evloop, &m_configuration);
     m_acceptContext.ctx = &m_context;
     m_acceptContext.hosts = m_configuration.hosts;
+    memory()->addHolder(*this);
     scheduleStallCheck();
 }
 
 ServerCore::~ServerCore()
 {
     assert(m_connections.empty() && "connections hold on to their server");
+    memory()->removeHolder(*this);
     // h2o would find its own timer still running when it is stopped early.
     if (h2o_timeout_is_linked(&m_context.http2._graceful_shutdown_timeout))
         h2o_timeout_unlink(&m_context.http2._graceful_shutdown_timeout);
@@ -100,8 +129,9 @@
     }
     ++connectionsOfCaller;
     setSocketOptions(descriptor, m_options.sendTimeout);
-    auto connection = std::make_shared<ServerConnection>();
-    connection->core = this;
+    auto connection = std::make_shared<ServerConnection>(*this, m_options);
+    connection->number = ++m_lastNumber;
+    connection->movedAt = now();
     connection->descriptor = descriptor;
     connection->caller = std::move(caller);
     connection->socket = h2o_evloop_socket_create(loop().evloop, descriptor, H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
@@ -116,7 +146,7 @@
         startHttp1(added);
 }
 
-static ServerConnection& connectionOf(h2o_socket_t* socket)
+ServerConnection& ServerCore::connectionOf(h2o_socket_t* socket)
 {
     return *static_cast<ServerConnection*>(socket->on_close.data);
 }
@@ -170,44 +200,71 @@
     return now;
 }
 
+// Plain input is read here, as h2o would read on while there is any.
 void ServerCore::startHttp1(ServerConnection& connection)
 {
     auto kept = connection.shared_from_this();
     filterInput(connection);
+    if (!connection.socket->ssl)
+        h2o_socket_dont_read(connection.socket, 1);
     h2o_http1_accept(&m_acceptContext, connection.socket, wallTime());
     guardInput(connection);
 }
 
 void ServerCore::startHttp2(ServerConnection& connection)
 {
+    auto kept = connection.shared_from_this();
     connection.guard.passHttp2();
     h2o_http2_accept(&m_acceptContext, connection.socket, wallTime());
+    guardInput(connection);
 }
 
-// h2o sets its callbacks anew whenever it begins to read or to write.
-void ServerCore::guardInput(ServerConnection& connection) const
+const char* ServerCore::receive(ServerConnection& connection, absl::string_view& bytes)
 {
-    if (connection.isClosed || connection.guard.isHttp2())
+    h2o_socket_t& socket = *connection.socket;
+    if (socket.ssl) {
+        bytes = absl::string_view(socket.input->bytes, socket.input->size).substr(connection.checkedInput);
+        socket.input->size = connection.checkedInput;
+        return nullptr;
+    }
+    ssize_t count = recv(connection.descriptor, m_input.data(), m_input.size(), 0);
+    if (count == 0)
+        return h2o_socket_error_closed;
+    bool isPending = count < 0 && (errno == EAGAIN || errno == EINTR);
+    if (count < 0)
+        return isPending ? nullptr : h2o_socket_error_io;
+    bytes = absl::string_view(m_input.data(), static_cast<std::size_t>(count));
+    connection.movedAt = now();
+    return nullptr;
+}
+
+// h2o sets its callback anew whenever it begins to read. What has come in behind a request waits in
+// the guard until its answer has been sent.
+void ServerCore::guardInput(ServerConnection& connection)
+{
+    if (connection.isClosed || connection.reception)
         return;
+    countInput(connection);
+    if (connection.guard.isHttp2())
+        return h2o_socket_dont_read(connection.socket, 0);
     auto& callbacks = connection.socket->_cb;
     connection.checkedInput = connection.socket->input->size;
-    if (callbacks.read && callbacks.read != onInput) {
-        connection.reader = callbacks.read;
-        callbacks.read = onInput;
-    }
-    // An interim response is h2o's own; it reads on when that is out.
-    bool isInterim = !callbacks.read && callbacks.write && callbacks.write != onOutput && connection.openRequests == 0;
-    if (isInterim) {
-        connection.writer = callbacks.write;
-        callbacks.write = onOutput;
-    }
+    if (!callbacks.read || callbacks.read == onInput)
+        return;
+    connection.reader = callbacks.read;
+    callbacks.read = onInput;
 }
 
 void ServerCore::guardInputLater(ServerConnection& connection)
 {
     loop().defer([weak = connection.weak_from_this()] {
-        if (auto held = weak.lock())
-            held->core->guardInput(*held);
+        auto held = weak.lock();
+        if (!held)
+            return;
+        held->core->guardInput(*held);
+        bool isReading = !held->isClosed && held->socket->_cb.read == onInput;
+        if (isReading && held->guard.holdsInput())
+            held->core->passInput(*held, nullptr);
     });
 }
 
@@ -219,21 +276,136 @@
         reportRefusal(connection, connection.guard.fault());
 }
 
-void ServerCore::onInput(h2o_socket_t* socket, const char* error)
+// Filters what is new in the input and lets h2o have the rest of it.
+void ServerCore::passInput(ServerConnection& connection, const char* error)
 {
-    auto connection = connectionOf(socket).shared_from_this();
-    socket->_cb.read = connection->reader;
+    auto kept = connection.shared_from_this();
     if (!error)
-        connection->core->filterInput(*connection);
-    connection->reader(socket, error);
-    connection->core->guardInput(*connection);
+        filterInput(connection);
+    bool hasNews = error || connection.socket->input->size > connection.checkedInput;
+    if (!hasNews)
+        return countInput(connection);
+    connection.socket->_cb.read = connection.reader;
+    connection.reader(connection.socket, error);
+    guardInput(connection);
+}
+
+// A head can't be refused before it is whole.
+bool ServerCore::mustClose(ServerConnection& connection, std::size_t arrived)
+{
+    if (arrived <= smallBodyBytes || makeRoom(0, connection))
+        return false;
+    ++memory()->refusals().yielded;
+    return true;
+}
+
+void ServerCore::onInput(h2o_socket_t* socket, const char* error)
+{
+    ServerConnection& connection = connectionOf(socket);
+    if (!error && !socket->ssl) {
+        absl::string_view bytes;
+        error = connection.core->receive(connection, bytes);
+        if (!error && bytes.empty())
+            return;
+        h2o_iovec_t room = h2o_buffer_reserve(&socket->input, bytes.size());
+        if (!bytes.empty())
+            std::memcpy(room.base, bytes.data(), bytes.size());
+        socket->input->size += bytes.size();
+    }
+    if (!error && connection.core->mustClose(connection, socket->input->size))
+        error = h2o_socket_error_closed;
+    connection.core->passInput(connection, error);
+}
+
+void ServerCore::countInput(ServerConnection& connection)
+{
+    if (connection.isClosed)
+        return;
+    connection.heldInput.set(connectionBytes + connection.socket->input->capacity + connection.guard.heldBytes());
+    relieveLater();
+}
+
+// Connections can't be closed here, as this may be called inside a callback of one of them.
+void ServerCore::relieveLater()
+{
+    if (m_relieveTimer || m_isShutDown || memory()->used() <= memory()->capacity())
+        return;
+    m_relieveTimer = m_loop.callAfter(Duration::zero(), [this] {
+        memory()->relieve();
+        m_relieveTimer = m_loop.callAfter(searchPause, [this] {
+            m_relieveTimer = 0;
+            relieveLater();
+        });
+    });
+}
+
+bool ServerCore::makeRoom(std::size_t bytes, const ServerConnection& except)
+{
+    if (memory()->hasRoom(bytes))
+        return true;
+    if (now() < m_noRoomUntil)
+        return false;
+    m_asking = &except;
+    bool hasRoom = memory()->makeRoom(bytes);
+    m_asking = nullptr;
+    if (!hasRoom)
+        m_noRoomUntil = now() + searchPause;
+    return hasRoom;
+}
+
+static bool hasUnreadInput(int descriptor)
+{
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+// A request that the handler has can't be taken back, so only what arrives and answers that have
+// ended count.
+ConnectionLoad ServerCore::loadOf(ServerConnection& connection) const
+{
+    if (connection.writtenAtMove != connection.socket->bytes_written) {
+        connection.writtenAtMove = connection.socket->bytes_written;
+        connection.movedAt = now();
+    }
+    ConnectionLoad load;
+    load.moved = std::numeric_limits<std::size_t>::max();
+    load.idleFor = now() - connection.movedAt;
+    bool isReleasable = connection.openRequests == connection.endedAnswers || connection.guard.isHttp2();
+    if (connection.reception && !connection.reception->isRefused())
+        load = connection.reception->load();
+    else if (isReleasable)
+        load.bytes = connection.heldInput.bytes() + connection.answerBytes;
+    load.connection = connection.number;
+    load.hasUnreadInput = load.bytes > smallBodyBytes && hasUnreadInput(connection.descriptor);
+    return load;
+}
+
+void ServerCore::appendLoads(std::vector<ConnectionLoad>& loads)
+{
+    for (const auto& connection : m_connections) {
+        if (connection.get() != m_asking)
+            loads.push_back(loadOf(*connection));
+    }
+}
+
+void ServerCore::release(std::uint64_t connection)
+{
+    for (const auto& candidate : m_connections) {
+        if (candidate->number != connection)
+            continue;
+        if (candidate->reception)
+            candidate->reception->refuse(statusUnavailable);
+        else
+            shutdown(candidate->descriptor, SHUT_RDWR);
+        return;
+    }
 }
 
-void ServerCore::onOutput(h2o_socket_t* socket, const char* error)
+HttpRefusal ServerCore::refusal(int status) const
 {
-    auto connection = connectionOf(socket).shared_from_this();
-    connection->writer(socket, error);
-    connection->core->guardInput(*connection);
+    if (m_options.makeRefusal && !m_isShutDown)
+        return m_options.makeRefusal(status);
+    return { { status, { { "content-type", "text/plain; charset=utf-8" } } }, reasonPhrase(status) };
 }
 
 void ServerCore::reportRefusal(const ServerConnection& connection, FramingFault fault) const
@@ -251,6 +423,8 @@
 void ServerCore::forget(ServerConnection& connection)
 {
     connection.isClosed = true;
+    connection.reception = nullptr;
+    connection.heldInput.set(0);
     m_loop.cancel(connection.handshakeTimer);
     auto count = m_connectionsOfCaller.find(connection.caller.host);
     if (--count->second == 0)
@@ -263,9 +437,9 @@
     return bytes.len > 0 ? std::string(bytes.base, bytes.len) : std::string();
 }
 
-static ServerConnection* connectionOf(h2o_conn_t& connection)
+static ServerConnection* ownerOf(h2o_conn_t& connection)
 {
-    return &connectionOf(connection.callbacks->get_socket(&connection));
+    return &ServerCore::connectionOf(connection.callbacks->get_socket(&connection));
 }
 
 namespace {
@@ -324,6 +498,14 @@
     return request;
 }
 
+static std::size_t headBytesOf(const h2o_req_t& request)
+{
+    std::size_t bytes = request.input.path.len + request.input.authority.len;
+    for (std::size_t i = 0; i < request.headers.size; ++i)
+        bytes += request.headers.entries[i].name->len + request.headers.entries[i].value.len;
+    return bytes;
+}
+
 int ServerCore::onRequest(h2o_handler_t* self, h2o_req_t* request)
 {
     reinterpret_cast<Handler*>(self)->core->handle(request);
@@ -332,7 +514,7 @@
 
 void ServerCore::handle(h2o_req_t* request)
 {
-    ServerConnection* connection = connectionOf(*request->conn);
+    ServerConnection* connection = ownerOf(*request->conn);
     connection->hadRequest = true;
     connection->isHttp2 = request->version >= http2Version;
     FramingFault fault = connection->guard.check(*request);
@@ -343,11 +525,42 @@
         return;
     }
     auto response = ServerResponse::create(*request, connection);
-    auto handle = response->makeHandle();
+    std::size_t headBytes = headBytesOf(*request);
+    HttpRequest made = makeRequest(*request, *connection);
+    if (headBytes > minCountedHead)
+        hold(made, HeldFor::Input, copiesOfHead * headBytes);
+    bool isArriving = !connection->isHttp2 && connection->guard.isInBody();
+    if (isArriving)
+        return BodyReception::begin(*connection, std::move(made), std::move(response));
+    hold(made, HeldFor::Body, made.body.size());
+    hold(made, HeldFor::Attempt, made.body.size());
+    auto responder = response->makeHandle();
+    bool isLarge = headBytes + made.body.size() > smallBodyBytes;
+    if (isLarge && !makeRoom(0, *connection)) {
+        ++memory()->refusals().noRoom;
+        HttpRefusal answer = refusal(statusUnavailable);
+        responder->send(answer.head, std::move(answer.body));
+        return;
+    }
+    dispatch(std::move(made), response, std::move(responder));
+}
+
+void ServerCore::hold(HttpRequest& request, HeldFor kind, std::size_t bytes)
+{
+    if (bytes == 0)
+        return;
+    auto held = std::make_shared<HeldBytes>(memory(), kind);
+    held->set(bytes);
+    request.held.push_back(std::move(held));
+    relieveLater();
+}
+
+void ServerCore::dispatch(HttpRequest request, const std::shared_ptr<ServerResponse>& response, std::shared_ptr<HttpResponder> responder)
+{
     // The handler may destroy the server, and with it itself.
     auto handler = m_handler;
     if (handler)
-        (*handler)(makeRequest(*request, *connection), std::move(handle));
+        (*handler)(std::move(request), std::move(responder));
     response->watchCaller();
 }
 
@@ -408,12 +621,6 @@
     return connection.hadRequest ? !connection.isHttp2 : connection.socket->bytes_written == 0;
 }
 
-static bool hasUnreadInput(int descriptor)
-{
-    char byte = 0;
-    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 // HTTP/1 has no way to announce that a connection is about to close. A request
 // that has begun to arrive lies in the input, or still with the kernel.
 void ServerCore::closeIdleConnections()
@@ -454,6 +661,7 @@
     m_loop.cancel(m_announceTimer);
     m_loop.cancel(m_idleCloseTimer);
     m_loop.cancel(m_stallTimer);
+    m_loop.cancel(m_relieveTimer);
     m_handler = nullptr;
     for (auto& connection : m_connections)
         shutdown(connection->descriptor, SHUT_RDWR);
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -5,27 +5,45 @@
 #include "PeerCloseWatcher.h"
 #include "RequestGuard.h"
 #include "TlsPeer.h"
+#include "catkinwing/Http/ClientMemory.h"
 #include "catkinwing/Http/HttpServer.h"
+#include <array>
 #include <list>
 #include <unordered_map>
 
 namespace catkinwing {
 
+class BodyReception;
 class ServerCore;
+class ServerResponse;
 
 /// One accepted connection.
 struct ServerConnection : std::enable_shared_from_this<ServerConnection> {
+    ServerConnection(ServerCore& server, const HttpServerOptions& options);
+
     ServerCore* core;
-    int descriptor;
+    std::uint64_t number { 0 };
+    int descriptor { -1 };
     SocketAddress caller;
     TlsPeer peer;
     h2o_socket_t* socket { nullptr };
     h2o_socket_cb handshakeReader { nullptr };
     TimerId handshakeTimer { 0 };
     RequestGuard guard;
-    /// h2o's own callbacks, while ours stand in their place.
+    /// h2o's own callback, while ours stands in its place.
     h2o_socket_cb reader { nullptr };
-    h2o_socket_cb writer { nullptr };
+    /// The body of the request in progress, while it arrives.
+    std::shared_ptr<BodyReception> reception;
+    /// What h2o and the guard hold of the input.
+    HeldBytes heldInput;
+    /// Bytes of answers that the transport hasn't taken.
+    std::size_t answerBytes { 0 };
+    /// When bytes last moved in either direction, and what had been written then.
+    TimePoint movedAt {};
+    std::size_t writtenAtMove { 0 };
+    /// An interim response is being written.
+    bool isInterimPending { false };
+    std::weak_ptr<ServerResponse> interimOf;
     /// Bytes of the input that the guard has seen.
     std::size_t checkedInput { 0 };
     bool isClosed { false };
@@ -44,10 +62,10 @@
 
 /// The h2o configuration and context of a server, with its connections. It
 /// outlives the server until the last connection has closed.
-class ServerCore {
+class ServerCore final : private MemoryHolder {
 public:
     ServerCore(EventLoop& loop, HttpServerOptions options, HttpHandler handler);
-    ~ServerCore();
+    ~ServerCore() override;
     ServerCore(const ServerCore&) = delete;
     ServerCore& operator=(const ServerCore&) = delete;
 
@@ -62,11 +80,30 @@
     /// Lets the guard see what arrives on a connection from the end of this turn.
     void guardInputLater(ServerConnection& connection);
 
+    static ServerConnection& connectionOf(h2o_socket_t* socket);
+    /// Reads some of the input behind what h2o has been given; \p bytes stay valid until the next
+    /// read. Returns h2o's error, or null.
+    const char* receive(ServerConnection& connection, absl::string_view& bytes);
+    /// Counts what is held of a connection's input.
+    void countInput(ServerConnection& connection);
+    /// Returns whether there is room for \p bytes more, for which other connections may have yielded.
+    bool makeRoom(std::size_t bytes, const ServerConnection& except);
+    /// Hands a whole request to the handler.
+    void dispatch(HttpRequest request, const std::shared_ptr<ServerResponse>& response, std::shared_ptr<HttpResponder> responder);
+    void reportRefusal(const ServerConnection& connection, FramingFault fault) const;
+    /// Returns the answer to a request whose body isn't taken.
+    HttpRefusal refusal(int status) const;
+
     std::size_t openConnections() const { return m_connections.size(); }
     std::size_t unsentAnswers() const;
     bool isDraining() const { return m_isDraining; }
     bool isShutDown() const { return m_isShutDown; }
     EventLoop::Impl& loop() { return m_loop.impl(); }
+    TimePoint now() const { return m_loop.clock().now(); }
+    TimerId callAfter(Duration delay, EventLoop::Callback callback) { return m_loop.callAfter(delay, std::move(callback)); }
+    void cancel(TimerId timer) { m_loop.cancel(timer); }
+    const HttpServerOptions& options() const { return m_options; }
+    const std::shared_ptr<ClientMemory>& memory() const { return m_options.memory; }
     PeerCloseWatcher& peerCloseWatcher() { return m_peerCloseWatcher; }
 
 private:
@@ -79,16 +116,22 @@
     static void onHandshakeInput(h2o_socket_t* socket, const char* error);
     static void onHandshakeEnd(h2o_socket_t* socket, const char* error);
     static void onInput(h2o_socket_t* socket, const char* error);
-    static void onOutput(h2o_socket_t* socket, const char* error);
     static void onConnectionClosed(void* data);
     void startHandshake(ServerConnection& connection);
     void startHttp1(ServerConnection& connection);
     void startHttp2(ServerConnection& connection);
-    void guardInput(ServerConnection& connection) const;
+    void guardInput(ServerConnection& connection);
     void filterInput(ServerConnection& connection);
-    void reportRefusal(const ServerConnection& connection, FramingFault fault) const;
+    void passInput(ServerConnection& connection, const char* error);
+    void appendLoads(std::vector<ConnectionLoad>& loads) override;
+    void release(std::uint64_t connection) override;
+    /// Tells whether a connection, for which \p arrived bytes are held, has to go for want of room.
+    bool mustClose(ServerConnection& connection, std::size_t arrived);
+    ConnectionLoad loadOf(ServerConnection& connection) const;
+    void relieveLater();
     void handle(h2o_req_t* request);
     void forget(ServerConnection& connection);
+    void hold(HttpRequest& request, HeldFor kind, std::size_t bytes);
     /// Tells whether a request is still arriving on an HTTP/2 stream.
     bool isReceivingStreams();
     void announceShutdown();
@@ -104,6 +147,12 @@
     h2o_context_t m_context {};
     h2o_accept_ctx_t m_acceptContext {};
     std::list<std::shared_ptr<ServerConnection>> m_connections;
+    std::uint64_t m_lastNumber { 0 };
+    std::array<char, InputBudget::readBytes> m_input;
+    /// Excluded from the loads while it asks for room itself.
+    const ServerConnection* m_asking { nullptr };
+    TimePoint m_noRoomUntil {};
+    TimerId m_relieveTimer { 0 };
     std::unordered_map<std::string, std::size_t> m_connectionsOfCaller;
     bool m_isDraining { false };
     bool m_isShutDown { false };
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -52,6 +52,7 @@
     , m_request(&request)
     , m_connection(connection)
     , m_generator { { proceed, [](h2o_generator_t*, h2o_req_t*) {} }, this }
+    , m_held(connection->core->memory(), HeldFor::Answer)
 {
     ++m_connection->openRequests;
 }
@@ -96,6 +97,36 @@
     m_watchToken = 0;
 }
 
+void ServerResponse::setPendingBytes(std::size_t bytes)
+{
+    m_connection->answerBytes += bytes;
+    m_connection->answerBytes -= m_pendingBytes;
+    m_pendingBytes = bytes;
+    m_held.set(bytes);
+}
+
+void ServerResponse::closeAfterwards()
+{
+    if (m_request)
+        m_request->http1_is_persistent = 0;
+}
+
+void ServerResponse::sendContinue()
+{
+    static constexpr absl::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!isOpen())
+        return;
+    m_connection->isInterimPending = true;
+    m_connection->interimOf = weak_from_this();
+    h2o_iovec_t bytes = h2o_iovec_init(interim.data(), interim.size());
+    h2o_socket_write(m_connection->socket, &bytes, 1, [](h2o_socket_t* socket, const char*) {
+        ServerConnection& connection = ServerCore::connectionOf(socket);
+        connection.isInterimPending = false;
+        if (auto response = connection.interimOf.lock())
+            response->scheduleFlush();
+    });
+}
+
 void ServerResponse::sendHead(const HttpResponseHead& head)
 {
     if (!isOpen() || m_isStarted)
@@ -162,7 +193,7 @@
             return abort();
         *m_bodyLeft -= bytes.size();
     }
-    m_pendingBytes += bytes.size();
+    setPendingBytes(m_pendingBytes + bytes.size());
     m_queued.push_back(std::move(bytes));
     scheduleFlush();
 }
@@ -183,7 +214,7 @@
         return;
     m_isAborted = true;
     m_queued.clear();
-    m_pendingBytes = 0;
+    setPendingBytes(0);
     end();
 }
 
@@ -234,6 +265,8 @@
 {
     if (!m_request)
         return;
+    if (m_connection->isInterimPending)
+        return;
     if (m_isAborted)
         return cut();
     if (m_isSending || !m_isStarted)
@@ -329,7 +362,7 @@
         taken += bytes.size();
     m_sending.clear();
     m_isSending = false;
-    m_pendingBytes -= std::min(taken, m_pendingBytes);
+    setPendingBytes(m_pendingBytes - std::min(taken, m_pendingBytes));
     if (m_isEnded || !m_queued.empty())
         return flush();
     if (taken > 0 && m_onWritable) {
@@ -358,11 +391,11 @@
     m_connection->endedAnswers -= m_isEnded ? 1 : 0;
     m_connection->core->guardInputLater(*m_connection);
     bool isServerGone = m_connection->core->isShutDown();
-    m_request = nullptr;
-    m_connection = nullptr;
     m_queued.clear();
     m_sending.clear();
-    m_pendingBytes = 0;
+    setPendingBytes(0);
+    m_request = nullptr;
+    m_connection = nullptr;
     if (!isCallerGone)
         return;
     m_isEnded = true;
--- a/lib/Http/ServerResponse.h
+++ b/lib/Http/ServerResponse.h
@@ -21,6 +21,11 @@
     /// Begins to notice that the caller has gone; for answers that take a while.
     void watchCaller();
 
+    /// Closes the connection when the answer has been sent.
+    void closeAfterwards();
+    /// Asks the client to send the body. Answers wait until that is out.
+    void sendContinue();
+
     void sendHead(const HttpResponseHead& head);
     void write(std::string bytes);
     void finish();
@@ -40,6 +45,7 @@
 
     static void proceed(h2o_generator_t* generator, h2o_req_t* request);
     static void disposeOwner(void* owner);
+    void setPendingBytes(std::size_t bytes);
     void unwatchCaller();
     void fillHead(const HttpResponseHead& head);
     void addField(const HttpHeader& field);
@@ -60,6 +66,7 @@
     h2o_req_t* m_request;
     ServerConnection* m_connection;
     Generator m_generator;
+    HeldBytes m_held;
     std::vector<std::string> m_queued;
     std::vector<std::string> m_sending;
     std::size_t m_pendingBytes { 0 };
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -1,6 +1,7 @@
 #include "catkinwing/Ingress/IngressDaemon.h"
 
 #include "IngressDaemonImpl.h"
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace catkinwing {
@@ -36,15 +37,37 @@
 static constexpr milliseconds loadReportInterval { 100 };
 /// Connections that break within this time are covered by one crash report.
 static constexpr milliseconds urgentReportDelay { 2 };
+/// Requests that hold memory take from 30 ms to several seconds.
+static constexpr const char* noRoomRetryAfter = "0.5";
 static constexpr int statusOk = 200;
 static constexpr int statusNotFound = 404;
+static constexpr int statusTooLarge = 413;
 static constexpr int statusUnavailable = 503;
 
-absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, HttpHandler handler)
+HttpRefusal IngressDaemon::Impl::refuseBody(int status)
+{
+    HttpRefusal refusal;
+    refusal.head.status = status;
+    refusal.head.headers.add("content-type", "application/json");
+    refusal.head.headers.add(outcomeHeader, outcomeWord(Outcome::NotRun));
+    if (status == statusUnavailable)
+        refusal.head.headers.add("retry-after", noRoomRetryAfter);
+    const char* code = "body_not_in_time";
+    if (status == statusTooLarge)
+        code = "body_too_large";
+    else if (status == statusUnavailable)
+        code = "request_buffers_full";
+    refusal.body = absl::StrCat("{\"error\":{\"code\":\"", code, "\",\"outcome\":\"", outcomeWord(Outcome::NotRun), "\"}}");
+    return refusal;
+}
+
+absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, std::size_t maxBodyBytes, HttpHandler handler)
 {
     HttpServerOptions options;
     options.listen = address;
-    options.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
+    options.maxBodyBytes = maxBodyBytes;
+    options.memory = parts.clientMemory;
+    options.makeRefusal = refuseBody;
     options.requestTimeout = idleConnectionTimeout;
     options.sendTimeout = clientSendTimeout;
     options.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
@@ -63,14 +86,16 @@
     struct Listener {
         SocketAddress address;
         std::unique_ptr<HttpServer>* server;
+        std::size_t maxBodyBytes;
         HttpHandler handler;
     };
+    auto maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
     Listener listeners[] = {
-        { settings.listen.callers, &clientServer, [this](HttpRequest request, Responder responder) { handleRequest(std::move(request), std::move(responder), false); } },
-        { settings.listen.peers, &peerServer, [this](HttpRequest request, Responder responder) { handleRequest(std::move(request), std::move(responder), true); } },
-        { ingress.readiness, &readinessServer, [this](const HttpRequest& request, const Responder& responder) { answerReadiness(request, *responder); } },
-        { ingress.directory, &directoryServer, [this](const HttpRequest& request, const Responder& responder) { answerDirectory(request, *responder); } },
-        { settings.listen.operators, &operatorServer, [this](const HttpRequest& request, const Responder& responder) { answerOperator(request, *responder); } },
+        { settings.listen.callers, &clientServer, maxBodyBytes, [this](HttpRequest request, Responder responder) { handleRequest(std::move(request), std::move(responder), false); } },
+        { settings.listen.peers, &peerServer, maxBodyBytes, [this](HttpRequest request, Responder responder) { handleRequest(std::move(request), std::move(responder), true); } },
+        { ingress.readiness, &readinessServer, maxBodyBytes, [this](const HttpRequest& request, const Responder& responder) { answerReadiness(request, *responder); } },
+        { ingress.directory, &directoryServer, maxBodyBytes, [this](const HttpRequest& request, const Responder& responder) { answerDirectory(request, *responder); } },
+        { settings.listen.operators, &operatorServer, maxBodyBytes, [this](const HttpRequest& request, const Responder& responder) { answerOperator(request, *responder); } },
     };
     absl::StatusOr<std::unique_ptr<DatagramSocket>> socket = DatagramSocket::bind(loop, settings.listen.peers,
         [this](const SocketAddress& from, absl::string_view bytes) { receiveLoadReport(from, bytes); });
@@ -78,7 +103,7 @@
         return socket.status();
     loadReportSocket = std::move(*socket);
     for (Listener& listener : listeners) {
-        absl::StatusOr<std::unique_ptr<HttpServer>> server = listenOn(listener.address, std::move(listener.handler));
+        absl::StatusOr<std::unique_ptr<HttpServer>> server = listenOn(listener.address, listener.maxBodyBytes, std::move(listener.handler));
         if (!server.ok())
             return server.status();
         *listener.server = std::move(*server);
@@ -302,6 +327,7 @@
     const Dialect& dialect, const StoreFactory& makeStore)
 {
     auto impl = std::make_unique<Impl>(loop, settings, random, dialect, makeStore);
+    impl->parts.clientMemory = std::make_shared<ClientMemory>(ClientMemory::capacityWithin(settings.limits.maximumMemoryMegabytes));
     absl::Status status = impl->listen();
     if (!status.ok())
         return status;
@@ -309,8 +335,7 @@
         { { "entry", settings.name }, { "zone", settings.availabilityZone }, { "region", settings.region },
             { "clients", settings.listen.callers.toString() }, { "peers", settings.listen.peers.toString() } });
     impl->parts.startedAt = loop.clock().now();
-    if (double megabytes = settings.limits.maximumMemoryMegabytes; megabytes > 0)
-        impl->parts.requestBuffers = RequestBuffers(RequestBuffers::capacityWithin(static_cast<std::size_t>(megabytes * 1e6)));
+    impl->parts.requestBuffers = RequestBuffers(impl->parts.clientMemory->capacity());
     impl->parts.credit = &impl->creditExchange;
     impl->parts.limitExchange = &impl->limitExchange;
     impl->parts.streamOrigins = &impl->streamOrigins;
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -125,7 +125,8 @@
     std::string ownKey() const { return registration.key().substr(std::strlen(entryPrefix)); }
 
     absl::Status listen();
-    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, HttpHandler handler);
+    static HttpRefusal refuseBody(int status);
+    absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, std::size_t maxBodyBytes, HttpHandler handler);
     void handleRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
     void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
--- a/lib/Ingress/IngressDaemonReports.cpp
+++ b/lib/Ingress/IngressDaemonReports.cpp
@@ -63,6 +63,8 @@
     }
     metrics.set("open_requests", static_cast<double>(parts.openRequestCount));
     metrics.set("request_buffer_bytes", static_cast<double>(parts.requestBuffers.used()));
+    for (const auto& [name, value] : parts.clientMemory->gauges())
+        metrics.set(name, value);
     for (const auto& [kind, calls] : storeCalls)
         metrics.set("store_calls_" + kind, static_cast<double>(calls));
     metrics.set("watches_store", relayedStore.watchesDirectly() ? 1 : 0);
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -548,6 +548,7 @@
     auto isCurrent = [number](const RoutedRun& run) { return run.m_attempt && run.m_attempt->number == number; };
     HttpClient& client = attempt.target == AttemptTarget::Entry ? m_parts.peerClient : m_parts.endpointClient;
     attempt.bufferedBody = std::make_unique<BufferedBytes>(m_parts.answerBuffers);
+    attempt.heldBody = std::make_unique<HeldBytes>(m_parts.clientMemory, HeldFor::Answer);
     m_attempt = std::move(attempt);
     m_cursor.beginAttempt();
     HttpClientCallbacks callbacks;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -172,6 +172,7 @@
         attempt.body.append(bytes.data(), bytes.size());
         bool isTooLong = attempt.body.size() > static_cast<std::size_t>(m_routes->limits().maxBodyBytes) + extraAnswerBytes;
         attempt.bufferedBody->set(attempt.body.size());
+        attempt.heldBody->set(attempt.body.size());
         if (isTooLong)
             abandonAttempt("answer_too_long");
         else if (!m_parts.answerBuffers.mayHold(attempt.body.size()))
@@ -199,6 +200,7 @@
     if (!m_attempt)
         return;
     m_attempt->bufferedBody->set(m_cursor.partialBytes());
+    m_attempt->heldBody->set(m_cursor.partialBytes());
     if (m_cursor.isBroken())
         abandonAttempt("event_out_of_order");
     else if (!m_parts.answerBuffers.mayHold(m_cursor.partialBytes()))
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -896,7 +896,7 @@
     IngressFixture fixture;
     fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
     fixture.addEndpoint("a");
-    fixture.parts.requestBuffers = RequestBuffers(RequestBuffers::capacityWithin(60'000'000));
+    fixture.parts.requestBuffers = RequestBuffers(10'000'000);
     fixture.answers = { [](const HttpClientRequest& request) {
         FakeHttpAnswer answer = endpointAnswer(request, 200, "done");
         answer.delay = 500ms;
