Read a pipelined request when the one before it has been answered

What callers saw: 120 clients that pipeline requests without reading the answers took an entry with 64 MB stated to 844 MB.

Cause: between two requests of a connection more was read than was handled. Before bodies were counted, h2o kept all of it; since then the guard did.

Change: what follows a request goes first, in the next turn of the loop, and nothing is read before. Requests of other connections come in between. After a 429 or 503 the connection closes if more had been pipelined: those requests would be refused at once, too, and weren't read.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -264,6 +264,21 @@
         held->core->guardInput(*held);
         bool isReading = !held->isClosed && held->socket->_cb.read == onInput;
         if (isReading && held->guard.holdsInput())
+            held->core->readOnLater(*held);
+    });
+}
+
+// Requests that others have sent meanwhile come before the next one of the same connection.
+void ServerCore::readOnLater(ServerConnection& connection)
+{
+    connection.isReadOnDue = true;
+    m_loop.callAfter(Duration::zero(), [weak = connection.weak_from_this()] {
+        auto held = weak.lock();
+        if (!held)
+            return;
+        held->isReadOnDue = false;
+        bool isReading = !held->isClosed && held->socket->_cb.read == onInput;
+        if (isReading)
             held->core->passInput(*held, nullptr);
     });
 }
@@ -302,6 +317,8 @@
 void ServerCore::onInput(h2o_socket_t* socket, const char* error)
 {
     ServerConnection& connection = connectionOf(socket);
+    if (!error && connection.isReadOnDue && !socket->ssl)
+        return;
     if (!error && !socket->ssl) {
         absl::string_view bytes;
         error = connection.core->receive(connection, bytes);
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -11,6 +11,8 @@
 namespace catkinwing {
 
 static constexpr int http11Version = 0x101;
+static constexpr int statusTooManyRequests = 429;
+static constexpr int statusUnavailable = 503;
 
 namespace {
 
@@ -156,7 +158,9 @@
         addField(field);
     m_hasBody = hasBody(*m_request);
     bool isUnframed = m_request->version < http11Version && !m_bodyLeft;
-    if (isUnframed)
+    // A client that pipelines would have its next request refused at once, too.
+    bool isRefusal = head.status == statusTooManyRequests || head.status == statusUnavailable;
+    if (isUnframed || (isRefusal && m_connection->guard.holdsInput()))
         m_request->http1_is_persistent = 0;
 }
 
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -145,6 +145,26 @@
     CHECK(absl::StartsWith(refused->received(), "HTTP/1.1 413 "));
 }
 
+TEST_CASE("pipelined requests are read one after the other")
+{
+    auto memory = std::make_shared<ClientMemory>();
+    HeldServer held(optionsWith(memory));
+    auto caller = RawConnection::connect(held.server->address());
+    std::string requests;
+    for (int i = 0; i < 100; ++i)
+        absl::StrAppend(&requests, headFor(4'000), std::string(4'000, 'x'));
+    std::size_t sent = 0;
+    for (std::size_t answered = 0; answered < 100; ++answered) {
+        REQUIRE(runUntil(held.loop, [&] {
+            sent += caller->sendSome(absl::string_view(requests).substr(sent));
+            return held.responders.size() == answered + 1;
+        }));
+        CHECK(held.requests.back().body.size() == 4'000);
+        CHECK(memory->used(HeldFor::Input) < 64'000);
+        held.responders.back()->send(headOf(200), "done");
+    }
+}
+
 // Any order of arrivals, answers, refusals, time-outs and closes must release what was counted.
 TEST_CASE("the account ends at zero whatever clients and handlers do")
 {
