Count what HTTP/2 streams hold

What callers saw: 4 connections with 90 streams each, as far as the windows go, took an entry with 64 MB stated to 431 and 446 MB; streams with large heads that are never answered to 258 and 288 MB.

Cause: h2o gives each stream a window of 16 MiB and collects its body, which nothing counted.

Change: what comes in on a connection is counted until its requests are whole, twice, as buffers double; then what h2o keeps of each stream until that ends. A connection that goes on while there is no room is closed, after stalled ones. The kernel's buffer is small, as h2o empties it in one go.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -42,6 +42,12 @@
 static constexpr int stallChecks = 4;
 // What h2o and this server keep of each connection besides its input.
 static constexpr std::size_t connectionBytes = 4u << 10;
+// What h2o keeps of an HTTP/2 stream besides its fields and its body.
+static constexpr std::size_t http2StreamBytes = 8u << 10;
+// The buffer of a body that grows has up to twice its size.
+static constexpr std::size_t copiesInHttp2Buffer = 2;
+// Kernel buffer of an HTTP/2 connection, which h2o empties in one go.
+static constexpr int http2ReceiveBytes = 128 << 10;
 // The fields of a head are there again as the handler's, and in what it forwards.
 static constexpr std::size_t copiesOfHead = 3;
 // Smaller heads are part of what a connection is taken to need.
@@ -246,7 +252,7 @@
         return;
     countInput(connection);
     if (connection.guard.isHttp2())
-        return h2o_socket_dont_read(connection.socket, 0);
+        return guardHttp2Input(connection);
     auto& callbacks = connection.socket->_cb;
     connection.checkedInput = connection.socket->input->size;
     if (!callbacks.read || callbacks.read == onInput)
@@ -255,6 +261,20 @@
     callbacks.read = onInput;
 }
 
+// HTTP/2 frames bound what h2o reads ahead, and streams hold what it has read.
+void ServerCore::guardHttp2Input(ServerConnection& connection)
+{
+    if (!connection.socket->ssl)
+        h2o_socket_dont_read(connection.socket, 0);
+    if (!std::exchange(connection.hasHttp2Buffer, true))
+        setOption(connection.descriptor, SOL_SOCKET, SO_RCVBUF, http2ReceiveBytes);
+    auto& callbacks = connection.socket->_cb;
+    if (!callbacks.read || callbacks.read == onHttp2Input)
+        return;
+    connection.reader = callbacks.read;
+    callbacks.read = onHttp2Input;
+}
+
 void ServerCore::guardInputLater(ServerConnection& connection)
 {
     loop().defer([weak = connection.weak_from_this()] {
@@ -300,12 +320,14 @@
     bool hasNews = error || connection.socket->input->size > connection.checkedInput;
     if (!hasNews)
         return countInput(connection);
+    if (connection.guard.isHttp2())
+        connection.http2Arrived += copiesInHttp2Buffer * (connection.socket->input->size - connection.checkedInput);
     connection.socket->_cb.read = connection.reader;
     connection.reader(connection.socket, error);
     guardInput(connection);
 }
 
-// A head can't be refused before it is whole.
+// Neither a head nor an HTTP/2 stream can be refused before it is whole.
 bool ServerCore::mustClose(ServerConnection& connection, std::size_t arrived)
 {
     if (arrived <= smallBodyBytes || makeRoom(0, connection))
@@ -334,11 +356,24 @@
     connection.core->passInput(connection, error);
 }
 
+void ServerCore::onHttp2Input(h2o_socket_t* socket, const char* error)
+{
+    auto connection = connectionOf(socket).shared_from_this();
+    connection->movedAt = connection->core->now();
+    connection->http2Arrived += error ? 0 : copiesInHttp2Buffer * socket->bytes_read;
+    connection->core->countInput(*connection);
+    if (!error && connection->core->mustClose(*connection, connection->http2Arrived))
+        error = h2o_socket_error_closed;
+    socket->_cb.read = connection->reader;
+    connection->reader(socket, error);
+    connection->core->guardInput(*connection);
+}
+
 void ServerCore::countInput(ServerConnection& connection)
 {
     if (connection.isClosed)
         return;
-    connection.heldInput.set(connectionBytes + connection.socket->input->capacity + connection.guard.heldBytes());
+    connection.heldInput.set(connectionBytes + connection.socket->input->capacity + connection.guard.heldBytes() + connection.http2Arrived);
     relieveLater();
 }
 
@@ -391,7 +426,7 @@
     if (connection.reception && !connection.reception->isRefused())
         load = connection.reception->load();
     else if (isReleasable)
-        load.bytes = connection.heldInput.bytes() + connection.answerBytes;
+        load.bytes = connection.heldInput.bytes() + connection.answerBytes + connection.http2Held;
     load.connection = connection.number;
     load.hasUnreadInput = load.bytes > smallBodyBytes && hasUnreadInput(connection.descriptor);
     return load;
@@ -399,6 +434,7 @@
 
 void ServerCore::appendLoads(std::vector<ConnectionLoad>& loads)
 {
+    recountStreams();
     for (const auto& connection : m_connections) {
         if (connection.get() != m_asking)
             loads.push_back(loadOf(*connection));
@@ -543,6 +579,10 @@
     }
     auto response = ServerResponse::create(*request, connection);
     std::size_t headBytes = headBytesOf(*request);
+    if (connection->isHttp2) {
+        connection->http2Arrived -= std::min(connection->http2Arrived, copiesInHttp2Buffer * request->entity.len);
+        response->holdStream(http2StreamBytes + headBytes + request->entity.len);
+    }
     HttpRequest made = makeRequest(*request, *connection);
     if (headBytes > minCountedHead)
         hold(made, HeldFor::Input, copiesOfHead * headBytes);
@@ -602,22 +642,37 @@
     m_idleCloseTimer = m_loop.callAfter(idleCloseDelay, [this] { closeIdleConnections(); });
 }
 
-static int countArriving(h2o_req_t* request, void* count)
+static int countStream(h2o_req_t* request, void*)
 {
     // Streams without a method only stand for a priority.
-    bool hasHead = request->input.method.len > 0;
-    *static_cast<std::size_t*>(count) += hasHead ? 1 : 0;
+    ownerOf(*request->conn)->http2Streams += request->input.method.len > 0 ? 1 : 0;
     return 0;
 }
 
-bool ServerCore::isReceivingStreams()
+void ServerCore::countStreams()
 {
-    std::size_t streams = 0;
-    m_configuration.http2.callbacks.foreach_request(&m_context, countArriving, &streams);
-    std::size_t handled = 0;
     for (auto& connection : m_connections)
-        handled += connection->isHttp2 ? connection->openRequests : 0;
-    return streams > handled;
+        connection->http2Streams = 0;
+    m_configuration.http2.callbacks.foreach_request(&m_context, countStream, nullptr);
+}
+
+bool ServerCore::isReceivingStreams()
+{
+    countStreams();
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto& connection) {
+        return connection->http2Streams > (connection->isHttp2 ? connection->openRequests : 0);
+    });
+}
+
+void ServerCore::recountStreams()
+{
+    countStreams();
+    for (auto& connection : m_connections) {
+        if (connection->http2Arrived == 0 || connection->http2Streams > connection->openRequests)
+            continue;
+        connection->http2Arrived = 0;
+        countInput(*connection);
+    }
 }
 
 // A second after it told HTTP/2 callers to go, h2o cuts the connections whose
@@ -661,6 +716,7 @@
 // HTTP/2 caller can leave a stream's window shut and still acknowledge.
 void ServerCore::closeStalledConnections()
 {
+    recountStreams();
     for (auto& connection : m_connections) {
         bool isMoving = connection->endedAnswers == 0 || connection->bytesAtCheck != connection->socket->bytes_written;
         connection->bytesAtCheck = connection->socket->bytes_written;
@@ -668,6 +724,9 @@
         bool isStalled = connection->isHttp2 && connection->checksWithoutBytes >= stallChecks;
         if (isStalled)
             shutdown(connection->descriptor, SHUT_RDWR);
+        // h2o begins to read anew when much that it had to write is out.
+        else if (connection->guard.isHttp2())
+            guardInput(*connection);
     }
     scheduleStallCheck();
 }
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -40,6 +40,15 @@
     HeldBytes heldInput;
     /// Bytes of answers that the transport hasn't taken.
     std::size_t answerBytes { 0 };
+    /// Bytes that have come in on HTTP/2 streams whose requests aren't whole yet; no fewer than
+    /// these, since streams that are reset aren't seen.
+    std::size_t http2Arrived { 0 };
+    /// What h2o keeps of the HTTP/2 streams whose requests are whole.
+    std::size_t http2Held { 0 };
+    /// The kernel's buffer has the size for HTTP/2.
+    bool hasHttp2Buffer { false };
+    /// Streams with a head at the last count.
+    std::size_t http2Streams { 0 };
     /// When bytes last moved in either direction, and what had been written then.
     TimePoint movedAt {};
     std::size_t writtenAtMove { 0 };
@@ -118,11 +127,13 @@
     static void onHandshakeInput(h2o_socket_t* socket, const char* error);
     static void onHandshakeEnd(h2o_socket_t* socket, const char* error);
     static void onInput(h2o_socket_t* socket, const char* error);
+    static void onHttp2Input(h2o_socket_t* socket, const char* error);
     static void onConnectionClosed(void* data);
     void startHandshake(ServerConnection& connection);
     void startHttp1(ServerConnection& connection);
     void startHttp2(ServerConnection& connection);
     void guardInput(ServerConnection& connection);
+    void guardHttp2Input(ServerConnection& connection);
     void filterInput(ServerConnection& connection);
     void readOnLater(ServerConnection& connection);
     void passInput(ServerConnection& connection, const char* error);
@@ -135,8 +146,11 @@
     void handle(h2o_req_t* request);
     void forget(ServerConnection& connection);
     void hold(HttpRequest& request, HeldFor kind, std::size_t bytes);
+    void countStreams();
     /// Tells whether a request is still arriving on an HTTP/2 stream.
     bool isReceivingStreams();
+    /// Forgets what had come in on HTTP/2 streams that have been reset since.
+    void recountStreams();
     void announceShutdown();
     void closeIdleConnections();
     void closeStalledConnections();
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -55,6 +55,7 @@
     , m_connection(connection)
     , m_generator { { proceed, [](h2o_generator_t*, h2o_req_t*) {} }, this }
     , m_held(connection->core->memory(), HeldFor::Answer)
+    , m_heldStream(connection->core->memory(), HeldFor::Input)
 {
     ++m_connection->openRequests;
 }
@@ -107,6 +108,12 @@
     m_held.set(bytes);
 }
 
+void ServerResponse::holdStream(std::size_t bytes)
+{
+    m_connection->http2Held += bytes;
+    m_heldStream.set(bytes);
+}
+
 void ServerResponse::closeAfterwards()
 {
     if (m_request)
@@ -398,6 +405,8 @@
     m_queued.clear();
     m_sending.clear();
     setPendingBytes(0);
+    m_connection->http2Held -= m_heldStream.bytes();
+    m_heldStream.set(0);
     m_request = nullptr;
     m_connection = nullptr;
     if (!isCallerGone)
--- a/lib/Http/ServerResponse.h
+++ b/lib/Http/ServerResponse.h
@@ -21,6 +21,8 @@
     /// Begins to notice that the caller has gone; for answers that take a while.
     void watchCaller();
 
+    /// Counts what h2o keeps of the request's HTTP/2 stream.
+    void holdStream(std::size_t bytes);
     /// Closes the connection when the answer has been sent.
     void closeAfterwards();
     /// Asks the client to send the body. Answers wait until that is out.
@@ -67,6 +69,7 @@
     ServerConnection* m_connection;
     Generator m_generator;
     HeldBytes m_held;
+    HeldBytes m_heldStream;
     std::vector<std::string> m_queued;
     std::vector<std::string> m_sending;
     std::size_t m_pendingBytes { 0 };
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -1,5 +1,6 @@
 // Bodies of requests from their first byte to the handler, and the account of what is held for them.
 #include "HeldServer.h"
+#include "Http2Caller.h"
 #include "catkinwing/Support/Random.h"
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -165,6 +166,30 @@
     }
 }
 
+TEST_CASE("HTTP/2 streams are counted, and a connection that goes beyond the memory is closed")
+{
+    auto memory = std::make_shared<ClientMemory>(1'000'000);
+    HeldServer held(optionsWith(memory));
+    Http2Caller caller(held.loop, held.server->address());
+    caller.sendHeaders(1, "/", false);
+    caller.sendData(1, std::string(16'000, 'x'), false);
+    REQUIRE(runUntil(held.loop, [&] { return memory->used(HeldFor::Input) > 32'000; }));
+    caller.sendReset(1);
+    caller.sendHeaders(3, "/");
+    REQUIRE(runUntil(held.loop, [&] { return held.requests.size() == 1; }));
+    caller.sendHeaders(5, "/", false);
+    REQUIRE(runUntil(held.loop, [&] {
+        caller.sendData(5, std::string(16'000, 'x'), false);
+        caller.receive();
+        return caller.isClosed();
+    }));
+    REQUIRE(runUntil(held.loop, [&] { return held.server->openConnections() == 0; }));
+    held.requests.clear();
+    held.responders.clear();
+    runFor(held.loop, 10ms);
+    CHECK(memory->used() == 0);
+}
+
 // Any order of arrivals, answers, refusals, time-outs and closes must release what was counted.
 TEST_CASE("the account ends at zero whatever clients and handlers do")
 {
