Don't speak HTTP/2 where no client does

Cause: each listener answered the preface of HTTP/2, on the routed path too, whose clients speak HTTP/1.1. There it only was a way to hold memory.

Change: HttpServerOptions::allowsHttp2, off for the routed path and for the gateway's peers and operators. The preface is answered 400. The gateway's callers keep HTTP/2.

--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -65,6 +65,8 @@
     /// Makes the answer with status 408, 413 or 503 to a request whose body isn't taken; plain text
     /// if null. Such a request hasn't reached the handler.
     std::function<HttpRefusal(int status)> makeRefusal {};
+    /// Whether HTTP/2 is spoken with clients that begin with it.
+    bool allowsHttp2 { true };
     /// Longest wait for a whole head, and then for a whole body, to arrive on a connection, and so
     /// also the time that an idle connection is kept. A body that is later is answered 408.
     std::chrono::milliseconds requestTimeout { 10'000 };
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -417,6 +417,7 @@
     options.tls = std::move(context);
     options.memory = clientMemory;
     options.makeRefusal = refusalOfBody;
+    options.allowsHttp2 = false;
     options.onRefused = [this, listener = listen.toString()](const SocketAddress& caller, const std::string& reason) {
         metrics.count("requests_refused_" + reason);
         logChange(LogLevel::Warning, "request_refused", { { "listener", listener }, { "caller", caller.toString() }, { "reason", reason } });
@@ -428,6 +429,7 @@
 {
     HttpServerOptions callerOptions = serverOptions(settings.listen.callers, tls.callers);
     callerOptions.maxBodyBytes = static_cast<std::size_t>(settings.limits.maximumBodyBytes);
+    callerOptions.allowsHttp2 = true;
     callerOptions.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
     auto callerListener = HttpServer::listen(loop, callerOptions, [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) { callers.handle(std::move(request), responder); });
     if (!callerListener.ok())
--- a/lib/Http/RequestFraming.h
+++ b/lib/Http/RequestFraming.h
@@ -47,6 +47,12 @@
 /// body of a request in turn.
 class RequestFraming {
 public:
+    /// Without \p allowsHttp2 the preface of HTTP/2 is a request line that holds a fault.
+    explicit RequestFraming(bool allowsHttp2 = true)
+        : m_state(allowsHttp2 ? State::Start : State::Head)
+    {
+    }
+
     /// Reads a head at the beginning of \p bytes, which are those of the last call and what has come
     /// in since, and returns its size. Returns 0 if it isn't whole yet or holds a fault; all bytes of
     /// HTTP/2 count as read.
@@ -90,7 +96,7 @@
     void beginBody(const RequestBodyFraming& framing);
     void takeData(std::size_t size);
 
-    State m_state { State::Start };
+    State m_state;
     FramingFault m_fault { FramingFault::None };
     /// Bytes of the unfinished head that hold no end of it.
     std::size_t m_searched { 0 };
--- a/lib/Http/RequestGuard.h
+++ b/lib/Http/RequestGuard.h
@@ -14,6 +14,11 @@
 /// what follows such a request for another one. h2o gets one head at a time and no bodies.
 class RequestGuard {
 public:
+    explicit RequestGuard(bool allowsHttp2)
+        : m_framing(allowsHttp2)
+    {
+    }
+
     /// Checks the last \p newBytes of the socket's input and takes back what h2o may not see yet.
     /// Where the end of a head comes into doubt, h2o is given bytes that it answers 400, and
     /// nothing after them.
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -75,6 +75,7 @@
 
 ServerConnection::ServerConnection(ServerCore& server, const HttpServerOptions& options)
     : core(&server)
+    , guard(options.allowsHttp2)
     , heldInput(options.memory, HeldFor::Input)
 {
 }
@@ -193,7 +194,7 @@
     connection.core->m_loop.cancel(connection.handshakeTimer);
     if (error)
         h2o_socket_close(socket);
-    else if (isHttp2Protocol(h2o_socket_ssl_get_selected_protocol(socket)))
+    else if (connection.core->m_options.allowsHttp2 && isHttp2Protocol(h2o_socket_ssl_get_selected_protocol(socket)))
         connection.core->startHttp2(connection);
     else
         connection.core->startHttp1(connection);
@@ -666,6 +667,8 @@
 
 void ServerCore::recountStreams()
 {
+    if (!m_options.allowsHttp2)
+        return;
     countStreams();
     for (auto& connection : m_connections) {
         if (connection->http2Arrived == 0 || connection->http2Streams > connection->openRequests)
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -61,6 +61,8 @@
     return refusal;
 }
 
+// Clients speak HTTP/1.1. Off by default, HTTP/2 would be a way to hold memory that only they use who
+// don't behave.
 absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, std::size_t maxBodyBytes, HttpHandler handler)
 {
     HttpServerOptions options;
@@ -68,6 +70,7 @@
     options.maxBodyBytes = maxBodyBytes;
     options.memory = parts.clientMemory;
     options.makeRefusal = refuseBody;
+    options.allowsHttp2 = false;
     options.requestTimeout = idleConnectionTimeout;
     options.sendTimeout = clientSendTimeout;
     options.maxConnections = static_cast<std::size_t>(connectionsForCallers(settings.limits));
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -166,6 +166,18 @@
     }
 }
 
+TEST_CASE("a server without HTTP/2 answers its preface as a request it doesn't understand")
+{
+    HttpServerOptions options;
+    options.allowsHttp2 = false;
+    HeldServer held(options);
+    auto caller = RawConnection::connect(held.server->address());
+    caller->send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK(absl::StartsWith(caller->received(), "HTTP/1.1 400 "));
+    CHECK(held.requests.empty());
+}
+
 TEST_CASE("HTTP/2 streams are counted, and a connection that goes beyond the memory is closed")
 {
     auto memory = std::make_shared<ClientMemory>(1'000'000);
