Apply the configuration's limit of bodies to requests

What callers saw: a body above the configured max_body_bytes was forwarded; only limits.maximumBodyBytes of the settings, 8 MB, was applied.

Cause: the limit of the configuration bounded answers only.

Change: the listeners for clients and peers take the smaller of both, within the interval of housekeeping after a configuration comes into force.

--- a/include/catkinwing/Http/HttpServer.h
+++ b/include/catkinwing/Http/HttpServer.h
@@ -99,6 +99,8 @@
     /// within seconds if idle, so that callers turn to other servers.
     virtual void discourage() = 0;
     virtual std::size_t openConnections() const = 0;
+    /// Sets the largest body of requests whose heads arrive from now on, in bytes.
+    virtual void setMaxBodyBytes(std::size_t bytes) = 0;
     /// Returns the answers that have ended, but of which the transport hasn't yet taken all bytes.
     virtual std::size_t unsentAnswers() const = 0;
     /// Uses \p tls for the connections accepted from now on.
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -28,6 +28,7 @@
         void stopListening() override;
         void discourage() override;
         std::size_t openConnections() const override { return m_core->openConnections(); }
+        void setMaxBodyBytes(std::size_t bytes) override { m_core->setMaxBodyBytes(bytes); }
         std::size_t unsentAnswers() const override { return m_core->unsentAnswers(); }
         void replaceTls(std::shared_ptr<TlsContext> tls) override { m_core->replaceTls(std::move(tls)); }
 
--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -455,6 +455,12 @@
     }
 }
 
+void ServerCore::setMaxBodyBytes(std::size_t bytes)
+{
+    m_options.maxBodyBytes = bytes;
+    m_configuration.max_request_entity_size = bytes;
+}
+
 HttpRefusal ServerCore::refusal(int status) const
 {
     if (m_options.makeRefusal && !m_isShutDown)
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -90,6 +90,7 @@
 
     /// Lets the guard see what arrives on a connection from the end of this turn.
     void guardInputLater(ServerConnection& connection);
+    void setMaxBodyBytes(std::size_t bytes);
 
     static ServerConnection& connectionOf(h2o_socket_t* socket);
     /// Reads some of the input behind what h2o has been given; \p bytes stay valid until the next
--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -267,6 +267,13 @@
     loop.callAfter(loadReportInterval, [this] { reportLoad(); });
 }
 
+void IngressDaemon::Impl::setMaxBodyBytes(std::size_t configured)
+{
+    std::size_t bytes = std::min(configured, static_cast<std::size_t>(settings.limits.maximumBodyBytes));
+    clientServer->setMaxBodyBytes(bytes);
+    peerServer->setMaxBodyBytes(bytes);
+}
+
 // Registers the entry once it is ready, so that the directory doesn't name an entry
 // that can't serve yet.
 void IngressDaemon::Impl::houseKeep()
@@ -295,6 +302,8 @@
         entryCountWriter.tick();
         versionRecordWriter.tick();
     }
+    if (parts.routes)
+        setMaxBodyBytes(static_cast<std::size_t>(parts.routes->limits().maxBodyBytes));
     parts.isConfigurationStale = relayedStore.dataAge().value_or(Duration::zero()) > maxConfigurationAge;
     loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
 }
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -127,6 +127,8 @@
     absl::Status listen();
     static HttpRefusal refuseBody(int status);
     absl::StatusOr<std::unique_ptr<HttpServer>> listenOn(const SocketAddress& address, std::size_t maxBodyBytes, HttpHandler handler);
+    /// Applies the configuration's limit of bodies within that of the settings.
+    void setMaxBodyBytes(std::size_t configured);
     void handleRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder, bool isFromPeer);
     void answerReadiness(const HttpRequest& request, HttpResponder& responder) const;
     void answerDirectory(const HttpRequest& request, HttpResponder& responder);
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -58,6 +58,10 @@
     sendAll(held.loop, *caller, std::string(50'000, 'x'));
     REQUIRE(caller->receiveToEnd(held.loop));
     CHECK_FALSE(caller->wasReset());
+    held.server->setMaxBodyBytes(100'001);
+    auto larger = RawConnection::connect(held.server->address());
+    sendAll(held.loop, *larger, headFor(100'001) + std::string(100'001, 'x'));
+    REQUIRE(runUntil(held.loop, [&] { return held.requests.size() == 1; }));
 }
 
 TEST_CASE("a chunked body is refused when it goes beyond the limit")
