Return large buffers to the system when they are released

What was seen: the users measured 209 to 271 MB still held 3 s after a crowd had gone.

Cause: the allocator maps large blocks, but raises the threshold to the size of any that is freed, up to 32 MB. Later ones come from the heap, where a small block behind them keeps their memory.

Change: catkinwingd sets the thresholds, which then stay.

The thresholds alone weren't measured.

--- a/tools/catkinwingd/Main.cpp
+++ b/tools/catkinwingd/Main.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <malloc.h>
 
 using namespace catkinwing;
 
@@ -83,8 +84,19 @@
     return runUntilDrained(loop, **daemon, [&] { (*daemon)->reloadKeys(); });
 }
 
+// The allocator would keep the memory of large buffers for later ones, by a threshold that rises
+// with their size.
+static void returnLargeBuffers()
+{
+    constexpr int minLargeBytes = 256 << 10;
+    constexpr int maxKeptBytes = 4 << 20;
+    mallopt(M_MMAP_THRESHOLD, minLargeBytes);
+    mallopt(M_TRIM_THRESHOLD, maxKeptBytes);
+}
+
 static int serve(const DaemonSettings& settings, const std::string& file)
 {
+    returnLargeBuffers();
     initializeLogging();
     SystemClock clock;
     EventLoop loop(clock);
