Read past a refused body for as long as it keeps coming

What callers would see: a client on a slow link, which sends all of its body before it reads, got a reset instead of its 413 or 503 if that took more than a second, and so no promise that the request hadn't run.

Cause: the rest of a refused body was read past for one second only.

Change: until nothing has come for a second, for 8 s and up to the limit of bodies at most; after a 408 one second as before.

Evidence: BodyReceptionTest "the answer to a refused body reaches a client that sends all of it slowly first".

--- a/lib/Http/BodyReception.cpp
+++ b/lib/Http/BodyReception.cpp
@@ -11,8 +11,9 @@
 static constexpr int statusRequestTimeout = 408;
 static constexpr int statusTooLarge = 413;
 static constexpr int statusUnavailable = 503;
-/// Time for which the rest of a refused body is read past.
-static constexpr Duration lingerTime = 1s;
+/// The rest of a refused body is read past until nothing has come for this time.
+static constexpr Duration lingerPause = 1s;
+static constexpr Duration maxLingerTime = 8s;
 /// First buffer of a body whose length isn't announced.
 static constexpr std::size_t minBufferBytes = 4u << 10;
 
@@ -42,7 +43,7 @@
     connection.checkedInput = connection.socket->input->size;
     self->m_timer = self->m_core.callAfter(self->m_core.options().requestTimeout, [weak = self->weak_from_this()] {
         if (auto held = weak.lock())
-            held->expire();
+            held->refuse(statusRequestTimeout);
     });
     const RequestBodyFraming& framing = connection.guard.body();
     if (framing.length > self->m_maxBytes)
@@ -100,7 +101,7 @@
     if (!guard.isInBody())
         return complete();
     if (m_passedOver > m_maxBytes)
-        expire();
+        closeRefused();
 }
 
 void BodyReception::startReading()
@@ -220,18 +221,33 @@
     m_response->closeAfterwards();
     m_responder->sendHead(refusal.head);
     m_responder->write(std::move(refusal.body));
+    m_movedAt = m_core.now();
+    // A client that was late already isn't waited for again.
+    m_lingerEnd = m_movedAt + (status == statusRequestTimeout ? lingerPause : maxLingerTime);
+    linger();
+}
+
+// A client on a slow link, which reads the answer only when it has sent its body, gets to know that
+// the request hasn't run.
+void BodyReception::linger()
+{
     m_core.cancel(m_timer);
-    m_timer = m_core.callAfter(lingerTime, [weak = weak_from_this()] {
-        if (auto held = weak.lock())
-            held->expire();
+    m_timer = m_core.callAfter(lingerPause, [weak = weak_from_this()] {
+        auto held = weak.lock();
+        if (!held)
+            return;
+        TimePoint now = held->m_core.now();
+        bool isMoving = now - held->m_movedAt < lingerPause && now < held->m_lingerEnd;
+        if (isMoving)
+            held->linger();
+        else
+            held->closeRefused();
     });
 }
 
-void BodyReception::expire()
+void BodyReception::closeRefused()
 {
     auto self = shared_from_this();
-    if (!m_isRefused)
-        return refuse(statusRequestTimeout);
     stop();
     m_responder->finish();
 }
--- a/lib/Http/BodyReception.h
+++ b/lib/Http/BodyReception.h
@@ -40,7 +40,8 @@
     void stop();
     void complete();
     void refuseFraming();
-    void expire();
+    void linger();
+    void closeRefused();
 
     ServerConnection& m_connection;
     ServerCore& m_core;
@@ -55,6 +56,7 @@
     std::size_t m_passedOver { 0 };
     TimePoint m_begunAt;
     TimePoint m_movedAt;
+    TimePoint m_lingerEnd {};
     TimerId m_timer { 0 };
     bool m_isRefused { false };
     bool m_isResumed { false };
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -64,6 +64,22 @@
     REQUIRE(runUntil(held.loop, [&] { return held.requests.size() == 1; }));
 }
 
+TEST_CASE("the answer to a refused body reaches a client that sends all of it slowly first")
+{
+    HttpServerOptions options;
+    options.maxBodyBytes = 100'000;
+    HeldServer held(options);
+    auto caller = RawConnection::connect(held.server->address());
+    caller->send(headFor(100'001));
+    for (int i = 0; i < 5; ++i) {
+        runFor(held.loop, 400ms);
+        caller->send("x");
+    }
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK_FALSE(caller->wasReset());
+    CHECK(absl::StartsWith(caller->received(), "HTTP/1.1 413 "));
+}
+
 TEST_CASE("a chunked body is refused when it goes beyond the limit")
 {
     HttpServerOptions options;
