Let clients that don't take their answers yield when memory is short

What callers would see: answers that have ended and that clients don't take were counted, but nobody had to yield for them until other input came in.

Cause: the bound was only looked at when input was counted. Whether a client takes its answer was only noticed then, too, so that a stalled one counted as moving.

Evidence: BodyReceptionTest "answers that have ended are counted until clients have taken them, and stalled ones yield" failed before: no connection had yielded with 64 MiB held where 40 are allowed.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -55,6 +55,8 @@
 static constexpr int statusUnavailable = 503;
 // Pause between two searches for connections that yield, each of which looks at all of them.
 static constexpr milliseconds searchPause { 50 };
+// Pause between two looks at answers that wait for their clients.
+static constexpr milliseconds sampleInterval { 250 };
 
 static void setOption(int descriptor, int level, int name, int value)
 {
@@ -406,20 +408,43 @@
     return hasRoom;
 }
 
+static void noteWrites(ServerConnection& connection, TimePoint now)
+{
+    if (std::exchange(connection.writtenAtMove, connection.socket->bytes_written) != connection.socket->bytes_written)
+        connection.movedAt = now;
+}
+
 static bool hasUnreadInput(int descriptor)
 {
     char byte = 0;
     return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void ServerCore::watchAnswers(const ServerConnection& connection)
+{
+    relieveLater();
+    bool isDue = !m_sampleTimer && !m_isShutDown && connection.answerBytes > smallBodyBytes;
+    if (isDue)
+        m_sampleTimer = m_loop.callAfter(sampleInterval, [this] { sampleWrites(); });
+}
+
+// h2o doesn't tell when a part of what it writes is out.
+void ServerCore::sampleWrites()
+{
+    m_sampleTimer = 0;
+    for (const auto& connection : m_connections) {
+        if (connection->answerBytes == 0)
+            continue;
+        noteWrites(*connection, now());
+        watchAnswers(*connection);
+    }
+}
+
 // A request that the handler has can't be taken back, so only what arrives and answers that have
 // ended count.
 ConnectionLoad ServerCore::loadOf(ServerConnection& connection) const
 {
-    if (connection.writtenAtMove != connection.socket->bytes_written) {
-        connection.writtenAtMove = connection.socket->bytes_written;
-        connection.movedAt = now();
-    }
+    noteWrites(connection, now());
     ConnectionLoad load;
     load.moved = std::numeric_limits<std::size_t>::max();
     load.idleFor = now() - connection.movedAt;
@@ -747,6 +772,7 @@
     m_loop.cancel(m_idleCloseTimer);
     m_loop.cancel(m_stallTimer);
     m_loop.cancel(m_relieveTimer);
+    m_loop.cancel(m_sampleTimer);
     m_handler = nullptr;
     for (auto& connection : m_connections)
         shutdown(connection->descriptor, SHUT_RDWR);
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -100,6 +100,8 @@
     void countInput(ServerConnection& connection);
     /// Returns whether there is room for \p bytes more, for which other connections may have yielded.
     bool makeRoom(std::size_t bytes, const ServerConnection& except);
+    /// Observes whether the client takes its answers, if much of them waits for it.
+    void watchAnswers(const ServerConnection& connection);
     /// Hands a whole request to the handler.
     void dispatch(HttpRequest request, const std::shared_ptr<ServerResponse>& response, std::shared_ptr<HttpResponder> responder);
     void reportRefusal(const ServerConnection& connection, FramingFault fault) const;
@@ -143,6 +145,7 @@
     /// Tells whether a connection, for which \p arrived bytes are held, has to go for want of room.
     bool mustClose(ServerConnection& connection, std::size_t arrived);
     ConnectionLoad loadOf(ServerConnection& connection) const;
+    void sampleWrites();
     void relieveLater();
     void handle(h2o_req_t* request);
     void forget(ServerConnection& connection);
@@ -171,6 +174,7 @@
     const ServerConnection* m_asking { nullptr };
     TimePoint m_noRoomUntil {};
     TimerId m_relieveTimer { 0 };
+    TimerId m_sampleTimer { 0 };
     std::unordered_map<std::string, std::size_t> m_connectionsOfCaller;
     bool m_isDraining { false };
     bool m_isShutDown { false };
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -205,6 +205,7 @@
         *m_bodyLeft -= bytes.size();
     }
     setPendingBytes(m_pendingBytes + bytes.size());
+    m_connection->core->watchAnswers(*m_connection);
     m_queued.push_back(std::move(bytes));
     scheduleFlush();
 }
--- a/unittests/Http/BodyReceptionTest.cpp
+++ b/unittests/Http/BodyReceptionTest.cpp
@@ -222,6 +222,28 @@
     CHECK(memory->used() == 0);
 }
 
+TEST_CASE("answers that have ended are counted until clients have taken them, and stalled ones yield")
+{
+    static constexpr std::size_t answerBytes = 32u << 20;
+    auto memory = std::make_shared<ClientMemory>(answerBytes + answerBytes / 4);
+    HeldServer held(optionsWith(memory));
+    auto stalled = held.call();
+    held.responders[0]->send(headOf(200), std::string(answerBytes, 'x'));
+    CHECK(memory->used(HeldFor::Answer) == answerBytes);
+    runFor(held.loop, 1500ms);
+    auto reading = held.call();
+    held.responders[1]->send(headOf(200), std::string(answerBytes, 'x'));
+    REQUIRE(runUntil(held.loop, [&] {
+        reading->receiveAtMost(256 << 10);
+        return reading->received().size() > answerBytes;
+    }));
+    REQUIRE(stalled->receiveToEnd(held.loop));
+    CHECK(stalled->received().size() < answerBytes);
+    runFor(held.loop, 10ms);
+    CHECK(memory->used(HeldFor::Answer) == 0);
+    CHECK(memory->refusals().yielded == 1);
+}
+
 // Any order of arrivals, answers, refusals, time-outs and closes must release what was counted.
 TEST_CASE("the account ends at zero whatever clients and handlers do")
 {
