Bound what is read of TLS connections at a time

What callers saw: the same crowds over TLS took an entry of the gateway with 64 MB stated to 443 MB. With what arrives counted it was up to 219 MB still.

Cause: over TLS h2o reads itself, as long as there is input, and keeps its two buffers at the size of the largest read. While a pipelined request waited for its turn, more was read, too.

Change: the kernel's buffer of a TLS connection is small, and the input counts twice. Nothing is read from a connection that waits for its turn.

Evidence: crowd tests over TLS, 21 more.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -48,6 +48,10 @@
 static constexpr std::size_t copiesInHttp2Buffer = 2;
 // Kernel buffer of an HTTP/2 connection, which h2o empties in one go.
 static constexpr int http2ReceiveBytes = 128 << 10;
+// The same of a TLS connection. h2o keeps its buffers at the size of the largest read.
+static constexpr int tlsReceiveBytes = 32 << 10;
+// What has come in over TLS is there encrypted, too.
+static constexpr std::size_t copiesInTls = 2;
 // The fields of a head are there again as the handler's, and in what it forwards.
 static constexpr std::size_t copiesOfHead = 3;
 // Smaller heads are part of what a connection is taken to need.
@@ -138,6 +142,8 @@
     }
     ++connectionsOfCaller;
     setSocketOptions(descriptor, m_options.sendTimeout);
+    if (m_options.tls)
+        setOption(descriptor, SOL_SOCKET, SO_RCVBUF, tlsReceiveBytes);
     auto connection = std::make_shared<ServerConnection>(*this, m_options);
     connection->number = ++m_lastNumber;
     connection->movedAt = now();
@@ -291,18 +297,17 @@
     });
 }
 
-// Requests that others have sent meanwhile come before the next one of the same connection.
+// Requests that others have sent meanwhile come before the next one of the same connection, for which
+// nothing more is read until then.
 void ServerCore::readOnLater(ServerConnection& connection)
 {
-    connection.isReadOnDue = true;
+    h2o_socket_read_stop(connection.socket);
     m_loop.callAfter(Duration::zero(), [weak = connection.weak_from_this()] {
         auto held = weak.lock();
-        if (!held)
+        if (!held || held->isClosed)
             return;
-        held->isReadOnDue = false;
-        bool isReading = !held->isClosed && held->socket->_cb.read == onInput;
-        if (isReading)
-            held->core->passInput(*held, nullptr);
+        h2o_socket_read_start(held->socket, onInput);
+        held->core->passInput(*held, nullptr);
     });
 }
 
@@ -342,8 +347,6 @@
 void ServerCore::onInput(h2o_socket_t* socket, const char* error)
 {
     ServerConnection& connection = connectionOf(socket);
-    if (!error && connection.isReadOnDue && !socket->ssl)
-        return;
     if (!error && !socket->ssl) {
         absl::string_view bytes;
         error = connection.core->receive(connection, bytes);
@@ -376,7 +379,8 @@
 {
     if (connection.isClosed)
         return;
-    connection.heldInput.set(connectionBytes + connection.socket->input->capacity + connection.guard.heldBytes() + connection.http2Arrived);
+    std::size_t buffered = connection.socket->input->capacity * (connection.socket->ssl ? copiesInTls : 1);
+    connection.heldInput.set(connectionBytes + buffered + connection.guard.heldBytes() + connection.http2Arrived);
     relieveLater();
 }
 
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -32,8 +32,6 @@
     RequestGuard guard;
     /// h2o's own callback, while ours stands in its place.
     h2o_socket_cb reader { nullptr };
-    /// What the guard keeps back will be read in the next turn.
-    bool isReadOnDue { false };
     /// The body of the request in progress, while it arrives.
     std::shared_ptr<BodyReception> reception;
     /// What h2o and the guard hold of the input.
--- a/test/e2e/crowd.py
+++ b/test/e2e/crowd.py
@@ -1,6 +1,7 @@
 """A crowd of clients that send more than they should and keep their connections open."""
 import selectors
 import socket
+import ssl
 import struct
 import time
 
@@ -18,9 +19,11 @@
 class Client:
     """One connection that sends what a form yields, as far as the peer takes it."""
 
-    def __init__(self, address, pieces):
+    def __init__(self, address, pieces, tls=None):
         host, port = address.rsplit(":", 1)
         self.socket = socket.create_connection((host, int(port)), timeout=20)
+        if tls:
+            self.socket = tls.wrap_socket(self.socket, server_hostname=host)
         self.socket.setblocking(False)
         self.pieces = pieces
         self.unsent = memoryview(b"")
@@ -34,7 +37,7 @@
             taken = self.socket.send(self.unsent)
             self.unsent = self.unsent[taken:]
             return taken > 0
-        except BlockingIOError:
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
             return False
         except (StopIteration, OSError):
             self.has_ended = True
@@ -44,8 +47,8 @@
 class Http2Client(Client):
     """Fills the windows of many streams, or opens streams with large heads and never reads."""
 
-    def __init__(self, address, fields, stream_bytes, streams=90):
-        super().__init__(address, iter(()))
+    def __init__(self, address, fields, stream_bytes, streams=90, tls=None):
+        super().__init__(address, iter(()), tls)
         self.windows = {0: 65535}
         self.initial_window = 65535
         self.received = b""
@@ -86,7 +89,7 @@
     def read_frames(self):
         try:
             self.received += self.socket.recv(PIECE_BYTES)
-        except BlockingIOError:
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
             return
         except OSError:
             self.has_ended = True
--- a/test/e2e/crowd_test.py
+++ b/test/e2e/crowd_test.py
@@ -6,11 +6,13 @@
 import http.client
 import json
 import pathlib
+import ssl
 import sys
 import tempfile
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "proofs"))
+from certificates import Authority  # noqa: E402
 from crowd import PIECE_BYTES, Client, Crowd, Http2Client, chunk, head  # noqa: E402
 from deployment import KEYS, MODEL, Deployment  # noqa: E402
 from platform_path import HOST, PlatformPath, configuration  # noqa: E402
@@ -170,7 +172,7 @@
     def ask_until_served(self, body, fields):
         """Sends a request as clients do: again after a refusal, which promises that it hasn't run."""
         for _ in range(100):
-            connection = http.client.HTTPConnection(self.callers, timeout=60)
+            connection = self.connect()
             try:
                 connection.request("POST", self.path, body, fields)
                 answer = connection.getresponse()
@@ -184,6 +186,9 @@
             self.observe()
         return None
 
+    def connect(self):
+        return http.client.HTTPConnection(self.callers, timeout=60)
+
     def test_http2_windows(self):
         self.send_crowd(self.callers, lambda target: Http2Client(target, http2_fields(self.path), BODY_BYTES - 1), 4)
 
@@ -233,14 +238,16 @@
         return {"limits": {**LIMITS, "maximumBodyBytes": BODY_BYTES}}
 
 
-class GatewayCrowdTest(CrowdCase, unittest.TestCase):
-    other_listeners = ("peers", "operators")
+class GatewayCase(CrowdCase):
+    """The crowds, sent to an entry of the gateway."""
+
+    deployment_kind = GatewayDeployment
     path = "/v1/chat/completions"
     fields = ["Host: entry", f"Authorization: Bearer {KEYS['roaming']}"]
 
     def setUp(self):
         self.descriptors = 0
-        deployment = GatewayDeployment(tempfile.mkdtemp(prefix="catkinwing-crowd-"), zones={"north-a": {"region": "north", "entries": 1, "engines": 1, "services": 0}})
+        deployment = self.deployment = self.deployment_kind(tempfile.mkdtemp(prefix="catkinwing-crowd-"), zones={"north-a": {"region": "north", "entries": 1, "engines": 1, "services": 0}})
         self.addCleanup(deployment.stop)
         deployment.start()
         self.process = deployment.fleet.processes["entry-north-a-1"]
@@ -259,12 +266,52 @@
         self.assertLessEqual(self.memory_megabytes(), MEMORY_MEGABYTES)
 
 
+class GatewayCrowdTest(GatewayCase, unittest.TestCase):
+    other_listeners = ("peers", "operators")
+
+
+class TlsDeployment(GatewayDeployment):
+    """An entry whose callers use TLS."""
+
+    def more_settings(self, name):
+        self.authority = Authority(self.folder / "authority", "test authority")
+        identity = self.authority.issue(name)
+        return {**super().more_settings(name), "tls": {"callers": {"certificateFile": str(identity.certificate), "keyFile": str(identity.key)}}}
+
+
+class TlsCrowdTest(GatewayCase, unittest.TestCase):
+    other_listeners = ()
+    deployment_kind = TlsDeployment
+
+    def setUp(self):
+        super().setUp()
+        self.tls = ssl.create_default_context(cafile=self.deployment.authority.file)
+
+    def connect(self):
+        return http.client.HTTPSConnection(self.callers, timeout=60, context=self.tls)
+
+    def send_form(self, name, address=None):
+        forms = Forms(self.path, self.fields)
+        self.send_crowd(self.callers, lambda target: Client(target, getattr(forms, name)(), self.tls))
+
+    def test_http2_windows(self):
+        context = ssl.create_default_context(cafile=self.deployment.authority.file)
+        context.set_alpn_protocols(["h2"])
+        self.send_crowd(self.callers, lambda target: Http2Client(target, http2_fields(self.path), BODY_BYTES - 1, tls=context), 4)
+
+    def test_http2_heads_that_are_never_answered(self):
+        context = ssl.create_default_context(cafile=self.deployment.authority.file)
+        context.set_alpn_protocols(["h2"])
+        fields = http2_fields(self.path, large_http2_field())
+        self.send_crowd(self.callers, lambda target: Http2Client(target, fields, 0, 2000, context), 30)
+
 add_form_tests(RoutedCrowdTest)
 add_form_tests(GatewayCrowdTest)
+add_form_tests(TlsCrowdTest)
 
 if __name__ == "__main__":
     if sys.argv[1:] == ["--list"]:
-        for case in (RoutedCrowdTest, GatewayCrowdTest):
+        for case in (RoutedCrowdTest, GatewayCrowdTest, TlsCrowdTest):
             for name in unittest.defaultTestLoader.getTestCaseNames(case):
                 print(f"{case.__name__}.{name}")
     else:
