Count the lines of chunks in what may be read of a body in a turn

Cause: bodies of up to 16 KiB of data are read beside the budget of a turn, however many bytes the lines of their chunks have, up to 4 KiB for one of data.

Change: the bytes that were read decide. Found by reading; not measured.

--- a/lib/Http/BodyReception.cpp
+++ b/lib/Http/BodyReception.cpp
@@ -122,7 +122,7 @@
 {
     InputBudget& budget = m_core.loop().inputBudget;
     bool isResumed = std::exchange(m_isResumed, false);
-    bool isLarge = m_received + m_passedOver >= smallBodyBytes;
+    bool isLarge = m_read >= smallBodyBytes;
     if (!isLarge || isResumed || m_connection.socket->ssl || !budget.isSpent())
         return false;
     h2o_socket_read_stop(m_connection.socket);
@@ -152,6 +152,7 @@
     if (bytes.empty())
         return;
     m_movedAt = m_core.now();
+    m_read += bytes.size();
     m_core.loop().inputBudget.spend(bytes.size());
     m_core.loop().renewInputBudgetLater();
     auto self = shared_from_this();
--- a/lib/Http/BodyReception.h
+++ b/lib/Http/BodyReception.h
@@ -53,6 +53,8 @@
     std::string m_body;
     std::size_t m_maxBytes;
     std::size_t m_received { 0 };
+    /// Bytes read of the body, with the lines of its chunks.
+    std::size_t m_read { 0 };
     std::size_t m_passedOver { 0 };
     TimePoint m_begunAt;
     TimePoint m_movedAt;
