--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -63,8 +63,7 @@
     return refusal;
 }
 
-// Clients speak HTTP/1.1. Off by default, HTTP/2 would be a way to hold memory that only they use who
-// don't behave.
+// Clients and entries speak HTTP/1.1.
 absl::StatusOr<std::unique_ptr<HttpServer>> IngressDaemon::Impl::listenOn(const SocketAddress& address, std::size_t maxBodyBytes, HttpHandler handler)
 {
     HttpServerOptions options;
