Let stalled connections give way where there are as many as there may be

What callers saw: as many clients as an entry takes connections, which begin a request and stay open, kept all others out for up to 60 s.

Cause: a full server closed each new connection, whatever the others did.

Change: one on which nothing has come for a second gives way, first those that have begun a request, then idle ones. A request in progress never does.

HttpServerLimitsTest has the order.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -57,6 +57,8 @@
 // Smaller heads are part of what a connection is taken to need.
 static constexpr std::size_t minCountedHead = 1u << 10;
 static constexpr int statusUnavailable = 503;
+// A connection on which nothing has come for this time gives way to a new one where there are too many.
+static constexpr milliseconds maxStall { 1'000 };
 // Pause between two searches for connections that yield, each of which looks at all of them.
 static constexpr milliseconds searchPause { 50 };
 // Pause between two looks at answers that wait for their clients.
@@ -133,8 +135,9 @@
 void ServerCore::accept(int descriptor, SocketAddress caller)
 {
     std::size_t& connectionsOfCaller = m_connectionsOfCaller[caller.host];
-    bool isFull = m_connections.size() >= m_options.maxConnections || connectionsOfCaller >= m_options.maxConnectionsPerCaller;
-    if (isFull) {
+    bool isCallerFull = connectionsOfCaller >= m_options.maxConnectionsPerCaller;
+    bool isFull = isCallerFull || m_connections.size() >= m_options.maxConnections;
+    if (isFull && !giveUpStalled(isCallerFull ? &caller.host : nullptr)) {
         if (connectionsOfCaller == 0)
             m_connectionsOfCaller.erase(caller.host);
         ::close(descriptor);
@@ -161,6 +164,30 @@
         startHttp1(added);
 }
 
+// Clients that only hold connections must not keep out others. One that has begun a request and
+// doesn't go on goes before one that is idle between two requests.
+bool ServerCore::giveUpStalled(const std::string* caller)
+{
+    ServerConnection* longest = nullptr;
+    auto hasBegun = [](const ServerConnection& connection) {
+        return connection.reception || connection.socket->input->size > 0 || connection.guard.holdsInput() || !connection.hadRequest;
+    };
+    auto rank = [&](const ServerConnection& connection) { return std::make_pair(hasBegun(connection), now() - connection.movedAt); };
+    for (const auto& connection : m_connections) {
+        bool isWaitedFor = connection->openRequests == 0 || connection->reception;
+        bool isEligible = !connection->isGivenUp && (!caller || connection->caller.host == *caller);
+        bool isStalled = isWaitedFor && isEligible && now() - connection->movedAt > maxStall;
+        if (isStalled && (!longest || rank(*connection) > rank(*longest)))
+            longest = connection.get();
+    }
+    if (!longest)
+        return false;
+    longest->isGivenUp = true;
+    ++memory()->refusals().yielded;
+    shutdown(longest->descriptor, SHUT_RDWR);
+    return true;
+}
+
 ServerConnection& ServerCore::connectionOf(h2o_socket_t* socket)
 {
     return *static_cast<ServerConnection*>(socket->on_close.data);
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -50,6 +50,8 @@
     /// When bytes last moved in either direction, and what had been written then.
     TimePoint movedAt {};
     std::size_t writtenAtMove { 0 };
+    /// It is being closed, so that another can be accepted.
+    bool isGivenUp { false };
     /// An interim response is being written.
     bool isInterimPending { false };
     std::weak_ptr<ServerResponse> interimOf;
@@ -130,6 +132,9 @@
     static void onInput(h2o_socket_t* socket, const char* error);
     static void onHttp2Input(h2o_socket_t* socket, const char* error);
     static void onConnectionClosed(void* data);
+    /// Closes the connection that has been stalled for longest, of \p caller if that is set; returns
+    /// whether there was one.
+    bool giveUpStalled(const std::string* caller);
     void startHandshake(ServerConnection& connection);
     void startHttp1(ServerConnection& connection);
     void startHttp2(ServerConnection& connection);
--- a/test/e2e/crowd_test.py
+++ b/test/e2e/crowd_test.py
@@ -4,6 +4,7 @@
 ordinary requests, beside the crowd and after it. Nothing here judges times or shares of requests.
 """
 import http.client
+import itertools
 import json
 import pathlib
 import ssl
@@ -189,6 +190,9 @@
     def connect(self):
         return http.client.HTTPConnection(self.callers, timeout=60)
 
+    def test_more_clients_than_connections(self):
+        self.send_crowd(self.callers, lambda target: Client(target, itertools.chain([head(self.path)[:-2]], itertools.repeat(b""))), DESCRIPTORS // 2)
+
     def test_http2_windows(self):
         self.send_crowd(self.callers, lambda target: Http2Client(target, http2_fields(self.path), BODY_BYTES - 1), 4)
 
--- a/unittests/Http/HttpServerLimitsTest.cpp
+++ b/unittests/Http/HttpServerLimitsTest.cpp
@@ -140,6 +140,27 @@
     CHECK(held.responders.size() == 3);
 }
 
+TEST_CASE("where there are too many connections a stalled one gives way, and first one that has begun a request")
+{
+    HttpServerOptions options;
+    (GENERATE(false, true) ? options.maxConnectionsPerCaller : options.maxConnections) = 3;
+    HeldServer held(options);
+    auto busy = held.call();
+    auto idle = held.call();
+    held.responders[1]->send(headOf(200), "done");
+    REQUIRE(idle->receiveUntil(held.loop, "done"));
+    auto begun = RawConnection::connect(held.server->address());
+    begun->send("GET / HTTP/1.1\r\n");
+    runFor(held.loop, 1100ms);
+    auto newcomer = held.call();
+    REQUIRE(begun->receiveToEnd(held.loop));
+    auto second = held.call();
+    REQUIRE(idle->receiveToEnd(held.loop));
+    CHECK(held.closed == 0);
+    held.responders[0]->send(headOf(200), "late");
+    CHECK(busy->receiveUntil(held.loop, "late"));
+}
+
 namespace {
 
 /// Lets the process open no further descriptor while it lives.
