Show requests that run although they were refused, when refusals come twice

The soak learns endpoints that start again under a new incarnation at the same address and send their refusals a second time, at the place of a later answer. Its 421 now repeats the request's id, as endpoints do.

--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -44,6 +44,8 @@
         self.pace = 1.0
         # Since when and until when it was silent.
         self.silences = []
+        # The refusals that are sent a second time; None if none is.
+        self.copies = None
         # Called when a request arrives whose prompt crashes the endpoint.
         self.on_bad_prompt = None
 
@@ -140,16 +142,34 @@
                 lives = lives and await self.answer(line, fields, body, writer, was_held)
         finally:
             self.writers.discard(writer)
+            if self.copies:
+                self.copies.forget(writer)
+
+    async def start_as(self, incarnation, registered):
+        """Starts again under a new incarnation at its address; the registration of the old one stays for some time."""
+        old = self.key()
+        self.incarnation = incarnation
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.register()
+        await asyncio.sleep(registered)
+        self.store.delete(old)
+
+    def refuse(self, status, attempt, fields, writer):
+        refusal = wire.response(status, [("Attempt-Id", attempt)] + fields)
+        if self.copies:
+            self.copies.refuse(attempt, refusal, writer)
+        else:
+            writer.write(refusal)
 
     async def answer(self, line, fields, body, writer, was_held):
         method, target, _ = line.split(" ")
         attempt = fields.get("attempt-id", "")
         if fields.get("expect-instance") != self.incarnation:
-            writer.write(wire.response(421, [("Instance-Id", self.incarnation)]))
+            self.refuse(421, attempt, [("Instance-Id", self.incarnation)], writer)
             return True
         self.arrivals.append(time.monotonic())
         if self.strikes("refuse"):
-            writer.write(wire.response(503, [("Not-Executed", "1"), ("Attempt-Id", attempt)] + self.limit_fields()))
+            self.refuse(503, attempt, [("Not-Executed", "1")] + self.limit_fields(), writer)
             return True
         if self.strikes("hang"):
             await asyncio.sleep(3600)
@@ -166,6 +186,8 @@
         if self.strikes("lose"):
             wire.reset(writer)
             return False
+        if self.copies:
+            self.copies.before_answer(attempt, writer)
         head = [("Attempt-Id", attempt), ("Reply-Seal", f"{attempt}.{self.incarnation}")] + self.limit_fields()
         if "/stream/" in target:
             return await self.stream(head, int(fields.get("last-event-id", 0)), writer)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs real entries beside stand-ins, strikes them with seeded faults, and checks
 the promises from what callers and endpoints see. Exits 1 if one was broken.
 
-    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--only silence] [--keep]
+    python3 test/soak/soak.py --binary build/bin/catkinwingd --seed 7 [--seconds 12] [--only KIND] [--keep]
 """
 import argparse
 import asyncio
@@ -15,6 +15,7 @@
 import tempfile
 import time
 
+import copies
 import endpoint as endpoints
 import fleet
 import partition
@@ -400,6 +401,9 @@
         if self.kind == "silence":
             for rule, what in silence.breaches(self.requests.values(), by_attempt):
                 self.breach(rule, what)
+        if self.kind == "copies":
+            for rule, what in copies.breaches(self.requests.values(), by_attempt):
+                self.breach(rule, what)
         if self.restores:
             self.restores.check_end()
         self.check_prompts()
@@ -511,6 +515,10 @@
             self.pace = random.choice(silence.PACES)
             self.settings = {"retryRatio": random.choice([0.05, 0.1, 0.2]), "retrySlack": random.choice([10, 50])}
             return
+        if self.kind == "copies":
+            self.arguments.endpoints = copies.ENDPOINTS
+            self.arguments.callers = max(self.arguments.callers, copies.CALLERS)
+            return
         if self.kind == "restore":
             self.restores = restore.Restores(self, self.arguments.seed)
             self.arguments.seconds = max(self.arguments.seconds, restore.SECONDS)
@@ -533,7 +541,7 @@
 
     async def name_limits(self):
         """Some endpoints name limits, of which a few change or end, beside all other faults."""
-        if self.kind in ("cuts", "prompts", "silence", "restore"):
+        if self.kind in ("cuts", "prompts", "silence", "restore", "copies"):
             return
         random = fleet.seeded(self.arguments.seed, "limits")
         await asyncio.sleep(0.5)
@@ -680,6 +688,10 @@
             if self.kind == "silence":
                 random = fleet.seeded(self.arguments.seed, "silence")
                 terms = [silence.strike(self, random), silence.change(self, fleet.seeded(self.arguments.seed, "configurations"))]
+            if self.kind == "copies":
+                random = fleet.seeded(self.arguments.seed, "copies")
+                copies.begin(self, random)
+                terms = [copies.strike(self, random, until)]
             if self.restores:
                 terms = self.restores.tasks(until)
             await asyncio.gather(self.strike(), self.name_limits(), self.send_bad_prompts(), *terms, *callers)
@@ -695,7 +707,7 @@
             self.breach("service", f"only {answered} of {sum(self.counts.values())} requests were answered")
         print(f"seed {self.arguments.seed}: {self.kind}, {len(self.faults)} faults, {sum(self.counts.values())} requests, "
               f"{answered} answered, {len(self.breaches)} broken; {dict(self.counts)}; streams {dict(self.streams.counts)} of {self.versions}; "
-              f"{len(self.prompts.crashes)} crashes by prompts" + (f"; {dict(self.restores.counts)}" if self.restores else ""))
+              f"{len(self.prompts.crashes)} crashes by prompts, {sum(found.copies.sent for found in self.endpoints if found.copies)} copies of refusals" + (f"; {dict(self.restores.counts)}" if self.restores else ""))
         if self.breaches or self.arguments.keep:
             print(f"logs: {self.folder}")
         else:
@@ -712,7 +724,7 @@
     parser.add_argument("--entries", type=int, default=2, help="entries of each zone")
     parser.add_argument("--endpoints", type=int, default=2, help="endpoints of each service in each zone")
     parser.add_argument("--callers", type=int, default=16)
-    parser.add_argument("--only", choices=["silence", "restore"], help="strike with this kind of trouble instead of one drawn by the seed")
+    parser.add_argument("--only", choices=["silence", "restore", "copies"], help="strike with this kind of trouble instead of one drawn by the seed")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     return asyncio.run(Soak(parser.parse_args()).run())
