Log whose ID an answer bore and on which connection it came

A failed attempt's log line named neither the connection nor the ID in the answer, so that a copied refusal looked like a second one. `attempt_failed` now has `answer_id`, `connection` and `connection_earlier_requests`.

--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -68,10 +68,20 @@
     std::function<void(const HttpResult&)> onEnd;
 };
 
+/// Which connection a request went out on.
+struct HttpConnectionUse {
+    /// Unique within the client; zero before there is a connection.
+    std::uint64_t number { 0 };
+    /// Number of requests that the connection carried before.
+    std::uint64_t earlierRequests { 0 };
+};
+
 /// A request under way. Dropping the handle cancels nothing.
 class HttpExchange {
 public:
     virtual ~HttpExchange() = default;
+    /// Returns the connection that the request goes out on.
+    virtual HttpConnectionUse connection() const { return {}; }
     /// Gives the exchange up and closes its connection; no callback runs after this.
     virtual void cancel() = 0;
     /// Stops reading the body, so that the server is slowed.
--- a/lib/Http/ClientConnection.h
+++ b/lib/Http/ClientConnection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "EventLoopImpl.h"
+#include "catkinwing/Http/HttpClient.h"
 
 namespace catkinwing {
 
@@ -31,6 +32,10 @@
     /// Tells whether the server ended the connection by a reset.
     bool wasReset() const;
 
+    HttpConnectionUse use() const { return m_use; }
+    void setNumber(std::uint64_t number) { m_use.number = number; }
+    void countRequest() { ++m_use.earlierRequests; }
+
     TimePoint idleSince() const { return m_idleSince; }
     void setIdleSince(TimePoint time) { m_idleSince = time; }
 
@@ -38,6 +43,7 @@
     EventLoop::Impl& m_loop;
     std::unique_ptr<h2o_socketpool_t> m_pool;
     int m_descriptor { -1 };
+    HttpConnectionUse m_use;
     bool m_isSpoilt { false };
     bool m_closesLate { false };
     TimePoint m_idleSince {};
--- a/lib/Http/ClientCore.cpp
+++ b/lib/Http/ClientCore.cpp
@@ -40,7 +40,9 @@
         if (connection->idleSince() > oldest && connection->isReusable())
             return connection;
     }
-    return std::make_unique<ClientConnection>(m_loop.impl(), bytes.address(), bytes.length, m_options.tls != nullptr);
+    auto connection = std::make_unique<ClientConnection>(m_loop.impl(), bytes.address(), bytes.length, m_options.tls != nullptr);
+    connection->setNumber(++m_lastConnection);
+    return connection;
 }
 
 void ClientCore::giveBack(const SocketAddress& server, std::unique_ptr<ClientConnection> connection)
@@ -50,6 +52,7 @@
     IdleConnections& idle = m_idle[server];
     if (idle.size() >= m_options.maxIdleConnectionsPerServer)
         return;
+    connection->countRequest();
     connection->setIdleSince(m_loop.clock().now());
     idle.push_back(std::move(connection));
     scheduleSweep();
--- a/lib/Http/ClientCore.h
+++ b/lib/Http/ClientCore.h
@@ -47,6 +47,7 @@
     std::map<SocketAddress, IdleConnections> m_idle;
     std::set<ClientExchange*> m_exchanges;
     TimerId m_sweepTimer { 0 };
+    std::uint64_t m_lastConnection { 0 };
     bool m_isShutDown { false };
 };
 
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -35,6 +35,7 @@
     if (!bytes.ok())
         return end(HttpEnd::ConnectFailed, std::string(bytes.status().message()));
     m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection);
+    m_use = m_connection->use();
     enter(Phase::Connecting, m_request.connectTimeout);
     h2o_http1client_connect_with_pool(&m_client, this, m_core->context(), m_connection->pool(), onConnect);
 }
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -16,6 +16,7 @@
     ClientExchange(const ClientExchange&) = delete;
     ClientExchange& operator=(const ClientExchange&) = delete;
 
+    HttpConnectionUse connection() const override { return m_use; }
     void cancel() override;
     void pause() override;
     void resume() override;
@@ -80,6 +81,7 @@
     TimerId m_timer { 0 };
     TimePoint m_lastActivity {};
     HttpResult m_result;
+    HttpConnectionUse m_use;
     std::string m_held;
     h2o_socket_cb m_headReader { nullptr };
     h2o_socket_cb m_pausedReader { nullptr };
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -266,6 +266,14 @@
     return "unknown";
 }
 
+// Returns whose ID the answer of an attempt bears, for the log.
+static const char* answerIdName(const ResponseFacts& answer, bool hasHead, bool isForThisRequest)
+{
+    if (!answer.attemptId.empty())
+        return isForThisRequest ? "own" : "other";
+    return hasHead ? "none" : "no_answer";
+}
+
 // An entry that doesn't report its number of attempts may have used all of them.
 unsigned RoutedRun::possiblyRunAttemptsOf(const Attempt& attempt) const
 {
@@ -316,10 +324,12 @@
     m_mayLastAttemptHaveRun = mayHaveRun;
     if (verdict == AttemptVerdict::Answered || !m_parts.log.admitsNotable())
         return;
+    HttpConnectionUse connection = attempt.exchange ? attempt.exchange->connection() : HttpConnectionUse {};
     m_parts.log.write(LogLevel::Warning, "attempt_failed",
         { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "segments", attempt.endpoint ? segmentNames() : std::vector<std::string>() }, { "route", m_route->name },
             { "to", m_lastTarget }, { "software_version", m_lastSoftwareVersion }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
+            { "answer_id", answerIdName(attempt.facts, attempt.head.has_value(), attempt.isForThisRequest) }, { "connection", connection.number }, { "connection_earlier_requests", connection.earlierRequests },
             { "attempt", m_attemptCount }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
 }
 
