Send a request's ID on a connection once at most, and read past copied answers

Callers got 503, which promises that a request hasn't run, for requests that ran; some ran twice. Others had run and got 502.

Cause: an endpoint may send a refusal a second time where the next answer on the connection is due. The HTTP client hands out the connection used last, so a second attempt of the same request (at a new incarnation at the same address, say) got the connection of the first, and the copy bears its ID. A copy with another ID ended the attempt, though the answer that was due came right behind it. Refusals without any ID were believed.

The client's requests now name the field that servers repeat (`echoedField`). A connection carries each of its values once at most, for as long as it lives, so it doesn't matter when a copy comes; it ends after 1,024 values. Where the end of such a response isn't certain, the attempt's outcome stays unknown. A refusal counts only with the request's ID, and only then is what it says of its endpoint recorded. Entries repeat the ID in refusals of forwarded requests.

--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -38,6 +38,8 @@
     std::string detail;
     /// The body was longer than sendForWhole() was told to take.
     bool isBodyTooLong { false };
+    /// Number of responses to earlier requests of the connection that were passed over.
+    unsigned passedOverResponses { 0 };
 };
 
 /// A request to send. Fields that frame the message or manage the connection
@@ -58,6 +60,11 @@
     /// Takes a connection that no other request has used, so that an idle
     /// close by the server can't make the outcome uncertain.
     bool freshConnection { false };
+    /// Name of the field whose value the server repeats in its responses; empty if there is none. A
+    /// connection carries a value at most once, so that no late response to an earlier request
+    /// with it can be taken for the response to this one. Responses with another value are passed
+    /// over. A request without a value, or with several, gets a connection of its own.
+    std::string echoedField;
 };
 
 /// What the sender of a request is told, on the loop. After onEnd nothing
--- a/include/catkinwing/Ingress/Dialect.h
+++ b/include/catkinwing/Ingress/Dialect.h
@@ -129,6 +129,9 @@
 /// functions, so that a deployment can supply its own.
 struct Dialect {
     StoreLayout layout;
+    /// Name of the header that holds the ID of a client attempt. Endpoints repeat it in their
+    /// responses.
+    std::string attemptIdHeader;
     RequestFacts (*readRequest)(const HttpRequest& request);
     void (*writeAttempt)(const AttemptFacts& facts, HttpHeaders& headers);
     ResponseFacts (*readResponse)(const HttpResponseHead& head);
--- a/include/catkinwing/Ingress/RoutedRun.h
+++ b/include/catkinwing/Ingress/RoutedRun.h
@@ -131,6 +131,8 @@
         std::optional<BuildId> build;
         /// The answer carries the attempt ID of this request.
         bool isForThisRequest { false };
+        /// The answer carries the attempt ID of another request.
+        bool hasForeignAnswer { false };
         bool isEventStream { false };
         std::string body;
         /// Counts body.
@@ -302,6 +304,9 @@
     void recordRequestLimit(const Attempt& attempt) const;
     void onHead(const HttpResponseHead& head);
     void onBody(absl::string_view bytes);
+    /// Records answers to earlier requests that came before the one to this request.
+    void recordPassedOver(unsigned answers);
+    static const char* answerIdName(const Attempt& attempt);
     void onEnd(const HttpResult& result);
     void abandonAttempt(const char* reason);
     void concludeAttempt(HttpEnd end, bool mayHaveReached, const std::string& detail);
--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "ClientConnection.h"
 
+#include "catkinwing/Support/Hash.h"
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <netinet/in.h>
@@ -25,6 +27,9 @@
     m_pool->_interval_cb.loop = loop.evloop;
 }
 
+// A copy of a response may come at any time, so no value is forgotten before its connection ends.
+static constexpr std::size_t maxCarried = 1'024;
+
 static void disposePool(h2o_socketpool_t& pool)
 {
     pool._interval_cb.loop = nullptr;
@@ -48,6 +53,17 @@
     });
 }
 
+// Two values with the same hash cost a connection and nothing else.
+bool ClientConnection::hasCarried(absl::string_view value) const
+{
+    return std::find(m_carried.begin(), m_carried.end(), stableHash(value)) != m_carried.end();
+}
+
+void ClientConnection::addCarried(absl::string_view value)
+{
+    m_carried.push_back(stableHash(value));
+}
+
 // Input on an idle connection is its end, or bytes that belong to no request.
 static bool hasInput(int descriptor)
 {
@@ -60,7 +76,7 @@
 bool ClientConnection::isReusable() const
 {
     bool isBack = !h2o_linklist_is_empty(&m_pool->_shared.sockets);
-    return isBack && !m_isSpoilt && !hasInput(m_descriptor);
+    return isBack && !m_isSpoilt && m_carried.size() < maxCarried && !hasInput(m_descriptor);
 }
 
 void ClientConnection::resetOnClose() const
--- a/lib/Http/ClientConnection.h
+++ b/lib/Http/ClientConnection.h
@@ -3,6 +3,7 @@
 
 #include "EventLoopImpl.h"
 #include "catkinwing/Http/HttpClient.h"
+#include <vector>
 
 namespace catkinwing {
 
@@ -32,6 +33,13 @@
     /// Tells whether the server ended the connection by a reset.
     bool wasReset() const;
 
+    /// Tells whether a request with the echoed value \p value has gone out on the connection.
+    bool hasCarried(absl::string_view value) const;
+    void addCarried(absl::string_view value);
+    /// Notes a HEAD request. The length in its response isn't that of a body.
+    void addHeadRequest() { m_hasCarriedHead = true; }
+    bool hasCarriedHead() const { return m_hasCarriedHead; }
+
     HttpConnectionUse use() const { return m_use; }
     void setNumber(std::uint64_t number) { m_use.number = number; }
     void countRequest() { ++m_use.earlierRequests; }
@@ -44,6 +52,9 @@
     std::unique_ptr<h2o_socketpool_t> m_pool;
     int m_descriptor { -1 };
     HttpConnectionUse m_use;
+    /// Hashes of the echoed values of all requests.
+    std::vector<std::uint64_t> m_carried;
+    bool m_hasCarriedHead { false };
     bool m_isSpoilt { false };
     bool m_closesLate { false };
     TimePoint m_idleSince {};
--- a/lib/Http/ClientCore.cpp
+++ b/lib/Http/ClientCore.cpp
@@ -30,14 +30,20 @@
 }
 
 // The connection used last is the likeliest to be open still.
-std::unique_ptr<ClientConnection> ClientCore::take(const SocketAddress& server, SocketAddressBytes& bytes, bool mustBeFresh)
+std::unique_ptr<ClientConnection> ClientCore::take(const SocketAddress& server, SocketAddressBytes& bytes, bool mustBeFresh, absl::string_view echoedValue)
 {
     auto entry = m_idle.find(server);
     TimePoint oldest = m_loop.clock().now() - m_options.keepIdle;
-    while (!mustBeFresh && entry != m_idle.end() && !entry->second.empty()) {
-        auto connection = std::move(entry->second.back());
-        entry->second.pop_back();
-        if (connection->idleSince() > oldest && connection->isReusable())
+    std::size_t next = mustBeFresh || entry == m_idle.end() ? 0 : entry->second.size();
+    while (next > 0) {
+        IdleConnections& idle = entry->second;
+        auto candidate = idle.begin() + static_cast<IdleConnections::difference_type>(--next);
+        bool isUsable = (*candidate)->idleSince() > oldest && (*candidate)->isReusable();
+        if (isUsable && !echoedValue.empty() && (*candidate)->hasCarried(echoedValue))
+            continue;
+        auto connection = std::move(*candidate);
+        idle.erase(candidate);
+        if (isUsable)
             return connection;
     }
     auto connection = std::make_unique<ClientConnection>(m_loop.impl(), bytes.address(), bytes.length, m_options.tls != nullptr);
--- a/lib/Http/ClientCore.h
+++ b/lib/Http/ClientCore.h
@@ -19,8 +19,9 @@
     ClientCore(const ClientCore&) = delete;
     ClientCore& operator=(const ClientCore&) = delete;
 
-    /// Returns an idle connection to \p server, or a new one; \p bytes is its address.
-    std::unique_ptr<ClientConnection> take(const SocketAddress& server, SocketAddressBytes& bytes, bool mustBeFresh);
+    /// Returns an idle connection to \p server that hasn't carried \p echoedValue, or a new one;
+    /// \p bytes is its address.
+    std::unique_ptr<ClientConnection> take(const SocketAddress& server, SocketAddressBytes& bytes, bool mustBeFresh, absl::string_view echoedValue);
     /// Keeps \p connection for another request if it is fit for one.
     void giveBack(const SocketAddress& server, std::unique_ptr<ClientConnection> connection);
     void forget(const SocketAddress& server);
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -34,12 +34,33 @@
     auto bytes = toBytes(m_request.server);
     if (!bytes.ok())
         return end(HttpEnd::ConnectFailed, std::string(bytes.status().message()));
-    m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection);
+    std::string value = echoedValue();
+    bool lacksValue = !m_request.echoedField.empty() && value.empty();
+    m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection || lacksValue, value);
+    if (m_request.method == "HEAD")
+        m_connection->addHeadRequest();
+    if (!value.empty()) {
+        m_connection->addCarried(value);
+        m_filter.emplace(m_request.echoedField, std::move(value), !m_connection->hasCarriedHead());
+    }
     m_use = m_connection->use();
     enter(Phase::Connecting, m_request.connectTimeout);
     h2o_http1client_connect_with_pool(&m_client, this, m_core->context(), m_connection->pool(), onConnect);
 }
 
+std::string ClientExchange::echoedValue() const
+{
+    std::string value;
+    for (const HttpHeader& field : m_request.headers.fields()) {
+        if (m_request.echoedField.empty() || !absl::EqualsIgnoreCase(field.name, m_request.echoedField))
+            continue;
+        if (!value.empty() && field.value != value)
+            return {};
+        value = field.value;
+    }
+    return value;
+}
+
 // h2o frees its client once a callback returns null or an error was told, so
 // the callbacks below forget it first.
 h2o_http1client_head_cb ClientExchange::onConnect(h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers,
@@ -97,11 +118,32 @@
 {
     auto* client = static_cast<h2o_http1client_t*>(socket->data);
     auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
-    const char* fault = error ? nullptr : responseHeadFault({ socket->input->bytes, socket->input->size });
-    if (fault)
-        self->failHead(fault);
-    else
+    if (error)
         self->m_headReader(socket, error);
+    else
+        self->readHead(*socket);
+}
+
+// What is passed over is taken out of the input before h2o sees it, which would end its client with
+// the first response and discard the next one.
+void ClientExchange::readHead(h2o_socket_t& socket)
+{
+    using Verdict = ForeignResponseFilter::Verdict;
+    Verdict verdict = Verdict::Pass;
+    if (m_filter) {
+        std::size_t passedOver = 0;
+        verdict = m_filter->read({ socket.input->bytes, socket.input->size }, passedOver);
+        h2o_buffer_consume(&socket.input, passedOver);
+        if (m_filter->responses() > 0)
+            m_connection->spoil();
+    }
+    if (verdict == Verdict::Unreadable)
+        return failHead("answer of another request");
+    if (verdict == Verdict::NeedsInput)
+        return;
+    if (const char* fault = responseHeadFault({ socket.input->bytes, socket.input->size }))
+        return failHead(fault);
+    m_headReader(&socket, nullptr);
 }
 
 void ClientExchange::failHead(const char* fault)
@@ -332,6 +374,7 @@
 {
     m_phase = Phase::Ended;
     m_result = { end, m_mayHaveReachedServer, std::move(detail) };
+    m_result.passedOverResponses = m_filter ? m_filter->responses() : 0;
     m_loop.cancel(m_timer);
     m_loop.impl().defer([self = shared_from_this()] { self->settle(); });
 }
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -3,7 +3,9 @@
 
 #include "ClientCore.h"
 #include "ClientMessage.h"
+#include "ForeignResponseFilter.h"
 #include <array>
+#include <optional>
 
 namespace catkinwing {
 
@@ -41,8 +43,11 @@
     static void onHeadInput(h2o_socket_t* socket, const char* error);
 
     void connect();
+    /// Returns the value that tells the response apart; empty if nothing does.
+    std::string echoedValue() const;
     /// Comes between the socket and h2o once the request is out; returns true then.
     bool guardHead();
+    void readHead(h2o_socket_t& socket);
     void failHead(const char* fault);
     void didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count);
     void didFailToConnect(h2o_http1client_t& client, const char* error);
@@ -83,6 +88,7 @@
     HttpResult m_result;
     HttpConnectionUse m_use;
     std::string m_held;
+    std::optional<ForeignResponseFilter> m_filter;
     h2o_socket_cb m_headReader { nullptr };
     h2o_socket_cb m_pausedReader { nullptr };
     bool m_mayHaveReachedServer { false };
--- a/lib/Http/RequestFraming.h
+++ b/lib/Http/RequestFraming.h
@@ -70,6 +70,9 @@
     template <typename Sink>
     std::size_t readBody(absl::string_view bytes, Sink&& sink);
 
+    /// Begins a body with \p framing, whose head was read elsewhere.
+    void beginBody(const RequestBodyFraming& framing);
+
     FramingFault fault() const { return m_fault; }
     /// Tells whether the connection began with the preface of HTTP/2, which frames its own messages.
     bool isHttp2() const { return m_state == State::Http2; }
@@ -93,7 +96,6 @@
     std::size_t readChunkLine(absl::string_view bytes);
     void takeChunkLine(absl::string_view line);
     std::size_t fail(FramingFault fault);
-    void beginBody(const RequestBodyFraming& framing);
     void takeData(std::size_t size);
 
     State m_state;
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -530,6 +530,7 @@
         facts.resumeAfter = *m_cursor.lastId();
     m_parts.dialect.writeAttempt(facts, request.headers);
     request.body = m_request.http.body;
+    request.echoedField = m_parts.dialect.attemptIdHeader;
     request.headTimeout = timeLeft() + exchangeMargin;
     request.idleTimeout = request.headTimeout;
     return request;
--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -99,14 +99,18 @@
     attempt.isForThisRequest = attempt.facts.attemptId == m_request.facts.attemptId;
     bool isForeign = !attempt.facts.attemptId.empty() && !attempt.isForThisRequest;
     if (isForeign) {
-        // The answer to this request may come next on the connection, but nothing on
-        // that connection is reliable any more.
+        // The HTTP client passes over such answers where it can tell where they end.
+        attempt.hasForeignAnswer = true;
         attempt.head.reset();
+        attempt.facts = {};
         abandonAttempt("answer_of_another_request");
         return;
     }
-    recordEndpointState(attempt);
-    recordRejectionLimit(attempt);
+    // What an earlier answer said of the endpoint may hold no longer.
+    if (attempt.isForThisRequest) {
+        recordEndpointState(attempt);
+        recordRejectionLimit(attempt);
+    }
     const std::string* type = head.headers.find("content-type");
     bool isSuccess = head.status >= 200 && head.status < 300;
     bool isDeliverable = attempt.facts.isEndpointAnswer && attempt.isForThisRequest && isSuccess;
@@ -207,8 +211,21 @@
         abandonAttempt("answer_buffers_full");
 }
 
+void RoutedRun::recordPassedOver(unsigned answers)
+{
+    m_parts.metrics.count("answers_of_other_requests", answers);
+    if (!m_parts.log.admitsNotable())
+        return;
+    HttpConnectionUse connection = m_attempt->exchange->connection();
+    m_parts.log.write(LogLevel::Warning, "answers_passed_over",
+        { { "request", m_request.facts.attemptId }, { "route", m_route->name }, { "to", m_lastTarget }, { "answers", answers }, { "attempt", m_attemptCount },
+            { "connection", connection.number }, { "connection_earlier_requests", connection.earlierRequests } });
+}
+
 void RoutedRun::onEnd(const HttpResult& result)
 {
+    if (result.passedOverResponses > 0)
+        recordPassedOver(result.passedOverResponses);
     concludeAttempt(result.end, result.mayHaveReachedServer, result.detail);
 }
 
@@ -267,11 +284,11 @@
 }
 
 // Returns whose ID the answer of an attempt bears, for the log.
-static const char* answerIdName(const ResponseFacts& answer, bool hasHead, bool isForThisRequest)
+const char* RoutedRun::answerIdName(const Attempt& attempt)
 {
-    if (!answer.attemptId.empty())
-        return isForThisRequest ? "own" : "other";
-    return hasHead ? "none" : "no_answer";
+    if (!attempt.head)
+        return attempt.hasForeignAnswer ? "other" : "no_answer";
+    return attempt.facts.attemptId.empty() ? "none" : "own";
 }
 
 // An entry that doesn't report its number of attempts may have used all of them.
@@ -305,7 +322,7 @@
     if (attempt.endpoint) {
         if (wasRefused)
             m_parts.endpoints.recordRejection(*attempt.endpoint, now());
-        if (attempt.facts.isOtherIncarnation)
+        if (attempt.facts.isOtherIncarnation && attempt.isForThisRequest)
             m_parts.endpoints.recordLeaving(*attempt.endpoint, now());
         m_parts.endpoints.recordAttemptEnded(*attempt.endpoint, hadNoAnswer, now());
     } else if (hadNoAnswer) {
@@ -329,7 +346,7 @@
         { { "request", m_request.facts.attemptId }, { "fingerprint", attempt.endpoint ? fingerprint().toHex() : "" }, { "segments", attempt.endpoint ? segmentNames() : std::vector<std::string>() }, { "route", m_route->name },
             { "to", m_lastTarget }, { "software_version", m_lastSoftwareVersion }, { "region", attempt.region }, { "why", attempt.why },
             { "verdict", verdictName(verdict) }, { "status", attempt.head ? attempt.head->status : 0 }, { "detail", detail },
-            { "answer_id", answerIdName(attempt.facts, attempt.head.has_value(), attempt.isForThisRequest) }, { "connection", connection.number }, { "connection_earlier_requests", connection.earlierRequests },
+            { "answer_id", answerIdName(attempt) }, { "connection", connection.number }, { "connection_earlier_requests", connection.earlierRequests },
             { "attempt", m_attemptCount }, { "took_ms", std::chrono::duration_cast<milliseconds>(now() - attempt.startedAt).count() } });
 }
 
--- a/lib/Ingress/RoutedRunEnd.cpp
+++ b/lib/Ingress/RoutedRunEnd.cpp
@@ -62,6 +62,8 @@
     bool tellsRetryAfter = (status == statusUnavailable || status == statusTooManyRequests) && !m_omitsRetryAfter;
     if (tellsRetryAfter)
         head.headers.add("retry-after", absl::StrCat(std::chrono::duration<double>(retryAfter()).count()));
+    if (m_request.isForwarded && !m_request.facts.attemptId.empty())
+        head.headers.add(m_parts.dialect.attemptIdHeader, m_request.facts.attemptId);
     if (m_retryAfter && m_request.isForwarded)
         head.headers.add(refusedEverywhereHeader, absl::StrCat(std::chrono::duration<double>(*m_retryAfter).count()));
     if (m_notSentReason && m_request.isForwarded)
--- a/lib/Ingress/RunDecisions.cpp
+++ b/lib/Ingress/RunDecisions.cpp
@@ -19,8 +19,9 @@
         return AttemptVerdict::Unknown;
     if (evidence.reportedOutcome)
         return *evidence.reportedOutcome == Outcome::NotRun ? AttemptVerdict::NotRun : AttemptVerdict::Unknown;
+    // Without the request's ID a refusal may belong to an earlier request on the connection.
     if (evidence.answer.wasNotExecuted)
-        return AttemptVerdict::NotRun;
+        return evidence.isForThisRequest ? AttemptVerdict::NotRun : AttemptVerdict::Unknown;
     bool isComplete = evidence.end == HttpEnd::Complete;
     return isComplete && evidence.answer.isEndpointAnswer && evidence.isForThisRequest ? AttemptVerdict::Answered : AttemptVerdict::Unknown;
 }
--- a/test/soak/copies.py
+++ b/test/soak/copies.py
@@ -19,6 +19,8 @@
         self.random = random
         self.when = random.choice(WHEN)
         self.owed = {}
+        # Connections whose request is being answered. A copy in between would be part of that answer.
+        self.busy = set()
         self.sent = 0
 
     def refuse(self, attempt, refusal, writer):
@@ -26,7 +28,7 @@
         if self.when == "at once":
             self.repeat(refusal, writer)
         elif self.when == "idle":
-            asyncio.get_running_loop().call_later(self.random.uniform(0.001, 0.08), self.repeat, refusal, writer)
+            asyncio.get_running_loop().call_later(self.random.uniform(0.001, 0.08), self.repeat_if_idle, refusal, writer)
         else:
             self.owed.setdefault(writer, []).append((attempt, refusal))
 
@@ -35,6 +37,10 @@
             self.sent += 1
             writer.write(refusal)
 
+    def repeat_if_idle(self, refusal, writer):
+        if writer not in self.busy:
+            self.repeat(refusal, writer)
+
     def before_answer(self, attempt, writer):
         """Sends the copies that come before the answer to this request."""
         later = []
@@ -47,6 +53,7 @@
             self.owed[writer] = later
 
     def forget(self, writer):
+        self.busy.discard(writer)
         self.owed.pop(writer, None)
 
 
--- a/test/soak/endpoint.py
+++ b/test/soak/endpoint.py
@@ -139,7 +139,11 @@
                 body = await wire.read_body(reader, fields)
                 await self.speaks()
                 lives, was_held = await self.partition.passes(writer)
+                if self.copies:
+                    self.copies.busy.add(writer)
                 lives = lives and await self.answer(line, fields, body, writer, was_held)
+                if self.copies:
+                    self.copies.busy.discard(writer)
         finally:
             self.writers.discard(writer)
             if self.copies:
--- a/unittests/Ingress/EntryFleet.cpp
+++ b/unittests/Ingress/EntryFleet.cpp
@@ -106,10 +106,10 @@
         if (isFull)
             m_fleet.reject(endpoint);
         if (isFull || m_fleet.random.unit() < m_fleet.refusedFraction) {
-            m_fleet.scheduler.callAfter(latencyInsideRegion, [this, number, server = request.server, exchange, callbacks, limitText] {
-                FakeHttpAnswer refusal = catkinwing::refusalAnswer();
+            m_fleet.scheduler.callAfter(latencyInsideRegion, [this, number, request, exchange, callbacks, limitText] {
+                FakeHttpAnswer refusal = catkinwing::refusalAnswer(request);
                 addLimits(limitText, refusal.headers);
-                answer(number, server, exchange, callbacks, refusal);
+                answer(number, request.server, exchange, callbacks, refusal);
             });
             return;
         }
--- a/unittests/Ingress/IngressFixture.cpp
+++ b/unittests/Ingress/IngressFixture.cpp
@@ -88,6 +88,7 @@
 {
     Dialect dialect {};
     dialect.layout = { "configuration", "evacuated/", "endpoints/" };
+    dialect.attemptIdHeader = "request-id";
     dialect.readRequest = readTestRequest;
     dialect.writeAttempt = writeTestAttempt;
     dialect.readResponse = readTestAnswer;
@@ -108,11 +109,12 @@
     return answer;
 }
 
-FakeHttpAnswer refusalAnswer()
+FakeHttpAnswer refusalAnswer(const HttpClientRequest& request)
 {
     FakeHttpAnswer answer = FakeHttpAnswer::ok("");
     answer.status = 503;
-    answer.headers = { { "not-run", "1" } };
+    const std::string* id = request.headers.find("request-id");
+    answer.headers = { { "not-run", "1" }, { "request-id", id ? *id : "" } };
     return answer;
 }
 
--- a/unittests/Ingress/IngressFixture.h
+++ b/unittests/Ingress/IngressFixture.h
@@ -14,8 +14,8 @@
 
 /// Returns an endpoint's answer to \p request.
 FakeHttpAnswer endpointAnswer(const HttpClientRequest& request, int status, std::string body);
-/// Returns an endpoint's refusal that states that the request was not executed.
-FakeHttpAnswer refusalAnswer();
+/// Returns an endpoint's refusal that states that \p request was not executed.
+FakeHttpAnswer refusalAnswer(const HttpClientRequest& request);
 /// Returns a complete event stream with the events of \p ids.
 FakeHttpAnswer streamAnswer(const HttpClientRequest& request, const std::vector<int>& ids);
 /// Returns the text of one event of a stream.
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -29,9 +29,9 @@
     return answer;
 }
 
-static FakeHttpAnswer refusing(const HttpClientRequest&)
+static FakeHttpAnswer refusing(const HttpClientRequest& request)
 {
-    return refusalAnswer();
+    return refusalAnswer(request);
 }
 
 TEST_CASE("a request names the incarnation of its endpoint, and the client gets the complete answer")
@@ -178,8 +178,8 @@
     IngressFixture fixture;
     fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
     fixture.addEndpoint("e1");
-    fixture.answers = { [](const HttpClientRequest&) {
-        FakeHttpAnswer answer = FakeHttpAnswer::ok("");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = refusalAnswer(request);
         answer.status = 421;
         return answer;
     } };
@@ -188,6 +188,53 @@
     CHECK(fixture.endpointClient.requests.size() == 1);
 }
 
+// Guards against refusals without an ID: they may belong to an earlier request on the connection,
+// and what they say of the endpoint may hold no longer.
+TEST_CASE("a refusal without the request's ID neither refuses the request nor changes what is known of its endpoint")
+{
+    int status = GENERATE(503, 421);
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.addEndpoint("e2");
+    fixture.answers = { [status](const HttpClientRequest&) {
+        FakeHttpAnswer answer = refusalAnswer({});
+        answer.status = status;
+        answer.headers.add("pause-ms", "6000");
+        answer.headers.add("leaving", "1");
+        answer.headers.add("request-limit", "0.1");
+        answer.headers.add("rejection-limit", "0.1");
+        return answer;
+    } };
+    auto client = fixture.runToEnd();
+    CHECK(client->status() == 502);
+    CHECK(client->outcome() == "unknown");
+    CHECK(fixture.endpointClient.requests.size() == 1);
+    fixture.parts.endpoints.forEach([&](RoutedEndpoint& endpoint) {
+        CHECK(endpoint.pausedUntil == TimePoint {});
+        CHECK_FALSE(endpoint.limit.named.perSecond);
+    });
+    fixture.answers = { succeeding };
+    for (int i = 0; i < 8; ++i)
+        CHECK(fixture.runToEnd()->status() == 200);
+}
+
+// Guards against attempts whose answers the HTTP client can't tell apart.
+TEST_CASE("attempts at endpoints and entries name the field that tells their answers apart, and an entry's own refusal repeats it")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { refusing };
+    auto client = fixture.runToEnd({}, true);
+    REQUIRE(fixture.endpointClient.requests.size() == 1);
+    CHECK(fixture.endpointClient.requests[0].echoedField == "request-id");
+    CHECK(client->outcome() == "not-run");
+    const std::string* id = client->head->headers.find("request-id");
+    REQUIRE(id);
+    CHECK(*id == *fixture.endpointClient.requests[0].headers.find("request-id"));
+}
+
 TEST_CASE("the answer at the route's timeout states whether the request may have run")
 {
     IngressFixture fixture;
@@ -684,9 +731,9 @@
     return answer;
 }
 
-static FakeHttpAnswer pausing(const HttpClientRequest&)
+static FakeHttpAnswer pausing(const HttpClientRequest& request)
 {
-    FakeHttpAnswer answer = refusalAnswer();
+    FakeHttpAnswer answer = refusalAnswer(request);
     answer.headers.add("pause-ms", "6000");
     return answer;
 }
@@ -723,8 +770,8 @@
     fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
     fixture.addEndpoint("e1");
     fixture.addEndpoint("e2");
-    fixture.answers = { [](const HttpClientRequest&) {
-                           FakeHttpAnswer answer = pausing({});
+    fixture.answers = { [](const HttpClientRequest& request) {
+                           FakeHttpAnswer answer = pausing(request);
                            answer.status = 421;
                            return answer;
                        },
--- a/unittests/Ingress/RunDecisionsTest.cpp
+++ b/unittests/Ingress/RunDecisionsTest.cpp
@@ -41,6 +41,15 @@
     CHECK(classifyAttempt(evidence) == AttemptVerdict::Unknown);
 }
 
+// Guards against a refusal without an ID that belongs to an earlier request on the connection.
+TEST_CASE("a refusal that doesn't bear the request's ID proves nothing")
+{
+    AttemptEvidence evidence = completeAnswer();
+    evidence.answer.wasNotExecuted = true;
+    evidence.isForThisRequest = false;
+    CHECK(classifyAttempt(evidence) == AttemptVerdict::Unknown);
+}
+
 TEST_CASE("an outcome stated by another entry takes precedence over the answer itself")
 {
     AttemptEvidence evidence = completeAnswer();
--- a/unittests/Ingress/SilentReplacementTest.cpp
+++ b/unittests/Ingress/SilentReplacementTest.cpp
@@ -18,9 +18,9 @@
     };
 }
 
-static FakeHttpAnswer refusing(const HttpClientRequest&)
+static FakeHttpAnswer refusing(const HttpClientRequest& request)
 {
-    return refusalAnswer();
+    return refusalAnswer(request);
 }
 
 static FakeHttpAnswer unreached(const HttpClientRequest&)
--- a/unittests/Ingress/StreamFleet.cpp
+++ b/unittests/Ingress/StreamFleet.cpp
@@ -56,10 +56,10 @@
         exchange->mayHaveReached = true;
         const std::string* expected = request.headers.find("incarnation");
         if (expected && *expected != endpoint->incarnation) {
-            m_fleet.scheduler.callAfter(latencyInsideRegion, [exchange, callbacks] {
+            m_fleet.scheduler.callAfter(latencyInsideRegion, [exchange, callbacks, id = *request.headers.find("request-id")] {
                 if (exchange->isCancelled)
                     return;
-                callbacks.onHead({ 421, { { "not-run", "1" } } });
+                callbacks.onHead({ 421, { { "not-run", "1" }, { "request-id", id } } });
                 callbacks.onEnd({ HttpEnd::Complete, true, "" });
             });
             return exchange;
--- a/unittests/Ingress/WorkspaceRequestTest.cpp
+++ b/unittests/Ingress/WorkspaceRequestTest.cpp
@@ -11,9 +11,9 @@
     return endpointAnswer(request, 200, "fine");
 }
 
-static FakeHttpAnswer refusing(const HttpClientRequest&)
+static FakeHttpAnswer refusing(const HttpClientRequest& request)
 {
-    return refusalAnswer();
+    return refusalAnswer(request);
 }
 
 static Workspace workspace(std::string name, const std::string& key, std::vector<std::string> homes = {})
