--- a/lib/PlatformStandin/EndpointStandin.cpp
+++ b/lib/PlatformStandin/EndpointStandin.cpp
@@ -129,7 +129,7 @@
 {
     std::string expected = fieldOf(call.request, "Expect-Instance");
     if (!expected.empty() && expected != m_settings.incarnation) {
-        call.responder->send({ statusMisdirected, { { "Instance-Id", m_settings.incarnation } } }, "");
+        call.responder->send({ statusMisdirected, { { std::string(attemptField), fieldOf(call.request, attemptField) }, { "Instance-Id", m_settings.incarnation } } }, "");
         return;
     }
     if (call.leaving) {
