--- a/test/soak/copies.py
+++ b/test/soak/copies.py
@@ -10,6 +10,8 @@
 # the idle connection, or in one piece with the refusal.
 WHEN = ["same", "next", "idle", "at once"]
 REFUSED_SHARE = 0.3
+# Share of the runs in which entries are stopped, killed, frozen and cut off beside it. Answers may be lost there.
+BESIDE_SHARE = 0.5
 
 
 class Copies:
@@ -73,7 +75,7 @@
 
 
 def breaches(requests, by_attempt):
-    """Nothing but copies strikes, so that every request gets its endpoint's answer or a refusal."""
+    """Where nothing but copies strikes, every request gets its endpoint's answer or a refusal."""
     for sent in requests:
         is_answered = sent["status"] in (200, 401, 403, 408, 421, 429, 503) and sent["how"] == str(sent["status"])
         if not is_answered and sent["how"] not in ("left", "cut by the caller"):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -401,7 +401,7 @@
         if self.kind == "silence":
             for rule, what in silence.breaches(self.requests.values(), by_attempt):
                 self.breach(rule, what)
-        if self.kind == "copies":
+        if self.kind == "copies" and not self.faults:
             for rule, what in copies.breaches(self.requests.values(), by_attempt):
                 self.breach(rule, what)
         if self.restores:
@@ -518,12 +518,14 @@
         if self.kind == "copies":
             self.arguments.endpoints = copies.ENDPOINTS
             self.arguments.callers = max(self.arguments.callers, copies.CALLERS)
-            return
+            if fleet.seeded(self.arguments.seed, "beside copies").random() >= copies.BESIDE_SHARE:
+                return
         if self.kind == "restore":
             self.restores = restore.Restores(self, self.arguments.seed)
             self.arguments.seconds = max(self.arguments.seconds, restore.SECONDS)
             return
-        kinds = {"planned": planned, "harsh": harsh, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
+        beside_copies = planned + [self.kill_entry, self.freeze_entry, self.cut_store, self.store_fault, self.strike_series, self.kill_many]
+        kinds = {"planned": planned, "harsh": harsh, "copies": beside_copies, "cuts": [self.cut_endpoints], "prompts": [self.hang_up, self.change]}[self.kind]
         at = 1.0
         while at < self.arguments.seconds - 2:
             self.faults.append((at, self.random.choice(kinds)))
