Leave the space around a request's ID out when answers are told apart

Callers that put space behind an ID waited until their deadline and got 504, though the endpoint had answered: the answer was passed over as another request's.

Cause: h2o takes the space before a field's value away, but not that behind it. ForeignResponseFilter stripped the value in the answer and compared it with the unstripped one of the request. An endpoint that leaves the space out was not understood before either (502).

What is forwarded is unchanged.

PlatformDialectTest has the same for the dialect.

--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -1,6 +1,7 @@
 #include "ClientExchange.h"
 
 #include "ResponseHeadGuard.h"
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 namespace catkinwing {
@@ -41,7 +42,7 @@
         m_connection->addHeadRequest();
     if (!value.empty()) {
         m_connection->addCarried(value);
-        m_filter.emplace(m_request.echoedField, std::move(value), !m_connection->hasCarriedHead());
+        m_filter.emplace(m_request.echoedField, value, !m_connection->hasCarriedHead());
     }
     m_use = m_connection->use();
     enter(Phase::Connecting, m_request.connectTimeout);
@@ -54,9 +55,10 @@
     for (const HttpHeader& field : m_request.headers.fields()) {
         if (m_request.echoedField.empty() || !absl::EqualsIgnoreCase(field.name, m_request.echoedField))
             continue;
-        if (!value.empty() && field.value != value)
+        absl::string_view stated = absl::StripAsciiWhitespace(field.value);
+        if (!value.empty() && stated != value)
             return {};
-        value = field.value;
+        value = std::string(stated);
     }
     return value;
 }
--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -119,9 +119,9 @@
     return length && absl::SimpleAtoi(*length, &framing.length) ? std::optional<RequestBodyFraming>(framing) : std::nullopt;
 }
 
-ForeignResponseFilter::ForeignResponseFilter(std::string field, std::string value, bool mayPassOver)
+ForeignResponseFilter::ForeignResponseFilter(std::string field, absl::string_view value, bool mayPassOver)
     : m_field(std::move(field))
-    , m_value(std::move(value))
+    , m_value(absl::StripAsciiWhitespace(value))
     , m_mayPassOver(mayPassOver)
 {
 }
--- a/lib/Http/ForeignResponseFilter.h
+++ b/lib/Http/ForeignResponseFilter.h
@@ -21,7 +21,7 @@
     };
 
     /// Without \p mayPassOver each response of another request is unreadable.
-    ForeignResponseFilter(std::string field, std::string value, bool mayPassOver);
+    ForeignResponseFilter(std::string field, absl::string_view value, bool mayPassOver);
 
     /// Reads \p input, which is what the last call left and what has come in since. Sets \p passedOver
     /// to the number of bytes at its beginning that belong to other requests.
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -242,3 +242,21 @@
         CHECK(filter.responses() == 2);
     }
 }
+
+// Guards against a request that waits until its deadline, since space behind its value, which isn't
+// part of it, makes its own answer look like another's.
+TEST_CASE("space around a value doesn't make a response another request's")
+{
+    std::string sent = GENERATE(as<std::string>(), "b ", "b\t", "b");
+    std::string repeated = GENERATE(as<std::string>(), "b", "b ", " b");
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, sent));
+    refused.connection->send(answerTo(repeated));
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 200);
+    CHECK(next->result.passedOverResponses == 0);
+    auto again = refused.send(requestWithId(refused, "b"));
+    refused.serve()->send(answerTo("b"));
+    refused.waitForEnd(again);
+    CHECK(again->head.status == 200);
+}
--- a/unittests/Platform/PlatformDialectTest.cpp
+++ b/unittests/Platform/PlatformDialectTest.cpp
@@ -104,6 +104,17 @@
         CHECK_FALSE(pauseOf(503, value));
 }
 
+// Guards against an answer that is taken for another request's since a client puts space behind its
+// ID, which endpoints may leave out when they repeat it.
+TEST_CASE("space around an attempt's ID isn't part of it")
+{
+    Dialect dialect = platformDialect();
+    RequestFacts facts = dialect.readRequest(request({ { "Host", "h" }, { "Attempt-Id", "a2 " }, { "resumes", "a1\t" } }));
+    CHECK(facts.attemptId == "a2");
+    CHECK(facts.resumedAttemptId == "a1");
+    CHECK(dialect.readResponse({ 200, { { "Attempt-Id", " a2\t" } } }).attemptId == "a2");
+}
+
 TEST_CASE("readAnswer reads the request limit that an endpoint names")
 {
     Dialect dialect = platformDialect();
