Don't pass over an answer whose ID is empty

A request whose answer had the field without a value waited until its deadline, as the answer was passed over as another request's. An empty value names no request. It ends the attempt at once again, with an unknown outcome, as an answer without the field does.

Evidence: "a response with an empty value isn't passed over" failed on (no end within the bound) and passes now.

--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -60,7 +60,10 @@
 static bool isOtherValue(absl::string_view line, absl::string_view name, absl::string_view value)
 {
     bool isNamed = line.size() > name.size() && line[name.size()] == ':' && absl::StartsWithIgnoreCase(line, name);
-    return isNamed && absl::StripAsciiWhitespace(line.substr(name.size() + 1)) != value;
+    if (!isNamed)
+        return false;
+    absl::string_view repeated = absl::StripAsciiWhitespace(line.substr(name.size() + 1));
+    return !repeated.empty() && repeated != value;
 }
 
 // Finds the head at the beginning of input; nothing if it isn't whole. Most responses aren't foreign,
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -260,3 +260,14 @@
     refused.waitForEnd(again);
     CHECK(again->head.status == 200);
 }
+
+// Guards against a request that waits until its deadline for an answer that has come without a value.
+TEST_CASE("a response with an empty value isn't passed over")
+{
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, "b"));
+    refused.connection->send("HTTP/1.1 503 Full\r\nrequest-id:\r\ncontent-length: 4\r\n\r\nfull");
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 503);
+    CHECK(next->result.passedOverResponses == 0);
+}
