Tell a response's request by its final head alone

An interim head with another request's ID, in one read with the answer that was due, took that answer away with it, and its request waited until its deadline. In two reads the answer was taken, as h2o had removed the interim head by then. So the judgement depended on how the input was divided.

Now the fields of the final head decide, which is also the one whose framing is read.

--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -77,6 +77,7 @@
     while (takeLine(rest, line)) {
         if (isStatusLine) {
             head.status = statusOf(line);
+            head.isForeign = false;
             head.fields = input.size() - rest.size();
         }
         isStatusLine = line.empty();
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -271,3 +271,22 @@
     CHECK(next->head.status == 503);
     CHECK(next->result.passedOverResponses == 0);
 }
+
+// Guards against an answer that is lost together with another request's interim head.
+TEST_CASE("the value in an interim head doesn't make the response behind it another request's")
+{
+    bool isAtOnce = GENERATE(true, false);
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, "b"));
+    std::string interim = "HTTP/1.1 102 Processing\r\nrequest-id: a\r\n\r\n";
+    if (isAtOnce) {
+        refused.connection->send(interim + answerTo("b"));
+    } else {
+        refused.connection->send(interim);
+        runFor(refused.loop, 5ms);
+        refused.connection->send(answerTo("b"));
+    }
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 200);
+    CHECK(next->body == "for-b!");
+}
