Don't keep the connection of a request without an ID, or with two

A request without an ID, or with two different ones, got a connection of its own, but the connection was kept, and the IDs were not noted as carried. Without an ID, a copied refusal ended the next request's attempt, whose own answer came right behind it.

Such connections now end with their request. They were new for each such request already, so it costs later requests a connection at most.

Evidence: "the connection of a request with no value or with two carries no other request" failed without the change (no new connection, in both cases) and passes now.

--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -38,6 +38,9 @@
     std::string value = echoedValue();
     bool lacksValue = !m_request.echoedField.empty() && value.empty();
     m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection || lacksValue, value);
+    // A copy of its response could be taken for the response to any later request.
+    if (lacksValue)
+        m_connection->spoil();
     if (m_request.method == "HEAD")
         m_connection->addHeadRequest();
     if (!value.empty()) {
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -290,3 +290,32 @@
     CHECK(next->head.status == 200);
     CHECK(next->body == "for-b!");
 }
+
+// Guards against a copied refusal of a request with two values, or with none, that is taken for the
+// answer to a later request on its connection.
+TEST_CASE("the connection of a request with no value or with two carries no other request")
+{
+    RefusedRequest refused;
+    HttpClientRequest request = requestFor(refused.server.address());
+    request.echoedField = "request-id";
+    std::string repeated;
+    if (GENERATE(true, false)) {
+        request.headers.add("request-id", "b");
+        request.headers.add("Request-Id", "c");
+        repeated = "request-id: b\r\n";
+    }
+    std::string refusal = "HTTP/1.1 503 Full\r\n" + repeated + "content-length: 4\r\n\r\nfull";
+    auto first = refused.send(request);
+    auto own = refused.serve();
+    own->send(refusal);
+    refused.waitForEnd(first);
+    CHECK(first->head.status == 503);
+    own->clear();
+    refused.connection->close();
+    auto later = refused.send(requestWithId(refused, "b"));
+    auto other = refused.serve();
+    other->send(answerTo("b"));
+    refused.waitForEnd(later);
+    CHECK(later->head.status == 200);
+    CHECK(own->received().empty());
+}
