--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -1,6 +1,7 @@
 #include "ClientExchange.h"
 
 #include "ResponseHeadGuard.h"
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 namespace catkinwing {
@@ -37,11 +38,14 @@
     std::string value = echoedValue();
     bool lacksValue = !m_request.echoedField.empty() && value.empty();
     m_connection = m_core->take(m_request.server, *bytes, m_request.freshConnection || lacksValue, value);
+    // A copy of its response could be taken for the response to any later request.
+    if (lacksValue)
+        m_connection->spoil();
     if (m_request.method == "HEAD")
         m_connection->addHeadRequest();
     if (!value.empty()) {
         m_connection->addCarried(value);
-        m_filter.emplace(m_request.echoedField, std::move(value), !m_connection->hasCarriedHead());
+        m_filter.emplace(m_request.echoedField, value, !m_connection->hasCarriedHead());
     }
     m_use = m_connection->use();
     enter(Phase::Connecting, m_request.connectTimeout);
@@ -54,9 +58,10 @@
     for (const HttpHeader& field : m_request.headers.fields()) {
         if (m_request.echoedField.empty() || !absl::EqualsIgnoreCase(field.name, m_request.echoedField))
             continue;
-        if (!value.empty() && field.value != value)
+        absl::string_view stated = absl::StripAsciiWhitespace(field.value);
+        if (!value.empty() && stated != value)
             return {};
-        value = field.value;
+        value = std::string(stated);
     }
     return value;
 }
--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -60,7 +60,10 @@
 static bool isOtherValue(absl::string_view line, absl::string_view name, absl::string_view value)
 {
     bool isNamed = line.size() > name.size() && line[name.size()] == ':' && absl::StartsWithIgnoreCase(line, name);
-    return isNamed && absl::StripAsciiWhitespace(line.substr(name.size() + 1)) != value;
+    if (!isNamed)
+        return false;
+    absl::string_view repeated = absl::StripAsciiWhitespace(line.substr(name.size() + 1));
+    return !repeated.empty() && repeated != value;
 }
 
 // Finds the head at the beginning of input; nothing if it isn't whole. Most responses aren't foreign,
@@ -74,6 +77,7 @@
     while (takeLine(rest, line)) {
         if (isStatusLine) {
             head.status = statusOf(line);
+            head.isForeign = false;
             head.fields = input.size() - rest.size();
         }
         isStatusLine = line.empty();
@@ -119,9 +123,9 @@
     return length && absl::SimpleAtoi(*length, &framing.length) ? std::optional<RequestBodyFraming>(framing) : std::nullopt;
 }
 
-ForeignResponseFilter::ForeignResponseFilter(std::string field, std::string value, bool mayPassOver)
+ForeignResponseFilter::ForeignResponseFilter(std::string field, absl::string_view value, bool mayPassOver)
     : m_field(std::move(field))
-    , m_value(std::move(value))
+    , m_value(absl::StripAsciiWhitespace(value))
     , m_mayPassOver(mayPassOver)
 {
 }
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -242,3 +242,80 @@
         CHECK(filter.responses() == 2);
     }
 }
+
+// Guards against a request that waits until its deadline, since space behind its value, which isn't
+// part of it, makes its own answer look like another's.
+TEST_CASE("space around a value doesn't make a response another request's")
+{
+    std::string sent = GENERATE(as<std::string>(), "b ", "b\t", "b");
+    std::string repeated = GENERATE(as<std::string>(), "b", "b ", " b");
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, sent));
+    refused.connection->send(answerTo(repeated));
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 200);
+    CHECK(next->result.passedOverResponses == 0);
+    auto again = refused.send(requestWithId(refused, "b"));
+    refused.serve()->send(answerTo("b"));
+    refused.waitForEnd(again);
+    CHECK(again->head.status == 200);
+}
+
+// Guards against a request that waits until its deadline for an answer that has come without a value.
+TEST_CASE("a response with an empty value isn't passed over")
+{
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, "b"));
+    refused.connection->send("HTTP/1.1 503 Full\r\nrequest-id:\r\ncontent-length: 4\r\n\r\nfull");
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 503);
+    CHECK(next->result.passedOverResponses == 0);
+}
+
+// Guards against an answer that is lost together with another request's interim head.
+TEST_CASE("the value in an interim head doesn't make the response behind it another request's")
+{
+    bool isAtOnce = GENERATE(true, false);
+    RefusedRequest refused;
+    auto next = refused.sendOnSame(requestWithId(refused, "b"));
+    std::string interim = "HTTP/1.1 102 Processing\r\nrequest-id: a\r\n\r\n";
+    if (isAtOnce) {
+        refused.connection->send(interim + answerTo("b"));
+    } else {
+        refused.connection->send(interim);
+        runFor(refused.loop, 5ms);
+        refused.connection->send(answerTo("b"));
+    }
+    refused.waitForEnd(next);
+    CHECK(next->head.status == 200);
+    CHECK(next->body == "for-b!");
+}
+
+// Guards against a copied refusal of a request with two values, or with none, that is taken for the
+// answer to a later request on its connection.
+TEST_CASE("the connection of a request with no value or with two carries no other request")
+{
+    RefusedRequest refused;
+    HttpClientRequest request = requestFor(refused.server.address());
+    request.echoedField = "request-id";
+    std::string repeated;
+    if (GENERATE(true, false)) {
+        request.headers.add("request-id", "b");
+        request.headers.add("Request-Id", "c");
+        repeated = "request-id: b\r\n";
+    }
+    std::string refusal = "HTTP/1.1 503 Full\r\n" + repeated + "content-length: 4\r\n\r\nfull";
+    auto first = refused.send(request);
+    auto own = refused.serve();
+    own->send(refusal);
+    refused.waitForEnd(first);
+    CHECK(first->head.status == 503);
+    own->clear();
+    refused.connection->close();
+    auto later = refused.send(requestWithId(refused, "b"));
+    auto other = refused.serve();
+    other->send(answerTo("b"));
+    refused.waitForEnd(later);
+    CHECK(later->head.status == 200);
+    CHECK(own->received().empty());
+}
