Give up interim responses that never end

A faulty server could send interim responses (1xx) for as long as the head may take. Each is short, so the bound on a head never applied: h2o drops an interim response as soon as it is whole. The client read them at the speed of the loopback, at the expense of all other requests on the loop.

The client now counts all bytes that come before the end of the head, and ends the exchange as malformed beyond the bound of a head.

--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -96,11 +96,15 @@
 {
     auto* client = static_cast<h2o_http1client_t*>(socket->data);
     auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    self->m_headBytes += error ? 0 : socket->bytes_read;
     const char* fault = error ? nullptr : responseHeadFault({ socket->input->bytes, socket->input->size });
     if (fault)
-        self->failHead(fault);
-    else
-        self->m_headReader(socket, error);
+        return self->failHead(fault);
+    self->m_headReader(socket, error);
+    // h2o drops interim responses as they come, so that the input alone doesn't show how many came.
+    bool isAwaiting = self->m_phase == Phase::AwaitingHead && self->m_client;
+    if (isAwaiting && self->m_headBytes > maxResponseHeadBytes)
+        self->failHead("interim responses too long");
 }
 
 void ClientExchange::failHead(const char* fault)
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -82,6 +82,8 @@
     HttpResult m_result;
     std::string m_held;
     h2o_socket_cb m_headReader { nullptr };
+    /// Bytes received before the end of the head.
+    std::size_t m_headBytes { 0 };
     h2o_socket_cb m_pausedReader { nullptr };
     bool m_mayHaveReachedServer { false };
     bool m_isInClient { false };
--- a/lib/Http/ResponseHeadGuard.cpp
+++ b/lib/Http/ResponseHeadGuard.cpp
@@ -7,8 +7,6 @@
 
 namespace catkinwing {
 
-// h2o 2.2.5 itself sets no bound to a response's head.
-static constexpr std::size_t maxHeadBytes = 256u << 10;
 // More digits might not fit the type of a size.
 static constexpr std::size_t maxLengthDigits = 18;
 
@@ -73,7 +71,8 @@
         if (const char* fault = lineFault(line))
             return fault;
     }
-    return size > maxHeadBytes ? "head too long" : nullptr;
+    // h2o 2.2.5 itself sets no bound to a response's head.
+    return size > maxResponseHeadBytes ? "head too long" : nullptr;
 }
 
 } // namespace catkinwing
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -192,6 +192,31 @@
     CHECK(recorded->body == "ok");
 }
 
+// Guards against interim responses without end, each of which is short enough.
+TEST_CASE("interim responses without end are given up")
+{
+    ScriptedServer scripted;
+    HttpClientRequest request = requestFor(scripted.server.address());
+    request.headTimeout = 10s;
+    auto recorded = scripted.send(request);
+    auto connection = scripted.serve();
+    std::string hints;
+    for (int i = 0; i < 100; ++i)
+        hints += "HTTP/1.1 103 Early Hints\r\nx: " + std::string(100, 'x') + "\r\n\r\n";
+    std::size_t sent = 0;
+    TimePoint start = scripted.clock.now();
+    CHECK(runUntil(
+        scripted.loop, [&] {
+            sent += recorded->hasEnded() ? 0 : connection->sendSome(absl::string_view(hints).substr(sent % hints.size()));
+            return recorded->hasEnded();
+        },
+        3s));
+    INFO(sent << " bytes sent in " << std::chrono::duration<double>(scripted.clock.now() - start).count() << " s");
+    CHECK(recorded->result.end == HttpEnd::Malformed);
+    CHECK(recorded->heads == 0);
+    CHECK(sent < 16u << 20);
+}
+
 TEST_CASE("the wait for the head and for more of the body are bounded")
 {
     ScriptedServer scripted;
