Give up answers of which the gateway can use nothing more

A faulty engine or service could send bytes without end that belong to no answer. The gateway kept none of them, but read them until the request's deadline: the caller of a broken stream and that of a failure waited so long, and a stream that was whole failed at the deadline if more bytes came after its terminal event. A failure's body was kept up to 64 KiB, and the cut body was handed on as if it were whole.

RequestRun ignored bytes that it couldn't use instead of ending the attempt. Now a broken stream and a failure of more than 64 KiB end the attempt as malformed, and bytes after the terminal event end it as whole.

--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -81,7 +81,10 @@
 
     void onHead(AttemptId id, const HttpResponseHead& head);
     void onBody(AttemptId id, absl::string_view bytes);
+    void onEvents(AttemptId id, absl::string_view bytes);
     void onEnd(AttemptId id, const HttpResult& result);
+    /// Ends an attempt of which nothing more can be used.
+    void stopReading(AttemptId id, HttpEnd end, const char* reason);
     bool offer(AttemptId id);
     void noteFirstToken(Attempt& attempt);
     void deliver(Attempt& attempt, std::string bytes);
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -16,7 +16,7 @@
 /// Answers up to this size are held until they are whole, so that one that is
 /// cut can be asked for again.
 static constexpr std::size_t maxHeldAnswer = 256u << 10;
-/// Bytes kept of a refusal's body.
+/// Longest body of a failure. It is kept until the attempt has ended.
 static constexpr std::size_t maxRefusalBody = 64u << 10;
 /// Header by which an endpoint that refuses says that it is leaving.
 static constexpr const char* endpointStateHeader = "Catkinwing-State";
@@ -240,18 +240,13 @@
 {
     Attempt& attempt = m_attemptData.at(id);
     if (!attempt.isDeliverable) {
-        std::size_t room = maxRefusalBody - std::min(maxRefusalBody, attempt.buffered.size());
-        attempt.buffered.append(bytes.data(), std::min(bytes.size(), room));
+        attempt.buffered.append(bytes.data(), bytes.size());
+        if (attempt.buffered.size() > maxRefusalBody)
+            stopReading(id, HttpEnd::Malformed, "failure too long");
         return;
     }
     if (attempt.isEventStream) {
-        if (!offer(id))
-            return;
-        std::string events = m_splicer.feed(bytes);
-        if (events.empty())
-            return;
-        noteFirstToken(attempt);
-        deliver(attempt, std::move(events));
+        onEvents(id, bytes);
         return;
     }
     attempt.buffered.append(bytes.data(), bytes.size());
@@ -264,6 +259,33 @@
     attempt.buffered.clear();
 }
 
+// What follows the terminal event belongs to no answer, and a broken stream can't go on.
+void RequestRun::onEvents(AttemptId id, absl::string_view bytes)
+{
+    if (!offer(id))
+        return;
+    if (m_splicer.state() == SseState::Complete) {
+        stopReading(id, HttpEnd::Complete, "bytes after the terminal event");
+        return;
+    }
+    Attempt& attempt = m_attemptData.at(id);
+    std::string events = m_splicer.feed(bytes);
+    if (!events.empty()) {
+        noteFirstToken(attempt);
+        deliver(attempt, std::move(events));
+    }
+    if (m_splicer.state() == SseState::Broken)
+        stopReading(id, HttpEnd::Malformed, "not an event stream");
+}
+
+void RequestRun::stopReading(AttemptId id, HttpEnd end, const char* reason)
+{
+    if (m_phase == Phase::Done)
+        return;
+    m_attemptData.at(id).exchange->cancel();
+    onEnd(id, { end, true, reason });
+}
+
 void RequestRun::deliver(Attempt& attempt, std::string bytes)
 {
     if (!m_answer.hasHead())
