--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -3,6 +3,7 @@
 #include "ResponseHeadGuard.h"
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <algorithm>
 
 namespace catkinwing {
 
@@ -135,10 +136,12 @@
 {
     using Verdict = ForeignResponseFilter::Verdict;
     Verdict verdict = Verdict::Pass;
+    m_headBytes += socket.bytes_read;
     if (m_filter) {
         std::size_t passedOver = 0;
         verdict = m_filter->read({ socket.input->bytes, socket.input->size }, passedOver);
         h2o_buffer_consume(&socket.input, passedOver);
+        m_headBytes -= std::min(m_headBytes, passedOver);
         if (m_filter->responses() > 0)
             m_connection->spoil();
     }
@@ -149,6 +152,10 @@
     if (const char* fault = responseHeadFault({ socket.input->bytes, socket.input->size }))
         return failHead(fault);
     m_headReader(&socket, nullptr);
+    // h2o drops interim responses as they come, so that the input alone doesn't show how many came.
+    bool isAwaiting = m_phase == Phase::AwaitingHead && m_client;
+    if (isAwaiting && m_headBytes > maxResponseHeadBytes)
+        failHead("interim responses too long");
 }
 
 void ClientExchange::failHead(const char* fault)
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -90,6 +90,8 @@
     std::string m_held;
     std::optional<ForeignResponseFilter> m_filter;
     h2o_socket_cb m_headReader { nullptr };
+    /// Bytes received before the end of the head, without those of other requests.
+    std::size_t m_headBytes { 0 };
     h2o_socket_cb m_pausedReader { nullptr };
     bool m_mayHaveReachedServer { false };
     bool m_isInClient { false };
