Remove entries' headers from the answers of endpoints

An entry that forwards a request takes headers such as catkinwing-outcome and catkinwing-refused-everywhere in the answer as the statement of the other entry, whatever the status. The other entry passed on all headers of an endpoint's answer, so an endpoint that sets one of them could have a request that has run refused with 503, or sent again.

Such headers are removed from an endpoint's answer when its head is read, as they are from client requests.

Evidence: "an endpoint's answer doesn't state an outcome to the entry that forwarded the request" failed without the change (all three headers came through) and passes now.

--- a/lib/Ingress/RoutedRunAnswers.cpp
+++ b/lib/Ingress/RoutedRunAnswers.cpp
@@ -31,6 +31,12 @@
     return text ? parseOutcome(*text) : absl::nullopt;
 }
 
+static void removeEntryHeaders(HttpHeaders& headers)
+{
+    for (const char* name : { unframedAnswerHeader, streamBuildHeader, notSentHeader, endpointAttemptsHeader, outcomeHeader, refusedEverywhereHeader })
+        headers.remove(name);
+}
+
 // Reads the headers that are meant for this entry and removes them from the answer
 // for the client.
 void RoutedRun::extractEntryHeaders(Attempt& attempt)
@@ -54,12 +60,7 @@
     if (streamBuild && absl::SimpleHexAtoi(*streamBuild, &build) && build != uncertainBuild)
         attempt.build = build;
     attempt.isUnframed = headers.find(unframedAnswerHeader) != nullptr;
-    headers.remove(unframedAnswerHeader);
-    headers.remove(streamBuildHeader);
-    headers.remove(notSentHeader);
-    headers.remove(endpointAttemptsHeader);
-    headers.remove(outcomeHeader);
-    headers.remove(refusedEverywhereHeader);
+    removeEntryHeaders(headers);
 }
 
 void RoutedRun::recordEndpointActivity(const Attempt& attempt) const
@@ -93,8 +94,11 @@
     attempt.facts = m_parts.dialect.readResponse(head);
     if (attempt.target == AttemptTarget::Entry)
         extractEntryHeaders(attempt);
-    else
+    else {
+        // The entry that forwarded the request would take them for this entry's.
+        removeEntryHeaders(attempt.head->headers);
         attempt.isUnframed = endsWithConnection(head);
+    }
     m_isAnswerUnframed = attempt.isUnframed;
     attempt.isForThisRequest = attempt.facts.attemptId == m_request.facts.attemptId;
     bool isForeign = !attempt.facts.attemptId.empty() && !attempt.isForThisRequest;
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -235,6 +235,26 @@
     CHECK(*id == *fixture.endpointClient.requests[0].headers.find("request-id"));
 }
 
+// Guards against a forwarded request that has run and is refused or sent again, since its endpoint's
+// answer bears headers by which entries state that a request hasn't run.
+TEST_CASE("an endpoint's answer doesn't state an outcome to the entry that forwarded the request")
+{
+    IngressFixture fixture;
+    fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+    fixture.addEndpoint("e1");
+    fixture.answers = { [](const HttpClientRequest& request) {
+        FakeHttpAnswer answer = succeeding(request);
+        answer.headers.add(outcomeHeader, "not-run");
+        answer.headers.add(refusedEverywhereHeader, "3");
+        answer.headers.add(notSentHeader, notSentCutOff);
+        return answer;
+    } };
+    auto client = fixture.runToEnd({}, true);
+    CHECK(client->status() == 200);
+    for (const char* name : { outcomeHeader, refusedEverywhereHeader, notSentHeader })
+        CHECK_FALSE(client->head->headers.find(name));
+}
+
 TEST_CASE("the answer at the route's timeout states whether the request may have run")
 {
     IngressFixture fixture;
