Pass over no answer whose head h2o would refuse

An answer to another request was passed over by a length that no number is ("+4") or that may be another's ("content-length : 4" beside a length of 0). h2o refuses both, and which bytes the server takes for the body isn't certain, so a part of that body could be read as the answer that is due.

Such heads are judged by responseHeadFault(), as those that go to h2o are, and names have to be names; the outcome stays unknown.

Evidence: both cases, added to "an answer to another request whose end isn't certain ends the exchange", failed without the change (the exchange completed) and pass now. The added 204 with a body passed before.

--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -1,6 +1,8 @@
 #include "ForeignResponseFilter.h"
 
 #include "ClientMessage.h"
+#include "HeaderSyntax.h"
+#include "ResponseHeadGuard.h"
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -89,7 +91,7 @@
     return std::nullopt;
 }
 
-// Names are in lower case, as framingFault() needs them; a folded line gets none.
+// Names are in lower case, as framingFault() needs them; what isn't a field gets none.
 static HttpResponseHead parseHead(absl::string_view input, const HeadRange& range)
 {
     HttpResponseHead head;
@@ -98,7 +100,7 @@
     absl::string_view line;
     while (takeLine(fields, line) && !line.empty()) {
         std::size_t colon = line.find(':');
-        bool isField = colon != absl::string_view::npos && !absl::ascii_isspace(static_cast<unsigned char>(line.front()));
+        bool isField = colon != absl::string_view::npos && isFieldName(line.substr(0, colon));
         if (isField)
             head.headers.add(absl::AsciiStrToLower(line.substr(0, colon)), std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))));
         else
@@ -148,7 +150,8 @@
         if (!head || !head->isForeign)
             return Verdict::Pass;
         std::optional<RequestBodyFraming> framing = framingOfBody(parseHead(input, *head));
-        if (++m_responses > maxResponses || !m_mayPassOver || !framing)
+        bool isFaulty = !framing || responseHeadFault(input.substr(0, head->bytes));
+        if (++m_responses > maxResponses || !m_mayPassOver || isFaulty)
             return Verdict::Unreadable;
         m_body.beginBody(*framing);
         input.remove_prefix(head->bytes);
