Don't keep a connection after a failure that nothing tells from later answers

Callers of the gateway were told 503 and `not-run`, with a time to return, for requests that an engine or a service ran. The store's client took writes that were made as refused, and keys that exist as absent.

Cause: a server may send a refusal a second time where the next answer on the connection is due. Engines, services and the store repeat no ID, and the HTTP client kept connections after refusals, so the copy was taken for the answer to the next request, whichever that was.

The client keeps a connection after a success (2xx), and after another response only if that bears the echoed field of its request. It holds without knowing when copies come or what a status means, for every call of both programs, and no caller has to ask for it. It costs one connection for each failure without an ID. Requests that may not be repeated had one of their own already. Endpoints of the routed path repeat the ID, so their refusals cost none.

--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -107,7 +107,7 @@
     std::shared_ptr<TlsContext> tls;
 };
 
-/// Sends HTTP/1.1 requests over pooled connections.
+/// Sends HTTP/1.1 over pooled connections, kept after a failure only if that bears the echoed field.
 class HttpClient {
 public:
     virtual ~HttpClient() = default;
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -179,6 +179,19 @@
     return nullptr;
 }
 
+static bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+// Responses with another value have been passed over.
+bool ClientExchange::bearsEchoedField(const HttpResponseHead& head) const
+{
+    return m_filter && head.headers.find(m_request.echoedField);
+}
+
+// A server may send a failure once more where the next response is due, at any time as long as the
+// connection lasts. Where nothing tells the two apart, a request that runs would be taken as refused.
 bool ClientExchange::didGetHead(h2o_http1client_t&, int status, const h2o_header_t* fields, std::size_t fieldCount)
 {
     HttpResponseHead head = makeResponseHead(status, fields, fieldCount);
@@ -187,6 +200,8 @@
         end(HttpEnd::Malformed, fault);
         return false;
     }
+    if (!isSuccess(status) && !bearsEchoedField(head))
+        m_connection->spoil();
     m_framing = framingOf(head);
     enter(Phase::InBody, m_request.idleTimeout);
     auto callbacks = m_callbacks;
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -45,6 +45,8 @@
     void connect();
     /// Returns the value that tells the response apart; empty if nothing does.
     std::string echoedValue() const;
+    /// Tells whether the response is known to be the one to this request.
+    bool bearsEchoedField(const HttpResponseHead& head) const;
     /// Comes between the socket and h2o once the request is out; returns true then.
     bool guardHead();
     void readHead(h2o_socket_t& socket);
--- a/unittests/Gateway/BrokerFixture.cpp
+++ b/unittests/Gateway/BrokerFixture.cpp
@@ -2,8 +2,8 @@
 
 namespace catkinwing {
 
-BrokerFixture::BrokerFixture()
-    : broker({ scheduler, random, endpointClient, peerClient, endpoints, remoteCells, metrics, serviceLevels, { "entry", { 1, 2 } }, "north", "north-a" })
+BrokerFixture::BrokerFixture(HttpClient* realClient)
+    : broker({ scheduler, random, realClient ? *realClient : endpointClient, peerClient, endpoints, remoteCells, metrics, serviceLevels, { "entry", { 1, 2 } }, "north", "north-a" })
 {
     endpointClient.handler = [this](const HttpClientRequest& request) { return answer(request); };
     peerClient.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false); };
--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -12,7 +12,8 @@
 /// A broker over fakes: one zone with engines and a plain service.
 class BrokerFixture {
 public:
-    BrokerFixture();
+    /// Endpoints are called by \p realClient, if any, and by the fake otherwise.
+    explicit BrokerFixture(HttpClient* realClient = nullptr);
 
     /// Puts the documents in force; the team may use \p regions only, if any.
     void configure(const std::vector<std::string>& regions = {});
--- a/unittests/Http/HttpClientPoolTest.cpp
+++ b/unittests/Http/HttpClientPoolTest.cpp
@@ -2,6 +2,7 @@
 
 #include "ScriptedServer.h"
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <set>
 
 using namespace catkinwing;
@@ -43,6 +44,40 @@
     CHECK(connection->receiveToEnd(scripted.loop));
 }
 
+// Guards against the copy of a failure that comes late, in the place of the next response, and is
+// taken for the response to a request that runs.
+TEST_CASE("a connection isn't kept after a failure that nothing tells from a later response")
+{
+    ScriptedServer scripted;
+    std::string status = GENERATE(as<std::string>(), "503 Full", "429 Slow", "421 Moved", "412 Changed", "404 None", "500 Fault", "307 There");
+    std::string body = GENERATE(as<std::string>(), "", "full");
+    std::string failure = absl::StrCat("HTTP/1.1 ", status, "\r\ncontent-length: ", body.size(), "\r\n\r\n", body);
+    INFO(failure);
+    auto first = scripted.send();
+    auto connection = scripted.serve();
+    connection->send(failure);
+    scripted.waitForEnd(first);
+    CHECK(first->result.end == HttpEnd::Complete);
+    CHECK(first->body == body);
+    connection->clear();
+    auto second = scripted.send("/second");
+    std::unique_ptr<RawConnection> other;
+    REQUIRE(runUntil(scripted.loop, [&] {
+        other = scripted.server.accept();
+        connection->receive();
+        return other || !connection->received().empty();
+    }));
+    if (!other)
+        connection->send(failure);
+    REQUIRE(other);
+    REQUIRE(other->receiveUntil(scripted.loop, "\r\n\r\n"));
+    other->send("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood");
+    scripted.waitForEnd(second);
+    CHECK(second->head.status == 200);
+    CHECK(second->body == "good");
+    CHECK(connection->receiveToEnd(scripted.loop));
+}
+
 TEST_CASE("an idle connection that the server closed is not used")
 {
     ScriptedServer scripted;
--- /dev/null
+++ b/unittests/Platform/CopiedResponseTest.cpp
@@ -0,0 +1,83 @@
+// Tests the store's client on connections on which responses come twice.
+#include "Http/ScriptedServer.h"
+#include "platform/PlatformStore.h"
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <optional>
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+static std::string responseOf(int status, const std::string& body)
+{
+    return absl::StrCat("HTTP/1.1 ", status, " Status\r\ncontent-length: ", body.size(), "\r\n\r\n", body);
+}
+
+namespace {
+
+/// A store whose responses a test writes, and its client.
+struct ScriptedStore : ScriptedServer {
+    std::optional<SwapResult>& swap(const std::string& key)
+    {
+        swapped.reset();
+        store.compareAndSwap(key, 0, "v", 1, [this](SwapResult result) { swapped = result; });
+        return swapped;
+    }
+    std::optional<absl::StatusOr<StoredValue>>& read(const std::string& key)
+    {
+        got.reset();
+        store.get(key, [this](const absl::StatusOr<StoredValue>& value) { got = value; });
+        return got;
+    }
+    /// Waits for a call and responds; on a connection that was used before, \p copy comes first.
+    template <typename Result>
+    void respond(const std::optional<Result>& result, const std::string& response, const std::string& copy = {})
+    {
+        std::size_t used = connections.size();
+        std::size_t called = 0;
+        REQUIRE(runUntil(loop, [&] {
+            if (auto accepted = server.accept())
+                connections.push_back(std::move(accepted));
+            for (called = 0; called < connections.size(); ++called) {
+                connections[called]->receive();
+                if (absl::StrContains(connections[called]->received(), "\r\n\r\n"))
+                    return true;
+            }
+            return false;
+        }));
+        connections[called]->clear();
+        connections[called]->send(called < used ? copy + response : response);
+        REQUIRE(runUntil(loop, [&] { return result.has_value(); }));
+    }
+
+    PlatformStore store { *client, loop, { server.address() }, [](const char*) {} };
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    std::optional<SwapResult> swapped;
+    std::optional<absl::StatusOr<StoredValue>> got;
+};
+
+} // namespace
+
+// Guards against a write that is taken as refused although the store has made it.
+TEST_CASE("a copy of a refused write isn't taken for the response to the next write")
+{
+    ScriptedStore scripted;
+    std::string refusal = responseOf(GENERATE(503, 429, 412, 404), R"({"items":[]})");
+    scripted.respond(scripted.swap("a"), refusal);
+    CHECK(scripted.swapped->outcome != SwapOutcome::Committed);
+    scripted.respond(scripted.swap("b"), responseOf(200, R"({"revision":9})"), refusal);
+    CHECK(scripted.swapped->outcome == SwapOutcome::Committed);
+    CHECK(scripted.swapped->revision == 9);
+}
+
+// Guards against a key that is taken as absent although the store has it.
+TEST_CASE("a copy of a response that a key is absent isn't taken for the response for another key")
+{
+    ScriptedStore scripted;
+    std::string absent = responseOf(404, "{}");
+    scripted.respond(scripted.read("a"), absent);
+    scripted.respond(scripted.read("b"), responseOf(200, R"({"key":"b","value":"dg==","revision":7})"), absent);
+    REQUIRE(scripted.got->ok());
+    CHECK((*scripted.got)->revision == 7);
+}
