Read past an entry's answers to other requests in the gateway's forwards

Nothing told which request an answer on a connection between entries belonged to, though entries repeat the request's ID in all answers to forwards. No copy between entries has been seen: an entry answers once, and builds its refusals itself, so that a copy an endpoint sends isn't passed on.

A forward names the field, so the HTTP client passes over answers with another ID, sends an ID once at most on a connection, and keeps connections after refusals.

--- a/lib/Gateway/AttemptRequest.cpp
+++ b/lib/Gateway/AttemptRequest.cpp
@@ -56,6 +56,7 @@
 {
     HttpClientRequest sent = commonRequest(request, context);
     sent.server = target.peerAddress;
+    sent.echoedField = requestIdHeader;
     sent.target = absl::StrCat(peerForwardPrefix, request.http.path);
     if (!request.http.query.empty())
         absl::StrAppend(&sent.target, "?", request.http.query);
--- a/unittests/Gateway/CopiedRefusalTest.cpp
+++ b/unittests/Gateway/CopiedRefusalTest.cpp
@@ -1,5 +1,6 @@
 #include "../Http/ScriptedServer.h"
 #include "BrokerFixture.h"
+#include "catkinwing/Gateway/AttemptRequest.h"
 #include <absl/strings/match.h>
 
 using namespace catkinwing;
@@ -113,3 +114,14 @@
     }
     CHECK(endpoint.connections == 1);
 }
+
+// Guards against an entry's answer to another request that is taken for the answer to this one.
+TEST_CASE("a forward names the ID that entries repeat in their answers")
+{
+    AcceptedRequest request;
+    request.id = "r1";
+    HttpClientRequest forward = forwardRequest(request, {}, { 0, 0, 1s, { "entry", { 1, 2 } }, "north-a", {} });
+    const std::string* id = forward.headers.find(forward.echoedField);
+    REQUIRE(id);
+    CHECK(*id == "r1");
+}
