Hold less of each answer while an entry's buffers are overfull

Many faulty endpoints of one service that each send some 300 KiB and then nothing more could fill an entry's memory, which has some 100 MB for everything: while the buffers were full, each answer of less than a 64th of them (384 KiB) was still held, however many there were.

--- a/include/catkinwing/Dispatch/AnswerBuffers.h
+++ b/include/catkinwing/Dispatch/AnswerBuffers.h
@@ -15,7 +15,8 @@
 
     std::size_t used() const { return m_used; }
     /// Returns whether an answer of \p bytes may be held. While the buffers are full, only answers
-    /// that are small against the capacity may: endless ones are given up first.
+    /// that are small against the capacity may, and the fuller they are, the smaller: endless ones
+    /// are given up first.
     bool mayHold(std::size_t bytes) const;
     /// Returns how many bytes may wait for one slow client before reading from its endpoint pauses;
     /// at most \p usual.
--- a/unittests/Ingress/EndlessAnswerTest.cpp
+++ b/unittests/Ingress/EndlessAnswerTest.cpp
@@ -87,3 +87,31 @@
     fixture.scheduler.advance(20s);
     CHECK(fixture.parts.answerBuffers.used() == 0);
 }
+
+// Guards against answers of many endpoints that are short enough one by one and fill the memory
+// together.
+TEST_CASE("many answers of some 300 KiB that don't end don't fill an entry's memory")
+{
+    for (bool isForwarded : { false, true }) {
+        IngressFixture fixture;
+        fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent, 1));
+        for (int i = 0; i < 40; ++i)
+            fixture.addEndpoint("e" + std::to_string(i));
+        fixture.answers = { [](const HttpClientRequest& request) {
+            FakeHttpAnswer answer = endpointAnswer(request, 200, isEndless(request) ? std::string(300u << 10, 'x') : "ok");
+            answer.isLeftOpen = isEndless(request);
+            return answer;
+        } };
+        for (int i = 0; i < 400; ++i)
+            fixture.start({ { "endless", "1" } }, isForwarded);
+        fixture.scheduler.advance(50ms);
+        CAPTURE(isForwarded);
+        CHECK(fixture.endpointClient.requests.size() == 400);
+        CHECK(fixture.parts.answerBuffers.used() < 40u << 20);
+        auto other = fixture.start({}, isForwarded);
+        fixture.scheduler.advance(50ms);
+        CHECK(other->status() == 200);
+        fixture.scheduler.advance(20s);
+        CHECK(fixture.parts.answerBuffers.used() == 0);
+    }
+}
