Bound and count what the gateway keeps of answers

The gateway held up to 256 KiB of each engine's answer, and up to 1 MiB of an event that had begun, without a bound for all of them, and limits.maximumMemoryMegabytes did not count them. Many engines that begin answers and don't end them could fill its memory. They now share buffers of 24 MiB as in an entry of the routed path and are counted among what is held for clients. While the buffers are full, a long answer is handed on before it is whole, and a stream whose event is too long breaks off.

--- a/include/catkinwing/Dispatch/SseSplicer.h
+++ b/include/catkinwing/Dispatch/SseSplicer.h
@@ -66,6 +66,8 @@
     std::string endAttempt(bool isWhole);
 
     SseState state() const { return m_state; }
+    /// Returns the number of bytes kept of the event that has begun.
+    std::size_t partialBytes() const { return m_partial.size(); }
     /// Number of events handed on; the number to resume from.
     std::uint64_t deliveredEvents() const { return m_summary.events; }
     std::uint64_t deliveredBytes() const { return m_deliveredBytes; }
--- a/include/catkinwing/Gateway/RequestBroker.h
+++ b/include/catkinwing/Gateway/RequestBroker.h
@@ -3,10 +3,12 @@
 #include "catkinwing/Admission/AdmissionController.h"
 #include "catkinwing/Admission/OutputEstimator.h"
 #include "catkinwing/Admission/RetryBudget.h"
+#include "catkinwing/Dispatch/AnswerBuffers.h"
 #include "catkinwing/Gateway/AcceptedRequest.h"
 #include "catkinwing/Gateway/AnswerWriter.h"
 #include "catkinwing/Gateway/EndpointRegistry.h"
 #include "catkinwing/Gateway/RemoteCells.h"
+#include "catkinwing/Http/ClientMemory.h"
 #include "catkinwing/Http/HttpClient.h"
 #include "catkinwing/Membership/CrashSuspectTable.h"
 #include "catkinwing/PeerProtocol/PeerIdentity.h"
@@ -36,6 +38,8 @@
     EntryRef self;
     std::string region;
     std::string zone;
+    /// Counts what is kept of answers; null if nothing does.
+    std::shared_ptr<ClientMemory> clientMemory {};
 };
 
 /// Runs the requests of a daemon: admits them, starts them as slots become
@@ -69,6 +73,7 @@
     AdmissionController& admission() { return m_admission; }
     const AdmissionController& admission() const { return m_admission; }
     const BrokerParts& parts() const { return m_parts; }
+    const AnswerBuffers& answerBuffers() const { return m_answerBuffers; }
 
     /// Called with the tokens that a model call of this entry has cost.
     std::function<void(const AcceptedRequest&, double tokens)> onServed;
@@ -103,6 +108,8 @@
     RetryPolicy m_retryPolicy;
     HedgePolicy m_hedgePolicy;
     std::map<std::string, LatencyQuantiles> m_firstTokenTimes;
+    /// Bytes of answers that are held until they are whole.
+    AnswerBuffers m_answerBuffers { 24u << 20 };
     std::map<RequestId, std::shared_ptr<RequestRun>> m_runs;
     std::map<std::string, std::size_t> m_queuedByModel;
     RequestId m_lastId { 0 };
--- a/include/catkinwing/Gateway/RequestRun.h
+++ b/include/catkinwing/Gateway/RequestRun.h
@@ -54,6 +54,8 @@
         bool isHeld { false };
         /// Body that is not, or not yet, handed on.
         std::string buffered;
+        std::unique_ptr<BufferedBytes> bufferedBytes;
+        std::unique_ptr<HeldBytes> heldBytes;
         TimePoint startedAt;
         std::optional<TimePoint> firstTokenAt;
         /// Of the endpoint's start.
@@ -82,6 +84,8 @@
     void onHead(AttemptId id, const HttpResponseHead& head);
     void onBody(AttemptId id, absl::string_view bytes);
     void onEvents(AttemptId id, absl::string_view bytes);
+    /// Records how many bytes are kept for the attempt. Returns whether they may be kept.
+    bool mayKeep(const Attempt& attempt, std::size_t bytes) const;
     void onEnd(AttemptId id, const HttpResult& result);
     /// Ends an attempt of which nothing more can be used.
     void stopReading(AttemptId id, HttpEnd end, const char* reason);
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -226,7 +226,7 @@
     , endpoints(settings.name, settings.region, settings.availabilityZone, random)
     , remoteCells(settings.region, settings.availabilityZone, random)
     , poller(settings.name, endpoints, endpointHttp, loop)
-    , broker({ loop, random, endpointHttp, peerHttp, endpoints, remoteCells, metrics, serviceLevels, membership.self().ref, settings.region, settings.availabilityZone })
+    , broker({ loop, random, endpointHttp, peerHttp, endpoints, remoteCells, metrics, serviceLevels, membership.self().ref, settings.region, settings.availabilityZone, clientMemory })
     , entries(membership.self())
     , claimForwarder(link, entries, loop)
     , keyed(
--- a/lib/Gateway/RequestRun.cpp
+++ b/lib/Gateway/RequestRun.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace catkinwing {
 
@@ -192,6 +193,8 @@
     callbacks.onHead = [self, id](const HttpResponseHead& head) { self->onHead(id, head); };
     callbacks.onBody = [self, id](absl::string_view bytes) { self->onBody(id, bytes); };
     callbacks.onEnd = [self, id](const HttpResult& result) { self->onEnd(id, result); };
+    attempt.bufferedBytes = std::make_unique<BufferedBytes>(m_broker.m_answerBuffers);
+    attempt.heldBytes = std::make_unique<HeldBytes>(m_broker.m_parts.clientMemory, HeldFor::Answer);
     attempt.exchange = client.send(std::move(request), std::move(callbacks));
 }
 
@@ -241,7 +244,7 @@
     Attempt& attempt = m_attemptData.at(id);
     if (!attempt.isDeliverable) {
         attempt.buffered.append(bytes.data(), bytes.size());
-        if (attempt.buffered.size() > maxRefusalBody)
+        if (!mayKeep(attempt, attempt.buffered.size()) || attempt.buffered.size() > maxRefusalBody)
             stopReading(id, HttpEnd::Malformed, "failure too long");
         return;
     }
@@ -250,13 +253,14 @@
         return;
     }
     attempt.buffered.append(bytes.data(), bytes.size());
-    if (attempt.isHeld && attempt.buffered.size() <= maxHeldAnswer && !m_answer.hasHead())
+    bool mayHold = mayKeep(attempt, attempt.buffered.size()) && attempt.buffered.size() <= maxHeldAnswer;
+    if (attempt.isHeld && mayHold && !m_answer.hasHead())
         return;
     if (!offer(id))
         return;
     noteFirstToken(attempt);
-    deliver(attempt, std::move(attempt.buffered));
-    attempt.buffered.clear();
+    mayKeep(attempt, 0);
+    deliver(attempt, std::exchange(attempt.buffered, {}));
 }
 
 // What follows the terminal event belongs to no answer, and a broken stream can't go on.
@@ -274,14 +278,21 @@
         noteFirstToken(attempt);
         deliver(attempt, std::move(events));
     }
-    if (m_splicer.state() == SseState::Broken)
+    if (m_phase == Phase::Done)
+        return;
+    if (!mayKeep(attempt, m_splicer.partialBytes()) || m_splicer.state() == SseState::Broken)
         stopReading(id, HttpEnd::Malformed, "not an event stream");
 }
 
+bool RequestRun::mayKeep(const Attempt& attempt, std::size_t bytes) const
+{
+    attempt.bufferedBytes->set(bytes);
+    attempt.heldBytes->set(bytes);
+    return m_broker.m_answerBuffers.mayHold(bytes);
+}
+
 void RequestRun::stopReading(AttemptId id, HttpEnd end, const char* reason)
 {
-    if (m_phase == Phase::Done)
-        return;
     m_attemptData.at(id).exchange->cancel();
     onEnd(id, { end, true, reason });
 }
@@ -349,6 +360,8 @@
     if (attempt.hasEnded)
         return;
     attempt.hasEnded = true;
+    if (attempt.isEventStream)
+        mayKeep(attempt, 0);
     if (attempt.forward) {
         m_broker.m_parts.remoteCells.noteEnded(*attempt.forward);
         return;
--- a/unittests/Gateway/BrokerFixture.cpp
+++ b/unittests/Gateway/BrokerFixture.cpp
@@ -2,8 +2,9 @@
 
 namespace catkinwing {
 
-BrokerFixture::BrokerFixture()
+BrokerFixture::BrokerFixture(int slotsOfEngines)
     : broker({ scheduler, random, endpointClient, peerClient, endpoints, remoteCells, metrics, serviceLevels, { "entry", { 1, 2 } }, "north", "north-a" })
+    , m_slotsOfEngines(slotsOfEngines)
 {
     endpointClient.handler = [this](const HttpClientRequest& request) { return answer(request); };
     peerClient.handler = [](const HttpClientRequest&) { return FakeHttpAnswer::failed(HttpEnd::ConnectFailed, false); };
@@ -47,6 +48,7 @@
         { "services", { { { "name", "bookings" }, { "idempotentMethods", { "GET" } } } } },
         { "classes", { { { "name", "short" }, { "timeout", "5s" }, { "shortRequest", true } } } },
         { "defaultClass", "short" },
+        { "limits", { { "maximumPerCaller", 1000 } } },
     };
     if (!regions.empty())
         team["residency"] = { { "regions", regions } };
@@ -73,8 +75,11 @@
     service["service"] = "bookings";
     nlohmann::json list = nlohmann::json::array();
     for (const nlohmann::json& candidate : { engine("engine-1", "127.0.0.1:1001"), engine("engine-2", "127.0.0.1:1002"), service }) {
-        if (candidate["name"] != withoutEndpoint)
-            list.push_back(candidate);
+        if (candidate["name"] == withoutEndpoint)
+            continue;
+        list.push_back(candidate);
+        if (candidate["kind"] == "engine")
+            list.back()["slots"] = m_slotsOfEngines;
     }
     offer({ DocumentKind::Region, "north" }, { { "availabilityZones", { { { "name", "north-a" } } } }, { "endpoints", list } });
 }
--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -12,7 +12,7 @@
 /// A broker over fakes: one zone with engines and a plain service.
 class BrokerFixture {
 public:
-    BrokerFixture();
+    explicit BrokerFixture(int slotsOfEngines = 2);
 
     /// Puts the documents in force; the team may use \p regions only, if any.
     void configure(const std::vector<std::string>& regions = {});
@@ -40,6 +40,7 @@
     std::int64_t revision { 0 };
 
 private:
+    int m_slotsOfEngines;
     void offer(const DocumentPath& path, const nlohmann::json& document);
     void offerRegion(const std::string& withoutEndpoint);
     void apply();
--- a/unittests/Gateway/EndlessAnswerTest.cpp
+++ b/unittests/Gateway/EndlessAnswerTest.cpp
@@ -67,3 +67,31 @@
         CHECK(fixture.endpointClient.exchanges.front()->isCancelled);
     }
 }
+
+// Guards against answers of many engines that fill the memory together, none of them too long.
+TEST_CASE("many answers that don't end at once are held within the buffers for answers")
+{
+    // Half as much again as the buffers hold, and one answer.
+    constexpr std::size_t maxUsed = (36u << 20) + (256u << 10);
+    constexpr std::size_t oneAnswer = 250u << 10;
+    for (const HttpHeaders& headers : { HttpHeaders(), eventStream }) {
+        BrokerFixture fixture(200);
+        FakeHttpAnswer unfinished = FakeHttpAnswer::ok(std::string(oneAnswer, 'x'));
+        unfinished.headers = headers;
+        unfinished.isLeftOpen = true;
+        fixture.answers.resize(250, unfinished);
+        for (int i = 0; i < 250; ++i)
+            fixture.run(BrokerFixture::chat(false));
+        fixture.scheduler.advance(100ms);
+        CAPTURE(headers.fields().size(), fixture.endpointClient.requests.size());
+        CHECK(fixture.endpointClient.requests.size() == 250);
+        CHECK(fixture.broker.answerBuffers().used() <= maxUsed);
+        fixture.answers.clear();
+        auto other = fixture.run(BrokerFixture::chat(false));
+        fixture.scheduler.advance(100ms);
+        // Engines whose streams broke take no requests for a while.
+        CHECK((other->status() == 200 || headers.find("Content-Type")));
+        fixture.scheduler.advance(10s);
+        CHECK(fixture.broker.answerBuffers().used() == 0);
+    }
+}
