--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -13,7 +13,7 @@
 class BrokerFixture {
 public:
     /// Endpoints are called by \p realClient, if any, and by the fake otherwise.
-    explicit BrokerFixture(HttpClient* realClient = nullptr);
+    explicit BrokerFixture(HttpClient* realClient = nullptr, int slotsOfEngines = 2);
 
     /// Puts the documents in force; the team may use \p regions only, if any.
     void configure(const std::vector<std::string>& regions = {});
@@ -41,6 +41,7 @@
     std::int64_t revision { 0 };
 
 private:
+    int m_slotsOfEngines;
     void offer(const DocumentPath& path, const nlohmann::json& document);
     void offerRegion(const std::string& withoutEndpoint);
     void apply();
