--- a/unittests/Http/HttpClientPoolTest.cpp
+++ b/unittests/Http/HttpClientPoolTest.cpp
@@ -1,5 +1,6 @@
 #include "catkinwing/Http/HttpClient.h"
 
+#include "EventLoopImpl.h"
 #include "ScriptedServer.h"
 #include <absl/strings/match.h>
 #include <set>
@@ -151,3 +152,23 @@
     REQUIRE(runUntil(loop, [&] { return server->openConnections() == 0; }));
     CHECK((clock.now() - start < Duration(150ms)) == isForgotten);
 }
+
+// Guards against callbacks of a client's socket that h2o has freed.
+TEST_CASE("a request that is sent and cancelled in one loop callback leaves no pending socket")
+{
+    ScriptedServer scripted;
+    auto first = scripted.send();
+    auto connection = scripted.serve();
+    connection->send(okEmpty);
+    scripted.waitForEnd(first);
+    bool wasPending = false;
+    bool isPending = true;
+    scripted.loop.callAfter(0ms, [&] {
+        scripted.send("/second")->exchange->cancel();
+        wasPending = scripted.loop.impl().hasPendingSockets();
+    });
+    runUntil(scripted.loop, [&] { isPending = scripted.loop.impl().hasPendingSockets(); return wasPending; });
+    CHECK(wasPending);
+    CHECK_FALSE(isPending);
+    CHECK(connection->receiveToEnd(scripted.loop));
+}
