Answer what a stopping entry can't finish at the end of its stop

In the first three seconds of a planned stop an entry accepts every request, whatever its deadline. At the end of the stop it cut those that were still open, without an answer, among them requests that may not be repeated and those that other entries had forwarded to it.

The end of the stop now bounds the deadline of requests that come after its beginning: endpoints are told so, and what isn't done by then is answered 504, outcome unknown, or 503 if it reached no endpoint. The process stays for another 100 ms of the 400 ms that it has left, so that these answers go out. No request is accepted at or after the end of the stop.

The new test, for clients and forwards, failed before: no answer at the end of the stop. It passes now, as do "a stopping entry accepts later requests only if their deadline is before its end" and ServedPathTest's drain test. Not shown with processes.

--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -23,6 +23,8 @@
 /// Draining ends this long before the drain timeout, at which the platform kills
 /// the process.
 static constexpr milliseconds drainMargin { 400 };
+/// Requests that aren't done by the end of draining are answered in this time after it.
+static constexpr milliseconds finalAnswerTime { 100 };
 static constexpr milliseconds drainCheckInterval { 50 };
 static constexpr milliseconds houseKeepingInterval { 250 };
 /// A longer time between two rounds of housekeeping means that the process was
@@ -318,7 +320,7 @@
     }
     bool isQuiet = loop.clock().now() - lastRequestAt >= drainQuietDuration || hasStoppedListening;
     bool mayEnd = isQuiet && passed >= std::min<Duration>(minDrainDuration, ingress.drainTimeout / 2);
-    bool mustEnd = loop.clock().now() >= parts.plannedStop->abortAt;
+    bool mustEnd = loop.clock().now() >= parts.plannedStop->abortAt + finalAnswerTime;
     // A request has ended when its answer is whole here, which slow clients haven't read by then.
     std::size_t unsentAnswers = clientServer->unsentAnswers() + peerServer->unsentAnswers();
     if (mustEnd || (mayEnd && parts.openRequestCount == 0 && unsentAnswers == 0)) {
--- a/lib/Ingress/RoutedRun.cpp
+++ b/lib/Ingress/RoutedRun.cpp
@@ -119,6 +119,9 @@
         sendOwnAnswer(statusUnavailable, Outcome::NotRun, "stopping");
         return;
     }
+    // What isn't done by then is answered, since the process ends.
+    if (m_parts.plannedStop)
+        m_deadline = std::min(m_deadline, m_parts.plannedStop->abortAt);
     if (!m_bufferedRequest.reserve(m_request.http.body.size())) {
         m_parts.metrics.count("refused_request_buffers");
         sendOwnAnswer(statusUnavailable, Outcome::NotRun, "request_buffers_full");
@@ -142,7 +145,9 @@
 bool RoutedRun::canRunBeforeStop() const
 {
     const std::optional<PlannedStop>& stop = m_parts.plannedStop;
-    return !stop || m_request.arrivedAt - stop->startedAt <= acceptAllWhileStopping || m_deadline <= stop->abortAt;
+    if (!stop || m_deadline <= stop->abortAt)
+        return true;
+    return m_request.arrivedAt - stop->startedAt <= acceptAllWhileStopping && now() < stop->abortAt;
 }
 
 // The last segment belongs to the request itself or to its session and isn't shared.
--- a/unittests/Ingress/RoutedRunTest.cpp
+++ b/unittests/Ingress/RoutedRunTest.cpp
@@ -230,6 +230,31 @@
     CHECK(fixture.endpointClient.requests.size() == 3);
 }
 
+// Guards against requests that are passed on late in a planned stop and cut with no answer at its
+// end, taken from clients or from other entries.
+TEST_CASE("a request that a stopping entry accepted is answered at the end of the stop at the latest")
+{
+    for (bool isForwarded : { false, true }) {
+        IngressFixture fixture;
+        fixture.configure(IngressFixture::unaryRoute(RequestKind::NonIdempotent));
+        fixture.addEndpoint("e1");
+        fixture.answers = { [](const HttpClientRequest&) {
+            FakeHttpAnswer silent = FakeHttpAnswer::failed(HttpEnd::Complete, true);
+            silent.isLeftOpen = true;
+            return silent;
+        } };
+        TimePoint now = fixture.scheduler.clock().now();
+        fixture.parts.plannedStop = PlannedStop { now - 1s, now + 500ms };
+        auto client = fixture.start({}, isForwarded);
+        fixture.scheduler.advance(500ms);
+        CAPTURE(isForwarded);
+        CHECK(fixture.endpointClient.requests.size() == 1);
+        CHECK(client->status() == 504);
+        CHECK(client->outcome() == "unknown");
+        CHECK(fixture.sentHeader(0, "time-left") == "490");
+    }
+}
+
 TEST_CASE("a request bound to another region goes to an entry there whose registration has been removed")
 {
     IngressFixture fixture;
