Let another entry confirm the only version of a service

An entry that is cut off from the store and the other entries concludes for up to three seconds the only version that it knew. Streams may begin at a new version sooner than others allow for: at once, where no endpoint of the old one takes requests in a region. A client that took such a stream up at the entry that was cut off was sent on to an endpoint of the old version.

An entry asks the holders of a stream anyway, but took silence, and replies of entries that know of another version, for agreement. Now one reply has to conclude the same version, unless there is no entry to ask. An entry whose neighbors can't tell waits 150 ms for those of other regions instead of 40 ms.

The new test failed before both where none answers and where those that answer know of another version.

--- a/include/catkinwing/Ingress/StreamOriginExchange.h
+++ b/include/catkinwing/Ingress/StreamOriginExchange.h
@@ -76,6 +76,8 @@
         std::optional<BuildId> known;
         /// The only version that the service has had, by the replies.
         BuildId sole { uncertainBuild };
+        /// Another entry concludes the same version as this one, or there is none to ask.
+        bool isConfirmed { false };
         TimerId timer { 0 };
     };
     struct Candidate {
@@ -91,6 +93,8 @@
     std::vector<SocketAddress> holders(const RequestFingerprint& stream, const std::vector<std::string>& allowed, std::size_t otherRegions) const;
     void answerAsk(const SocketAddress& from, const StreamOriginMessage& ask);
     void handleReply(const StreamOriginMessage& reply);
+    /// Concludes if the version is confirmed. Otherwise waits for \p left.
+    void stopWaiting(std::uint32_t id, std::chrono::milliseconds left);
     void conclude(std::uint32_t id);
 
     const EndpointTable& m_endpoints;
--- a/lib/Ingress/StreamOriginExchange.cpp
+++ b/lib/Ingress/StreamOriginExchange.cpp
@@ -21,7 +21,7 @@
 /// Entries of other regions are some 55 ms away.
 static constexpr milliseconds replyTimeout { 150 };
 /// Entries of this region are a few milliseconds away. An entry that can conclude the version
-/// waits no longer for others to know better.
+/// waits no longer for others to know better, once one has confirmed it.
 static constexpr milliseconds replyTimeoutIfConcluded { 40 };
 /// Retention of the streams that endpoints have begun. A later start of an endpoint is known
 /// within this time, unless the store is silent.
@@ -159,16 +159,28 @@
         ++m_totals.asked;
     }
     bool isComplete = pending.awaited == 0;
+    pending.isConfirmed = isComplete;
     milliseconds timeout = m_endpoints.soleVersion(service, now()) ? replyTimeoutIfConcluded : replyTimeout;
     if (!isComplete)
-        pending.timer = m_scheduler.callAfter(timeout, [this, id] { conclude(id); });
+        pending.timer = m_scheduler.callAfter(timeout, [this, id, left = replyTimeout - timeout] { stopWaiting(id, left); });
     m_pendingAsks.emplace(id, std::move(pending));
     if (isComplete)
         conclude(id);
 }
 
+// Entries of this region may all be unable to confirm the version, such as after a restart.
+void StreamOriginExchange::stopWaiting(std::uint32_t id, milliseconds left)
+{
+    PendingAsk& pending = m_pendingAsks.at(id);
+    if (pending.isConfirmed || left == milliseconds::zero())
+        conclude(id);
+    else
+        pending.timer = m_scheduler.callAfter(left, [this, id] { conclude(id); });
+}
+
 // What is stated of the stream goes before what can be concluded from the versions of the
-// service.
+// service. An entry that is out of touch may conclude a version from what it knew before, while
+// streams begin at a new one, so another entry has to confirm it, if there is any.
 void StreamOriginExchange::conclude(std::uint32_t id)
 {
     auto found = m_pendingAsks.find(id);
@@ -181,10 +193,11 @@
         pending.done(build);
         return;
     }
-    if (!build)
-        build = m_endpoints.soleVersion(pending.service, now());
-    if (!build && pending.sole != uncertainBuild)
-        build = pending.sole;
+    if (!build) {
+        std::optional<BuildId> own = m_endpoints.soleVersion(pending.service, now());
+        if (own ? pending.isConfirmed : pending.sole != uncertainBuild)
+            build = own ? own : pending.sole;
+    }
     bool isConcluded = build && *build != uncertainBuild;
     ++(isConcluded ? m_totals.concluded : m_totals.unknown);
     pending.done(isConcluded ? build : std::nullopt);
@@ -222,8 +235,10 @@
     --pending.awaited;
     if (reply.isKnown)
         pending.known = reply.rows.front().build;
-    else if (reply.soleBuild != uncertainBuild)
+    else if (reply.soleBuild != uncertainBuild) {
         pending.sole = reply.soleBuild;
+        pending.isConfirmed = pending.isConfirmed || reply.soleBuild == m_endpoints.soleVersion(pending.service, now());
+    }
     if (pending.known || pending.awaited == 0)
         conclude(reply.id);
 }
--- a/unittests/Ingress/StreamOriginExchangeTest.cpp
+++ b/unittests/Ingress/StreamOriginExchangeTest.cpp
@@ -250,6 +250,40 @@
     }
 }
 
+// Guards against an entry that is cut off from the store and the other entries during a release and
+// concludes the version that it knows for a stream that has begun at a new one.
+TEST_CASE("an entry that no other one confirms concludes no version")
+{
+    Entries fleet(2, 3);
+    for (const auto& entry : fleet.entries)
+        entry->endpoints.recordFirstStart();
+    fleet.putEndpoint("old", "v1");
+    fleet.scheduler.advance(200s);
+    BuildId old = buildIdOf("service", "v1");
+    CHECK(fleet.resolve(0, 1) == old);
+    EndpointRecord joining;
+    joining.incarnation = "new";
+    joining.service = "service";
+    joining.softwareVersion = "v2";
+    joining.availabilityZone = "zone-0";
+    for (std::size_t entry = 1; entry < fleet.entries.size(); ++entry)
+        fleet.entries[entry]->endpoints.put(joining, fleet.scheduler.clock().now());
+    SECTION("none answers")
+    {
+        fleet.lost = { 1 };
+        fleet.state(1, 1, buildIdOf("service", "v2"));
+        CHECK(fleet.resolve(0, 1) == std::nullopt);
+    }
+    SECTION("those that answer know of another version")
+    {
+        fleet.lost = { 1 };
+        fleet.state(1, 1, buildIdOf("service", "v2"));
+        fleet.lost.clear();
+        for (std::uint32_t stream = 2; stream < 20; ++stream)
+            CHECK(fleet.resolve(0, stream) == std::nullopt);
+    }
+}
+
 TEST_CASE("messages of senders that aren't entries are ignored")
 {
     Entries fleet(1, 3);
