--- a/unittests/Platform/CopiedResponseTest.cpp
+++ b/unittests/Platform/CopiedResponseTest.cpp
@@ -81,3 +81,25 @@
     REQUIRE(scripted.got->ok());
     CHECK((*scripted.got)->revision == 7);
 }
+
+// Guards against a write that is taken as made although the store has refused it.
+TEST_CASE("a copy of the response to a write isn't taken for the response to the next write")
+{
+    ScriptedStore scripted;
+    std::string success = responseOf(200, R"({"revision":9})");
+    scripted.respond(scripted.swap("a"), success);
+    CHECK(scripted.swapped->outcome == SwapOutcome::Committed);
+    scripted.respond(scripted.swap("b"), responseOf(412, R"({"items":[]})"), success);
+    CHECK(scripted.swapped->outcome == SwapOutcome::Unknown);
+}
+
+// Guards against one key's value that is taken for another's.
+TEST_CASE("a copy of one key's value isn't taken for the value of another key")
+{
+    ScriptedStore scripted;
+    std::string value = responseOf(200, R"({"key":"a","value":"dg==","revision":7})");
+    scripted.respond(scripted.read("a"), value);
+    REQUIRE(scripted.got->ok());
+    scripted.respond(scripted.read("b"), responseOf(200, R"({"key":"b","value":"dw==","revision":8})"), value);
+    CHECK_FALSE(scripted.got->ok());
+}
