Take the kept answer of a keyed request whatever ID it bears

A repeat of a keyed request at another entry than the one that ran it got 409 `answer_not_kept`, though the answer was kept.

Cause: since forwards name the field that tells answers apart, the entry that asks for a kept answer passed it over as another request's, as it bears the ID of the request that was run. The question now goes out on a connection of its own and names no field, so that nothing earlier can come on it, also from entries of earlier releases.

e2e_test.py, "repeats get the first answer from any entry" and "the store away", failed on with nothing else running and pass now, with the 19 others.

--- a/lib/Gateway/KeyedRequests.cpp
+++ b/lib/Gateway/KeyedRequests.cpp
@@ -228,7 +228,11 @@
         passed.headers.set(requestIdHeader, requestId);
         responder->send(passed, std::move(body));
     };
-    sendForWhole(parts.peerClient, forwardRequest(repeat, *target, context), largestAnswer, std::move(done));
+    HttpClientRequest question = forwardRequest(repeat, *target, context);
+    // A kept answer bears the ID of the request that was run.
+    question.echoedField.clear();
+    question.freshConnection = true;
+    sendForWhole(parts.peerClient, std::move(question), largestAnswer, std::move(done));
 }
 
 } // namespace catkinwing
