Treat an answer whose status line isn't valid as broken

Cause: h2o takes any three digits for a status, and the check of heads before it let every status line through. Readers behind it test a status by its upper or lower bound only, so that 0 counted as an answer and 600 as a failure of the endpoint with an answer.

Change: responseHeadFault() reads the status line of each head, interim ones included, and refuses what isn't HTTP/1 with a status from 100 to 599 (RFC 9110, 15). ForeignResponseFilter, which had a parser of its own, uses the same one. All calls of the daemon, the tools and the stand-ins go through HttpClient, so that no other reader gets such a status.

Evidence: with the check of the line taken out, on one entry all of 000, 099, 600 and 999 reached clients, at /alone/ and /events/. Through a second entry 600 and 999 did, while 000 and 099 became 502, since the first entry can't read "HTTP/1.1 0 Status" either; it then took the second entry for failing and refused sound requests with 503: most of the 36 failures at /paired/, where 94 checks of BrokenAnswerTest failed in all. That explains the 502 among the answers of 000 and 099 where both paths are used. The tests of the client (2 of 5 cases), the store's client (1 of 1) and the gateway (1 of 1) failed too.

Why it works: an exchange with such a head ends as Malformed, like any head that isn't HTTP: a request that may be repeated goes to another endpoint, another one gets 502, a write at the store has an unknown outcome.

Result: the same tests pass; HttpTests, GatewayTests and PlatformTests pass.

--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -20,8 +20,8 @@
     /// The connection ended before the head of the response, or while the
     /// request was still going out.
     NoResponse,
-    /// The head, or the body's framing, is not HTTP; also a request that isn't,
-    /// which is not sent.
+    /// The head, or the body's framing, is not HTTP, or the status is beyond 599 or below 100; also a
+    /// request that isn't HTTP, which is not sent.
     Malformed,
     /// The body ended before its announced length or last chunk.
     Truncated,
--- a/lib/Http/ForeignResponseFilter.cpp
+++ b/lib/Http/ForeignResponseFilter.cpp
@@ -7,7 +7,6 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/strip.h>
-#include <optional>
 #include <utility>
 
 namespace catkinwing {
@@ -16,8 +15,6 @@
 static constexpr unsigned maxResponses = 16;
 static constexpr std::size_t maxBytes = 1u << 20;
 
-static constexpr int firstInterimStatus = 100;
-static constexpr int statusSwitchingProtocols = 101;
 static constexpr int firstFinalStatus = 200;
 static constexpr int statusNoContent = 204;
 static constexpr int statusNotModified = 304;
@@ -32,20 +29,6 @@
     return true;
 }
 
-static int statusOf(absl::string_view line)
-{
-    std::size_t space = line.find(' ');
-    int status = 0;
-    if (space == absl::string_view::npos || !absl::SimpleAtoi(line.substr(space + 1, 3), &status))
-        return 0;
-    return status;
-}
-
-static bool isInterim(int status)
-{
-    return status >= firstInterimStatus && status < firstFinalStatus && status != statusSwitchingProtocols;
-}
-
 namespace {
 
     /// The head of a response, with the interim ones before it.
@@ -78,14 +61,14 @@
     bool isStatusLine = true;
     while (takeLine(rest, line)) {
         if (isStatusLine) {
-            head.status = statusOf(line);
+            head.status = parseStatusLine(line).value_or(0);
             head.isForeign = false;
             head.fields = input.size() - rest.size();
         }
         isStatusLine = line.empty();
         head.isForeign = head.isForeign || isOtherValue(line, name, value);
         head.bytes = input.size() - rest.size();
-        if (line.empty() && !isInterim(head.status))
+        if (line.empty() && !isInterimStatus(head.status))
             return head;
     }
     return std::nullopt;
--- a/lib/Http/ResponseHeadGuard.cpp
+++ b/lib/Http/ResponseHeadGuard.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/strip.h>
 #include <algorithm>
 
@@ -10,10 +11,20 @@
 // More digits might not fit the type of a size.
 static constexpr std::size_t maxLengthDigits = 18;
 
+// A status beyond these has no class, and so no meaning (RFC 9110, section 15).
+static constexpr int firstStatus = 100;
+static constexpr int lastStatus = 599;
+static constexpr int statusSwitchingProtocols = 101;
+static constexpr int firstFinalStatus = 200;
+
+static bool isDigit(char c)
+{
+    return absl::ascii_isdigit(static_cast<unsigned char>(c));
+}
+
 static bool isLength(absl::string_view value)
 {
-    return !value.empty() && value.size() <= maxLengthDigits
-        && std::all_of(value.begin(), value.end(), [](unsigned char c) { return absl::ascii_isdigit(c); });
+    return !value.empty() && value.size() <= maxLengthDigits && std::all_of(value.begin(), value.end(), isDigit);
 }
 
 static bool isField(absl::string_view line, absl::string_view name, absl::string_view& value)
@@ -40,10 +51,23 @@
     return nullptr;
 }
 
-static bool isInterim(absl::string_view statusLine)
+std::optional<int> parseStatusLine(absl::string_view line)
+{
+    // What follows: the minor version, a space, three digits and a space.
+    constexpr std::size_t minBytes = 6;
+    if (!absl::ConsumePrefix(&line, "HTTP/1.") || line.size() < minBytes)
+        return std::nullopt;
+    absl::string_view digits = line.substr(2, 3);
+    bool hasForm = isDigit(line[0]) && line[1] == ' ' && std::all_of(digits.begin(), digits.end(), isDigit) && line[minBytes - 1] == ' ';
+    int status = 0;
+    if (!hasForm || !absl::SimpleAtoi(digits, &status) || status < firstStatus || status > lastStatus)
+        return std::nullopt;
+    return status;
+}
+
+bool isInterimStatus(int status)
 {
-    std::size_t space = statusLine.find(' ');
-    return space != absl::string_view::npos && absl::StartsWith(statusLine.substr(space + 1), "1");
+    return status >= firstStatus && status < firstFinalStatus && status != statusSwitchingProtocols;
 }
 
 static bool takeLine(absl::string_view& input, absl::string_view& line)
@@ -63,8 +87,12 @@
     bool isStatusLine = true;
     bool isInInterim = false;
     while (takeLine(input, line)) {
-        if (isStatusLine)
-            isInInterim = isInterim(line);
+        if (isStatusLine) {
+            std::optional<int> status = parseStatusLine(line);
+            if (!status)
+                return "invalid status line";
+            isInInterim = isInterimStatus(*status);
+        }
         isStatusLine = line.empty();
         if (line.empty() && !isInInterim)
             return nullptr;
--- a/unittests/Gateway/CopiedRefusalTest.cpp
+++ b/unittests/Gateway/CopiedRefusalTest.cpp
@@ -2,6 +2,7 @@
 #include "BrokerFixture.h"
 #include "catkinwing/Gateway/AttemptRequest.h"
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -100,6 +101,21 @@
     CHECK(endpoint.connections == 2);
 }
 
+// Guards against an endpoint in trouble whose callers get what isn't an answer in HTTP.
+TEST_CASE("an answer with an invalid status reaches no caller")
+{
+    CalledEndpoint endpoint;
+    std::string status = GENERATE(as<std::string>(), "000", "099", "600", "999");
+    HttpRequest request = GENERATE(true, false) ? BrokerFixture::chat(false) : BrokerFixture::book();
+    std::unique_ptr<RawConnection> connection;
+    auto responder = endpoint.fixture.run(request);
+    endpoint.awaitRequest(connection);
+    connection->send(absl::StrCat("HTTP/1.1 ", status, " Status\r\ncontent-length: 2\r\n\r\n{}"));
+    endpoint.awaitEnd(responder);
+    CHECK(responder->status() == 502);
+    CHECK(responder->outcome() == "unknown");
+}
+
 // Guards against a connection for each request: only failures cost one.
 TEST_CASE("requests that succeed share a connection")
 {
--- a/unittests/Http/ForeignResponseTest.cpp
+++ b/unittests/Http/ForeignResponseTest.cpp
@@ -142,6 +142,8 @@
         "HTTP/1.1 503 Full\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
         "HTTP/1.1 503 Full\r\nrequest-id: a\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n",
         "HTTP/1.1 101 Switching\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 Status\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 Status\r\nrequest-id: a\r\ncontent-length: 0\r\n\r\n",
         "HTTP/1.1 503 Full\r\nrequest-id: a\r\ncontent-length: 2000000\r\n\r\n" + std::string(1'500'000, 'x'));
     INFO(copy.substr(0, 120));
     RefusedRequest refused;
--- /dev/null
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -0,0 +1,148 @@
+// Tests what clients get when an endpoint's answer isn't valid HTTP or isn't whole.
+#include "EntryFixture.h"
+#include "ScriptedEndpoint.h"
+
+using namespace catkinwing;
+using namespace catkinwing::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Whether the entry that the client calls sends requests to the endpoints itself.
+enum class Path {
+    Direct,
+    /// Through an entry of the endpoints' region.
+    Forwarded,
+};
+
+/// An entry whose clients reach a scripted endpoint alone, under /alone/ and /events/, and
+/// beside a sound one, under /paired/.
+class BrokenPath : public EntryFixture {
+public:
+    explicit BrokenPath(Path path)
+        : m_zone(path == Path::Direct ? "north-a" : "south-a")
+    {
+        if (path == Path::Forwarded) {
+            DaemonSettings other = settings;
+            other.name = "other";
+            other.region = "south";
+            other.availabilityZone = "south-a";
+            m_other = startEntry(other);
+        }
+        addScripted("alone");
+        addScripted("events");
+        addScripted("paired");
+        addSound("paired");
+        addSound("sound");
+        nlohmann::json document = nlohmann::json::parse(configuration());
+        document["version"] = 8;
+        document["limits"] = { { "max_body_bytes", 16 << 20 } };
+        for (const char* service : { "alone", "events", "paired", "sound" })
+            document["services"].push_back({ { "name", service }, { "max_conns", 100 } });
+        document["routes"].push_back(routeOf("/alone/", "non_idempotent", "alone", 1, false));
+        document["routes"].push_back(routeOf("/events/", "streaming", "events", 1, false));
+        document["routes"].push_back(routeOf("/paired/", "idempotent", "paired", 2, false));
+        document["routes"].push_back(routeOf("/sound/", "idempotent", "sound", 1, false));
+        platform.compareAndSwap("op/config", platform.get("op/config").revision, document.dump());
+        REQUIRE(runUntil(platform.loop, [this] { return sendAndWait("/sound/ready")->head.status == 200; }));
+    }
+
+    /// Sends a request with an attempt ID of its own.
+    std::shared_ptr<Recorded> ask(const std::string& target) { return sendAndWait(target, absl::StrCat("a-", ++m_sent)); }
+
+    /// Checks that clients get an answer as it is.
+    void checkDelivered(const ScriptedAnswer& answer, int status, const std::string& body)
+    {
+        endpoint.answer = answer;
+        for (const char* target : { "/alone/1", "/events/1" }) {
+            INFO(target << " " << answer.bytes);
+            auto got = ask(target);
+            CHECK(got->result.end == HttpEnd::Complete);
+            CHECK(got->head.status == status);
+            CHECK(got->body == body);
+        }
+    }
+
+    /// Checks that no client gets \p answer, and that a request is repeated where it may be.
+    void checkWithheld(const ScriptedAnswer& answer)
+    {
+        endpoint.answer = answer;
+        for (const char* target : { "/alone/1", "/events/1" }) {
+            INFO(target << " " << answer.bytes);
+            int before = endpoint.requests();
+            auto got = ask(target);
+            CHECK(got->result.end == HttpEnd::Complete);
+            // A request that isn't sent to the failing endpoint is refused.
+            CHECK(got->head.status == (endpoint.requests() > before ? 502 : 503));
+            CHECK_FALSE(got->head.headers.find("Reply-Seal"));
+        }
+        INFO("/paired/1 " << answer.bytes);
+        int before = endpoint.requests();
+        auto got = ask("/paired/1");
+        m_repeated += endpoint.requests() > before ? 1 : 0;
+        CHECK(got->result.end == HttpEnd::Complete);
+        CHECK(got->head.status == 200);
+        CHECK(absl::StrContains(got->body, "\"sound-paired\""));
+    }
+
+    /// Returns how many requests the sound endpoint got after the scripted one.
+    int repeated() const { return m_repeated; }
+
+    ScriptedEndpoint endpoint { platform.loop };
+
+private:
+    void addScripted(const std::string& service)
+    {
+        platform.compareAndSwap("servers/scripted-" + service, 0, registrationAt(service, endpoint.address(), m_zone).dump());
+    }
+    void addSound(const std::string& service)
+    {
+        std::string incarnation = "sound-" + service;
+        endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, 0, 0ms, false, {}, {}, {} }));
+        platform.compareAndSwap("servers/" + incarnation, 0, registrationAt(service, endpoints.back()->address(), m_zone).dump());
+    }
+
+    std::string m_zone;
+    std::unique_ptr<IngressDaemon> m_other;
+    int m_sent { 0 };
+    int m_repeated { 0 };
+};
+
+} // namespace
+
+/// Fields that mark an answer as the endpoint's.
+static const std::string marks = "Attempt-Id: {id}\r\nReply-Seal: seal\r\n";
+
+static std::string answerOf(const std::string& statusLine)
+{
+    return absl::StrCat(statusLine, "\r\n", marks, "Content-Length: 6\r\n\r\nbroken");
+}
+
+static std::string streamOf(const std::string& statusLine)
+{
+    return absl::StrCat(statusLine, "\r\n", marks, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                                   "10\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n");
+}
+
+TEST_CASE("an answer with an unusual and valid status line reaches the client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    for (const char* line : { "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.9 200 OK", "HTTP/1.1 200 \xc3\xa9t\xe9", "HTTP/1.1 200 a\tb" })
+        fixture.checkDelivered({ answerOf(line) }, 200, "broken");
+    for (int status : { 201, 299, 400, 499, 500, 599 })
+        fixture.checkDelivered({ answerOf(absl::StrCat("HTTP/1.1 ", status, " Status")) }, status, "broken");
+}
+
+// Guards against a failed endpoint whose clients get what isn't an answer in HTTP.
+TEST_CASE("an answer whose status line isn't valid reaches no client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    for (const char* status : { "000", "099", "600", "999", "0", "20", "2000", "+20", "-20", "20x", "2 0", "" }) {
+        std::string line = absl::StrCat("HTTP/1.1 ", status, " Status");
+        fixture.checkWithheld({ answerOf(line) });
+        fixture.checkWithheld({ streamOf(line) });
+    }
+    for (const char* line : { "HTTP/1.1 200", "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.x 200 OK", "HTP/1.1 200 OK", "http/1.1 200 OK", "200 OK", "", "HTTP/1.1\t200 OK" })
+        fixture.checkWithheld({ answerOf(line) });
+    CHECK(fixture.repeated() > 0);
+}
--- a/unittests/Platform/CopiedResponseTest.cpp
+++ b/unittests/Platform/CopiedResponseTest.cpp
@@ -1,4 +1,4 @@
-// Tests the store's client on connections on which responses come twice.
+// Tests the store's client with responses that come twice or aren't valid.
 #include "Http/ScriptedServer.h"
 #include "platform/PlatformStore.h"
 #include <absl/strings/match.h>
@@ -103,3 +103,25 @@
     scripted.respond(scripted.read("b"), responseOf(200, R"({"key":"b","value":"dw==","revision":8})"), value);
     CHECK_FALSE(scripted.got->ok());
 }
+
+// Guards against a store in trouble whose response is taken for a refusal, or for what it states.
+TEST_CASE("a response of the store with an invalid status states nothing")
+{
+    ScriptedStore scripted;
+    std::string status = GENERATE(as<std::string>(), "000", "099", "600", "999");
+    std::string broken = absl::StrCat("HTTP/1.1 ", status, " Status\r\nstore-era: 99\r\ncontent-length: 2\r\n\r\n{}");
+    scripted.respond(scripted.swap("a"), broken);
+    CHECK(scripted.swapped->outcome == SwapOutcome::Unknown);
+    // A read is tried twice.
+    std::optional<absl::StatusOr<StoredValue>>& got = scripted.read("a");
+    for (int i = 0; i < 2; ++i) {
+        auto connection = scripted.serve();
+        connection->send(broken);
+        runFor(scripted.loop, 20ms);
+    }
+    REQUIRE(runUntil(scripted.loop, [&] { return got.has_value(); }));
+    CHECK_FALSE(got->ok());
+    scripted.respond(scripted.read("a"), responseOf(200, R"({"key":"a","value":"dg==","revision":7})"));
+    REQUIRE(scripted.got->ok());
+    CHECK((*scripted.got)->revision.era == 0);
+}
