Take an unframed answer as whole only once the request has arrived

An endpoint answered a long upload at once with a 200 without a length, sent part of its body and ended; the kernel sent the end of the connection with the part, and a reset 20 ms later, when more of the upload came.

Cause: a body that ends with its connection was whole if the connection had not been reset when its end was read. A process that ends or closes having read all that had arrived by then sends an orderly end first. The reset answers what is still on the way, a round trip later, and was never seen.

Change: where such a body ends, ClientExchange waits as long as some of the request is unacknowledged (SIOCOUTQ), for 1 s at most: a reset makes the body truncated, an acknowledgement makes it whole, and so does neither. Other bodies, and requests that had arrived, don't wait.

Why it works: the kernel of a process that is gone resets the connection when the rest of the request arrives, and the end of the body isn't believed before that has been acknowledged. Not covered: what the endpoint's kernel had acknowledged and its process had not read when it ended the connection in an orderly way can't be told from a whole body.

--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace catkinwing {
@@ -94,4 +96,10 @@
     return status != 0 || info.tcpi_state != TCP_CLOSE_WAIT;
 }
 
+bool ClientConnection::hasUnacknowledgedOutput() const
+{
+    int bytes = 0;
+    return ioctl(m_descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace catkinwing
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -9,6 +9,11 @@
 
 using std::chrono::milliseconds;
 
+/// Longest wait, after a body that ends with the connection, for what is still on the way to the
+/// server to be acknowledged, or answered by a reset.
+static constexpr milliseconds maxEndWait { 1'000 };
+static constexpr milliseconds endCheckInterval { 5 };
+
 ClientExchange::ClientExchange(std::shared_ptr<ClientCore> core, HttpClientRequest request, HttpClientCallbacks callbacks)
     : m_loop(core->loop())
     , m_core(std::move(core))
@@ -152,12 +157,48 @@
     if (const char* fault = responseHeadFault({ socket.input->bytes, socket.input->size }))
         return failHead(fault);
     m_headReader(&socket, nullptr);
+    guardUnframedEnd();
     // h2o drops interim responses as they come, so that the input alone doesn't show how many came.
     bool isAwaiting = m_phase == Phase::AwaitingHead && m_client;
     if (isAwaiting && m_headBytes > maxResponseHeadBytes)
         failHead("interim responses too long");
 }
 
+void ClientExchange::guardUnframedEnd()
+{
+    bool isUnframed = m_phase == Phase::InBody && m_client && m_framing == BodyFraming::UntilClose;
+    if (!isUnframed || !h2o_socket_is_reading(m_client->sock))
+        return;
+    m_bodyReader = m_client->sock->_cb.read;
+    m_client->sock->_cb.read = onUnframedBodyInput;
+}
+
+void ClientExchange::onUnframedBodyInput(h2o_socket_t* socket, const char* error)
+{
+    auto* client = static_cast<h2o_http1client_t*>(socket->data);
+    auto self = static_cast<ClientExchange*>(client->data)->shared_from_this();
+    if (!error) {
+        self->m_bodyReader(socket, nullptr);
+        return;
+    }
+    self->stopReading();
+    self->m_unframedEnd = error;
+    self->m_unframedEndAt = self->m_loop.clock().now();
+    self->settleUnframedEnd();
+}
+
+// A process that ends closes its connections in an orderly way if it had read all that had arrived by
+// then. What arrives later is answered by a reset, which alone tells such an end from a whole body.
+void ClientExchange::settleUnframedEnd()
+{
+    auto self = shared_from_this();
+    bool isInDoubt = !m_connection->wasReset() && m_connection->hasUnacknowledgedOutput();
+    if (isInDoubt && m_loop.clock().now() - m_unframedEndAt < maxEndWait)
+        m_timer = m_loop.callAfter(endCheckInterval, [this] { settleUnframedEnd(); });
+    else
+        m_bodyReader(m_client->sock, m_unframedEnd);
+}
+
 void ClientExchange::failHead(const char* fault)
 {
     m_connection->spoil();
@@ -348,6 +389,8 @@
 // paused, silence is ours and not the server's.
 void ClientExchange::stopReading()
 {
+    if (m_unframedEnd)
+        return;
     m_loop.cancel(m_timer);
     if (!m_client || !h2o_socket_is_reading(m_client->sock))
         return;
@@ -357,7 +400,7 @@
 
 void ClientExchange::continueReading()
 {
-    if (!m_client || m_phase != Phase::InBody)
+    if (!m_client || m_phase != Phase::InBody || m_unframedEnd)
         return;
     enter(Phase::InBody, m_request.idleTimeout);
     if (m_pausedReader)
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -41,6 +41,7 @@
     static int onBody(h2o_http1client_t*, const char* error);
 
     static void onHeadInput(h2o_socket_t* socket, const char* error);
+    static void onUnframedBodyInput(h2o_socket_t* socket, const char* error);
 
     void connect();
     /// Returns the value that tells the response apart; empty if nothing does.
@@ -51,6 +52,10 @@
     bool guardHead();
     void readHead(h2o_socket_t& socket);
     void failHead(const char* fault);
+    /// Comes between the socket and h2o for the rest of a body that ends with the connection.
+    void guardUnframedEnd();
+    /// Tells h2o of the end of the connection once it is known whether the server got the whole request.
+    void settleUnframedEnd();
     void didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count);
     void didFailToConnect(h2o_http1client_t& client, const char* error);
     bool didGetHead(h2o_http1client_t& client, int status, const h2o_header_t* fields, std::size_t fieldCount);
@@ -95,6 +100,10 @@
     /// Bytes received before the end of the head, without those of other requests.
     std::size_t m_headBytes { 0 };
     h2o_socket_cb m_pausedReader { nullptr };
+    h2o_socket_cb m_bodyReader { nullptr };
+    /// How a body that ends with the connection ended; null before.
+    const char* m_unframedEnd { nullptr };
+    TimePoint m_unframedEndAt {};
     bool m_mayHaveReachedServer { false };
     bool m_isInClient { false };
     bool m_isOver { false };
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -192,6 +192,82 @@
     CHECK(recorded->result.end == (isReset ? HttpEnd::Truncated : HttpEnd::Complete));
 }
 
+namespace {
+
+/// A request whose body has left the client's hands and isn't read by the server, and a response
+/// without a length that the server has ended in an orderly way.
+struct HalfClosedUpload : ScriptedServer {
+    HalfClosedUpload()
+    {
+        HttpClientRequest request = requestFor(server.address());
+        request.method = "POST";
+        request.body = std::string(1'000'000, 'x');
+        recorded = send(request);
+        connection = server.waitForConnection(loop);
+        REQUIRE(connection);
+        REQUIRE(runUntil(loop, [&] {
+            connection->receiveAtMost(100);
+            return !connection->received().empty();
+        }));
+        connection->send("HTTP/1.1 200 OK\r\n\r\nabc");
+        connection->shutdownSend();
+        REQUIRE(runUntil(loop, [&] { return recorded->body == "abc"; }));
+        runFor(loop, 20ms);
+    }
+
+    std::shared_ptr<Recorded> recorded;
+    std::unique_ptr<RawConnection> connection;
+};
+
+} // namespace
+
+// Guards against a process that ends in the middle of an upload: what it sent is followed by an orderly
+// end, and the rest of the upload by a reset.
+TEST_CASE("a response without a length whose connection is reset before the request has arrived is truncated")
+{
+    HalfClosedUpload upload;
+    if (GENERATE(true, false))
+        upload.connection->reset();
+    else
+        upload.connection->close();
+    upload.waitForEnd(upload.recorded);
+    CHECK(upload.recorded->result.end == HttpEnd::Truncated);
+}
+
+TEST_CASE("a response without a length that ends before the request has arrived is whole once that has")
+{
+    HalfClosedUpload upload;
+    CHECK_FALSE(upload.recorded->hasEnded());
+    REQUIRE(runUntil(upload.loop, [&] {
+        upload.connection->receive();
+        return upload.recorded->hasEnded();
+    }));
+    CHECK(upload.recorded->result.end == HttpEnd::Complete);
+    CHECK(upload.recorded->body == "abc");
+}
+
+TEST_CASE("a response without a length is whole if the server neither reads on nor resets the connection")
+{
+    HalfClosedUpload upload;
+    if (GENERATE(true, false)) {
+        upload.recorded->exchange->pause();
+        runFor(upload.loop, 20ms);
+        upload.recorded->exchange->resume();
+    }
+    REQUIRE(runUntil(
+        upload.loop, [&] { return upload.recorded->hasEnded(); }, 3s));
+    CHECK(upload.recorded->result.end == HttpEnd::Complete);
+}
+
+TEST_CASE("a request may be cancelled while the end of its response is in doubt")
+{
+    HalfClosedUpload upload;
+    upload.recorded->exchange->cancel();
+    runFor(upload.loop, 50ms);
+    CHECK_FALSE(upload.recorded->hasEnded());
+    CHECK(upload.connection->receiveToEnd(upload.loop));
+}
+
 TEST_CASE("interim responses are passed over")
 {
     ScriptedServer scripted;
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -47,8 +47,29 @@
         REQUIRE(runUntil(platform.loop, [this] { return sendAndWait("/sound/ready")->head.status == 200; }));
     }
 
-    /// Sends a request with an attempt ID of its own.
-    std::shared_ptr<Recorded> ask(const std::string& target) { return sendAndWait(target, absl::StrCat("a-", ++m_sent)); }
+    /// Sends a request with an attempt ID and a body of its own, \p bytes long at least.
+    std::shared_ptr<Recorded> ask(const std::string& target, std::size_t bytes = 0)
+    {
+        std::string id = absl::StrCat("a-", ++m_sent);
+        return platform.sendAndWait(settings.listen.callers, "POST", target, id + std::string(bytes, 'x'), { { "Host", "path.example" }, { "Attempt-Id", id } });
+    }
+
+    /// Sends requests until the scripted endpoint gets one. Entries refuse some of the requests for
+    /// endpoints that always fail.
+    std::shared_ptr<Recorded> askScripted(const std::string& target, std::size_t bytes = 0)
+    {
+        int before = endpoint.requests();
+        std::shared_ptr<Recorded> got;
+        REQUIRE(runUntil(platform.loop, [&] {
+            got = ask(target, bytes);
+            if (got->head.status != 503)
+                return true;
+            runFor(platform.loop, 50ms);
+            return false;
+        }));
+        CHECK(endpoint.requests() == before + 1);
+        return got;
+    }
 
     /// Checks that clients get an answer as it is.
     void checkDelivered(const ScriptedAnswer& answer, int status, const std::string& body)
@@ -69,16 +90,9 @@
         endpoint.answer = answer;
         for (const char* target : { "/alone/1", "/events/1" }) {
             INFO(target << " " << answer.bytes);
-            int before = endpoint.requests();
-            std::shared_ptr<Recorded> got;
-            // Entries refuse some of the requests for endpoints of another region that always fail.
-            REQUIRE(runUntil(platform.loop, [&] {
-                got = ask(target);
-                return got->head.status != 503;
-            }));
+            auto got = askScripted(target);
             CHECK(got->result.end == HttpEnd::Complete);
             CHECK(got->head.status == 502);
-            CHECK(endpoint.requests() == before + 1);
             CHECK_FALSE(got->head.headers.find("Reply-Seal"));
         }
         INFO("/paired/1 " << answer.bytes);
@@ -183,3 +197,41 @@
             fixture.checkWithheld({ absl::StrCat(start, "Content-Length: 6\r\n", field, "\r\n\r\nbroken") });
     }
 }
+
+// Guards against a part of a body that is taken as whole since the connection's reset was overlooked.
+TEST_CASE("an answer without a length that is reset while a long upload is being sent reaches no client as whole")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    const std::string plain = "HTTP/1.1 200 OK\r\n" + marks + "\r\npart of a body";
+    const std::string stream = "HTTP/1.1 200 OK\r\n" + marks + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n";
+    for (std::size_t bytes : { 100u << 10, 1u << 20, 4u << 20 }) {
+        for (Duration delay : { Duration(0ms), Duration(20ms) }) {
+            for (ConnectionEnd end : { ConnectionEnd::Closed, ConnectionEnd::Reset, ConnectionEnd::EndedThenReset }) {
+                // What the endpoint's kernel has taken in wholly has arrived.
+                if (end == ConnectionEnd::EndedThenReset && bytes < (1u << 20))
+                    continue;
+                INFO(bytes << " bytes, " << std::chrono::duration<double>(delay).count() << " s");
+                fixture.endpoint.answer = { plain, end, true, delay };
+                auto got = fixture.askScripted("/alone/1", bytes);
+                CHECK(got->result.end == HttpEnd::Complete);
+                CHECK(got->head.status == 502);
+                fixture.endpoint.answer.bytes = stream;
+                got = fixture.askScripted("/events/1", bytes);
+                CHECK((got->result.end != HttpEnd::Complete || got->head.status == 502));
+            }
+        }
+    }
+}
+
+// An endpoint that has answered may close its connection as it likes.
+TEST_CASE("an answer without a length that ends with its connection reaches the client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    fixture.endpoint.answer = { "HTTP/1.1 200 OK\r\n" + marks + "\r\nwhole", ConnectionEnd::Closed };
+    for (std::size_t bytes : { 0u, 100u << 10, 4u << 20 }) {
+        auto got = fixture.askScripted("/alone/1", bytes);
+        CHECK(got->result.end == HttpEnd::Complete);
+        CHECK(got->head.status == 200);
+        CHECK(got->body == "whole");
+    }
+}
--- a/unittests/Platform/ScriptedEndpoint.h
+++ b/unittests/Platform/ScriptedEndpoint.h
@@ -14,8 +14,11 @@
 /// What the endpoint does with its connection after an answer.
 enum class ConnectionEnd {
     Kept,
+    /// Closed by the kernel's rules, by which unread input resets the connection.
     Closed,
     Reset,
+    /// Ended in an orderly way with the answer, and reset later.
+    EndedThenReset,
 };
 
 /// What the endpoint answers.
@@ -102,6 +105,8 @@
         ++m_requests;
         connection.socket->send(absl::StrReplaceAll(answer.bytes, { { "{id}", fieldOf(received, "attempt-id") } }));
         connection.socket->clear();
+        if (answer.end == ConnectionEnd::EndedThenReset)
+            connection.socket->shutdownSend();
         connection.isAnswered = answer.end != ConnectionEnd::Kept;
         connection.endsAt = m_loop.clock().now() + answer.endDelay;
         end(connection);
@@ -111,10 +116,10 @@
     {
         if (!connection.isAnswered || m_loop.clock().now() < connection.endsAt)
             return;
-        if (answer.end == ConnectionEnd::Reset)
-            connection.socket->reset();
-        else
+        if (answer.end == ConnectionEnd::Closed)
             connection.socket->close();
+        else
+            connection.socket->reset();
     }
 
     EventLoop& m_loop;
