--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -235,3 +235,34 @@
         CHECK(got->body == "whole");
     }
 }
+
+// Guards against a body, empty or short, that a head which never ended is taken to announce.
+TEST_CASE("an answer whose connection ends in the middle of its head reaches no client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n";
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\n" + marks + "Content-Length: 0\r\nx: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + marks + "Transfer-Encoding: chunked\r\n\r\n",
+        hints + "HTTP/1.1 200 OK\r\n" + marks + "\r\n",
+    };
+    for (const std::string& head : heads) {
+        // From nothing to all but the last byte of the head; what the mark for the ID stands for is longer.
+        for (std::size_t bytes = 0; bytes < head.size(); bytes += bytes + 8 < head.size() ? 7 : 1) {
+            ConnectionEnd end = bytes % 2 == 0 ? ConnectionEnd::Closed : ConnectionEnd::Reset;
+            fixture.checkWithheld({ head.substr(0, bytes), end });
+        }
+    }
+    CHECK(fixture.repeated() > 0);
+}
+
+TEST_CASE("an answer with an unusual and valid head reaches the client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    const std::string start = "HTTP/1.1 200 OK\r\n" + marks;
+    for (const std::string& fields : { std::string("x:\r\nContent-Length: 6\r\n"), std::string("x:\ty\t\r\nContent-Length:6\r\n"), std::string("x: \xe9\r\ncontent-length: 6\r\n"),
+             std::string("!#$%&'*+.^_`|~: y\r\nCONTENT-LENGTH:  6\r\n"), std::string("Content-Length: 6\r\nContent-Length: 6\r\n"), "x: " + std::string(8'000, 'y') + "\r\nContent-Length: 6\r\n" })
+        fixture.checkDelivered({ absl::StrCat(start, fields, "\r\nbroken") }, 200, "broken");
+    fixture.checkDelivered({ "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" + start + "Content-Length: 6\r\n\r\nbroken" }, 200, "broken");
+    fixture.checkDelivered({ "HTTP/1.1 200 " + std::string(2'000, 'x') + "\r\n" + marks + "Content-Length: 6\r\n\r\nbroken" }, 200, "broken");
+}
