--- a/unittests/Platform/OddEntryTest.cpp
+++ b/unittests/Platform/OddEntryTest.cpp
@@ -82,7 +82,8 @@
         for (int i = 0; i < 40; ++i)
             send();
         CHECK(executions(number) == before);
-        CHECK(failed == "");
+        INFO(failed);
+        CHECK(failed.empty());
     }
 
     /// Starts an entry, which reads all that is there at once, and sends it the requests from now on.
