--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import ssl
@@ -22,11 +23,25 @@
 START_SECONDS = 30
 
 
+# Below the ports that the system gives to connections, which could take one before its owner listens.
+PORTS = range(12000, 32000)
+_given_ports = set()
+
+
 def free_port():
-    """Returns a port of loopback that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port of loopback that nothing listens on now; each only once in a process."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+            try:
+                probe.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 def wait_for(condition, what, seconds=START_SECONDS):
