Move the scripted endpoint to the tests of HTTP

Cause: tests of the gateway's readers need an endpoint that sends broken answers. Change: the header moves from unittests/Platform to unittests/Http; no test changes.

--- a/unittests/Platform/ScriptedEndpoint.h
+++ b/unittests/Http/ScriptedEndpoint.h
@@ -1,7 +1,7 @@
 // An endpoint that answers with bytes of a test's choice, which may break every rule of HTTP.
 #pragma once
 
-#include "Http/RawSocket.h"
+#include "RawSocket.h"
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -9,7 +9,7 @@
 #include <absl/strings/str_split.h>
 #include <vector>
 
-namespace catkinwing::platform {
+namespace catkinwing {
 
 /// What the endpoint does with its connection after an answer.
 enum class ConnectionEnd {
@@ -129,4 +129,4 @@
     int m_requests { 0 };
 };
 
-} // namespace catkinwing::platform
+} // namespace catkinwing
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -1,6 +1,6 @@
 // Tests what clients get when an endpoint's answer isn't valid HTTP or isn't whole.
 #include "EntryFixture.h"
-#include "ScriptedEndpoint.h"
+#include "Http/ScriptedEndpoint.h"
 
 using namespace catkinwing;
 using namespace catkinwing::platform;
