Don't take an unframed answer as whole while the request hasn't arrived

An endpoint answered a long upload at once with a 200 without a length, sent part of its body, ended in an orderly way, and its reset came more than a second later, or never, as where it is stopped or a partition begins in between.

Cause: ClientExchange waited for a reset or for the acknowledgement of the request for one second, and took the body as whole if neither had come. A server that is cut off sends neither.

Change: without an acknowledgement the body is truncated. The second now counts from the last acknowledgement, so that a server that reads a long request slowly has its time; before, such an answer was passed on after a second whatever came later.

A test changes with it: "... is whole if the server neither reads on nor resets the connection" stated the fault. Its new form wants the answer truncated, which is stricter: no answer passes that didn't before.

Why it works: an end is believed only once the kernel of the server has acknowledged all of the request. A server that has answered and reads no more either closes its connection, which resets it, or reads on, as RFC 9112, 9.6 asks. Not covered, as before: what the kernel acknowledged and the process didn't read.

--- a/lib/Http/ClientConnection.cpp
+++ b/lib/Http/ClientConnection.cpp
@@ -96,10 +96,11 @@
     return status != 0 || info.tcpi_state != TCP_CLOSE_WAIT;
 }
 
-bool ClientConnection::hasUnacknowledgedOutput() const
+std::size_t ClientConnection::unacknowledgedBytes() const
 {
     int bytes = 0;
-    return ioctl(m_descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    bool isKnown = ioctl(m_descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return isKnown ? static_cast<std::size_t>(bytes) : 0;
 }
 
 } // namespace catkinwing
--- a/lib/Http/ClientConnection.h
+++ b/lib/Http/ClientConnection.h
@@ -32,8 +32,8 @@
     void resetOnClose() const;
     /// Tells whether the server ended the connection by a reset.
     bool wasReset() const;
-    /// Tells whether the server has yet to acknowledge some of what was sent to it.
-    bool hasUnacknowledgedOutput() const;
+    /// Returns how much of what was sent the server has yet to acknowledge.
+    std::size_t unacknowledgedBytes() const;
 
     /// Tells whether a request with the echoed value \p value has gone out on the connection.
     bool hasCarried(absl::string_view value) const;
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -9,9 +9,9 @@
 
 using std::chrono::milliseconds;
 
-/// Longest wait, after a body that ends with the connection, for what is still on the way to the
-/// server to be acknowledged, or answered by a reset.
-static constexpr milliseconds maxEndWait { 1'000 };
+/// Longest time, after a body that ends with the connection, in which the server acknowledges nothing of
+/// what is still on the way to it.
+static constexpr milliseconds acknowledgementTimeout { 1'000 };
 static constexpr milliseconds endCheckInterval { 5 };
 
 ClientExchange::ClientExchange(std::shared_ptr<ClientCore> core, HttpClientRequest request, HttpClientCallbacks callbacks)
@@ -183,20 +183,33 @@
     }
     self->stopReading();
     self->m_unframedEnd = error;
-    self->m_unframedEndAt = self->m_loop.clock().now();
+    self->m_unacknowledgedBytes = self->m_connection->unacknowledgedBytes();
+    self->m_lastActivity = self->m_loop.clock().now();
     self->settleUnframedEnd();
 }
 
 // A process that ends closes its connections in an orderly way if it had read all that had arrived by
-// then. What arrives later is answered by a reset, which alone tells such an end from a whole body.
+// then. What arrives later is answered by a reset, which alone tells such an end from a whole body, and
+// which a server that is cut off can't send.
 void ClientExchange::settleUnframedEnd()
 {
     auto self = shared_from_this();
-    bool isInDoubt = !m_connection->wasReset() && m_connection->hasUnacknowledgedOutput();
-    if (isInDoubt && m_loop.clock().now() - m_unframedEndAt < maxEndWait)
-        m_timer = m_loop.callAfter(endCheckInterval, [this] { settleUnframedEnd(); });
-    else
+    TimePoint now = m_loop.clock().now();
+    std::size_t unacknowledgedBytes = m_connection->wasReset() ? 0 : m_connection->unacknowledgedBytes();
+    if (unacknowledgedBytes == 0) {
         m_bodyReader(m_client->sock, m_unframedEnd);
+        return;
+    }
+    if (unacknowledgedBytes != m_unacknowledgedBytes)
+        m_lastActivity = now;
+    m_unacknowledgedBytes = unacknowledgedBytes;
+    if (now - m_lastActivity < acknowledgementTimeout) {
+        m_timer = m_loop.callAfter(endCheckInterval, [this] { settleUnframedEnd(); });
+        return;
+    }
+    m_connection->spoil();
+    dropClient();
+    end(HttpEnd::Truncated, "request not acknowledged");
 }
 
 void ClientExchange::failHead(const char* fault)
--- a/lib/Http/ClientExchange.h
+++ b/lib/Http/ClientExchange.h
@@ -54,7 +54,8 @@
     void failHead(const char* fault);
     /// Comes between the socket and h2o for the rest of a body that ends with the connection.
     void guardUnframedEnd();
-    /// Tells h2o of the end of the connection once it is known whether the server got the whole request.
+    /// Tells h2o of the end of the connection once the server has acknowledged the whole request or reset
+    /// the connection; without either the body is cut.
     void settleUnframedEnd();
     void didConnect(h2o_http1client_t& client, h2o_iovec_t** buffers, std::size_t* count);
     void didFailToConnect(h2o_http1client_t& client, const char* error);
@@ -103,7 +104,8 @@
     h2o_socket_cb m_bodyReader { nullptr };
     /// How a body that ends with the connection ended; null before.
     const char* m_unframedEnd { nullptr };
-    TimePoint m_unframedEndAt {};
+    /// Of the request, when last looked at after that end.
+    std::size_t m_unacknowledgedBytes { 0 };
     bool m_mayHaveReachedServer { false };
     bool m_isInClient { false };
     bool m_isOver { false };
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "ScriptedServer.h"
 #include <absl/strings/match.h>
+#include <sys/socket.h>
 
 using namespace catkinwing;
 using namespace std::chrono_literals;
@@ -246,7 +247,8 @@
     CHECK(upload.recorded->body == "abc");
 }
 
-TEST_CASE("a response without a length is whole if the server neither reads on nor resets the connection")
+// Guards against a server that is cut off or stopped, so that no reset arrives.
+TEST_CASE("a response without a length is truncated if the server neither reads on nor resets the connection")
 {
     HalfClosedUpload upload;
     if (GENERATE(true, false)) {
@@ -256,7 +258,30 @@
     }
     REQUIRE(runUntil(
         upload.loop, [&] { return upload.recorded->hasEnded(); }, 3s));
-    CHECK(upload.recorded->result.end == HttpEnd::Complete);
+    CHECK(upload.recorded->result.end == HttpEnd::Truncated);
+    CHECK(upload.recorded->result.mayHaveReachedServer);
+}
+
+TEST_CASE("the end of a response without a length is waited for as long as the server reads the request")
+{
+    HalfClosedUpload upload;
+    bool isRead = GENERATE(true, false);
+    // Otherwise the kernel makes room for the whole request as soon as some of it is read.
+    int bufferBytes = 64 << 10;
+    REQUIRE(setsockopt(upload.connection->descriptor(), SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof(bufferBytes)) == 0);
+    for (int i = 0; i < 15; ++i) {
+        upload.connection->receiveAtMost(20u << 10);
+        runFor(upload.loop, 100ms);
+    }
+    CHECK_FALSE(upload.recorded->hasEnded());
+    if (!isRead)
+        upload.connection->reset();
+    REQUIRE(runUntil(upload.loop, [&] {
+        if (isRead)
+            upload.connection->receive();
+        return upload.recorded->hasEnded();
+    }));
+    CHECK(upload.recorded->result.end == (isRead ? HttpEnd::Complete : HttpEnd::Truncated));
 }
 
 TEST_CASE("a request may be cancelled while the end of its response is in doubt")
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -230,6 +230,16 @@
     }
 }
 
+// Guards against an endpoint that is stopped or cut off, whose reset comes late or not at all.
+TEST_CASE("an answer without a length whose endpoint reads no more of a long upload reaches no client as whole")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    fixture.endpoint.answer = { "HTTP/1.1 200 OK\r\n" + marks + "\r\npart of a body", ConnectionEnd::EndedThenReset, true, 1'500ms };
+    auto got = fixture.askScripted("/alone/1", 2u << 20);
+    CHECK(got->result.end == HttpEnd::Complete);
+    CHECK(got->head.status == 502);
+}
+
 // An endpoint that has answered may close its connection as it likes.
 TEST_CASE("an answer without a length that ends with its connection reaches the client")
 {
