--- a/unittests/Gateway/CopiedRefusalTest.cpp
+++ b/unittests/Gateway/CopiedRefusalTest.cpp
@@ -1,5 +1,6 @@
 #include "../Http/ScriptedServer.h"
 #include "BrokerFixture.h"
+#include "RedirectingClient.h"
 #include "catkinwing/Gateway/AttemptRequest.h"
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -9,26 +10,6 @@
 
 namespace {
 
-/// Sends all requests to one server.
-class RedirectingClient final : public HttpClient {
-public:
-    explicit RedirectingClient(ScriptedServer& target)
-        : m_target(target)
-    {
-    }
-
-    std::shared_ptr<HttpExchange> send(HttpClientRequest request, HttpClientCallbacks callbacks) override
-    {
-        request.server = m_target.server.address();
-        return m_target.client->send(std::move(request), std::move(callbacks));
-    }
-    void forget(const SocketAddress&) override { }
-    void replaceTls(std::shared_ptr<TlsContext>) override { }
-
-private:
-    ScriptedServer& m_target;
-};
-
 /// A broker that calls one engine, or one service, over real connections.
 struct CalledEndpoint {
     CalledEndpoint() { fixture.configureWithout("engine-2"); }
@@ -58,7 +39,7 @@
     }
 
     ScriptedServer scripted;
-    RedirectingClient client { scripted };
+    RedirectingClient client { *scripted.client, scripted.server.address() };
     BrokerFixture fixture { &client };
     int connections { 0 };
 };
