--- a/unittests/Platform/DocumentsTest.cpp
+++ b/unittests/Platform/DocumentsTest.cpp
@@ -109,7 +109,7 @@
     const std::string valid = R"({"service":"s","addr":"10.1.2.3:80","zone":"z","version":"v1","slots":64,"state":"ready","warmup_ms":0,"seq":4})";
     for (const std::string& key : { std::string("i-1"), std::string("a/b c"), std::string("\xc3\xa9"), std::string("\xff") })
         CHECK(readEndpoint(key, valid).ok());
-    for (const std::string& key : { std::string(), std::string(" a"), std::string("a "), std::string("a\nb"), std::string("a\rb"), std::string("a\tb"), std::string(1, '\0'), std::string("a\x7f") })
+    for (const std::string& key : { std::string(), std::string(" a"), std::string("a "), std::string("a\nb"), std::string("a\rb"), std::string("a\tb"), std::string(1, '\0'), std::string("a\x7f"), std::string("a\xef\xbf\xbd") })
         CHECK_FALSE(readEndpoint(key, valid).ok());
 }
 
--- a/unittests/Platform/StoreMessagesTest.cpp
+++ b/unittests/Platform/StoreMessagesTest.cpp
@@ -50,3 +50,32 @@
         CHECK_FALSE(readLease(body).ok());
     }
 }
+
+// Guards against one key of another writer that keeps an entry from reading all others.
+TEST_CASE("a key with half of a surrogate pair doesn't make the other items unreadable")
+{
+    const std::string keys[][2] = {
+        { R"(a\ud800)", "a\xef\xbf\xbd" },
+        { R"(\udfffz)", "\xef\xbf\xbdz" },
+        { R"(\uD83D\u005a)", "\xef\xbf\xbdZ" },
+        { R"(\ud83d\ud83d\udc31)", "\xef\xbf\xbd\xf0\x9f\x90\xb1" },
+        { R"(\\ud800\udc00)", "\\ud800\xef\xbf\xbd" },
+    };
+    for (const auto& [escaped, key] : keys) {
+        CAPTURE(escaped);
+        std::string item = R"({"value":"dg==","revision":4,"key":")" + escaped + "\"}";
+        std::string items = "[" + item + R"(,{"key":"\ud83d\udc31\"","value":"dw==","revision":5}])";
+        absl::StatusOr<RangePage> page = readRangePage(R"({"current_rev":9,"items":)" + items + "}");
+        REQUIRE(page.ok());
+        REQUIRE(page->values.size() == 2);
+        CHECK(page->values[0].key == key);
+        CHECK(page->values[1].key == "\xf0\x9f\x90\xb1\"");
+        absl::StatusOr<WatchPage> watchPage = readWatchPage(R"({"current_rev":9,"events":)" + items + "}");
+        REQUIRE(watchPage.ok());
+        REQUIRE(watchPage->events.size() == 2);
+        CHECK(watchPage->events[0].current.key == key);
+        CHECK(readItem(item).ok());
+    }
+    for (const char* body : { R"({"items":[],"current_rev":1,"x":"\ud8"})", R"({"items":[],"current_rev":1,"x":"\ud800)", R"({"items":[],"current_rev":1,"x":"\)" })
+        CHECK_FALSE(readRangePage(body).ok());
+}
