Test broken answers of entries, and beside pipelined requests

Tests: an entry in the store whose peers' address is a scripted endpoint sends statuses 000 and 600, an invalid name of a field, a cut head and an unframed body that is reset: 502, plain, for a stream and where the request may be repeated, since the other entry may have used all of its attempts; requests that go to the sound entry are served meanwhile. Four pipelined requests with two broken answers among them get four responses in order, at one entry and through a second one.

--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -1,6 +1,7 @@
 // Tests what clients get when an endpoint's answer isn't valid HTTP or isn't whole.
 #include "EntryFixture.h"
 #include "Http/ScriptedEndpoint.h"
+#include "catkinwing/Ingress/EntryTable.h"
 
 using namespace catkinwing;
 using namespace catkinwing::platform;
@@ -283,3 +284,121 @@
     fixture.checkDelivered({ "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" + start + "Content-Length: 6\r\n\r\nbroken" }, 200, "broken");
     fixture.checkDelivered({ "HTTP/1.1 200 " + std::string(2'000, 'x') + "\r\n" + marks + "Content-Length: 6\r\n\r\nbroken" }, 200, "broken");
 }
+
+// Guards against an order of responses that a broken one changes.
+TEST_CASE("pipelined requests get their responses in order, broken answers among them")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    int withheld = 0;
+    for (const std::string& head : { answerOf("HTTP/1.1 000 Status"), answerOf("HTTP/1.1 200 OK\r\nx y: z"), std::string("HTTP/1.1 200 OK\r\nx: ") }) {
+        INFO(head);
+        fixture.endpoint.answer = { head, ConnectionEnd::Closed };
+        fixture.askSound();
+        auto client = RawConnection::connect(fixture.settings.listen.callers);
+        std::string requests;
+        for (const char* target : { "/alone/1", "/sound/1", "/alone/2", "/sound/2" })
+            absl::StrAppend(&requests, "POST ", target, " HTTP/1.1\r\nHost: path.example\r\nAttempt-Id: p-", ++withheld, "\r\nContent-Length: 2\r\n\r\nab");
+        client->send(requests);
+        std::vector<std::string> statuses;
+        REQUIRE(runUntil(fixture.platform.loop, [&] {
+            client->receive();
+            statuses.clear();
+            for (std::size_t at = client->received().find("HTTP/1.1 "); at != std::string::npos; at = client->received().find("HTTP/1.1 ", at + 1))
+                statuses.push_back(client->received().substr(at + 9, 3));
+            return statuses.size() == 4;
+        }));
+        CAPTURE(client->received());
+        // Entries refuse some of the requests for endpoints that always fail.
+        for (std::size_t alone : { 0, 2 })
+            CHECK((statuses[alone] == "502" || statuses[alone] == "503"));
+        CHECK(statuses[0] == "502");
+        for (std::size_t sound : { 1, 3 })
+            CHECK(statuses[sound] == "200");
+        CHECK_FALSE(absl::StrContains(client->received(), "broken"));
+    }
+}
+
+namespace {
+
+/// An entry whose requests for the other region go to a sound entry or to a scripted one.
+class BrokenEntry : public EntryFixture {
+public:
+    BrokenEntry()
+    {
+        DaemonSettings other = settings;
+        other.name = "other";
+        other.region = "south";
+        other.availabilityZone = "south-a";
+        m_other = startEntry(other);
+        platform.compareAndSwap("catkinwing/entries/scripted", 0, writeEntryRecord({ "south", "south-a", scripted.address(), scripted.address() }));
+        nlohmann::json document = nlohmann::json::parse(configuration());
+        document["version"] = 8;
+        for (const char* service : { "far", "events" }) {
+            std::string incarnation = absl::StrCat("sound-", service);
+            endpoints.push_back(platform.startEndpoint({ incarnation, 0ms, service == std::string("events") ? 3u : 0u, 0ms, false, {}, {}, {} }));
+            platform.compareAndSwap("servers/" + incarnation, 0, registrationAt(service, endpoints.back()->address(), "south-a").dump());
+            document["services"].push_back({ { "name", service }, { "max_conns", 100 } });
+        }
+        document["routes"].push_back(routeOf("/far/", "non_idempotent", "far", 1, false));
+        document["routes"].push_back(routeOf("/repeatable/", "idempotent", "far", 2, false));
+        document["routes"].push_back(routeOf("/events/", "streaming", "events", 1, false));
+        platform.compareAndSwap("op/config", platform.get("op/config").revision, document.dump());
+        scripted.answer = { "HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n" };
+        REQUIRE(runUntil(platform.loop, [this] { return ask("/far/ready")->head.status == 200; }));
+    }
+
+    std::shared_ptr<Recorded> ask(const std::string& target) { return sendAndWait(target, absl::StrCat("a-", ++m_sent)); }
+
+    /// Returns the result of a request that went to the scripted entry; the others must be served. An entry
+    /// that has failed gets no requests for a while.
+    std::shared_ptr<Recorded> askScripted(const std::string& target)
+    {
+        int before = scripted.requests();
+        std::shared_ptr<Recorded> got;
+        REQUIRE(runUntil(platform.loop, [&] {
+            got = ask(target);
+            if (scripted.requests() > before)
+                return true;
+            CHECK(got->head.status == 200);
+            runFor(platform.loop, 20ms);
+            return false;
+        }));
+        CHECK(scripted.requests() == before + 1);
+        return got;
+    }
+
+    ScriptedEndpoint scripted { platform.loop };
+
+private:
+    std::unique_ptr<IngressDaemon> m_other;
+    int m_sent { 0 };
+};
+
+} // namespace
+
+TEST_CASE("a broken answer of another entry reaches no client")
+{
+    BrokenEntry fixture;
+    const std::string start = "HTTP/1.1 200 OK\r\n" + marks;
+    const ScriptedAnswer answers[] = {
+        { answerOf("HTTP/1.1 000 Status") },
+        { answerOf("HTTP/1.1 600 Status") },
+        { answerOf("HTTP/1.1 200 OK\r\nx y: z") },
+        { start + "Content-Length: 0\r\nx: ", ConnectionEnd::Closed },
+        { start + "\r\npart", ConnectionEnd::Reset, false, 5ms },
+    };
+    for (const ScriptedAnswer& answer : answers) {
+        INFO(answer.bytes);
+        fixture.scripted.answer = answer;
+        auto got = fixture.askScripted("/far/1");
+        CHECK(got->result.end == HttpEnd::Complete);
+        CHECK(got->head.status == 502);
+        CHECK_FALSE(got->head.headers.find("Reply-Seal"));
+        // The other entry may have sent a request as often as its route allows.
+        for (const char* target : { "/events/1", "/repeatable/1" }) {
+            got = fixture.askScripted(target);
+            CHECK(got->result.end == HttpEnd::Complete);
+            CHECK(got->head.status == 502);
+        }
+    }
+}
