Test broken answers and odd registrations with an entry that is a process

Tests: an endpoint of the test's answers an entry process with statuses 000, 099, 600 and 999, invalid names of fields, cut heads, and a part without a length and a reset while 900 kB are uploaded: 502 each time, after one request to the endpoint. Eight odd values under three prefixes, all there at once, end no process, one that starts with them included.

--- a/scripts/platform_path.py
+++ b/scripts/platform_path.py
@@ -32,8 +32,7 @@
         self.write("op/config", self.configuration or configuration())
         for service, events in (("orders", 0), ("stories", 4)):
             address = self.fleet.start_standin("platform-endpoint", f"{service}-1", arguments=["--events", events, "--pause", "20ms", "--delay", self.order_delay, "--request-limit", self.request_limit])
-            self.write(f"servers/{service}-1", {"service": service, "addr": address, "zone": "manizales-a",
-                                                 "version": "v1", "slots": 8, "state": "ready", "warmup_ms": 0, "seq": 1})
+            self.write(f"servers/{service}-1", self.registration(service, address))
         self.start_entry()
 
     def start_entry(self):
@@ -56,9 +55,16 @@
         except OSError:
             return False
 
+    @staticmethod
+    def registration(service, address):
+        return {"service": service, "addr": address, "zone": "manizales-a", "version": "v1", "slots": 8, "state": "ready", "warmup_ms": 0, "seq": 1}
+
     def write(self, key, document):
         """Writes a key as operators and endpoints do."""
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self.write_text(key, json.dumps(document))
+
+    def write_text(self, key, text):
+        value = base64.b64encode(text.encode("latin-1")).decode()
         status, _, text = call(self.store, "POST", "/kv-txn", {"expect": [], "puts": [{"key": key, "value": value, "lease": 0}], "deletes": []})
         if status != 200:
             raise RuntimeError(f"writing {key}: {status} {text}")
--- a/test/e2e/routed_test.py
+++ b/test/e2e/routed_test.py
@@ -5,6 +5,8 @@
 import os
 import pathlib
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -13,9 +15,48 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 from fleet import BUILD, call, wait_for
+import platform_path
 from platform_path import HOST, PlatformPath
 
 
+class BrokenEndpoint:
+    """An endpoint that answers each request with bytes of the test's choice."""
+
+    def __init__(self):
+        self.answer = b""
+        self.leaves_body_unread = False
+        self.requests = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection:
+                self.serve(connection)
+
+    def serve(self, connection):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += connection.recv(2048) or b"\r\n\r\n"
+        head, _, body = received.partition(b"\r\n\r\n")
+        fields = {name.lower(): value.strip() for name, _, value in (line.partition(b":") for line in head.split(b"\r\n"))}
+        left = 0 if self.leaves_body_unread else int(fields.get(b"content-length", 0)) - len(body)
+        while left > 0:
+            left -= len(connection.recv(left)) or left
+        self.requests += 1
+        connection.sendall(self.answer.replace(b"{id}", fields.get(b"attempt-id", b"")))
+        if self.leaves_body_unread:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    def close(self):
+        self.listener.close()
+
+
 class RoutedTest(unittest.TestCase):
     def start(self, **options):
         path = PlatformPath(tempfile.mkdtemp(prefix="catkinwing-routed-"), **options)
@@ -75,6 +116,62 @@
         metrics = call(path.addresses["operators"], "GET", "/metrics")[2]
         self.assertIn('{name="endpoint_limits_in_force"} 1', metrics)
 
+    def test_broken_answers_reach_no_client(self):
+        path = self.start()
+        endpoint = BrokenEndpoint()
+        self.addCleanup(endpoint.close)
+        path.write("servers/broken-1", path.registration("broken", endpoint.address))
+        configuration = platform_path.configuration()
+        configuration["version"] = 2
+        configuration["services"].append({"name": "broken", "max_conns": 50})
+        configuration["routes"].append({**configuration["routes"][0], "name": "broken", "prefix": "/broken/", "service": "broken"})
+        path.write("op/config", configuration)
+        entry = path.addresses["callers"]
+        marks = b"Attempt-Id: {id}\r\nReply-Seal: seal\r\n"
+        fields = marks + b"Content-Length: 6\r\n"
+        endpoint.answer = b"HTTP/1.1 200 OK\r\n" + fields + b"\r\nsound!"
+        wait_for(lambda: path.ask(entry, "/broken/0") == (200, "sound!"), "the endpoint to be used")
+
+        def check_withheld(answer, body=b"{}"):
+            endpoint.answer = answer
+            before = endpoint.requests
+
+            # Entries refuse some of the requests for endpoints that always fail.
+            def status():
+                self.assertEqual(path.ask(entry, "/orders/1")[0], 200)
+                status = call(entry, "POST", "/broken/1", body, {"Host": HOST, "Attempt-Id": "broken-1"})[0]
+                return status if status != 503 else None
+
+            self.assertEqual(wait_for(status, "the endpoint to be asked"), 502, answer)
+            self.assertEqual(endpoint.requests, before + 1)
+
+        for status in (b"000", b"099", b"600", b"999"):
+            check_withheld(b"HTTP/1.1 " + status + b" Status\r\n" + fields + b"\r\nbroken")
+        for name in (b"x y", b"x\x01", b"Content-Length "):
+            check_withheld(b"HTTP/1.1 200 OK\r\n" + fields + name + b": 3\r\n\r\nbroken")
+        for cut in (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n" + marks + b"Content-Length: 0\r\n"):
+            check_withheld(cut)
+        endpoint.leaves_body_unread = True
+        check_withheld(b"HTTP/1.1 200 OK\r\n" + marks + b"\r\npart", b"x" * 900_000)
+
+    def test_odd_registrations_end_no_process(self):
+        path = self.start()
+        sound = path.registration("orders", "127.0.0.1:80")
+        values = ["[" * 100_000 + "]" * 100_000, '{"service":' * 50_000, "", "null", "\xff", json.dumps({**sound, "addr": "127.0.0.1:99999"}),
+                  json.dumps(sound)[:-1] + ', "slots": 1e999}', json.dumps(sound)[:-1] + ', "seq": 99999999999999999999999}']
+        for prefix in ("servers/", "catkinwing/entries/", "catkinwing/"):
+            for number, value in enumerate(values):
+                path.write_text(f"{prefix}odd-{number}", value)
+        for number in range(20):
+            self.assertEqual(path.ask(path.addresses["callers"], f"/stories/{number}")[0], 200)
+        # A process that starts reads all of them at once.
+        path.entry.signal(signal.SIGTERM)
+        self.assertEqual(path.entry.popen.wait(timeout=30), 0)
+        path.start_entry()
+        for number in range(20):
+            self.assertEqual(path.ask(path.addresses["callers"], f"/stories/{number}")[0], 200)
+        self.assertTrue(path.entry.is_running())
+
 
 if __name__ == "__main__":
     unittest.main()
