--- a/unittests/Gateway/BrokenAnswerTest.cpp
+++ b/unittests/Gateway/BrokenAnswerTest.cpp
@@ -18,7 +18,7 @@
 
 /// A client, and the server that all calls go to.
 struct BrokenServer {
-    /// Waits for an answer to a callback's result.
+    /// Waits until a callback has set \p result.
     template <typename Result>
     Result wait(const std::optional<Result>& result)
     {
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -289,7 +289,7 @@
 TEST_CASE("pipelined requests get their responses in order, broken answers among them")
 {
     BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
-    int withheld = 0;
+    int sent = 0;
     for (const std::string& head : { answerOf("HTTP/1.1 000 Status"), answerOf("HTTP/1.1 200 OK\r\nx y: z"), std::string("HTTP/1.1 200 OK\r\nx: ") }) {
         INFO(head);
         fixture.endpoint.answer = { head, ConnectionEnd::Closed };
@@ -297,7 +297,7 @@
         auto client = RawConnection::connect(fixture.settings.listen.callers);
         std::string requests;
         for (const char* target : { "/alone/1", "/sound/1", "/alone/2", "/sound/2" })
-            absl::StrAppend(&requests, "POST ", target, " HTTP/1.1\r\nHost: path.example\r\nAttempt-Id: p-", ++withheld, "\r\nContent-Length: 2\r\n\r\nab");
+            absl::StrAppend(&requests, "POST ", target, " HTTP/1.1\r\nHost: path.example\r\nAttempt-Id: p-", ++sent, "\r\nContent-Length: 2\r\n\r\nab");
         client->send(requests);
         std::vector<std::string> statuses;
         REQUIRE(runUntil(fixture.platform.loop, [&] {
