--- a/unittests/Gateway/BrokenAnswerTest.cpp
+++ b/unittests/Gateway/BrokenAnswerTest.cpp
@@ -127,7 +127,7 @@
     };
     auto renew = [&] {
         std::optional<absl::StatusOr<std::chrono::milliseconds>> renewed;
-        store.keepAlive(1, [&](absl::StatusOr<std::chrono::milliseconds> left) { renewed = left; });
+        store.keepAlive(1, [&](const absl::StatusOr<std::chrono::milliseconds>& left) { renewed = left; });
         return broken.wait(renewed).status();
     };
     for (const ScriptedAnswer& answer : brokenAnswers(body)) {
