Apply a configuration's limit of bodies together with its routes

Clients that sent a body which the newest configuration allows got a final 413 "body_too_large" from an entry that already served them by the routes of that configuration, and one whose limit is lower was passed over as well, both for up to 250 ms.

Cause: the routes take effect when the store's change is read, the limit of the servers at the next housekeeping. The limit is now set where the routes are. StoreFollower calls back when a configuration has come into force.

--- a/lib/Ingress/IngressDaemon.cpp
+++ b/lib/Ingress/IngressDaemon.cpp
@@ -305,8 +305,6 @@
         entryCountWriter.tick();
         versionRecordWriter.tick();
     }
-    if (parts.routes)
-        setMaxBodyBytes(static_cast<std::size_t>(parts.routes->limits().maxBodyBytes));
     parts.isConfigurationStale = relayedStore.dataAge().value_or(Duration::zero()) > maxConfigurationAge;
     loop.callAfter(houseKeepingInterval, [this] { houseKeep(); });
 }
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -68,10 +68,13 @@
         , entryCountWriter(*store, eventLoop, parts.entries)
         , versionRecordWriter(*store, parts)
         , relayedStore(*store, *peerClient, eventLoop, relayCallbacks())
-        , follower(relayedStore, eventLoop, random, entryPrefix, parts, [this](const std::string& key) {
-            if (key == registration.key())
-                registration.recordKeyDeleted();
-        })
+        , follower(
+              relayedStore, eventLoop, random, entryPrefix, parts,
+              [this](const std::string& key) {
+                  if (key == registration.key())
+                      registration.recordKeyDeleted();
+              },
+              [this] { setMaxBodyBytes(static_cast<std::size_t>(parts.routes->limits().maxBodyBytes)); })
     {
     }
 
--- a/lib/Ingress/StoreFollower.cpp
+++ b/lib/Ingress/StoreFollower.cpp
@@ -39,12 +39,13 @@
 }
 
 StoreFollower::StoreFollower(Store& store, Scheduler& scheduler, Random& random, std::string entryPrefix, IngressContext& parts,
-    std::function<void(const std::string& key)> onEntryRemoved)
+    std::function<void(const std::string& key)> onEntryRemoved, std::function<void()> onConfiguration)
     : m_scheduler(scheduler)
     , m_dialect(parts.dialect)
     , m_parts(parts)
     , m_entryPrefix(std::move(entryPrefix))
     , m_onEntryRemoved(std::move(onEntryRemoved))
+    , m_onConfiguration(std::move(onConfiguration))
     , m_source(store, scheduler, random, sourceOptions(), [this](const std::vector<ConfigChange>& changes) { applyChanges(changes); })
 {
 }
@@ -250,6 +251,8 @@
     m_parts.routes = std::make_shared<const RouteTable>(std::move(*table.document));
     m_parts.endpoints.setStreamLifetime(streamLifetimeOf(*m_parts.routes));
     m_mayVersionRecordDiffer = true;
+    if (m_onConfiguration)
+        m_onConfiguration();
 }
 
 // An endpoint that has left or ended in the lost part of the history doesn't write its restored
--- a/lib/Ingress/StoreFollower.h
+++ b/lib/Ingress/StoreFollower.h
@@ -17,9 +17,10 @@
 /// tables of \p parts from them.
 class StoreFollower {
 public:
-    /// \p onEntryRemoved is called with the key of each entry registration that is deleted.
+    /// \p onEntryRemoved is called with the key of each entry registration that is deleted,
+    /// \p onConfiguration, if set, when another configuration has come into force.
     StoreFollower(Store& store, Scheduler& scheduler, Random& random, std::string entryPrefix, IngressContext& parts,
-        std::function<void(const std::string& key)> onEntryRemoved);
+        std::function<void(const std::string& key)> onEntryRemoved, std::function<void()> onConfiguration = nullptr);
 
     void start() { m_source.start(); }
     /// Returns whether the store has been listed at least once.
@@ -63,6 +64,7 @@
     IngressContext& m_parts;
     std::string m_entryPrefix;
     std::function<void(const std::string& key)> m_onEntryRemoved;
+    std::function<void()> m_onConfiguration;
     ConfigSource m_source;
     std::set<std::string> m_evacuatedZones;
     /// Zones whose state in the store's copy is another one than before, with that state.
--- a/unittests/Platform/ServedPathTest.cpp
+++ b/unittests/Platform/ServedPathTest.cpp
@@ -187,6 +187,30 @@
     CHECK(crashes == 1);
 }
 
+TEST_CASE("the limit of request bodies changes together with the routes of a configuration")
+{
+    EntryFixture fixture;
+    int sent = 0;
+    auto configure = [&](int version, const char* prefix, std::size_t maxBytes) {
+        nlohmann::json document = nlohmann::json::parse(configuration());
+        document["version"] = version;
+        document["limits"] = { { "max_body_bytes", maxBytes } };
+        document["routes"].push_back(routeOf(prefix, "non_idempotent", "plain", 1, false));
+        fixture.platform.compareAndSwap("op/config", fixture.platform.get("op/config").revision, document.dump());
+    };
+    auto statusOf = [&](const char* target, std::size_t bytes) {
+        std::string id = absl::StrCat("a-", ++sent);
+        return fixture.platform.sendAndWait(fixture.settings.listen.callers, "POST", target, std::string(bytes, 'x'), { { "Host", "path.example" }, { "Attempt-Id", id } })
+            ->head.status;
+    };
+    configure(8, "/raised/", 16u << 20);
+    REQUIRE(runUntil(fixture.platform.loop, [&] { return statusOf("/raised/1", 1) == 200; }));
+    CHECK(statusOf("/raised/1", 6u << 20) == 200);
+    configure(9, "/lowered/", 1'000);
+    REQUIRE(runUntil(fixture.platform.loop, [&] { return statusOf("/lowered/1", 1) == 200; }));
+    CHECK(statusOf("/lowered/1", 2'000) == 413);
+}
+
 // Guards against a planned stop that cuts answers which endpoints have finished and slow clients
 // still read.
 TEST_CASE("an entry that drains ends when its clients have read their answers, and not before")
