Send every HTTP/1.1 answer without a length in chunks

Cause: ServerResponse left the framing to h2o, which writes chunks with status 200 only, and decided for itself, by the version alone and at two places, whether a cut needs a reset.

Now the framing of an answer is one value (AnswerFraming), decided when the head is given, which the head, the writer, the end and the cut ask. ServerResponse writes the chunks itself, for every status; h2o passes over answers that bear Transfer-Encoding already. The connection is kept after such an answer, as after one with status 200.

HTTP/2 resets its stream whatever the status, before and after.

--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -6,11 +6,11 @@
 #include <absl/strings/numbers.h>
 #include <algorithm>
 #include <memory>
+#include <numeric>
 #include <sys/socket.h>
 
 namespace catkinwing {
 
-static constexpr int http11Version = 0x101;
 static constexpr int statusTooManyRequests = 429;
 static constexpr int statusUnavailable = 503;
 
@@ -145,16 +145,16 @@
     scheduleFlush();
 }
 
-// h2o frames the message itself, so the fields that say how are left to it.
+// The fields that frame the message are the server's.
 static bool isFramingField(absl::string_view name)
 {
     return name == "connection" || name == "transfer-encoding" || name == "keep-alive" || name == "date" || name == "server";
 }
 
-static bool hasBody(const h2o_req_t& request)
+static AnswerTraits traitsOf(const h2o_req_t& request, bool hasLength)
 {
-    bool isHead = h2o_memis(request.input.method.base, request.input.method.len, H2O_STRLIT("HEAD"));
-    return !isHead && request.res.status != 204 && request.res.status != 304;
+    bool isForHead = h2o_memis(request.input.method.base, request.input.method.len, H2O_STRLIT("HEAD"));
+    return { request.version, request.res.status, isForHead, hasLength };
 }
 
 void ServerResponse::fillHead(const HttpResponseHead& head)
@@ -163,11 +163,15 @@
     m_request->res.reason = reasonPhrase(head.status);
     for (const auto& field : head.headers.fields())
         addField(field);
-    m_hasBody = hasBody(*m_request);
-    bool isUnframed = m_request->version < http11Version && !m_bodyLeft;
+    AnswerTraits traits = traitsOf(*m_request, m_bodyLeft.has_value());
+    m_hasBody = hasBody(traits);
+    m_framing = framingOf(traits);
+    if (m_framing == AnswerFraming::Chunks)
+        h2o_add_header(&m_request->pool, &m_request->res.headers, H2O_TOKEN_TRANSFER_ENCODING, nullptr, H2O_STRLIT("chunked"));
     // A client that pipelines would have its next request refused at once, too.
     bool isRefusal = head.status == statusTooManyRequests || head.status == statusUnavailable;
-    if (isUnframed || (isRefusal && m_connection->guard.holdsInput()))
+    bool endsConnection = m_framing == AnswerFraming::ConnectionEnd || (isRefusal && m_connection->guard.holdsInput());
+    if (endsConnection)
         m_request->http1_is_persistent = 0;
 }
 
@@ -299,7 +303,12 @@
     m_isHeadSent = true;
     if (m_connection->core->isDraining())
         m_request->http1_is_persistent = 0;
+    int isPersistent = m_request->http1_is_persistent;
     h2o_start_response(m_request, &m_generator.base);
+    // h2o itself writes chunks with status 200 only, and has any other body without a length end with the
+    // connection.
+    if (m_framing == AnswerFraming::Chunks)
+        m_request->http1_is_persistent = isPersistent;
 }
 
 // h2o puts a head off until there are bytes of the body, unless the stream at
@@ -314,14 +323,30 @@
     last->do_send(last, m_request, &nothing, 1, H2O_SEND_STATE_IN_PROGRESS);
 }
 
+static std::size_t totalBytes(const std::vector<std::string>& pieces)
+{
+    return std::accumulate(pieces.begin(), pieces.end(), std::size_t { 0 }, [](std::size_t bytes, const std::string& piece) { return bytes + piece.size(); });
+}
+
 // h2o refers to the bytes until it proceeds or disposes of the request.
 void ServerResponse::sendQueued(h2o_send_state_t state)
 {
+    static constexpr absl::string_view chunkEnd = "\r\n";
+    static constexpr absl::string_view lastChunk = "0\r\n\r\n";
     m_sending.swap(m_queued);
     std::vector<h2o_iovec_t> buffers;
-    buffers.reserve(m_sending.size());
+    auto append = [&buffers](absl::string_view bytes) { buffers.push_back(h2o_iovec_init(bytes.data(), bytes.size())); };
+    bool isChunk = m_framing == AnswerFraming::Chunks && !m_sending.empty();
+    if (isChunk) {
+        m_chunkSizeLine = chunkSizeLine(totalBytes(m_sending));
+        append(m_chunkSizeLine);
+    }
     for (const auto& bytes : m_sending)
-        buffers.push_back(h2o_iovec_init(bytes.data(), bytes.size()));
+        append(bytes);
+    if (isChunk)
+        append(chunkEnd);
+    if (m_framing == AnswerFraming::Chunks && state == H2O_SEND_STATE_FINAL)
+        append(lastChunk);
     m_isSending = true;
     h2o_send(m_request, buffers.data(), buffers.size(), state);
 }
@@ -339,8 +364,7 @@
 // Closing first keeps back what h2o would still send.
 void ServerResponse::breakConnection()
 {
-    bool isUnframed = m_isHeadSent && m_request->version < http11Version && !m_bodyLeft;
-    if (isUnframed)
+    if (m_isHeadSent && m_framing == AnswerFraming::ConnectionEnd)
         resetConnection(m_connection->descriptor);
     else
         shutdown(m_connection->descriptor, SHUT_RDWR);
@@ -369,9 +393,7 @@
 void ServerResponse::didProceed()
 {
     auto self = shared_from_this();
-    std::size_t taken = 0;
-    for (const auto& bytes : m_sending)
-        taken += bytes.size();
+    std::size_t taken = totalBytes(m_sending);
     m_sending.clear();
     m_isSending = false;
     setPendingBytes(m_pendingBytes - std::min(taken, m_pendingBytes));
--- a/lib/Http/ServerResponse.h
+++ b/lib/Http/ServerResponse.h
@@ -1,6 +1,7 @@
 // The answer to one request, between its holder and h2o.
 #pragma once
 
+#include "AnswerFraming.h"
 #include "ServerCore.h"
 #include <optional>
 
@@ -75,6 +76,10 @@
     std::size_t m_pendingBytes { 0 };
     std::optional<std::size_t> m_bodyLeft;
     bool m_hasBody { true };
+    /// Decided when the holder gives the head.
+    AnswerFraming m_framing { AnswerFraming::NoBody };
+    /// The line before the chunk that is being sent.
+    std::string m_chunkSizeLine;
     bool m_isStarted { false };
     bool m_isHeadSent { false };
     bool m_isSending { false };
--- a/unittests/Gateway/BrokenAnswerTest.cpp
+++ b/unittests/Gateway/BrokenAnswerTest.cpp
@@ -258,3 +258,30 @@
     CHECK(responder->status() == 200);
     CHECK(responder->body == "{}");
 }
+
+// Guards against a part of a body that looks whole since a status other than 200 had no frame.
+TEST_CASE("an answer of a plain service that is cut looks cut to the caller, whatever its status")
+{
+    BrokenServer broken;
+    RedirectingClient redirecting(*broken.client, broken.server.address());
+    BrokerFixture fixture(&redirecting);
+    auto gateway = startServer(broken.loop, [&](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) { fixture.run(std::move(request), responder); });
+    bool isChunked = GENERATE(true, false);
+    std::string version = GENERATE("1.1", "1.0");
+    for (int status : { 200, 201, 203, 206, 299, 404 }) {
+        INFO(status << " HTTP/" << version << (isChunked ? " in chunks" : " until the end"));
+        broken.server.answer = { absl::StrCat("HTTP/1.1 ", status, " Status\r\n", isChunked ? "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" : "\r\npart"), ConnectionEnd::Reset, false, 20ms };
+        auto caller = RawConnection::connect(gateway->address());
+        caller->send(absl::StrCat("POST /services/bookings/items HTTP/", version, "\r\nHost: a\r\nAuthorization: Bearer secret\r\nContent-Length: 0\r\n\r\n"));
+        REQUIRE(runUntil(broken.loop, [&] {
+            fixture.scheduler.advance(1ms);
+            caller->receive();
+            return caller->isEnded();
+        }));
+        CHECK(absl::StrContains(caller->received(), absl::StrCat("HTTP/1.1 ", status)));
+        CHECK(absl::StrContains(caller->received(), "part"));
+        CHECK(absl::StrContains(caller->received(), "4\r\npart") == (version == "1.1"));
+        CHECK_FALSE(absl::StrContains(caller->received(), "0\r\n\r\n"));
+        CHECK(caller->wasReset() == (version == "1.0"));
+    }
+}
--- a/unittests/Gateway/BrokerFixture.cpp
+++ b/unittests/Gateway/BrokerFixture.cpp
@@ -106,15 +106,20 @@
 std::shared_ptr<FakeResponder> BrokerFixture::run(HttpRequest request)
 {
     auto responder = std::make_shared<FakeResponder>();
+    run(std::move(request), responder);
+    return responder;
+}
+
+void BrokerFixture::run(HttpRequest request, const std::shared_ptr<HttpResponder>& responder)
+{
     auto identified = authenticate(tree.snapshot(), request.headers);
     const CallerIdentity& identity = std::get<CallerIdentity>(identified);
     auto read = readRequest(std::move(request), identity, { "request", scheduler.clock().now(), 1, std::nullopt });
     if (const ApiError* error = std::get_if<ApiError>(&read)) {
         sendError(*responder, "request", *error);
-        return responder;
+        return;
     }
     broker.run(std::get<AcceptedRequest>(std::move(read)), AnswerWriter(responder, "request"));
-    return responder;
 }
 
 FakeHttpAnswer BrokerFixture::answer(const HttpClientRequest&)
--- a/unittests/Gateway/BrokerFixture.h
+++ b/unittests/Gateway/BrokerFixture.h
@@ -21,6 +21,7 @@
     void configureWithout(const std::string& endpoint);
     /// Reads and runs a request of the team.
     std::shared_ptr<FakeResponder> run(HttpRequest request);
+    void run(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
     static HttpRequest chat(bool isStreaming);
     static HttpRequest book();
     /// Answers of the endpoints, by address; the first is taken by each call.
--- a/unittests/Http/ScriptedEndpoint.h
+++ b/unittests/Http/ScriptedEndpoint.h
@@ -23,7 +23,7 @@
 
 /// What the endpoint answers.
 struct ScriptedAnswer {
-    /// Bytes sent; "{id}" stands for the request's attempt ID.
+    /// Bytes sent; "{id}" stands for the request's attempt ID and "{name}" for the last part of its path.
     std::string bytes;
     ConnectionEnd end { ConnectionEnd::Kept };
     /// Answers as soon as the head of a request has arrived, and reads no more.
@@ -78,6 +78,13 @@
         return {};
     }
 
+    /// Returns the last part of the request's path.
+    static std::string nameOf(absl::string_view received)
+    {
+        absl::string_view target = received.substr(0, received.find(" HTTP/"));
+        return std::string(target.substr(target.rfind('/') + 1));
+    }
+
     bool isReadEnough(const std::string& received) const
     {
         std::size_t headEnd = received.find("\r\n\r\n");
@@ -103,7 +110,7 @@
         if (!isReadEnough(received))
             return;
         ++m_requests;
-        connection.socket->send(absl::StrReplaceAll(answer.bytes, { { "{id}", fieldOf(received, "attempt-id") } }));
+        connection.socket->send(absl::StrReplaceAll(answer.bytes, { { "{id}", fieldOf(received, "attempt-id") }, { "{name}", nameOf(received) } }));
         connection.socket->clear();
         if (answer.end == ConnectionEnd::EndedThenReset)
             connection.socket->shutdownSend();
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -2,6 +2,7 @@
 #include "EntryFixture.h"
 #include "Http/ScriptedEndpoint.h"
 #include "catkinwing/Ingress/EntryTable.h"
+#include <absl/strings/ascii.h>
 #include <algorithm>
 
 using namespace catkinwing;
@@ -19,6 +20,24 @@
     return statuses;
 }
 
+/// What a client gets of an answer.
+struct RawAnswer {
+    std::string head;
+    std::string body;
+    bool wasReset { false };
+
+    /// Returns whether the answer is whole (RFC 9112, section 8).
+    bool isWhole() const
+    {
+        if (absl::StrContains(head, "transfer-encoding: chunked"))
+            return absl::EndsWith(body, "\r\n0\r\n\r\n");
+        std::size_t length = head.find("content-length: ");
+        if (length != std::string::npos)
+            return std::to_string(body.size()) == head.substr(length + 16, head.find("\r\n", length) - length - 16);
+        return !head.empty() && !wasReset;
+    }
+};
+
 /// Whether the entry that the client calls sends requests to the endpoints itself.
 enum class Path {
     Direct,
@@ -104,6 +123,32 @@
         return statuses;
     }
 
+    /// Sends requests at once in \p version of HTTP, such as "1.0", until none is refused, and returns the answers as
+    /// their last chunk or the end of the connection leaves them. Entries refuse requests for an entry or endpoint that
+    /// has just failed.
+    std::vector<RawAnswer> askRaw(const std::vector<std::string>& targets, const std::string& version)
+    {
+        std::vector<RawAnswer> answers(targets.size());
+        auto isDue = [](const RawAnswer& answer) { return answer.head.empty() || absl::StartsWith(answer.head, "http/1.1 503"); };
+        REQUIRE(runUntil(platform.loop, [&] {
+            std::vector<std::unique_ptr<RawConnection>> clients(targets.size());
+            for (std::size_t i = 0; i < targets.size(); ++i) {
+                if (isDue(answers[i]))
+                    clients[i] = sendRaw(targets[i], version);
+            }
+            for (std::size_t i = 0; i < targets.size(); ++i) {
+                if (clients[i])
+                    answers[i] = receiveRaw(*clients[i]);
+            }
+            if (std::none_of(answers.begin(), answers.end(), isDue))
+                return true;
+            runFor(platform.loop, 50ms);
+            askSound();
+            return false;
+        }));
+        return answers;
+    }
+
     /// Gets an answer of a sound endpoint. Entries that get none for a while, and whose endpoints break
     /// their connections, take themselves for cut off.
     void askSound() { ask("/sound/1"); }
@@ -149,9 +194,30 @@
     ScriptedEndpoint endpoint { platform.loop };
 
 private:
+    std::unique_ptr<RawConnection> sendRaw(const std::string& target, const std::string& version)
+    {
+        auto client = RawConnection::connect(settings.listen.callers);
+        std::string id = absl::StrCat("r-", ++m_sent);
+        client->send(absl::StrCat("POST ", target, " HTTP/", version, "\r\nHost: path.example\r\nAttempt-Id: ", id, "\r\nContent-Length: ", id.size(), "\r\n\r\n", id));
+        return client;
+    }
+    RawAnswer receiveRaw(RawConnection& client)
+    {
+        RawAnswer answer;
+        REQUIRE(runUntil(platform.loop, [&] {
+            client.receive();
+            std::size_t end = client.received().find("\r\n\r\n");
+            if (end != std::string::npos)
+                answer = { absl::AsciiStrToLower(client.received().substr(0, end + 2)), client.received().substr(end + 4), client.wasReset() };
+            return client.isEnded() || (absl::StrContains(answer.head, "\r\nconnection: keep-alive") && answer.isWhole());
+        }));
+        return answer;
+    }
     void addScripted(const std::string& service)
     {
-        platform.compareAndSwap("servers/scripted-" + service, 0, registrationAt(service, endpoint.address(), m_zone).dump());
+        nlohmann::json registration = registrationAt(service, endpoint.address(), m_zone);
+        registration["slots"] = 16;
+        platform.compareAndSwap("servers/scripted-" + service, 0, registration.dump());
     }
     void addSound(const std::string& service)
     {
@@ -285,6 +351,57 @@
     }
 }
 
+/// Targets of streams whose status is the last part of their path: all that succeed and have a body.
+static const std::vector<std::string> streamTargets { "/events/200", "/events/201", "/events/202", "/events/203", "/events/205", "/events/206", "/events/207", "/events/226", "/events/299" };
+
+static std::string streamHead(bool isChunked)
+{
+    return absl::StrCat("HTTP/1.1 {name} Status\r\n", marks, "Content-Type: text/event-stream\r\n", isChunked ? "Transfer-Encoding: chunked\r\n" : "", "\r\n");
+}
+
+static void checkFirstEvent(const RawAnswer& answer, const std::string& target)
+{
+    CHECK(absl::StartsWith(answer.head, absl::StrCat("http/1.1 ", target.substr(target.rfind('/') + 1))));
+    CHECK(absl::StrContains(answer.body, "id: 1\ndata: one\n\n"));
+}
+
+// Guards against a stream whose part looks whole: one with a status other than 200 had no frame, neither
+// towards the client nor between two entries.
+TEST_CASE("a stream that is cut looks cut to the client, whatever its status and framing")
+{
+    Path path = GENERATE(Path::Direct, Path::Forwarded);
+    std::string version = GENERATE("1.1", "1.0");
+    bool isChunked = GENERATE(true, false);
+    ConnectionEnd end = GENERATE(ConnectionEnd::Closed, ConnectionEnd::Reset);
+    BrokenPath fixture(path);
+    // The end of a connection inside an event shows that the stream is cut, and one between two doesn't.
+    std::string events = isChunked ? "11\r\nid: 1\ndata: one\n\n\r\n" : "id: 1\ndata: one\n\nid: 2\nda";
+    fixture.endpoint.answer = { streamHead(isChunked) + events, end, false, 50ms };
+    std::vector<RawAnswer> got = fixture.askRaw(streamTargets, version);
+    for (std::size_t i = 0; i < streamTargets.size(); ++i) {
+        INFO(streamTargets[i] << " HTTP/" << version << (isChunked ? " in chunks" : " until the end") << (path == Path::Direct ? "" : ", forwarded"));
+        checkFirstEvent(got[i], streamTargets[i]);
+        CHECK_FALSE(got[i].isWhole());
+    }
+}
+
+TEST_CASE("a whole stream looks whole to the client, and HTTP/1.1 keeps the connection, whatever its status and framing")
+{
+    Path path = GENERATE(Path::Direct, Path::Forwarded);
+    std::string version = GENERATE("1.1", "1.0");
+    bool isChunked = GENERATE(true, false);
+    BrokenPath fixture(path);
+    std::string events = isChunked ? "11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n" : "id: 1\ndata: one\n\n";
+    fixture.endpoint.answer = { streamHead(isChunked) + events, isChunked ? ConnectionEnd::Kept : ConnectionEnd::Closed, false, 10ms };
+    std::vector<RawAnswer> got = fixture.askRaw(streamTargets, version);
+    for (std::size_t i = 0; i < streamTargets.size(); ++i) {
+        INFO(streamTargets[i] << " HTTP/" << version << (isChunked ? " in chunks" : " until the end") << (path == Path::Direct ? "" : ", forwarded"));
+        checkFirstEvent(got[i], streamTargets[i]);
+        CHECK(got[i].isWhole());
+        CHECK(absl::StrContains(got[i].head, "\r\nconnection: keep-alive") == (version == "1.1"));
+    }
+}
+
 // Guards against a body, empty or short, that a head which never ended is taken to announce.
 TEST_CASE("an answer whose connection ends in the middle of its head reaches no client")
 {
