State the size of a chunk correctly in the tests of status lines

The streams whose status line isn't valid also had a chunk that is a byte longer than its size says, so that their refusal could have had that cause. The check is the same; the chunk is valid.

--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -245,7 +245,7 @@
 static std::string streamOf(const std::string& statusLine)
 {
     return absl::StrCat(statusLine, "\r\n", marks, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                                   "10\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n");
+                                                   "11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n");
 }
 
 TEST_CASE("an answer with an unusual and valid status line reaches the client")
