Reset answers that end with their connection, whatever ends it early

What callers could see: clients that speak HTTP/1.0 get a body without a length that ends with the connection. Only an answer that was aborted was reset.

Cause: four places shut connections down without asking how the answer on them is framed, and the kernel does the same for a process that ends.

Now ServerCore::cut ends all connections and asks whether the body of an answer ends with the connection. While it does, SO_LINGER is set, so that the kernel resets the connection, too. The last bytes are sent before h2o is told of the end, so that an orderly end follows only what the transport has taken wholly.

--- a/lib/Http/ServerCore.cpp
+++ b/lib/Http/ServerCore.cpp
@@ -184,7 +184,7 @@
         return false;
     longest->isGivenUp = true;
     ++memory()->refusals().yielded;
-    shutdown(longest->descriptor, SHUT_RDWR);
+    cut(*longest);
     return true;
 }
 
@@ -193,6 +193,32 @@
     return *static_cast<ServerConnection*>(socket->on_close.data);
 }
 
+// The kernel closes the connections of a process that is killed in an orderly way, unless it is to discard
+// what is unsent.
+void ServerCore::setEndsBody(ServerConnection& connection, bool endsBody)
+{
+    connection.endsBody = endsBody;
+    linger discard { endsBody ? 1 : 0, 0 };
+    setsockopt(connection.descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
+// Disconnecting sends a reset at once, also past bytes that wait to be sent.
+static void resetConnection(int descriptor)
+{
+    sockaddr nowhere {};
+    nowhere.sa_family = AF_UNSPEC;
+    static_cast<void>(connect(descriptor, &nowhere, sizeof(nowhere)));
+}
+
+// An orderly end shows that an answer with a frame is cut. It also keeps back what h2o would still send.
+void ServerCore::cut(const ServerConnection& connection)
+{
+    if (connection.endsBody)
+        resetConnection(connection.descriptor);
+    else
+        shutdown(connection.descriptor, SHUT_RDWR);
+}
+
 // h2o_accept would hand what has come in with the end of the handshake to HTTP/1 before the guard
 // could see it.
 void ServerCore::startHandshake(ServerConnection& connection)
@@ -506,7 +532,7 @@
         if (candidate->reception)
             candidate->reception->refuse(statusUnavailable);
         else
-            shutdown(candidate->descriptor, SHUT_RDWR);
+            cut(*candidate);
         return;
     }
 }
@@ -788,7 +814,7 @@
         connection->checksWithoutBytes = isMoving ? 0 : connection->checksWithoutBytes + 1;
         bool isStalled = connection->isHttp2 && connection->checksWithoutBytes >= stallChecks;
         if (isStalled)
-            shutdown(connection->descriptor, SHUT_RDWR);
+            cut(*connection);
         // h2o begins to read anew when much that it had to write is out.
         else if (connection->guard.isHttp2())
             guardInput(*connection);
@@ -806,7 +832,7 @@
     m_loop.cancel(m_sampleTimer);
     m_handler = nullptr;
     for (auto& connection : m_connections)
-        shutdown(connection->descriptor, SHUT_RDWR);
+        cut(*connection);
 }
 
 } // namespace catkinwing
--- a/lib/Http/ServerCore.h
+++ b/lib/Http/ServerCore.h
@@ -52,6 +52,8 @@
     std::size_t writtenAtMove { 0 };
     /// It is being closed, so that another can be accepted.
     bool isGivenUp { false };
+    /// An answer isn't all out whose body ends with the connection.
+    bool endsBody { false };
     /// An interim response is being written.
     bool isInterimPending { false };
     std::weak_ptr<ServerResponse> interimOf;
@@ -93,6 +95,11 @@
     void setMaxBodyBytes(std::size_t bytes);
 
     static ServerConnection& connectionOf(h2o_socket_t* socket);
+    /// Notes whether an answer isn't all out whose body ends with the connection. Whatever ends the connection
+    /// meanwhile, the end of the process included, resets it.
+    static void setEndsBody(ServerConnection& connection, bool endsBody);
+    /// Ends a connection at once, so that no answer on it looks whole that isn't all out.
+    static void cut(const ServerConnection& connection);
     /// Reads some of the input behind what h2o has been given; \p bytes stay valid until the next
     /// read. Returns h2o's error, or null.
     const char* receive(ServerConnection& connection, absl::string_view& bytes);
--- a/lib/Http/ServerResponse.cpp
+++ b/lib/Http/ServerResponse.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <memory>
 #include <numeric>
-#include <sys/socket.h>
 
 namespace catkinwing {
 
@@ -295,7 +294,23 @@
         startResponse();
     if (m_queued.empty() && !m_isEnded)
         return sendHeadAlone();
-    sendQueued(m_isEnded ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+    if (isEndDue())
+        sendEnd();
+    else
+        sendQueued(H2O_SEND_STATE_IN_PROGRESS);
+}
+
+// h2o closes the connection after the end, which may only look orderly once the transport has all of the body.
+bool ServerResponse::isEndDue() const
+{
+    return m_isEnded && (m_framing != AnswerFraming::ConnectionEnd || m_queued.empty());
+}
+
+void ServerResponse::sendEnd()
+{
+    if (m_framing == AnswerFraming::ConnectionEnd)
+        ServerCore::setEndsBody(*m_connection, false);
+    sendQueued(H2O_SEND_STATE_FINAL);
 }
 
 void ServerResponse::startResponse()
@@ -303,6 +318,8 @@
     m_isHeadSent = true;
     if (m_connection->core->isDraining())
         m_request->http1_is_persistent = 0;
+    if (m_framing == AnswerFraming::ConnectionEnd)
+        ServerCore::setEndsBody(*m_connection, true);
     int isPersistent = m_request->http1_is_persistent;
     h2o_start_response(m_request, &m_generator.base);
     // h2o itself writes chunks with status 200 only, and has any other body without a length end with the
@@ -351,31 +368,14 @@
     h2o_send(m_request, buffers.data(), buffers.size(), state);
 }
 
-// Disconnecting sends a reset at once, also past bytes that wait to be sent.
-static void resetConnection(int descriptor)
-{
-    sockaddr nowhere {};
-    nowhere.sa_family = AF_UNSPEC;
-    static_cast<void>(connect(descriptor, &nowhere, sizeof(nowhere)));
-}
-
-// HTTP/1 has no way to say that an answer is cut but to close the connection,
-// and a body that ends with the connection looks whole unless that is reset.
-// Closing first keeps back what h2o would still send.
-void ServerResponse::breakConnection()
-{
-    if (m_isHeadSent && m_framing == AnswerFraming::ConnectionEnd)
-        resetConnection(m_connection->descriptor);
-    else
-        shutdown(m_connection->descriptor, SHUT_RDWR);
-    m_request->http1_is_persistent = 0;
-}
-
-// While h2o is sending it is told when that has failed.
+// HTTP/1 has no way to say that an answer is cut but to end the connection. While h2o is sending it is told
+// when that has failed.
 void ServerResponse::cut()
 {
-    if (m_request->version < http2Version)
-        breakConnection();
+    if (m_request->version < http2Version) {
+        ServerCore::cut(*m_connection);
+        m_request->http1_is_persistent = 0;
+    }
     if (m_isSending)
         return;
     if (!m_isStarted)
--- a/lib/Http/ServerResponse.h
+++ b/lib/Http/ServerResponse.h
@@ -57,9 +57,10 @@
     void startResponse();
     void scheduleFlush();
     void flush();
+    bool isEndDue() const;
+    void sendEnd();
     void sendHeadAlone();
     void sendQueued(h2o_send_state_t state);
-    void breakConnection();
     void cut();
     void didProceed();
     void didLoseCaller();
--- a/test/e2e/routed_test.py
+++ b/test/e2e/routed_test.py
@@ -26,6 +26,9 @@
         self.answer = b""
         self.leaves_body_unread = False
         self.requests = 0
+        # Connections aren't ended as long as it isn't set.
+        self.may_end = threading.Event()
+        self.may_end.set()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.run, daemon=True).start()
@@ -36,10 +39,13 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
-            with connection:
-                self.serve(connection)
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
     def serve(self, connection):
+        with connection:
+            self.answer_request(connection)
+
+    def answer_request(self, connection):
         received = b""
         while b"\r\n\r\n" not in received:
             received += connection.recv(2048) or b"\r\n\r\n"
@@ -50,10 +56,12 @@
             left -= len(connection.recv(left)) or left
         self.requests += 1
         connection.sendall(self.answer.replace(b"{id}", fields.get(b"attempt-id", b"")))
+        self.may_end.wait(timeout=60)
         if self.leaves_body_unread:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     def close(self):
+        self.may_end.set()
         self.listener.close()
 
 
@@ -154,6 +162,39 @@
         endpoint.leaves_body_unread = True
         check_withheld(b"HTTP/1.1 200 OK\r\n" + marks + b"\r\npart", b"x" * 900_000)
 
+    def test_streams_of_an_entry_that_is_killed_look_cut(self):
+        """Guards against the kernel, which ends the connections of a process in an orderly way."""
+        path = self.start()
+        endpoint = BrokenEndpoint()
+        self.addCleanup(endpoint.close)
+        endpoint.may_end.clear()
+        endpoint.answer = (b"HTTP/1.1 206 Part\r\nAttempt-Id: {id}\r\nReply-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+                           b"Transfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n")
+        path.write("servers/stories-1", path.registration("stories", endpoint.address))
+        wait_for(lambda: self.first_event(path, b"1.1"), "the endpoint to be used")
+        streams = {version: self.first_event(path, version) for version in (b"1.0", b"1.1")}
+        path.entry.signal(signal.SIGKILL)
+        path.entry.popen.wait(timeout=30)
+        client, _ = streams[b"1.0"]
+        with self.assertRaises(ConnectionResetError):
+            client.recv(1024)
+        client, received = streams[b"1.1"]
+        self.assertIn(b"chunked", received.lower())
+        self.assertEqual(client.recv(1024), b"")
+
+    def first_event(self, path, version):
+        """Returns a connection on which the first event of a stream has come, and what came; None if the request was refused."""
+        client = socket.create_connection(path.addresses["callers"].split(":"), timeout=10)
+        self.addCleanup(client.close)
+        client.sendall(b"POST /stories/1 HTTP/%s\r\nHost: %s\r\nAttempt-Id: %d\r\nContent-Length: 0\r\n\r\n" % (version, HOST.encode(), client.fileno()))
+        received = b""
+        while b"data: one" not in received:
+            part = client.recv(1024)
+            received += part
+            if not part or b" 503 " in received or b"Content-Length" in received:
+                return None
+        return client, received
+
     def test_odd_registrations_end_no_process(self):
         path = self.start()
         sound = path.registration("orders", "127.0.0.1:80")
--- a/unittests/Http/AnswerFramingTest.cpp
+++ b/unittests/Http/AnswerFramingTest.cpp
@@ -142,3 +142,62 @@
     }
     CHECK_FALSE(caller.isClosed());
 }
+
+static const std::string http10Request = "GET / HTTP/1.0\r\n\r\n";
+
+// Guards against a server that ends its connections in an orderly way when it goes.
+TEST_CASE("an answer that ends with the connection is reset when its server goes")
+{
+    HeldServer held;
+    auto caller = held.call(http10Request);
+    held.responders[0]->sendHead(headOf(200));
+    held.responders[0]->write("part");
+    bool isSent = GENERATE(true, false);
+    if (isSent)
+        REQUIRE(caller->receiveUntil(held.loop, "part"));
+    else
+        held.responders[0]->write(std::string(32 << 20, 'x'));
+    runFor(held.loop, 20ms);
+    held.server.reset();
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK(caller->wasReset());
+}
+
+// Guards against an answer whose rest is dropped for want of memory.
+TEST_CASE("an answer that ends with the connection is reset when its connection has to yield")
+{
+    HttpServerOptions options;
+    options.memory = std::make_shared<ClientMemory>(1 << 20);
+    HeldServer held(options);
+    auto caller = held.call(http10Request);
+    held.responders[0]->sendHead(headOf(200));
+    held.responders[0]->write("part");
+    REQUIRE(caller->receiveUntil(held.loop, "part"));
+    held.responders[0]->write(std::string(32 << 20, 'x'));
+    held.responders[0]->finish();
+    REQUIRE(runUntil(held.loop, [&] { return held.server->openConnections() == 0; }));
+    REQUIRE(caller->receiveToEnd(held.loop));
+    CHECK(caller->received().size() < (32u << 20));
+    CHECK(caller->wasReset());
+}
+
+// Guards against a reset that discards the last bytes of a whole answer.
+TEST_CASE("a whole answer that ends with the connection reaches a slow caller, which sees an orderly end")
+{
+    HeldServer held;
+    auto caller = held.call(http10Request);
+    const std::size_t bytes = 4u << 20;
+    held.responders[0]->sendHead(headOf(200));
+    held.responders[0]->write(std::string(bytes, 'x'));
+    bool isEndedLate = GENERATE(false, true);
+    if (isEndedLate)
+        runFor(held.loop, 20ms);
+    held.responders[0]->finish();
+    REQUIRE(runUntil(held.loop, [&] {
+        caller->receiveAtMost(32 << 10);
+        return caller->isEnded();
+    }));
+    CHECK(caller->received().size() - caller->received().find("\r\n\r\n") - 4 == bytes);
+    CHECK_FALSE(caller->wasReset());
+    REQUIRE(runUntil(held.loop, [&] { return held.server->openConnections() == 0; }));
+}
--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -420,3 +420,53 @@
     CHECK((received.rfind("HTTP/1.1 400 ", 0) == 0) == isDoubtful);
     CHECK(reasons.size() == (isDoubtful ? 1 : 0));
 }
+
+// Guards against a part of a body over TLS that is followed by the alert which ends a whole one.
+TEST_CASE("a TLS answer that ends with the connection is followed by close_notify only if it is whole")
+{
+    TlsWorld world;
+    world.isAnswering = false;
+    world.listen(world.authority.issueServer());
+    std::shared_ptr<TlsContext> context = clientContext(world.authority.issueCaller("Fitting Desk"));
+    enum class End {
+        Finished,
+        Aborted,
+        ServerGone,
+    };
+    End end = GENERATE(End::Finished, End::Aborted, End::ServerGone);
+    auto caller = RawConnection::connect(world.server->address());
+    REQUIRE(caller);
+    std::unique_ptr<SSL, decltype(&SSL_free)> tls(SSL_new(context->native()), SSL_free);
+    SSL_set_fd(tls.get(), caller->descriptor());
+    REQUIRE(SSL_set_tlsext_host_name(tls.get(), world.server->address().host.c_str()) == 1);
+    REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
+    const std::string request = "GET / HTTP/1.0\r\n\r\n";
+    REQUIRE(SSL_write(tls.get(), request.data(), static_cast<int>(request.size())) == static_cast<int>(request.size()));
+    REQUIRE(runUntil(world.loop, [&] { return world.responders.size() == 1; }));
+    world.responders[0]->sendHead(headOf(201));
+    world.responders[0]->write("body");
+    std::string received;
+    bool hasEnded = false;
+    auto receive = [&] {
+        char bytes[1024];
+        int count = SSL_read(tls.get(), bytes, sizeof(bytes));
+        if (count > 0)
+            received.append(bytes, static_cast<std::size_t>(count));
+        else
+            hasEnded = SSL_get_error(tls.get(), count) != SSL_ERROR_WANT_READ;
+        return hasEnded || received.find("body") != std::string::npos;
+    };
+    REQUIRE(runUntil(world.loop, receive));
+    if (end == End::Finished)
+        world.responders[0]->finish();
+    else if (end == End::Aborted)
+        world.responders[0]->abort();
+    else
+        world.server.reset();
+    REQUIRE(runUntil(world.loop, [&] {
+        receive();
+        return hasEnded;
+    }));
+    CHECK(((SSL_get_shutdown(tls.get()) & SSL_RECEIVED_SHUTDOWN) != 0) == (end == End::Finished));
+    CHECK(received.substr(received.size() - 4) == "body");
+}
