Take an answer of another entry without a frame as cut

What callers could see: while entries are replaced one after the other, an entry of the version before still forwards a stream with a 2xx other than 200 without a length or chunks, and ends its connection in order when the stream breaks. A new entry beside it took the part for the whole and sent it to its client, in whole chunks.

Cause: a client of HTTP can't tell such a body from a whole one, and the clients that call other entries accepted it though entries frame every answer to HTTP/1.1.

Now HttpClientOptions::acceptsUnframedBodies says whether a client does; both daemons' clients for other entries, the only ones that speak TLS, don't. So a body over TLS that ends without close_notify isn't whole there either. The cost: such a stream through an entry of the version before is cut at its end also if it was whole.

Evidence, x86-64: the new test of the routed path fails on the commit before (6 checks: streams and plain answers with 200, 206 and 299) and passes with the fix; so does the client's own test.

--- a/include/catkinwing/Http/HttpClient.h
+++ b/include/catkinwing/Http/HttpClient.h
@@ -104,7 +104,10 @@
     /// How long an unused connection is kept.
     std::chrono::milliseconds keepIdle { 4'000 };
     /// Plain text if null.
-    std::shared_ptr<TlsContext> tls;
+    std::shared_ptr<TlsContext> tls {};
+    /// Takes a body with neither a length nor chunks as whole if the server closes in good order. Without it
+    /// such a body is truncated, for servers that are known to frame each.
+    bool acceptsUnframedBodies { true };
 };
 
 /// Sends HTTP/1.1 over pooled connections, kept after a failure only if that bears the echoed field.
--- a/lib/Gateway/Daemon.cpp
+++ b/lib/Gateway/Daemon.cpp
@@ -207,13 +207,22 @@
     return options;
 }
 
+static HttpClientOptions peerClientOptions(std::shared_ptr<TlsContext> tls)
+{
+    HttpClientOptions options;
+    options.tls = std::move(tls);
+    // Entries of earlier versions leave some answers without a frame, cut ones included.
+    options.acceptsUnframedBodies = false;
+    return options;
+}
+
 Daemon::Impl::Impl(EventLoop& eventLoop, const DaemonSettings& daemonSettings, Random seed, TlsContexts contexts, const IssuedKeys::Secret& secret)
     : loop(eventLoop)
     , settings(daemonSettings)
     , random(seed)
     , tls(std::move(contexts))
     , plainClient(makeHttpClient(loop, {}))
-    , peerClient(makeHttpClient(loop, { 64, std::chrono::milliseconds(4'000), tls.peerClient }))
+    , peerClient(makeHttpClient(loop, peerClientOptions(tls.peerClient)))
     , platformHttp(*plainClient, loop, faults)
     , endpointHttp(*plainClient, loop, faults)
     , peerHttp(*peerClient, loop, faults)
--- a/lib/Http/ClientCore.h
+++ b/lib/Http/ClientCore.h
@@ -34,6 +34,7 @@
 
     EventLoop& loop() { return m_loop; }
     h2o_http1client_ctx_t* context() { return &m_context; }
+    bool acceptsUnframedBodies() const { return m_options.acceptsUnframedBodies; }
 
 private:
     using IdleConnections = std::vector<std::unique_ptr<ClientConnection>>;
--- a/lib/Http/ClientExchange.cpp
+++ b/lib/Http/ClientExchange.cpp
@@ -301,6 +301,8 @@
         return "no last chunk";
     if (m_framing == BodyFraming::UntilClose && m_connection->wasReset())
         return "connection reset";
+    if (m_framing == BodyFraming::UntilClose && !m_core->acceptsUnframedBodies())
+        return "neither a length nor chunks";
     return nullptr;
 }
 
--- a/lib/Ingress/IngressDaemonImpl.h
+++ b/lib/Ingress/IngressDaemonImpl.h
@@ -101,6 +101,8 @@
     {
         HttpClientOptions options;
         options.keepIdle = peerIdleTimeout;
+        // Entries of earlier versions leave some streams without a frame, cut ones included.
+        options.acceptsUnframedBodies = false;
         return options;
     }
 
--- a/unittests/Http/HttpClientTest.cpp
+++ b/unittests/Http/HttpClientTest.cpp
@@ -194,6 +194,20 @@
     CHECK(recorded->result.end == (isReset ? HttpEnd::Truncated : HttpEnd::Complete));
 }
 
+TEST_CASE("a body without a length is truncated where the server is known to frame each")
+{
+    HttpClientOptions options;
+    options.acceptsUnframedBodies = false;
+    ScriptedServer scripted(options);
+    auto recorded = scripted.send();
+    auto connection = scripted.serve();
+    connection->send("HTTP/1.1 200 OK\r\n\r\nabc");
+    REQUIRE(runUntil(scripted.loop, [&] { return recorded->body == "abc"; }));
+    connection->close();
+    scripted.waitForEnd(recorded);
+    CHECK(recorded->result.end == HttpEnd::Truncated);
+}
+
 namespace {
 
 /// A request whose body has left the client's hands and isn't read by the server, and a response
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -515,6 +515,24 @@
 
 } // namespace
 
+// Guards against a part of a stream that an entry of an earlier version ends in an orderly way.
+TEST_CASE("an answer of another entry with neither a length nor chunks is never whole")
+{
+    BrokenEntry fixture;
+    for (const char* status : { "200", "206", "299" }) {
+        INFO(status);
+        std::string start = absl::StrCat("HTTP/1.1 ", status, " Status\r\n", marks);
+        fixture.scripted.answer = { start + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n", ConnectionEnd::Closed, false, 5ms };
+        auto got = fixture.askScripted("/events/1");
+        CHECK(got->body == "id: 1\ndata: one\n\n");
+        CHECK(got->result.end == HttpEnd::Truncated);
+        fixture.scripted.answer = { start + "\r\npart", ConnectionEnd::Closed, false, 5ms };
+        got = fixture.askScripted("/far/1");
+        CHECK(got->result.end == HttpEnd::Complete);
+        CHECK(got->head.status == 502);
+    }
+}
+
 TEST_CASE("a broken answer of another entry reaches no client")
 {
     BrokenEntry fixture;
