Test that streams look cut at their route's timeout and at a stop

Two further ways in which an entry ends a stream that isn't whole: the timeout of its route, direct and forwarded, and SIGTERM, with clients of HTTP/1.0 and HTTP/1.1 and a status other than 200.

--- a/test/e2e/routed_test.py
+++ b/test/e2e/routed_test.py
@@ -162,8 +162,13 @@
         endpoint.leaves_body_unread = True
         check_withheld(b"HTTP/1.1 200 OK\r\n" + marks + b"\r\npart", b"x" * 900_000)
 
-    def test_streams_of_an_entry_that_is_killed_look_cut(self):
+    def test_streams_of_an_entry_that_ends_look_cut(self):
         """Guards against the kernel, which ends the connections of a process in an orderly way."""
+        for ending in (signal.SIGKILL, signal.SIGTERM):
+            with self.subTest(signal=ending):
+                self.check_streams_look_cut(ending)
+
+    def check_streams_look_cut(self, ending):
         path = self.start()
         endpoint = BrokenEndpoint()
         self.addCleanup(endpoint.close)
@@ -173,7 +178,7 @@
         path.write("servers/stories-1", path.registration("stories", endpoint.address))
         wait_for(lambda: self.first_event(path, b"1.1"), "the endpoint to be used")
         streams = {version: self.first_event(path, version) for version in (b"1.0", b"1.1")}
-        path.entry.signal(signal.SIGKILL)
+        path.entry.signal(ending)
         path.entry.popen.wait(timeout=30)
         client, _ = streams[b"1.0"]
         with self.assertRaises(ConnectionResetError):
--- a/unittests/Platform/BrokenAnswerTest.cpp
+++ b/unittests/Platform/BrokenAnswerTest.cpp
@@ -385,6 +385,19 @@
     }
 }
 
+TEST_CASE("a stream that has no end by its route's timeout looks cut to the client")
+{
+    BrokenPath fixture(GENERATE(Path::Direct, Path::Forwarded));
+    std::string version = GENERATE("1.1", "1.0");
+    fixture.endpoint.answer = { streamHead(false) + "id: 1\ndata: one\n\n", ConnectionEnd::Kept };
+    std::vector<RawAnswer> got = fixture.askRaw({ "/events/200", "/events/206" }, version);
+    for (const RawAnswer& answer : got) {
+        INFO(answer.head << " to HTTP/" << version);
+        CHECK(absl::StrContains(answer.body, "id: 1\ndata: one\n\n"));
+        CHECK_FALSE(answer.isWhole());
+    }
+}
+
 TEST_CASE("a whole stream looks whole to the client, and HTTP/1.1 keeps the connection, whatever its status and framing")
 {
     Path path = GENERATE(Path::Direct, Path::Forwarded);
