--- a/unittests/Http/HttpTlsTest.cpp
+++ b/unittests/Http/HttpTlsTest.cpp
@@ -382,6 +382,19 @@
     CHECK(second->ends == (serverGoesFirst ? second->ends : 0));
 }
 
+using TlsSession = std::unique_ptr<SSL, decltype(&SSL_free)>;
+
+/// Opens a TLS session with the server of \p world on a connection of a test's own.
+static TlsSession openSession(TlsWorld& world, const RawConnection& connection, const TlsContext& context)
+{
+    TlsSession tls(SSL_new(context.native()), SSL_free);
+    SSL_set_fd(tls.get(), connection.descriptor());
+    // The context compares the certificate with the address that the session names.
+    REQUIRE(SSL_set_tlsext_host_name(tls.get(), world.server->address().host.c_str()) == 1);
+    REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
+    return tls;
+}
+
 // Guards against a request that comes in with the end of the handshake and passes the check of
 // framing by.
 TEST_CASE("a request whose end is in doubt is refused over TLS, and a sound one is served")
@@ -398,11 +411,7 @@
     SSL_CTX_set_max_proto_version(context->native(), version);
     auto caller = RawConnection::connect(world.server->address());
     REQUIRE(caller);
-    std::unique_ptr<SSL, decltype(&SSL_free)> tls(SSL_new(context->native()), SSL_free);
-    SSL_set_fd(tls.get(), caller->descriptor());
-    // The context compares the certificate with the address that the session names.
-    REQUIRE(SSL_set_tlsext_host_name(tls.get(), world.server->address().host.c_str()) == 1);
-    REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
+    TlsSession tls = openSession(world, *caller, *context);
     std::string message = "POST /outer HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n";
     message += isDoubtful ? "content-length: 40\r\n\r\n{}" : "\r\n{}";
     message += "GET /next HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -436,10 +445,7 @@
     End end = GENERATE(End::Finished, End::Aborted, End::ServerGone);
     auto caller = RawConnection::connect(world.server->address());
     REQUIRE(caller);
-    std::unique_ptr<SSL, decltype(&SSL_free)> tls(SSL_new(context->native()), SSL_free);
-    SSL_set_fd(tls.get(), caller->descriptor());
-    REQUIRE(SSL_set_tlsext_host_name(tls.get(), world.server->address().host.c_str()) == 1);
-    REQUIRE(runUntil(world.loop, [&] { return SSL_connect(tls.get()) == 1; }));
+    TlsSession tls = openSession(world, *caller, *context);
     const std::string request = "GET / HTTP/1.0\r\n\r\n";
     REQUIRE(SSL_write(tls.get(), request.data(), static_cast<int>(request.size())) == static_cast<int>(request.size()));
     REQUIRE(runUntil(world.loop, [&] { return world.responders.size() == 1; }));
